--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+GO ?= go
+
+.PHONY: setup build check lint test
+
+setup:
+	$(GO) mod download
+	$(GO) build -o bin/flamingohaven ./cmd/flamingohaven
+
+build:
+	$(GO) build ./...
+
+lint:
+	@unformatted=$$($(GO) tool gofumpt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofumpt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint build
+	$(GO) test -race -timeout 20m ./...
