--- /dev/null
+++ b/internal/protocol/callerapi/callerapi.go
@@ -0,0 +1,136 @@
+// Package callerapi defines what callers see besides the upstreams' answers:
+// headers, refusals and the list of addresses.
+package callerapi
+
+import (
+	"net/http"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Headers of callers' requests and of answers to them.
+const (
+	// HeaderRequestID carries the request id on every answer.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderTeam names the caller's team.
+	HeaderTeam = "X-Team"
+	// HeaderRoute names the route where path and model do not determine it.
+	HeaderRoute = "X-Route"
+	// HeaderDeadline is the time that the caller gives the request, a Go
+	// duration such as 1.5s or a whole number of milliseconds.
+	HeaderDeadline = "X-Deadline"
+	// HeaderIdempotencyKey carries a UUIDv7 on non-idempotent routes.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed is "true" on an answer that the ledger had recorded.
+	HeaderReplayed = "Idempotent-Replayed"
+	// HeaderOutcome repeats the outcome of a refusal.
+	HeaderOutcome = "X-Outcome"
+	// HeaderUpstream names the upstream that ran the request.
+	HeaderUpstream = "X-Upstream"
+	// HeaderVersion names the version that ran the request.
+	HeaderVersion = "X-Upstream-Version"
+	// TrailerComplete is "true" after a whole answer and "false" after one
+	// that was cut short.
+	TrailerComplete = "X-Complete"
+)
+
+// PathAddresses answers GET with an AddressList.
+const PathAddresses = "/v1/addresses"
+
+// Outcome tells whether a refused request can have run.
+type Outcome string
+
+const (
+	// NotRun says that no byte of the request reached an upstream.
+	NotRun Outcome = "not_run"
+	// MayHaveRun says that the request may have run or may still run.
+	MayHaveRun Outcome = "may_have_run"
+)
+
+// Reason is the machine-readable cause of a refusal. It includes the
+// scheduler's reasons.
+type Reason string
+
+// Reasons that the caller edge adds to the scheduler's.
+const (
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonUnknownRoute   Reason = "unknown_route"
+	ReasonUnknownTeam    Reason = "unknown_team"
+	ReasonUnknownModel   Reason = "unknown_model"
+	ReasonBadDeadline    Reason = "bad_deadline"
+	ReasonKeyMissing     Reason = "idempotency_key_missing"
+	ReasonKeyMalformed   Reason = "idempotency_key_malformed"
+	ReasonKeyMismatch    Reason = "idempotency_key_reused"
+	ReasonKeyExpired     Reason = "idempotency_key_expired"
+	ReasonTooLarge       Reason = "too_large"
+	ReasonTooSlow        Reason = "too_slow"
+	ReasonMethod         Reason = "method_not_allowed"
+	ReasonLedgerFull     Reason = "ledger_full"
+	ReasonNoQuorum       Reason = "no_quorum"
+	ReasonBrokenUpstream Reason = "upstream_failed"
+	ReasonCrossedAnswer  Reason = "answer_mismatch"
+	ReasonLostAnswer     Reason = "answer_lost"
+	ReasonTimeout        Reason = "timeout"
+	ReasonCallerLeft     Reason = "caller_left"
+)
+
+// Refusal is the body of every answer that does not come from an upstream.
+type Refusal struct {
+	Error RefusalError `json:"error"`
+}
+
+// RefusalError is the content of a Refusal.
+type RefusalError struct {
+	Message   string          `json:"message"`
+	Reason    Reason          `json:"reason"`
+	Outcome   Outcome         `json:"outcome"`
+	Tier      ident.TierName  `json:"tier,omitempty"`
+	RequestID ident.RequestID `json:"request_id"`
+	// RetryAfterSeconds repeats the Retry-After header; zero means none.
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+	// Addresses names other nodes to try, when this one can take nothing.
+	Addresses []string `json:"addresses,omitempty"`
+}
+
+// Status returns the HTTP status that goes with a refusal's reason.
+func (e *RefusalError) Status() int {
+	switch e.Reason {
+	case ReasonBadRequest, ReasonBadDeadline, ReasonKeyMissing, ReasonKeyMalformed:
+		return http.StatusBadRequest
+	case ReasonUnknownRoute, ReasonUnknownModel:
+		return http.StatusNotFound
+	case ReasonUnknownTeam:
+		return http.StatusForbidden
+	case ReasonMethod:
+		return http.StatusMethodNotAllowed
+	case ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ReasonTooSlow:
+		return http.StatusRequestTimeout
+	case ReasonKeyMismatch:
+		return http.StatusUnprocessableEntity
+	case ReasonKeyExpired:
+		return http.StatusGone
+	case ReasonBrokenUpstream, ReasonCrossedAnswer, ReasonLostAnswer:
+		return http.StatusBadGateway
+	case ReasonTimeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// AddressList tells callers which nodes to use, best first.
+type AddressList struct {
+	Addresses []Address `json:"addresses"`
+	// TTLSeconds is how long a caller may keep the list.
+	TTLSeconds float64 `json:"ttl_seconds"`
+}
+
+// Address is one entry node.
+type Address struct {
+	Node    ident.NodeID `json:"node"`
+	Address string       `json:"address"`
+	Zone    ident.Zone   `json:"zone,omitempty"`
+}
+
--- /dev/null
+++ b/internal/protocol/openai/prefix.go
@@ -0,0 +1,54 @@
+package openai
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlockBytes is the length of prompt text that one prefix hash covers.
+const PrefixBlockBytes = 256
+
+// MaxPrefixBlocks bounds the prefix hashes of one ticket.
+const MaxPrefixBlocks = 64
+
+// Prefixes returns chained hashes of the prompt's leading blocks, longest
+// prefix last. Two prompts share hash i if and only if (but for collisions)
+// their first i+1 blocks are equal.
+func (r *Request) Prefixes() []uint64 {
+	chain := prefixChain{}
+	chain.write(r.Prompt)
+	for _, m := range r.Messages {
+		chain.write([]byte(m.Role))
+		chain.write(m.Content)
+	}
+	return chain.hashes
+}
+
+type prefixChain struct {
+	hashes  []uint64
+	pending []byte
+}
+
+func (c *prefixChain) write(text []byte) {
+	for len(text) > 0 && len(c.hashes) < MaxPrefixBlocks {
+		n := min(PrefixBlockBytes-len(c.pending), len(text))
+		c.pending = append(c.pending, text[:n]...)
+		text = text[n:]
+		if len(c.pending) == PrefixBlockBytes {
+			c.flush()
+		}
+	}
+}
+
+func (c *prefixChain) flush() {
+	digest := xxhash.New()
+	if n := len(c.hashes); n > 0 {
+		var previous [8]byte
+		binary.LittleEndian.PutUint64(previous[:], c.hashes[n-1])
+		_, _ = digest.Write(previous[:])
+	}
+	_, _ = digest.Write(c.pending)
+	c.hashes = append(c.hashes, digest.Sum64())
+	c.pending = c.pending[:0]
+}
--- /dev/null
+++ b/internal/state/timeline/timeline.go
@@ -0,0 +1,169 @@
+// Package timeline keeps a process's recent events, stamped by a hybrid
+// logical clock, so that the events of all processes merge into one order.
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Stamp is a hybrid logical clock reading: wall time in nanoseconds since 1970
+// and a counter that orders events of the same wall time.
+type Stamp struct {
+	Wall    int64  `json:"wall_ns"`
+	Logical uint32 `json:"logical"`
+}
+
+// Compare orders stamps.
+func (s Stamp) Compare(o Stamp) int {
+	if c := cmp.Compare(s.Wall, o.Wall); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.Logical, o.Logical)
+}
+
+// Clock is a hybrid logical clock. Its readings never go back and always
+// exceed every reading that Observe was given. It is safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+}
+
+// Now returns the next stamp at the given wall time.
+func (c *Clock) Now(wall time.Time) Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ns := wall.UnixNano(); ns > c.last.Wall {
+		c.last = Stamp{Wall: ns}
+	} else {
+		c.last.Logical++
+	}
+	return c.last
+}
+
+// Observe merges a stamp from another process.
+func (c *Clock) Observe(s Stamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Compare(c.last) > 0 {
+		c.last = s
+	}
+}
+
+// Kind names what happened.
+type Kind string
+
+// Kinds of events.
+const (
+	KindAccepted      Kind = "request_accepted"
+	KindGranted       Kind = "request_granted"
+	KindClaimed       Kind = "request_claimed"
+	KindDispatched    Kind = "request_dispatched"
+	KindEnded         Kind = "request_ended"
+	KindRefused       Kind = "request_refused"
+	KindResumed       Kind = "stream_resumed"
+	KindConfig        Kind = "config_in_force"
+	KindLeadership    Kind = "leadership"
+	KindPoolLease     Kind = "pool_lease"
+	KindNodeLease     Kind = "node_lease"
+	KindMove          Kind = "move"
+	KindDrain         Kind = "drain"
+	KindUpstream      Kind = "upstream"
+	KindOrder         Kind = "order"
+	KindConnection    Kind = "connection"
+	KindProcess       Kind = "process"
+	KindReplicaChange Kind = "replica_change"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	Stamp    Stamp           `json:"stamp"`
+	Node     ident.NodeID    `json:"node"`
+	Kind     Kind            `json:"kind"`
+	Request  ident.RequestID `json:"request,omitempty"`
+	Move     ident.MoveName  `json:"move,omitempty"`
+	Pool     ident.PoolName  `json:"pool,omitempty"`
+	Revision ident.Revision  `json:"revision,omitempty"`
+	Detail   string          `json:"detail,omitempty"`
+}
+
+// DefaultCapacity is the number of events that a process keeps.
+const DefaultCapacity = 8192
+
+// Recorder keeps the last events of one process. It is safe for concurrent use.
+type Recorder struct {
+	node  ident.NodeID
+	clock *Clock
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// NewRecorder returns a recorder that keeps capacity events.
+func NewRecorder(node ident.NodeID, clock *Clock, capacity int) *Recorder {
+	return &Recorder{node: node, clock: clock, events: make([]Event, 0, capacity)}
+}
+
+// Record stamps and keeps an event. A nil recorder drops it.
+func (r *Recorder) Record(e Event) {
+	if r == nil {
+		return
+	}
+	e.Node = r.node
+	e.Stamp = r.clock.Now(time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Events returns the kept events that the filter accepts, oldest first.
+func (r *Recorder) Events(f Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if f.Accepts(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Filter selects events. Empty fields accept all.
+type Filter struct {
+	Request ident.RequestID
+	Move    ident.MoveName
+	Node    ident.NodeID
+	Pool    ident.PoolName
+}
+
+// Accepts reports whether the filter selects e.
+func (f Filter) Accepts(e Event) bool {
+	return (f.Request == "" || f.Request == e.Request) &&
+		(f.Move == "" || f.Move == e.Move) &&
+		(f.Node == "" || f.Node == e.Node) &&
+		(f.Pool == "" || f.Pool == e.Pool)
+}
+
+// Merge returns the events of several processes in one order.
+func Merge(lists ...[]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		if c := a.Stamp.Compare(b.Stamp); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Node, b.Node)
+	})
+	return merged
+}
