--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -133,4 +133,3 @@
 	Address string       `json:"address"`
 	Zone    ident.Zone   `json:"zone,omitempty"`
 }
-
