Pool scheduler: tier order, slots, shares, takeover gate

Cause: the daemon needs a scheduler behind the typed interface. Change: Pool implements Scheduler: strict tier order, fair queueing of teams by tokens, least slack within a team, least expected completion, deficit counters for version shares, expiring grants, registration gate after fail-over, slots of unknown fate, refusals on deadline and queue limit.

--- /dev/null
+++ b/internal/coordination/scheduler/engine.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// engine is the scheduler's model of one upstream.
+type engine struct {
+	upstream Upstream
+	// listed is false once the view no longer names the upstream.
+	listed bool
+	// unready is true while the upstream reports that its version is not loaded.
+	unready bool
+	running map[*entry]struct{}
+	// orphans holds, oldest first, the times at which slots of unknown fate
+	// were taken.
+	orphans []time.Duration
+	speed   speed
+}
+
+func newEngine(u Upstream, pool *speed) *engine {
+	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool)}
+}
+
+// used counts the slots that are or may be taken.
+func (e *engine) used() int {
+	return len(e.running) + len(e.orphans)
+}
+
+// limit is the present bound on requests in flight.
+func (e *engine) limit() int {
+	return e.upstream.MaxConcurrent
+}
+
+// open tells whether the upstream may get new work at all.
+func (e *engine) open() bool {
+	return e.listed && !e.unready && !e.upstream.Leaving
+}
+
+// free counts the slots that a new request may take.
+func (e *engine) free() int {
+	if !e.open() {
+		return 0
+	}
+	return max(0, e.limit()-e.used())
+}
+
+// addOrphan counts a slot whose request may still run.
+func (e *engine) addOrphan(now time.Duration) {
+	e.orphans = append(e.orphans, now)
+}
+
+// expireOrphans forgets slots that were taken at or before the given time.
+func (e *engine) expireOrphans(before time.Duration) {
+	n := 0
+	for n < len(e.orphans) && e.orphans[n] <= before {
+		n++
+	}
+	e.orphans = e.orphans[n:]
+}
+
+// observeLoad corrects the orphans by a load report that was true at the given
+// time. Requests that still run and began before it were running then.
+func (e *engine) observeLoad(running int, at time.Duration) {
+	older := 0
+	for r := range e.running {
+		if r.state == stateRunning && r.startedAt <= at {
+			older++
+		}
+	}
+	known := 0
+	for known < len(e.orphans) && e.orphans[known] <= at {
+		known++
+	}
+	if gone := known - max(0, running-older); gone > 0 {
+		e.orphans = e.orphans[gone:]
+	}
+}
--- /dev/null
+++ b/internal/coordination/scheduler/entry.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// entryState is a step in the life of a ticket at the scheduler.
+type entryState uint8
+
+const (
+	stateWaiting entryState = iota + 1
+	stateGranted
+	stateRunning
+	stateRefused
+	stateEnded
+)
+
+// entry is the scheduler's record of one ticket.
+type entry struct {
+	ticket Ticket
+	state  entryState
+	// deadline is the ticket's deadline on the pool's clock.
+	deadline time.Duration
+	// service is the estimated time from dispatch to the end of the answer.
+	service time.Duration
+	queue   *teamQueue
+	index   int
+
+	engine       *engine
+	version      ident.VersionName
+	grantExpires time.Duration
+	startedAt    time.Duration
+	firstTokenAt time.Duration
+	batchAtStart int
+	retries      int
+	refusal      Refusal
+}
+
+// latestStart is the last moment at which a dispatch still meets the deadline.
+func (e *entry) latestStart() time.Duration {
+	return e.deadline - e.service
+}
+
+// holdsSlot tells whether the ticket occupies a slot of an upstream.
+func (e *entry) holdsSlot() bool {
+	return e.state == stateGranted || e.state == stateRunning
+}
+
+// excludes tells whether the ticket must not go to the named upstream.
+func (e *entry) excludes(name ident.UpstreamName) bool {
+	for _, excluded := range e.ticket.Excluded {
+		if excluded == name {
+			return true
+		}
+	}
+	return false
+}
+
+// tokens is the ticket's cost in tokens; a plain service's request costs one.
+func (e *entry) tokens() float64 {
+	return float64(max(1, e.ticket.PromptTokens+e.ticket.OutputTokens))
+}
--- /dev/null
+++ b/internal/coordination/scheduler/params.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import "time"
+
+const (
+	// GrantTTL is how long a gateway may use a grant.
+	GrantTTL = time.Second
+	// grantMargin covers clock drift and reports under way at a grant's expiry.
+	grantMargin = 250 * time.Millisecond
+	// takeoverWait is how long a new epoch waits for missing registrations.
+	takeoverWait = GrantTTL + grantMargin
+	// takeoverWindow is how long load reports may reveal work of a former epoch.
+	takeoverWindow = 10 * time.Second
+	// orphanBound is how long a slot of unknown fate stays counted.
+	orphanBound = 30 * time.Second
+	// recentBound is how long a refused or ended ticket is remembered.
+	recentBound = 10 * time.Second
+	// defaultQueueLimit bounds the queue when the view sets no limit.
+	defaultQueueLimit = 10_000
+	// sweepEvery is the period of the review of waiting tickets.
+	sweepEvery = 100 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound the advice in refusals.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 60 * time.Second
+	// placeAttempts bounds the tickets passed over in one placement round.
+	placeAttempts = 8
+)
--- /dev/null
+++ b/internal/coordination/scheduler/pool.go
@@ -0,0 +1,307 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Pool is the scheduler of one pool during one lease epoch.
+type Pool struct {
+	epoch     ident.Epoch
+	view      View
+	startedAt time.Duration
+	// placing is false until the requests of the former epoch are known.
+	placing    bool
+	registered map[ident.NodeID]ident.Incarnation
+	gateways   map[ident.NodeID]bool
+
+	entries map[ident.RequestID]*entry
+	tiers   []*tierQueue // highest rank first
+	weights map[ident.TeamName]float64
+	waiting int
+	running int
+
+	engines  map[ident.UpstreamName]*engine
+	versions map[ident.VersionName][]*engine
+	speed    speed
+	shares   shareKeeper
+
+	timers    timers
+	nextSweep time.Duration
+	retries   retryBudget
+	decisions []Decision
+}
+
+var _ Scheduler = (*Pool)(nil)
+
+// New returns the scheduler of a pool for one lease epoch. The lease of any
+// former epoch must have ended by now.
+func New(epoch ident.Epoch, v View, now time.Duration) *Pool {
+	p := &Pool{
+		epoch:      epoch,
+		startedAt:  now,
+		registered: make(map[ident.NodeID]ident.Incarnation),
+		entries:    make(map[ident.RequestID]*entry),
+		engines:    make(map[ident.UpstreamName]*engine),
+		speed:      newSpeed(nil),
+		retries:    newRetryBudget(),
+	}
+	p.SetView(v, now)
+	return p
+}
+
+// SetView implements Scheduler.
+func (p *Pool) SetView(v View, now time.Duration) {
+	p.view = v
+	p.setGateways(v.Gateways, now)
+	p.setUpstreams(v.Upstreams)
+	p.shares.set(v.Shares)
+	p.setTiers(v)
+	p.step(now)
+}
+
+// setTiers rebuilds the queues in the order of the view's ranks.
+func (p *Pool) setTiers(v View) {
+	old := p.tiers
+	p.weights = make(map[ident.TeamName]float64, len(v.Teams))
+	for _, t := range v.Teams {
+		p.weights[t.Name] = float64(max(1, t.Shares))
+	}
+	p.tiers = make([]*tierQueue, 0, len(v.Tiers))
+	for _, t := range v.Tiers {
+		p.tiers = append(p.tiers, newTierQueue(t))
+	}
+	sort.SliceStable(p.tiers, func(i, j int) bool { return p.tiers[i].tier.Rank > p.tiers[j].tier.Rank })
+	for _, q := range old {
+		for name, t := range q.teams {
+			p.tier(q.tier.Name).team(name, p.weight(name)).served = t.served
+		}
+		p.tier(q.tier.Name).served = q.served
+		for _, t := range q.active {
+			for _, e := range t.entries {
+				p.queueOf(e).add(e)
+			}
+		}
+	}
+}
+
+// tier returns the queue of the named tier. A tier that the view does not name
+// ranks below all others.
+func (p *Pool) tier(name ident.TierName) *tierQueue {
+	for _, q := range p.tiers {
+		if q.tier.Name == name {
+			return q
+		}
+	}
+	rank := 0
+	if n := len(p.tiers); n > 0 {
+		rank = p.tiers[n-1].tier.Rank - 1
+	}
+	q := newTierQueue(Tier{Name: name, Rank: rank})
+	p.tiers = append(p.tiers, q)
+	return q
+}
+
+func (p *Pool) weight(team ident.TeamName) float64 {
+	if w, known := p.weights[team]; known {
+		return w
+	}
+	return 1
+}
+
+func (p *Pool) queueOf(e *entry) *teamQueue {
+	return p.tier(e.ticket.Tier).team(e.ticket.Team, p.weight(e.ticket.Team))
+}
+
+// setUpstreams takes in the view's upstreams. One that the view dropped is
+// kept while requests run on it.
+func (p *Pool) setUpstreams(upstreams []Upstream) {
+	for _, g := range p.engines {
+		g.listed = false
+	}
+	p.versions = make(map[ident.VersionName][]*engine)
+	for _, u := range upstreams {
+		g, known := p.engines[u.Name]
+		if !known {
+			g = newEngine(u, &p.speed)
+			p.engines[u.Name] = g
+		}
+		if g.upstream.Version != u.Version {
+			g.unready = false
+		}
+		g.upstream = u
+		g.listed = true
+		p.versions[u.Version] = append(p.versions[u.Version], g)
+	}
+	for name, g := range p.engines {
+		if !g.listed && g.used() == 0 {
+			delete(p.engines, name)
+		}
+	}
+}
+
+// Submit implements Scheduler.
+func (p *Pool) Submit(t Ticket, now time.Duration) {
+	p.submit(t, now)
+	p.step(now)
+}
+
+// submit queues a ticket, or answers it again when it is known.
+func (p *Pool) submit(t Ticket, now time.Duration) {
+	if e, known := p.entries[t.ID]; known && e.state != stateEnded {
+		p.answerAgain(e, now)
+		return
+	}
+	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining}
+	p.entries[t.ID] = e
+	if reason := p.admit(e, now); reason != "" {
+		p.refuse(e, reason, now)
+		return
+	}
+	p.enqueue(e)
+	p.shedOverLimit(now)
+}
+
+func (p *Pool) enqueue(e *entry) {
+	e.state = stateWaiting
+	p.queueOf(e).add(e)
+	p.waiting++
+}
+
+func (p *Pool) dequeue(e *entry) {
+	e.queue.remove(e)
+	p.waiting--
+}
+
+// answerAgain repeats the decision on a known ticket, if there is one.
+func (p *Pool) answerAgain(e *entry, now time.Duration) {
+	switch e.state {
+	case stateGranted:
+		p.emitGrant(e, now)
+	case stateRefused:
+		refusal := e.refusal
+		p.emit(e, Decision{Refusal: &refusal})
+	}
+}
+
+func (p *Pool) emit(e *entry, d Decision) {
+	d.Gateway = e.ticket.Gateway
+	p.decisions = append(p.decisions, d)
+}
+
+// emitGrant answers a call that was sent before now, so the rest of the
+// grant's life bounds its use at the gateway.
+func (p *Pool) emitGrant(e *entry, now time.Duration) {
+	p.emit(e, Decision{Grant: &Grant{
+		Ticket:   e.ticket.ID,
+		Epoch:    p.epoch,
+		Upstream: e.engine.upstream.Name,
+		Version:  e.version,
+		TTL:      e.grantExpires - now,
+	}})
+}
+
+// refuse ends a ticket that holds no slot and is in no queue.
+func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
+	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e)}
+	e.state = stateRefused
+	refusal := e.refusal
+	p.emit(e, Decision{Refusal: &refusal})
+	p.forgetLater(e, now)
+}
+
+// forgetLater keeps a finished ticket for a while, to answer duplicates.
+func (p *Pool) forgetLater(e *entry, now time.Duration) {
+	p.timers.add(timer{at: now + recentBound, kind: timerForget, entry: e})
+}
+
+// Cancel implements Scheduler.
+func (p *Pool) Cancel(id ident.RequestID, now time.Duration) {
+	if e, known := p.entries[id]; known && e.state == stateWaiting {
+		p.dequeue(e)
+		p.end(e, now)
+	}
+	p.step(now)
+}
+
+// end closes a ticket that holds no slot and is in no queue.
+func (p *Pool) end(e *entry, now time.Duration) {
+	e.state = stateEnded
+	p.forgetLater(e, now)
+}
+
+// Tick implements Scheduler.
+func (p *Pool) Tick(now time.Duration) {
+	p.step(now)
+}
+
+// step does the time-driven work that is due, then places what it can.
+func (p *Pool) step(now time.Duration) {
+	p.runTimers(now)
+	p.openAfterTakeover(now)
+	if now >= p.nextSweep {
+		p.nextSweep = now + sweepEvery
+		p.sweep(now)
+	}
+	if p.placing {
+		p.place(now)
+	}
+}
+
+func (p *Pool) runTimers(now time.Duration) {
+	for {
+		t, due := p.timers.due(now)
+		if !due {
+			return
+		}
+		switch t.kind {
+		case timerGrant:
+			p.expireGrant(t.entry, now)
+		case timerForget:
+			p.forget(t.entry)
+		case timerOrphan:
+			t.engine.expireOrphans(now - orphanBound)
+		}
+	}
+}
+
+// expireGrant frees the slot of a grant that no report has confirmed. The
+// gateway dropped it, or registers its request as running.
+func (p *Pool) expireGrant(e *entry, now time.Duration) {
+	if e.state != stateGranted || now < e.grantExpires+grantMargin {
+		return
+	}
+	p.release(e)
+	p.shares.refund(e.shareKey(), e.version)
+	p.end(e, now)
+}
+
+func (p *Pool) forget(e *entry) {
+	finished := e.state == stateRefused || e.state == stateEnded
+	if finished && p.entries[e.ticket.ID] == e {
+		delete(p.entries, e.ticket.ID)
+	}
+}
+
+// Decisions implements Scheduler.
+func (p *Pool) Decisions() []Decision {
+	out := p.decisions
+	p.decisions = nil
+	return out
+}
+
+// Stats implements Scheduler.
+func (p *Pool) Stats() Stats {
+	s := Stats{Waiting: p.waiting, Running: p.running, WaitingByTier: make(map[ident.TierName]int, len(p.tiers))}
+	for _, q := range p.tiers {
+		s.WaitingByTier[q.tier.Name] += q.waiting
+	}
+	for _, g := range p.engines {
+		if g.open() {
+			s.Capacity += g.limit()
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/coordination/scheduler/pool_test.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+func testView() View {
+	return View{
+		Pool:       "p",
+		QueueLimit: 100,
+		Tiers:      []Tier{{Name: "patient", Rank: 1, Reserve: 0.1}, {Name: "urgent", Rank: 3}, {Name: "ordinary", Rank: 2}},
+		Teams:      []Team{{Name: "a", Shares: 1}, {Name: "b", Shares: 1}},
+		Upstreams:  []Upstream{{Name: "u1", Version: "v1", MaxConcurrent: 2}, {Name: "u2", Version: "v1", MaxConcurrent: 2}},
+		Shares:     []VersionShare{{Version: "v1", Share: 1, NonIdempotentShare: 1}},
+		Gateways:   []ident.NodeID{"g1"},
+	}
+}
+
+func testTicket(id int, tier ident.TierName) Ticket {
+	return Ticket{
+		ID: ident.RequestID(fmt.Sprintf("r%04d", id)), Gateway: "g1", Tier: tier, Team: "a", Route: "r",
+		Idempotent: true, Remaining: time.Minute,
+	}
+}
+
+func openPool(v View) *Pool {
+	p := New(1, v, 0)
+	for _, g := range v.Gateways {
+		p.Register(Registration{Gateway: g, Incarnation: 1}, 0)
+	}
+	return p
+}
+
+func grants(decisions []Decision) []Grant {
+	var out []Grant
+	for _, d := range decisions {
+		if d.Grant != nil {
+			out = append(out, *d.Grant)
+		}
+	}
+	return out
+}
+
+func refusals(decisions []Decision) []Refusal {
+	var out []Refusal
+	for _, d := range decisions {
+		if d.Refusal != nil {
+			out = append(out, *d.Refusal)
+		}
+	}
+	return out
+}
+
+func TestPool_StrictTierOrder(t *testing.T) {
+	p := openPool(testView())
+	for i := range 4 {
+		p.Submit(testTicket(i, "patient"), 0)
+	}
+	must.Len(t, 4, grants(p.Decisions()))
+	p.Submit(testTicket(10, "patient"), 0)
+	p.Submit(testTicket(11, "ordinary"), 0)
+	p.Submit(testTicket(12, "urgent"), 0)
+	must.Len(t, 0, p.Decisions())
+	e := p.entries["r0000"]
+	p.Report(Report{Kind: ReportEnded, Ticket: "r0000", Gateway: "g1", Upstream: e.engine.upstream.Name}, time.Second)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.RequestID("r0012"), got[0].Ticket)
+}
+
+func TestPool_QueueLimitShedsLowestTier(t *testing.T) {
+	v := testView()
+	v.QueueLimit = 2
+	p := openPool(v)
+	for i := range 4 {
+		p.Submit(testTicket(i, "urgent"), 0)
+	}
+	p.Submit(testTicket(10, "patient"), 0)
+	p.Submit(testTicket(11, "urgent"), 0)
+	p.Decisions()
+	p.Submit(testTicket(12, "urgent"), 0)
+	got := refusals(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.RequestID("r0010"), got[0].Ticket)
+	must.Eq(t, ReasonOverload, got[0].Reason)
+}
+
+func TestPool_GrantExpiresUnused(t *testing.T) {
+	p := openPool(testView())
+	p.Submit(testTicket(0, "urgent"), 0)
+	must.Len(t, 1, grants(p.Decisions()))
+	must.Eq(t, 1, p.Stats().Running)
+	p.Submit(testTicket(0, "urgent"), 400*time.Millisecond)
+	again := grants(p.Decisions())
+	must.Len(t, 1, again)
+	must.Eq(t, GrantTTL-400*time.Millisecond, again[0].TTL)
+	p.Tick(GrantTTL + grantMargin)
+	must.Eq(t, 0, p.Stats().Running)
+}
+
+func TestPool_TakeoverWaitsForGateways(t *testing.T) {
+	v := testView()
+	v.Gateways = []ident.NodeID{"g1", "g2"}
+	p := New(2, v, 0)
+	running := Running{Ticket: testTicket(1, "urgent"), Upstream: "u1", Version: "v1", Elapsed: time.Second}
+	p.Register(Registration{Gateway: "g1", Incarnation: 1, Waiting: []Ticket{testTicket(0, "urgent")}, Running: []Running{running}}, 0)
+	must.Len(t, 0, p.Decisions())
+	p.Tick(GrantTTL)
+	must.Len(t, 0, p.Decisions())
+	p.Tick(takeoverWait)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.UpstreamName("u2"), got[0].Upstream)
+	must.Eq(t, ident.Epoch(2), got[0].Epoch)
+}
+
+func TestPool_CanaryStaysWithinShare(t *testing.T) {
+	v := testView()
+	v.Upstreams = append(v.Upstreams, Upstream{Name: "u3", Version: "v2", MaxConcurrent: 8}, Upstream{Name: "u4", Version: "v3", MaxConcurrent: 8})
+	v.Shares = []VersionShare{{Version: "v1", Share: 0.95, NonIdempotentShare: 1}, {Version: "v2", Share: 0.05}, {Version: "v3"}}
+	p := openPool(v)
+	count := map[ident.VersionName]int{}
+	for i := range 400 {
+		now := time.Duration(i) * time.Millisecond
+		ticket := testTicket(i, "urgent")
+		ticket.Idempotent = i%2 == 0
+		p.Submit(ticket, now)
+		for _, g := range grants(p.Decisions()) {
+			count[g.Version]++
+			p.Report(Report{Kind: ReportEnded, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
+		}
+	}
+	must.Eq(t, map[ident.VersionName]int{"v1": 390, "v2": 10}, count)
+}
+
+func TestPool_UnsentGoesElsewhere(t *testing.T) {
+	p := openPool(testView())
+	p.Submit(testTicket(0, "urgent"), 0)
+	first := grants(p.Decisions())[0]
+	p.Report(Report{Kind: ReportUnsent, Ticket: first.Ticket, Gateway: "g1", Upstream: first.Upstream}, 0)
+	second := grants(p.Decisions())
+	must.Len(t, 1, second)
+	must.NotEq(t, first.Upstream, second[0].Upstream)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/report.go
@@ -0,0 +1,127 @@
+package scheduler
+
+import "time"
+
+// Report implements Scheduler.
+func (p *Pool) Report(r Report, now time.Duration) {
+	e, known := p.entries[r.Ticket]
+	if known && e.holdsSlot() && e.ticket.Gateway == r.Gateway && e.engine.upstream.Name == r.Upstream {
+		p.report(e, r, now)
+	}
+	p.step(now)
+}
+
+func (p *Pool) report(e *entry, r Report, now time.Duration) {
+	switch r.Kind {
+	case ReportDispatched:
+		p.started(e, r, now)
+	case ReportFirstToken:
+		p.started(e, r, now)
+		p.firstToken(e, r, now)
+	case ReportEnded:
+		p.observeEnd(e, r)
+		p.release(e)
+		p.end(e, now)
+	case ReportFailed:
+		p.release(e)
+		p.end(e, now)
+	case ReportUnsent:
+		p.unsent(e, now)
+	case ReportDropped:
+		p.dropped(e, now)
+	case ReportUnknown:
+		p.orphan(e, now)
+	}
+}
+
+func (p *Pool) started(e *entry, r Report, now time.Duration) {
+	if e.state == stateGranted {
+		e.state = stateRunning
+		e.startedAt = now - r.Elapsed
+	}
+}
+
+func (p *Pool) firstToken(e *entry, r Report, now time.Duration) {
+	if e.firstTokenAt != 0 {
+		return
+	}
+	e.firstTokenAt = max(1, now)
+	if e.ticket.PromptTokens > 0 {
+		missed := max(0, e.ticket.PromptTokens-r.CachedTokens)
+		e.engine.speed.observeFirstToken(missed, r.Elapsed)
+	}
+	e.startedAt = now - r.Elapsed
+}
+
+// observeEnd learns from a whole answer. A plain service's answer counts as
+// its first token.
+func (p *Pool) observeEnd(e *entry, r Report) {
+	if e.ticket.PromptTokens == 0 {
+		e.engine.speed.observeFirstToken(0, r.Elapsed)
+		return
+	}
+	first := e.firstTokenAt - e.startedAt
+	if e.firstTokenAt == 0 || r.OutputTokens < 2 || r.Elapsed <= first {
+		return
+	}
+	gap := (r.Elapsed - first) / time.Duration(r.OutputTokens-1)
+	batch := (e.batchAtStart + e.engine.used()) / 2
+	e.engine.speed.observePerToken(max(1, batch), gap)
+}
+
+// unsent returns a ticket that provably did not reach its upstream to the
+// queue, within the retry budget.
+func (p *Pool) unsent(e *entry, now time.Duration) {
+	p.release(e)
+	p.shares.refund(e.shareKey(), e.version)
+	p.queueOf(e).charge(-e.tokens())
+	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
+	e.retries++
+	if e.retries > maxRetries || !p.retries.take() {
+		p.refuse(e, ReasonUnsent, now)
+		return
+	}
+	p.enqueue(e)
+}
+
+// dropped ends a ticket whose gateway let it go. A request that was already
+// sent may still run.
+func (p *Pool) dropped(e *entry, now time.Duration) {
+	if e.state == stateRunning {
+		p.orphan(e, now)
+		return
+	}
+	p.release(e)
+	p.shares.refund(e.shareKey(), e.version)
+	p.queueOf(e).charge(-e.tokens())
+	p.end(e, now)
+}
+
+// Load implements Scheduler.
+func (p *Pool) Load(r LoadReport, now time.Duration) {
+	if g, known := p.engines[r.Upstream]; known {
+		p.load(g, r, now)
+	}
+	p.step(now)
+}
+
+func (p *Pool) load(g *engine, r LoadReport, now time.Duration) {
+	at := now - r.Age
+	g.observeLoad(r.Running, at)
+	if now < p.startedAt+takeoverWindow {
+		for g.used() < r.Running {
+			p.addOrphan(g, now)
+		}
+	}
+	g.unready = len(r.Versions) > 0
+	for _, version := range r.Versions {
+		if version == g.upstream.Version {
+			g.unready = false
+		}
+	}
+}
+
+// Cache implements Scheduler.
+func (p *Pool) Cache(_ CacheEvent, now time.Duration) {
+	p.step(now)
+}
--- /dev/null
+++ b/internal/coordination/scheduler/retry.go
@@ -0,0 +1,32 @@
+package scheduler
+
+const (
+	// retryRatio is the part of dispatches that may be repeated elsewhere.
+	retryRatio = 0.1
+	// retryBurst is the number of retries that may be saved up.
+	retryBurst = 20
+	// maxRetries bounds the retries of one ticket.
+	maxRetries = 3
+)
+
+// retryBudget bounds retries of unsent requests to a part of all dispatches,
+// so that a network fault does not multiply the load.
+type retryBudget struct {
+	tokens float64
+}
+
+func newRetryBudget() retryBudget {
+	return retryBudget{tokens: retryBurst}
+}
+
+func (b *retryBudget) dispatched() {
+	b.tokens = min(retryBurst, b.tokens+retryRatio)
+}
+
+func (b *retryBudget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/coordination/scheduler/speed.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import "time"
+
+// fitDecay is the weight that old samples keep at each new one.
+const fitDecay = 0.98
+
+// fitMinSamples is the weight of samples below which a fit is not used.
+const fitMinSamples = 3
+
+// fit is a straight line fitted to samples whose weight decays with each new
+// sample.
+type fit struct {
+	n, sx, sy, sxx, sxy float64
+}
+
+func (f *fit) add(x, y float64) {
+	f.n = f.n*fitDecay + 1
+	f.sx = f.sx*fitDecay + x
+	f.sy = f.sy*fitDecay + y
+	f.sxx = f.sxx*fitDecay + x*x
+	f.sxy = f.sxy*fitDecay + x*y
+}
+
+func (f *fit) known() bool {
+	return f.n >= fitMinSamples
+}
+
+// line returns intercept and slope, neither below zero.
+func (f *fit) line() (intercept, slope float64) {
+	meanX := f.sx / f.n
+	meanY := f.sy / f.n
+	spread := f.sxx/f.n - meanX*meanX
+	if spread <= 1e-9*(1+meanX*meanX) {
+		return meanY, 0
+	}
+	slope = (f.sxy/f.n - meanX*meanY) / spread
+	if slope < 0 {
+		return meanY, 0
+	}
+	intercept = meanY - slope*meanX
+	if intercept < 0 {
+		return 0, f.sxy / f.sxx
+	}
+	return intercept, slope
+}
+
+func (f *fit) at(x float64) float64 {
+	intercept, slope := f.line()
+	return intercept + slope*x
+}
+
+// speed learns how fast an upstream is: the time to the first token by prompt
+// tokens that miss its cache, and the time between tokens by requests in
+// flight. Both are in seconds. An upstream without samples takes the pool's.
+type speed struct {
+	pool    *speed
+	prefill fit
+	decode  fit
+}
+
+func newSpeed(pool *speed) speed {
+	return speed{pool: pool}
+}
+
+// firstToken estimates the time from dispatch to the first token.
+func (s *speed) firstToken(missed int) time.Duration {
+	f := &s.prefill
+	if !f.known() && s.pool != nil {
+		f = &s.pool.prefill
+	}
+	if !f.known() {
+		return 0
+	}
+	return seconds(f.at(float64(missed)))
+}
+
+// perToken estimates the time between tokens at a number of requests in flight.
+func (s *speed) perToken(batch int) time.Duration {
+	f := &s.decode
+	if !f.known() && s.pool != nil {
+		f = &s.pool.decode
+	}
+	if !f.known() {
+		return 0
+	}
+	return seconds(f.at(float64(batch)))
+}
+
+// service estimates the time from dispatch to the end of the answer.
+func (s *speed) service(missed, output, batch int) time.Duration {
+	decode := time.Duration(max(0, output-1)) * s.perToken(batch)
+	return s.firstToken(missed) + decode
+}
+
+func (s *speed) observeFirstToken(missed int, elapsed time.Duration) {
+	s.prefill.add(float64(missed), elapsed.Seconds())
+	if s.pool != nil {
+		s.pool.prefill.add(float64(missed), elapsed.Seconds())
+	}
+}
+
+func (s *speed) observePerToken(batch int, gap time.Duration) {
+	s.decode.add(float64(batch), gap.Seconds())
+	if s.pool != nil {
+		s.pool.decode.add(float64(batch), gap.Seconds())
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordination/scheduler/takeover.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// setGateways drops the waiting tickets of gateways that hold no lease any
+// more; their dispatched requests may still run.
+func (p *Pool) setGateways(gateways []ident.NodeID, now time.Duration) {
+	p.gateways = make(map[ident.NodeID]bool, len(gateways))
+	for _, id := range gateways {
+		p.gateways[id] = true
+	}
+	for id := range p.registered {
+		if !p.gateways[id] {
+			delete(p.registered, id)
+		}
+	}
+	p.dropRequests(now, func(e *entry) bool { return !p.gateways[e.ticket.Gateway] })
+}
+
+// dropRequests ends the waiting and orphans the placed tickets that match.
+func (p *Pool) dropRequests(now time.Duration, match func(*entry) bool) {
+	for _, e := range p.entries {
+		if !match(e) {
+			continue
+		}
+		if e.state == stateWaiting {
+			p.dequeue(e)
+			p.end(e, now)
+		} else if e.holdsSlot() {
+			p.orphan(e, now)
+		}
+	}
+}
+
+// Register implements Scheduler.
+func (p *Pool) Register(r Registration, now time.Duration) {
+	former, known := p.registered[r.Gateway]
+	if known && r.Incarnation < former {
+		p.step(now)
+		return
+	}
+	named := make(map[ident.RequestID]bool, len(r.Running)+len(r.Waiting))
+	for _, running := range r.Running {
+		named[running.Ticket.ID] = true
+		p.adopt(running, now)
+	}
+	for _, t := range r.Waiting {
+		named[t.ID] = true
+	}
+	p.reconcile(r, known && r.Incarnation == former, named, now)
+	p.registered[r.Gateway] = r.Incarnation
+	for _, t := range r.Waiting {
+		p.submit(t, now)
+	}
+	p.step(now)
+}
+
+// reconcile settles the gateway's tickets that its registration does not name:
+// a live gateway has finished them, a former incarnation left them behind. A
+// grant under way to a live gateway stays until it expires.
+func (p *Pool) reconcile(r Registration, alive bool, named map[ident.RequestID]bool, now time.Duration) {
+	if !alive {
+		p.dropRequests(now, func(e *entry) bool {
+			return e.ticket.Gateway == r.Gateway && !named[e.ticket.ID]
+		})
+		return
+	}
+	for id, e := range p.entries {
+		if e.ticket.Gateway != r.Gateway || named[id] || e.state != stateRunning {
+			continue
+		}
+		p.release(e)
+		p.end(e, now)
+	}
+}
+
+// adopt counts a request that a gateway names as running.
+func (p *Pool) adopt(r Running, now time.Duration) {
+	e, known := p.entries[r.Ticket.ID]
+	if known && e.state == stateRunning {
+		return
+	}
+	if known && e.state == stateWaiting {
+		p.dequeue(e)
+	}
+	if known && e.state == stateGranted {
+		p.release(e)
+	}
+	if !known {
+		e = &entry{ticket: r.Ticket, deadline: now + r.Ticket.Remaining}
+		p.entries[r.Ticket.ID] = e
+	}
+	g, listed := p.engines[r.Upstream]
+	if !listed {
+		g = newEngine(Upstream{Name: r.Upstream, Version: r.Version}, &p.speed)
+		g.listed = false
+		p.engines[r.Upstream] = g
+	}
+	e.state = stateRunning
+	e.engine = g
+	e.version = r.Version
+	e.startedAt = now - r.Elapsed
+	g.running[e] = struct{}{}
+	e.batchAtStart = g.used()
+	p.running++
+}
+
+// openAfterTakeover starts placement once every gateway of the view has
+// registered, or the grants of the former epoch have expired.
+func (p *Pool) openAfterTakeover(now time.Duration) {
+	if p.placing {
+		return
+	}
+	if now >= p.startedAt+takeoverWait {
+		p.placing = true
+		return
+	}
+	if len(p.gateways) == 0 {
+		return
+	}
+	for id := range p.gateways {
+		if _, known := p.registered[id]; !known {
+			return
+		}
+	}
+	p.placing = true
+}
