Fakes of engines, services, weight store and platform

Cause: nodes need unlike upstreams to be tried against, with faults that can be switched while work runs, and counts of runs that do not depend on the system's own word. Change: package internal/fakes with an engine that batches continuously (prefix cache, lagging load reports, late cache events with gaps, streams that break, resume and cancel, bad versions, fenced orders), a plain service with a status query, a rate-limited weight store and a lagging list of VMs. Connections can go silent for good, be refused, or carry crossed answers.

--- /dev/null
+++ b/internal/fakes/conn.go
@@ -0,0 +1,42 @@
+package fakes
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// conn is a connection that can lose everything sent on it without an error.
+type conn struct {
+	net.Conn
+	server *server
+	silent atomic.Bool
+}
+
+// Read implements net.Conn. A silent connection discards what arrives.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn. A silent connection claims success.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn. A silent connection stays open towards its peer
+// until the server closes, so that the peer sees no end.
+func (c *conn) Close() error {
+	if c.silent.Load() {
+		return c.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.server.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/fakes/engine_batch.go
@@ -0,0 +1,226 @@
+package fakes
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// prefillChunk bounds the prompt tokens that one step reads.
+const prefillChunk = 512
+
+// maxStepsPerWake bounds the steps made up for after a late timer.
+const maxStepsPerWake = 64
+
+// stepShape is the work of one step of the batch.
+type stepShape struct {
+	decoding      int
+	prefillTokens int
+	version       ident.VersionName
+	path          string
+}
+
+// sequence is one request in the batch. Its fields are guarded by batch.mu.
+type sequence struct {
+	id      ident.RequestID
+	run     int
+	chat    bool
+	model   string
+	echo    string
+	path    string
+	version ident.VersionName
+
+	promptTokens int
+	cachedTokens int
+	prefillLeft  int
+	outputTokens int
+	// failAt is the token before which the sequence fails; zero means never.
+	failAt int
+
+	tokens   int
+	ended    bool
+	failed   bool
+	canceled bool
+	changed  chan struct{}
+	endedAt  time.Time
+}
+
+// token returns the text of token i.
+func (s *sequence) token(i int) string {
+	if i == 0 {
+		return s.echo
+	}
+	return fmt.Sprintf(" t%d", i)
+}
+
+// progress is a snapshot of a sequence.
+type progress struct {
+	tokens  int
+	ended   bool
+	failed  bool
+	changed <-chan struct{}
+}
+
+// batch runs all admitted sequences together, one token a step each.
+type batch struct {
+	stepTime func(stepShape) time.Duration
+
+	mu      sync.Mutex
+	active  []*sequence
+	wake    chan struct{}
+	done    chan struct{}
+	closing sync.Once
+}
+
+func newBatch(stepTime func(stepShape) time.Duration) *batch {
+	return &batch{stepTime: stepTime, wake: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+func (b *batch) close() {
+	b.closing.Do(func() { close(b.done) })
+}
+
+func (b *batch) admit(s *sequence) {
+	b.mu.Lock()
+	s.changed = make(chan struct{})
+	b.active = append(b.active, s)
+	b.mu.Unlock()
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *batch) cancel(s *sequence) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !s.ended {
+		s.canceled = true
+		s.end(true)
+	}
+}
+
+func (b *batch) progress(s *sequence) progress {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return progress{tokens: s.tokens, ended: s.ended, failed: s.failed, changed: s.changed}
+}
+
+// sizes returns the sequences that decode and those that wait for prefill.
+func (b *batch) sizes() (running, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.active {
+		if s.prefillLeft > 0 {
+			waiting++
+		} else {
+			running++
+		}
+	}
+	return running, waiting
+}
+
+// run makes steps until close. Steps keep to their own clock, so that late
+// timers do not slow the engine.
+func (b *batch) run() {
+	var next time.Time
+	for {
+		cost, ok := b.nextStep()
+		if !ok {
+			select {
+			case <-b.done:
+				return
+			case <-b.wake:
+			}
+			next = time.Now()
+			continue
+		}
+		next = next.Add(cost)
+		if behind := time.Since(next); behind > maxStepsPerWake*cost {
+			next = time.Now()
+		}
+		if wait := time.Until(next); wait > 0 {
+			select {
+			case <-b.done:
+				return
+			case <-time.After(wait):
+			}
+		}
+		b.step()
+	}
+}
+
+// nextStep returns the time of the next step, and false if there is no work.
+func (b *batch) nextStep() (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dropEnded()
+	if len(b.active) == 0 {
+		return 0, false
+	}
+	shape := stepShape{version: b.active[0].version, path: b.active[0].path}
+	for _, s := range b.active {
+		if s.prefillLeft == 0 {
+			shape.decoding++
+		} else if shape.prefillTokens == 0 {
+			shape.prefillTokens = min(s.prefillLeft, prefillChunk)
+		}
+	}
+	return b.stepTime(shape), true
+}
+
+// step reads one chunk of the oldest unread prompt and adds a token to every
+// sequence that decodes.
+func (b *batch) step() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	prefilled := false
+	for _, s := range b.active {
+		if s.ended {
+			continue
+		}
+		if s.prefillLeft > 0 {
+			if !prefilled {
+				s.prefillLeft -= min(s.prefillLeft, prefillChunk)
+				prefilled = true
+			}
+			continue
+		}
+		s.decode()
+	}
+	b.dropEnded()
+}
+
+func (b *batch) dropEnded() {
+	kept := b.active[:0]
+	for _, s := range b.active {
+		if !s.ended {
+			kept = append(kept, s)
+		}
+	}
+	clear(b.active[len(kept):])
+	b.active = kept
+}
+
+func (s *sequence) decode() {
+	s.tokens++
+	switch {
+	case s.failAt > 0 && s.tokens >= s.failAt:
+		s.end(true)
+	case s.tokens >= s.outputTokens:
+		s.end(false)
+	default:
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// end marks the sequence as ended; changed stays closed.
+func (s *sequence) end(failed bool) {
+	s.ended = true
+	s.failed = failed
+	s.endedAt = time.Now()
+	close(s.changed)
+}
--- /dev/null
+++ b/internal/fakes/engine_completion.go
@@ -0,0 +1,181 @@
+package fakes
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// maxBody bounds a request body, in bytes.
+const maxBody = 64 << 20
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	call, err := openai.ParseRequest(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	version, loaded := e.versions.choose(ident.VersionName(r.Header.Get(callerapi.HeaderVersion)))
+	if !loaded {
+		http.Error(w, "no version is loaded", http.StatusServiceUnavailable)
+		return
+	}
+	mode := e.faults.failMode()
+	if mode == FailReset {
+		panic(http.ErrAbortHandler)
+	}
+	s := e.newSequence(r, call, version)
+	if mode == FailStatus || e.refusedByVersion(s) {
+		e.runLog.end(s.run, RunFailed)
+		w.Header().Set(upstreamapi.HeaderRequestID, string(s.id))
+		http.Error(w, "the engine failed", http.StatusInternalServerError)
+		return
+	}
+	if mode == FailMidStream {
+		s.failAt = s.outputTokens/2 + 1
+	}
+	s.cachedTokens = min(e.cache.use(call.Prefixes()), s.promptTokens-1)
+	s.prefillLeft = s.promptTokens - s.cachedTokens
+	e.streams.add(s)
+	e.batch.admit(s)
+	go e.recordEnd(s)
+	if mode == FailAnswerLost {
+		e.awaitEnd(r, s)
+		panic(http.ErrAbortHandler)
+	}
+	answered := s
+	if e.faults.crossing() {
+		answered = e.streams.other(s)
+	}
+	if call.Stream {
+		e.writeStream(w, r, answered, 0, e.faults.breakStreamsAfter())
+		return
+	}
+	e.writeWhole(w, r, answered)
+}
+
+func (e *Engine) newSequence(r *http.Request, call *openai.Request, version ident.VersionName) *sequence {
+	s := &sequence{
+		id:           ident.RequestID(r.Header.Get(upstreamapi.HeaderRequestID)),
+		chat:         r.URL.Path == openai.PathChat,
+		model:        call.Model,
+		echo:         EchoOf(call),
+		path:         r.URL.Path,
+		version:      version,
+		promptTokens: call.PromptTokens(),
+		outputTokens: call.OutputTokens(),
+	}
+	s.run = e.runLog.start(Run{
+		RequestID:      s.id,
+		IdempotencyKey: r.Header.Get(upstreamapi.HeaderIdempotencyKey),
+		Path:           s.path,
+		Version:        version,
+		Echo:           s.echo,
+	})
+	return s
+}
+
+// refusedByVersion reports whether a bad version refuses the request, and
+// arranges a failure halfway if that is the version's fault.
+func (e *Engine) refusedByVersion(s *sequence) bool {
+	f, shows := e.versionFault(s.version, s.path, s.model)
+	if !shows || !e.faults.failsNow(f.FailRate) {
+		return false
+	}
+	if f.FailMidStream {
+		s.failAt = s.outputTokens/2 + 1
+		return false
+	}
+	return true
+}
+
+// recordEnd waits for the sequence to end and records how.
+func (e *Engine) recordEnd(s *sequence) {
+	for {
+		p := e.batch.progress(s)
+		if p.ended {
+			e.runLog.end(s.run, s.endState())
+			e.streams.forget(s)
+			return
+		}
+		select {
+		case <-p.changed:
+		case <-e.batch.done:
+			return
+		}
+	}
+}
+
+// endState is valid once the sequence has ended.
+func (s *sequence) endState() RunState {
+	switch {
+	case s.canceled:
+		return RunCanceled
+	case s.failed:
+		return RunFailed
+	default:
+		return RunFinished
+	}
+}
+
+// awaitEnd returns true when the sequence has ended, and false when the caller
+// left or the engine closed.
+func (e *Engine) awaitEnd(r *http.Request, s *sequence) bool {
+	for {
+		p := e.batch.progress(s)
+		if p.ended {
+			return true
+		}
+		select {
+		case <-p.changed:
+		case <-r.Context().Done():
+			return false
+		case <-e.batch.done:
+			return false
+		}
+	}
+}
+
+func (e *Engine) writeWhole(w http.ResponseWriter, r *http.Request, s *sequence) {
+	if !e.awaitEnd(r, s) || s.failed {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(upstreamapi.HeaderRequestID, string(s.id))
+	writeJSON(w, http.StatusOK, s.completion())
+}
+
+func (s *sequence) completion() openai.Completion {
+	var text strings.Builder
+	for i := range s.tokens {
+		text.WriteString(s.token(i))
+	}
+	choice := openai.Choice{FinishReason: "length"}
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+		choice.Message = openai.Delta{Role: "assistant", Content: text.String()}
+	} else {
+		choice.Text = text.String()
+	}
+	return openai.Completion{
+		ID:      "cmpl-" + string(s.id),
+		Object:  object,
+		Model:   s.model,
+		Choices: []openai.Choice{choice},
+		Usage:   s.usage(),
+	}
+}
+
+func (s *sequence) usage() *openai.Usage {
+	return &openai.Usage{PromptTokens: s.promptTokens, CompletionTokens: s.tokens, CachedTokens: s.cachedTokens}
+}
--- /dev/null
+++ b/internal/fakes/engine_faults.go
@@ -0,0 +1,99 @@
+package fakes
+
+import "sync"
+
+// FailMode is how a fake fails its requests.
+type FailMode string
+
+// Modes of failure.
+const (
+	// FailNone serves well.
+	FailNone FailMode = ""
+	// FailStatus answers 500 without running the request.
+	FailStatus FailMode = "status"
+	// FailReset breaks the connection without running the request.
+	FailReset FailMode = "reset"
+	// FailAnswerLost runs the request and breaks the connection before the answer.
+	FailAnswerLost FailMode = "answer_lost"
+	// FailMidStream breaks the answer halfway; the request cannot be resumed.
+	FailMidStream FailMode = "mid_stream"
+)
+
+// engineFaults holds the faults that are switched at run time.
+type engineFaults struct {
+	mu          sync.Mutex
+	slow        float64
+	fail        FailMode
+	breakAfter  int
+	cross       bool
+	failCounter float64
+}
+
+func (f *engineFaults) slowFactor() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.slow <= 0 {
+		return 1
+	}
+	return f.slow
+}
+
+func (f *engineFaults) failMode() FailMode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fail
+}
+
+func (f *engineFaults) breakStreamsAfter() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.breakAfter
+}
+
+func (f *engineFaults) crossing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cross
+}
+
+// failsNow spreads failures evenly: of n calls with one rate, rate*n fail.
+func (f *engineFaults) failsNow(rate float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failCounter += rate
+	if f.failCounter < 1 {
+		return false
+	}
+	f.failCounter--
+	return true
+}
+
+// SetSlow multiplies the time of every step; 1 restores the normal speed.
+func (e *Engine) SetSlow(factor float64) {
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	e.faults.slow = factor
+}
+
+// SetFail chooses how requests fail from now on.
+func (e *Engine) SetFail(mode FailMode) {
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	e.faults.fail = mode
+}
+
+// BreakStreamsAfter breaks the connection of every streamed answer after n
+// events. The request runs on and can be resumed. Zero breaks none.
+func (e *Engine) BreakStreamsAfter(n int) {
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	e.faults.breakAfter = n
+}
+
+// CrossAnswers gives each caller the answer to another request, under that
+// request's id.
+func (e *Engine) CrossAnswers(cross bool) {
+	e.faults.mu.Lock()
+	defer e.faults.mu.Unlock()
+	e.faults.cross = cross
+}
--- /dev/null
+++ b/internal/fakes/runs.go
@@ -0,0 +1,113 @@
+package fakes
+
+import (
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// RunState tells how far an upstream got with one request.
+type RunState string
+
+// States of a run.
+const (
+	RunStarted  RunState = "started"
+	RunFinished RunState = "finished"
+	RunFailed   RunState = "failed"
+	RunCanceled RunState = "canceled"
+)
+
+// Run is one request that reached a fake, as the fake saw it.
+type Run struct {
+	RequestID      ident.RequestID
+	IdempotencyKey string
+	Path           string
+	Version        ident.VersionName
+	// Echo identifies the content of the request; see Echo.
+	Echo      string
+	StartedAt time.Time
+	EndedAt   time.Time
+	State     RunState
+}
+
+// runLog records runs in the order of their arrival.
+type runLog struct {
+	mu   sync.Mutex
+	runs []Run
+}
+
+// start records a run and returns its index.
+func (l *runLog) start(r Run) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.StartedAt = time.Now()
+	r.State = RunStarted
+	l.runs = append(l.runs, r)
+	return len(l.runs) - 1
+}
+
+// end records the end of a run. The first end counts.
+func (l *runLog) end(index int, state RunState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runs[index].State != RunStarted {
+		return
+	}
+	l.runs[index].State = state
+	l.runs[index].EndedAt = time.Now()
+}
+
+// Runs returns a snapshot of every run so far.
+func (l *runLog) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+// Counts is a summary of runs from the fakes' view.
+type Counts struct {
+	// Runs counts every request that reached a fake.
+	Runs int
+	// ByRequest counts runs by request id.
+	ByRequest map[ident.RequestID]int
+	// ByKey counts runs by Idempotency-Key; runs without a key are left out.
+	ByKey map[string]int
+}
+
+// Count summarises the runs of several fakes.
+func Count(lists ...[]Run) Counts {
+	c := Counts{ByRequest: map[ident.RequestID]int{}, ByKey: map[string]int{}}
+	for _, runs := range lists {
+		for _, r := range runs {
+			c.Runs++
+			c.ByRequest[r.RequestID]++
+			if r.IdempotencyKey != "" {
+				c.ByKey[r.IdempotencyKey]++
+			}
+		}
+	}
+	return c
+}
+
+// RepeatedRequests returns the request ids that ran more than once.
+func (c Counts) RepeatedRequests() []ident.RequestID {
+	var repeated []ident.RequestID
+	for id, n := range c.ByRequest {
+		if n > 1 {
+			repeated = append(repeated, id)
+		}
+	}
+	return repeated
+}
+
+// RepeatedKeys returns the idempotency keys that ran more than once.
+func (c Counts) RepeatedKeys() []string {
+	var repeated []string
+	for key, n := range c.ByKey {
+		if n > 1 {
+			repeated = append(repeated, key)
+		}
+	}
+	return repeated
+}
--- /dev/null
+++ b/internal/fakes/service.go
@@ -0,0 +1,193 @@
+package fakes
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// DefaultServiceLatency is the time that a service takes for one call.
+const DefaultServiceLatency = 5 * time.Millisecond
+
+// DefaultStatusPath is the path of a service's status query.
+const DefaultStatusPath = "/status"
+
+// ServiceOptions sets a service's speed and habits. Zero fields take defaults.
+type ServiceOptions struct {
+	// Latency is the time that one call takes.
+	Latency time.Duration
+	// Workers bounds the calls that run at once; zero means no bound.
+	Workers int
+	// StatusPath answers GET with what became of the call whose key the header
+	// Idempotency-Key gives: 200 and its answer, 202 while it runs, 404 if it
+	// never arrived.
+	StatusPath string
+	// Version is reported with every run.
+	Version ident.VersionName
+	// FailRate is the fraction of calls that fail with 500, 0 to 1.
+	FailRate float64
+}
+
+// Service is a fake plain service. It runs whatever reaches it, also a second
+// time under the same key.
+type Service struct {
+	*server
+	*runLog
+	options ServiceOptions
+	faults  engineFaults
+	workers chan struct{}
+
+	mu      sync.Mutex
+	answers map[string]*ServiceAnswer
+}
+
+// ServiceAnswer is the body of a service's answer.
+type ServiceAnswer struct {
+	RequestID ident.RequestID `json:"request_id"`
+	// Echo identifies the content of the request; see Echo.
+	Echo string `json:"echo"`
+	// Run numbers the service's runs from 1.
+	Run int `json:"run"`
+}
+
+// StartService starts a service on a free loopback port.
+func StartService(options ServiceOptions) (*Service, error) {
+	if options.Latency <= 0 {
+		options.Latency = DefaultServiceLatency
+	}
+	if options.StatusPath == "" {
+		options.StatusPath = DefaultStatusPath
+	}
+	s := &Service{runLog: &runLog{}, options: options, answers: map[string]*ServiceAnswer{}}
+	if options.Workers > 0 {
+		s.workers = make(chan struct{}, options.Workers)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+options.StatusPath, s.serveStatus)
+	mux.HandleFunc("/", s.serveCall)
+	started, err := startServer(mux)
+	if err != nil {
+		return nil, err
+	}
+	s.server = started
+	return s, nil
+}
+
+// SetSlow multiplies the latency; 1 restores it.
+func (s *Service) SetSlow(factor float64) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.slow = factor
+}
+
+// SetFail chooses how calls fail from now on.
+func (s *Service) SetFail(mode FailMode) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.fail = mode
+}
+
+// CrossAnswers answers every call under another request's id.
+func (s *Service) CrossAnswers(cross bool) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.cross = cross
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	mode := s.faults.failMode()
+	if mode == FailReset {
+		panic(http.ErrAbortHandler)
+	}
+	run, answer := s.record(r, body)
+	s.work()
+	if mode == FailStatus || s.faults.failsNow(s.options.FailRate) {
+		s.runLog.end(run, RunFailed)
+		w.Header().Set(upstreamapi.HeaderRequestID, string(answer.RequestID))
+		http.Error(w, "the service failed", http.StatusInternalServerError)
+		return
+	}
+	s.runLog.end(run, RunFinished)
+	s.keep(r.Header.Get(upstreamapi.HeaderIdempotencyKey), answer)
+	if mode != FailNone {
+		panic(http.ErrAbortHandler)
+	}
+	if s.faults.crossing() {
+		answer = &ServiceAnswer{RequestID: "crossed-" + answer.RequestID, Echo: Echo(nil), Run: answer.Run}
+	}
+	w.Header().Set(upstreamapi.HeaderRequestID, string(answer.RequestID))
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// record counts the call and returns its index and its answer.
+func (s *Service) record(r *http.Request, body []byte) (int, *ServiceAnswer) {
+	key := r.Header.Get(upstreamapi.HeaderIdempotencyKey)
+	content := body
+	if len(body) == 0 {
+		content = []byte(r.URL.RequestURI())
+	}
+	answer := &ServiceAnswer{
+		RequestID: ident.RequestID(r.Header.Get(upstreamapi.HeaderRequestID)),
+		Echo:      Echo(content),
+	}
+	run := s.runLog.start(Run{
+		RequestID:      answer.RequestID,
+		IdempotencyKey: key,
+		Path:           r.URL.Path,
+		Version:        s.options.Version,
+		Echo:           answer.Echo,
+	})
+	answer.Run = run + 1
+	if key != "" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if _, known := s.answers[key]; !known {
+			s.answers[key] = nil
+		}
+	}
+	return run, answer
+}
+
+// work takes the time of one call. A call that has begun ends even if its
+// caller leaves.
+func (s *Service) work() {
+	if s.workers != nil {
+		s.workers <- struct{}{}
+		defer func() { <-s.workers }()
+	}
+	time.Sleep(time.Duration(float64(s.options.Latency) * s.faults.slowFactor()))
+}
+
+func (s *Service) keep(key string, answer *ServiceAnswer) {
+	if key == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[key] = answer
+}
+
+func (s *Service) serveStatus(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	answer, known := s.answers[r.Header.Get(upstreamapi.HeaderIdempotencyKey)]
+	s.mu.Unlock()
+	w.Header().Set(upstreamapi.HeaderRequestID, r.Header.Get(upstreamapi.HeaderRequestID))
+	switch {
+	case !known:
+		writeJSON(w, http.StatusNotFound, struct{}{})
+	case answer == nil:
+		writeJSON(w, http.StatusAccepted, struct{}{})
+	default:
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
