--- /dev/null
+++ b/internal/state/disk/fake.go
@@ -0,0 +1,291 @@
+package disk
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"math/rand"
+	"path"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Errors that the fake returns on demand.
+var (
+	// ErrInjected is the error of a write or sync that was told to fail.
+	ErrInjected = errors.New("disk: injected failure")
+	// ErrStale is returned by files and locks opened before the last Crash.
+	ErrStale = errors.New("disk: file was opened before a crash")
+)
+
+// Fake is a data folder in memory for tests. Crash discards what was not
+// synced. Like a real file system it forgets bytes of a failed sync although
+// they stay readable until the crash. It is safe for concurrent use.
+type Fake struct {
+	mu         sync.Mutex
+	rng        *rand.Rand
+	generation int
+	files      map[string]*inode
+	durable    map[string]*inode
+	pending    []nameChange
+	locks      map[string]bool
+	faults     Faults
+	syncs      int
+}
+
+// Faults are the failures that a Fake injects. The zero value injects none.
+type Faults struct {
+	// Tear makes Crash keep a random part of each unsynced tail, in places
+	// overwritten, and a random prefix of the unsynced name changes.
+	Tear bool
+	// FailWrites and FailSyncs fail every such call.
+	FailWrites, FailSyncs bool
+	// SyncDelay is how long each sync takes.
+	SyncDelay time.Duration
+}
+
+// inode is the content of one file.
+type inode struct {
+	content []byte
+	// synced is the length of the durable prefix.
+	synced int
+	// lost is set once a sync failed: no later byte becomes durable.
+	lost bool
+}
+
+// nameChange is a creation, rename or removal that is not durable yet.
+type nameChange struct {
+	dir   string
+	apply func(names map[string]*inode)
+}
+
+// NewFake returns an empty folder whose random choices follow the seed.
+func NewFake(seed int64) *Fake {
+	return &Fake{
+		rng:     rand.New(rand.NewSource(seed)),
+		files:   map[string]*inode{},
+		durable: map[string]*inode{},
+		locks:   map[string]bool{},
+	}
+}
+
+// Inject replaces the faults in force.
+func (f *Fake) Inject(faults Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
+// Syncs returns the number of file syncs that succeeded.
+func (f *Fake) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+// Release frees locks as the end of a process does; unsynced content stays.
+func (f *Fake) Release() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.locks = map[string]bool{}
+}
+
+// Wipe replaces the disk by an empty one.
+func (f *Fake) Wipe() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.files = map[string]*inode{}
+	f.durable = map[string]*inode{}
+	f.pending = nil
+	f.locks = map[string]bool{}
+}
+
+// Crash discards everything that was not synced, as a loss of power does.
+func (f *Fake) Crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.generation++
+	f.locks = map[string]bool{}
+	f.applyPending(f.survivingChanges())
+	for _, name := range sortedNames(f.durable) {
+		f.crashFile(f.durable[name])
+	}
+	f.files = map[string]*inode{}
+	for name, node := range f.durable {
+		f.files[name] = node
+	}
+}
+
+// survivingChanges returns how many unsynced name changes outlive a crash.
+func (f *Fake) survivingChanges() int {
+	if !f.faults.Tear || len(f.pending) == 0 {
+		return 0
+	}
+	return f.rng.Intn(len(f.pending) + 1)
+}
+
+// applyPending makes the first n name changes durable and drops the others.
+func (f *Fake) applyPending(n int) {
+	for _, change := range f.pending[:n] {
+		change.apply(f.durable)
+	}
+	f.pending = nil
+}
+
+// crashFile cuts a file to its durable prefix, or to a torn tail.
+func (f *Fake) crashFile(node *inode) {
+	kept := node.synced
+	unsynced := len(node.content) - node.synced
+	if f.faults.Tear && unsynced > 0 {
+		kept += f.rng.Intn(unsynced + 1)
+	}
+	content := append([]byte(nil), node.content[:kept]...)
+	if kept > node.synced {
+		f.scramble(content[node.synced:])
+	}
+	node.content = content
+	node.synced = kept
+	node.lost = false
+}
+
+// scramble zeroes a random stretch of a torn tail in every other crash.
+func (f *Fake) scramble(tail []byte) {
+	if f.rng.Intn(2) == 0 {
+		return
+	}
+	from := f.rng.Intn(len(tail))
+	to := from + f.rng.Intn(len(tail)-from) + 1
+	clear(tail[from:to])
+}
+
+// Corrupt flips one byte of a file at offset, also durably.
+func (f *Fake) Corrupt(name string, offset int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.files[name]
+	if !ok || offset >= len(node.content) {
+		return fs.ErrNotExist
+	}
+	node.content[offset] ^= 0xff
+	return nil
+}
+
+// change applies a name change at once and keeps it until SyncDir.
+func (f *Fake) change(dir string, apply func(names map[string]*inode)) {
+	apply(f.files)
+	f.pending = append(f.pending, nameChange{dir: dir, apply: apply})
+}
+
+// sortedNames returns the keys in order, so that random choices repeat.
+func sortedNames(names map[string]*inode) []string {
+	sorted := make([]string, 0, len(names))
+	for name := range names {
+		sorted = append(sorted, name)
+	}
+	sort.Strings(sorted)
+	return sorted
+}
+
+// MkdirAll implements FS. Folders are implied by the names of files.
+func (f *Fake) MkdirAll(string) error { return nil }
+
+// Append implements FS.
+func (f *Fake) Append(name string) (File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.FailWrites {
+		return nil, ErrInjected
+	}
+	name = path.Clean(name)
+	node, ok := f.files[name]
+	if !ok {
+		node = &inode{}
+		f.change(path.Dir(name), func(names map[string]*inode) { names[name] = node })
+	}
+	return &fakeFile{fake: f, node: node, generation: f.generation}, nil
+}
+
+// ReadFile implements FS.
+func (f *Fake) ReadFile(name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.files[path.Clean(name)]
+	if !ok {
+		return nil, &fs.PathError{Op: "read", Path: name, Err: fs.ErrNotExist}
+	}
+	return append([]byte(nil), node.content...), nil
+}
+
+// Rename implements FS.
+func (f *Fake) Rename(oldName, newName string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oldName, newName = path.Clean(oldName), path.Clean(newName)
+	node, ok := f.files[oldName]
+	if !ok {
+		return &fs.PathError{Op: "rename", Path: oldName, Err: fs.ErrNotExist}
+	}
+	f.change(path.Dir(newName), func(names map[string]*inode) {
+		names[newName] = node
+		delete(names, oldName)
+	})
+	return nil
+}
+
+// Remove implements FS.
+func (f *Fake) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name = path.Clean(name)
+	if _, ok := f.files[name]; !ok {
+		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
+	}
+	f.change(path.Dir(name), func(names map[string]*inode) { delete(names, name) })
+	return nil
+}
+
+// List implements FS.
+func (f *Fake) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for _, name := range sortedNames(f.files) {
+		if path.Dir(name) == path.Clean(dir) {
+			names = append(names, path.Base(name))
+		}
+	}
+	return names, nil
+}
+
+// SyncDir implements FS.
+func (f *Fake) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.faults.FailSyncs {
+		return ErrInjected
+	}
+	var rest []nameChange
+	for _, change := range f.pending {
+		if change.dir == path.Clean(dir) {
+			change.apply(f.durable)
+			continue
+		}
+		rest = append(rest, change)
+	}
+	f.pending = rest
+	return nil
+}
+
+// Lock implements FS.
+func (f *Fake) Lock(name string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.locks[name] {
+		return nil, ErrLocked
+	}
+	f.locks[name] = true
+	return &fakeLock{fake: f, name: name, generation: f.generation}, nil
+}
--- /dev/null
+++ b/internal/state/disk/os.go
@@ -0,0 +1,109 @@
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+
+	"golang.org/x/sys/unix"
+)
+
+// Permissions of what the system writes: readable by its own user only.
+const (
+	dirMode  os.FileMode = 0o700
+	fileMode os.FileMode = 0o600
+)
+
+// OS is a data folder on the machine's file system.
+type OS struct {
+	root string
+}
+
+// NewOS returns the data folder at root. The folder is created on first use.
+func NewOS(root string) *OS {
+	return &OS{root: root}
+}
+
+func (o *OS) path(name string) string {
+	return filepath.Join(o.root, filepath.FromSlash(name))
+}
+
+// MkdirAll implements FS.
+func (o *OS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(o.path(dir), dirMode); err != nil {
+		return err
+	}
+	if err := o.SyncDir(dir); err != nil {
+		return err
+	}
+	return syncPath(filepath.Dir(o.path(dir)))
+}
+
+// Append implements FS.
+func (o *OS) Append(name string) (File, error) {
+	return os.OpenFile(o.path(name), os.O_WRONLY|os.O_APPEND|os.O_CREATE, fileMode)
+}
+
+// ReadFile implements FS.
+func (o *OS) ReadFile(name string) ([]byte, error) {
+	return os.ReadFile(o.path(name))
+}
+
+// Rename implements FS.
+func (o *OS) Rename(oldName, newName string) error {
+	return os.Rename(o.path(oldName), o.path(newName))
+}
+
+// Remove implements FS.
+func (o *OS) Remove(name string) error {
+	return os.Remove(o.path(name))
+}
+
+// List implements FS.
+func (o *OS) List(dir string) ([]string, error) {
+	found, err := os.ReadDir(o.path(dir))
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range found {
+		if !entry.IsDir() {
+			names = append(names, entry.Name())
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir implements FS.
+func (o *OS) SyncDir(dir string) error {
+	return syncPath(o.path(dir))
+}
+
+// Lock implements FS.
+func (o *OS) Lock(name string) (io.Closer, error) {
+	file, err := os.OpenFile(o.path(name), os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	if errors.Is(err, unix.EWOULDBLOCK) {
+		err = ErrLocked
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("disk: lock %s: %w", o.path(name), err), file.Close())
+	}
+	return file, nil
+}
+
+// syncPath syncs a folder.
+func syncPath(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/internal/state/wal/open.go
@@ -0,0 +1,218 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"path"
+	"strconv"
+	"strings"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+)
+
+const segmentSuffix = ".wal"
+
+func segmentName(number uint64) string {
+	return fmt.Sprintf("%016x%s", number, segmentSuffix)
+}
+
+func (l *Log) path(number uint64) string {
+	return path.Join(l.dir, segmentName(number))
+}
+
+// Open reads the log in a folder, cuts off a torn tail and returns what it
+// holds. It fails with *DamageError if durable data was changed.
+func Open(fsys disk.FS, dir string, opts Options) (*Log, Recovered, error) {
+	l := &Log{fs: fsys, dir: dir, segmentBytes: opts.SegmentBytes}
+	if l.segmentBytes == 0 {
+		l.segmentBytes = DefaultSegmentBytes
+	}
+	if err := fsys.MkdirAll(dir); err != nil {
+		return nil, Recovered{}, fmt.Errorf("wal: open: %w", err)
+	}
+	recovered, err := l.recover()
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	return l, recovered, nil
+}
+
+func (l *Log) recover() (Recovered, error) {
+	var found Recovered
+	numbers, err := l.listSegments()
+	if err != nil {
+		return found, err
+	}
+	for i, number := range numbers {
+		if i > 0 && number != numbers[i-1]+1 {
+			return found, &DamageError{File: l.path(numbers[i-1] + 1), Reason: "segment is missing"}
+		}
+		last := i == len(numbers)-1
+		if err := l.readSegment(number, last, &found); err != nil {
+			return found, err
+		}
+	}
+	l.hard = found.Hard
+	if len(l.segments) == 0 {
+		return found, l.roll()
+	}
+	return found, l.openLast()
+}
+
+// listSegments returns the segment numbers in order.
+func (l *Log) listSegments() ([]uint64, error) {
+	names, err := l.fs.List(l.dir)
+	if err != nil {
+		return nil, fmt.Errorf("wal: list segments: %w", err)
+	}
+	var numbers []uint64
+	for _, name := range names {
+		digits, ok := strings.CutSuffix(name, segmentSuffix)
+		if !ok {
+			continue
+		}
+		number, err := strconv.ParseUint(digits, 16, 64)
+		if err != nil {
+			return nil, &DamageError{File: path.Join(l.dir, name), Reason: "unexpected file name"}
+		}
+		numbers = append(numbers, number)
+	}
+	return numbers, nil
+}
+
+// readSegment replays one segment into found.
+func (l *Log) readSegment(number uint64, last bool, found *Recovered) error {
+	name := l.path(number)
+	data, err := l.fs.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("wal: read: %w", err)
+	}
+	seg := segment{number: number}
+	for seg.size < len(data) {
+		body, _, ok := parseRecord(data[seg.size:])
+		if !ok {
+			break
+		}
+		if reason := replay(body, &seg, found); reason != "" {
+			return &DamageError{File: name, Offset: seg.size, Reason: reason}
+		}
+		seg.size += headerSize + len(body)
+	}
+	if reason := judgeTail(data, seg.size, last); reason != "" {
+		return &DamageError{File: name, Offset: seg.size, Reason: reason}
+	}
+	l.segments = append(l.segments, seg)
+	if !last {
+		return nil
+	}
+	found.TornBytes = len(data) - seg.size
+	return l.rewrite(seg, data[:seg.size])
+}
+
+// rewrite stores the valid part of the last segment anew. Reading it back does
+// not prove that it is durable: an earlier process may not have synced it, or a
+// sync may have failed.
+func (l *Log) rewrite(seg segment, valid []byte) error {
+	if err := disk.WriteFile(l.fs, l.dir, segmentName(seg.number), valid); err != nil {
+		return fmt.Errorf("wal: rewrite the last segment: %w", err)
+	}
+	return nil
+}
+
+// judgeTail returns why the bytes from offset on are damage, or "" if they are
+// a torn tail or empty. A segment is created whole, so its first record can't
+// be torn.
+func judgeTail(data []byte, offset int, last bool) string {
+	switch {
+	case offset == 0:
+		return "the segment's first record is damaged"
+	case offset == len(data):
+		return ""
+	case !last:
+		return "a record before the last segment is damaged"
+	case durableRecordFollows(data, offset):
+		return "a record is damaged and later batches follow it"
+	default:
+		return ""
+	}
+}
+
+// durableRecordFollows reports whether a valid record of a batch that began
+// after offset lies behind the bad record at offset.
+func durableRecordFollows(data []byte, offset int) bool {
+	for at := offset + 1; at+headerSize <= len(data); at++ {
+		batch := int(binary.LittleEndian.Uint32(data[at+8:]))
+		if batch <= offset || batch > at {
+			continue
+		}
+		if _, _, ok := parseRecord(data[at:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// replay applies one record to found and returns why it can't be valid, or "".
+func replay(body []byte, seg *segment, found *Recovered) string {
+	kind, fields := recordKind(body[0]), body[1:]
+	if seg.size == 0 && kind != recordSegment {
+		return "the segment does not begin with its header"
+	}
+	switch kind {
+	case recordSegment:
+		return replaySegment(fields, seg)
+	case recordHard:
+		hard, ok := decodeHard(fields)
+		found.Hard = hard
+		return unless(ok, "bad hard state")
+	case recordMark:
+		mark, ok := decodeMark(fields)
+		found.Base, found.Entries = mark, nil
+		seg.maxIndex = max(seg.maxIndex, mark.Index)
+		return unless(ok, "bad mark")
+	case recordEntry:
+		entry, ok := decodeEntry(fields)
+		if !ok {
+			return "bad entry"
+		}
+		seg.maxIndex = max(seg.maxIndex, entry.Index)
+		return found.add(entry)
+	default:
+		return fmt.Sprintf("unknown record kind %d", kind)
+	}
+}
+
+func unless(ok bool, reason string) string {
+	if ok {
+		return ""
+	}
+	return reason
+}
+
+// replaySegment checks the record that opens a segment.
+func replaySegment(fields []byte, seg *segment) string {
+	if len(fields) != 9 || fields[0] != formatVersion {
+		return "unknown format version"
+	}
+	number := binary.LittleEndian.Uint64(fields[1:])
+	return unless(number == seg.number, "the header names another segment")
+}
+
+// add appends an entry and drops the suffix that it supersedes.
+func (r *Recovered) add(entry Entry) string {
+	if len(r.Entries) == 0 {
+		r.Entries = append(r.Entries, entry)
+		return ""
+	}
+	first := r.Entries[0].Index
+	next := first + uint64(len(r.Entries))
+	if entry.Index > next {
+		return fmt.Sprintf("entry %d follows entry %d", entry.Index, next-1)
+	}
+	if entry.Index < first {
+		r.Entries = []Entry{entry}
+		return ""
+	}
+	r.Entries = append(r.Entries[:entry.Index-first], entry)
+	return ""
+}
--- /dev/null
+++ b/internal/state/wal/wal_test.go
@@ -0,0 +1,197 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+)
+
+// entries returns consecutive entries of one term.
+func entries(term, from, to uint64) []Entry {
+	var out []Entry
+	for i := from; i <= to; i++ {
+		out = append(out, Entry{Index: i, Term: term, Data: []byte(fmt.Sprintf("%d.%d", term, i))})
+	}
+	return out
+}
+
+func open(t must.T, fsys disk.FS) (*Log, Recovered) {
+	t.Helper()
+	l, found, err := Open(fsys, "wal", Options{SegmentBytes: 512})
+	must.NoError(t, err)
+	return l, found
+}
+
+// model is what the log must hold after a batch.
+type model struct {
+	hard    HardState
+	entries []Entry
+}
+
+func (m model) with(b Batch) model {
+	next := model{hard: m.hard, entries: append([]Entry(nil), m.entries...)}
+	if b.Hard != nil {
+		next.hard = *b.Hard
+	}
+	for _, e := range b.Entries {
+		next.entries = append(next.entries[:e.Index-1], e)
+	}
+	return next
+}
+
+// prefixModels lists the states that a torn batch may leave.
+func prefixModels(m model, b Batch) []model {
+	out := []model{m}
+	if b.Hard != nil {
+		m = m.with(Batch{Hard: b.Hard})
+		out = append(out, m)
+	}
+	for _, e := range b.Entries {
+		m = m.with(Batch{Entries: []Entry{e}})
+		out = append(out, m)
+	}
+	return out
+}
+
+// TestWAL_TornTail checks that a crash keeps every acknowledged batch and at
+// most a prefix of the one that was being written.
+func TestWAL_TornTail(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fake := disk.NewFake(rapid.Int64().Draw(t, "seed"))
+		state := model{}
+		l, _ := open(t, fake)
+		for round := range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			from := uint64(rapid.IntRange(1, len(state.entries)+1).Draw(t, "from"))
+			count := uint64(rapid.IntRange(0, 6).Draw(t, "count"))
+			batch := Batch{Entries: entries(uint64(round+1), from, from+count-1)}
+			if rapid.Bool().Draw(t, "hard") {
+				batch.Hard = &HardState{Term: uint64(round + 1), VoteID: "b", VoteIncarnation: 7, Commit: 1}
+			}
+			fail := rapid.IntRange(0, 3).Draw(t, "fail")
+			fake.Inject(disk.Faults{Tear: true, FailSyncs: fail == 0, FailWrites: fail == 1})
+			err := l.Append(batch)
+			fake.Inject(disk.Faults{Tear: true})
+			if err == nil {
+				state = state.with(batch)
+				if rapid.Bool().Draw(t, "go on") {
+					continue
+				}
+			}
+			fake.Crash()
+			var found Recovered
+			l, found = open(t, fake)
+			allowed := []model{state}
+			if err != nil {
+				allowed = prefixModels(state, batch)
+			}
+			state = matching(t, allowed, found)
+		}
+	})
+}
+
+// matching returns the allowed state that was found.
+func matching(t *rapid.T, allowed []model, found Recovered) model {
+	for _, m := range allowed {
+		if m.hard == found.Hard && fmt.Sprint(m.entries) == fmt.Sprint(found.Entries) {
+			return m
+		}
+	}
+	t.Fatalf("found %+v, allowed %+v", found, allowed)
+	return model{}
+}
+
+// TestWAL_DamageInTheMiddle flips each byte in turn; only the last batch may be
+// taken for a torn tail.
+func TestWAL_DamageInTheMiddle(t *testing.T) {
+	build := func() (*disk.Fake, int, int) {
+		fake := disk.NewFake(1)
+		l, _ := open(t, fake)
+		must.NoError(t, l.Append(Batch{Entries: entries(1, 1, 2)}))
+		last := l.current().size
+		must.NoError(t, l.Append(Batch{Entries: entries(1, 3, 3)}))
+		return fake, last, l.current().size
+	}
+	_, last, size := build()
+	for offset := range size {
+		fake, _, _ := build()
+		fake.Release()
+		must.NoError(t, fake.Corrupt("wal/"+segmentName(1), offset))
+		_, found, err := Open(fake, "wal", Options{})
+		if offset >= last {
+			must.NoError(t, err)
+			must.Eq(t, entries(1, 1, 2), found.Entries)
+			continue
+		}
+		var damage *DamageError
+		must.True(t, errors.As(err, &damage))
+		must.Eq(t, "wal/"+segmentName(1), damage.File)
+		must.LessEq(t, offset, damage.Offset)
+	}
+}
+
+func TestWAL_DamagedEarlierSegment(t *testing.T) {
+	fake := disk.NewFake(1)
+	l, _ := open(t, fake)
+	for i := uint64(1); i <= 60; i++ {
+		must.NoError(t, l.Append(Batch{Entries: entries(1, i, i)}))
+	}
+	must.Greater(t, 2, len(l.segments))
+	must.NoError(t, fake.Corrupt("wal/"+segmentName(1), l.segments[0].size-1))
+	_, _, err := Open(fake, "wal", Options{})
+	var damage *DamageError
+	must.True(t, errors.As(err, &damage))
+	must.NoError(t, fake.Remove("wal/"+segmentName(2)))
+	_, _, err = Open(fake, "wal", Options{})
+	must.True(t, errors.As(err, &damage))
+}
+
+func TestWAL_FailedSyncIsFinal(t *testing.T) {
+	fake := disk.NewFake(1)
+	l, _ := open(t, fake)
+	fake.Inject(disk.Faults{FailSyncs: true})
+	must.ErrorIs(t, l.Append(Batch{Entries: entries(1, 1, 1)}), disk.ErrInjected)
+	fake.Inject(disk.Faults{})
+	must.ErrorIs(t, l.Append(Batch{Entries: entries(1, 1, 1)}), disk.ErrInjected)
+	must.ErrorIs(t, l.Compact(1), disk.ErrInjected)
+}
+
+// TestWAL_FailedSyncThenProcessRestart checks that what a restarted process
+// reads back is durable, although the pages of the failed sync were dropped.
+func TestWAL_FailedSyncThenProcessRestart(t *testing.T) {
+	fake := disk.NewFake(1)
+	l, _ := open(t, fake)
+	fake.Inject(disk.Faults{FailSyncs: true})
+	must.Error(t, l.Append(Batch{Entries: entries(1, 1, 2)}))
+	fake.Inject(disk.Faults{})
+	fake.Release()
+	_, before := open(t, fake)
+	fake.Crash()
+	_, after := open(t, fake)
+	must.Eq(t, before.Entries, after.Entries)
+}
+
+func TestWAL_CompactAndMark(t *testing.T) {
+	fake := disk.NewFake(1)
+	l, _ := open(t, fake)
+	hard := HardState{Term: 3, VoteID: "a", VoteIncarnation: 1}
+	must.NoError(t, l.Append(Batch{Hard: &hard}))
+	for i := uint64(1); i <= 60; i++ {
+		must.NoError(t, l.Append(Batch{Entries: entries(1, i, i)}))
+	}
+	must.NoError(t, l.Compact(40))
+	fake.Crash()
+	l, found := open(t, fake)
+	must.Eq(t, hard, found.Hard)
+	must.LessEq(t, 41, found.Entries[0].Index)
+	must.Greater(t, 1, found.Entries[0].Index)
+	must.Eq(t, 60, found.Entries[len(found.Entries)-1].Index)
+	must.NoError(t, l.Append(Batch{Mark: &Mark{Index: 100, Term: 3}, Entries: entries(3, 101, 102)}))
+	_, found = open(t, fake)
+	must.Eq(t, Mark{Index: 100, Term: 3}, found.Base)
+	must.Eq(t, entries(3, 101, 102), found.Entries)
+}
