Settings of the daemon in flags and environment variables

Cause: every process must learn its addresses, data centre and limits from its settings, and refuse to start on a bad one. Change: package internal/command/settings: one table with name, default, unit, help and check; flag before variable before default; all mistakes in one error, each with its setting and source; unknown FLAMINGOHAVEN_ variables are mistakes too; checks of settings against each other. Conclusion: the daemon and the documents can use the table.

--- /dev/null
+++ b/internal/command/settings/load.go
@@ -0,0 +1,184 @@
+package settings
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+)
+
+// Problem is one mistake in the settings.
+type Problem struct {
+	// Setting is the name of the flag, or of an unknown variable.
+	Setting string
+	// Source tells where the value came from.
+	Source string
+	Err    error
+}
+
+// Error lists every mistake in the settings.
+type Error struct {
+	Problems []Problem
+}
+
+// Error implements error: one mistake a line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d bad settings, nothing was started:", len(e.Problems))
+	for _, p := range e.Problems {
+		fmt.Fprintf(&b, "\n  -%s (%s): %v", p.Setting, p.Source, p.Err)
+	}
+	return b.String()
+}
+
+// Loader reads settings once its flags are parsed.
+type Loader struct {
+	flags  *flag.FlagSet
+	values map[string]*string
+}
+
+// Register adds a flag for every setting.
+func Register(flags *flag.FlagSet) *Loader {
+	l := &Loader{flags: flags, values: map[string]*string{}}
+	for _, row := range Table() {
+		usage := fmt.Sprintf("%s (`%s`, env %s)", row.Help, row.Unit, row.Env())
+		l.values[row.Name] = flags.String(row.Name, row.Default, usage)
+	}
+	return l
+}
+
+// Load returns the settings from the parsed flags and the environment, which
+// has the form of os.Environ. On mistakes it returns an *Error with all.
+func (l *Loader) Load(environ []string) (*Settings, error) {
+	env := parseEnviron(environ)
+	given := map[string]bool{}
+	l.flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	s := &Settings{}
+	var failed Error
+	for _, row := range Table() {
+		value, source := *l.values[row.Name], "default"
+		if fromEnv, set := env[row.Env()]; set {
+			value, source = fromEnv, row.Env()
+		}
+		if given[row.Name] {
+			value, source = *l.values[row.Name], "flag"
+		}
+		delete(env, row.Env())
+		if err := row.set(s, value); err != nil {
+			failed.Problems = append(failed.Problems, Problem{row.Name, source, fmt.Errorf("%q: %w", value, err)})
+		}
+	}
+	failed.Problems = append(failed.Problems, unknown(env)...)
+	if len(failed.Problems) == 0 {
+		s.fill()
+		failed.Problems = s.crossCheck()
+	}
+	if len(failed.Problems) > 0 {
+		return nil, &failed
+	}
+	return s, nil
+}
+
+// otherVariables are read by other parts of the program.
+var otherVariables = []string{EnvPrefix + "SEED", EnvOperator, EnvToken}
+
+// Variables of the operators' commands.
+const (
+	// EnvOperator is the operator address of a node, host:port.
+	EnvOperator = EnvPrefix + "OPERATOR"
+	// EnvToken is the path of the operators' token file.
+	EnvToken = EnvPrefix + "TOKEN_FILE"
+)
+
+func parseEnviron(environ []string) map[string]string {
+	env := map[string]string{}
+	for _, pair := range environ {
+		name, value, _ := strings.Cut(pair, "=")
+		if strings.HasPrefix(name, EnvPrefix) && !slices.Contains(otherVariables, name) {
+			env[name] = value
+		}
+	}
+	return env
+}
+
+func unknown(env map[string]string) []Problem {
+	var problems []Problem
+	for name := range env {
+		problems = append(problems, Problem{name, "environment", errors.New("no setting has this variable")})
+	}
+	slices.SortFunc(problems, func(a, b Problem) int { return strings.Compare(a.Setting, b.Setting) })
+	return problems
+}
+
+// fill sets what follows from other settings.
+func (s *Settings) fill() {
+	s.CallerAdvertise = firstSet(s.CallerAdvertise, s.CallerListen)
+	s.InternalAdvertise = firstSet(s.InternalAdvertise, s.InternalListen)
+	s.OperatorAdvertise = firstSet(s.OperatorAdvertise, s.OperatorListen)
+	if len(s.Seeds) > 0 {
+		return
+	}
+	for _, r := range s.Replicas {
+		s.Seeds = append(s.Seeds, r.Address)
+	}
+}
+
+func firstSet(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// crossCheck checks settings against each other.
+func (s *Settings) crossCheck() []Problem {
+	var problems []Problem
+	add := func(setting, format string, args ...any) {
+		problems = append(problems, Problem{setting, "with other settings", fmt.Errorf(format, args...)})
+	}
+	advertised := map[string]string{
+		"caller-advertise":   s.CallerAdvertise,
+		"internal-advertise": s.InternalAdvertise,
+		"operator-advertise": s.OperatorAdvertise,
+	}
+	for _, name := range []string{"caller-advertise", "internal-advertise", "operator-advertise"} {
+		if netip.MustParseAddrPort(advertised[name]).Addr().IsUnspecified() {
+			add(name, "must be set, since the listen address %s tells others no IP number", advertised[name])
+		}
+	}
+	own := slices.IndexFunc(s.Replicas, func(r Replica) bool { return r.ID == s.Node })
+	switch {
+	case own < 0 && s.DataDir != "":
+		add("data-dir", "set, but %q is not among the replicas; add it or leave data-dir empty", s.Node)
+	case own >= 0 && s.DataDir == "":
+		add("data-dir", "must be set, since %q is a replica", s.Node)
+	case own >= 0 && s.Replicas[own].Address != s.InternalAdvertise:
+		add("replicas", "%q has the address %s there, but internal-advertise is %s", s.Node, s.Replicas[own].Address, s.InternalAdvertise)
+	}
+	if s.Limits.MaxWaitingBytes < s.Limits.MaxBodyBytes {
+		add("max-waiting", "must be at least max-body")
+	}
+	return problems
+}
+
+// ReadToken returns the bearer token that a file holds.
+func ReadToken(path string) (string, error) {
+	if path == "" {
+		return "", errors.New("want the path of a file that holds the token")
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	token := strings.TrimSpace(string(content))
+	if len(token) < MinTokenLength {
+		return "", fmt.Errorf("the token has %d characters, want %d or more", len(token), MinTokenLength)
+	}
+	return token, nil
+}
+
+// MinTokenLength is the least length of an operators' token, in characters.
+const MinTokenLength = 16
