Virtual-time model of engines, gateways and arrivals

Cause: policies must be compared under load and faults without a cluster. Change: package policymodel: continuous batching engines with KV and prefix cache bounds, late and lossy cache events, lagging load reports, a workload of four tiers, the pool scheduler and two baselines, BenchmarkPolicy cases.

--- /dev/null
+++ b/internal/coordination/policymodel/cache.go
@@ -0,0 +1,47 @@
+package policymodel
+
+import "container/list"
+
+// prefixCache is an engine's cache of prompt blocks; the least recently used
+// block goes first.
+type prefixCache struct {
+	capacity int
+	order    *list.List // of uint64, most recent first
+	blocks   map[uint64]*list.Element
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), blocks: make(map[uint64]*list.Element)}
+}
+
+// match returns the number of leading blocks that are cached and marks them used.
+func (c *prefixCache) match(prefixes []uint64) int {
+	n := 0
+	for n < len(prefixes) {
+		at, cached := c.blocks[prefixes[n]]
+		if !cached {
+			break
+		}
+		c.order.MoveToFront(at)
+		n++
+	}
+	return n
+}
+
+// store caches blocks and returns those that are new and those that went.
+func (c *prefixCache) store(prefixes []uint64) (stored, evicted []uint64) {
+	for _, block := range prefixes {
+		if at, cached := c.blocks[block]; cached {
+			c.order.MoveToFront(at)
+			continue
+		}
+		c.blocks[block] = c.order.PushFront(block)
+		stored = append(stored, block)
+	}
+	for c.order.Len() > c.capacity {
+		block := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.blocks, block)
+		evicted = append(evicted, block)
+	}
+	return stored, evicted
+}
--- /dev/null
+++ b/internal/coordination/policymodel/central.go
@@ -0,0 +1,118 @@
+package policymodel
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// tickEvery is the period of the scheduler's time-driven work.
+const tickEvery = 20 * time.Millisecond
+
+// Central is the policy of one scheduler for the pool. Every message between
+// a gateway and the scheduler takes the run's delay.
+type Central struct {
+	Scheduler scheduler.Scheduler
+	sim       *Simulation
+	requests  map[ident.RequestID]*Request
+}
+
+// NewCentral runs the project's scheduler over a view of all engines.
+func NewCentral(shares []scheduler.VersionShare) func(*Simulation) Policy {
+	return func(s *Simulation) Policy {
+		v := s.View(shares)
+		pool := scheduler.New(1, v, 0)
+		for _, g := range v.Gateways {
+			pool.Register(scheduler.Registration{Gateway: g, Incarnation: 1}, 0)
+		}
+		c := &Central{Scheduler: pool, sim: s, requests: make(map[ident.RequestID]*Request)}
+		s.Clock.Every(tickEvery, func() { c.do(func(now time.Duration) { pool.Tick(now) }) })
+		return c
+	}
+}
+
+// do calls the scheduler and sends out its decisions.
+func (c *Central) do(call func(now time.Duration)) {
+	call(c.sim.Clock.Now())
+	for _, d := range c.Scheduler.Decisions() {
+		c.sim.Clock.After(c.sim.Delay, func() { c.apply(d) })
+	}
+}
+
+// later calls the scheduler after the delay from a gateway.
+func (c *Central) later(call func(now time.Duration)) {
+	c.sim.Clock.After(c.sim.Delay, func() { c.do(call) })
+}
+
+func (c *Central) apply(d scheduler.Decision) {
+	if d.Refusal != nil {
+		if r := c.requests[d.Refusal.Ticket]; r != nil {
+			c.sim.Refuse(r)
+			delete(c.requests, r.ID)
+		}
+		return
+	}
+	r := c.requests[d.Grant.Ticket]
+	if r == nil || r.Engine != nil || r.Outcome != OutcomePending {
+		return
+	}
+	e := c.sim.Engine(d.Grant.Upstream)
+	c.sim.Dispatch(r, e)
+	c.report(r, scheduler.Report{Kind: scheduler.ReportDispatched})
+}
+
+// report sends a report on a dispatched request.
+func (c *Central) report(r *Request, report scheduler.Report) {
+	report.Ticket = r.ID
+	report.Gateway = r.Gateway
+	report.Upstream = r.Engine.Name
+	report.Elapsed = c.sim.Clock.Now() - r.Dispatched
+	c.later(func(now time.Duration) { c.Scheduler.Report(report, now) })
+}
+
+// Arrive implements Policy.
+func (c *Central) Arrive(r *Request) {
+	c.requests[r.ID] = r
+	t := scheduler.Ticket{
+		ID: r.ID, Gateway: r.Gateway, Tier: r.Tier, Team: r.Team, Route: r.Route, Idempotent: r.Idempotent,
+		Remaining: r.Deadline - r.Arrival, PromptTokens: r.Prompt, OutputTokens: r.EstimatedOutput, Prefixes: r.Prefixes,
+	}
+	c.later(func(now time.Duration) { c.Scheduler.Submit(t, now) })
+}
+
+// FirstToken implements Policy.
+func (c *Central) FirstToken(r *Request, cached int) {
+	c.report(r, scheduler.Report{Kind: scheduler.ReportFirstToken, CachedTokens: cached, OutputTokens: 1})
+}
+
+// Ended implements Policy.
+func (c *Central) Ended(r *Request) {
+	delete(c.requests, r.ID)
+	kind := scheduler.ReportEnded
+	switch r.Outcome {
+	case OutcomeFailed:
+		kind = scheduler.ReportFailed
+	case OutcomeLate:
+		kind = scheduler.ReportDropped
+	}
+	c.report(r, scheduler.Report{Kind: kind, OutputTokens: r.Output})
+}
+
+// Left implements Policy.
+func (c *Central) Left(r *Request) {
+	delete(c.requests, r.ID)
+	c.later(func(now time.Duration) {
+		c.Scheduler.Cancel(r.ID, now)
+	})
+}
+
+// Load implements Policy.
+func (c *Central) Load(l scheduler.LoadReport) {
+	c.do(func(now time.Duration) { c.Scheduler.Load(l, now) })
+}
+
+// Cache implements Policy.
+func (c *Central) Cache(e scheduler.CacheEvent) {
+	c.do(func(now time.Duration) { c.Scheduler.Cache(e, now) })
+}
--- /dev/null
+++ b/internal/coordination/policymodel/clock.go
@@ -0,0 +1,74 @@
+package policymodel
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is a function to call at a virtual time. Events of one time run in the
+// order in which they were added.
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// Clock is a virtual clock with an agenda of events.
+type Clock struct {
+	now      time.Duration
+	sequence uint64
+	agenda   events
+}
+
+// Now returns the virtual time since the start of the run.
+func (c *Clock) Now() time.Duration {
+	return c.now
+}
+
+// At runs f at a virtual time, or now if that has passed.
+func (c *Clock) At(at time.Duration, f func()) {
+	c.sequence++
+	heap.Push(&c.agenda, event{at: max(at, c.now), sequence: c.sequence, run: f})
+}
+
+// After runs f when d has passed.
+func (c *Clock) After(d time.Duration, f func()) {
+	c.At(c.now+d, f)
+}
+
+// Every runs f every d, first when d has passed.
+func (c *Clock) Every(d time.Duration, f func()) {
+	c.After(d, func() {
+		f()
+		c.Every(d, f)
+	})
+}
+
+// Run runs the events up to a virtual time.
+func (c *Clock) Run(until time.Duration) {
+	for len(c.agenda) > 0 && c.agenda[0].at <= until {
+		next := heap.Pop(&c.agenda).(event)
+		c.now = next.at
+		next.run()
+	}
+	c.now = until
+}
--- /dev/null
+++ b/internal/coordination/policymodel/metrics.go
@@ -0,0 +1,125 @@
+package policymodel
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// maxRecorded is the longest time that histograms tell apart.
+const maxRecorded = 10 * time.Minute
+
+// TierSummary holds the figures of one tier.
+type TierSummary struct {
+	Arrived, Done, Late, Refused, Failed int
+	// Goodput is the part of arrived requests answered whole by the deadline.
+	Goodput float64
+}
+
+// Summary holds the figures of a run over the requests that arrived after the
+// warm-up and whose deadlines fell within the run.
+type Summary struct {
+	Tiers map[ident.TierName]TierSummary
+	// FirstTokenP95 and BetweenP95 cover the interactive tiers: the time from
+	// arrival to the first token by request, and the time between tokens by token.
+	FirstTokenP95 time.Duration
+	BetweenP95    time.Duration
+	// PrefillTokens counts computed prompt tokens, WastedPrefill those of
+	// requests that were not answered in time or that were computed again.
+	PrefillTokens int
+	WastedPrefill int
+	// UsefulWork is the cost of the requests answered in time within the
+	// measured window, in seconds of the reference engine a second.
+	UsefulWork float64
+	// OfferedWork is the cost of all requests that arrived, likewise.
+	OfferedWork float64
+}
+
+// metrics gathers what the requests themselves do not keep.
+type metrics struct {
+	between     *hdrhistogram.Histogram
+	interactive map[ident.TierName]bool
+}
+
+func newMetrics() *metrics {
+	return &metrics{between: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxRecorded.Microseconds(), 3)
+}
+
+// token records the time between two tokens of an interactive request.
+func (m *metrics) token(s *Simulation, r *Request, gap time.Duration) {
+	if m.interactive == nil {
+		m.interactive = make(map[ident.TierName]bool)
+		for _, t := range s.Workload.Tiers {
+			m.interactive[t.Name] = t.Interactive
+		}
+	}
+	if r.Arrival >= s.Warmup && m.interactive[r.Tier] {
+		record(m.between, gap)
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is clamped into the histogram's range, so this can't fail.
+	_ = h.RecordValue(min(max(1, d.Microseconds()), maxRecorded.Microseconds()))
+}
+
+func percentile(h *hdrhistogram.Histogram, p float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(p)) * time.Microsecond
+}
+
+func (m *metrics) summary(s *Simulation) Summary {
+	out := Summary{Tiers: make(map[ident.TierName]TierSummary), BetweenP95: percentile(m.between, 95)}
+	first := newHistogram()
+	useful, offered := 0.0, 0.0
+	for _, r := range s.Requests {
+		measured := r.Arrival >= s.Warmup
+		if measured {
+			offered += r.Cost()
+		}
+		if r.Outcome == OutcomeDone && r.Ended >= s.Warmup {
+			useful += r.Cost()
+		}
+		if !measured || r.Deadline > s.Duration {
+			continue
+		}
+		out.count(r)
+		if r.FirstToken > 0 && m.interactive[r.Tier] {
+			record(first, r.FirstToken-r.Arrival)
+		}
+	}
+	for name, t := range out.Tiers {
+		t.Goodput = float64(t.Done) / float64(max(1, t.Arrived))
+		out.Tiers[name] = t
+	}
+	out.FirstTokenP95 = percentile(first, 95)
+	window := (s.Duration - s.Warmup).Seconds()
+	out.UsefulWork = useful / window
+	out.OfferedWork = offered / window
+	return out
+}
+
+func (s *Summary) count(r *Request) {
+	t := s.Tiers[r.Tier]
+	t.Arrived++
+	s.PrefillTokens += r.prefilled
+	switch r.Outcome {
+	case OutcomeDone:
+		t.Done++
+		s.WastedPrefill += max(0, r.prefilled-r.Prompt)
+	case OutcomeRefused:
+		t.Refused++
+	case OutcomeFailed:
+		t.Failed++
+		s.WastedPrefill += r.prefilled
+	default:
+		t.Late++
+		s.WastedPrefill += r.prefilled
+	}
+	s.Tiers[r.Tier] = t
+}
--- /dev/null
+++ b/internal/coordination/policymodel/policy_bench_test.go
@@ -0,0 +1,125 @@
+package policymodel
+
+import (
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+)
+
+const betweenTarget = 64 * time.Millisecond
+
+// seed returns the run's seed; FLAMINGOHAVEN_SEED overrides the fixed one.
+func seed(tb testing.TB) uint64 {
+	text, set := os.LookupEnv("FLAMINGOHAVEN_SEED")
+	if !set {
+		return 1
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		tb.Fatalf("FLAMINGOHAVEN_SEED: %v", err)
+	}
+	return n
+}
+
+func wholeShare() []scheduler.VersionShare {
+	return []scheduler.VersionShare{{Version: "v1", Share: 1, NonIdempotentShare: 1}}
+}
+
+func standardConfig(tb testing.TB) Config {
+	return Config{
+		Seed: seed(tb), Engines: Fleet(12, "v1"), Workload: StandardWorkload(), Gateways: 6,
+		Duration: 300 * time.Second, Warmup: 60 * time.Second, Delay: time.Millisecond,
+		ReportEvery: time.Second, ReportLag: time.Second, CacheLag: 500 * time.Millisecond, CacheLoss: 0.05,
+	}
+}
+
+type capacity struct{ requests, work float64 }
+
+var measuredCapacity = sync.OnceValue(func() capacity {
+	requests, work := Capacity(Fleet(12, "v1")[:3], StandardWorkload(), betweenTarget, 1)
+	return capacity{requests: 4 * requests, work: 4 * work}
+})
+
+var policies = []struct {
+	name  string
+	build func(*Simulation) Policy
+}{
+	{"scheduler", NewCentral(wholeShare())},
+	{"round-robin", NewRoundRobin},
+	{"least-loaded", NewLeastLoaded},
+}
+
+// benchmarkCase runs one case under every policy.
+func benchmarkCase(b *testing.B, change func(*Config, capacity)) {
+	full := measuredCapacity()
+	for _, policy := range policies {
+		b.Run(policy.name, func(b *testing.B) {
+			var s Summary
+			for b.Loop() {
+				c := standardConfig(b)
+				c.Policy = policy.build
+				change(&c, full)
+				s = Run(c)
+			}
+			report(b, s, full)
+		})
+	}
+}
+
+func report(b *testing.B, s Summary, full capacity) {
+	for _, t := range StandardWorkload().Tiers {
+		b.ReportMetric(s.Tiers[t.Name].Goodput*100, "goodput-"+string(t.Name)+"-%")
+	}
+	b.ReportMetric(float64(s.WastedPrefill)/float64(max(1, s.PrefillTokens))*100, "wasted-prefill-%")
+	b.ReportMetric(float64(s.FirstTokenP95.Milliseconds()), "p95-first-ms")
+	b.ReportMetric(float64(s.BetweenP95.Microseconds())/1000, "p95-between-ms")
+	b.ReportMetric(s.UsefulWork/full.work*100, "useful-work-%")
+	b.ReportMetric(s.OfferedWork/full.work*100, "offered-work-%")
+}
+
+func steady(load float64) func(*Config, capacity) {
+	return func(c *Config, full capacity) {
+		c.Workload.Rate = ConstantRate(full.requests * load)
+	}
+}
+
+func BenchmarkPolicySteady60(b *testing.B)  { benchmarkCase(b, steady(0.6)) }
+func BenchmarkPolicySteady90(b *testing.B)  { benchmarkCase(b, steady(0.9)) }
+func BenchmarkPolicySteady150(b *testing.B) { benchmarkCase(b, steady(1.5)) }
+
+func BenchmarkPolicyBurst(b *testing.B) {
+	benchmarkCase(b, func(c *Config, full capacity) {
+		c.Workload.Rate = BurstRate(full.requests*0.6, 10, 120*time.Second, 135*time.Second)
+	})
+}
+
+func BenchmarkPolicySlowEngine(b *testing.B) {
+	benchmarkCase(b, func(c *Config, full capacity) {
+		steady(0.8)(c, full)
+		c.Prepare = func(s *Simulation) {
+			s.Clock.At(100*time.Second, func() { s.Engines[0].SetSlowdown(10) })
+			s.Clock.At(200*time.Second, func() { s.Engines[0].SetSlowdown(1) })
+		}
+	})
+}
+
+func BenchmarkPolicyLengths(b *testing.B) {
+	benchmarkCase(b, func(c *Config, full capacity) {
+		steady(0.9)(c, full)
+		for i := range c.Workload.Tiers {
+			c.Workload.Tiers[i].Spread = 1.2
+		}
+	})
+}
+
+func BenchmarkPolicyStaleReports(b *testing.B) {
+	benchmarkCase(b, func(c *Config, full capacity) {
+		steady(0.9)(c, full)
+		c.ReportLag = 10 * time.Second
+		c.CacheLag = 10 * time.Second
+	})
+}
--- /dev/null
+++ b/internal/coordination/policymodel/workload.go
@@ -0,0 +1,190 @@
+package policymodel
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// BlockTokens is the number of prompt tokens in one block of the prefix cache.
+const BlockTokens = 128
+
+// TierLoad describes the requests of one tier.
+type TierLoad struct {
+	Name ident.TierName
+	Rank int
+	// Reserve is the tier's reserve, as in the configuration.
+	Reserve float64
+	// Interactive tiers count towards first token and time between tokens.
+	Interactive bool
+	// Weight is the tier's part of all requests.
+	Weight float64
+	// Prompt and Output are median token counts; Spread is the sigma of their
+	// log-normal distribution.
+	Prompt int
+	Output int
+	Spread float64
+	// MaxPrompt and MaxOutput cap token counts.
+	MaxPrompt int
+	MaxOutput int
+	Deadline  time.Duration
+	Route     ident.RouteName
+	// NonIdempotent marks the tier's route.
+	NonIdempotent bool
+}
+
+// TeamLoad describes one team.
+type TeamLoad struct {
+	Name   ident.TeamName
+	Shares int
+	// Weight is the team's part of all requests.
+	Weight float64
+}
+
+// Workload describes the arrivals of a run.
+type Workload struct {
+	Tiers []TierLoad
+	Teams []TeamLoad
+	// Rate is the arrival rate in requests a second at a virtual time.
+	Rate func(at time.Duration) float64
+	// Templates is the number of shared prompt beginnings per tier.
+	Templates int
+	// SharedPart is the part of a prompt that comes from its template.
+	SharedPart float64
+	// EstimateSpread is the sigma of the log-normal error of EstimatedOutput.
+	EstimateSpread float64
+}
+
+// StandardWorkload has four tiers with lengths that differ a hundredfold and
+// five teams, two of them large. Every request by itself can meet its deadline
+// at 64 ms between tokens.
+func StandardWorkload() Workload {
+	return Workload{
+		Tiers: []TierLoad{
+			{Name: "critical", Rank: 4, Interactive: true, Weight: 0.15, Prompt: 300, Output: 40, Spread: 0.5, MaxPrompt: 2000, MaxOutput: 60, Deadline: 6 * time.Second, Route: "lookup"},
+			{Name: "urgent", Rank: 3, Interactive: true, Weight: 0.25, Prompt: 800, Output: 100, Spread: 0.6, MaxPrompt: 8000, MaxOutput: 180, Deadline: 15 * time.Second, Route: "entry"},
+			{Name: "ordinary", Rank: 2, Interactive: true, Weight: 0.4, Prompt: 1500, Output: 220, Spread: 0.8, MaxPrompt: 16000, MaxOutput: 600, Deadline: 45 * time.Second, Route: "summary"},
+			{Name: "patient", Rank: 1, Reserve: 0.1, Weight: 0.2, Prompt: 5000, Output: 400, Spread: 0.9, MaxPrompt: 40000, MaxOutput: 1500, Deadline: 120 * time.Second, Route: "review"},
+		},
+		Teams: []TeamLoad{
+			{Name: "team-1", Shares: 4, Weight: 0.4},
+			{Name: "team-2", Shares: 4, Weight: 0.35},
+			{Name: "team-3", Shares: 1, Weight: 0.1},
+			{Name: "team-4", Shares: 1, Weight: 0.1},
+			{Name: "team-5", Shares: 1, Weight: 0.05},
+		},
+		Templates:      40,
+		SharedPart:     0.6,
+		EstimateSpread: 0.4,
+	}
+}
+
+// ConstantRate is an arrival rate that does not change.
+func ConstantRate(perSecond float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return perSecond }
+}
+
+// BurstRate is a constant rate times a factor between two times.
+func BurstRate(perSecond, factor float64, from, to time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= from && at < to {
+			return perSecond * factor
+		}
+		return perSecond
+	}
+}
+
+// generator draws requests of a workload.
+type generator struct {
+	load Workload
+	rng  *rand.Rand
+	next int
+}
+
+func newGenerator(load Workload, seed uint64) *generator {
+	return &generator{load: load, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15))}
+}
+
+// gap draws the time to the next arrival.
+func (g *generator) gap(at time.Duration) time.Duration {
+	return time.Duration(g.rng.ExpFloat64() / g.load.Rate(at) * float64(time.Second))
+}
+
+// draw returns the next request, arriving at the given time.
+func (g *generator) draw(at time.Duration, gateways int) *Request {
+	tier := g.load.Tiers[pick(g.rng, len(g.load.Tiers), func(i int) float64 { return g.load.Tiers[i].Weight })]
+	team := g.load.Teams[pick(g.rng, len(g.load.Teams), func(i int) float64 { return g.load.Teams[i].Weight })]
+	g.next++
+	r := &Request{
+		ID:         ident.RequestID(fmt.Sprintf("r%07d", g.next)),
+		Gateway:    GatewayName(g.rng.IntN(gateways)),
+		Tier:       tier.Name,
+		Team:       team.Name,
+		Route:      tier.Route,
+		Idempotent: !tier.NonIdempotent,
+		Prompt:     min(tier.MaxPrompt, g.size(tier.Prompt, tier.Spread)),
+		Output:     min(tier.MaxOutput, g.size(tier.Output, tier.Spread)),
+		Arrival:    at,
+		Deadline:   at + tier.Deadline,
+	}
+	r.EstimatedOutput = max(1, int(float64(r.Output)*math.Exp(g.rng.NormFloat64()*g.load.EstimateSpread)))
+	r.Prefixes = g.prefixes(r, tier)
+	return r
+}
+
+func (g *generator) size(median int, spread float64) int {
+	return max(1, int(float64(median)*math.Exp(g.rng.NormFloat64()*spread)))
+}
+
+// prefixes hashes the whole blocks of the prompt: first those of a template
+// that other requests of the tier use as well, then the request's own.
+func (g *generator) prefixes(r *Request, tier TierLoad) []uint64 {
+	blocks := r.Prompt / BlockTokens
+	shared := int(float64(blocks) * g.load.SharedPart)
+	template := uint64(tier.Rank)<<32 | uint64(zipf(g.rng, g.load.Templates))
+	out := make([]uint64, blocks)
+	for i := range out {
+		if i < shared {
+			out[i] = mix(template<<16 | uint64(i))
+		} else {
+			out[i] = mix(uint64(g.next)<<24 | 1<<63 | uint64(i))
+		}
+	}
+	return out
+}
+
+// zipf draws from 0 to n-1, with a weight that falls as the inverse of the rank.
+func zipf(rng *rand.Rand, n int) int {
+	return min(n-1, int(math.Exp(rng.Float64()*math.Log(float64(n+1))))-1)
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func pick(rng *rand.Rand, n int, weight func(int) float64) int {
+	total := 0.0
+	for i := range n {
+		total += weight(i)
+	}
+	at := rng.Float64() * total
+	for i := range n {
+		at -= weight(i)
+		if at < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// GatewayName names the gateway with the given number.
+func GatewayName(i int) ident.NodeID {
+	return ident.NodeID(fmt.Sprintf("gateway-%d", i+1))
+}
