--- /dev/null
+++ b/internal/coordination/control/heartbeat.go
@@ -0,0 +1,212 @@
+package control
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// Heartbeat grants or renews a node lease and brings the node up to date.
+func (s *Service) Heartbeat(args *HeartbeatArgs, reply *HeartbeatReply) error {
+	term, status := s.serving()
+	if !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	decision := s.receive(args, term)
+	if decision.commit {
+		status = s.grant(args.Node)
+		decision.leased = status.OK()
+	}
+	// The renewal counts only if this replica led until after it was noted.
+	if check := s.stillServing(term); !check.OK() {
+		status = check
+	}
+	reply.Status = status
+	reply.Superseded = decision.superseded
+	if !status.OK() || decision.superseded {
+		return nil
+	}
+	if decision.leased {
+		reply.TTL = NodeTTL
+	}
+	reply.Update = s.machine.ConfigUpdate(args.HaveRevision)
+	reply.View = s.machine.ViewFrom(args.HaveView)
+	if args.WantLoads {
+		reply.Loads = s.loads()
+	}
+	return nil
+}
+
+// heartbeatDecision tells what a heartbeat leads to.
+type heartbeatDecision struct {
+	leased     bool
+	commit     bool
+	superseded bool
+}
+
+// receive notes a heartbeat in the leader's memory.
+//
+// The committed lease is read under the lock: a node that isn't marked as
+// revoking has no revocation on its way.
+func (s *Service) receive(args *HeartbeatArgs, term uint64) heartbeatDecision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.Heartbeats++
+	if s.term != term {
+		return heartbeatDecision{}
+	}
+	committed, leased := s.machine.Node(args.Node.ID)
+	memory := s.nodes[args.Node.ID]
+	if memory == nil {
+		memory = &nodeMemory{incarnation: args.Node.Incarnation, heard: time.Now()}
+		s.nodes[args.Node.ID] = memory
+	}
+	switch {
+	case memory.revoking || memory.granting:
+		return heartbeatDecision{}
+	case leased && committed.Incarnation > args.Node.Incarnation:
+		return heartbeatDecision{superseded: true}
+	case leased && committed.Incarnation < args.Node.Incarnation:
+		memory.superseded = true
+		return heartbeatDecision{}
+	case leased && memory.superseded:
+		return heartbeatDecision{superseded: true}
+	case !leased:
+		*memory = nodeMemory{incarnation: args.Node.Incarnation, heard: time.Now(), granting: true}
+		memory.note(args)
+		return heartbeatDecision{commit: true}
+	}
+	memory.heard = time.Now()
+	memory.note(args)
+	wanted := withDrain(args.Node, committed)
+	memory.granting = wanted != committed
+	return heartbeatDecision{leased: true, commit: memory.granting}
+}
+
+// withDrain keeps a drain that an operator asked for at the leader.
+func withDrain(asked, committed lease.Node) lease.Node {
+	asked.Draining = asked.Draining || committed.Draining
+	return asked
+}
+
+func (n *nodeMemory) note(args *HeartbeatArgs) {
+	n.reported = true
+	n.revision = args.HaveRevision
+	n.view = args.HaveView
+	n.load = args.Load
+}
+
+// grant commits a node lease or its new attributes.
+func (s *Service) grant(node lease.Node) Status {
+	if committed, leased := s.machine.Node(node.ID); leased && committed.Incarnation == node.Incarnation {
+		node = withDrain(node, committed)
+	}
+	result, status := s.propose(&machine.Command{GrantNode: &machine.GrantNode{Node: node}})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if memory := s.nodes[node.ID]; memory != nil {
+		memory.granting = false
+		memory.heard = time.Now()
+	}
+	if status.OK() && result.Refusal != "" {
+		return Status{NotLeader: true, Redirect: s.self, Detail: string(result.Refusal)}
+	}
+	s.counters.Grants++
+	return status
+}
+
+// expireNodes revokes leases that have certainly ended. While the outcome is
+// unknown the nodes get no renewal, and the next tick tries again.
+func (s *Service) expireNodes() {
+	ended := s.expired(time.Now())
+	if len(ended) == 0 {
+		return
+	}
+	command := &machine.Command{RevokeNodes: &machine.RevokeNodes{Nodes: ended}}
+	if _, status := s.propose(command); !status.OK() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, node := range ended {
+		s.counters.Revocations++
+		delete(s.nodes, node.ID)
+	}
+}
+
+// expired marks and returns the nodes whose lease has ended by now.
+func (s *Service) expired(now time.Time) []machine.RevokedNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nodes == nil {
+		return nil
+	}
+	nodes := s.machine.Nodes()
+	var ended []machine.RevokedNode
+	for _, node := range nodes {
+		memory := s.nodes[node.ID]
+		if memory == nil {
+			memory = &nodeMemory{incarnation: node.Incarnation, heard: now}
+			s.nodes[node.ID] = memory
+		}
+		if memory.granting || now.Sub(memory.heard) <= NodeTTL+s.margin {
+			continue
+		}
+		memory.revoking = true
+		ended = append(ended, machine.RevokedNode{ID: node.ID, Incarnation: node.Incarnation})
+	}
+	return ended
+}
+
+// loads returns the loads that live nodes reported.
+func (s *Service) loads() []NodeLoad {
+	nodes := s.machine.Nodes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := make([]NodeLoad, 0, len(nodes))
+	for _, node := range nodes {
+		if memory := s.nodes[node.ID]; memory != nil && memory.reported {
+			loads = append(loads, NodeLoad{Node: node.ID, Load: memory.load})
+		}
+	}
+	return loads
+}
+
+// Drain marks a node as draining on an operator's word.
+func (s *Service) Drain(args *DrainArgs, reply *DrainReply) error {
+	if _, status := s.read(); !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	node, leased := s.machine.Node(args.Node)
+	if !leased {
+		reply.Refusal = machine.RefusedUnknown
+		return nil
+	}
+	node.Draining = true
+	result, status := s.propose(&machine.Command{GrantNode: &machine.GrantNode{Node: node}})
+	reply.Status = status
+	reply.Refusal = result.Refusal
+	return nil
+}
+
+// nodeStatus describes the live nodes.
+func (s *Service) nodeStatus() []NodeStatus {
+	nodes := s.machine.Nodes()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]NodeStatus, 0, len(nodes))
+	for _, node := range nodes {
+		status := NodeStatus{Node: node}
+		if memory := s.nodes[node.ID]; memory != nil {
+			status.Revision = memory.revision
+			status.Load = memory.load
+			status.Silent = now.Sub(memory.heard)
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/coordination/control/local.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// LocalProposer applies commands at once in memory. It stands for consensus in
+// tests and in single-process fakes; nothing survives the process.
+type LocalProposer struct {
+	self    ident.NodeID
+	machine *machine.Machine
+
+	mu    sync.Mutex
+	index uint64
+}
+
+// NewLocalProposer returns a proposer that leads for ever.
+func NewLocalProposer(self ident.NodeID, m *machine.Machine) *LocalProposer {
+	return &LocalProposer{self: self, machine: m}
+}
+
+// Propose implements consensus.Proposer.
+func (p *LocalProposer) Propose(_ context.Context, command []byte) (machine.Result, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.index++
+	return p.machine.Apply(p.index, command), nil
+}
+
+// ReadBarrier implements consensus.Proposer.
+func (p *LocalProposer) ReadBarrier(context.Context) error { return nil }
+
+// Leadership implements consensus.Proposer.
+func (p *LocalProposer) Leadership() consensus.Leadership {
+	return consensus.Leadership{Term: 1, Leader: p.self, Leading: true}
+}
--- /dev/null
+++ b/internal/coordination/control/pools.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// rebalanceInterval is the least time between two leases that are moved only
+// to spread the pools.
+const rebalanceInterval = 10 * time.Second
+
+// assignPools gives each configured pool's scheduler lease to a live node that
+// isn't draining.
+func (s *Service) assignPools() {
+	changes := s.poolChanges(time.Now())
+	if len(changes) == 0 {
+		return
+	}
+	command := &machine.Command{GrantPools: &machine.GrantPools{Changes: changes}}
+	if _, status := s.propose(command); !status.OK() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counters.PoolChanges += uint64(len(changes))
+}
+
+// poolChanges decides which scheduler leases change now.
+func (s *Service) poolChanges(now time.Time) []machine.PoolChange {
+	cfg, _, _ := s.machine.Config()
+	plan := newPoolPlan(s.machine.Nodes(), s.machine.Pools())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, pool := range plan.pools {
+		s.reviewPool(plan, pool, cfg)
+	}
+	for name := range cfg.Pools {
+		if _, known := plan.known[name]; !known {
+			plan.free = append(plan.free, lease.Pool{Pool: name})
+		}
+	}
+	plan.grantFree()
+	if len(plan.changes) == 0 && now.Sub(s.rebalanced) >= rebalanceInterval {
+		plan.rebalance()
+		s.rebalanced = now
+	}
+	return plan.changes
+}
+
+// reviewPool decides on a lease that exists: whether it stays, is taken back,
+// or may be granted anew.
+func (s *Service) reviewPool(plan *poolPlan, p lease.Pool, cfg config.Config) {
+	_, configured := cfg.Pools[p.Pool]
+	switch {
+	case p.Holder != "" && (!configured || !plan.eligible[p.Holder]):
+		plan.take(p)
+	case p.Holder != "":
+		plan.count[p.Holder]++
+	case !s.formerStopped(p):
+		return
+	case !configured:
+		plan.changes = append(plan.changes, machine.PoolChange{Pool: p.Pool, Epoch: p.Epoch, Drop: true})
+	default:
+		plan.free = append(plan.free, p)
+	}
+}
+
+// formerStopped tells whether the former holder has certainly stopped: it has
+// acknowledged a view that takes the lease from it, or its node lease ended.
+func (s *Service) formerStopped(p lease.Pool) bool {
+	if p.Former == "" {
+		return true
+	}
+	memory := s.nodes[p.Former]
+	return memory != nil && memory.incarnation == p.FormerIncarnation &&
+		memory.reported && memory.view >= p.Sequence
+}
+
+// poolPlan collects the changes of one round.
+type poolPlan struct {
+	pools    []lease.Pool
+	known    map[ident.PoolName]lease.Pool
+	nodes    []lease.Node
+	eligible map[ident.NodeID]bool
+	count    map[ident.NodeID]int
+	free     []lease.Pool
+	changes  []machine.PoolChange
+}
+
+func newPoolPlan(nodes []lease.Node, pools []lease.Pool) *poolPlan {
+	plan := &poolPlan{
+		pools:    pools,
+		known:    make(map[ident.PoolName]lease.Pool, len(pools)),
+		eligible: make(map[ident.NodeID]bool, len(nodes)),
+		count:    make(map[ident.NodeID]int, len(nodes)),
+	}
+	for _, pool := range pools {
+		plan.known[pool.Pool] = pool
+	}
+	for _, node := range nodes {
+		if !node.Draining {
+			plan.nodes = append(plan.nodes, node)
+			plan.eligible[node.ID] = true
+		}
+	}
+	return plan
+}
+
+// take takes a lease back from its live holder.
+func (plan *poolPlan) take(p lease.Pool) {
+	plan.changes = append(plan.changes, machine.PoolChange{Pool: p.Pool, Epoch: p.Epoch})
+}
+
+// grantFree gives every free lease to the node with the fewest; among equals
+// the highest rendezvous weight wins.
+func (plan *poolPlan) grantFree() {
+	if len(plan.nodes) == 0 {
+		return
+	}
+	slices.SortFunc(plan.free, func(a, b lease.Pool) int { return cmp.Compare(a.Pool, b.Pool) })
+	for _, pool := range plan.free {
+		node := slices.MinFunc(plan.nodes, func(a, b lease.Node) int {
+			return cmp.Or(
+				cmp.Compare(plan.count[a.ID], plan.count[b.ID]),
+				cmp.Compare(rendezvousWeight(pool.Pool, b.ID), rendezvousWeight(pool.Pool, a.ID)),
+			)
+		})
+		plan.count[node.ID]++
+		plan.changes = append(plan.changes, machine.PoolChange{
+			Pool: pool.Pool, Epoch: pool.Epoch, Holder: node.ID, HolderIncarnation: node.Incarnation,
+		})
+	}
+}
+
+// rebalance takes one lease back from the node with the most when another has
+// at least two fewer.
+func (plan *poolPlan) rebalance() {
+	if len(plan.nodes) == 0 {
+		return
+	}
+	least := plan.count[plan.nodes[0].ID]
+	for _, node := range plan.nodes {
+		least = min(least, plan.count[node.ID])
+	}
+	for _, pool := range plan.pools {
+		if plan.count[pool.Holder] >= least+2 {
+			plan.take(pool)
+			return
+		}
+	}
+}
+
+// rendezvousWeight orders the nodes for one pool, differently for each.
+func rendezvousWeight(pool ident.PoolName, node ident.NodeID) uint64 {
+	return xxhash.Sum64String(string(pool) + "\x00" + string(node))
+}
--- /dev/null
+++ b/internal/coordination/control/service.go
@@ -0,0 +1,226 @@
+// Package control is the leader's side of the replicated state: node leases,
+// scheduler leases, the request ledger, the configuration and orders. Every
+// replica runs a Service; only the leader's serves.
+package control
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+const (
+	// NodeTTL is how long a node relies on its lease after sending a heartbeat.
+	NodeTTL = 1500 * time.Millisecond
+	// HeartbeatInterval is the time between two heartbeats of a node. A node
+	// sends the next one at once after it took in an update or a view.
+	HeartbeatInterval = 500 * time.Millisecond
+	// expiryMargin covers the drift between two clocks during a lease.
+	expiryMargin = 300 * time.Millisecond
+	// TickInterval is the time between two calls of Tick.
+	TickInterval = 100 * time.Millisecond
+	// ProposeTimeout bounds the wait for one commit.
+	ProposeTimeout = 2 * time.Second
+	// MaxLookupWait bounds the wait of a lookup.
+	MaxLookupWait = 2 * time.Second
+	// MaxApplyWait bounds the wait of an apply.
+	MaxApplyWait = 10 * time.Second
+	// pollInterval is the time between two looks at a condition waited for.
+	pollInterval = 20 * time.Millisecond
+)
+
+// Service serves control calls on one replica. Its methods have the shape that
+// net/rpc requires and are safe for concurrent use.
+type Service struct {
+	self     ident.NodeID
+	proposer consensus.Proposer[machine.Result]
+	machine  *machine.Machine
+	// margin is expiryMargin but in tests that show what happens without it.
+	margin time.Duration
+
+	mu sync.Mutex
+	// term is the term whose memory is held; zero while not leading.
+	term  uint64
+	nodes map[ident.NodeID]*nodeMemory
+	// rebalanced is when a lease was last moved to spread the pools.
+	rebalanced time.Time
+	counters   Counters
+}
+
+// nodeMemory is what a leader remembers of a node between commits.
+type nodeMemory struct {
+	incarnation ident.Incarnation
+	// heard is when the latest heartbeat that renewed the lease was taken in.
+	heard time.Time
+	// revoking nodes get no renewal until their revocation is settled.
+	revoking bool
+	// granting is true while a grant is being committed.
+	granting bool
+	// superseded is true once a later life of the node asked for a lease.
+	superseded bool
+	// reported is true once the node named its revision and view to this leader.
+	reported bool
+	revision ident.Revision
+	view     uint64
+	load     uint8
+}
+
+// Counters count the service's doings since the start of the process.
+type Counters struct {
+	Heartbeats  uint64
+	Grants      uint64
+	Revocations uint64
+	PoolChanges uint64
+	Applies     uint64
+	Claims      uint64
+	Terms       uint64
+}
+
+// NewService returns the service of the replica self. The caller drives it by
+// Run, or by calling Tick every TickInterval.
+func NewService(self ident.NodeID, p consensus.Proposer[machine.Result], m *machine.Machine) *Service {
+	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin}
+}
+
+// Run drives the service until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Tick()
+		}
+	}
+}
+
+// Tick begins a term that this replica won, expires node leases and assigns
+// pools.
+func (s *Service) Tick() {
+	leadership := s.proposer.Leadership()
+	if !leadership.Leading {
+		s.forget()
+		return
+	}
+	if !s.leads(leadership) && !s.begin(leadership) {
+		return
+	}
+	s.expireNodes()
+	s.assignPools()
+}
+
+// Counters returns a copy of the counters.
+func (s *Service) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counters
+}
+
+// leads tells whether the memory held is that of the present term.
+func (s *Service) leads(l consensus.Leadership) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.Leading && s.term == l.Term
+}
+
+// forget drops the memory of a term that has ended.
+func (s *Service) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term = 0
+	s.nodes = nil
+}
+
+// begin commits the start of the term. Every lease that a former leader can
+// have renewed began before; it gets a full TTL from now.
+func (s *Service) begin(l consensus.Leadership) bool {
+	s.forget()
+	command := &machine.Command{Begin: &machine.Begin{Leader: s.self, Term: l.Term}}
+	result, status := s.commit(command)
+	if !status.OK() || result.Superseded {
+		return false
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.term = l.Term
+	s.rebalanced = now
+	s.counters.Terms++
+	s.nodes = make(map[ident.NodeID]*nodeMemory)
+	for _, node := range s.machine.Nodes() {
+		s.nodes[node.ID] = &nodeMemory{incarnation: node.Incarnation, heard: now}
+	}
+	return true
+}
+
+// serving tells whether this replica leads in a term that has begun.
+func (s *Service) serving() (uint64, Status) {
+	leadership := s.proposer.Leadership()
+	if !leadership.Leading {
+		return 0, Status{NotLeader: true, Redirect: leadership.Leader, Detail: "not the leader"}
+	}
+	if !s.leads(leadership) {
+		return 0, Status{NotLeader: true, Redirect: s.self, Detail: "the leader's term has not begun"}
+	}
+	return leadership.Term, Status{}
+}
+
+// stillServing tells whether this replica has led in the term until now: what
+// it read or renewed before the call was true.
+func (s *Service) stillServing(term uint64) Status {
+	now, status := s.serving()
+	if status.OK() && now != term {
+		return Status{NotLeader: true, Redirect: s.self, Detail: "the term has changed"}
+	}
+	return status
+}
+
+// propose commits a command in a term that has begun.
+func (s *Service) propose(command *machine.Command) (machine.Result, Status) {
+	term, status := s.serving()
+	if !status.OK() {
+		return machine.Result{}, status
+	}
+	command.Term = term
+	return s.commit(command)
+}
+
+// commit proposes a command and turns the errors of consensus into a status.
+func (s *Service) commit(command *machine.Command) (machine.Result, Status) {
+	ctx, cancel := context.WithTimeout(context.Background(), ProposeTimeout)
+	defer cancel()
+	command.At = time.Now()
+	result, err := s.proposer.Propose(ctx, command.Encode())
+	var notLeader *consensus.NotLeaderError
+	switch {
+	case err == nil && result.Superseded:
+		return result, Status{NotLeader: true, Detail: "the term has ended"}
+	case err == nil:
+		return result, Status{}
+	case errors.As(err, &notLeader):
+		return result, Status{NotLeader: true, Redirect: notLeader.Leader, Detail: err.Error()}
+	default:
+		return result, Status{Uncertain: true, Detail: err.Error()}
+	}
+}
+
+// read returns once the machine reflects every acknowledged command.
+func (s *Service) read() (uint64, Status) {
+	term, status := s.serving()
+	if !status.OK() {
+		return 0, status
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ProposeTimeout)
+	defer cancel()
+	if err := s.proposer.ReadBarrier(ctx); err != nil {
+		return 0, Status{NotLeader: true, Detail: err.Error()}
+	}
+	return term, Status{}
+}
--- /dev/null
+++ b/internal/state/config/delta.go
@@ -0,0 +1,135 @@
+package config
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Changes holds what became of the objects of one kind.
+type Changes[K ~string, V any] struct {
+	// Set holds new objects and replacements.
+	Set map[K]V
+	// Removed names objects that are gone, in order.
+	Removed []K
+}
+
+// Delta is the difference between two configurations, by object.
+type Delta struct {
+	Tiers     Changes[ident.TierName, Tier]
+	Teams     Changes[ident.TeamName, Team]
+	Pools     Changes[ident.PoolName, Pool]
+	Upstreams Changes[ident.UpstreamName, Upstream]
+	Routes    Changes[ident.RouteName, Route]
+	Moves     Changes[ident.MoveName, Move]
+}
+
+// Diff returns the delta that turns from into to.
+func Diff(from, to Config) Delta {
+	return Delta{
+		Tiers:     diff(from.Tiers, to.Tiers),
+		Teams:     diff(from.Teams, to.Teams),
+		Pools:     diff(from.Pools, to.Pools),
+		Upstreams: diff(from.Upstreams, to.Upstreams),
+		Routes:    diff(from.Routes, to.Routes),
+		Moves:     diff(from.Moves, to.Moves),
+	}
+}
+
+func diff[K ~string, V any](from, to map[K]V) Changes[K, V] {
+	var c Changes[K, V]
+	for name, object := range to {
+		old, known := from[name]
+		if known && reflect.DeepEqual(old, object) {
+			continue
+		}
+		if c.Set == nil {
+			c.Set = make(map[K]V)
+		}
+		c.Set[name] = object
+	}
+	for name := range from {
+		if _, kept := to[name]; !kept {
+			c.Removed = append(c.Removed, name)
+		}
+	}
+	slices.Sort(c.Removed)
+	return c
+}
+
+// Apply returns the configuration that d makes of c. It leaves c unchanged.
+func (c Config) Apply(d Delta) Config {
+	return Config{
+		Tiers:     apply(c.Tiers, d.Tiers),
+		Teams:     apply(c.Teams, d.Teams),
+		Pools:     apply(c.Pools, d.Pools),
+		Upstreams: apply(c.Upstreams, d.Upstreams),
+		Routes:    apply(c.Routes, d.Routes),
+		Moves:     apply(c.Moves, d.Moves),
+	}
+}
+
+func apply[K ~string, V any](objects map[K]V, c Changes[K, V]) map[K]V {
+	if len(c.Set) == 0 && len(c.Removed) == 0 {
+		return objects
+	}
+	next := make(map[K]V, len(objects)+len(c.Set))
+	maps.Copy(next, objects)
+	for _, name := range c.Removed {
+		delete(next, name)
+	}
+	maps.Copy(next, c.Set)
+	if len(next) == 0 {
+		return nil
+	}
+	return next
+}
+
+// Then returns the delta that has the effect of d followed by next.
+func (d Delta) Then(next Delta) Delta {
+	return Delta{
+		Tiers:     compose(d.Tiers, next.Tiers),
+		Teams:     compose(d.Teams, next.Teams),
+		Pools:     compose(d.Pools, next.Pools),
+		Upstreams: compose(d.Upstreams, next.Upstreams),
+		Routes:    compose(d.Routes, next.Routes),
+		Moves:     compose(d.Moves, next.Moves),
+	}
+}
+
+func compose[K ~string, V any](a, b Changes[K, V]) Changes[K, V] {
+	if len(b.Set) == 0 && len(b.Removed) == 0 {
+		return a
+	}
+	c := Changes[K, V]{Set: make(map[K]V, len(a.Set)+len(b.Set))}
+	maps.Copy(c.Set, a.Set)
+	removed := make(map[K]bool, len(a.Removed)+len(b.Removed))
+	for _, name := range a.Removed {
+		removed[name] = true
+	}
+	for _, name := range b.Removed {
+		removed[name] = true
+		delete(c.Set, name)
+	}
+	for name, object := range b.Set {
+		c.Set[name] = object
+		delete(removed, name)
+	}
+	c.Removed = slices.Sorted(maps.Keys(removed))
+	return c
+}
+
+// Size returns the number of objects that d changes.
+func (d Delta) Size() int {
+	return d.Tiers.size() + d.Teams.size() + d.Pools.size() +
+		d.Upstreams.size() + d.Routes.size() + d.Moves.size()
+}
+
+func (c Changes[K, V]) size() int { return len(c.Set) + len(c.Removed) }
+
+// Size returns the number of objects in c.
+func (c Config) Size() int {
+	return len(c.Tiers) + len(c.Teams) + len(c.Pools) + len(c.Upstreams) + len(c.Routes) + len(c.Moves)
+}
--- /dev/null
+++ b/internal/state/config/encode.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Digest is the hash of a configuration's canonical encoding.
+type Digest [sha256.Size]byte
+
+// String returns the first bytes in hexadecimal, for people.
+func (d Digest) String() string { return hex.EncodeToString(d[:6]) }
+
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	options := cbor.CanonicalEncOptions()
+	options.Time = cbor.TimeRFC3339NanoUTC
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(fmt.Sprintf("config: encoding options: %v", err))
+	}
+	return mode
+}
+
+// normalize makes equal configurations equal in memory: no empty maps and all
+// times in UTC without a monotonic reading.
+func (c Config) normalize() Config {
+	c.Tiers = nonEmpty(c.Tiers)
+	c.Teams = nonEmpty(c.Teams)
+	c.Pools = nonEmpty(c.Pools)
+	c.Upstreams = nonEmpty(c.Upstreams)
+	c.Routes = nonEmpty(c.Routes)
+	c.Moves = nonEmpty(c.Moves)
+	c.Moves = normalizeMoves(c.Moves)
+	return c
+}
+
+// normalizeMoves copies the map, since configurations share their maps.
+func normalizeMoves(moves map[ident.MoveName]Move) map[ident.MoveName]Move {
+	if moves == nil {
+		return nil
+	}
+	normal := make(map[ident.MoveName]Move, len(moves))
+	for name, m := range moves {
+		m.Deadline = m.Deadline.Round(0).UTC()
+		normal[name] = m
+	}
+	return normal
+}
+
+func nonEmpty[K comparable, V any](m map[K]V) map[K]V {
+	if len(m) == 0 {
+		return nil
+	}
+	return m
+}
+
+// Encode returns the canonical encoding of c: equal configurations have equal
+// encodings.
+func (c Config) Encode() []byte {
+	data, err := encoding.Marshal(c.normalize())
+	if err != nil {
+		panic(fmt.Sprintf("config: a configuration always encodes: %v", err))
+	}
+	return data
+}
+
+// Decode reads a canonical encoding.
+func Decode(data []byte) (Config, error) {
+	var c Config
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return Config{}, fmt.Errorf("config: decode: %w", err)
+	}
+	return c.normalize(), nil
+}
+
+// Digest returns the hash of the canonical encoding.
+func (c Config) Digest() Digest { return sha256.Sum256(c.Encode()) }
--- /dev/null
+++ b/internal/state/config/file.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"io/fs"
+	"path"
+	"slices"
+	"strings"
+)
+
+// FileSuffix marks the files that belong to a configuration.
+const FileSuffix = ".yaml"
+
+// File is one file of the operators' folder.
+type File struct {
+	// Name is the base name; files merge in the order of their names.
+	Name string
+	Data []byte
+}
+
+// Mistake is one thing that is wrong with a folder of files.
+type Mistake struct {
+	// File and Line tell where. Line is zero when no line applies.
+	File string
+	Line int
+	Text string
+}
+
+// String returns the mistake in the form file:line: text.
+func (m Mistake) String() string {
+	if m.Line == 0 {
+		return fmt.Sprintf("%s: %s", m.File, m.Text)
+	}
+	return fmt.Sprintf("%s:%d: %s", m.File, m.Line, m.Text)
+}
+
+// Report lists what is wrong and what is odd about a folder of files.
+type Report struct {
+	// Mistakes refuse the whole folder.
+	Mistakes []Mistake
+	// Warnings don't.
+	Warnings []Mistake
+}
+
+func (r *Report) mistake(file string, line int, format string, args ...any) {
+	r.Mistakes = append(r.Mistakes, Mistake{File: file, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+func (r *Report) warning(file string, line int, format string, args ...any) {
+	r.Warnings = append(r.Warnings, Mistake{File: file, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+func (r *Report) sort() {
+	byPlace := func(a, b Mistake) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Text, b.Text))
+	}
+	slices.SortFunc(r.Mistakes, byPlace)
+	slices.SortFunc(r.Warnings, byPlace)
+}
+
+// ReadFolder reads the files of a folder that belong to a configuration: those
+// directly in it whose name ends with FileSuffix. A file whose name ends with
+// ".yml" fails, since it would be left out silently.
+func ReadFolder(folder fs.FS) ([]File, error) {
+	entries, err := fs.ReadDir(folder, ".")
+	if err != nil {
+		return nil, fmt.Errorf("config: read folder: %w", err)
+	}
+	var files []File
+	for _, entry := range entries {
+		name := entry.Name()
+		if entry.IsDir() || strings.HasPrefix(name, ".") {
+			continue
+		}
+		if path.Ext(name) == ".yml" {
+			return nil, fmt.Errorf("config: %s: rename it to end with %s", name, FileSuffix)
+		}
+		if path.Ext(name) != FileSuffix {
+			continue
+		}
+		data, err := fs.ReadFile(folder, name)
+		if err != nil {
+			return nil, fmt.Errorf("config: read %s: %w", name, err)
+		}
+		files = append(files, File{Name: name, Data: data})
+	}
+	return files, nil
+}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -20,9 +20,17 @@
 
 // Pool is the lease of a pool's scheduler.
 type Pool struct {
-	Pool   ident.PoolName
+	Pool ident.PoolName
+	// Holder is empty while nobody holds the lease.
 	Holder ident.NodeID
 	// HolderIncarnation is the life of Holder that got the lease.
 	HolderIncarnation ident.Incarnation
 	Epoch             ident.Epoch
+	// Former is the node that lost the lease while it was live. It may act on
+	// it until it has acknowledged the change or its node lease has ended; the
+	// lease isn't granted again before.
+	Former            ident.NodeID
+	FormerIncarnation ident.Incarnation
+	// Sequence is the number of the change that made this record.
+	Sequence uint64
 }
--- a/internal/state/ledger/ledger.go
+++ b/internal/state/ledger/ledger.go
@@ -30,6 +30,9 @@
 	Gateway     ident.NodeID
 	Incarnation ident.Incarnation
 	Request     ident.RequestID
+	// Attempt counts the claims of one request: a request that claims again
+	// after a release names a higher attempt.
+	Attempt uint32
 	// At is the proposer's wall-clock time; the ledger's clock never goes back.
 	At time.Time
 }
@@ -80,6 +83,11 @@
 type Release struct {
 	Key     Key
 	Request ident.RequestID
+	// Attempt names the claim that is given back, so that a late duplicate of
+	// this release can't undo a later claim.
+	Attempt uint32
+	// At is the proposer's wall-clock time.
+	At time.Time
 }
 
 // Complete records the outcome of a claimed request. A nil Answer records that
@@ -90,3 +98,50 @@
 	Answer  *Answer
 	At      time.Time
 }
+
+// Resolve records what the service's own status query says about a request
+// whose outcome was lost.
+type Resolve struct {
+	Key    Key
+	Answer Answer
+	At     time.Time
+}
+
+// Outcome is the ledger's answer to a release, a completion or a resolution.
+type Outcome string
+
+const (
+	// OutcomeDone means that the change is recorded, now or by an earlier copy
+	// of the same command.
+	OutcomeDone Outcome = "done"
+	// OutcomeNotHeld means that the request doesn't hold the key.
+	OutcomeNotHeld Outcome = "not_held"
+	// OutcomeKnown means that another outcome was recorded before; it stands.
+	OutcomeKnown Outcome = "known"
+)
+
+// Limits bound the memory of a ledger.
+type Limits struct {
+	// Retention is how long after its time of issue a key is remembered.
+	Retention time.Duration
+	// MaxSkew is how far in the future a key's time of issue may lie.
+	MaxSkew time.Duration
+	// MaxEntries bounds the remembered keys.
+	MaxEntries int
+	// MaxBytes bounds the accounted memory of keys and answers, in bytes.
+	MaxBytes int64
+	// MaxAnswerBytes bounds the body of one recorded answer, in bytes.
+	MaxAnswerBytes int
+}
+
+// DefaultLimits returns the limits of a production ledger. All replicas of one
+// group must use the same.
+func DefaultLimits() Limits {
+	return Limits{
+		Retention:      time.Hour,
+		MaxSkew:        5 * time.Minute,
+		MaxEntries:     200_000,
+		MaxBytes:       96 << 20,
+		MaxAnswerBytes: 64 << 10,
+	}
+}
--- /dev/null
+++ b/internal/state/machine/leases.go
@@ -0,0 +1,153 @@
+package machine
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+)
+
+// grantNode grants a lease or renews the attributes of a live one. A lease of
+// an earlier incarnation must have been revoked first.
+func (m *Machine) grantNode(n lease.Node) Result {
+	old, leased := m.nodes[n.ID]
+	if leased && old.Incarnation != n.Incarnation {
+		return Result{Refusal: RefusedIncarnation}
+	}
+	if leased && old == n {
+		return Result{}
+	}
+	m.nodes[n.ID] = n
+	m.changes.note(Changed{Node: n.ID})
+	return Result{}
+}
+
+// revokeNode ends a node lease: running claims of that life may have run, and
+// its scheduler leases are taken back.
+func (m *Machine) revokeNode(r RevokedNode) {
+	node, leased := m.nodes[r.ID]
+	if !leased || node.Incarnation != r.Incarnation {
+		return
+	}
+	delete(m.nodes, r.ID)
+	m.changes.note(Changed{Node: r.ID})
+	m.ledger.Revoke(r.ID, r.Incarnation)
+	for _, name := range slices.Sorted(maps.Keys(m.pools)) {
+		m.freePool(m.pools[name], r.ID)
+	}
+}
+
+// freePool takes a lease back from a node whose own lease has ended.
+func (m *Machine) freePool(p lease.Pool, id ident.NodeID) {
+	changed := false
+	if p.Former == id {
+		p.Former, p.FormerIncarnation = "", 0
+		changed = true
+	}
+	if p.Holder == id {
+		p.Holder, p.HolderIncarnation = "", 0
+		p.Epoch = m.nextEpoch()
+		changed = true
+	}
+	if changed {
+		m.setPool(p)
+	}
+}
+
+func (m *Machine) setPool(p lease.Pool) {
+	m.changes.note(Changed{Pool: p.Pool})
+	p.Sequence = m.changes.Sequence
+	m.pools[p.Pool] = p
+}
+
+// grantPools changes scheduler leases. Each change is done or refused alone;
+// the result names the last refusal.
+func (m *Machine) grantPools(changes []PoolChange) Result {
+	var result Result
+	for _, change := range changes {
+		if refusal := m.grantPool(change); refusal != "" {
+			result.Refusal = refusal
+		}
+	}
+	return result
+}
+
+func (m *Machine) grantPool(c PoolChange) Refusal {
+	p := m.pools[c.Pool]
+	if p.Epoch != c.Epoch {
+		return RefusedEpoch
+	}
+	if c.Drop {
+		delete(m.pools, c.Pool)
+		m.changes.note(Changed{Pool: c.Pool})
+		return ""
+	}
+	if c.Holder == "" {
+		return m.takePool(p)
+	}
+	node, leased := m.nodes[c.Holder]
+	if !leased || node.Incarnation != c.HolderIncarnation || p.Holder != "" {
+		return RefusedHolder
+	}
+	m.setPool(lease.Pool{
+		Pool: c.Pool, Holder: c.Holder, HolderIncarnation: c.HolderIncarnation, Epoch: m.nextEpoch(),
+	})
+	return ""
+}
+
+func (m *Machine) nextEpoch() ident.Epoch {
+	m.epoch++
+	return m.epoch
+}
+
+// takePool takes a lease back from a live holder, which stays Former until it
+// has certainly stopped.
+func (m *Machine) takePool(p lease.Pool) Refusal {
+	if p.Holder == "" {
+		return RefusedHolder
+	}
+	m.setPool(lease.Pool{
+		Pool: p.Pool, Epoch: m.nextEpoch(),
+		Former: p.Holder, FormerIncarnation: p.HolderIncarnation,
+	})
+	return ""
+}
+
+// Node returns the live lease of a node.
+func (m *Machine) Node(id ident.NodeID) (lease.Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, leased := m.nodes[id]
+	return n, leased
+}
+
+// Nodes returns all live node leases in the order of their ids.
+func (m *Machine) Nodes() []lease.Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sortedValues(m.nodes)
+}
+
+// Pool returns the scheduler lease of a pool.
+func (m *Machine) Pool(name ident.PoolName) (lease.Pool, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, known := m.pools[name]
+	return p, known
+}
+
+// Pools returns all scheduler leases in the order of the pools' names.
+func (m *Machine) Pools() []lease.Pool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sortedValues(m.pools)
+}
+
+func sortedValues[K ~string, V any](objects map[K]V) []V {
+	values := make([]V, 0, len(objects))
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		values = append(values, objects[name])
+	}
+	return values
+}
--- /dev/null
+++ b/internal/state/machine/machine.go
@@ -0,0 +1,196 @@
+package machine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+// Machine is the replicated state machine. Its methods are safe for concurrent
+// use. Objects that accessors return must not be changed.
+type Machine struct {
+	mu     sync.Mutex
+	limits ledger.Limits
+
+	index uint64
+	clock time.Time
+	begin Begin
+
+	config *config.Store
+	ledger *ledger.Ledger
+	nodes  map[ident.NodeID]lease.Node
+	pools  map[ident.PoolName]lease.Pool
+	moves  map[ident.MoveName]move.Record
+	orders []Order
+	// epoch is the highest scheduler epoch that was ever granted, so that a
+	// pool that is removed and added again never sees an old one.
+	epoch   ident.Epoch
+	fencing FencingNumber
+	changes changeLog
+}
+
+// New returns an empty machine. All replicas must use the same limits.
+func New(limits ledger.Limits) *Machine {
+	return &Machine{
+		limits: limits,
+		config: config.NewStore(),
+		ledger: ledger.New(limits),
+		nodes:  make(map[ident.NodeID]lease.Node),
+		pools:  make(map[ident.PoolName]lease.Pool),
+		moves:  make(map[ident.MoveName]move.Record),
+	}
+}
+
+// Apply executes one command of the log. It is deterministic: equal logs give
+// equal machines and results.
+func (m *Machine) Apply(index uint64, command []byte) Result {
+	c, err := DecodeCommand(command)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index = index
+	if err != nil {
+		return Result{Invalid: true}
+	}
+	if c.At.After(m.clock) {
+		m.clock = c.At.Round(0).UTC()
+	}
+	m.ledger.Advance(m.clock)
+	return m.execute(c)
+}
+
+func (m *Machine) execute(c *Command) Result {
+	switch {
+	case c.Begin != nil:
+		return m.applyBegin(*c.Begin)
+	case c.Claim != nil:
+		return m.applyClaim(*c.Claim)
+	case c.Release != nil:
+		c.Release.At = m.clock
+		return Result{Ledger: m.ledger.Release(*c.Release)}
+	case c.Complete != nil:
+		c.Complete.At = m.clock
+		return Result{Ledger: m.ledger.Complete(*c.Complete)}
+	case c.Resolve != nil:
+		c.Resolve.At = m.clock
+		return Result{Ledger: m.ledger.Resolve(*c.Resolve)}
+	case c.ApplyConfig != nil:
+		return m.applyConfig(*c.ApplyConfig)
+	case c.CommitMove != nil:
+		return m.commitMove(*c.CommitMove)
+	}
+	if c.Term != m.begin.Term {
+		return Result{Superseded: true}
+	}
+	switch {
+	case c.GrantNode != nil:
+		return m.grantNode(c.GrantNode.Node)
+	case c.RevokeNodes != nil:
+		for _, node := range c.RevokeNodes.Nodes {
+			m.revokeNode(node)
+		}
+		return Result{}
+	case c.GrantPools != nil:
+		return m.grantPools(c.GrantPools.Changes)
+	case c.IssueOrder != nil:
+		return m.issueOrder(*c.IssueOrder)
+	case c.CompleteOrder != nil:
+		return m.completeOrder(*c.CompleteOrder)
+	}
+	return Result{Invalid: true}
+}
+
+// applyBegin starts a term. Terms never go back.
+func (m *Machine) applyBegin(b Begin) Result {
+	if b.Term < m.begin.Term || (b.Term == m.begin.Term && b.Leader != m.begin.Leader) {
+		return Result{Superseded: true}
+	}
+	m.begin = b
+	return Result{}
+}
+
+// applyClaim refuses a claimant whose node lease isn't live.
+func (m *Machine) applyClaim(c ledger.Claim) Result {
+	c.At = m.clock
+	node, leased := m.nodes[c.Gateway]
+	live := leased && node.Incarnation == c.Incarnation
+	result := m.ledger.Claim(c, live)
+	return Result{Claim: &result}
+}
+
+// applyConfig decides on an operation and makes records for new moves.
+func (m *Machine) applyConfig(op config.Operation) Result {
+	op.At = m.clock
+	before := m.config.Revision
+	outcome := m.config.Apply(op)
+	if m.config.Revision != before {
+		m.followConfig()
+	}
+	return Result{Config: &outcome}
+}
+
+// Index returns the index of the last applied command.
+func (m *Machine) Index() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.index
+}
+
+// Clock returns the machine's time: the latest that a command carried.
+func (m *Machine) Clock() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock
+}
+
+// Term returns the latest leader term that began, and its leader.
+func (m *Machine) Term() (uint64, ident.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.begin.Term, m.begin.Leader
+}
+
+// Config returns the present configuration with its revision and digest.
+func (m *Machine) Config() (config.Config, ident.Revision, config.Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config.Config, m.config.Revision, m.config.Digest
+}
+
+// ConfigUpdate returns what a node at revision have needs, or nil.
+func (m *Machine) ConfigUpdate(have ident.Revision) *config.Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config.UpdateFrom(have)
+}
+
+// History returns up to limit accepted changes, the latest last.
+func (m *Machine) History(limit int) []config.Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	history := m.config.History
+	if len(history) > limit {
+		history = history[len(history)-limit:]
+	}
+	return append([]config.Change(nil), history...)
+}
+
+// Lookup tells what the ledger knows of a key. Found is false for a key that
+// no claim holds.
+func (m *Machine) Lookup(k ledger.Key) (result ledger.ClaimResult, found bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Lookup(k)
+}
+
+// LedgerSize returns the number of remembered keys and their accounted memory
+// in bytes.
+func (m *Machine) LedgerSize() (entries int, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Len(), m.ledger.Bytes()
+}
--- /dev/null
+++ b/internal/state/machine/moves.go
@@ -0,0 +1,80 @@
+package machine
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+// followConfig makes the move records agree with the configuration: a new or
+// redirected move begins as pending, and the record of a removed one goes.
+func (m *Machine) followConfig() {
+	configured := m.config.Config.Moves
+	for _, name := range slices.Sorted(maps.Keys(m.moves)) {
+		if _, kept := configured[name]; !kept {
+			delete(m.moves, name)
+			m.changes.note(Changed{Move: name})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(configured)) {
+		object := configured[name]
+		if r, known := m.moves[name]; known && sameMove(r, object) {
+			continue
+		}
+		m.setMove(move.Record{
+			Name: name, Pool: object.Pool, From: object.From, To: object.To,
+			Revision: m.config.Revision, State: move.StatePending, At: m.clock,
+		})
+	}
+}
+
+func sameMove(r move.Record, m config.Move) bool {
+	return r.Pool == m.Pool && r.From == m.From && r.To == m.To
+}
+
+func (m *Machine) setMove(r move.Record) {
+	m.moves[r.Name] = r
+	m.changes.note(Changed{Move: r.Name})
+}
+
+// commitMove replaces a move's record. Only the present scheduler epoch of the
+// pool may do so, and a final record stands.
+func (m *Machine) commitMove(r move.Record) Result {
+	old, known := m.moves[r.Name]
+	if !known || old.Revision != r.Revision || old.Pool != r.Pool || old.From != r.From || old.To != r.To {
+		return Result{Refusal: RefusedUnknown}
+	}
+	r.At = r.At.Round(0).UTC()
+	if old == r {
+		return Result{Move: &r}
+	}
+	pool := m.pools[r.Pool]
+	if pool.Holder == "" || pool.Epoch != r.Epoch {
+		return Result{Refusal: RefusedEpoch, Move: &old}
+	}
+	if !old.State.MayFollow(r.State) || !isShare(r.Share) || !isShare(r.NonIdempotentShare) {
+		return Result{Refusal: RefusedTransition, Move: &old}
+	}
+	m.setMove(r)
+	return Result{Move: &r}
+}
+
+func isShare(x float64) bool { return x >= 0 && x <= 1 }
+
+// Move returns the committed record of a move.
+func (m *Machine) Move(name ident.MoveName) (move.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, known := m.moves[name]
+	return r, known
+}
+
+// Moves returns all move records in the order of their names.
+func (m *Machine) Moves() []move.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sortedValues(m.moves)
+}
--- /dev/null
+++ b/internal/state/machine/orders.go
@@ -0,0 +1,77 @@
+package machine
+
+import "slices"
+
+const (
+	// maxOpenOrders bounds the orders that haven't ended.
+	maxOpenOrders = 4096
+	// maxDoneOrders bounds the remembered orders that have ended.
+	maxDoneOrders = 256
+)
+
+// issueOrder writes an order down under the next fencing number. A copy of an
+// earlier order gets the first number again.
+func (m *Machine) issueOrder(o IssueOrder) Result {
+	open := 0
+	for i := range m.orders {
+		if m.orders[i].ID == o.ID {
+			first := m.orders[i]
+			return Result{Order: &first}
+		}
+		if !m.orders[i].Done {
+			open++
+		}
+	}
+	if open >= maxOpenOrders {
+		return Result{Refusal: RefusedFull}
+	}
+	m.fencing++
+	order := Order{Number: m.fencing, IssueOrder: o, Term: m.begin.Term, At: m.clock}
+	m.orders = append(m.orders, order)
+	return Result{Order: &order}
+}
+
+// completeOrder marks an order as ended and forgets the oldest ended ones.
+func (m *Machine) completeOrder(c CompleteOrder) Result {
+	at := slices.IndexFunc(m.orders, func(o Order) bool { return o.Number == c.Number })
+	if at < 0 {
+		return Result{Refusal: RefusedUnknown}
+	}
+	if !m.orders[at].Done {
+		m.orders[at].Done = true
+		m.orders[at].Detail = c.Detail
+	}
+	order := m.orders[at]
+	m.trimOrders()
+	return Result{Order: &order}
+}
+
+func (m *Machine) trimOrders() {
+	done := 0
+	for i := range m.orders {
+		if m.orders[i].Done {
+			done++
+		}
+	}
+	m.orders = slices.DeleteFunc(m.orders, func(o Order) bool {
+		drop := o.Done && done > maxDoneOrders
+		if drop {
+			done--
+		}
+		return drop
+	})
+}
+
+// OpenOrders returns the orders that haven't ended, by fencing number. A new
+// leader finds its predecessors' here.
+func (m *Machine) OpenOrders() []Order {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var open []Order
+	for _, o := range m.orders {
+		if !o.Done {
+			open = append(open, o)
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/state/machine/snapshot.go
@@ -0,0 +1,102 @@
+package machine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+// snapshotFormat is the number of the snapshot encoding below.
+const snapshotFormat = 1
+
+// image is the whole machine as it is encoded.
+type image struct {
+	Format  int
+	Index   uint64
+	Clock   time.Time
+	Begin   Begin
+	Config  *config.Store
+	Ledger  ledger.State
+	Nodes   []lease.Node
+	Pools   []lease.Pool
+	Moves   []move.Record
+	Orders  []Order
+	Epoch   ident.Epoch
+	Fencing FencingNumber
+	Changes changeLog
+}
+
+// Snapshot returns the encoded state after the last applied command.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	data, err := encoding.Marshal(image{
+		Format: snapshotFormat, Index: m.index, Clock: m.clock, Begin: m.begin,
+		Config: m.config, Ledger: m.ledger.State(),
+		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
+		Orders: m.orders, Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("machine: encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// maxSnapshotElements bounds the elements of one list of a snapshot.
+const maxSnapshotElements = 16 << 20
+
+var snapshotDecoding = newSnapshotDecoding()
+
+func newSnapshotDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxSnapshotElements,
+		MaxMapPairs:      maxSnapshotElements,
+	}.DecMode()
+	if err != nil {
+		panic(fmt.Sprintf("machine: decoding options: %v", err))
+	}
+	return mode
+}
+
+// Restore replaces the state by a snapshot. The state stays as it was when the
+// snapshot doesn't decode.
+func (m *Machine) Restore(snapshot []byte) error {
+	var s image
+	if err := snapshotDecoding.Unmarshal(snapshot, &s); err != nil {
+		return fmt.Errorf("machine: decode snapshot: %w", err)
+	}
+	if s.Format != snapshotFormat || s.Config == nil {
+		return fmt.Errorf("machine: snapshot format %d, want %d", s.Format, snapshotFormat)
+	}
+	if got := s.Config.Config.Digest(); got != s.Config.Digest {
+		return fmt.Errorf("machine: snapshot of revision %d has digest %s, want %s", s.Config.Revision, got, s.Config.Digest)
+	}
+	table, err := ledger.FromState(s.Ledger, m.limits)
+	if err != nil {
+		return fmt.Errorf("machine: restore: %w", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index, m.clock, m.begin = s.Index, s.Clock, s.Begin
+	m.config, m.ledger = s.Config, table
+	m.nodes = index(s.Nodes, func(n lease.Node) ident.NodeID { return n.ID })
+	m.pools = index(s.Pools, func(p lease.Pool) ident.PoolName { return p.Pool })
+	m.moves = index(s.Moves, func(r move.Record) ident.MoveName { return r.Name })
+	m.orders, m.epoch, m.fencing, m.changes = s.Orders, s.Epoch, s.Fencing, s.Changes
+	return nil
+}
+
+func index[K comparable, V any](list []V, key func(V) K) map[K]V {
+	objects := make(map[K]V, len(list))
+	for _, object := range list {
+		objects[key(object)] = object
+	}
+	return objects
+}
--- a/internal/state/move/move.go
+++ b/internal/state/move/move.go
@@ -50,3 +50,38 @@
 	// lower epoch than the pool's lease is refused.
 	Epoch ident.Epoch
 }
+
+// rank orders the states of a move that goes forward.
+func (s State) rank() int {
+	switch s {
+	case StatePending:
+		return 0
+	case StateCanary:
+		return 1
+	case StateRamping:
+		return 2
+	case StateWatching:
+		return 3
+	case StateDone:
+		return 4
+	default:
+		return -1
+	}
+}
+
+// MayFollow tells whether a record in state next may replace one in state s: a
+// move advances or falls back by one step, is done only after watching, and
+// may be taken back from any state that isn't final.
+func (s State) MayFollow(next State) bool {
+	if s.Final() || s.rank() < 0 {
+		return false
+	}
+	if next == StateTakenBack {
+		return true
+	}
+	step := next.rank() - s.rank()
+	if next.rank() < 0 || step > 1 || step < -1 {
+		return false
+	}
+	return next != StatePending || s == StatePending
+}
