Move a pool's traffic by anytime-valid evidence

Cause: the daemon needs a Controller that grows the share of a new version in step with evidence and takes a bad version back. Change: Move drives one move, Set the moves of a pool. Failures are compared by route in concurrent blocks with test martingales mixed over effect sizes and times of onset, latencies by ranks within prompt and load strata; a baseline test covers shares at which few old samples are left. A suspicion cuts the share at once; a verdict sets it to zero before the commit.

--- /dev/null
+++ b/internal/coordination/moves/baseline.go
@@ -0,0 +1,181 @@
+package moves
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// suspicionLimit is the log-likelihood, in nats, at which a run of bad
+	// samples makes the controller retreat to the first share.
+	suspicionLimit = 8.0
+	// suspicionExcess bounds how far a long run goes beyond the limit.
+	suspicionExcess = 2.0
+	// badRate is the rate of bad samples that the baseline test looks for.
+	badRate = 0.6
+	// minBaseFailures is the least failure rate that the baseline test allows.
+	minBaseFailures = 0.02
+	// maxBaseFailures is the greatest failure rate that it assumes.
+	maxBaseFailures = 0.3
+	// baseSlowRate is the rate of slow samples that the baseline test allows.
+	baseSlowRate = 0.15
+	// slowDeviations is how many standard deviations above the old version's
+	// mean log latency a sample counts as slow.
+	slowDeviations = 1.5
+	// referenceWeight is the weight of one sample in a reference.
+	referenceWeight = 0.02
+	// referenceMin is the least number of samples for a reference to be used.
+	referenceMin = 50
+)
+
+// baseEffects are the alternatives of the baseline test: the rate of bad
+// samples of a bad version.
+var baseEffects = [...]float64{0.3, 0.6, 0.95}
+
+const (
+	// betLimit is how many new samples may count against the baseline before
+	// the next old sample shows that the old version is well.
+	betLimit = 3
+	// wellLimit is the old version's own log-likelihood, in nats, above which
+	// trouble counts as common to both versions.
+	wellLimit = 2.0
+)
+
+// baseline compares the new version with the recorded behaviour of the old
+// one, for shares at which few concurrent old samples are left. It counts only
+// while the old version looks well, so that common trouble does not.
+type baseline struct {
+	tests tests
+	// newRun and oldRun are the versions' present runs of bad samples.
+	newRun cusum
+	oldRun cusum
+	bets   int
+}
+
+func newBaseline() baseline {
+	return baseline{tests: newTests(len(baseEffects))}
+}
+
+func (b *baseline) addOld(bad bool, rate float64) {
+	b.oldRun.add(bad, rate)
+	b.bets = 0
+}
+
+func (b *baseline) addNew(bad bool, rate float64, band int, released float64) {
+	b.newRun.add(bad, rate)
+	if b.bets >= betLimit || b.oldRun.sum > wellLimit {
+		return
+	}
+	b.bets++
+	b.tests.update(band, released, func(i int) float64 {
+		p := max(baseEffects[i], rate)
+		if bad {
+			return p / rate
+		}
+		return (1 - p) / (1 - rate)
+	})
+}
+
+// cusum looks for a run of bad samples. It only ever reduces the share.
+type cusum struct {
+	sum float64
+}
+
+func (c *cusum) add(bad bool, rate float64) {
+	if bad {
+		c.sum += math.Log(badRate / rate)
+	} else {
+		c.sum += math.Log((1 - badRate) / (1 - rate))
+	}
+	c.sum = min(max(c.sum, 0), suspicionLimit+suspicionExcess)
+}
+
+func (c *cusum) raised() bool {
+	return c.sum >= suspicionLimit
+}
+
+// reference tracks the log latency of the old version in one stratum.
+type reference struct {
+	n        int
+	mean     float64
+	variance float64
+}
+
+func (r *reference) add(log float64) {
+	r.n++
+	weight := max(referenceWeight, 1/float64(r.n))
+	d := log - r.mean
+	r.mean += weight * d
+	r.variance = (1 - weight) * (r.variance + weight*d*d)
+}
+
+func (r *reference) known() bool {
+	return r.n >= referenceMin
+}
+
+// slow reports whether a sample is unusually slow.
+func (r *reference) slow(log, margin float64) bool {
+	limit := r.mean + slowDeviations*math.Sqrt(r.variance) + margin
+	return log > limit
+}
+
+// rateMeter estimates a rate in events a second, with exponential forgetting.
+type rateMeter struct {
+	count float64
+	// span is the forgetting-weighted time observed, in seconds.
+	span float64
+	last time.Time
+}
+
+// rateMemory is the time constant of rate meters.
+const rateMemory = 3 * time.Minute
+
+func (m *rateMeter) advance(now time.Time) {
+	if m.last.IsZero() {
+		m.last = now
+		return
+	}
+	dt := now.Sub(m.last).Seconds()
+	if dt <= 0 {
+		return
+	}
+	keep := math.Exp(-dt / rateMemory.Seconds())
+	m.count *= keep
+	m.span = m.span*keep + (1-keep)*rateMemory.Seconds()
+	m.last = now
+}
+
+func (m *rateMeter) add(now time.Time) {
+	m.advance(now)
+	m.count++
+}
+
+// perSecond returns the rate; events of the first second count as one second's.
+func (m *rateMeter) perSecond(now time.Time) float64 {
+	m.advance(now)
+	return m.count / max(m.span, 1)
+}
+
+// level is an exponentially forgotten mean of a quantity, by time.
+type level struct {
+	value float64
+	last  time.Time
+}
+
+// levelMemory is the time constant of levels.
+const levelMemory = 30 * time.Second
+
+// levelWeight is the weight of one sample among samples of the same moment.
+const levelWeight = 0.02
+
+func (l *level) add(v float64, now time.Time) {
+	if l.last.IsZero() {
+		l.value = v
+		l.last = now
+		return
+	}
+	weight := 1 - math.Exp(-now.Sub(l.last).Seconds()/levelMemory.Seconds())
+	weight = min(max(weight, levelWeight), 1)
+	l.value += weight * (v - l.value)
+	l.last = now
+}
--- /dev/null
+++ b/internal/coordination/moves/evidence.go
@@ -0,0 +1,253 @@
+package moves
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// metric is a quantity that is compared between the versions.
+type metric int
+
+const (
+	metricFailure metric = iota
+	metricFirstToken
+	metricPerToken
+	metricCount
+)
+
+// stratum selects samples that are compared with each other. Load bands stand
+// apart for references only; comparisons match them by themselves.
+type stratum struct {
+	metric metric
+	load   int
+	prompt int
+}
+
+// tests holds the processes of one metric: one over all samples and one for
+// each load band, since a fault may show under load only.
+type tests struct {
+	pooled mixture
+	bands  [loadBands]mixture
+}
+
+func newTests(effects int) tests {
+	t := tests{pooled: newMixture(effects)}
+	for i := range t.bands {
+		t.bands[i] = newMixture(effects)
+	}
+	return t
+}
+
+func (t *tests) update(band int, released float64, factor func(i int) float64) {
+	t.pooled.update(released, factor)
+	t.bands[band].update(released, factor)
+}
+
+func (t *tests) value() float64 {
+	sum := 0.0
+	for i := range t.bands {
+		sum += t.bands[i].value()
+	}
+	return t.pooled.value()/2 + sum/loadBands/2
+}
+
+// routeEvidence holds what is known of both versions on one route.
+type routeEvidence struct {
+	name       ident.RouteName
+	idempotent bool
+	// limit is the evidence at which the version is taken back: 1/alpha.
+	limit  float64
+	margin float64
+
+	tests      [metricCount]tests
+	blocks     map[stratum]*block
+	references map[stratum]*reference
+	baselines  [metricCount]baseline
+
+	rate     rateMeter
+	oldRate  float64
+	lastSeen time.Time
+	seen     int
+	newer    outcomes
+	older    outcomes
+	// ratio is the smoothed log of new over old latency, by metric.
+	ratio [metricCount]level
+	// newBand is the load band of the new version's last sample.
+	newBand int
+	// compared counts new samples in closed blocks since the last step.
+	compared int
+	// settled counts them since the last suspicion.
+	settled int
+}
+
+func newRouteEvidence(s Sample, alpha, tolerance float64) *routeEvidence {
+	e := &routeEvidence{
+		name:       s.Route,
+		idempotent: s.Idempotent,
+		limit:      1 / alpha,
+		margin:     math.Log(tolerance),
+		blocks:     make(map[stratum]*block),
+		references: make(map[stratum]*reference),
+	}
+	for m := range e.baselines {
+		e.baselines[m] = newBaseline()
+	}
+	e.tests[metricFailure] = newTests(len(failureEffects))
+	e.tests[metricFirstToken] = newTests(len(slownessEffects))
+	e.tests[metricPerToken] = newTests(len(slownessEffects))
+	return e
+}
+
+// value is the route's evidence against the new version. It exceeds limit
+// with a chance of at most 1/limit while the version is no worse.
+func (e *routeEvidence) value() float64 {
+	sum := 0.0
+	for m := metricFailure; m < metricCount; m++ {
+		sum += e.against(m)
+	}
+	return sum / float64(2*metricCount)
+}
+
+// against is the evidence of one metric.
+func (e *routeEvidence) against(m metric) float64 {
+	return e.tests[m].value() + e.baselines[m].tests.value()
+}
+
+// suspicious reports whether recent samples call for a smaller share.
+func (e *routeEvidence) suspicious() bool {
+	for m := range e.baselines {
+		if e.baselines[m].newRun.raised() {
+			return true
+		}
+	}
+	return e.value() >= retreatEvidence
+}
+
+func (e *routeEvidence) observe(s Sample, isNew bool, released float64, now time.Time) {
+	e.rate.add(now)
+	e.lastSeen = now
+	e.seen++
+	e.observeOutcome(s, isNew, released, now)
+	if s.Failed {
+		return
+	}
+	e.observeLatency(metricFirstToken, s.FirstToken, s, isNew, released, now)
+	e.observeLatency(metricPerToken, s.PerToken, s, isNew, released, now)
+}
+
+func (e *routeEvidence) observeOutcome(s Sample, isNew bool, released float64, now time.Time) {
+	value := 0.0
+	if s.Failed {
+		value = 1
+	}
+	e.addBaseline(metricFailure, isNew, s.Failed, e.baseFailures(), loadBand(s.Load), released)
+	c, ok := e.block(stratum{metric: metricFailure}).add(isNew, reading{at: now, value: value})
+	if isNew {
+		e.newBand = loadBand(s.Load)
+	}
+	if ok {
+		newer, older := countOutcomes(c.newer), countOutcomes(c.older)
+		e.tests[metricFailure].update(e.newBand, released, func(i int) float64 {
+			return failureFactor(failureEffects[i], e.oldRate, newer, older)
+		})
+		e.compared += newer.n
+		e.settled += newer.n
+	}
+	e.count(isNew, s.Failed, value)
+}
+
+// baseFailures is the failure rate that the baseline test allows.
+func (e *routeEvidence) baseFailures() float64 {
+	return min(max(2*e.oldRate, minBaseFailures), maxBaseFailures)
+}
+
+func (e *routeEvidence) addBaseline(m metric, isNew, bad bool, rate float64, band int, released float64) {
+	if isNew {
+		e.baselines[m].addNew(bad, rate, band, released)
+	} else {
+		e.baselines[m].addOld(bad, rate)
+	}
+}
+
+func (e *routeEvidence) count(isNew, failed bool, value float64) {
+	o := &e.older
+	if isNew {
+		o = &e.newer
+	} else {
+		weight := max(referenceWeight/4, 1/float64(e.older.n+100))
+		e.oldRate += weight * (value - e.oldRate)
+	}
+	o.n++
+	if failed {
+		o.failed++
+	}
+}
+
+func (e *routeEvidence) observeLatency(m metric, d time.Duration, s Sample, isNew bool, released float64, now time.Time) {
+	if d <= 0 {
+		return
+	}
+	log := math.Log(d.Seconds())
+	key := stratum{metric: m, load: loadBand(s.Load), prompt: promptBand(s.PromptTokens)}
+	ref := e.reference(key)
+	r := reading{at: now, value: log, band: key.load, known: ref.known(), adjusted: log - ref.mean}
+	if r.known {
+		e.addBaseline(m, isNew, ref.slow(log, e.margin), baseSlowRate, key.load, released)
+	}
+	if r.known && isNew {
+		e.ratio[m].add(r.adjusted, now)
+	}
+	if !isNew {
+		ref.add(log)
+	}
+	c, ok := e.block(stratum{metric: m, prompt: key.prompt}).add(isNew, r)
+	if !ok {
+		return
+	}
+	rank, others := c.rank(e.margin)
+	e.tests[m].update(c.newer[0].band, released, func(i int) float64 {
+		return slownessFactor(i, rank, others)
+	})
+}
+
+func (e *routeEvidence) block(key stratum) *block {
+	b := e.blocks[key]
+	if b == nil {
+		b = &block{}
+		e.blocks[key] = b
+	}
+	return b
+}
+
+func (e *routeEvidence) reference(key stratum) *reference {
+	r := e.references[key]
+	if r == nil {
+		r = &reference{}
+		e.references[key] = r
+	}
+	return r
+}
+
+// explain says in words what the evidence shows.
+func (e *routeEvidence) explain(from, to ident.VersionName) string {
+	worst := metricFailure
+	for m := metricFailure; m < metricCount; m++ {
+		if e.against(m) > e.against(worst) {
+			worst = m
+		}
+	}
+	evidence := fmt.Sprintf("evidence %.3g, limit %.3g", e.value(), e.limit)
+	if worst == metricFailure {
+		return fmt.Sprintf("route %s: %d of %d requests failed on %s, %d of %d on %s (%s)",
+			e.name, e.newer.failed, e.newer.n, to, e.older.failed, e.older.n, from, evidence)
+	}
+	what := "the first token"
+	if worst == metricPerToken {
+		what = "each further token"
+	}
+	return fmt.Sprintf("route %s: %s takes about %.2g times as long on %s as on %s, over %d requests (%s)",
+		e.name, what, math.Exp(e.ratio[worst].value), to, from, e.newer.n, evidence)
+}
--- /dev/null
+++ b/internal/coordination/moves/model_test.go
@@ -0,0 +1,299 @@
+package moves_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/moves"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+const (
+	oldVersion = ident.VersionName("v1")
+	newVersion = ident.VersionName("v2")
+)
+
+var origin = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// seed returns the seed of a run; FLAMINGOHAVEN_SEED overrides the default.
+func seed() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("FLAMINGOHAVEN_SEED"), 10, 64); err == nil {
+		return n
+	}
+	return 1
+}
+
+func newRand(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed(), stream))
+}
+
+// fault describes how a version is bad.
+type fault struct {
+	after    time.Duration
+	minLoad  float64
+	route    ident.RouteName
+	failRate float64
+	slow     float64
+}
+
+func (f fault) hits(route ident.RouteName, load float64, age time.Duration) bool {
+	if f.failRate == 0 && f.slow == 0 {
+		return false
+	}
+	return age >= f.after && load >= f.minLoad && (f.route == "" || f.route == route)
+}
+
+type modelRoute struct {
+	name       ident.RouteName
+	idempotent bool
+	rate       float64
+	service    time.Duration
+}
+
+// model is a latency and fault model of one pool in virtual time.
+type model struct {
+	routes    []modelRoute
+	fault     fault
+	failRate  float64
+	noise     float64
+	upstreams int
+	capacity  int
+	deadline  time.Duration
+	watch     time.Duration
+	readyAt   time.Duration
+	commitLag time.Duration
+	// outage is when one new upstream dies; zero is never.
+	outage time.Duration
+	// burst multiplies the rate between burstFrom and burstTo.
+	burst              float64
+	burstFrom, burstTo time.Duration
+	onTick             func(c moves.Controller, now time.Time)
+	tickGap            time.Duration
+}
+
+func defaultModel() model {
+	return model{
+		routes: []modelRoute{
+			{"reviews", true, 2, 3 * time.Second},
+			{"lookups", true, 12, 300 * time.Millisecond},
+			{"summaries", true, 4, 2 * time.Second},
+			{"entries", false, 3, 500 * time.Millisecond},
+		},
+		failRate: 0.01, noise: 0.5, upstreams: 4, capacity: 10,
+		deadline: 75 * time.Minute, watch: 10 * time.Minute,
+		commitLag: 50 * time.Millisecond, tickGap: 250 * time.Millisecond,
+		burst: 1,
+	}
+}
+
+type completion struct {
+	at     time.Duration
+	sample moves.Sample
+}
+
+type completions []completion
+
+func (c completions) Len() int           { return len(c) }
+func (c completions) Less(i, j int) bool { return c[i].at < c[j].at }
+func (c completions) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+func (c *completions) Push(x any)        { *c = append(*c, x.(completion)) }
+func (c *completions) Pop() any {
+	old := *c
+	x := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return x
+}
+
+// result is the outcome of one run.
+type result struct {
+	record   move.Record
+	endedAt  time.Duration
+	harmed   map[ident.RouteName]int
+	total    map[ident.RouteName]int
+	firstHit time.Duration
+	maxShare float64
+	// badShare is the greatest share after the fault could first show.
+	badShare float64
+}
+
+func (r result) worstHarm() float64 {
+	worst := 0.0
+	for route, n := range r.harmed {
+		worst = max(worst, float64(n)/float64(r.total[route]))
+	}
+	return worst
+}
+
+func (m model) spec() config.Move {
+	return config.Move{
+		Pool: "model", From: oldVersion, To: newVersion,
+		Deadline: origin.Add(m.deadline), Watch: m.watch,
+	}
+}
+
+// run is one simulation in progress.
+type run struct {
+	model   model
+	rng     *rand.Rand
+	c       moves.Controller
+	now     time.Duration
+	pending completions
+	running map[ident.VersionName]int
+	commits []completionOf
+	res     result
+}
+
+type completionOf struct {
+	at     time.Duration
+	record move.Record
+}
+
+// simulate drives a controller until the deadline; requests go on until then
+// whatever becomes of the move, so that harm is a share of the same traffic.
+func (m model) simulate(rng *rand.Rand, c moves.Controller) result {
+	r := &run{
+		model: m, rng: rng, c: c,
+		running: make(map[ident.VersionName]int),
+		res: result{
+			harmed: make(map[ident.RouteName]int), total: make(map[ident.RouteName]int),
+			firstHit: -1,
+		},
+	}
+	next := make([]time.Duration, len(m.routes))
+	for i := range next {
+		next[i] = r.gap(i)
+	}
+	end := m.deadline + time.Second
+	for tick := time.Duration(0); tick < end; tick += m.tickGap {
+		for i := range m.routes {
+			for next[i] < tick {
+				r.advance(next[i])
+				r.arrive(m.routes[i])
+				next[i] += r.gap(i)
+			}
+		}
+		r.advance(tick)
+		r.tick()
+	}
+	r.res.record = c.Record()
+	return r.res
+}
+
+func (r *run) gap(i int) time.Duration {
+	rate := r.model.routes[i].rate
+	if r.now >= r.model.burstFrom && r.now < r.model.burstTo {
+		rate *= r.model.burst
+	}
+	return time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (r *run) wall() time.Time { return origin.Add(r.now) }
+
+func (r *run) advance(to time.Duration) {
+	for len(r.pending) > 0 && r.pending[0].at <= to {
+		done := heap.Pop(&r.pending).(completion)
+		r.now = max(r.now, done.at)
+		r.running[done.sample.Version]--
+		r.c.Observe(done.sample, r.wall())
+	}
+	r.now = max(r.now, to)
+}
+
+func (r *run) arrive(route modelRoute) {
+	idempotent, non := r.c.Shares()
+	share := idempotent
+	if !route.idempotent {
+		share = non
+	}
+	version := oldVersion
+	if r.rng.Float64() < share {
+		version = newVersion
+	}
+	limit := r.model.upstreams * r.model.capacity
+	load := min(float64(r.running[version])/float64(limit), 1)
+	prompt := int(math.Exp(4 + 1.2*r.rng.NormFloat64()))
+	factor := math.Exp(r.model.noise*r.rng.NormFloat64()) * (1 + 2*load*load)
+	first := float64(route.service) / 4 * factor * (1 + float64(prompt)/500)
+	total := float64(route.service) * factor
+	perToken := float64(20*time.Millisecond) * math.Exp(0.3*r.rng.NormFloat64()) * (1 + load*load)
+	failed := r.rng.Float64() < r.model.failRate
+	upstream := r.rng.IntN(r.model.upstreams)
+	harmed := false
+	if version == newVersion {
+		if r.model.outage > 0 && upstream == 0 && r.now >= r.model.outage && r.now < r.model.outage+20*time.Second {
+			failed = true
+		}
+		if r.model.fault.hits(route.name, load, r.now) {
+			if r.res.firstHit < 0 {
+				r.res.firstHit = r.now
+			}
+			if r.rng.Float64() < r.model.fault.failRate {
+				failed, harmed = true, true
+			}
+			if f := r.model.fault.slow; f > 0 {
+				first, perToken, total = first*f, perToken*f, total*f
+				harmed = true
+			}
+		}
+	}
+	if failed {
+		total /= 10
+	}
+	r.res.total[route.name]++
+	if harmed {
+		r.res.harmed[route.name]++
+	}
+	r.running[version]++
+	heap.Push(&r.pending, completion{at: r.now + time.Duration(total), sample: moves.Sample{
+		Route: route.name, Version: version,
+		Upstream:   ident.UpstreamName(string(version) + "-" + strconv.Itoa(upstream)),
+		Idempotent: route.idempotent, Failed: failed,
+		FirstToken: time.Duration(first), PerToken: time.Duration(perToken),
+		PromptTokens: prompt, Load: load,
+	}})
+}
+
+func (r *run) tick() {
+	readiness := []moves.Readiness{{Version: oldVersion, Ready: r.model.upstreams, Capacity: r.model.upstreams * r.model.capacity}}
+	if r.now >= r.model.readyAt {
+		readiness = append(readiness, moves.Readiness{Version: newVersion, Ready: r.model.upstreams, Capacity: r.model.upstreams * r.model.capacity})
+	}
+	r.c.SetReadiness(readiness, r.wall())
+	for len(r.commits) > 0 && r.commits[0].at <= r.now {
+		r.commit(r.commits[0].record)
+		r.commits = r.commits[1:]
+	}
+	if rec := r.c.Tick(r.wall()); rec != nil && len(r.commits) == 0 {
+		r.commits = append(r.commits, completionOf{at: r.now + r.model.commitLag, record: *rec})
+	}
+	share, _ := r.c.Shares()
+	r.res.maxShare = max(r.res.maxShare, share)
+	if r.res.firstHit >= 0 {
+		r.res.badShare = max(r.res.badShare, share)
+	}
+	if r.model.onTick != nil {
+		r.model.onTick(r.c, r.wall())
+	}
+}
+
+func (r *run) commit(rec move.Record) {
+	if r.c.Record().State.Final() {
+		return
+	}
+	r.c.Committed(rec, r.wall())
+	if rec.State.Final() {
+		r.res.endedAt = r.now
+	}
+}
+
+func controller(m model) moves.Controller {
+	spec := m.spec()
+	first := moves.Pending("m", spec, 1, 1, origin)
+	return moves.New(spec, first, moves.Options{Routes: len(m.routes), Epoch: 1})
+}
--- /dev/null
+++ b/internal/coordination/moves/plan.go
@@ -0,0 +1,81 @@
+package moves
+
+import "time"
+
+const (
+	// stepFactor and stepMax bound a step: the share at most doubles and grows
+	// by at most stepMax.
+	stepFactor = 2.0
+	stepMax    = 0.25
+	// stepSamples is the number of compared samples that each route needs at
+	// the present share before the next step.
+	stepSamples = 24
+	// stepSamplesMin is the least number, however close the deadline is.
+	stepSamplesMin = 6
+	// recoverSamples is the number of compared samples after which a reduced
+	// share may double again, up to the committed one. It doubles with each
+	// suspicion after the first, maxBackoff times at most.
+	recoverSamples = 12
+	maxBackoff     = 4
+	// stepDwell is the least time at one share.
+	stepDwell = 2 * time.Second
+	// holdEvidence is the evidence against a version at which growth pauses.
+	holdEvidence = 4.0
+	// retreatEvidence is the evidence at which the share falls below the first one.
+	retreatEvidence = 20.0
+	// retreatPart is the part of the first share that is left under suspicion.
+	retreatPart = 0.5
+	// routeIdle is how long after its last sample a route carries traffic.
+	routeIdle = 10 * time.Minute
+	// routeMinSamples is the least number of samples of a route that can be judged.
+	routeMinSamples = 20
+	// firstLook is how long a move watches the old traffic, at most, to learn
+	// which routes there are.
+	firstLook = 20 * time.Second
+	// headroom is the part of the new version's capacity that its share may fill.
+	headroom = 0.85
+	// planMargin is the part of the remaining time that a plan may use.
+	planMargin = 0.7
+	// commitMargin is how long before the deadline the last record is proposed.
+	commitMargin = 15 * time.Second
+	// watchLeast is the part of the watching time that a move near its
+	// deadline must still have had.
+	watchLeast = 0.5
+)
+
+// nextShare returns the share after the given one.
+func nextShare(share, canary float64) float64 {
+	if share <= 0 {
+		return canary
+	}
+	next := min(share*stepFactor, share+stepMax)
+	if next > 1-HoldbackShare {
+		return 1
+	}
+	return next
+}
+
+// stepsWork returns the sum over the steps still to go, from share, of the
+// reciprocal of the share: the time they take for one sample at one request a
+// second.
+func stepsWork(share, canary float64) float64 {
+	work := 0.0
+	for share < 1 {
+		if share > 0 {
+			work += 1 / share
+		}
+		share = nextShare(share, canary)
+	}
+	return work
+}
+
+// neededSamples returns how many compared samples a route needs for a step,
+// when its phases have the given work left and rate is in requests a second.
+// It falls with the time left, but not below stepSamplesMin.
+func neededSamples(work, rate float64, left time.Duration) int {
+	if work <= 0 {
+		return stepSamples
+	}
+	possible := planMargin * left.Seconds() * rate / work
+	return int(min(max(possible, stepSamplesMin), stepSamples))
+}
--- /dev/null
+++ b/internal/coordination/moves/progress.go
@@ -0,0 +1,250 @@
+package moves
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+func (m *Move) tickPending(now time.Time) *move.Record {
+	if m.readiness[m.spec.To].Ready == 0 || m.capacityLimit() == 0 {
+		return nil
+	}
+	if now.Sub(m.started) < firstLook && !m.pressed(now) {
+		return nil
+	}
+	reason := fmt.Sprintf("%d upstreams with %s are ready", m.readiness[m.spec.To].Ready, m.spec.To)
+	if m.onlyNonIdempotent(now) {
+		return m.propose(move.StateCanary, m.spec.CanaryShare, m.spec.CanaryShare, reason, now)
+	}
+	return m.propose(move.StateCanary, m.spec.CanaryShare, 0, reason, now)
+}
+
+// pressed reports whether the time left is too short for a first look.
+func (m *Move) pressed(now time.Time) bool {
+	return m.timeToGrow(now) < 10*firstLook
+}
+
+// timeToGrow returns the time left until watching should begin.
+func (m *Move) timeToGrow(now time.Time) time.Duration {
+	left := m.spec.Deadline.Sub(now)
+	return max(left-m.spec.Watch, left/8, 0)
+}
+
+func (m *Move) tickGrowing(now time.Time) *move.Record {
+	if now.Sub(m.committed.At) < stepDwell || m.reduced {
+		return nil
+	}
+	if m.lacking(now) != "" {
+		return nil
+	}
+	share, nonIdempotent := m.nextShares(now)
+	if share >= 1 && nonIdempotent >= 1 {
+		reason := fmt.Sprintf("all traffic may go to %s; %s stays ready for %v", m.spec.To, m.spec.From, m.spec.Watch)
+		return m.propose(move.StateWatching, 1, 1, reason, now)
+	}
+	if share > m.committed.Share && share*(1-HoldbackShare) > m.capacityLimit() {
+		return nil
+	}
+	reason := fmt.Sprintf("no fault of %s seen at the former share", m.spec.To)
+	return m.propose(move.StateRamping, share, nonIdempotent, reason, now)
+}
+
+// nextShares returns the shares after one step: idempotent traffic first,
+// non-idempotent traffic after all of it, or together where there is no
+// idempotent traffic to learn from.
+func (m *Move) nextShares(now time.Time) (idempotent, nonIdempotent float64) {
+	share, non := m.committed.Share, m.committed.NonIdempotentShare
+	if m.onlyNonIdempotent(now) {
+		next := nextShare(non, m.spec.CanaryShare)
+		return max(share, next), next
+	}
+	if share < 1 {
+		return nextShare(share, m.spec.CanaryShare), non
+	}
+	if !m.anySeen(false) {
+		return 1, 1
+	}
+	return 1, nextShare(non, m.spec.CanaryShare)
+}
+
+func (m *Move) tickWatching(now time.Time) *move.Record {
+	watched := now.Sub(m.committed.At)
+	if m.reduced || watched < m.watchNeeded(now) || m.lacking(now) != "" {
+		return nil
+	}
+	reason := fmt.Sprintf("%s served all traffic for %v without a fault", m.spec.To, watched.Round(time.Second))
+	return m.propose(move.StateDone, 1, 1, reason+m.sparseNote(now), now)
+}
+
+// watchNeeded returns how long the move must be watched: less than asked for
+// when the deadline comes first, but not less than the least part.
+func (m *Move) watchNeeded(now time.Time) time.Duration {
+	if m.spec.Deadline.Sub(now) > commitMargin {
+		return m.spec.Watch
+	}
+	return time.Duration(watchLeast * float64(m.spec.Watch))
+}
+
+// atDeadline ends a move that is not done in time: it is taken back, unless it
+// has been watched for long enough.
+func (m *Move) atDeadline(now time.Time) {
+	switch {
+	case m.committed.State == move.StatePending:
+		m.Abort(fmt.Sprintf("no upstream with %s was ready by the deadline", m.spec.To))
+	case m.capacityLimit() == 0:
+		m.Abort(fmt.Sprintf("no upstream with %s is ready at the deadline", m.spec.To))
+	default:
+		lack := m.lacking(now)
+		if lack == "" {
+			lack = m.unfinished(now)
+		}
+		m.Abort("not done by the deadline: " + lack)
+	}
+}
+
+func (m *Move) unfinished(now time.Time) string {
+	if m.committed.State == move.StateWatching {
+		return fmt.Sprintf("watched for %v of %v", now.Sub(m.committed.At).Round(time.Second), m.spec.Watch)
+	}
+	if limit := m.capacityLimit(); limit < 1 {
+		return fmt.Sprintf("the ready upstreams with %s can carry %.0f%% of the traffic", m.spec.To, 100*limit)
+	}
+	return fmt.Sprintf("reached %.0f%% of idempotent and %.0f%% of other traffic",
+		100*m.committed.Share, 100*m.committed.NonIdempotentShare)
+}
+
+// lacking names the first route, by name, whose evidence does not yet permit
+// the next step, and why. It is empty when the step may be taken.
+func (m *Move) lacking(now time.Time) string {
+	for _, e := range m.sorted() {
+		if e.suspicious() || e.value() >= holdEvidence {
+			return fmt.Sprintf("route %s: %s is under suspicion", e.name, m.spec.To)
+		}
+	}
+	judged := 0
+	for _, e := range m.sorted() {
+		if !m.carries(e, now) || !m.inPhase(e, now) {
+			continue
+		}
+		judged++
+		if need := m.needed(e, now); e.compared < need {
+			return fmt.Sprintf("route %s: %d of %d requests compared", e.name, e.compared, need)
+		}
+	}
+	if judged == 0 && !m.phaseEmpty(now) {
+		return "no route carries enough traffic to compare the versions"
+	}
+	return ""
+}
+
+// phaseEmpty reports whether the present phase has no route that carries
+// traffic while the other one has.
+func (m *Move) phaseEmpty(now time.Time) bool {
+	for _, e := range m.routes {
+		if m.carries(e, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// inPhase reports whether the next step depends on the route: on idempotent
+// routes until all of their traffic has moved, then on the others, and on all
+// while watching.
+func (m *Move) inPhase(e *routeEvidence, now time.Time) bool {
+	if m.committed.State == move.StateWatching || m.onlyNonIdempotent(now) {
+		return true
+	}
+	return e.idempotent == (m.committed.NonIdempotentShare == 0)
+}
+
+func (m *Move) carries(e *routeEvidence, now time.Time) bool {
+	return e.seen >= routeMinSamples && now.Sub(e.lastSeen) <= routeIdle
+}
+
+func (m *Move) anySeen(idempotent bool) bool {
+	for _, e := range m.routes {
+		if e.idempotent == idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+// onlyNonIdempotent reports whether all traffic seen is non-idempotent.
+func (m *Move) onlyNonIdempotent(now time.Time) bool {
+	if m.anySeen(true) {
+		return false
+	}
+	return m.anySeen(false) && now.Sub(m.started) >= firstLook
+}
+
+// needed returns the compared samples that a route needs for the next step.
+func (m *Move) needed(e *routeEvidence, now time.Time) int {
+	if m.committed.State == move.StateWatching {
+		return stepSamples
+	}
+	work := stepsWork(m.committed.NonIdempotentShare, m.spec.CanaryShare)
+	left := m.timeToGrow(now)
+	if m.committed.Share < 1 {
+		idempotent := stepsWork(m.committed.Share, m.spec.CanaryShare)
+		if m.anySeen(false) && !m.onlyNonIdempotent(now) {
+			left /= 2
+		}
+		work = idempotent
+	}
+	return neededSamples(work, e.rate.perSecond(now), left)
+}
+
+// recover lets a reduced share double once every route has new evidence.
+func (m *Move) recover(now time.Time) {
+	if !m.reduced {
+		return
+	}
+	need := recoverSamples << min(max(m.retreats-1, 0), maxBackoff)
+	for _, e := range m.routes {
+		if e.suspicious() || e.value() >= holdEvidence {
+			return
+		}
+		tried := e.idempotent || m.committed.NonIdempotentShare > 0
+		if tried && m.carries(e, now) && e.settled < need {
+			return
+		}
+	}
+	for _, e := range m.routes {
+		e.settled = 0
+	}
+	if m.ceiling >= m.committed.Share {
+		m.reduced = false
+		return
+	}
+	m.ceiling = nextShare(m.ceiling, m.spec.CanaryShare)
+}
+
+// sparseNote names the routes that had too little traffic to be judged.
+func (m *Move) sparseNote(now time.Time) string {
+	note := ""
+	for _, e := range m.sorted() {
+		if !m.carries(e, now) {
+			note += fmt.Sprintf("; route %s had too little traffic to be judged", e.name)
+		}
+	}
+	return note
+}
+
+func (m *Move) sorted() []*routeEvidence {
+	es := make([]*routeEvidence, 0, len(m.routes))
+	for _, e := range m.routes {
+		es = append(es, e)
+	}
+	slices.SortFunc(es, func(a, b *routeEvidence) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	return es
+}
