Find each engine's concurrency limit from its latency curve

Cause: at the configured bound engines queue inside, so urgent work waits behind patient work where no order can help it. Change: additive increase while requests fill the limit and per-token time is below target, multiplicative decrease above; doubling until the first cut.

--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -16,10 +16,11 @@
 	// were taken.
 	orphans []time.Duration
 	speed   speed
+	limiter limiter
 }
 
 func newEngine(u Upstream, pool *speed) *engine {
-	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool)}
+	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter()}
 }
 
 // used counts the slots that are or may be taken.
@@ -29,7 +30,7 @@
 
 // limit is the present bound on requests in flight.
 func (e *engine) limit() int {
-	return e.upstream.MaxConcurrent
+	return min(e.upstream.MaxConcurrent, int(e.limiter.limit))
 }
 
 // open tells whether the upstream may get new work at all.
--- /dev/null
+++ b/internal/coordination/scheduler/limiter.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import "time"
+
+const (
+	// perTokenTarget is the mean time between tokens above which an engine's
+	// limit shrinks. The 95th percentile of single steps lies higher.
+	perTokenTarget = 46 * time.Millisecond
+	// initialLimit is where the limit of an unknown upstream starts.
+	initialLimit = 8
+	// limitCut is the factor by which a limit shrinks.
+	limitCut = 0.9
+	// serviceStretch is the multiple of its unloaded latency at which a plain
+	// service's limit shrinks.
+	serviceStretch = 3.0
+	// baselineDrift is the part by which each sample raises the unloaded latency.
+	baselineDrift = 0.002
+)
+
+// limiter finds the concurrency limit of one upstream from its own latency
+// curve: additive increase while requests fill the limit and stay fast,
+// multiplicative decrease when they are slow. It doubles until the first cut.
+type limiter struct {
+	limit    float64
+	lastCut  time.Duration
+	cutOnce  bool
+	baseline time.Duration
+}
+
+func newLimiter() limiter {
+	return limiter{limit: initialLimit}
+}
+
+// atLeast raises the limit to the requests found running at a takeover.
+func (l *limiter) atLeast(running int) {
+	l.limit = max(l.limit, float64(running))
+}
+
+// observe takes in the latency of a request that started at the given time. A
+// request from before the last cut says nothing about the new limit.
+func (l *limiter) observe(latency, target, started, now time.Duration, full bool) {
+	if latency > target {
+		if !l.cutOnce || started >= l.lastCut {
+			l.limit = max(1, l.limit*limitCut)
+			l.lastCut = now
+			l.cutOnce = true
+		}
+		return
+	}
+	if !full {
+		return
+	}
+	if !l.cutOnce {
+		l.limit++
+		return
+	}
+	l.limit += 1 / l.limit
+}
+
+// observeService takes in the latency of a plain service's request.
+func (l *limiter) observeService(latency, started, now time.Duration, full bool) {
+	if l.baseline == 0 || latency < l.baseline {
+		l.baseline = latency
+	}
+	l.baseline += scaleBy(l.baseline, baselineDrift)
+	l.observe(latency, scaleBy(l.baseline, serviceStretch), started, now, full)
+}
+
+func scaleBy(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -19,7 +19,7 @@
 		p.started(e, r, now)
 		p.firstToken(e, r, now)
 	case ReportEnded:
-		p.observeEnd(e, r)
+		p.observeEnd(e, r, now)
 		p.release(e)
 		p.end(e, now)
 	case ReportFailed:
@@ -55,9 +55,11 @@
 
 // observeEnd learns from a whole answer. A plain service's answer counts as
 // its first token.
-func (p *Pool) observeEnd(e *entry, r Report) {
+func (p *Pool) observeEnd(e *entry, r Report, now time.Duration) {
+	full := e.engine.used() >= e.engine.limit()
 	if e.ticket.PromptTokens == 0 {
 		e.engine.speed.observeFirstToken(0, r.Elapsed)
+		e.engine.limiter.observeService(r.Elapsed, e.startedAt, now, full)
 		return
 	}
 	first := e.firstTokenAt - e.startedAt
@@ -67,6 +69,7 @@
 	gap := (r.Elapsed - first) / time.Duration(r.OutputTokens-1)
 	batch := (e.batchAtStart + e.engine.used()) / 2
 	e.engine.speed.observePerToken(max(1, batch), gap)
+	e.engine.limiter.observe(gap, perTokenTarget, e.startedAt, now, full)
 }
 
 // unsent returns a ticket that provably did not reach its upstream to the
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -105,6 +105,7 @@
 	e.version = r.Version
 	e.startedAt = now - r.Elapsed
 	g.running[e] = struct{}{}
+	g.limiter.atLeast(g.used())
 	e.batchAtStart = g.used()
 	p.running++
 }
