Count prompt tokens ahead on an engine in placement

Cause: engines compute prompts in order of arrival, so a lookup behind a long prompt waits seconds although the engine has a free slot.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -21,7 +21,7 @@
 	if n := len(p.engines); n > 0 {
 		batch = 1 + p.running/n
 	}
-	return p.speed.service(e.ticket.PromptTokens, e.ticket.OutputTokens, batch)
+	return p.speed.service(float64(e.ticket.PromptTokens), e.ticket.OutputTokens, batch)
 }
 
 // serviceable tells whether any upstream takes new work.
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -17,6 +17,7 @@
 	orphans []time.Duration
 	speed   speed
 	limiter limiter
+	backlog backlog
 }
 
 func newEngine(u Upstream, pool *speed) *engine {
@@ -77,3 +78,8 @@
 		e.orphans = e.orphans[gone:]
 	}
 }
+
+// prefillWait estimates the time until the engine can begin a new prompt.
+func (e *engine) prefillWait(now time.Duration) time.Duration {
+	return e.speed.prefillTime(e.backlog.ahead(e.speed.prefillRate(), now))
+}
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -34,6 +34,10 @@
 	startedAt    time.Duration
 	firstTokenAt time.Duration
 	batchAtStart int
+	// missed is the part of the prompt that the engine is expected to compute,
+	// and prefillAhead what it had to compute before at dispatch; in tokens.
+	missed       int
+	prefillAhead float64
 	retries      int
 	refusal      Refusal
 }
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -21,7 +21,7 @@
 				break
 			}
 			p.dequeue(e)
-			if g := p.choose(e); g != nil {
+			if g := p.choose(e, now); g != nil {
 				p.grant(e, g, now)
 				continue
 			}
@@ -47,13 +47,13 @@
 
 // choose returns the upstream with the least expected completion among the
 // versions that the shares allow, or nil.
-func (p *Pool) choose(e *entry) *engine {
+func (p *Pool) choose(e *entry, now time.Duration) *engine {
 	if len(p.shares.shares) == 0 {
-		return p.chooseAny(e)
+		return p.chooseAny(e, now)
 	}
 	var buffer [4]ident.VersionName
 	for _, version := range p.shares.order(e.shareKey(), buffer[:0]) {
-		if g := p.chooseAmong(e, p.versions[version]); g != nil {
+		if g := p.chooseAmong(e, p.versions[version], now); g != nil {
 			return g
 		}
 	}
@@ -61,38 +61,34 @@
 }
 
 // chooseAny serves a view without shares, where every version is as good.
-func (p *Pool) chooseAny(e *entry) *engine {
+func (p *Pool) chooseAny(e *entry, now time.Duration) *engine {
 	var best *engine
 	for _, engines := range p.versions {
-		g := p.chooseAmong(e, engines)
-		if g != nil && (best == nil || less(e, g, best)) {
+		g := p.chooseAmong(e, engines, now)
+		if g != nil && (best == nil || g.expect(e, now) < best.expect(e, now)) {
 			best = g
 		}
 	}
 	return best
 }
 
-func (p *Pool) chooseAmong(e *entry, engines []*engine) *engine {
+func (p *Pool) chooseAmong(e *entry, engines []*engine, now time.Duration) *engine {
 	var best *engine
+	var bestCost time.Duration
 	for _, g := range engines {
-		if g.free() == 0 || e.excludes(g.upstream.Name) {
+		if g.free() == 0 || e.excludes(g.upstream.Name) || g.prefillWait(now) > maxBacklog {
 			continue
 		}
-		if best == nil || less(e, g, best) {
-			best = g
+		cost := g.expect(e, now)
+		if best == nil || cost < bestCost || cost == bestCost && lighter(g, best) {
+			best, bestCost = g, cost
 		}
 	}
 	return best
 }
 
-// less orders upstreams by expected completion of the ticket, then by load,
-// then by name.
-func less(e *entry, a, b *engine) bool {
-	costA := a.expect(e)
-	costB := b.expect(e)
-	if costA != costB {
-		return costA < costB
-	}
+// lighter orders upstreams by load, then by name.
+func lighter(a, b *engine) bool {
 	loadA := a.used() * b.limit()
 	loadB := b.used() * a.limit()
 	if loadA != loadB {
@@ -102,8 +98,9 @@
 }
 
 // expect estimates the time to complete the ticket on the upstream.
-func (g *engine) expect(e *entry) time.Duration {
-	return g.speed.service(e.ticket.PromptTokens, e.ticket.OutputTokens, g.used()+1)
+func (g *engine) expect(e *entry, now time.Duration) time.Duration {
+	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + float64(e.ticket.PromptTokens)
+	return g.speed.service(tokens, e.ticket.OutputTokens, g.used()+1)
 }
 
 // grant gives a slot to a ticket that is in no queue.
@@ -114,6 +111,9 @@
 	e.grantExpires = now + GrantTTL
 	e.startedAt = now
 	e.firstTokenAt = 0
+	e.missed = e.ticket.PromptTokens
+	e.prefillAhead = g.backlog.ahead(g.speed.prefillRate(), now)
+	g.backlog.add(e.missed, now)
 	g.running[e] = struct{}{}
 	e.batchAtStart = g.used()
 	p.running++
@@ -125,14 +125,17 @@
 }
 
 // release frees the slot of a granted or running ticket.
-func (p *Pool) release(e *entry) {
+func (p *Pool) release(e *entry, now time.Duration) {
+	if e.firstTokenAt == 0 {
+		e.engine.backlog.done(e.missed, now)
+	}
 	delete(e.engine.running, e)
 	p.running--
 }
 
 // orphan turns the slot of a granted or running ticket into one of unknown fate.
 func (p *Pool) orphan(e *entry, now time.Duration) {
-	p.release(e)
+	p.release(e, now)
 	p.addOrphan(e.engine, now)
 	p.end(e, now)
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -273,7 +273,7 @@
 	if e.state != stateGranted || now < e.grantExpires+grantMargin {
 		return
 	}
-	p.release(e)
+	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version)
 	p.end(e, now)
 }
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -20,10 +20,10 @@
 		p.firstToken(e, r, now)
 	case ReportEnded:
 		p.observeEnd(e, r, now)
-		p.release(e)
+		p.release(e, now)
 		p.end(e, now)
 	case ReportFailed:
-		p.release(e)
+		p.release(e, now)
 		p.end(e, now)
 	case ReportUnsent:
 		p.unsent(e, now)
@@ -46,9 +46,10 @@
 		return
 	}
 	e.firstTokenAt = max(1, now)
+	e.engine.backlog.done(e.missed, now)
 	if e.ticket.PromptTokens > 0 {
 		missed := max(0, e.ticket.PromptTokens-r.CachedTokens)
-		e.engine.speed.observeFirstToken(missed, r.Elapsed)
+		e.engine.speed.observeFirstToken(e.prefillAhead+float64(missed), r.Elapsed)
 	}
 	e.startedAt = now - r.Elapsed
 }
@@ -75,7 +76,7 @@
 // unsent returns a ticket that provably did not reach its upstream to the
 // queue, within the retry budget.
 func (p *Pool) unsent(e *entry, now time.Duration) {
-	p.release(e)
+	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version)
 	p.queueOf(e).charge(-e.tokens())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
@@ -94,7 +95,7 @@
 		p.orphan(e, now)
 		return
 	}
-	p.release(e)
+	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version)
 	p.queueOf(e).charge(-e.tokens())
 	p.end(e, now)
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -51,7 +51,7 @@
 }
 
 // speed learns how fast an upstream is: the time to the first token by prompt
-// tokens that miss its cache, and the time between tokens by requests in
+// tokens that miss its cache, those ahead on the engine included, and the time between tokens by requests in
 // flight. Both are in seconds. An upstream without samples takes the pool's.
 type speed struct {
 	pool    *speed
@@ -63,16 +63,47 @@
 	return speed{pool: pool}
 }
 
-// firstToken estimates the time from dispatch to the first token.
-func (s *speed) firstToken(missed int) time.Duration {
-	f := &s.prefill
-	if !f.known() && s.pool != nil {
-		f = &s.pool.prefill
+// prefillFit returns the engine's own fit, else the pool's, else nil.
+func (s *speed) prefillFit() *fit {
+	if s.prefill.known() {
+		return &s.prefill
 	}
-	if !f.known() {
+	if s.pool != nil && s.pool.prefill.known() {
+		return &s.pool.prefill
+	}
+	return nil
+}
+
+// firstToken estimates the time from dispatch to the first token, with all
+// prompt tokens ahead on the engine counted in.
+func (s *speed) firstToken(tokens float64) time.Duration {
+	f := s.prefillFit()
+	if f == nil {
+		return 0
+	}
+	return seconds(f.at(tokens))
+}
+
+// prefillRate is the learned rate in prompt tokens per second, 0 if unknown.
+func (s *speed) prefillRate() float64 {
+	f := s.prefillFit()
+	if f == nil {
+		return 0
+	}
+	_, slope := f.line()
+	if slope <= 0 {
+		return 0
+	}
+	return 1 / slope
+}
+
+// prefillTime estimates the time to compute prompt tokens.
+func (s *speed) prefillTime(tokens float64) time.Duration {
+	rate := s.prefillRate()
+	if rate == 0 {
 		return 0
 	}
-	return seconds(f.at(float64(missed)))
+	return seconds(tokens / rate)
 }
 
 // perToken estimates the time between tokens at a number of requests in flight.
@@ -88,15 +119,15 @@
 }
 
 // service estimates the time from dispatch to the end of the answer.
-func (s *speed) service(missed, output, batch int) time.Duration {
+func (s *speed) service(tokens float64, output, batch int) time.Duration {
 	decode := time.Duration(max(0, output-1)) * s.perToken(batch)
-	return s.firstToken(missed) + decode
+	return s.firstToken(tokens) + decode
 }
 
-func (s *speed) observeFirstToken(missed int, elapsed time.Duration) {
-	s.prefill.add(float64(missed), elapsed.Seconds())
+func (s *speed) observeFirstToken(tokens float64, elapsed time.Duration) {
+	s.prefill.add(tokens, elapsed.Seconds())
 	if s.pool != nil {
-		s.pool.prefill.add(float64(missed), elapsed.Seconds())
+		s.pool.prefill.add(tokens, elapsed.Seconds())
 	}
 }
 
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -73,7 +73,7 @@
 		if e.ticket.Gateway != r.Gateway || named[id] || e.state != stateRunning {
 			continue
 		}
-		p.release(e)
+		p.release(e, now)
 		p.end(e, now)
 	}
 }
@@ -88,7 +88,7 @@
 		p.dequeue(e)
 	}
 	if known && e.state == stateGranted {
-		p.release(e)
+		p.release(e, now)
 	}
 	if !known {
 		e = &entry{ticket: r.Ticket, deadline: now + r.Ticket.Remaining}
