--- /dev/null
+++ b/internal/command/load/answer.go
@@ -0,0 +1,144 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
+)
+
+// maxEventBytes bounds one line of a stream.
+const maxEventBytes = 1 << 20
+
+var (
+	errTruncated = errors.New("the answer was cut short")
+	errWrong     = errors.New("the answer belongs to another request")
+)
+
+// refusedError is a refusal that ended an attempt, also halfway in a stream.
+type refusedError struct {
+	refusal callerapi.RefusalError
+}
+
+// Error implements error.
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("refused: %s (%s)", e.refusal.Reason, e.refusal.Outcome)
+}
+
+// content is the text of an answer and when its first part came.
+type content struct {
+	text    string
+	tokens  int
+	firstAt time.Time
+}
+
+// readAnswer reads an upstream's answer to its end and checks that it is
+// whole. With verify it also checks that it answers this very request.
+func readAnswer(resp *http.Response, j *job, verify bool) (*content, error) {
+	var c *content
+	var err error
+	switch {
+	case strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream"):
+		c, err = readStream(resp.Body, verify)
+	case j.class.Model != "":
+		c, err = readCompletion(resp.Body)
+	default:
+		c, err = readService(resp.Body)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if resp.Trailer.Get(callerapi.TrailerComplete) == "false" {
+		return nil, errTruncated
+	}
+	if !verify {
+		return c, nil
+	}
+	if !strings.HasPrefix(c.text, j.echo) {
+		return nil, errWrong
+	}
+	if j.class.Model != "" && c.tokens != j.outputTokens {
+		return nil, fmt.Errorf("%w: %d of %d tokens", errTruncated, c.tokens, j.outputTokens)
+	}
+	return c, nil
+}
+
+func readStream(body io.Reader, countTokens bool) (*content, error) {
+	c := &content{}
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	done := false
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data:")
+		if !isData {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if c.firstAt.IsZero() {
+			c.firstAt = time.Now()
+		}
+		if data == openai.DoneData {
+			done = true
+			continue
+		}
+		var event struct {
+			openai.Chunk
+			Error *callerapi.RefusalError `json:"error"`
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			return nil, fmt.Errorf("event of a stream: %w", err)
+		}
+		if event.Error != nil {
+			return nil, &refusedError{refusal: *event.Error}
+		}
+		for _, choice := range event.Choices {
+			if part := choice.Delta.Content + choice.Text; part != "" && countTokens {
+				text.WriteString(part)
+				c.tokens++
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("%w: %w", errTruncated, err)
+	}
+	if !done {
+		return nil, errTruncated
+	}
+	c.text = text.String()
+	return c, nil
+}
+
+func readCompletion(body io.Reader) (*content, error) {
+	var completion openai.Completion
+	if err := json.NewDecoder(body).Decode(&completion); err != nil {
+		return nil, fmt.Errorf("%w: %w", errTruncated, err)
+	}
+	_, _ = io.Copy(io.Discard, body)
+	c := &content{firstAt: time.Now()}
+	if len(completion.Choices) > 0 {
+		c.text = completion.Choices[0].Message.Content + completion.Choices[0].Text
+	}
+	if completion.Usage != nil {
+		c.tokens = completion.Usage.CompletionTokens
+	}
+	return c, nil
+}
+
+func readService(body io.Reader) (*content, error) {
+	raw, err := io.ReadAll(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errTruncated, err)
+	}
+	var answer fakes.ServiceAnswer
+	_ = json.Unmarshal(raw, &answer)
+	return &content{text: answer.Echo, firstAt: time.Now()}, nil
+}
--- /dev/null
+++ b/internal/command/load/caller.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Bounds of a caller's patience.
+const (
+	// resendPause is the least pause before a resend.
+	resendPause = 25 * time.Millisecond
+	// answerGrace is how long a caller waits past its deadline for a word.
+	answerGrace = 2 * time.Second
+	// minimumDeadline is sent when a caller asks late what became of a request.
+	minimumDeadline = 250 * time.Millisecond
+	// maxAttempts bounds the sends of one request.
+	maxAttempts = 40
+)
+
+// attemptKind is what one send of a request came to.
+type attemptKind int
+
+const (
+	attemptAnswered attemptKind = iota
+	attemptNotRun
+	attemptMayHaveRun
+	// attemptBroken means that the connection ended without a word.
+	attemptBroken
+	// attemptUnreached means that no connection was made.
+	attemptUnreached
+	// attemptWrong means that another request's answer came.
+	attemptWrong
+)
+
+// attempt is one send of a request.
+type attempt struct {
+	kind       attemptKind
+	address    string
+	request    ident.RequestID
+	reason     callerapi.Reason
+	retryAfter time.Duration
+	replayed   bool
+	firstAt    time.Time
+	err        error
+}
+
+// outcome is what became of one job.
+type outcome struct {
+	job      *job
+	attempts []attempt
+	// first and total run from the arrival.
+	first time.Duration
+	total time.Duration
+}
+
+// caller sends jobs.
+type caller struct {
+	options *Options
+	client  *http.Client
+	book    *addressBook
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+// run sends one job until it has a final word or patience ends.
+func (c *caller) run(ctx context.Context, j *job) {
+	began := time.Now()
+	o := outcome{job: j}
+	var avoid []string
+	for len(o.attempts) < maxAttempts {
+		remaining := j.class.Deadline - time.Since(began)
+		a := c.try(ctx, j, c.book.choose(ctx, avoid), remaining, len(o.attempts) == 0)
+		o.attempts = append(o.attempts, a)
+		pause := max(a.retryAfter, resendPause)
+		if !c.again(ctx, j, &o, time.Since(began)+pause) {
+			break
+		}
+		avoid = nextAvoid(avoid, a)
+		sleep(ctx, pause)
+	}
+	last := o.attempts[len(o.attempts)-1]
+	o.total = time.Since(began)
+	if !last.firstAt.IsZero() {
+		o.first = last.firstAt.Sub(began)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+// again reports whether a caller resends: while its deadline lasts, and a
+// while longer to learn what became of a request that must run once.
+func (c *caller) again(ctx context.Context, j *job, o *outcome, elapsed time.Duration) bool {
+	last := o.attempts[len(o.attempts)-1]
+	if ctx.Err() != nil || last.kind == attemptAnswered || last.kind == attemptWrong {
+		return false
+	}
+	if last.kind == attemptNotRun && !retriable(last.reason) {
+		return false
+	}
+	if last.kind == attemptMayHaveRun && j.key != "" {
+		return false
+	}
+	patience := j.class.Deadline
+	if last.kind == attemptBroken {
+		patience += answerGrace
+	}
+	return elapsed < patience
+}
+
+// retriable reports whether a resend can fare better.
+func retriable(reason callerapi.Reason) bool {
+	switch reason {
+	case "overload", "no_upstream", "memory", "draining", "cut_off", "unsent", "deadline",
+		callerapi.ReasonNoQuorum, callerapi.ReasonLedgerFull:
+		return true
+	default:
+		return false
+	}
+}
+
+// nextAvoid keeps the last addresses that could not serve.
+func nextAvoid(avoid []string, a attempt) []string {
+	nodeFault := a.kind == attemptBroken || a.kind == attemptUnreached ||
+		slices.Contains([]callerapi.Reason{"draining", "cut_off", callerapi.ReasonNoQuorum}, a.reason)
+	if !nodeFault {
+		return nil
+	}
+	if len(avoid) > 1 {
+		avoid = avoid[1:]
+	}
+	return append(avoid, a.address)
+}
+
+// try sends a job once.
+func (c *caller) try(ctx context.Context, j *job, address string, remaining time.Duration, first bool) attempt {
+	remaining = max(remaining, minimumDeadline)
+	timeout := remaining + answerGrace
+	if first && j.dropAfter > 0 {
+		timeout = min(timeout, j.dropAfter)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a := attempt{address: address}
+	req, err := http.NewRequestWithContext(ctx, j.method, "http://"+address+j.path, bytes.NewReader(j.body))
+	if err != nil {
+		a.kind, a.err = attemptUnreached, err
+		return a
+	}
+	setHeaders(req, j, remaining)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		a.kind, a.err = brokenOrUnreached(err), err
+		return a
+	}
+	defer resp.Body.Close()
+	a.request = ident.RequestID(resp.Header.Get(callerapi.HeaderRequestID))
+	a.replayed = resp.Header.Get(callerapi.HeaderReplayed) == "true"
+	if resp.Header.Get(callerapi.HeaderOutcome) != "" || resp.StatusCode >= http.StatusBadRequest {
+		a.refused(resp)
+		return a
+	}
+	answer, err := readAnswer(resp, j, c.options.VerifyEcho)
+	a.finish(answer, err)
+	return a
+}
+
+func setHeaders(req *http.Request, j *job, remaining time.Duration) {
+	req.Header.Set(callerapi.HeaderTeam, string(j.team))
+	req.Header.Set(callerapi.HeaderDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
+	if len(j.body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if j.class.Route != "" {
+		req.Header.Set(callerapi.HeaderRoute, string(j.class.Route))
+	}
+	if j.key != "" {
+		req.Header.Set(callerapi.HeaderIdempotencyKey, j.key)
+	}
+}
+
+// brokenOrUnreached tells a connection that was never made from one that ended.
+func brokenOrUnreached(err error) attemptKind {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return attemptUnreached
+	}
+	return attemptBroken
+}
+
+// refused reads a refusal. An answer that is none, such as an upstream's own
+// error, counts as run and failed.
+func (a *attempt) refused(resp *http.Response) {
+	var body callerapi.Refusal
+	_ = json.NewDecoder(resp.Body).Decode(&body)
+	a.take(body.Error)
+	if a.reason == "" {
+		a.reason = callerapi.Reason("status_" + strconv.Itoa(resp.StatusCode))
+	}
+}
+
+func (a *attempt) take(e callerapi.RefusalError) {
+	a.kind = attemptMayHaveRun
+	if e.Outcome == callerapi.NotRun {
+		a.kind = attemptNotRun
+	}
+	a.reason = e.Reason
+	a.retryAfter = time.Duration(e.RetryAfterSeconds * float64(time.Second))
+}
+
+func (a *attempt) finish(answer *content, err error) {
+	var refusal *refusedError
+	switch {
+	case err == nil:
+		a.kind, a.firstAt = attemptAnswered, answer.firstAt
+	case errors.As(err, &refusal):
+		a.take(refusal.refusal)
+	case errors.Is(err, errWrong):
+		a.kind, a.err = attemptWrong, err
+	default:
+		a.kind, a.err = attemptBroken, err
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/fakes/runs.go
+++ b/internal/fakes/runs.go
@@ -69,7 +69,7 @@
 type Counts struct {
 	// Runs counts every request that reached a fake.
 	Runs int
-	// ByRequest counts runs by request id.
+	// ByRequest counts runs by request id; runs without an id are left out.
 	ByRequest map[ident.RequestID]int
 	// ByKey counts runs by Idempotency-Key; runs without a key are left out.
 	ByKey map[string]int
@@ -81,7 +81,9 @@
 	for _, runs := range lists {
 		for _, r := range runs {
 			c.Runs++
-			c.ByRequest[r.RequestID]++
+			if r.RequestID != "" {
+				c.ByRequest[r.RequestID]++
+			}
 			if r.IdempotencyKey != "" {
 				c.ByKey[r.IdempotencyKey]++
 			}
