Gateway lifecycle, pool sessions and internal calls

Cause: the thin path needs a gateway, a way to the pool's scheduler and calls between processes. Change: net/rpc client that gives up a connection at a missed deadline; pool sessions with registration after every lost call; request lifecycle with claim before dispatch and memory budget by tier.

--- /dev/null
+++ b/internal/coordination/gateway/gateway.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+// MaxUnsent bounds how often one request is placed again after a dispatch that
+// provably sent nothing.
+const MaxUnsent = 3
+
+// Gateway serves caller requests. It is safe for concurrent use.
+type Gateway struct {
+	env       Environment
+	ledger    Ledger
+	upstreams Upstreams
+	budget    *Budget
+	events    *timeline.Recorder
+}
+
+// New returns a gateway. Events may be nil.
+func New(env Environment, l Ledger, u Upstreams, b *Budget, events *timeline.Recorder) *Gateway {
+	return &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events}
+}
+
+var errDeadline = errors.New("deadline has passed")
+
+// Serve carries r to its end. Exactly one of the result's fields is set. Ctx
+// ends when the caller leaves.
+func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) Result {
+	result := g.serve(ctx, r, sink)
+	g.recordEnd(r, result)
+	return result
+}
+
+func (g *Gateway) serve(ctx context.Context, r *Request, sink Sink) Result {
+	if !g.env.Fresh() {
+		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
+	}
+	g.record(r, timeline.KindAccepted, "")
+	held, failure := g.budget.Acquire(ctx, r)
+	if failure != nil {
+		return Result{Failure: failure}
+	}
+	defer held.Release()
+	waitCtx, cancel := context.WithDeadlineCause(held.Context(), r.Deadline, errDeadline)
+	defer cancel()
+	if !r.Idempotent {
+		if result, done := g.answerKnown(waitCtx, r, sink); done {
+			return result
+		}
+	}
+	return g.run(ctx, waitCtx, held, r, sink)
+}
+
+// run places and dispatches the request until a dispatch is not provably
+// unsent. WaitCtx ends also when the request is shed while it waits.
+func (g *Gateway) run(ctx, waitCtx context.Context, held *Hold, r *Request, sink Sink) Result {
+	placer := g.env.Placer(r.Pool)
+	if placer == nil {
+		return refusal(ReasonUnknownPool, "no scheduler serves the pool yet", time.Second)
+	}
+	var excluded []ident.UpstreamName
+	for range MaxUnsent {
+		grant, failure := g.place(waitCtx, placer, r, excluded)
+		if failure != nil {
+			return Result{Failure: failure}
+		}
+		held.Dispatching()
+		result, again := g.attempt(ctx, placer, r, grant, sink)
+		if !again {
+			return result
+		}
+		held.Waiting()
+		excluded = append(excluded, grant.Upstream)
+	}
+	return refusal(Reason(scheduler.ReasonUnsent), "no connection to an upstream could be made", time.Second)
+}
+
+// place queues the request and waits for the scheduler's word.
+func (g *Gateway) place(ctx context.Context, placer Placer, r *Request, excluded []ident.UpstreamName) (*scheduler.Grant, *Failure) {
+	decision, err := placer.Place(ctx, g.ticket(r, excluded), r.Deadline)
+	if err != nil {
+		return nil, waitFailure(ctx)
+	}
+	if decision.Refusal != nil {
+		return nil, &Failure{
+			Reason:     Reason(decision.Refusal.Reason),
+			NotRun:     true,
+			RetryAfter: decision.Refusal.RetryAfter,
+			Message:    "the pool's scheduler refused the request",
+		}
+	}
+	g.record(r, timeline.KindGranted, string(decision.Grant.Upstream))
+	return decision.Grant, nil
+}
+
+func (g *Gateway) ticket(r *Request, excluded []ident.UpstreamName) scheduler.Ticket {
+	node, _ := g.env.Identity()
+	return scheduler.Ticket{
+		ID:           r.ID,
+		Gateway:      node,
+		Tier:         r.Tier,
+		Team:         r.Team,
+		Route:        r.Route,
+		Idempotent:   r.Idempotent,
+		PromptTokens: r.PromptTokens,
+		OutputTokens: r.OutputTokens,
+		Prefixes:     r.Prefixes,
+		BodyBytes:    int64(len(r.Body)),
+		Excluded:     excluded,
+	}
+}
+
+// waitFailure tells why a request stopped waiting. Nothing was sent.
+func waitFailure(ctx context.Context) *Failure {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errDeadline) {
+		return &Failure{Reason: Reason(scheduler.ReasonDeadline), NotRun: true, Message: "the deadline passed while the request waited"}
+	}
+	var failure *Failure
+	if errors.As(cause, &failure) {
+		return failure
+	}
+	return &Failure{Reason: ReasonCallerLeft, NotRun: true, Message: "the caller left while the request waited"}
+}
+
+// attempt dispatches under one grant. It reports true when provably nothing
+// was sent and the request may be placed again.
+func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, sink Sink) (Result, bool) {
+	upstream, ok := g.env.Upstream(grant.Upstream)
+	if !ok {
+		placer.Finish(r.ID, scheduler.ReportUnsent, 0)
+		return Result{}, true
+	}
+	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}}
+	if !r.Idempotent {
+		return g.attemptClaimed(ctx, placer, d, grant, sink)
+	}
+	if !placer.Begin(r.ID) {
+		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		return Result{}, true
+	}
+	g.record(r, timeline.KindDispatched, string(grant.Upstream))
+	sendCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+	defer cancel()
+	relay := newRelay(sink, placer, r, grant)
+	sent := g.upstreams.Send(sendCtx, d, relay)
+	placer.Finish(r.ID, reportKind(sendCtx, sent), sent.OutputTokens)
+	if sent.Outcome == DispatchUnsent {
+		return Result{}, true
+	}
+	if sent.Outcome != DispatchWhole {
+		return broken(sendCtx, sent, relay.begun), false
+	}
+	if err := relay.Flush(); err != nil {
+		return Result{Failure: &Failure{Reason: ReasonCallerLeft, Message: err.Error(), Begun: true}}, false
+	}
+	return Result{Answered: true}, false
+}
+
+// reportKind maps the end of a dispatch to what the scheduler must know.
+func reportKind(ctx context.Context, sent DispatchResult) scheduler.ReportKind {
+	switch {
+	case sent.Outcome == DispatchUnsent:
+		return scheduler.ReportUnsent
+	case sent.Outcome == DispatchWhole && sent.Status < firstServerError:
+		return scheduler.ReportEnded
+	case sent.Outcome == DispatchWhole:
+		return scheduler.ReportFailed
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		return scheduler.ReportDropped
+	default:
+		return scheduler.ReportUnknown
+	}
+}
+
+// firstServerError is the lowest HTTP status that counts as an upstream's fault.
+const firstServerError = 500
+
+// broken is the result of a dispatch that ended without a whole answer.
+func broken(ctx context.Context, sent DispatchResult, begun bool) Result {
+	f := &Failure{Reason: ReasonFailed, Begun: begun, Message: "the upstream's answer did not come whole"}
+	switch {
+	case sent.Outcome == DispatchCrossed:
+		f.Reason = ReasonCrossed
+		f.Message = "the upstream answered another request"
+	case errors.Is(context.Cause(ctx), errDeadline):
+		f.Reason = ReasonTimeout
+		f.Message = "the deadline passed while the request ran"
+	case ctx.Err() != nil:
+		f.Reason = ReasonCallerLeft
+		f.Message = "the caller left while the request ran"
+	}
+	return Result{Failure: f}
+}
+
+// refusal is the result of a request that was not run.
+func refusal(reason Reason, message string, retryAfter time.Duration) Result {
+	return Result{Failure: &Failure{Reason: reason, NotRun: true, Message: message, RetryAfter: retryAfter}}
+}
+
+func (g *Gateway) recordEnd(r *Request, result Result) {
+	if result.Failure == nil {
+		g.record(r, timeline.KindEnded, "")
+		return
+	}
+	g.record(r, timeline.KindRefused, result.Failure.Error())
+}
+
+func (g *Gateway) record(r *Request, kind timeline.Kind, detail string) {
+	g.events.Record(timeline.Event{Kind: kind, Request: r.ID, Pool: r.Pool, Detail: detail})
+}
--- /dev/null
+++ b/internal/coordination/pool/master.go
@@ -0,0 +1,256 @@
+package pool
+
+import (
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// TickInterval is the time between two looks of a scheduler at its clocks.
+const TickInterval = 10 * time.Millisecond
+
+// Master runs one scheduler for one lease epoch. It is safe for concurrent use.
+type Master struct {
+	pool   ident.PoolName
+	epoch  ident.Epoch
+	origin time.Time
+	stop   chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	sched    scheduler.Scheduler
+	sessions map[ident.NodeID]*session
+	observer Observer
+}
+
+// Observer learns what happens to granted requests; it feeds moves of versions.
+type Observer interface {
+	// Granted tells of each new grant with its ticket.
+	Granted(t scheduler.Ticket, g scheduler.Grant)
+	// Reported tells of each report on a granted request.
+	Reported(r scheduler.Report)
+}
+
+type session struct {
+	id      Session
+	tickets map[ident.RequestID]scheduler.Ticket
+	outbox  []scheduler.Decision
+	ready   chan struct{}
+}
+
+// NewMaster starts a scheduler. The caller stops it when the lease ends.
+func NewMaster(pool ident.PoolName, epoch ident.Epoch, build func(now time.Duration) scheduler.Scheduler, observer Observer) *Master {
+	m := &Master{
+		pool:     pool,
+		epoch:    epoch,
+		origin:   time.Now(),
+		stop:     make(chan struct{}),
+		sched:    build(0),
+		sessions: make(map[ident.NodeID]*session),
+		observer: observer,
+	}
+	go m.run()
+	return m
+}
+
+// Pool returns the pool that the scheduler serves.
+func (m *Master) Pool() ident.PoolName { return m.pool }
+
+// Epoch returns the lease epoch of the scheduler.
+func (m *Master) Epoch() ident.Epoch { return m.epoch }
+
+// Stop ends the scheduler; it decides nothing more.
+func (m *Master) Stop() {
+	m.once.Do(func() { close(m.stop) })
+}
+
+// Stopped reports whether Stop was called.
+func (m *Master) Stopped() bool {
+	select {
+	case <-m.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// SetView passes a new view to the scheduler.
+func (m *Master) SetView(v scheduler.View) {
+	m.do(func(now time.Duration) { m.sched.SetView(v, now) })
+}
+
+// Load passes an upstream's load report to the scheduler.
+func (m *Master) Load(r scheduler.LoadReport) {
+	m.do(func(now time.Duration) { m.sched.Load(r, now) })
+}
+
+// Cache passes an upstream's cache event to the scheduler.
+func (m *Master) Cache(e scheduler.CacheEvent) {
+	m.do(func(now time.Duration) { m.sched.Cache(e, now) })
+}
+
+// Stats returns the scheduler's counters.
+func (m *Master) Stats() scheduler.Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sched.Stats()
+}
+
+func (m *Master) run() {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-ticker.C:
+			m.do(m.sched.Tick)
+		}
+	}
+}
+
+// do runs one step of the scheduler and hands out its decisions.
+func (m *Master) do(step func(now time.Duration)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Stopped() {
+		return
+	}
+	step(time.Since(m.origin))
+	m.distribute()
+}
+
+// distribute moves new decisions to the outboxes of their gateways. A decision
+// for a gateway without a session is dropped: its ticket comes back with the
+// next registration and is answered again.
+func (m *Master) distribute() {
+	for _, d := range m.sched.Decisions() {
+		s := m.sessions[d.Gateway]
+		if s == nil {
+			continue
+		}
+		m.noteGrant(s, d)
+		s.outbox = append(s.outbox, d)
+		select {
+		case s.ready <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (m *Master) noteGrant(s *session, d scheduler.Decision) {
+	if d.Refusal != nil {
+		delete(s.tickets, d.Refusal.Ticket)
+		return
+	}
+	t, ok := s.tickets[d.Grant.Ticket]
+	if ok && m.observer != nil {
+		m.observer.Granted(t, *d.Grant)
+	}
+}
+
+func (m *Master) submit(args *SubmitArgs) Reply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.Stopped() {
+		return Reply{Refused: true}
+	}
+	now := time.Since(m.origin)
+	s := m.session(args, now)
+	if s == nil {
+		return Reply{Refused: true}
+	}
+	for _, r := range args.Reports {
+		m.report(s, r, now)
+	}
+	for _, id := range args.Cancels {
+		delete(s.tickets, id)
+		m.sched.Cancel(id, now)
+	}
+	for _, t := range args.Tickets {
+		s.tickets[t.ID] = t
+		m.sched.Submit(t, now)
+	}
+	m.distribute()
+	return Reply{Decisions: s.take()}
+}
+
+func (m *Master) report(s *session, r scheduler.Report, now time.Duration) {
+	m.sched.Report(r, now)
+	if m.observer != nil {
+		m.observer.Reported(r)
+	}
+	switch r.Kind {
+	case scheduler.ReportEnded, scheduler.ReportFailed, scheduler.ReportDropped, scheduler.ReportUnknown:
+		delete(s.tickets, r.Ticket)
+	}
+}
+
+// session returns the gateway's session, opening it when args register.
+func (m *Master) session(args *SubmitArgs, now time.Duration) *session {
+	s := m.sessions[args.Session.Gateway]
+	if s != nil && s.id == args.Session {
+		return s
+	}
+	if args.Register == nil || s != nil && supersedes(s.id, args.Session) {
+		return nil
+	}
+	s = &session{
+		id:      args.Session,
+		tickets: make(map[ident.RequestID]scheduler.Ticket),
+		ready:   make(chan struct{}, 1),
+	}
+	for _, t := range args.Register.Waiting {
+		s.tickets[t.ID] = t
+	}
+	for _, r := range args.Register.Running {
+		s.tickets[r.Ticket.ID] = r.Ticket
+	}
+	m.sessions[args.Session.Gateway] = s
+	m.sched.Register(*args.Register, now)
+	return s
+}
+
+// supersedes reports whether a known session is newer than one that registers.
+func supersedes(known, offered Session) bool {
+	return known.Incarnation == offered.Incarnation && known.Number >= offered.Number
+}
+
+func (s *session) take() []scheduler.Decision {
+	out := s.outbox
+	s.outbox = nil
+	return out
+}
+
+func (m *Master) poll(args *PollArgs) Reply {
+	timer := time.NewTimer(PollHold)
+	defer timer.Stop()
+	for {
+		s, reply, done := m.pollOnce(args)
+		if done {
+			return reply
+		}
+		select {
+		case <-s.ready:
+		case <-timer.C:
+			return Reply{}
+		case <-m.stop:
+			return Reply{Refused: true}
+		}
+	}
+}
+
+func (m *Master) pollOnce(args *PollArgs) (*session, Reply, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.sessions[args.Session.Gateway]
+	if m.Stopped() || s == nil || s.id != args.Session {
+		return nil, Reply{Refused: true}, true
+	}
+	if out := s.take(); len(out) > 0 {
+		return s, Reply{Decisions: out}, true
+	}
+	return s, Reply{}, false
+}
--- /dev/null
+++ b/internal/coordination/pool/service.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"sync"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Service offers the schedulers that this node holds to all gateways. It is
+// registered with net/rpc under ServiceName.
+type Service struct {
+	mu      sync.Mutex
+	masters map[ident.PoolName]*Master
+}
+
+// NewService returns a service without schedulers.
+func NewService() *Service {
+	return &Service{masters: make(map[ident.PoolName]*Master)}
+}
+
+// Submit takes in a gateway's message and returns the decisions at hand.
+func (s *Service) Submit(args *SubmitArgs, reply *Reply) error {
+	master := s.find(args.Session)
+	if master == nil {
+		reply.Refused = true
+		return nil
+	}
+	*reply = master.submit(args)
+	return nil
+}
+
+// Poll waits up to PollHold for decisions.
+func (s *Service) Poll(args *PollArgs, reply *Reply) error {
+	master := s.find(args.Session)
+	if master == nil {
+		reply.Refused = true
+		return nil
+	}
+	*reply = master.poll(args)
+	return nil
+}
+
+// Put installs the scheduler of a pool in place of an older one.
+func (s *Service) Put(m *Master) {
+	s.mu.Lock()
+	old := s.masters[m.pool]
+	s.masters[m.pool] = m
+	s.mu.Unlock()
+	if old != nil {
+		old.Stop()
+	}
+}
+
+// Remove stops and removes the scheduler of a pool.
+func (s *Service) Remove(pool ident.PoolName) {
+	s.mu.Lock()
+	old := s.masters[pool]
+	delete(s.masters, pool)
+	s.mu.Unlock()
+	if old != nil {
+		old.Stop()
+	}
+}
+
+// Masters returns the schedulers that this node runs.
+func (s *Service) Masters() []*Master {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	masters := make([]*Master, 0, len(s.masters))
+	for _, m := range s.masters {
+		masters = append(masters, m)
+	}
+	return masters
+}
+
+func (s *Service) find(session Session) *Master {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.masters[session.Pool]
+	if m == nil || m.epoch != session.Epoch {
+		return nil
+	}
+	return m
+}
--- /dev/null
+++ b/internal/coordination/pool/session.go
@@ -0,0 +1,208 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Run exchanges messages with the pool's scheduler until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.pollLoop(ctx)
+	}()
+	c.submitLoop(ctx)
+	<-done
+}
+
+func (c *Client) submitLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for c.submitOnce(ctx) {
+			if !sleep(ctx, RetryInterval) {
+				return
+			}
+		}
+	}
+}
+
+// submitOnce sends what is pending. It reports whether to try again.
+func (c *Client) submitOnce(ctx context.Context) bool {
+	args, address := c.compose(time.Now())
+	if args == nil {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	reply := &Reply{}
+	sent := time.Now()
+	err := c.caller.Call(callCtx, address, ServiceName+".Submit", args, reply)
+	if err != nil || reply.Refused {
+		c.lost(args.Session)
+		return ctx.Err() == nil
+	}
+	c.accepted(args.Session)
+	c.deliver(reply.Decisions, sent)
+	return false
+}
+
+// accepted notes that the scheduler knows the session, so that polls can begin.
+func (c *Client) accepted(s Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.accept || s != c.session() {
+		return
+	}
+	c.accept = true
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// compose takes the pending messages. It returns nil when there is nothing to
+// say or nobody to say it to.
+func (c *Client) compose(now time.Time) (*SubmitArgs, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder.Address == "" {
+		return nil, ""
+	}
+	args := &SubmitArgs{}
+	if c.registered {
+		if len(c.tickets)+len(c.cancels)+len(c.reports) == 0 {
+			return nil, ""
+		}
+		args.Tickets = c.pendingTickets(now)
+		args.Cancels = c.cancels
+		args.Reports = c.reports
+	} else {
+		c.number++
+		c.registered = true
+		args.Register = c.registration(now)
+	}
+	c.tickets, c.cancels, c.reports = nil, nil, nil
+	args.Session = c.session()
+	return args, c.holder.Address
+}
+
+func (c *Client) session() Session {
+	return Session{
+		Pool:        c.pool,
+		Epoch:       c.holder.Lease.Epoch,
+		Gateway:     c.gateway,
+		Incarnation: c.incarnation,
+		Number:      c.number,
+	}
+}
+
+func (c *Client) pendingTickets(now time.Time) []scheduler.Ticket {
+	tickets := make([]scheduler.Ticket, 0, len(c.tickets))
+	for _, id := range c.tickets {
+		if w := c.waiting[id]; w != nil {
+			tickets = append(tickets, w.current(now))
+		}
+	}
+	return tickets
+}
+
+// registration names all waiting and running requests. A report that a lost
+// message carried needs no resend: a request absent here has ended.
+func (c *Client) registration(now time.Time) *scheduler.Registration {
+	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation}
+	for _, w := range c.waiting {
+		r.Waiting = append(r.Waiting, w.current(now))
+	}
+	for _, run := range c.running {
+		r.Running = append(r.Running, scheduler.Running{
+			Ticket:   run.ticket,
+			Upstream: run.grant.Upstream,
+			Version:  run.grant.Version,
+			Elapsed:  now.Sub(run.since),
+		})
+	}
+	return r
+}
+
+func (w *waiter) current(now time.Time) scheduler.Ticket {
+	t := w.ticket
+	t.Remaining = w.deadline.Sub(now)
+	return t
+}
+
+// lost makes the next message register anew, unless that happened meanwhile.
+func (c *Client) lost(s Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.registered && s == c.session() {
+		c.forget()
+	}
+}
+
+func (c *Client) pollLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		session, address, changed := c.present()
+		if address == "" {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		if !c.pollOnce(ctx, session, address) && !sleep(ctx, RetryInterval) {
+			return
+		}
+	}
+}
+
+// present returns the session in use; the address is empty while there is none.
+func (c *Client) present() (Session, string, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.accept {
+		return Session{}, "", c.changed
+	}
+	return c.session(), c.holder.Address, c.changed
+}
+
+func (c *Client) pollOnce(ctx context.Context, s Session, address string) bool {
+	callCtx, cancel := context.WithTimeout(ctx, PollTimeout)
+	defer cancel()
+	reply := &Reply{}
+	sent := time.Now()
+	err := c.caller.Call(callCtx, address, ServiceName+".Poll", &PollArgs{Session: s}, reply)
+	if err != nil || reply.Refused {
+		c.lost(s)
+		return false
+	}
+	c.deliver(reply.Decisions, sent)
+	return true
+}
+
+// Waiting returns the ids of the waiting requests, for tests and status.
+func (c *Client) Waiting() []ident.RequestID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ids := make([]ident.RequestID, 0, len(c.waiting))
+	for id := range c.waiting {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
