--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +52,6 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	waiting bool
-	shed    bool
 }
 
 // Acquire takes the request into the budget or says why not. The hold's
@@ -88,7 +88,6 @@
 		free += h.bytes
 	}
 	for _, h := range shed {
-		h.shed = true
 		h.cancel(memoryFailure("shed for work of a higher tier at the node's limit on waiting bytes"))
 		b.release(h)
 	}
@@ -100,7 +99,7 @@
 func (b *Budget) lowest(rank int, except []*Hold) *Hold {
 	var found *Hold
 	for h := range b.held {
-		if !h.waiting || h.rank >= rank || contains(except, h) {
+		if !h.waiting || h.rank >= rank || slices.Contains(except, h) {
 			continue
 		}
 		if found == nil || h.rank < found.rank {
@@ -110,15 +109,6 @@
 	return found
 }
 
-func contains(list []*Hold, h *Hold) bool {
-	for _, other := range list {
-		if other == h {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Budget) release(h *Hold) {
 	if _, ok := b.held[h]; !ok {
 		return
