Upstream edge: dispatch, streams with resume, reports

Cause: grants need to reach engines and services. Change: HTTP sender that never lets the client library repeat a call, checks the request id of every answer, resumes broken streams at the same engine, cancels abandoned ones; load, cache, status and platform queries.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -138,7 +138,7 @@
 		placer.Finish(r.ID, scheduler.ReportUnsent, 0)
 		return Result{}, true
 	}
-	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}}
+	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
 	if !r.Idempotent {
 		return g.attemptClaimed(ctx, placer, d, grant, sink)
 	}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -117,6 +117,8 @@
 type Dispatch struct {
 	Request *Request
 	Target  Target
+	// Version is the version that the grant names.
+	Version ident.VersionName
 }
 
 // DispatchOutcome tells how a dispatch ended.
--- /dev/null
+++ b/internal/transport/upstreamhttp/probe.go
@@ -0,0 +1,86 @@
+package upstreamhttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+)
+
+// maxReportBytes bounds a report of an upstream or of the platform.
+const maxReportBytes = 8 << 20
+
+// Load asks an engine for its load report.
+func (s *Sender) Load(ctx context.Context, address string) (*upstreamapi.Load, error) {
+	var load upstreamapi.Load
+	if err := s.getJSON(ctx, "http://"+address+upstreamapi.PathLoad, &load); err != nil {
+		return nil, fmt.Errorf("load report: %w", err)
+	}
+	return &load, nil
+}
+
+// CacheEvents asks an engine for its cache events after a sequence number.
+func (s *Sender) CacheEvents(ctx context.Context, address string, after uint64) (*upstreamapi.CacheEvents, error) {
+	var events upstreamapi.CacheEvents
+	url := fmt.Sprintf("http://%s%s?after=%d", address, upstreamapi.PathCacheEvents, after)
+	if err := s.getJSON(ctx, url, &events); err != nil {
+		return nil, fmt.Errorf("cache events: %w", err)
+	}
+	return &events, nil
+}
+
+// VMs asks the platform at address for its list of VMs.
+func (s *Sender) VMs(ctx context.Context, address string) (*upstreamapi.VMList, error) {
+	var list upstreamapi.VMList
+	if err := s.getJSON(ctx, "http://"+address+upstreamapi.PathVMs, &list); err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	return &list, nil
+}
+
+// Status implements gateway.Upstreams. Only a 200 answer settles the outcome:
+// a service that does not know the key yet may still get the request.
+func (s *Sender) Status(ctx context.Context, d gateway.Dispatch) *ledger.Answer {
+	url := "http://" + d.Target.Upstream.Address + d.Request.StatusPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil
+	}
+	request.Header.Set(upstreamapi.HeaderRequestID, string(d.Request.ID))
+	request.Header.Set(upstreamapi.HeaderIdempotencyKey, d.Request.Key)
+	response, err := s.fresh.Do(request)
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	return &ledger.Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+	}
+}
+
+func (s *Sender) getJSON(ctx context.Context, url string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := s.pooled.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s", url, response.Status)
+	}
+	return json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(into)
+}
--- /dev/null
+++ b/internal/transport/upstreamhttp/sender.go
@@ -0,0 +1,226 @@
+// Package upstreamhttp sends requests to engines and plain services over HTTP,
+// reads their answers and streams, and asks for their load, cache events and
+// outcomes. No request is sent twice: the HTTP client is kept from repeating
+// one on its own.
+package upstreamhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+const (
+	// IdleTimeout is how long an unused connection to an upstream is kept. It
+	// is short, since a connection can go silent for good while it is idle.
+	IdleTimeout = 2 * time.Second
+	// MaxIdlePerUpstream bounds the unused connections to one upstream.
+	MaxIdlePerUpstream = 64
+	// CancelTimeout bounds the cancelling of a request at an engine.
+	CancelTimeout = 2 * time.Second
+	// MaxAnswerBytes bounds an answer that is read whole.
+	MaxAnswerBytes = 64 << 20
+)
+
+// Sender sends requests to upstreams. It is safe for concurrent use.
+type Sender struct {
+	pooled *http.Client
+	fresh  *http.Client
+
+	resumed  atomic.Uint64
+	canceled atomic.Uint64
+}
+
+// NewSender returns a sender.
+func NewSender() *Sender {
+	return &Sender{
+		pooled: &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
+	}
+}
+
+func newTransport(freshConnections bool) *http.Transport {
+	return &http.Transport{
+		DialContext:         dial,
+		DisableKeepAlives:   freshConnections,
+		DisableCompression:  true,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: MaxIdlePerUpstream,
+		IdleConnTimeout:     IdleTimeout,
+	}
+}
+
+// noRedirect hands a redirect to the caller: following it would be a second dispatch.
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// dialError marks a connection that was never made.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return e.err.Error() }
+
+func (e *dialError) Unwrap() error { return e.err }
+
+func dial(ctx context.Context, _, address string) (net.Conn, error) {
+	conn, err := rpcnet.Dial(ctx, address)
+	if err != nil {
+		return nil, &dialError{err: err}
+	}
+	return conn, nil
+}
+
+// Close gives up unused connections.
+func (s *Sender) Close() {
+	s.pooled.CloseIdleConnections()
+	s.fresh.CloseIdleConnections()
+}
+
+// Resumed returns how many broken streams were taken up again.
+func (s *Sender) Resumed() uint64 { return s.resumed.Load() }
+
+// Canceled returns how many requests were cancelled at an engine.
+func (s *Sender) Canceled() uint64 { return s.canceled.Load() }
+
+// Send implements gateway.Upstreams.
+func (s *Sender) Send(ctx context.Context, d gateway.Dispatch, sink gateway.AnswerSink) gateway.DispatchResult {
+	result := s.send(ctx, d, sink)
+	if result.Outcome == gateway.DispatchBroken && d.Request.Engine {
+		s.cancel(ctx, d)
+	}
+	return result
+}
+
+func (s *Sender) send(ctx context.Context, d gateway.Dispatch, sink gateway.AnswerSink) gateway.DispatchResult {
+	request, err := newRequest(ctx, d)
+	if err != nil {
+		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
+	}
+	response, err := s.client(d).Do(request)
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
+		err := fmt.Errorf("answer carries request id %q", response.Header.Get(upstreamapi.HeaderRequestID))
+		return gateway.DispatchResult{Outcome: gateway.DispatchCrossed, Err: err}
+	}
+	if isStream(response) {
+		return s.readStream(ctx, d, response, sink)
+	}
+	return readWhole(response, sink)
+}
+
+// client picks a fresh connection for requests that must not run twice.
+func (s *Sender) client(d gateway.Dispatch) *http.Client {
+	if d.Request.Idempotent {
+		return s.pooled
+	}
+	return s.fresh
+}
+
+func failed(err error) gateway.DispatchResult {
+	var dialing *dialError
+	if errors.As(err, &dialing) {
+		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
+	}
+	return gateway.DispatchResult{Outcome: gateway.DispatchBroken, Err: err}
+}
+
+func newRequest(ctx context.Context, d gateway.Dispatch) (*http.Request, error) {
+	r := d.Request
+	url := "http://" + d.Target.Upstream.Address + r.Path
+	request, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("dispatch: %w", err)
+	}
+	request.Body = &onceBody{rest: r.Body}
+	request.ContentLength = int64(len(r.Body))
+	if r.ContentType != "" {
+		request.Header.Set("Content-Type", r.ContentType)
+	}
+	request.Header.Set(upstreamapi.HeaderRequestID, string(r.ID))
+	request.Header.Set(callerapi.HeaderVersion, string(d.Version))
+	if r.Key != "" {
+		request.Header.Set(upstreamapi.HeaderIdempotencyKey, r.Key)
+	}
+	return request, nil
+}
+
+// onceBody is a body that can't be read again. The HTTP client repeats a GET,
+// or any call with an Idempotency-Key, on its own when a kept connection
+// breaks, but never one whose body it can't rewind.
+type onceBody struct{ rest []byte }
+
+func (b *onceBody) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *onceBody) Close() error { return nil }
+
+// readWhole passes on an answer that is not a stream of events.
+func readWhole(response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
+	result := gateway.DispatchResult{Outcome: gateway.DispatchBroken, Status: response.StatusCode}
+	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
+		return result
+	}
+	sink.FirstToken()
+	buffer := make([]byte, copyBuffer)
+	body := io.LimitReader(response.Body, MaxAnswerBytes+1)
+	total := 0
+	for {
+		n, err := body.Read(buffer)
+		total += n
+		if n > 0 {
+			if result.Err = sink.Write(buffer[:n]); result.Err != nil {
+				return result
+			}
+		}
+		if err == io.EOF && total <= MaxAnswerBytes {
+			result.Outcome = gateway.DispatchWhole
+			return result
+		}
+		if err != nil {
+			result.Err = fmt.Errorf("answer cut after %d bytes: %w", total, err)
+			return result
+		}
+	}
+}
+
+// copyBuffer is the size of the parts in which an answer is passed on, in bytes.
+const copyBuffer = 16 << 10
+
+// cancel asks an engine to stop a request whose answer nobody will read.
+func (s *Sender) cancel(ctx context.Context, d gateway.Dispatch) {
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), CancelTimeout)
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(d), nil)
+	if err != nil {
+		return
+	}
+	response, err := s.fresh.Do(request)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	s.canceled.Add(1)
+}
+
+func streamURL(d gateway.Dispatch) string {
+	return "http://" + d.Target.Upstream.Address + upstreamapi.PathStreams + string(d.Request.ID)
+}
--- /dev/null
+++ b/internal/transport/upstreamhttp/stream.go
@@ -0,0 +1,190 @@
+package upstreamhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+)
+
+const (
+	// StreamSilence is how long an engine's stream may bring no byte, heartbeat
+	// comments included, before its connection is given up.
+	StreamSilence = 3 * time.Second
+	// MaxResumes bounds how often one broken stream is taken up again.
+	MaxResumes = 5
+	// ResumeInterval is the pause before a broken stream is taken up again.
+	ResumeInterval = 50 * time.Millisecond
+	// MaxEventBytes bounds one server-sent event.
+	MaxEventBytes = 1 << 20
+)
+
+var (
+	errSilent  = errors.New("stream brought nothing within the limit on silence")
+	errCrossed = errors.New("stream changed to another answer")
+)
+
+func isStream(response *http.Response) bool {
+	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// streamReader passes on the events of one answer over one or more connections.
+type streamReader struct {
+	sink gateway.AnswerSink
+	// events counts the data events passed on; a resume starts after them.
+	events int
+	tokens int
+	// answerID is the id that every chunk of the answer carries.
+	answerID string
+	// written marks a failure of the caller's side, which no resume can mend.
+	written error
+}
+
+func (s *Sender) readStream(ctx context.Context, d gateway.Dispatch, response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
+	result := gateway.DispatchResult{Outcome: gateway.DispatchBroken, Status: response.StatusCode}
+	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
+		return result
+	}
+	reader := &streamReader{sink: sink}
+	err := reader.read(response.Body)
+	for err != nil && reader.written == nil && !errors.Is(err, errCrossed) && result.Resumed < MaxResumes {
+		result.Resumed++
+		s.resumed.Add(1)
+		err = s.resume(ctx, d, reader)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	result.OutputTokens = reader.tokens
+	result.Err = err
+	if err == nil {
+		result.Outcome = gateway.DispatchWhole
+	}
+	if errors.Is(err, errCrossed) {
+		result.Outcome = gateway.DispatchCrossed
+	}
+	return result
+}
+
+// resume takes up a broken stream at the same engine after the events that were
+// passed on already. It is part of the same dispatch.
+func (s *Sender) resume(ctx context.Context, d gateway.Dispatch, reader *streamReader) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(ResumeInterval):
+	}
+	url := fmt.Sprintf("%s?after=%d", streamURL(d), reader.events)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("resume: %w", err)
+	}
+	response, err := s.fresh.Do(request)
+	if err != nil {
+		return fmt.Errorf("resume: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("resume: engine answered %s", response.Status)
+	}
+	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
+		return errCrossed
+	}
+	return reader.read(response.Body)
+}
+
+// read passes on events until the stream's end mark. It returns nil only then.
+func (r *streamReader) read(body io.ReadCloser) error {
+	silence := time.AfterFunc(StreamSilence, func() { _ = body.Close() })
+	defer silence.Stop()
+	lines := bufio.NewReaderSize(body, copyBuffer)
+	var event []byte
+	for {
+		line, err := lines.ReadSlice('\n')
+		if !silence.Stop() {
+			return errSilent
+		}
+		silence.Reset(StreamSilence)
+		event = append(event, line...)
+		if len(event) > MaxEventBytes {
+			return fmt.Errorf("event exceeds %d bytes", MaxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("stream cut after %d events: %w", r.events, err)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+			continue
+		}
+		done, err := r.event(event)
+		if done || err != nil {
+			return err
+		}
+		event = event[:0]
+	}
+}
+
+// event passes on one whole event. It reports whether it was the end mark.
+func (r *streamReader) event(event []byte) (bool, error) {
+	data, ok := eventData(event)
+	if !ok {
+		return false, r.write(event)
+	}
+	if string(data) == openai.DoneData {
+		return true, r.write(event)
+	}
+	if !r.matches(data) {
+		return false, errCrossed
+	}
+	if r.events == 0 {
+		r.sink.FirstToken()
+	}
+	if err := r.write(event); err != nil {
+		return false, err
+	}
+	r.events++
+	r.tokens++
+	return false, nil
+}
+
+func (r *streamReader) write(event []byte) error {
+	r.written = r.sink.Write(event)
+	return r.written
+}
+
+// matches reports whether a chunk belongs to the answer that the stream began.
+func (r *streamReader) matches(data []byte) bool {
+	var chunk struct {
+		ID string `json:"id"`
+	}
+	if json.Unmarshal(data, &chunk) != nil {
+		return false
+	}
+	if r.answerID == "" {
+		r.answerID = chunk.ID
+	}
+	return chunk.ID == r.answerID
+}
+
+// eventData returns the data of an event; comments have none.
+func eventData(event []byte) ([]byte, bool) {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			return bytes.TrimSpace(data), true
+		}
+	}
+	return nil, false
+}
