--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -29,9 +29,6 @@
 	HeaderUpstream = "X-Upstream"
 	// HeaderVersion names the version that ran the request.
 	HeaderVersion = "X-Upstream-Version"
-	// TrailerComplete is "true" after a whole answer and "false" after one
-	// that was cut short.
-	TrailerComplete = "X-Complete"
 )
 
 // PathAddresses answers GET with an AddressList.
--- /dev/null
+++ b/internal/transport/callerhttp/answer.go
@@ -0,0 +1,148 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+func (s *Server) serveAddresses(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.directory.Addresses())
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	id := newRequestID()
+	w.Header().Set(callerapi.HeaderRequestID, string(id))
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Time{})
+	parsed, refusal := s.parse(w, r, id, began)
+	if refusal != nil {
+		s.writeRefusal(w, id, refusal)
+		s.observer.Finished(parsed, refusal.Status(), refusal, time.Since(began))
+		return
+	}
+	sink := &sink{writer: w, control: control, stream: parsed.Stream}
+	result := s.handler.Serve(r.Context(), parsed, sink)
+	if result.Failure == nil {
+		s.observer.Finished(parsed, sink.status, nil, time.Since(began))
+		return
+	}
+	refusal = s.describe(parsed, result.Failure)
+	s.observer.Finished(parsed, refusal.Status(), refusal, time.Since(began))
+	if !result.Failure.Begun {
+		s.writeRefusal(w, id, refusal)
+		return
+	}
+	sink.abort(id, refusal)
+}
+
+// describe turns a failure into the caller's form.
+func (s *Server) describe(parsed *gateway.Request, f *gateway.Failure) *callerapi.RefusalError {
+	refusal := &callerapi.RefusalError{
+		Reason:            callerapi.Reason(f.Reason),
+		Message:           f.Message,
+		Outcome:           callerapi.MayHaveRun,
+		Tier:              parsed.Tier,
+		RetryAfterSeconds: f.RetryAfter.Seconds(),
+	}
+	if f.NotRun {
+		refusal.Outcome = callerapi.NotRun
+	}
+	if scheduler.Reason(f.Reason) == scheduler.ReasonCutOff || scheduler.Reason(f.Reason) == scheduler.ReasonDraining {
+		refusal.Addresses = s.otherAddresses()
+	}
+	return refusal
+}
+
+func (s *Server) otherAddresses() []string {
+	var addresses []string
+	for _, a := range s.directory.Addresses().Addresses {
+		addresses = append(addresses, a.Address)
+	}
+	return addresses
+}
+
+func (s *Server) writeRefusal(w http.ResponseWriter, id ident.RequestID, refusal *callerapi.RefusalError) {
+	refusal.RequestID = id
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(callerapi.HeaderOutcome, string(refusal.Outcome))
+	if refusal.RetryAfterSeconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfterSeconds))))
+	}
+	if closesConnection(refusal.Reason) {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(refusal.Status())
+	_ = json.NewEncoder(w).Encode(callerapi.Refusal{Error: *refusal})
+}
+
+// closesConnection tells refusals after which the rest of a body may still be
+// under way.
+func closesConnection(reason callerapi.Reason) bool {
+	return reason == callerapi.ReasonTooLarge || reason == callerapi.ReasonTooSlow
+}
+
+// sink writes an answer to a caller.
+type sink struct {
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	stream  bool
+	status  int
+}
+
+// Begin implements gateway.Sink.
+func (k *sink) Begin(h gateway.AnswerHeader) error {
+	k.status = h.Status
+	header := k.writer.Header()
+	header.Set("Content-Type", h.ContentType)
+	if h.Upstream != "" {
+		header.Set(callerapi.HeaderUpstream, string(h.Upstream))
+		header.Set(callerapi.HeaderVersion, string(h.Version))
+	}
+	if h.Replayed {
+		header.Set(callerapi.HeaderReplayed, "true")
+	}
+	k.writer.WriteHeader(h.Status)
+	return k.flush()
+}
+
+// Write implements gateway.Sink.
+func (k *sink) Write(part []byte) error {
+	_ = k.control.SetWriteDeadline(time.Now().Add(WriteTimeout))
+	if _, err := k.writer.Write(part); err != nil {
+		return fmt.Errorf("caller: %w", err)
+	}
+	return k.flush()
+}
+
+// flush sends a streamed part at once; other answers are left to the server's
+// own buffer, so that a short one gets a Content-Length.
+func (k *sink) flush() error {
+	if !k.stream {
+		return nil
+	}
+	return k.control.Flush()
+}
+
+// abort ends an answer that was cut short: an error event for readers of
+// streams, then a broken connection, which no caller can take for the end.
+func (k *sink) abort(id ident.RequestID, refusal *callerapi.RefusalError) {
+	refusal.RequestID = id
+	if k.stream {
+		body, _ := json.Marshal(callerapi.Refusal{Error: *refusal})
+		fmt.Fprintf(k.writer, "event: error\ndata: %s\n\n", body)
+		_ = k.control.Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/transport/callerhttp/listener.go
@@ -0,0 +1,68 @@
+package callerhttp
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	callerKeepAliveIdle  = 5 * time.Second
+	callerKeepAliveCount = 3
+)
+
+// limitListener closes connections above a limit at once, so that callers
+// learn of it instead of waiting in the kernel's queue.
+type limitListener struct {
+	net.Listener
+	limit    int64
+	open     atomic.Int64
+	rejected func()
+}
+
+func newLimitListener(l net.Listener, limit int, rejected func()) *limitListener {
+	return &limitListener{Listener: l, limit: int64(limit), rejected: rejected}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			setKeepAlive(conn)
+			return &limitedConn{Conn: conn, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.rejected()
+		_ = conn.Close()
+	}
+}
+
+func setKeepAlive(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     callerKeepAliveIdle,
+		Interval: callerKeepAliveIdle,
+		Count:    callerKeepAliveCount,
+	})
+}
+
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
