--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -11,9 +11,12 @@
 )
 
 const (
-	// OutcomePollInterval is the time between two looks at a claim that another
-	// gateway holds.
-	OutcomePollInterval = 25 * time.Millisecond
+	// OutcomeWait is how long one lookup waits for a claim that another gateway
+	// holds.
+	OutcomeWait = time.Second
+	// ReleasedRetryAfter is the advice to a caller whose first sending was
+	// released without having run.
+	ReleasedRetryAfter = 50 * time.Millisecond
 	// CommitTimeout bounds the committing of a release or an outcome.
 	CommitTimeout = 5 * time.Second
 	// CommitRetryInterval is the pause before a failed commit is tried again.
@@ -25,14 +28,21 @@
 // answerKnown answers a request whose key the ledger knows already, so that a
 // resend takes no place in the queue.
 func (g *Gateway) answerKnown(ctx context.Context, r *Request, sink Sink) (Result, bool) {
-	found, err := g.ledger.Lookup(ctx, g.claim(r))
+	_, found, err := g.ledger.Lookup(ctx, r.ledgerKey(), 0)
 	if err != nil {
 		return refusal(ReasonNoQuorum, "the request ledger can't be reached: "+err.Error(), time.Second), true
 	}
-	if found.Verdict == ledger.VerdictGranted {
+	if !found {
 		return Result{}, false
 	}
-	return g.resolve(ctx, r, found, sink), true
+	// The claim compares the digests. It is granted only if the earlier claim
+	// was released since.
+	r.attempt++
+	claimed, err := g.ledger.Claim(ctx, g.claim(r))
+	if err != nil || claimed.Verdict == ledger.VerdictGranted {
+		return g.claimUncertain(ctx, r), true
+	}
+	return g.claimRefused(ctx, r, claimed, sink), true
 }
 
 func (g *Gateway) claim(r *Request) ledger.Claim {
@@ -43,6 +53,7 @@
 		Gateway:     node,
 		Incarnation: incarnation,
 		Request:     r.ID,
+		Attempt:     r.attempt,
 	}
 }
 
@@ -54,6 +65,7 @@
 // before the claim is committed.
 func (g *Gateway) attemptClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, bool) {
 	r := d.Request
+	r.attempt++
 	claimCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 	defer cancel()
 	claimed, err := g.ledger.Claim(claimCtx, g.claim(r))
@@ -63,7 +75,7 @@
 	}
 	if claimed.Verdict != ledger.VerdictGranted {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
-		return g.resolve(claimCtx, r, claimed, sink), false
+		return g.claimRefused(claimCtx, r, claimed, sink), false
 	}
 	g.record(r, timeline.KindClaimed, r.Key)
 	if !placer.Begin(r.ID) {
@@ -98,6 +110,16 @@
 	return deliver(sink, header, recorded.Body), false
 }
 
+// claimRefused ends a request whose claim was not granted. A stale verdict may
+// hide an earlier copy of the claim that was granted, so it is released too.
+func (g *Gateway) claimRefused(ctx context.Context, r *Request, claimed ledger.ClaimResult, sink Sink) Result {
+	result := g.resolve(ctx, r, claimed, sink)
+	if claimed.Verdict == ledger.VerdictStale && !g.release(context.WithoutCancel(ctx), r) {
+		result.Failure.NotRun = false
+	}
+	return result
+}
+
 // claimUncertain ends a request whose claim may or may not stand. Nothing was
 // sent; "not run" is said only once the release is committed.
 func (g *Gateway) claimUncertain(ctx context.Context, r *Request) Result {
@@ -118,7 +140,7 @@
 
 func (g *Gateway) release(ctx context.Context, r *Request) bool {
 	return retryCommit(ctx, func(ctx context.Context) error {
-		return g.ledger.Release(ctx, ledger.Release{Key: r.ledgerKey(), Request: r.ID})
+		return g.ledger.Release(ctx, ledger.Release{Key: r.ledgerKey(), Request: r.ID, Attempt: r.attempt})
 	})
 }
 
@@ -133,16 +155,13 @@
 func retryCommit(ctx context.Context, commit func(context.Context) error) bool {
 	ctx, cancel := context.WithTimeout(ctx, CommitTimeout)
 	defer cancel()
-	for {
+	for ctx.Err() == nil {
 		if commit(ctx) == nil {
 			return true
 		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(CommitRetryInterval):
-		}
+		sleep(ctx, CommitRetryInterval)
 	}
+	return false
 }
 
 // resolve answers a request whose key has a claim already.
@@ -171,21 +190,25 @@
 
 // awaitOutcome waits until the claim's holder has recorded an outcome.
 func (g *Gateway) awaitOutcome(ctx context.Context, r *Request, sink Sink) Result {
-	for {
-		select {
-		case <-ctx.Done():
-			return Result{Failure: &Failure{Reason: ReasonTimeout, Message: "another sending of this request still runs", RetryAfter: time.Second}}
-		case <-time.After(OutcomePollInterval):
-		}
-		found, err := g.ledger.Lookup(ctx, g.claim(r))
+	for ctx.Err() == nil {
+		known, found, err := g.ledger.Lookup(ctx, r.ledgerKey(), OutcomeWait)
 		switch {
-		case err != nil || found.Verdict == ledger.VerdictRunning:
-		case found.Verdict == ledger.VerdictGranted:
-			return refusal(Reason(scheduler.ReasonUnsent), "the first sending was released without having run", OutcomePollInterval)
+		case err != nil || found && known.Verdict == ledger.VerdictRunning:
+			sleep(ctx, CommitRetryInterval)
+		case !found:
+			return refusal(Reason(scheduler.ReasonUnsent), "the first sending was released without having run", ReleasedRetryAfter)
 		default:
-			return g.resolve(ctx, r, found, sink)
+			return g.resolve(ctx, r, known, sink)
 		}
 	}
+	return Result{Failure: &Failure{Reason: ReasonTimeout, Message: "another sending of this request still runs", RetryAfter: time.Second}}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
 
 // resolveLost answers a request whose first outcome was lost: by the service's
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -45,6 +45,9 @@
 	PromptTokens int
 	OutputTokens int
 	Prefixes     []uint64
+
+	// attempt numbers the claims of the request.
+	attempt uint32
 }
 
 // AnswerHeader begins an answer.
@@ -168,9 +171,10 @@
 
 // Ledger reaches the replicated request ledger.
 type Ledger interface {
-	// Lookup reads the verdict that a claim would get; VerdictGranted stands
-	// for an unknown key.
-	Lookup(ctx context.Context, c ledger.Claim) (ledger.ClaimResult, error)
+	// Lookup reads what is known of a key. It waits up to wait for a running
+	// claim to end. Found is false when no claim holds the key. It does not
+	// compare digests; a claim does.
+	Lookup(ctx context.Context, k ledger.Key, wait time.Duration) (result ledger.ClaimResult, found bool, err error)
 	// Claim commits a claim. After an error the claim may or may not stand.
 	Claim(ctx context.Context, c ledger.Claim) (ledger.ClaimResult, error)
 	// Release gives back a claim of a request that was provably never sent.
