Daemon: the whole path on real sockets

Cause: the parts stood apart; nothing served a caller. Change: agent that assembles listeners, heartbeats, schedulers, gateway, control service and drain; pool runner with moves and load reports. The replicated state still stands in memory at one replica.

--- /dev/null
+++ b/internal/command/agent/agent.go
@@ -0,0 +1,226 @@
+// Package agent assembles the daemon of one node from its parts and runs it.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/nodeview"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/callerhttp"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+	"github.com/flamingohaven/flamingohaven/internal/transport/upstreamhttp"
+)
+
+// Listeners are bound sockets to use in place of the settings' addresses. Nil
+// fields are bound by New.
+type Listeners struct {
+	Caller   net.Listener
+	Internal net.Listener
+}
+
+// Agent is the daemon of one node.
+type Agent struct {
+	settings    settings.Settings
+	incarnation ident.Incarnation
+	events      *timeline.Recorder
+	view        *nodeview.View
+
+	calls   *rpcnet.Client
+	server  *rpcnet.Server
+	sender  *upstreamhttp.Sender
+	control *control.Client
+	gateway *gateway.Gateway
+	budget  *gateway.Budget
+	callers *callerhttp.Server
+	socket  net.Listener
+	replica *replica
+	pools   *pool.Service
+	metrics *metrics
+
+	draining atomic.Bool
+	drained  chan struct{}
+	drain    sync.Once
+
+	mu      sync.Mutex
+	clients map[ident.PoolName]*poolClient
+	runners map[ident.PoolName]*pool.Runner
+
+	cancel context.CancelFunc
+	ctx    context.Context
+	loops  sync.WaitGroup
+	fatal  chan error
+}
+
+type poolClient struct {
+	*pool.Client
+	cancel context.CancelFunc
+}
+
+// New binds the node's sockets and opens its data folder. Start makes it work.
+func New(s *settings.Settings, l Listeners) (*Agent, error) {
+	a := &Agent{
+		settings:    *s,
+		incarnation: ident.Incarnation(time.Now().UnixNano()),
+		view:        nodeview.New(),
+		calls:       rpcnet.NewClient(),
+		sender:      upstreamhttp.NewSender(),
+		pools:       pool.NewService(),
+		budget:      gateway.NewBudget(s.Limits.MaxWaitingBytes),
+		metrics:     newMetrics(),
+		drained:     make(chan struct{}),
+		clients:     make(map[ident.PoolName]*poolClient),
+		runners:     make(map[ident.PoolName]*pool.Runner),
+		fatal:       make(chan error, 1),
+	}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.events = timeline.NewRecorder(s.Node, &timeline.Clock{}, timeline.DefaultCapacity)
+	if err := a.bind(l); err != nil {
+		a.Kill()
+		return nil, err
+	}
+	a.control = control.NewClient(a.replicaCaller(), replicaIDs(s))
+	a.gateway = gateway.New(a, &ledgerClient{client: a.control}, a.sender, a.budget, a.events)
+	a.callers = callerhttp.New(callerLimits(s), a, a.gateway, a.metrics)
+	if err := a.register(); err != nil {
+		a.Kill()
+		return nil, err
+	}
+	return a, nil
+}
+
+func replicaIDs(s *settings.Settings) []ident.NodeID {
+	ids := make([]ident.NodeID, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+func callerLimits(s *settings.Settings) callerhttp.Limits {
+	return callerhttp.Limits{
+		MaxBodyBytes:      s.Limits.MaxBodyBytes,
+		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
+		MaxConnections:    s.Limits.MaxConnections,
+		MaxReadingBytes:   max(s.Limits.MaxWaitingBytes, s.Limits.MaxBodyBytes),
+		ReadHeaderTimeout: s.Limits.ReadHeaderTimeout,
+		ReadBodyTimeout:   s.Limits.ReadBodyTimeout,
+		IdleTimeout:       s.Limits.IdleTimeout,
+	}
+}
+
+func (a *Agent) bind(l Listeners) error {
+	var err error
+	if a.socket = l.Caller; a.socket == nil {
+		if a.socket, err = net.Listen("tcp", a.settings.CallerListen); err != nil {
+			return fmt.Errorf("caller listener: %w", err)
+		}
+	}
+	if l.Internal != nil {
+		a.server = rpcnet.NewServer(l.Internal)
+		return nil
+	}
+	a.server, err = rpcnet.Listen(a.settings.InternalListen)
+	return err
+}
+
+// register offers the node's services to the other nodes.
+func (a *Agent) register() error {
+	if err := a.server.Register(pool.ServiceName, a.pools); err != nil {
+		return err
+	}
+	if err := a.server.Register(nodeServiceName, &nodeService{agent: a}); err != nil {
+		return err
+	}
+	if !a.settings.IsReplica() {
+		return nil
+	}
+	var err error
+	a.replica, err = openReplica(a)
+	return err
+}
+
+// Start makes the node serve. It returns at once.
+func (a *Agent) Start() {
+	a.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: "started"})
+	klog.InfoS("node started", "node", a.settings.Node, "zone", a.settings.Zone,
+		"callers", a.socket.Addr(), "internal", a.server.Address(), "replica", a.settings.IsReplica())
+	if a.replica != nil {
+		a.replica.start(a)
+	}
+	a.loops.Go(a.server.Serve)
+	a.loops.Go(a.serveCallers)
+	a.loops.Go(a.heartbeatLoop)
+	a.loops.Go(a.leaseLoop)
+	if a.settings.PlatformURL != "" {
+		a.loops.Go(a.platformLoop)
+	}
+}
+
+func (a *Agent) serveCallers() {
+	if err := a.callers.Serve(a.socket); err != nil && a.ctx.Err() == nil {
+		a.fail(fmt.Errorf("caller listener: %w", err))
+	}
+}
+
+func (a *Agent) fail(err error) {
+	select {
+	case a.fatal <- err:
+	default:
+	}
+}
+
+// Fatal returns a channel that gets an error after which the node can't go on.
+func (a *Agent) Fatal() <-chan error { return a.fatal }
+
+// Run serves until ctx ends, then drains the node and stops it. It returns
+// early with the error after which the node can't go on.
+func (a *Agent) Run(ctx context.Context) error {
+	a.Start()
+	select {
+	case <-ctx.Done():
+		a.Drain()
+		<-a.drained
+		return nil
+	case <-a.drained:
+		return nil
+	case err := <-a.fatal:
+		a.Kill()
+		return err
+	}
+}
+
+// Kill stops the node at once, as a crash would.
+func (a *Agent) Kill() {
+	a.cancel()
+	if a.callers != nil {
+		_ = a.callers.Close()
+	}
+	if a.socket != nil {
+		_ = a.socket.Close()
+	}
+	if a.server != nil {
+		a.server.Close()
+	}
+	a.calls.Close()
+	a.sender.Close()
+	a.stopPools()
+	a.loops.Wait()
+	if a.replica != nil {
+		a.replica.kill()
+	}
+}
+
+// Node returns the node's name.
+func (a *Agent) Node() ident.NodeID { return a.settings.Node }
--- /dev/null
+++ b/internal/command/agent/cluster_test.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// testTimeout bounds every wait of a test.
+const testTimeout = 15 * time.Second
+
+// cluster is three nodes in one process, on real sockets, before two unlike
+// engines and a plain service.
+type cluster struct {
+	nodes    []*Agent
+	engines  []*fakes.Engine
+	service  *fakes.Service
+	platform *fakes.Platform
+	client   *http.Client
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{client: &http.Client{Timeout: testTimeout}}
+	c.startUpstreams(t)
+	var replicas []settings.Replica
+	var listeners []Listeners
+	for i := range 3 {
+		l := Listeners{Caller: listen(t), Internal: listen(t)}
+		listeners = append(listeners, l)
+		replicas = append(replicas, settings.Replica{ID: nodeID(i), Address: l.Internal.Addr().String()})
+	}
+	for i, l := range listeners {
+		node, err := New(testSettings(t, i, l, replicas, c.platform.Addr()), l)
+		must.NoError(t, err)
+		node.Start()
+		t.Cleanup(node.Kill)
+		c.nodes = append(c.nodes, node)
+	}
+	c.apply(t, c.configuration())
+	return c
+}
+
+func (c *cluster) startUpstreams(t *testing.T) {
+	t.Helper()
+	fast, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1"})
+	must.NoError(t, err)
+	slow, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1", StepBase: 6 * time.Millisecond})
+	must.NoError(t, err)
+	c.engines = []*fakes.Engine{fast, slow}
+	c.service, err = fakes.StartService(fakes.ServiceOptions{})
+	must.NoError(t, err)
+	c.platform, err = fakes.StartPlatform(fakes.PlatformOptions{})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		_ = fast.Close()
+		_ = slow.Close()
+		_ = c.service.Close()
+		_ = c.platform.Close()
+	})
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return l
+}
+
+func nodeID(i int) ident.NodeID {
+	return ident.NodeID(fmt.Sprintf("node-%d", i))
+}
+
+func testSettings(t *testing.T, i int, l Listeners, replicas []settings.Replica, platform string) *settings.Settings {
+	t.Helper()
+	return &settings.Settings{
+		Node:              nodeID(i),
+		Zone:              ident.Zone(fmt.Sprintf("zone-%d", i)),
+		CallerAdvertise:   l.Caller.Addr().String(),
+		InternalAdvertise: l.Internal.Addr().String(),
+		DataDir:           t.TempDir(),
+		Replicas:          replicas,
+		PlatformURL:       "http://" + platform,
+		AddressTTL:        200 * time.Millisecond,
+		Limits: settings.Limits{
+			MaxBodyBytes:      1 << 20,
+			MaxHeaderBytes:    16 << 10,
+			MaxConnections:    256,
+			MaxWaitingBytes:   16 << 20,
+			ReadHeaderTimeout: 2 * time.Second,
+			ReadBodyTimeout:   2 * time.Second,
+			IdleTimeout:       10 * time.Second,
+		},
+	}
+}
+
+func (c *cluster) configuration() string {
+	return fmt.Sprintf(`
+tiers:
+  patient: {rank: 1, deadline: 60s}
+  normal: {rank: 2, deadline: 20s}
+  urgent: {rank: 3, deadline: 5s}
+teams:
+  alpha: {shares: 2}
+  beta: {shares: 1}
+pools:
+  writer: {kind: engine, model: writer-8b, version: v1}
+  ledger: {kind: service, version: v1}
+upstreams:
+  fast: {pool: writer, version: v1, address: %q, max_concurrent: 8}
+  slow: {pool: writer, version: v1, address: %q, max_concurrent: 4}
+  entries: {pool: ledger, version: v1, address: %q, max_concurrent: 16}
+routes:
+  chat: {path: /v1/chat/completions, pool: writer, tier: normal, idempotent: true}
+  lookup: {path: /lookup, pool: ledger, tier: urgent, idempotent: true}
+  submit: {path: /submit, pool: ledger, tier: urgent, idempotent: false, status_path: /status}
+`, c.engines[0].Addr(), c.engines[1].Addr(), c.service.Addr())
+}
+
+// apply puts a configuration in force at all nodes.
+func (c *cluster) apply(t *testing.T, text string) {
+	t.Helper()
+	var revision ident.Revision
+	c.eventually(t, "a configuration base", func() bool {
+		reply, err := control.Call[control.ShowConfigReply](t.Context(), c.nodes[0].control, "ShowConfig", &control.ShowConfigArgs{})
+		revision = reply.Revision
+		return err == nil
+	})
+	args := &control.ApplyConfigArgs{
+		ID:    config.OperationID(uuid.NewString()),
+		Base:  revision,
+		Who:   "test",
+		Files: []config.File{{Name: "all.yaml", Data: []byte(text)}},
+	}
+	reply, err := control.Call[control.ApplyConfigReply](t.Context(), c.nodes[0].control, "ApplyConfig", args)
+	must.NoError(t, err)
+	must.SliceEmpty(t, reply.Mistakes)
+	c.eventually(t, "the revision at every node", func() bool {
+		for _, n := range c.nodes {
+			if _, have := n.view.Config(); have <= revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("waited in vain for %s", what)
+}
+
+// call is one caller request.
+type call struct {
+	method, path, body, key, route, team, deadline string
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (c *cluster) send(node int, r call) answer {
+	request, err := http.NewRequest(r.method, "http://"+c.nodes[node].settings.CallerAdvertise+r.path, strings.NewReader(r.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	team := r.team
+	if team == "" {
+		team = "alpha"
+	}
+	request.Header.Set(callerapi.HeaderTeam, team)
+	set := func(name, value string) {
+		if value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	set(callerapi.HeaderIdempotencyKey, r.key)
+	set(callerapi.HeaderRoute, r.route)
+	set(callerapi.HeaderDeadline, r.deadline)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), header: response.Header, err: err}
+}
+
+func newKey() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
--- /dev/null
+++ b/internal/command/agent/environment.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Fresh implements gateway.Environment.
+func (a *Agent) Fresh() bool {
+	return a.view.Fresh(time.Now())
+}
+
+// Placer implements gateway.Environment.
+func (a *Agent) Placer(name ident.PoolName) gateway.Placer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c := a.clients[name]; c != nil {
+		return c.Client
+	}
+	return nil
+}
+
+// Upstream implements gateway.Environment.
+func (a *Agent) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
+	return a.view.Upstream(name)
+}
+
+// PoolUpstreams implements gateway.Environment.
+func (a *Agent) PoolUpstreams(name ident.PoolName) []gateway.Target {
+	cfg, _ := a.view.Config()
+	var targets []gateway.Target
+	for upstream, u := range cfg.Upstreams {
+		if u.Pool == name {
+			targets = append(targets, gateway.Target{Name: upstream, Upstream: u})
+		}
+	}
+	slices.SortFunc(targets, func(a, b gateway.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return targets
+}
+
+// Identity implements gateway.Environment.
+func (a *Agent) Identity() (ident.NodeID, ident.Incarnation) {
+	return a.settings.Node, a.incarnation
+}
+
+// Routes implements callerhttp.Directory.
+func (a *Agent) Routes() *routing.Table {
+	return a.view.Routes()
+}
+
+// Team implements callerhttp.Directory.
+func (a *Agent) Team(name ident.TeamName) (config.Team, bool) {
+	return a.view.Team(name)
+}
+
+// Addresses implements callerhttp.Directory.
+func (a *Agent) Addresses() callerapi.AddressList {
+	list := callerapi.AddressList{TTLSeconds: a.settings.AddressTTL.Seconds()}
+	for _, n := range a.view.Entries(a.settings.Zone) {
+		list.Addresses = append(list.Addresses, callerapi.Address{Node: n.ID, Address: n.CallerAddress, Zone: n.Zone})
+	}
+	return list
+}
--- a/internal/coordination/nodeview/nodeview.go
+++ b/internal/coordination/nodeview/nodeview.go
@@ -4,6 +4,7 @@
 package nodeview
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -158,11 +159,14 @@
 	return v.loads
 }
 
-// SetLeaving replaces the addresses of the upstreams that get no new work.
-func (v *View) SetLeaving(addresses map[string]struct{}) {
+// SetLeaving replaces the addresses of the upstreams that get no new work. It
+// reports whether they changed.
+func (v *View) SetLeaving(addresses map[string]struct{}) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	changed := !maps.Equal(v.leaving, addresses)
 	v.leaving = addresses
+	return changed
 }
 
 // Leaving reports whether the upstream at address gets no new work.
--- /dev/null
+++ b/internal/coordination/pool/runner.go
@@ -0,0 +1,297 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/moves"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/nodeview"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+const (
+	// MoveInterval is the time between two looks at the moves of a pool.
+	MoveInterval = 100 * time.Millisecond
+	// ReportInterval is the time between two load reports of one engine.
+	ReportInterval = 500 * time.Millisecond
+	// ReportTimeout bounds the asking for one report.
+	ReportTimeout = 2 * time.Second
+	// CommitTimeout bounds the committing of one record of a move.
+	CommitTimeout = 3 * time.Second
+)
+
+// Reports asks engines about themselves.
+type Reports interface {
+	// Load returns an engine's load report.
+	Load(ctx context.Context, name ident.UpstreamName, u config.Upstream) (scheduler.LoadReport, error)
+	// Cache returns an engine's cache events after a sequence number.
+	Cache(ctx context.Context, name ident.UpstreamName, u config.Upstream, after uint64) ([]scheduler.CacheEvent, error)
+}
+
+// MoveLog commits records of moves.
+type MoveLog interface {
+	// CommitMove returns the record that stands after the call.
+	CommitMove(ctx context.Context, r move.Record) (move.Record, error)
+}
+
+// Runner runs one pool on the node that holds its lease: the scheduler, the
+// moves of versions, and the reports of the engines.
+type Runner struct {
+	master  *Master
+	view    *nodeview.View
+	reports Reports
+	log     MoveLog
+	events  *timeline.Recorder
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	refresh chan struct{}
+
+	mu      sync.Mutex
+	set     *moves.Set
+	samples sampler
+	polled  map[ident.UpstreamName]context.CancelFunc
+}
+
+// Dependencies are what a Runner uses.
+type Dependencies struct {
+	View    *nodeview.View
+	Reports Reports
+	Moves   MoveLog
+	Events  *timeline.Recorder
+}
+
+// StartRunner starts to schedule a pool under a lease.
+func StartRunner(l lease.Pool, d Dependencies) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg, revision := d.View.Config()
+	options := moves.Options{Epoch: l.Epoch, Routes: routeCount(&cfg, l.Pool)}
+	r := &Runner{
+		view:    d.View,
+		reports: d.Reports,
+		log:     d.Moves,
+		events:  d.Events,
+		cancel:  cancel,
+		refresh: make(chan struct{}, 1),
+		set:     moves.NewSet(l.Pool, options, recordsOf(d.View)),
+		samples: newSampler(),
+		polled:  make(map[ident.UpstreamName]context.CancelFunc),
+	}
+	r.set.Configure(cfg, revision, time.Now())
+	build := func(now time.Duration) scheduler.Scheduler {
+		return scheduler.New(l.Epoch, d.View.SchedulerView(l.Pool, r.set.Shares()), now)
+	}
+	r.master = NewMaster(l.Pool, l.Epoch, build, r)
+	r.done.Go(func() { r.run(ctx) })
+	r.Update()
+	return r
+}
+
+func recordsOf(v *nodeview.View) []move.Record {
+	var records []move.Record
+	for _, r := range v.Members().Moves {
+		records = append(records, r)
+	}
+	return records
+}
+
+func routeCount(c *config.Config, pool ident.PoolName) int {
+	n := 0
+	for _, route := range c.Routes {
+		if route.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// Master returns the pool's scheduler.
+func (r *Runner) Master() *Master { return r.master }
+
+// Stop ends the scheduling; nothing is granted after it returns.
+func (r *Runner) Stop() {
+	r.master.Stop()
+	r.cancel()
+	r.done.Wait()
+}
+
+// Update takes in a changed node view.
+func (r *Runner) Update() {
+	cfg, revision := r.view.Config()
+	r.mu.Lock()
+	r.set.Configure(cfg, revision, time.Now())
+	r.set.SetReadiness(readiness(&cfg, r.view, r.master.Pool()), time.Now())
+	r.mu.Unlock()
+	r.setView()
+	r.pollUpstreams(&cfg)
+}
+
+func (r *Runner) setView() {
+	r.mu.Lock()
+	shares := r.set.Shares()
+	r.mu.Unlock()
+	r.master.SetView(r.view.SchedulerView(r.master.Pool(), shares))
+}
+
+// readiness tells which versions of the pool have upstreams that may serve.
+func readiness(c *config.Config, v *nodeview.View, pool ident.PoolName) []moves.Readiness {
+	byVersion := make(map[ident.VersionName]*moves.Readiness)
+	for _, u := range c.Upstreams {
+		if u.Pool != pool || v.Leaving(u.Address) {
+			continue
+		}
+		ready := byVersion[u.Version]
+		if ready == nil {
+			ready = &moves.Readiness{Version: u.Version}
+			byVersion[u.Version] = ready
+		}
+		ready.Ready++
+		ready.Capacity += u.MaxConcurrent
+	}
+	list := make([]moves.Readiness, 0, len(byVersion))
+	for _, ready := range byVersion {
+		list = append(list, *ready)
+	}
+	return list
+}
+
+func (r *Runner) run(ctx context.Context) {
+	ticker := time.NewTicker(MoveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.refresh:
+			r.setView()
+		case <-ticker.C:
+			r.tickMoves(ctx)
+		}
+	}
+}
+
+// tickMoves commits what the moves ask for.
+func (r *Runner) tickMoves(ctx context.Context) {
+	r.mu.Lock()
+	records := r.set.Tick(time.Now())
+	r.mu.Unlock()
+	for _, record := range records {
+		r.commit(ctx, record)
+	}
+}
+
+func (r *Runner) commit(ctx context.Context, record move.Record) {
+	ctx, cancel := context.WithTimeout(ctx, CommitTimeout)
+	defer cancel()
+	committed, err := r.log.CommitMove(ctx, record)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.set.Committed(committed, time.Now())
+	events := r.set.Events()
+	r.mu.Unlock()
+	r.setView()
+	for _, e := range events {
+		r.events.Record(timeline.Event{
+			Kind:   timeline.KindMove,
+			Move:   e.Move,
+			Pool:   e.Pool,
+			Detail: describeMove(e),
+		})
+	}
+}
+
+// Granted implements Observer.
+func (r *Runner) Granted(t scheduler.Ticket, g scheduler.Grant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.samples.granted(t, g)
+}
+
+// Reported implements Observer. It runs under the master's lock, so a changed
+// share reaches the scheduler through the refresh channel.
+func (r *Runner) Reported(report scheduler.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sample, ok := r.samples.reported(report)
+	if !ok {
+		return
+	}
+	before := r.set.Shares()
+	r.set.Observe(sample, time.Now())
+	if !slices.Equal(before, r.set.Shares()) {
+		select {
+		case r.refresh <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// pollUpstreams starts and stops the asking for reports.
+func (r *Runner) pollUpstreams(c *config.Config) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.master.Stopped() || c.Pools[r.master.Pool()].Kind != config.KindEngine {
+		return
+	}
+	for name, stop := range r.polled {
+		if u, ok := c.Upstreams[name]; !ok || u.Pool != r.master.Pool() {
+			stop()
+			delete(r.polled, name)
+		}
+	}
+	for name, u := range c.Upstreams {
+		if _, polling := r.polled[name]; polling || u.Pool != r.master.Pool() {
+			continue
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		r.polled[name] = stop
+		r.done.Go(func() { r.poll(ctx, name) })
+	}
+}
+
+// poll asks one engine for its reports until ctx or the runner ends.
+func (r *Runner) poll(ctx context.Context, name ident.UpstreamName) {
+	ticker := time.NewTicker(ReportInterval)
+	defer ticker.Stop()
+	var after uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.master.stop:
+			return
+		case <-ticker.C:
+			after = r.ask(ctx, name, after)
+		}
+	}
+}
+
+func (r *Runner) ask(ctx context.Context, name ident.UpstreamName, after uint64) uint64 {
+	cfg, _ := r.view.Config()
+	u, ok := cfg.Upstreams[name]
+	if !ok {
+		return after
+	}
+	ctx, cancel := context.WithTimeout(ctx, ReportTimeout)
+	defer cancel()
+	if load, err := r.reports.Load(ctx, name, u); err == nil {
+		r.master.Load(load)
+	}
+	events, err := r.reports.Cache(ctx, name, u, after)
+	if err != nil {
+		return after
+	}
+	for _, e := range events {
+		r.master.Cache(e)
+		after = max(after, e.Sequence)
+	}
+	return after
+}
--- /dev/null
+++ b/internal/coordination/pool/sample.go
@@ -0,0 +1,91 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/moves"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// sampler turns the reports on granted requests into samples for the moves.
+type sampler struct {
+	open    map[ident.RequestID]*observed
+	running map[ident.UpstreamName]int
+	peak    map[ident.UpstreamName]int
+}
+
+type observed struct {
+	sample     moves.Sample
+	firstToken time.Duration
+}
+
+func newSampler() sampler {
+	return sampler{
+		open:    make(map[ident.RequestID]*observed),
+		running: make(map[ident.UpstreamName]int),
+		peak:    make(map[ident.UpstreamName]int),
+	}
+}
+
+func (s *sampler) granted(t scheduler.Ticket, g scheduler.Grant) {
+	if s.open[t.ID] != nil {
+		return
+	}
+	s.running[g.Upstream]++
+	s.peak[g.Upstream] = max(s.peak[g.Upstream], s.running[g.Upstream])
+	s.open[t.ID] = &observed{sample: moves.Sample{
+		Route:        t.Route,
+		Version:      g.Version,
+		Upstream:     g.Upstream,
+		Idempotent:   t.Idempotent,
+		PromptTokens: t.PromptTokens,
+		Load:         float64(s.running[g.Upstream]) / float64(s.peak[g.Upstream]),
+	}}
+}
+
+// reported returns a sample when the report ends a request that ran.
+func (s *sampler) reported(r scheduler.Report) (moves.Sample, bool) {
+	o := s.open[r.Ticket]
+	if o == nil {
+		return moves.Sample{}, false
+	}
+	switch r.Kind {
+	case scheduler.ReportFirstToken:
+		o.firstToken = r.Elapsed
+		return moves.Sample{}, false
+	case scheduler.ReportDispatched:
+		return moves.Sample{}, false
+	}
+	delete(s.open, r.Ticket)
+	s.running[o.sample.Upstream]--
+	return o.finish(r)
+}
+
+func (o *observed) finish(r scheduler.Report) (moves.Sample, bool) {
+	switch r.Kind {
+	case scheduler.ReportEnded:
+		o.sample.FirstToken = o.firstToken
+		if o.firstToken == 0 {
+			o.sample.FirstToken = r.Elapsed
+		}
+		if r.OutputTokens > 1 {
+			o.sample.PerToken = (r.Elapsed - o.firstToken) / time.Duration(r.OutputTokens-1)
+		}
+		return o.sample, true
+	case scheduler.ReportFailed, scheduler.ReportUnknown:
+		o.sample.Failed = true
+		return o.sample, true
+	default:
+		return moves.Sample{}, false
+	}
+}
+
+func describeMove(e moves.Event) string {
+	text := fmt.Sprintf("%s to %s at share %.3f", e.From, e.To, e.Share)
+	if e.Reason == "" {
+		return text
+	}
+	return text + ": " + e.Reason
+}
