Operators' HTTP edge and its client

Cause: operators drive the system through commands; they need a listener of their own that callers cannot use. Conclusion: the commands can use it; metrics are handed in as a handler.

--- /dev/null
+++ b/internal/transport/opshttp/client.go
@@ -0,0 +1,185 @@
+package opshttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+const (
+	// clientTimeout bounds one try of a call; it exceeds callTimeout.
+	clientTimeout = 15 * time.Second
+	clientDial    = time.Second
+	// clientPause is the pause before the next round over the addresses.
+	clientPause = 300 * time.Millisecond
+	// clientRounds bounds how often every address is tried.
+	clientRounds = 3
+)
+
+// Client calls the operators' edges of one or more nodes. All calls may be sent
+// again unchanged, so that it tries the next node when one gives no answer.
+type Client struct {
+	addresses []string
+	token     string
+	http      *http.Client
+}
+
+// NewClient returns a client of the operators' listeners at the addresses.
+func NewClient(addresses []string, token string) *Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: clientDial}).DialContext}
+	return &Client{
+		addresses: addresses,
+		token:     token,
+		http:      &http.Client{Transport: transport, Timeout: clientTimeout},
+	}
+}
+
+// Apply replaces the configuration.
+func (c *Client) Apply(ctx context.Context, request *opsapi.ApplyRequest) (*opsapi.ApplyReply, error) {
+	return send[opsapi.ApplyReply](ctx, c, http.MethodPost, opsapi.PathConfig, request)
+}
+
+// Config returns the present configuration.
+func (c *Client) Config(ctx context.Context) (*opsapi.ConfigReply, error) {
+	return send[opsapi.ConfigReply](ctx, c, http.MethodGet, opsapi.PathConfig, nil)
+}
+
+// History returns the latest accepted configurations.
+func (c *Client) History(ctx context.Context, limit int) (*opsapi.HistoryReply, error) {
+	path := opsapi.PathHistory + "?limit=" + strconv.Itoa(limit)
+	return send[opsapi.HistoryReply](ctx, c, http.MethodGet, path, nil)
+}
+
+// Status returns the state of the system.
+func (c *Client) Status(ctx context.Context) (*opsapi.StatusReply, error) {
+	return send[opsapi.StatusReply](ctx, c, http.MethodGet, opsapi.PathStatus, nil)
+}
+
+// Moves returns all moves.
+func (c *Client) Moves(ctx context.Context) (*opsapi.MovesReply, error) {
+	return send[opsapi.MovesReply](ctx, c, http.MethodGet, opsapi.PathMoves, nil)
+}
+
+// Timeline returns the latest events that the filter selects.
+func (c *Client) Timeline(ctx context.Context, f timeline.Filter, limit int) (*opsapi.TimelineReply, error) {
+	query := url.Values{}
+	query.Set("request", string(f.Request))
+	query.Set("move", string(f.Move))
+	query.Set("node", string(f.Node))
+	query.Set("pool", string(f.Pool))
+	query.Set("limit", strconv.Itoa(limit))
+	return send[opsapi.TimelineReply](ctx, c, http.MethodGet, opsapi.PathTimeline+"?"+query.Encode(), nil)
+}
+
+// Drain asks a node to leave.
+func (c *Client) Drain(ctx context.Context, node ident.NodeID) (*opsapi.DrainReply, error) {
+	return send[opsapi.DrainReply](ctx, c, http.MethodPost, opsapi.PathDrain, &opsapi.DrainRequest{Node: node})
+}
+
+// Addresses returns the nodes that callers should use.
+func (c *Client) Addresses(ctx context.Context) (*callerapi.AddressList, error) {
+	return send[callerapi.AddressList](ctx, c, http.MethodGet, callerapi.PathAddresses, nil)
+}
+
+// send tries a call at every address in turn. Its error tells whether the call
+// may have taken effect.
+func send[R any](ctx context.Context, c *Client, method, path string, request any) (*R, error) {
+	var body []byte
+	if request != nil {
+		var err error
+		if body, err = json.Marshal(request); err != nil {
+			return nil, fmt.Errorf("encode the call: %w", err)
+		}
+	}
+	var last *opsapi.Error
+	for round := range clientRounds {
+		if round > 0 && !pause(ctx) {
+			break
+		}
+		for _, address := range c.addresses {
+			reply := new(R)
+			failed := c.try(ctx, method, "http://"+address+path, body, reply)
+			if failed == nil {
+				return reply, nil
+			}
+			if failed.Code != opsapi.CodeUnavailable && failed.Code != opsapi.CodeUncertain {
+				return nil, failed
+			}
+			if last != nil && last.Code == opsapi.CodeUncertain {
+				failed.Code = opsapi.CodeUncertain
+			}
+			last = failed
+		}
+	}
+	if last == nil {
+		last = &opsapi.Error{Code: opsapi.CodeUnavailable, Message: "no operators' address to call"}
+	}
+	return nil, last
+}
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(clientPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (c *Client) try(ctx context.Context, method, target string, body []byte, reply any) *opsapi.Error {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return &opsapi.Error{Code: opsapi.CodeBadRequest, Message: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return transportError(method, err)
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return transportError(method, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp.StatusCode, content)
+	}
+	if err := json.Unmarshal(content, reply); err != nil {
+		return transportError(method, err)
+	}
+	return nil
+}
+
+// transportError tells a call that never left, or that changes nothing, from
+// one whose outcome is unknown.
+func transportError(method string, err error) *opsapi.Error {
+	var op *net.OpError
+	dialing := errors.As(err, &op) && op.Op == "dial"
+	if dialing || method == http.MethodGet {
+		return &opsapi.Error{Code: opsapi.CodeUnavailable, Message: err.Error()}
+	}
+	return &opsapi.Error{Code: opsapi.CodeUncertain, Message: err.Error()}
+}
+
+func statusError(status int, content []byte) *opsapi.Error {
+	var failed opsapi.Error
+	if err := json.Unmarshal(content, &failed); err != nil || failed.Code == "" {
+		failed = opsapi.Error{Code: opsapi.CodeBadRequest, Message: fmt.Sprintf("unexpected answer with status %d", status)}
+	}
+	return &failed
+}
--- /dev/null
+++ b/internal/transport/opshttp/control.go
@@ -0,0 +1,38 @@
+package opshttp
+
+import (
+	"context"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Control implements the calls of Backend that go to the leader.
+type Control struct {
+	Client *control.Client
+}
+
+// ApplyConfig replaces the configuration.
+func (c Control) ApplyConfig(ctx context.Context, args *control.ApplyConfigArgs) (control.ApplyConfigReply, error) {
+	return control.Call[control.ApplyConfigReply](ctx, c.Client, "ApplyConfig", args)
+}
+
+// ShowConfig returns the present configuration.
+func (c Control) ShowConfig(ctx context.Context) (control.ShowConfigReply, error) {
+	return control.Call[control.ShowConfigReply](ctx, c.Client, "ShowConfig", &control.ShowConfigArgs{})
+}
+
+// History returns the latest accepted changes.
+func (c Control) History(ctx context.Context, limit int) (control.HistoryReply, error) {
+	return control.Call[control.HistoryReply](ctx, c.Client, "History", &control.HistoryArgs{Limit: limit})
+}
+
+// Status returns the state of the system.
+func (c Control) Status(ctx context.Context) (control.StatusReply, error) {
+	return control.Call[control.StatusReply](ctx, c.Client, "Status", &control.StatusArgs{})
+}
+
+// Drain marks a node as draining.
+func (c Control) Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error) {
+	return control.Call[control.DrainReply](ctx, c.Client, "Drain", &control.DrainArgs{Node: node})
+}
--- /dev/null
+++ b/internal/transport/opshttp/server.go
@@ -0,0 +1,165 @@
+// Package opshttp is the operators' HTTP edge: a listener of its own with JSON
+// calls under a bearer token, metrics and health checks, and the client that
+// the commands use.
+package opshttp
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+// Backend is what the edge needs of its node. Errors wrap
+// control.ErrUnavailable or control.ErrUncertain where they apply.
+type Backend interface {
+	ApplyConfig(ctx context.Context, args *control.ApplyConfigArgs) (control.ApplyConfigReply, error)
+	ShowConfig(ctx context.Context) (control.ShowConfigReply, error)
+	History(ctx context.Context, limit int) (control.HistoryReply, error)
+	Status(ctx context.Context) (control.StatusReply, error)
+	Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error)
+	// Timeline returns the merged events of all nodes, and the nodes that did
+	// not answer.
+	Timeline(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.NodeID)
+	// Addresses returns the nodes that callers should use.
+	Addresses() callerapi.AddressList
+	// Ready returns nil while the node takes callers' requests, else the cause.
+	Ready() error
+}
+
+// Bounds of the operators' listener.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = time.Minute
+	// maxBody bounds an apply, in bytes; JSON takes more room than the files.
+	maxBody = 40 << 20
+	// callTimeout bounds one call. It exceeds the longest wait of an apply.
+	callTimeout = 13 * time.Second
+)
+
+// Server is the operators' edge.
+type Server struct {
+	backend Backend
+	token   [sha256.Size]byte
+	http    *http.Server
+}
+
+// New returns a server that does not listen yet. Token is what operators
+// present. Metrics answers PathMetrics.
+func New(backend Backend, token string, metrics http.Handler) *Server {
+	s := &Server{backend: backend, token: sha256.Sum256([]byte(token))}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+opsapi.PathConfig, s.authorized(s.showConfig))
+	mux.HandleFunc("POST "+opsapi.PathConfig, s.authorized(s.applyConfig))
+	mux.HandleFunc("GET "+opsapi.PathHistory, s.authorized(s.history))
+	mux.HandleFunc("GET "+opsapi.PathStatus, s.authorized(s.status))
+	mux.HandleFunc("GET "+opsapi.PathMoves, s.authorized(s.moves))
+	mux.HandleFunc("GET "+opsapi.PathTimeline, s.authorized(s.timeline))
+	mux.HandleFunc("POST "+opsapi.PathDrain, s.authorized(s.drain))
+	mux.HandleFunc("GET "+callerapi.PathAddresses, s.authorized(s.addresses))
+	mux.HandleFunc("GET "+opsapi.PathHealth, s.health)
+	mux.HandleFunc("GET "+opsapi.PathReady, s.ready)
+	mux.Handle("GET "+opsapi.PathMetrics, metrics)
+	s.http = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return s
+}
+
+// Serve accepts operators until Shutdown or Close.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Shutdown stops accepting and waits until every call has its answer.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+// Close breaks all connections.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// call is a handler that returns its answer or an error.
+type call func(ctx context.Context, r *http.Request) (any, error)
+
+// authorized checks the token in constant time before the call runs.
+func (s *Server) authorized(run call) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		given, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(given))
+		if subtle.ConstantTimeCompare(sum[:], s.token[:]) != 1 || !found {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, &opsapi.Error{Code: opsapi.CodeUnauthorized, Message: "the operators' token is missing or wrong"})
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		reply, err := run(ctx, r)
+		if err != nil {
+			writeError(w, asError(err))
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	}
+}
+
+// asError gives an error its code.
+func asError(err error) *opsapi.Error {
+	var known *opsapi.Error
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.Is(err, control.ErrUncertain):
+		return &opsapi.Error{Code: opsapi.CodeUncertain, Message: err.Error()}
+	default:
+		return &opsapi.Error{Code: opsapi.CodeUnavailable, Message: err.Error()}
+	}
+}
+
+func badRequest(message string) *opsapi.Error {
+	return &opsapi.Error{Code: opsapi.CodeBadRequest, Message: message}
+}
+
+func writeError(w http.ResponseWriter, err *opsapi.Error) {
+	writeJSON(w, err.Code.Status(), err)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.backend.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
--- /dev/null
+++ b/internal/transport/opshttp/statecalls.go
@@ -0,0 +1,122 @@
+package opshttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+// defaultEvents is the number of events that a call without a limit gets.
+const defaultEvents = 1000
+
+func (s *Server) status(ctx context.Context, _ *http.Request) (any, error) {
+	reply, err := s.backend.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return statusReply(&reply), nil
+}
+
+func statusReply(r *control.StatusReply) *opsapi.StatusReply {
+	out := &opsapi.StatusReply{
+		Leader:        r.Leader,
+		Term:          r.Term,
+		Index:         r.Index,
+		Revision:      r.Revision,
+		Moves:         moves(r.Moves),
+		LedgerEntries: r.LedgerEntries,
+		LedgerBytes:   r.LedgerBytes,
+	}
+	for _, n := range r.Nodes {
+		out.Nodes = append(out.Nodes, opsapi.Node{
+			Node:            n.ID,
+			Zone:            n.Zone,
+			CallerAddress:   n.CallerAddress,
+			InternalAddress: n.InternalAddress,
+			Draining:        n.Draining,
+			Revision:        n.Revision,
+			Load:            n.Load,
+			SilentSeconds:   n.Silent.Seconds(),
+		})
+	}
+	for _, p := range r.Pools {
+		out.Pools = append(out.Pools, opsapi.Pool{Pool: p.Pool, Scheduler: p.Holder, Epoch: p.Epoch})
+	}
+	for _, o := range r.OpenOrders {
+		out.Orders = append(out.Orders, opsapi.Order{
+			Upstream: o.Upstream, Kind: string(o.Kind), Subject: o.Subject, Fence: uint64(o.Number),
+		})
+	}
+	return out
+}
+
+func moves(records []move.Record) []opsapi.Move {
+	var out []opsapi.Move
+	for _, m := range records {
+		out = append(out, opsapi.Move{
+			Name:               m.Name,
+			Pool:               m.Pool,
+			From:               m.From,
+			To:                 m.To,
+			State:              m.State,
+			Share:              m.Share,
+			NonIdempotentShare: m.NonIdempotentShare,
+			Reason:             m.Reason,
+			At:                 m.At,
+		})
+	}
+	return out
+}
+
+func (s *Server) moves(ctx context.Context, _ *http.Request) (any, error) {
+	reply, err := s.backend.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &opsapi.MovesReply{Moves: moves(reply.Moves)}, nil
+}
+
+func (s *Server) timeline(ctx context.Context, r *http.Request) (any, error) {
+	limit, err := limitOf(r, defaultEvents)
+	if err != nil {
+		return nil, err
+	}
+	events, missing := s.backend.Timeline(ctx, timeline.Filter{
+		Request: ident.RequestID(r.FormValue("request")),
+		Move:    ident.MoveName(r.FormValue("move")),
+		Node:    ident.NodeID(r.FormValue("node")),
+		Pool:    ident.PoolName(r.FormValue("pool")),
+	})
+	if len(events) > limit {
+		events = events[len(events)-limit:]
+	}
+	return &opsapi.TimelineReply{Events: events, Missing: missing}, nil
+}
+
+func (s *Server) drain(ctx context.Context, r *http.Request) (any, error) {
+	var request opsapi.DrainRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.Node == "" {
+		return nil, badRequest("a drain needs the name of a node")
+	}
+	reply, err := s.backend.Drain(ctx, request.Node)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Refusal != "" {
+		message := fmt.Sprintf("node %q cannot be drained: %s", request.Node, reply.Refusal)
+		return nil, &opsapi.Error{Code: opsapi.CodeNotFound, Message: message}
+	}
+	return &opsapi.DrainReply{Node: request.Node}, nil
+}
+
+func (s *Server) addresses(context.Context, *http.Request) (any, error) {
+	list := s.backend.Addresses()
+	return &list, nil
+}
