Predict answer lengths per route, refuse only what even a short answer misses

Cause: all refusals of urgent work at 90 and 150% load were requests whose length the gateway had overestimated. Change: a regression of actual on estimated length per route; admission uses the length that one answer in ten stays below, placement the expected one.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -4,24 +4,28 @@
 
 // admit returns the reason to refuse a new ticket at once, or none.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
-	e.service = p.estimate(e)
+	p.estimate(e)
 	if !p.serviceable() {
 		return ReasonNoUpstream
 	}
-	if now+p.wait(e)+e.service > e.deadline {
+	if e.hopeless(p.wait(e), now) {
 		return ReasonDeadline
 	}
 	return ""
 }
 
-// estimate is the expected service time of a ticket on an upstream of the pool
-// at its usual load.
-func (p *Pool) estimate(e *entry) time.Duration {
+// estimate sets the expected service time of a ticket on an upstream of the
+// pool at its usual load.
+func (p *Pool) estimate(e *entry) {
 	batch := 1
 	if n := len(p.engines); n > 0 {
 		batch = 1 + p.running/n
 	}
-	return p.speed.service(float64(e.ticket.PromptTokens), e.ticket.OutputTokens, batch)
+	output, short := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
+	prompt := float64(e.ticket.PromptTokens)
+	e.output = output
+	e.service = p.speed.service(prompt, output, batch)
+	e.shortest = p.speed.service(prompt, short, batch)
 }
 
 // serviceable tells whether any upstream takes new work.
@@ -101,7 +105,7 @@
 	for _, q := range p.tiers {
 		for _, t := range q.active {
 			for _, e := range t.entries {
-				if e.latestStart() < now {
+				if e.hopeless(0, now) {
 					late = append(late, e)
 				}
 			}
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -23,8 +23,12 @@
 	state  entryState
 	// deadline is the ticket's deadline on the pool's clock.
 	deadline time.Duration
-	// service is the estimated time from dispatch to the end of the answer.
-	service time.Duration
+	// output is the predicted number of output tokens.
+	output int
+	// service is the estimated time from dispatch to the end of the answer,
+	// shortest that of an answer as short as one in ten.
+	service  time.Duration
+	shortest time.Duration
 	queue   *teamQueue
 	index   int
 
@@ -47,6 +51,11 @@
 	return e.deadline - e.service
 }
 
+// hopeless tells whether even a short answer would miss the deadline after a wait.
+func (e *entry) hopeless(wait, now time.Duration) bool {
+	return now+wait+e.shortest > e.deadline
+}
+
 // holdsSlot tells whether the ticket occupies a slot of an upstream.
 func (e *entry) holdsSlot() bool {
 	return e.state == stateGranted || e.state == stateRunning
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -100,7 +100,7 @@
 // expect estimates the time to complete the ticket on the upstream.
 func (g *engine) expect(e *entry, now time.Duration) time.Duration {
 	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + float64(e.ticket.PromptTokens)
-	return g.speed.service(tokens, e.ticket.OutputTokens, g.used()+1)
+	return g.speed.service(tokens, e.output, g.used()+1)
 }
 
 // grant gives a slot to a ticket that is in no queue.
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -26,6 +26,7 @@
 	engines  map[ident.UpstreamName]*engine
 	versions map[ident.VersionName][]*engine
 	speed    speed
+	outputs  outputs
 	shares   shareKeeper
 
 	timers    timers
@@ -46,6 +47,7 @@
 		entries:    make(map[ident.RequestID]*entry),
 		engines:    make(map[ident.UpstreamName]*engine),
 		speed:      newSpeed(nil),
+		outputs:    make(outputs),
 		retries:    newRetryBudget(),
 	}
 	p.SetView(v, now)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -63,6 +63,7 @@
 		e.engine.limiter.observeService(r.Elapsed, e.startedAt, now, full)
 		return
 	}
+	p.outputs.observe(e.ticket.Route, e.ticket.OutputTokens, r.OutputTokens)
 	first := e.firstTokenAt - e.startedAt
 	if e.firstTokenAt == 0 || r.OutputTokens < 2 || r.Elapsed <= first {
 		return
