Review waiting tickets by the work ahead, with arrivals of higher tiers

Change: wait estimates use only slots that arriving work of higher tiers leaves; a periodic review in order of slack gives tickets up at once; a ticket that has to wait must be likely to finish, by the length one in ten exceeds.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // admit returns the reason to refuse a new ticket at once, or none.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
@@ -8,7 +12,7 @@
 	if !p.serviceable() {
 		return ReasonNoUpstream
 	}
-	if e.hopeless(p.wait(e), now) {
+	if e.hopeless(p.wait(e, now), now) {
 		return ReasonDeadline
 	}
 	return ""
@@ -21,11 +25,12 @@
 	if n := len(p.engines); n > 0 {
 		batch = 1 + p.running/n
 	}
-	output, short := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
+	output := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
 	prompt := float64(e.ticket.PromptTokens)
-	e.output = output
-	e.service = p.speed.service(prompt, output, batch)
-	e.shortest = p.speed.service(prompt, short, batch)
+	e.output = output.expected
+	e.service = p.speed.service(prompt, output.expected, batch)
+	e.shortest = p.speed.service(prompt, output.short, batch)
+	e.longest = p.speed.service(prompt, output.long, batch)
 }
 
 // serviceable tells whether any upstream takes new work.
@@ -49,37 +54,59 @@
 	return n
 }
 
-// wait estimates the time until a ticket gets a slot: the work ahead of it in
-// its own and higher tiers, spread over all slots.
-func (p *Pool) wait(e *entry) time.Duration {
+// minSpare is the part of the slots that lower tiers are reckoned to get at
+// least, however much work of higher tiers arrives.
+const minSpare = 0.02
+
+// spareSlots is the part of all slots that a tier may count on: what the work
+// arriving for higher tiers leaves.
+func (p *Pool) spareSlots(tier *tierQueue, now time.Duration) float64 {
+	slots := float64(max(1, p.slots()))
+	higher := 0.0
+	for _, q := range p.tiers {
+		if q.tier.Rank > tier.tier.Rank {
+			higher += q.arrivals.now(now)
+		}
+	}
+	return max(slots*minSpare, slots-higher)
+}
+
+// wait estimates the time until a new ticket gets a slot: the work ahead of it
+// in its own and higher tiers, over the slots that its tier may count on.
+func (p *Pool) wait(e *entry, now time.Duration) time.Duration {
+	tier := p.tier(e.ticket.Tier)
 	ahead := time.Duration(0)
 	for _, q := range p.tiers {
-		if q.tier.Name == e.ticket.Tier {
-			ahead += p.aheadInTier(q, e)
-			break
+		if q.tier.Rank > tier.tier.Rank {
+			ahead += q.work
 		}
-		ahead += q.work
 	}
-	return ahead / time.Duration(max(1, p.slots()))
+	ahead += aheadInTier(tier, e)
+	return scaleBy(ahead, 1/p.spareSlots(tier, now))
 }
 
 // aheadInTier is the work of the ticket's tier that is served before it: all of
 // it, or the team's own work at the team's fair share, whichever is less.
-func (p *Pool) aheadInTier(q *tierQueue, e *entry) time.Duration {
+func aheadInTier(q *tierQueue, e *entry) time.Duration {
 	own, known := q.teams[e.ticket.Team]
 	if !known || own.work == 0 {
 		return 0
 	}
-	weights := 0.0
+	return min(q.work, scaleBy(own.work, q.weights()/own.weight))
+}
+
+// weights is the sum of the weights of the teams with waiting tickets.
+func (q *tierQueue) weights() float64 {
+	sum := 0.0
 	for _, t := range q.active {
-		weights += t.weight
+		sum += t.weight
 	}
-	return min(q.work, time.Duration(float64(own.work)*weights/own.weight))
+	return sum
 }
 
 // retryAfter estimates when the work that waits now will have been placed.
-func (p *Pool) retryAfter(e *entry) time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, p.wait(e)))
+func (p *Pool) retryAfter(e *entry, now time.Duration) time.Duration {
+	return min(maxRetryAfter, max(minRetryAfter, p.wait(e, now)))
 }
 
 // shedOverLimit refuses tickets of the lowest tier while the queue is too long.
@@ -99,20 +126,42 @@
 	}
 }
 
-// sweep refuses waiting tickets that can no longer meet their deadlines.
+// sweep gives up at once the waiting tickets that are not going to meet their
+// deadlines, each by the work ahead of it.
 func (p *Pool) sweep(now time.Duration) {
-	var late []*entry
+	ahead := time.Duration(0)
 	for _, q := range p.tiers {
-		for _, t := range q.active {
-			for _, e := range t.entries {
-				if e.hopeless(0, now) {
-					late = append(late, e)
-				}
-			}
+		if q.waiting > 0 {
+			p.sweepTier(q, ahead, now)
 		}
+		ahead += q.work
 	}
-	for _, e := range late {
-		p.dequeue(e)
-		p.refuse(e, ReasonDeadline, now)
+}
+
+// sweepTier reviews one tier in order of slack, given the work of higher tiers.
+func (p *Pool) sweepTier(q *tierQueue, ahead, now time.Duration) {
+	order := make([]*entry, 0, q.waiting)
+	for _, t := range q.active {
+		order = append(order, t.entries...)
 	}
+	slices.SortFunc(order, byLatestStart)
+	weights := q.weights()
+	spare := p.spareSlots(q, now)
+	tierWork := time.Duration(0)
+	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
+	for _, e := range order {
+		own := scaleBy(teamWork[e.queue], weights/e.queue.weight)
+		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
+		if e.hopeless(wait, now) {
+			p.dequeue(e)
+			p.refuse(e, ReasonDeadline, now)
+			continue
+		}
+		tierWork += e.service
+		teamWork[e.queue] += e.service
+	}
+}
+
+func byLatestStart(a, b *entry) int {
+	return cmp.Compare(a.latestStart(), b.latestStart())
 }
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -25,12 +25,13 @@
 	deadline time.Duration
 	// output is the predicted number of output tokens.
 	output int
-	// service is the estimated time from dispatch to the end of the answer,
-	// shortest that of an answer as short as one in ten.
+	// service is the estimated time from dispatch to the end of the answer;
+	// shortest and longest are those of an answer as short or long as one in ten.
 	service  time.Duration
 	shortest time.Duration
-	queue   *teamQueue
-	index   int
+	longest  time.Duration
+	queue    *teamQueue
+	index    int
 
 	engine       *engine
 	version      ident.VersionName
@@ -51,9 +52,14 @@
 	return e.deadline - e.service
 }
 
-// hopeless tells whether even a short answer would miss the deadline after a wait.
+// hopeless tells whether the ticket should be given up after a wait. A ticket
+// that takes capacity from others must be likely to meet its deadline; one
+// that does not is given up only when even a short answer would miss it.
 func (e *entry) hopeless(wait, now time.Duration) bool {
-	return now+wait+e.shortest > e.deadline
+	if wait > 0 {
+		return now+wait+e.longest > e.deadline
+	}
+	return now+e.shortest > e.deadline
 }
 
 // holdsSlot tells whether the ticket occupies a slot of an upstream.
--- a/internal/coordination/scheduler/outputs.go
+++ b/internal/coordination/scheduler/outputs.go
@@ -10,9 +10,9 @@
 	// outputMinSamples is the weight of samples from which a route's answers
 	// are predicted rather than taken from the gateway's estimate.
 	outputMinSamples = 10
-	// shortQuantile is the standard score of the length that one answer in ten
-	// stays below.
-	shortQuantile = 1.28
+	// lengthQuantile is the standard score of the length that one answer in ten
+	// stays below; one in ten exceeds the opposite score.
+	lengthQuantile = 1.28
 	// unknownShort is the part of the gateway's estimate that counts as a short
 	// answer while nothing is known.
 	unknownShort = 0.25
@@ -42,13 +42,32 @@
 	f.syy = f.syy*fitDecay + y*y
 }
 
-// predict returns the expected number of output tokens, and the number that
-// one answer in ten stays below.
-func (o outputs) predict(route ident.RouteName, estimated int) (expected, short int) {
+// lengths are predictions of a number of output tokens: one answer in ten is
+// shorter than short, one in ten longer than long.
+type lengths struct {
+	short, expected, long int
+}
+
+// predict returns the lengths to expect for a gateway's estimate.
+func (o outputs) predict(route ident.RouteName, estimated int) lengths {
 	f, known := o[route]
 	if estimated < 1 || !known || f.n < outputMinSamples {
-		return estimated, int(float64(estimated) * unknownShort)
+		return lengths{short: int(float64(estimated) * unknownShort), expected: estimated, long: estimated}
 	}
+	median, deviation := f.at(math.Log(float64(estimated)))
+	return lengths{
+		short:    tokensOf(median - lengthQuantile*deviation),
+		expected: tokensOf(median + deviation*deviation/2),
+		long:     tokensOf(median + lengthQuantile*deviation),
+	}
+}
+
+func tokensOf(logarithm float64) int {
+	return max(1, int(math.Exp(logarithm)))
+}
+
+// at returns the mean and the standard deviation of the outcome's logarithm.
+func (f *lengthFit) at(x float64) (mean, deviation float64) {
 	meanX := f.sx / f.n
 	meanY := f.sy / f.n
 	varX := f.sxx/f.n - meanX*meanX
@@ -59,8 +78,5 @@
 		slope = min(1, max(0, covariance/varX))
 	}
 	residual := max(0, varY-2*slope*covariance+slope*slope*varX)
-	median := meanY + slope*(math.Log(float64(estimated))-meanX)
-	expected = int(math.Exp(median + residual/2))
-	short = int(math.Exp(median - shortQuantile*math.Sqrt(residual)))
-	return max(1, expected), max(1, short)
+	return meanY + slope*(x-meanX), math.Sqrt(residual)
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -81,6 +81,7 @@
 			p.tier(q.tier.Name).team(name, p.weight(name)).served = t.served
 		}
 		p.tier(q.tier.Name).served = q.served
+		p.tier(q.tier.Name).arrivals = q.arrivals
 		for _, t := range q.active {
 			for _, e := range t.entries {
 				p.queueOf(e).add(e)
@@ -163,6 +164,7 @@
 		return
 	}
 	p.enqueue(e)
+	e.queue.tier.arrivals.add(e.service.Seconds(), now)
 	p.shedOverLimit(now)
 }
 
@@ -207,7 +209,7 @@
 
 // refuse ends a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
-	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e)}
+	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, now)}
 	e.state = stateRefused
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -48,11 +48,12 @@
 // tierQueue holds the waiting tickets of one tier. Its active teams form a
 // min-heap by virtual time.
 type tierQueue struct {
-	tier    Tier
-	teams   map[ident.TeamName]*teamQueue
-	active  []*teamQueue
-	waiting int
-	work    time.Duration
+	tier     Tier
+	teams    map[ident.TeamName]*teamQueue
+	active   []*teamQueue
+	waiting  int
+	work     time.Duration
+	arrivals rate
 	// served is the virtual time of the last team that was served.
 	served float64
 }
