Expect a burst to last no longer than it has

Cause: a burst of 15 s had patient work with 120 s left given up. Change: arrivals of higher tiers are averaged over 10 and 60 s; over a horizon of 60 s or more the lesser counts.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -58,14 +58,14 @@
 // least, however much work of higher tiers arrives.
 const minSpare = 0.02
 
-// spareSlots is the part of all slots that a tier may count on: what the work
-// arriving for higher tiers leaves.
-func (p *Pool) spareSlots(tier *tierQueue, now time.Duration) float64 {
+// spareSlots is the part of all slots that a tier may count on over the coming
+// time: what the work arriving for higher tiers leaves.
+func (p *Pool) spareSlots(tier *tierQueue, horizon, now time.Duration) float64 {
 	slots := float64(max(1, p.slots()))
 	higher := 0.0
 	for _, q := range p.tiers {
 		if q.tier.Rank > tier.tier.Rank {
-			higher += q.arrivals.now(now)
+			higher += q.arrivals.over(horizon, now)
 		}
 	}
 	return max(slots*minSpare, slots-higher)
@@ -82,7 +82,7 @@
 		}
 	}
 	ahead += aheadInTier(tier, e)
-	return scaleBy(ahead, 1/p.spareSlots(tier, now))
+	return scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now))
 }
 
 // aheadInTier is the work of the ticket's tier that is served before it: all of
@@ -146,11 +146,11 @@
 	}
 	slices.SortFunc(order, byLatestStart)
 	weights := q.weights()
-	spare := p.spareSlots(q, now)
 	tierWork := time.Duration(0)
 	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
 	for _, e := range order {
 		own := scaleBy(teamWork[e.queue], weights/e.queue.weight)
+		spare := p.spareSlots(q, e.deadline-now, now)
 		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
 		if e.hopeless(wait, now) {
 			p.dequeue(e)
--- a/internal/coordination/scheduler/rate.go
+++ b/internal/coordination/scheduler/rate.go
@@ -5,20 +5,45 @@
 	"time"
 )
 
-// rateWindow is the time over which arrival rates are averaged.
-const rateWindow = 10 * time.Second
+const (
+	// shortWindow and longWindow are the times over which arrivals are averaged.
+	shortWindow = 10 * time.Second
+	longWindow  = 60 * time.Second
+)
 
-// rate is an exponentially weighted average of amounts per second.
-type rate struct {
+// average is an exponentially weighted average of amounts per second.
+type average struct {
 	perSecond float64
 	at        time.Duration
 }
 
+func (a *average) add(amount float64, window, now time.Duration) {
+	a.perSecond = a.now(window, now) + amount/window.Seconds()
+	a.at = now
+}
+
+func (a *average) now(window, now time.Duration) float64 {
+	return a.perSecond * math.Exp(-(now-a.at).Seconds()/window.Seconds())
+}
+
+// rate measures arrivals over a short and a long time.
+type rate struct {
+	short, long average
+}
+
 func (r *rate) add(amount float64, now time.Duration) {
-	r.perSecond = r.now(now) + amount/rateWindow.Seconds()
-	r.at = now
+	r.short.add(amount, shortWindow, now)
+	r.long.add(amount, longWindow, now)
 }
 
-func (r *rate) now(now time.Duration) float64 {
-	return r.perSecond * math.Exp(-(now-r.at).Seconds()/rateWindow.Seconds())
+// over returns the amount per second to expect over the coming time. A burst
+// shorter than the long window is not taken to last longer than that.
+func (r *rate) over(horizon, now time.Duration) float64 {
+	short := r.short.now(shortWindow, now)
+	if horizon <= shortWindow {
+		return short
+	}
+	long := r.long.now(longWindow, now)
+	weight := min(1, float64(horizon-shortWindow)/float64(longWindow-shortWindow))
+	return short + weight*(min(short, long)-short)
 }
