Ask for a likely finish only of the lowest tier at work

Cause: at 150% load ordinary and urgent requests with overestimated lengths were refused while patient ones were placed: a higher tier shed first. Change: the strict test on deadlines applies to the lowest tier with work.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -12,7 +12,7 @@
 	if !p.serviceable() {
 		return ReasonNoUpstream
 	}
-	if e.hopeless(p.wait(e, now), now) {
+	if e.hopeless(p.wait(e, now), p.isLowest(p.tier(e.ticket.Tier), now), now) {
 		return ReasonDeadline
 	}
 	return ""
@@ -71,6 +71,21 @@
 	return max(slots*minSpare, slots-higher)
 }
 
+// isLowest tells whether no lower tier has work that could yield to this one's.
+func (p *Pool) isLowest(tier *tierQueue, now time.Duration) bool {
+	lower := 0.0
+	for _, q := range p.tiers {
+		if q.tier.Rank >= tier.tier.Rank {
+			continue
+		}
+		if q.waiting > 0 {
+			return false
+		}
+		lower += q.arrivals.short.now(shortWindow, now)
+	}
+	return lower < minSpare*float64(p.slots())
+}
+
 // wait estimates the time until a new ticket gets a slot: the work ahead of it
 // in its own and higher tiers, over the slots that its tier may count on.
 func (p *Pool) wait(e *entry, now time.Duration) time.Duration {
@@ -147,12 +162,13 @@
 	slices.SortFunc(order, byLatestStart)
 	weights := q.weights()
 	tierWork := time.Duration(0)
+	contended := p.isLowest(q, now)
 	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
 	for _, e := range order {
 		own := scaleBy(teamWork[e.queue], weights/e.queue.weight)
 		spare := p.spareSlots(q, e.deadline-now, now)
 		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
-		if e.hopeless(wait, now) {
+		if e.hopeless(wait, contended, now) {
 			p.dequeue(e)
 			p.refuse(e, ReasonDeadline, now)
 			continue
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -53,13 +53,13 @@
 }
 
 // hopeless tells whether the ticket should be given up after a wait. A ticket
-// that takes capacity from others must be likely to meet its deadline; one
-// that does not is given up only when even a short answer would miss it.
-func (e *entry) hopeless(wait, now time.Duration) bool {
-	if wait > 0 {
+// that contends with others of the lowest tier at work must be likely to meet
+// its deadline; any other is given up only when even a short answer misses it.
+func (e *entry) hopeless(wait time.Duration, contended bool, now time.Duration) bool {
+	if contended && wait > 0 {
 		return now+wait+e.longest > e.deadline
 	}
-	return now+e.shortest > e.deadline
+	return now+wait+e.shortest > e.deadline
 }
 
 // holdsSlot tells whether the ticket occupies a slot of an upstream.
