Measure policies against all that the engines can do

Cause: the reference counted engines only as far as they keep 64 ms between tokens; the slowest generation counted as nothing. Change: capacity is each engine's best throughput in a closed loop.

--- a/internal/coordination/policymodel/fleet.go
+++ b/internal/coordination/policymodel/fleet.go
@@ -51,17 +51,16 @@
 	return float64(r.Prompt)/e.PrefillRate + float64(r.Output)*step.Seconds()/referenceBatch
 }
 
-// Capacity measures what a fleet can do with a workload: each engine by
-// itself keeps a constant number of requests in flight, without deadlines. It
-// returns the requests and the useful work a second at the best number whose
-// 95th percentile between tokens is within the bound.
-func Capacity(fleet []EngineSpec, load Workload, between time.Duration, seed uint64) (requests, work float64) {
+// Capacity measures what a fleet can do with a workload: each engine by itself
+// keeps a constant number of requests in flight, without deadlines. It returns
+// the requests and the useful work a second, each engine at its best number.
+func Capacity(fleet []EngineSpec, load Workload, seed uint64) (requests, work float64) {
 	for _, spec := range fleet {
 		bestRequests, bestWork := 0.0, 0.0
 		for _, inFlight := range []int{4, 8, 12, 16, 20, 24, 32, 40, 48, 64} {
 			l := newClosedLoop(spec, load, inFlight, seed)
 			l.run()
-			if l.between() <= between && l.work > bestWork {
+			if l.work > bestWork {
 				bestRequests, bestWork = l.requests, l.work
 			}
 		}
@@ -81,13 +80,12 @@
 	clock    Clock
 	engine   *Engine
 	gen      *generator
-	metrics  *metrics
 	requests float64
 	work     float64
 }
 
 func newClosedLoop(spec EngineSpec, load Workload, inFlight int, seed uint64) *closedLoop {
-	l := &closedLoop{gen: newGenerator(load, seed), metrics: newMetrics()}
+	l := &closedLoop{gen: newGenerator(load, seed)}
 	l.gen.rng = rand.New(rand.NewPCG(seed, 2))
 	l.engine = NewEngine(spec, &l.clock, l)
 	for range inFlight {
@@ -103,17 +101,9 @@
 	l.work /= window
 }
 
-func (l *closedLoop) between() time.Duration {
-	return percentile(l.metrics.between, 95)
-}
-
 func (l *closedLoop) FirstToken(*Request, int) {}
 
-func (l *closedLoop) Token(_ *Request, gap time.Duration) {
-	if l.clock.Now() >= closedLoopWarmup {
-		record(l.metrics.between, gap)
-	}
-}
+func (l *closedLoop) Token(*Request, time.Duration) {}
 
 func (l *closedLoop) Ended(r *Request) {
 	if l.clock.Now() >= closedLoopWarmup {
--- a/internal/coordination/policymodel/policy_bench_test.go
+++ b/internal/coordination/policymodel/policy_bench_test.go
@@ -10,8 +10,6 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 )
 
-const betweenTarget = 64 * time.Millisecond
-
 // seed returns the run's seed; FLAMINGOHAVEN_SEED overrides the fixed one.
 func seed(tb testing.TB) uint64 {
 	text, set := os.LookupEnv("FLAMINGOHAVEN_SEED")
@@ -40,7 +38,7 @@
 type capacity struct{ requests, work float64 }
 
 var measuredCapacity = sync.OnceValue(func() capacity {
-	requests, work := Capacity(Fleet(12, "v1")[:3], StandardWorkload(), betweenTarget, 1)
+	requests, work := Capacity(Fleet(12, "v1")[:3], StandardWorkload(), 1)
 	return capacity{requests: 4 * requests, work: 4 * work}
 })
 
--- a/internal/coordination/policymodel/policymodel_test.go
+++ b/internal/coordination/policymodel/policymodel_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestEngine_LoneRequestTakesItsSteps(t *testing.T) {
-	l := &closedLoop{metrics: newMetrics(), gen: newGenerator(StandardWorkload(), 1)}
+	l := &closedLoop{gen: newGenerator(StandardWorkload(), 1)}
 	e := NewEngine(ReferenceEngine(), &l.clock, l)
 	r := &Request{Prompt: 256, Output: 2}
 	e.Submit(r)
