Fill slow engines to a multiple of their own unloaded speed

Cause: an engine that can't keep 46 ms between tokens at any batch was cut to a limit of about one. Change: the latency target is the greater of 46 ms and 1.6 times the unloaded time between tokens, from a line with a longer memory.

--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -71,7 +71,7 @@
 	gap := (r.Elapsed - first) / time.Duration(r.OutputTokens-1)
 	batch := (e.batchAtStart + e.engine.used()) / 2
 	e.engine.speed.observePerToken(max(1, batch), gap)
-	e.engine.limiter.observe(gap, perTokenTarget, e.startedAt, now, full)
+	e.engine.limiter.observe(gap, e.engine.speed.perTokenBound(), e.startedAt, now, full)
 }
 
 // unsent returns a ticket that provably did not reach its upstream to the
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -5,6 +5,9 @@
 // fitDecay is the weight that old samples keep at each new one.
 const fitDecay = 0.98
 
+// curveDecay is the same for the latency curve that sets an engine's limit.
+const curveDecay = 0.995
+
 // fitMinSamples is the weight of samples below which a fit is not used.
 const fitMinSamples = 3
 
@@ -15,11 +18,15 @@
 }
 
 func (f *fit) add(x, y float64) {
-	f.n = f.n*fitDecay + 1
-	f.sx = f.sx*fitDecay + x
-	f.sy = f.sy*fitDecay + y
-	f.sxx = f.sxx*fitDecay + x*x
-	f.sxy = f.sxy*fitDecay + x*y
+	f.addDecayed(x, y, fitDecay)
+}
+
+func (f *fit) addDecayed(x, y, decay float64) {
+	f.n = f.n*decay + 1
+	f.sx = f.sx*decay + x
+	f.sy = f.sy*decay + y
+	f.sxx = f.sxx*decay + x*x
+	f.sxy = f.sxy*decay + x*y
 }
 
 func (f *fit) known() bool {
@@ -57,6 +64,8 @@
 	pool    *speed
 	prefill fit
 	decode  fit
+	// curve is the decode line over a longer memory.
+	curve fit
 }
 
 func newSpeed(pool *speed) speed {
@@ -118,6 +127,16 @@
 	return seconds(f.at(float64(batch)))
 }
 
+// perTokenBound is the time between tokens up to which the upstream is filled:
+// the target, or a multiple of what it does unloaded.
+func (s *speed) perTokenBound() time.Duration {
+	if !s.curve.known() {
+		return perTokenTarget
+	}
+	unloaded, _ := s.curve.line()
+	return max(perTokenTarget, scaleBy(seconds(unloaded), perTokenStretch))
+}
+
 // service estimates the time from dispatch to the end of the answer.
 func (s *speed) service(tokens float64, output, batch int) time.Duration {
 	decode := time.Duration(max(0, output-1)) * s.perToken(batch)
@@ -133,6 +152,7 @@
 
 func (s *speed) observePerToken(batch int, gap time.Duration) {
 	s.decode.add(float64(batch), gap.Seconds())
+	s.curve.addDecayed(float64(batch), gap.Seconds(), curveDecay)
 	if s.pool != nil {
 		s.pool.decode.add(float64(batch), gap.Seconds())
 	}
