Report the first token per tier in the policy model

Cause: the 95th percentile over all interactive tiers hides which one waits. Change: TierSummary.FirstTokenP95.

--- a/internal/coordination/policymodel/metrics.go
+++ b/internal/coordination/policymodel/metrics.go
@@ -16,6 +16,8 @@
 	Arrived, Done, Late, Refused, Failed int
 	// Goodput is the part of arrived requests answered whole by the deadline.
 	Goodput float64
+	// FirstTokenP95 is the time from arrival to the first token.
+	FirstTokenP95 time.Duration
 }
 
 // Summary holds the figures of a run over the requests that arrived after the
@@ -76,6 +78,10 @@
 func (m *metrics) summary(s *Simulation) Summary {
 	out := Summary{Tiers: make(map[ident.TierName]TierSummary), BetweenP95: percentile(m.between, 95)}
 	first := newHistogram()
+	tierFirst := make(map[ident.TierName]*hdrhistogram.Histogram)
+	for _, t := range s.Workload.Tiers {
+		tierFirst[t.Name] = newHistogram()
+	}
 	useful, offered := 0.0, 0.0
 	for _, r := range s.Requests {
 		measured := r.Arrival >= s.Warmup
@@ -89,11 +95,15 @@
 			continue
 		}
 		out.count(r)
+		if r.FirstToken > 0 {
+			record(tierFirst[r.Tier], r.FirstToken-r.Arrival)
+		}
 		if r.FirstToken > 0 && m.interactive[r.Tier] {
 			record(first, r.FirstToken-r.Arrival)
 		}
 	}
 	for name, t := range out.Tiers {
+		t.FirstTokenP95 = percentile(tierFirst[name], 95)
 		t.Goodput = float64(t.Done) / float64(max(1, t.Arrived))
 		out.Tiers[name] = t
 	}
