Measure moves against a fixed ramp and an immediate switch

Cause: the policy of moves had no benchmark. Change: BenchmarkPolicyMoves_Bad and _Good drive the controller and two baselines in virtual time through ten kinds of bad version and twenty good versions under noise, bursts, a dying upstream and common trouble.

--- /dev/null
+++ b/internal/coordination/moves/bench_test.go
@@ -0,0 +1,199 @@
+package moves_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/moves"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+// faultDelay is when faults that need time begin in the model.
+const faultDelay = 40 * time.Minute
+
+type badCase struct {
+	name  string
+	fault fault
+}
+
+var badCases = []badCase{
+	{"fails-at-once", fault{failRate: 0.9}},
+	{"fails-a-fifth", fault{failRate: 0.2}},
+	{"slow-at-once", fault{slow: 2.5}},
+	{"fails-after-time", fault{after: faultDelay, failRate: 0.9}},
+	{"slow-after-time", fault{after: faultDelay, slow: 2.5}},
+	{"fails-under-load", fault{minLoad: 0.4, failRate: 0.9}},
+	{"slow-under-load", fault{minLoad: 0.4, slow: 2.5}},
+	{"fails-one-route", fault{route: "reviews", failRate: 0.9}},
+	{"slow-one-route", fault{route: "summaries", slow: 2.5}},
+	{"fails-non-idempotent-route", fault{route: "entries", failRate: 0.9}},
+}
+
+// fixedRamp grows the share by a tenth of the time to the deadline and takes
+// back when the new version's recent failure rate exceeds a threshold.
+type fixedRamp struct {
+	model  model
+	rec    move.Record
+	ready  bool
+	recent float64
+	n      int
+}
+
+const fixedThreshold = 0.05
+
+func (c *fixedRamp) Observe(s moves.Sample, _ time.Time) {
+	if s.Version != newVersion {
+		return
+	}
+	c.n++
+	value := 0.0
+	if s.Failed {
+		value = 1
+	}
+	c.recent += 0.01 * (value - c.recent)
+}
+
+func (c *fixedRamp) SetReadiness(rs []moves.Readiness, _ time.Time) { c.ready = len(rs) > 1 }
+
+func (c *fixedRamp) Tick(now time.Time) *move.Record {
+	if c.rec.State.Final() || !c.ready {
+		return nil
+	}
+	r := c.rec
+	left := c.model.deadline - c.model.watch
+	share := 0.1 * float64(int(10*now.Sub(origin)/left)+1)
+	switch {
+	case c.recent > fixedThreshold && c.n >= 100:
+		r.State, r.Share = move.StateTakenBack, 0
+	case now.Sub(origin) >= c.model.deadline-time.Minute:
+		r.State, r.Share = move.StateDone, 1
+	case min(share, 1) > r.Share:
+		r.State, r.Share = move.StateRamping, min(share, 1)
+	default:
+		return nil
+	}
+	r.NonIdempotentShare = r.Share
+	return &r
+}
+
+func (c *fixedRamp) Committed(r move.Record, _ time.Time) { c.rec = r }
+func (c *fixedRamp) Record() move.Record                  { return c.rec }
+func (c *fixedRamp) Shares() (idempotent, nonIdempotent float64) {
+	return c.rec.Share, c.rec.NonIdempotentShare
+}
+
+// immediate moves all traffic as soon as the new version is ready.
+type immediate struct{ fixedRamp }
+
+func (c *immediate) Tick(time.Time) *move.Record {
+	if c.rec.State.Final() || !c.ready {
+		return nil
+	}
+	r := c.rec
+	r.State, r.Share, r.NonIdempotentShare = move.StateDone, 1, 1
+	return &r
+}
+
+func pendingRecord(m model) move.Record {
+	return moves.Pending("m", m.spec(), 1, 1, origin)
+}
+
+type policy struct {
+	name string
+	new  func(model) moves.Controller
+}
+
+var policies = []policy{
+	{"evidence", controller},
+	{"fixed-ramp", func(m model) moves.Controller { return &fixedRamp{model: m, rec: pendingRecord(m)} }},
+	{"immediate", func(m model) moves.Controller { return &immediate{fixedRamp{model: m, rec: pendingRecord(m)}} }},
+}
+
+const badRuns = 3
+
+// BenchmarkPolicyMoves_Bad runs every kind of bad version. Harm is the share
+// of one route's requests, the worst route, that met the fault.
+func BenchmarkPolicyMoves_Bad(b *testing.B) {
+	for i, c := range badCases {
+		for _, p := range policies {
+			b.Run(c.name+"/"+p.name, func(b *testing.B) {
+				benchBad(b, uint64(100*(i+1)), c, p)
+			})
+		}
+	}
+}
+
+func benchBad(b *testing.B, stream uint64, c badCase, p policy) {
+	var back, harm, share float64
+	var delay time.Duration
+	for b.Loop() {
+		back, harm, share, delay = 0, 0, 0, 0
+		for i := range uint64(badRuns) {
+			m := defaultModel()
+			m.fault = c.fault
+			res := m.simulate(newRand(stream+i), p.new(m))
+			if res.record.State == move.StateTakenBack {
+				back++
+				delay = max(delay, res.endedAt-res.firstHit)
+			}
+			harm = max(harm, res.worstHarm())
+			share = max(share, res.badShare)
+			if testing.Verbose() {
+				b.Logf("%s at %v, hit %v: %s", res.record.State, res.endedAt, res.firstHit, res.record.Reason)
+			}
+		}
+	}
+	b.ReportMetric(back/badRuns, "taken-back-ratio")
+	b.ReportMetric(100*harm, "harmed-%")
+	b.ReportMetric(100*share, "bad-share-max-%")
+	b.ReportMetric(delay.Seconds(), "take-back-s")
+	b.ReportMetric(0, "ns/op")
+}
+
+const goodRuns = 20
+
+// goodModel returns the i-th good version: a quarter each meets plain noise, a
+// burst, the death of one new upstream, and trouble common to both versions.
+func goodModel(i int) model {
+	m := defaultModel()
+	at := time.Duration(3+i) * time.Minute
+	switch i % 4 {
+	case 1:
+		m.burst, m.burstFrom, m.burstTo = 1.3, at, at+5*time.Minute
+	case 2:
+		m.outage = at
+	case 3:
+		m.troubleAt = at
+	}
+	return m
+}
+
+// BenchmarkPolicyMoves_Good runs twenty good versions under noise.
+func BenchmarkPolicyMoves_Good(b *testing.B) {
+	for _, p := range policies {
+		b.Run(p.name, func(b *testing.B) {
+			var done, alarms float64
+			var end time.Duration
+			for b.Loop() {
+				done, alarms, end = 0, 0, 0
+				for i := range goodRuns {
+					m := goodModel(i)
+					res := m.simulate(newRand(uint64(i)), p.new(m))
+					if res.record.State == move.StateDone {
+						done++
+						end += res.endedAt / goodRuns
+					} else if res.endedAt < m.deadline {
+						alarms++
+					}
+					if testing.Verbose() {
+						b.Logf("%d %s at %v: %s", i, res.record.State, res.endedAt, res.record.Reason)
+					}
+				}
+			}
+			b.ReportMetric(done, "done-of-20")
+			b.ReportMetric(alarms, "false-alarms")
+			b.ReportMetric(end.Seconds(), "mean-done-s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
