Let a move clear itself of a suspicion, five times at most

Change: a retreat resets the runs of bad samples and remembers the evidence; clean samples at the small share let the share grow again, each time more slowly. The sixth suspicion takes the move back.

--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -75,6 +75,8 @@
 	older    outcomes
 	// ratio is the smoothed log of new over old latency, by metric.
 	ratio [metricCount]level
+	// forgiven is the evidence at the last suspicion.
+	forgiven float64
 	// newBand is the load band of the new version's last sample.
 	newBand int
 	// compared counts new samples in closed blocks since the last step.
@@ -123,7 +125,17 @@
 			return true
 		}
 	}
-	return e.value() >= retreatEvidence
+	return e.value() >= max(retreatEvidence, 2*e.forgiven)
+}
+
+// forgive makes the next suspicion depend on new evidence. The evidence for a
+// verdict stays.
+func (e *routeEvidence) forgive() {
+	e.forgiven = max(e.forgiven, e.value())
+	e.settled = 0
+	for m := range e.baselines {
+		e.baselines[m].newRun = cusum{}
+	}
 }
 
 func (e *routeEvidence) observe(s Sample, isNew bool, released float64, now time.Time) {
--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -132,18 +132,24 @@
 		return
 	}
 	if e.suspicious() {
-		m.retreat()
+		m.retreat(e)
 	}
 }
 
-func (m *Move) retreat() {
+// retreat reduces the share after a suspicion. Too many of them, each after
+// growth from a small share, are a verdict by themselves.
+func (m *Move) retreat(suspect *routeEvidence) {
 	if !m.reduced || m.ceiling > m.spec.CanaryShare*retreatPart {
 		m.retreats++
 	}
+	if m.retreats > maxRetreats {
+		m.verdict = fmt.Sprintf("suspected %d times: %s", m.retreats, suspect.explain(m.spec.From, m.spec.To))
+		return
+	}
 	m.ceiling = m.spec.CanaryShare * retreatPart
 	m.reduced = true
 	for _, e := range m.routes {
-		e.settled = 0
+		e.forgive()
 	}
 }
 
--- a/internal/coordination/moves/plan.go
+++ b/internal/coordination/moves/plan.go
@@ -23,6 +23,8 @@
 	holdEvidence = 4.0
 	// retreatEvidence is the evidence at which the share falls below the first one.
 	retreatEvidence = 20.0
+	// maxRetreats is how many suspicions a version may clear itself of.
+	maxRetreats = 5
 	// retreatPart is the part of the first share that is left under suspicion.
 	retreatPart = 0.5
 	// routeIdle is how long after its last sample a route carries traffic.
--- a/internal/coordination/moves/progress.go
+++ b/internal/coordination/moves/progress.go
@@ -206,9 +206,6 @@
 	}
 	need := recoverSamples << min(max(m.retreats-1, 0), maxBackoff)
 	for _, e := range m.routes {
-		if e.suspicious() || e.value() >= holdEvidence {
-			return
-		}
 		tried := e.idempotent || m.committed.NonIdempotentShare > 0
 		if tried && m.carries(e, now) && e.settled < need {
 			return
