Count a version that replaces all capacity as able to carry the traffic

Cause: the capacity bound held a new version with as many upstreams as the old one below all traffic whenever the pool ran above 85% of its capacity. Change: capacity equal to the old version's greatest lifts the bound; load bands become five, so that faults under load stand apart sooner.

--- a/internal/coordination/moves/block.go
+++ b/internal/coordination/moves/block.go
@@ -14,7 +14,7 @@
 	// block may have ended, so that both ran under like conditions.
 	blockAge = time.Minute
 	// loadBands counts the strata of load.
-	loadBands = 3
+	loadBands = 5
 	// promptBands counts the strata of prompt size.
 	promptBands = 6
 	// promptBase is the upper bound of the lowest prompt stratum, in tokens.
@@ -22,7 +22,7 @@
 )
 
 // loadBounds are the upper bounds of the load strata but the last.
-var loadBounds = [loadBands - 1]float64{0.5, 0.85}
+var loadBounds = [loadBands - 1]float64{0.3, 0.5, 0.7, 0.85}
 
 func loadBand(load float64) int {
 	for i, bound := range loadBounds {
--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -27,6 +27,8 @@
 	// spent is the part of the processes' capital invested; it never falls.
 	spent float64
 
+	// fromPeak is the greatest ready capacity of the old version seen.
+	fromPeak  float64
 	readiness map[ident.VersionName]Readiness
 	loads     map[ident.VersionName]*level
 	routes    map[ident.RouteName]*routeEvidence
@@ -161,6 +163,7 @@
 	for _, r := range rs {
 		m.readiness[r.Version] = r
 	}
+	m.fromPeak = max(m.fromPeak, m.capacity(m.spec.From))
 }
 
 // Abort takes the move back for a reason outside the evidence.
@@ -237,13 +240,17 @@
 }
 
 // capacityLimit returns the share of the pool's present demand that the ready
-// upstreams of the new version can carry.
+// upstreams of the new version can carry: all of it once they are as many as
+// the old version ever had.
 func (m *Move) capacityLimit() float64 {
 	to := m.capacity(m.spec.To)
 	if to <= 0 {
 		return 0
 	}
 	from := m.capacity(m.spec.From)
+	if to >= m.fromPeak {
+		return 1
+	}
 	demand := m.load(m.spec.From).value*from + m.load(m.spec.To).value*to
 	if demand <= to*headroom {
 		return 1
