--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -22,8 +22,9 @@
 	ceiling float64
 	reduced bool
 	// retreats counts suspicions; each makes recovery take longer.
-	retreats int
-	started  time.Time
+	retreats    int
+	lastRetreat time.Time
+	started     time.Time
 	// spent is the part of the processes' capital invested; it never falls.
 	spent float64
 
@@ -84,7 +85,7 @@
 	}
 	e := m.route(s)
 	e.observe(s, isNew, m.released(now), now)
-	m.judge(e)
+	m.judge(e, now)
 }
 
 func (m *Move) start(now time.Time) {
@@ -125,7 +126,7 @@
 
 // judge acts on a route's evidence: a verdict is final, a suspicion reduces
 // the share at once.
-func (m *Move) judge(e *routeEvidence) {
+func (m *Move) judge(e *routeEvidence, now time.Time) {
 	if m.verdict != "" || m.committed.State == move.StatePending {
 		return
 	}
@@ -134,15 +135,17 @@
 		return
 	}
 	if e.suspicious() {
-		m.retreat(e)
+		m.retreat(e, now)
 	}
 }
 
 // retreat reduces the share after a suspicion. Too many of them, each after
 // growth from a small share, are a verdict by themselves.
-func (m *Move) retreat(suspect *routeEvidence) {
+func (m *Move) retreat(suspect *routeEvidence, now time.Time) {
 	if !m.reduced || m.ceiling > m.spec.CanaryShare*retreatPart {
-		m.retreats++
+		calm := int(now.Sub(m.lastRetreat) / calmTime)
+		m.retreats = max(m.retreats-calm, 0) + 1
+		m.lastRetreat = now
 	}
 	if m.retreats > maxRetreats {
 		m.verdict = fmt.Sprintf("suspected %d times: %s", m.retreats, suspect.explain(m.spec.From, m.spec.To))
--- a/internal/coordination/moves/plan.go
+++ b/internal/coordination/moves/plan.go
@@ -24,7 +24,9 @@
 	// retreatEvidence is the evidence at which the share falls below the first one.
 	retreatEvidence = 20.0
 	// maxRetreats is how many suspicions a version may clear itself of.
-	maxRetreats = 5
+	// calmTime without one clears one more.
+	maxRetreats = 3
+	calmTime    = time.Hour
 	// retreatPart is the part of the first share that is left under suspicion.
 	retreatPart = 0.5
 	// routeIdle is how long after its last sample a route carries traffic.
