--- /dev/null
+++ b/internal/coordination/consensus/enter.go
@@ -0,0 +1,157 @@
+package consensus
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// enter makes this replica a voter: it forms the cluster with the other initial
+// replicas, adopts the cluster that they formed, or joins it as a learner. It
+// ends when the replica votes.
+func (r *replica) enter() {
+	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
+	defer ticker.Stop()
+	for {
+		v := r.view.Load()
+		switch {
+		case v.genesis.Cluster == "":
+			r.formOrAdopt(v.self)
+		case v.members.Role(v.self) == RoleVoter:
+			return
+		case v.members.Role(v.self) == RoleNone:
+			if !r.join(v) {
+				return
+			}
+		}
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// formOrAdopt looks for a cluster among the initial replicas. Only when every
+// one of them answers that it belongs to none does the lowest ID form one.
+func (r *replica) formOrAdopt(self Replica) {
+	replies := r.probeAll(self)
+	initial := []Replica{self}
+	for _, reply := range replies {
+		if reply.Formed {
+			r.adopt(reply.Genesis)
+			return
+		}
+		initial = append(initial, reply.Replica)
+	}
+	if len(initial) < len(r.opts.InitialReplicas) || self.ID != slices.Min(r.opts.InitialReplicas) {
+		return
+	}
+	genesis := Genesis{Cluster: ClusterID(uuid.NewString())}
+	for _, replica := range initial {
+		genesis.Members.Members = append(genesis.Members.Members, Member{Replica: replica, Role: RoleVoter})
+	}
+	klog.InfoS("cluster formed", "cluster", genesis.Cluster, "replica", self)
+	r.adopt(genesis)
+}
+
+// probeAll asks every other initial replica who it is. Those that did not
+// answer are missing from the result.
+func (r *replica) probeAll(self Replica) []*ProbeReply {
+	ctx, cancel := r.call()
+	defer cancel()
+	var mu sync.Mutex
+	var replies []*ProbeReply
+	var wg sync.WaitGroup
+	for _, id := range r.opts.InitialReplicas {
+		if id == self.ID {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := r.opts.Peers.Probe(ctx, id, &ProbeRequest{From: self})
+			if err != nil || reply.Replica.ID != id {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, reply)
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
+// adopt makes the cluster's beginning durable before this replica takes part.
+func (r *replica) adopt(genesis Genesis) {
+	own := identity{Replica: r.view.Load().self, Genesis: genesis}
+	if err := own.save(r.opts.FS); err != nil {
+		r.fail(err)
+		return
+	}
+	done := make(chan struct{})
+	err := r.post(r.ctx, func(now time.Time) {
+		r.own = own
+		r.core.adoptGenesis(now, genesis.Members)
+		r.answer(false, func() { close(done) })
+	})
+	if err != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-r.ctx.Done():
+	}
+}
+
+// join asks the cluster to add this replica. It returns false once the replica
+// was removed for good.
+func (r *replica) join(v *view) bool {
+	asked := map[ident.NodeID]bool{v.self.ID: true}
+	next := slices.Clone(r.opts.InitialReplicas)
+	for len(next) > 0 {
+		to := next[0]
+		next = next[1:]
+		if asked[to] || to == "" {
+			continue
+		}
+		asked[to] = true
+		ctx, cancel := r.call()
+		reply, err := r.opts.Peers.Join(ctx, to, &JoinRequest{Cluster: v.genesis.Cluster, Replica: v.self})
+		cancel()
+		switch {
+		case err != nil:
+		case reply.Removed:
+			r.fail(fmt.Errorf("%w: empty the data folder of %s to join anew", ErrRemoved, v.self))
+			return false
+		case reply.Accepted:
+			return true
+		default:
+			next = append([]ident.NodeID{reply.Leader}, next...)
+		}
+	}
+	return true
+}
+
+// onProbe answers from the published view; it needs no membership.
+func (r *replica) onProbe() ProbeReply {
+	v := r.view.Load()
+	return ProbeReply{Replica: v.self, Formed: v.genesis.Cluster != "", Genesis: v.genesis}
+}
+
+// onJoin adds a learner if this replica leads.
+func (r *replica) onJoin(req *JoinRequest) (JoinReply, error) {
+	if req.Cluster != r.view.Load().genesis.Cluster {
+		return JoinReply{}, ErrWrongAddress
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timing.Call)
+	defer cancel()
+	err := r.changeMembers(ctx, func(c *core) (uint64, error) { return c.join(req.Replica) })
+	return joinReply(err)
+}
--- /dev/null
+++ b/internal/coordination/consensus/identity.go
@@ -0,0 +1,119 @@
+package consensus
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io/fs"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Names below the data folder.
+const (
+	rootDir      = "."
+	identityFile = "identity"
+	lockFile     = "lock"
+	walDir       = "wal"
+	snapDir      = "snap"
+)
+
+// ErrDataLost means that a part of the data folder is missing: the replica must
+// not go on under its identity. An emptied folder joins as a new incarnation.
+var ErrDataLost = errors.New("consensus: a part of the data folder is missing")
+
+// identity is the durable identity of a data folder.
+type identity struct {
+	Replica Replica
+	// Genesis is set once the replica belongs to a cluster.
+	Genesis Genesis
+}
+
+// formed reports whether the replica belongs to a cluster.
+func (i identity) formed() bool {
+	return i.Genesis.Cluster != ""
+}
+
+// loadIdentity reads the identity, or draws one for an empty folder.
+func loadIdentity(fsys disk.FS, id ident.NodeID, fixed ident.Incarnation) (identity, error) {
+	hasLog, err := hasFiles(fsys, walDir)
+	if err != nil {
+		return identity{}, err
+	}
+	content, err := fsys.ReadFile(identityFile)
+	if errors.Is(err, fs.ErrNotExist) {
+		if hasLog {
+			return identity{}, fmt.Errorf("%w: no identity beside the log", ErrDataLost)
+		}
+		return drawIdentity(fsys, id, fixed)
+	}
+	if err != nil {
+		return identity{}, fmt.Errorf("consensus: read identity: %w", err)
+	}
+	var own identity
+	if err := cbor.Unmarshal(content, &own); err != nil {
+		return identity{}, fmt.Errorf("consensus: the identity file is damaged: %w", err)
+	}
+	if own.Replica.ID != id {
+		return identity{}, fmt.Errorf("consensus: the data folder belongs to %q, not to %q", own.Replica.ID, id)
+	}
+	if own.formed() && !hasLog {
+		return identity{}, fmt.Errorf("%w: no log beside the identity", ErrDataLost)
+	}
+	return own, nil
+}
+
+// drawIdentity makes an incarnation for an empty folder durable.
+func drawIdentity(fsys disk.FS, id ident.NodeID, fixed ident.Incarnation) (identity, error) {
+	own := identity{Replica: Replica{ID: id, Incarnation: fixed}}
+	if fixed == 0 {
+		own.Replica.Incarnation = ident.Incarnation(randomUint64())
+	}
+	return own, own.save(fsys)
+}
+
+// save makes the identity durable.
+func (i identity) save(fsys disk.FS) error {
+	content, err := cbor.Marshal(i)
+	if err != nil {
+		return fmt.Errorf("consensus: encode identity: %w", err)
+	}
+	if err := disk.WriteFile(fsys, rootDir, identityFile, content); err != nil {
+		return fmt.Errorf("consensus: save identity: %w", err)
+	}
+	return nil
+}
+
+// hasFiles reports whether a folder holds any complete file.
+func hasFiles(fsys disk.FS, dir string) (bool, error) {
+	names, err := fsys.List(dir)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("consensus: list %s: %w", dir, err)
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, ".tmp") {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// randomUint64 returns a random number other than 0.
+func randomUint64() uint64 {
+	var raw [8]byte
+	for {
+		// Read never fails: it ends the process when the system has no entropy.
+		_, _ = rand.Read(raw[:])
+		if n := binary.LittleEndian.Uint64(raw[:]); n != 0 {
+			return n
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/consensus/main_test.go
@@ -0,0 +1,50 @@
+package consensus
+
+import (
+	"flag"
+	"io"
+	"os"
+	"testing"
+
+	"k8s.io/klog/v2"
+	_ "pgregory.net/rapid"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+)
+
+// faultsOfSync makes every sync fail.
+var faultsOfSync = disk.Faults{FailSyncs: true}
+
+// Variables that widen the generated histories.
+const (
+	seedVariable      = "FLAMINGOHAVEN_SEED"
+	historiesVariable = "FLAMINGOHAVEN_HISTORIES"
+)
+
+// defaultHistories is how many generated histories an ordinary run checks.
+const defaultHistories = "40"
+
+// TestMain fixes the seed and the number of generated histories.
+func TestMain(m *testing.M) {
+	klog.InitFlags(nil)
+	setFlag("logtostderr", "false")
+	setFlag("stderrthreshold", "FATAL")
+	klog.SetOutput(io.Discard)
+	setFlag("rapid.seed", orElse(os.Getenv(seedVariable), "1"))
+	setFlag("rapid.checks", orElse(os.Getenv(historiesVariable), defaultHistories))
+	setFlag("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func orElse(value, fallback string) string {
+	if value == "" {
+		return fallback
+	}
+	return value
+}
+
+func setFlag(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/coordination/consensus/network_test.go
@@ -0,0 +1,133 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// link is one direction between two nodes.
+type link struct{ from, to ident.NodeID }
+
+// network connects replicas in memory.
+type network struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[ident.NodeID]*Service
+	cut      map[link]bool
+	// maxDelay bounds the random delay of one direction; dropPercent of the
+	// messages get lost. A lost message shows only by the caller's deadline.
+	maxDelay    time.Duration
+	dropPercent int
+}
+
+func newNetwork(seed int64) *network {
+	return &network{
+		rng:      rand.New(rand.NewSource(seed)),
+		services: map[ident.NodeID]*Service{},
+		cut:      map[link]bool{},
+		maxDelay: 2 * time.Millisecond,
+	}
+}
+
+// attach makes a node reachable, or unreachable if s is nil.
+func (n *network) attach(id ident.NodeID, s *Service) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.services[id] = s
+}
+
+// setCut cuts or restores one direction.
+func (n *network) setCut(from, to ident.NodeID, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link{from, to}] = cut
+}
+
+// heal removes every fault.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = map[link]bool{}
+	n.dropPercent = 0
+	n.maxDelay = 2 * time.Millisecond
+}
+
+// carry takes one direction; it blocks until the deadline if the message is lost.
+func (n *network) carry(ctx context.Context, from, to ident.NodeID) error {
+	n.mu.Lock()
+	lost := n.rng.Intn(100) < n.dropPercent
+	var delay time.Duration
+	if n.maxDelay > 0 {
+		delay = time.Duration(n.rng.Int63n(int64(n.maxDelay)))
+	}
+	n.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	n.mu.Lock()
+	lost = lost || n.cut[link{from, to}]
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+var errUnreachable = errors.New("no process listens")
+
+// request carries one call there and back.
+func request[Q, A any](ctx context.Context, n *network, from, to ident.NodeID, handle func(*Service, *Q, *A) error, args *Q) (*A, error) {
+	if err := n.carry(ctx, from, to); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	service := n.services[to]
+	n.mu.Unlock()
+	if service == nil {
+		return nil, errUnreachable
+	}
+	copied := *args
+	reply := new(A)
+	if err := handle(service, &copied, reply); err != nil {
+		return nil, err
+	}
+	if err := n.carry(ctx, to, from); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// memPeers implements Peers over a network.
+type memPeers struct {
+	net  *network
+	self ident.NodeID
+}
+
+func (p memPeers) Vote(ctx context.Context, to ident.NodeID, req *VoteRequest) (*VoteReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Vote, req)
+}
+
+func (p memPeers) Append(ctx context.Context, to ident.NodeID, req *AppendRequest) (*AppendReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Append, req)
+}
+
+func (p memPeers) Snapshot(ctx context.Context, to ident.NodeID, req *SnapshotRequest) (*SnapshotReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Snapshot, req)
+}
+
+func (p memPeers) Elect(ctx context.Context, to ident.NodeID, req *ElectRequest) (*ElectReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Elect, req)
+}
+
+func (p memPeers) Probe(ctx context.Context, to ident.NodeID, req *ProbeRequest) (*ProbeReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Probe, req)
+}
+
+func (p memPeers) Join(ctx context.Context, to ident.NodeID, req *JoinRequest) (*JoinReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Join, req)
+}
