--- /dev/null
+++ b/internal/state/config/load_test.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var testNow = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const goodFile = `tiers:
+  urgent: {rank: 2, deadline: 2s}
+  patient: {rank: 1, deadline: 1m, reserve: 0.1}
+teams:
+  north: {shares: 3}
+pools:
+  chat: {kind: engine, model: m, version: 1.10}
+  entries: {kind: service, version: s1}
+upstreams:
+  e1: {pool: chat, version: 1.10, address: "127.0.0.1:7001", max_concurrent: 4, fencing: checked}
+  e2: {pool: chat, version: v2, address: "[::1]:7002", max_concurrent: 4}
+  s1: {pool: entries, version: s1, address: "127.0.0.1:7003", max_concurrent: 4}
+routes:
+  chat: {path: /v1/chat/completions, pool: chat, tier: patient, idempotent: true}
+  submit: {path: /entries, pool: entries, tier: urgent, status_path: /entries/status}
+moves:
+  m1: {pool: chat, from: 1.10, to: v2, deadline: 2031-01-01T00:00:00Z, canary_share: 0.05, watch: 10m}
+`
+
+func loadOne(text string) (Config, Report) {
+	return Load([]File{{Name: "a.yaml", Data: []byte(text)}}, testNow)
+}
+
+func texts(mistakes []Mistake) string {
+	var b strings.Builder
+	for _, m := range mistakes {
+		b.WriteString(m.String() + "\n")
+	}
+	return b.String()
+}
+
+func TestLoad_Good(t *testing.T) {
+	c, report := loadOne(goodFile)
+	must.Eq(t, "", texts(report.Mistakes))
+	must.Eq(t, "", texts(report.Warnings))
+	must.Eq(t, 11, c.Size())
+	must.Eq(t, "1.10", c.Pools["chat"].Version)
+	must.Eq(t, 10*time.Minute, c.Moves["m1"].Watch)
+}
+
+// TestLoad_LaterFileReplacesWholeObject checks that nothing of a replaced
+// object is left, whatever the order in which files are given.
+func TestLoad_LaterFileReplacesWholeObject(t *testing.T) {
+	files := []File{
+		{Name: "20.yaml", Data: []byte("tiers: {patient: {rank: 1, deadline: 3m}}")},
+		{Name: "10.yaml", Data: []byte(goodFile)},
+	}
+	c, report := Load(files, testNow)
+	must.SliceEmpty(t, report.Mistakes)
+	must.Eq(t, Tier{Rank: 1, Deadline: 3 * time.Minute}, c.Tiers["patient"])
+}
+
+// TestLoad_Mistakes adds wrong lines to a good file and expects each to be
+// found at its line; the good file ends on line 17.
+func TestLoad_Mistakes(t *testing.T) {
+	cases := []struct{ old, bad, want string }{
+		{"tiers:\n", "tears:\n", `a.yaml:1: unknown section "tears"`},
+		{"rank: 2, ", "rank: 2, color: x, ", `a.yaml:2: tiers "urgent" has no field "color"`},
+		{"rank: 2, ", "rank: 2, rank: 3, ", `a.yaml:2: "rank" stands twice in tiers "urgent", first on line 2`},
+		{"rank: 2", "rank: 1", "a.yaml:2: tiers urgent: rank: 1 is the rank of tier patient too"},
+		{"deadline: 2s", "deadline: 2", `a.yaml:2: tiers "urgent": deadline: "2" is no duration with a unit`},
+		{"deadline: 2s", "deadline: 2 parsecs", `"2 parsecs" is no duration`},
+		{"deadline: 2s", "deadline: -2s", "a.yaml:2: tiers urgent: deadline: must be above zero"},
+		{"reserve: 0.1", "reserve: 0.6", "a.yaml:3: tiers patient: reserve: 0.6 is not from 0 to 0.5"},
+		{"reserve: 0.1", "reserve: .nan", `reserve: ".nan" is no number`},
+		{"shares: 3", "shares: 0", "a.yaml:5: teams north: shares: 0 is below 1"},
+		{"shares: 3", "shares: many", `"many" is no whole number`},
+		{"north:", "no/../rth!:", "is no valid name"},
+		{"kind: engine", "kind: motor", `a.yaml:7: pools chat: kind: "motor" is neither`},
+		{"model: m, ", "", "a.yaml:7: pools chat: model: is missing"},
+		{"version: 1.10}", "version: v9}", `a.yaml:7: pools chat: version: no upstream of the pool has version "v9"`},
+		{"e1: {pool: chat", "e1: {pool: chad", `a.yaml:10: upstreams e1: pool: there is no pool "chad"`},
+		{`"127.0.0.1:7001"`, `"engine1:7001"`, `a.yaml:10: upstreams e1: address: "engine1:7001" is no IP number with a port`},
+		{`"127.0.0.1:7001"`, `"127.0.0.1:7003"`, "a.yaml:12: upstreams s1: address: upstream e1 has 127.0.0.1:7003 too"},
+		{"fencing: checked", "fencing: maybe", `fencing: "maybe" is neither checked nor ignored`},
+		{"max_concurrent: 4, fencing", "max_concurrent: 0, fencing", "a.yaml:10: upstreams e1: max_concurrent: 0 is below 1"},
+		{"tier: patient", "tier: patent", `a.yaml:14: routes chat: tier: there is no tier "patent"`},
+		{"path: /entries,", "path: /v1/chat/completions,", "and no model tells them apart"},
+		{"path: /entries,", "path: /v1/addresses,", "is taken by the system"},
+		{"path: /entries,", "path: entries,", `path: "entries" is no path`},
+		{"to: v2", "to: v3", `a.yaml:17: moves m1: to: no upstream of pool chat has version "v3"`},
+		{"to: v2", "to: 1.10", `to: "1.10" is the version to move from`},
+		{"canary_share: 0.05", "canary_share: 0.2", "canary_share: 0.2 is not from 0 to 0.05"},
+		{"deadline: 2031-01-01T00:00:00Z, ", "", "moves m1: deadline: is missing"},
+		{"2031-01-01T00:00:00Z", "2031-01-01", "is no time with a zone"},
+		{"idempotent: true", "idempotent: yes", `"yes" is neither true nor false`},
+		{"moves:\n", "moves:\n  m0: {pool: chat, from: 1.10, to: v2, deadline: 2031-01-01T00:00:00Z}\n", "moves m1: pool: move m0 moves pool chat too"},
+		{"moves:\n", "teams: {}\nmoves:\n", `a.yaml:16: "teams" stands twice in file, first on line 4`},
+		{"moves:\n", "---\nmoves:\n", "one document only"},
+		{"tiers:\n", "tiers: [\n", "a.yaml:"},
+		{"north: {shares: 3}", "north: &x {shares: 3}\n  south: *x", "must be a mapping"},
+	}
+	for _, c := range cases {
+		must.StrContains(t, goodFile, c.old)
+		_, report := loadOne(strings.Replace(goodFile, c.old, c.bad, 1))
+		must.StrContains(t, texts(report.Mistakes), c.want)
+	}
+}
+
+// TestLoad_AllMistakesAtOnce spreads mistakes over files and finds every one.
+func TestLoad_AllMistakesAtOnce(t *testing.T) {
+	_, report := Load([]File{
+		{Name: "b.yaml", Data: []byte("teams:\n  south: {shares: 0}\n  west: {share: 1}\n")},
+		{Name: "a.yaml", Data: []byte(goodFile + "  m2: {pool: gone, from: a, to: b, deadline: 2020-01-01T00:00:00Z}\n")},
+		{Name: "c.yaml", Data: []byte("pools: 7\n")},
+	}, testNow)
+	must.Eq(t, `a.yaml:18: moves m2: pool: there is no pool "gone"
+b.yaml:2: teams south: shares: 0 is below 1
+b.yaml:3: teams "west" has no field "share"
+b.yaml:3: teams west: shares: 0 is below 1
+c.yaml:1: pools must be a mapping
+`, texts(report.Mistakes))
+	must.Eq(t, "a.yaml:18: moves m2: deadline: 2020-01-01T00:00:00Z has passed\n", texts(report.Warnings))
+}
+
+func TestReadFolder(t *testing.T) {
+	folder := fstest.MapFS{"a.yaml": {Data: []byte("x")}, "README": {}, "sub/b.yaml": {}, ".c.yaml": {}}
+	files, err := ReadFolder(folder)
+	must.NoError(t, err)
+	must.Eq(t, []File{{Name: "a.yaml", Data: []byte("x")}}, files)
+	folder["d.yml"] = &fstest.MapFile{}
+	_, err = ReadFolder(folder)
+	must.ErrorContains(t, err, "d.yml: rename it")
+}
+
+// FuzzLoad checks that no folder makes the loader panic, that a report is the
+// same every time, and that an accepted configuration survives its encoding.
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(goodFile), []byte("tiers: {patient: {rank: 1, deadline: 3m}}"))
+	f.Add([]byte("teams: &a {x: *a}"), []byte("{"))
+	f.Add([]byte("? [a]\n: b"), []byte("<<: {teams: {}}"))
+	f.Add([]byte("---\n...\n---\n"), []byte("moves: {m: {deadline: 0000-00-00}}"))
+	f.Add([]byte("!!binary x: 1"), []byte("tiers: {t: {rank: 0x1F, deadline: 1e9}}"))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		files := []File{{Name: "a.yaml", Data: a}, {Name: "b.yaml", Data: b}}
+		c, report := Load(files, testNow)
+		again, report2 := Load([]File{files[1], files[0]}, testNow)
+		must.Eq(t, report, report2)
+		must.Eq(t, c.Digest(), again.Digest())
+		if len(report.Mistakes) > 0 {
+			return
+		}
+		decoded, err := Decode(c.Encode())
+		must.NoError(t, err)
+		must.Eq(t, c, decoded)
+	})
+}
