Take moves from their committed records, not from the configuration alone

Cause: the state machine itself creates, redirects and removes the records of moves; a Set that wrote first records of its own could have them refused for another revision, and a lost commit answer was never learned. Change: Set.Configure takes the committed records; the pool's runner passes those of its view. A removed move ends at once, a conflicting one is taken back with the reason.

--- a/internal/coordination/moves/set.go
+++ b/internal/coordination/moves/set.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -30,112 +31,128 @@
 	base    ident.VersionName
 	records map[ident.MoveName]move.Record
 	open    map[ident.MoveName]*Move
-	// fresh holds first records until they are committed.
-	fresh     map[ident.MoveName]move.Record
-	specs     map[ident.MoveName]config.Move
+
 	readiness []Readiness
 	events    []Event
 }
 
-// NewSet returns the moves of a pool from the committed records of a new
-// holder. Records of other pools are ignored.
-func NewSet(pool ident.PoolName, o Options, records []move.Record) *Set {
-	s := &Set{
+// NewSet returns the moves of a pool for a new holder.
+func NewSet(pool ident.PoolName, o Options) *Set {
+	return &Set{
 		pool:    pool,
 		opts:    o,
 		records: make(map[ident.MoveName]move.Record),
 		open:    make(map[ident.MoveName]*Move),
-		fresh:   make(map[ident.MoveName]move.Record),
-		specs:   make(map[ident.MoveName]config.Move),
 	}
-	for _, r := range records {
-		if r.Pool == pool {
-			s.records[r.Name] = r
-		}
-	}
-	return s
 }
 
-// Configure takes in a revision of the configuration: it opens new moves,
-// takes back those that were removed or changed, and refuses those that
-// conflict with an open one.
-func (s *Set) Configure(c config.Config, revision ident.Revision, now time.Time) {
+// Configure takes in the configuration and the committed records of its moves.
+// A move without a record waits for it. A move that left the configuration
+// ends here; one that conflicts with another is refused: it is taken back with
+// that reason. Records older than what was committed here change nothing.
+func (s *Set) Configure(c config.Config, records []move.Record, now time.Time) {
 	s.base = c.Pools[s.pool].Version
-	s.specs = make(map[ident.MoveName]config.Move)
-	for name, spec := range c.Moves {
-		if spec.Pool == s.pool {
-			s.specs[name] = spec
-		}
+	kept := s.matching(c, records)
+	s.dropRemoved(kept, now)
+	for _, r := range kept {
+		s.adopt(c.Moves[r.Name], r, now)
 	}
-	s.abortRemoved()
-	for _, name := range sortedNames(s.records) {
-		s.resume(name, now)
-	}
-	for _, name := range sortedNames(s.specs) {
-		s.begin(name, revision, now)
+	for _, r := range kept {
+		s.refuseConflict(r.Name)
 	}
 }
 
-func (s *Set) abortRemoved() {
-	for name, m := range s.open {
-		spec, kept := s.specs[name]
-		switch {
-		case !kept:
-			m.Abort("the move was removed from the configuration")
-		case spec.From != m.spec.From || spec.To != m.spec.To:
-			m.Abort("the versions of the move were changed; a move under another name can replace it")
-		default:
-			m.SetDeadline(spec.Deadline)
+// matching returns the pool's records that belong to configured moves: those
+// that have begun first, then by revision and name.
+func (s *Set) matching(c config.Config, records []move.Record) []move.Record {
+	var kept []move.Record
+	for _, r := range records {
+		spec, configured := c.Moves[r.Name]
+		if configured && spec.Pool == s.pool && r.Pool == s.pool && spec.From == r.From && spec.To == r.To {
+			kept = append(kept, r)
 		}
 	}
+	slices.SortFunc(kept, func(a, b move.Record) int {
+		return cmp.Or(
+			cmp.Compare(pendingLast(a.State), pendingLast(b.State)),
+			cmp.Compare(a.Revision, b.Revision),
+			cmp.Compare(a.Name, b.Name),
+		)
+	})
+	return kept
 }
 
-// resume opens a committed move that is not final.
-func (s *Set) resume(name ident.MoveName, now time.Time) {
-	r := s.records[name]
-	if r.State.Final() || s.open[name] != nil {
-		return
-	}
-	spec, kept := s.specs[name]
-	changed := kept && (spec.From != r.From || spec.To != r.To)
-	if !kept || changed {
-		spec = config.Move{Pool: r.Pool, From: r.From, To: r.To, Deadline: now}
+func pendingLast(s move.State) int {
+	if s == move.StatePending {
+		return 1
 	}
-	m := New(spec, r, s.opts)
-	m.SetReadiness(s.readiness, now)
-	if !kept || changed {
-		m.Abort("the move was removed from the configuration")
+	return 0
+}
+
+func (s *Set) dropRemoved(kept []move.Record, now time.Time) {
+	for name, r := range s.records {
+		known := slices.ContainsFunc(kept, func(k move.Record) bool { return sameMove(k, r) })
+		if known {
+			continue
+		}
+		if !r.State.Final() {
+			s.note(r, move.StateTakenBack, "the move was removed from the configuration", now)
+		}
+		delete(s.records, name)
+		delete(s.open, name)
 	}
-	s.open[name] = m
 }
 
-// begin opens a move that has no record yet, or refuses it.
-func (s *Set) begin(name ident.MoveName, revision ident.Revision, now time.Time) {
-	if _, known := s.records[name]; known || s.open[name] != nil {
+func sameMove(a, b move.Record) bool {
+	return a.Name == b.Name && a.Revision == b.Revision && a.From == b.From && a.To == b.To
+}
+
+// adopt takes in a committed record of a configured move.
+func (s *Set) adopt(spec config.Move, r move.Record, now time.Time) {
+	last, known := s.records[r.Name]
+	if !known {
+		s.records[r.Name] = r
+		if !r.State.Final() {
+			m := New(spec, r, s.opts)
+			m.SetReadiness(s.readiness, now)
+			s.open[r.Name] = m
+		}
 		return
 	}
-	spec := s.specs[name]
-	first := Pending(name, spec, revision, s.opts.Epoch, now)
-	m := New(spec, first, s.opts)
-	m.SetReadiness(s.readiness, now)
-	if reason := s.conflict(name, spec); reason != "" {
-		m.Abort(reason)
+	if m := s.open[r.Name]; m != nil {
+		m.SetDeadline(spec.Deadline)
+	}
+	newer := r.Epoch >= last.Epoch && r.At.After(last.At)
+	if newer || (r.State.Final() && !last.State.Final()) {
+		s.Committed(r, now)
 	}
-	s.open[name] = m
-	s.fresh[name] = first
 }
 
-// conflict says why a new move may not run; it is empty if it may.
-func (s *Set) conflict(name ident.MoveName, spec config.Move) string {
+// refuseConflict ends a move that has not begun and may not.
+func (s *Set) refuseConflict(name ident.MoveName) {
+	m := s.open[name]
+	if m == nil || m.Record().State != move.StatePending {
+		return
+	}
 	for _, other := range sortedNames(s.open) {
-		if other != name && s.open[other].verdict == "" {
-			return fmt.Sprintf("refused: move %s of pool %s is not finished", other, s.pool)
+		if other != name && s.open[other].before(m) && s.open[other].verdict == "" {
+			m.Abort(fmt.Sprintf("refused: move %s of pool %s is not finished", other, s.pool))
 		}
 	}
-	if serving := s.Serving(); spec.From != serving {
-		return fmt.Sprintf("refused: pool %s serves %s, not %s", s.pool, serving, spec.From)
+	if serving := s.Serving(); m.spec.From != serving {
+		m.Abort(fmt.Sprintf("refused: pool %s serves %s, not %s", s.pool, serving, m.spec.From))
 	}
-	return ""
+}
+
+// before reports whether m goes first of two moves of a pool, of which other
+// is pending.
+func (m *Move) before(other *Move) bool {
+	a, b := m.committed, other.committed
+	return cmp.Or(
+		cmp.Compare(pendingLast(a.State), pendingLast(b.State)),
+		cmp.Compare(a.Revision, b.Revision),
+		cmp.Compare(a.Name, b.Name),
+	) < 0
 }
 
 // Serving returns the version that serves while no move is open: the
@@ -143,7 +160,7 @@
 func (s *Set) Serving() ident.VersionName {
 	var done []move.Record
 	for _, r := range s.records {
-		if _, kept := s.specs[r.Name]; kept && r.State == move.StateDone {
+		if r.State == move.StateDone {
 			done = append(done, r)
 		}
 	}
@@ -177,12 +194,7 @@
 func (s *Set) Tick(now time.Time) []move.Record {
 	var rs []move.Record
 	for _, name := range sortedNames(s.open) {
-		m := s.open[name]
-		if first, uncommitted := s.fresh[name]; uncommitted && m.verdict == "" {
-			rs = append(rs, first)
-			continue
-		}
-		if r := m.Tick(now); r != nil {
+		if r := s.open[name].Tick(now); r != nil {
 			rs = append(rs, *r)
 		}
 	}
@@ -190,26 +202,29 @@
 }
 
 // Committed tells that a record is durable. It returns false for records of
-// unknown moves and for those that would change a final one.
+// moves that are not open.
 func (s *Set) Committed(r move.Record, now time.Time) bool {
 	m := s.open[r.Name]
 	if m == nil {
 		return false
 	}
-	before := m.Record()
-	delete(s.fresh, r.Name)
+	last := m.Record()
 	m.Committed(r, now)
 	s.records[r.Name] = m.Record()
-	s.events = append(s.events, Event{
-		At: now, Move: r.Name, Pool: r.Pool,
-		From: before.State, To: r.State, Share: r.Share, Reason: r.Reason,
-	})
+	s.note(last, r.State, r.Reason, now)
 	if r.State.Final() {
 		delete(s.open, r.Name)
 	}
 	return true
 }
 
+func (s *Set) note(last move.Record, to move.State, reason string, now time.Time) {
+	s.events = append(s.events, Event{
+		At: now, Move: last.Name, Pool: last.Pool,
+		From: last.State, To: to, Share: s.records[last.Name].Share, Reason: reason,
+	})
+}
+
 // Shares returns the present shares of the pool's versions. They sum to 1.
 func (s *Set) Shares() []scheduler.VersionShare {
 	for _, name := range sortedNames(s.open) {
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -70,7 +70,7 @@
 // StartRunner starts to schedule a pool under a lease.
 func StartRunner(l lease.Pool, d Dependencies) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	cfg, revision := d.View.Config()
+	cfg, _ := d.View.Config()
 	options := moves.Options{Epoch: l.Epoch, Routes: routeCount(&cfg, l.Pool)}
 	r := &Runner{
 		view:    d.View,
@@ -79,11 +79,11 @@
 		events:  d.Events,
 		cancel:  cancel,
 		refresh: make(chan struct{}, 1),
-		set:     moves.NewSet(l.Pool, options, recordsOf(d.View)),
+		set:     moves.NewSet(l.Pool, options),
 		samples: newSampler(),
 		polled:  make(map[ident.UpstreamName]context.CancelFunc),
 	}
-	r.set.Configure(cfg, revision, time.Now())
+	r.set.Configure(cfg, recordsOf(r.view), time.Now())
 	build := func(now time.Duration) scheduler.Scheduler {
 		return scheduler.New(l.Epoch, d.View.SchedulerView(l.Pool, r.set.Shares()), now)
 	}
@@ -123,9 +123,9 @@
 
 // Update takes in a changed node view.
 func (r *Runner) Update() {
-	cfg, revision := r.view.Config()
+	cfg, _ := r.view.Config()
 	r.mu.Lock()
-	r.set.Configure(cfg, revision, time.Now())
+	r.set.Configure(cfg, recordsOf(r.view), time.Now())
 	r.set.SetReadiness(readiness(&cfg, r.view, r.master.Pool()), time.Now())
 	r.mu.Unlock()
 	r.setView()
