Notice a silent engine connection before the first byte

Cause: a streamed call on a connection that had gone silent waited for its deadline. Change: a streamed call whose header does not come within the limit on silence is taken up on a fresh connection as a broken stream is. Benchmarks of the path.

--- /dev/null
+++ b/internal/command/agent/bench_test.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+)
+
+// benchLatency is the service time of the fake service in benchmarks.
+const benchLatency = 2 * time.Millisecond
+
+type latencies struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{h: hdrhistogram.New(1, time.Minute.Nanoseconds(), 3)}
+}
+
+func (l *latencies) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.h.RecordValue(d.Nanoseconds())
+}
+
+func (l *latencies) millis(quantile float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.h.ValueAtQuantile(quantile)) / 1e6
+}
+
+// client returns a caller that keeps its connections.
+func benchClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}, Timeout: testTimeout}
+}
+
+func lookup(client *http.Client, address, id string) error {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+"/lookup?item=1", nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set(callerapi.HeaderTeam, "alpha")
+	request.Header.Set(upstreamapi.HeaderRequestID, id)
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var sink strings.Builder
+	buffer := make([]byte, 1024)
+	for {
+		n, err := response.Body.Read(buffer)
+		sink.Write(buffer[:n])
+		if err != nil {
+			break
+		}
+	}
+	if response.StatusCode != http.StatusOK {
+		return &statusError{status: response.Status, body: sink.String()}
+	}
+	return nil
+}
+
+type statusError struct{ status, body string }
+
+func (e *statusError) Error() string { return e.status + ": " + e.body }
+
+// BenchmarkPathLookupLowLoad compares one lookup at a time, direct and through
+// the system, in turn.
+func BenchmarkPathLookupLowLoad(b *testing.B) {
+	c := startBenchCluster(b)
+	client := benchClient()
+	direct, through := newLatencies(), newLatencies()
+	b.ResetTimer()
+	for i := range b.N {
+		began := time.Now()
+		must.NoError(b, lookup(client, c.service.Addr(), "direct"))
+		direct.add(time.Since(began))
+		began = time.Now()
+		must.NoError(b, lookup(client, c.nodes[i%len(c.nodes)].settings.CallerAdvertise, ""))
+		through.add(time.Since(began))
+	}
+	b.ReportMetric(direct.millis(50), "direct-p50-ms")
+	b.ReportMetric(through.millis(50), "through-p50-ms")
+	b.ReportMetric(through.millis(50)-direct.millis(50), "added-p50-ms")
+	b.ReportMetric(direct.millis(99), "direct-p99-ms")
+	b.ReportMetric(through.millis(99), "through-p99-ms")
+	b.ReportMetric(through.millis(50)/direct.millis(50), "ratio-p50")
+}
+
+// BenchmarkPathThroughput measures requests a second through one node and
+// through three, with many callers.
+func BenchmarkPathThroughput(b *testing.B) {
+	for _, nodes := range []int{1, 3} {
+		name := map[int]string{1: "one-node", 3: "three-nodes"}[nodes]
+		b.Run(name, func(b *testing.B) {
+			c := startBenchCluster(b)
+			client := benchClient()
+			through := newLatencies()
+			var next, failed atomic.Int64
+			b.ResetTimer()
+			var callers sync.WaitGroup
+			for range 64 {
+				callers.Go(func() {
+					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+						began := time.Now()
+						if lookup(client, c.nodes[int(n)%nodes].settings.CallerAdvertise, "") != nil {
+							failed.Add(1)
+						}
+						through.add(time.Since(began))
+					}
+				})
+			}
+			callers.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+			b.ReportMetric(through.millis(50), "p50-ms")
+			b.ReportMetric(through.millis(99), "p99-ms")
+			b.ReportMetric(float64(failed.Load()), "failed")
+		})
+	}
+}
+
+// BenchmarkPathWaitingMemory measures the memory of 10,000 requests that wait
+// behind a service that does not answer, per request.
+func BenchmarkPathWaitingMemory(b *testing.B) {
+	const waiting = 10_000
+	for range b.N {
+		c := startBenchCluster(b)
+		c.service.SetSlow(1e5)
+		client := benchClient()
+		before := heapInUse()
+		var callers sync.WaitGroup
+		for n := range waiting {
+			callers.Go(func() { _ = lookup(client, c.nodes[n%len(c.nodes)].settings.CallerAdvertise, "") })
+		}
+		for count := 0; count < waiting*9/10; time.Sleep(50 * time.Millisecond) {
+			count = 0
+			for _, n := range c.nodes {
+				count += n.outstanding()
+			}
+		}
+		after := heapInUse()
+		b.ReportMetric(float64(after-before)/waiting, "B/waiting")
+		c.service.SetSlow(1)
+		client.CloseIdleConnections()
+		for _, n := range c.nodes {
+			n.Kill()
+		}
+		callers.Wait()
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
+
+func startBenchCluster(b *testing.B) *cluster {
+	b.Helper()
+	c := startCluster(b, withService(fakes.ServiceOptions{Latency: benchLatency}), withConnections(20_000))
+	return c
+}
--- a/internal/command/agent/cluster_test.go
+++ b/internal/command/agent/cluster_test.go
@@ -31,11 +31,28 @@
 	service  *fakes.Service
 	platform *fakes.Platform
 	client   *http.Client
+
+	serviceOptions fakes.ServiceOptions
+	connections    int
+}
+
+// option changes a cluster before it starts.
+type option func(*cluster)
+
+func withService(o fakes.ServiceOptions) option {
+	return func(c *cluster) { c.serviceOptions = o }
 }
 
-func startCluster(t *testing.T) *cluster {
+func withConnections(n int) option {
+	return func(c *cluster) { c.connections = n }
+}
+
+func startCluster(t testing.TB, options ...option) *cluster {
 	t.Helper()
-	c := &cluster{client: &http.Client{Timeout: testTimeout}}
+	c := &cluster{client: &http.Client{Timeout: testTimeout}, connections: 256}
+	for _, o := range options {
+		o(c)
+	}
 	c.startUpstreams(t)
 	var replicas []settings.Replica
 	var listeners []Listeners
@@ -45,7 +62,9 @@
 		replicas = append(replicas, settings.Replica{ID: nodeID(i), Address: l.Internal.Addr().String()})
 	}
 	for i, l := range listeners {
-		node, err := New(testSettings(t, i, l, replicas, c.platform.Addr()), l)
+		set := testSettings(t, i, l, replicas, c.platform.Addr())
+		set.Limits.MaxConnections = c.connections
+		node, err := New(set, l)
 		must.NoError(t, err)
 		node.Start()
 		t.Cleanup(node.Kill)
@@ -55,14 +74,14 @@
 	return c
 }
 
-func (c *cluster) startUpstreams(t *testing.T) {
+func (c *cluster) startUpstreams(t testing.TB) {
 	t.Helper()
 	fast, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1"})
 	must.NoError(t, err)
 	slow, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1", StepBase: 6 * time.Millisecond})
 	must.NoError(t, err)
 	c.engines = []*fakes.Engine{fast, slow}
-	c.service, err = fakes.StartService(fakes.ServiceOptions{})
+	c.service, err = fakes.StartService(c.serviceOptions)
 	must.NoError(t, err)
 	c.platform, err = fakes.StartPlatform(fakes.PlatformOptions{})
 	must.NoError(t, err)
@@ -74,7 +93,7 @@
 	})
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -85,7 +104,7 @@
 	return ident.NodeID(fmt.Sprintf("node-%d", i))
 }
 
-func testSettings(t *testing.T, i int, l Listeners, replicas []settings.Replica, platform string) *settings.Settings {
+func testSettings(t testing.TB, i int, l Listeners, replicas []settings.Replica, platform string) *settings.Settings {
 	t.Helper()
 	return &settings.Settings{
 		Node:              nodeID(i),
@@ -132,7 +151,7 @@
 }
 
 // apply puts a configuration in force at all nodes.
-func (c *cluster) apply(t *testing.T, text string) {
+func (c *cluster) apply(t testing.TB, text string) {
 	t.Helper()
 	var revision ident.Revision
 	c.eventually(t, "a configuration base", func() bool {
@@ -159,7 +178,7 @@
 	})
 }
 
-func (c *cluster) eventually(t *testing.T, what string, condition func() bool) {
+func (c *cluster) eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if condition() {
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -102,11 +102,16 @@
 }
 
 func (s *Sender) send(ctx context.Context, d gateway.Dispatch, sink gateway.AnswerSink) gateway.DispatchResult {
-	request, err := newRequest(ctx, d)
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	request, err := newRequest(sendCtx, d)
 	if err != nil {
 		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
 	}
-	response, err := s.client(d).Do(request)
+	response, err := s.header(request, d, cancel)
+	if err != nil && errors.Is(context.Cause(sendCtx), errSilent) {
+		return s.follow(ctx, d, &streamReader{sink: sink}, errSilent)
+	}
 	if err != nil {
 		return failed(err)
 	}
@@ -116,11 +121,24 @@
 		return gateway.DispatchResult{Outcome: gateway.DispatchCrossed, Err: err}
 	}
 	if isStream(response) {
-		return s.readStream(ctx, d, response, sink)
+		reader := &streamReader{sink: sink}
+		return s.follow(ctx, d, reader, reader.take(response))
 	}
 	return readWhole(response, sink)
 }
 
+// header sends the request and returns the answer's header. An engine answers
+// a streamed call at once and then sends heartbeats, so silence there means
+// that the connection is dead.
+func (s *Sender) header(request *http.Request, d gateway.Dispatch, cancel context.CancelCauseFunc) (*http.Response, error) {
+	if !d.Request.Engine || !d.Request.Stream {
+		return s.client(d).Do(request)
+	}
+	silence := time.AfterFunc(StreamSilence, func() { cancel(errSilent) })
+	defer silence.Stop()
+	return s.client(d).Do(request)
+}
+
 // client picks a fresh connection for requests that must not run twice.
 func (s *Sender) client(d gateway.Dispatch) *http.Client {
 	if d.Request.Idempotent {
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -42,6 +42,8 @@
 // streamReader passes on the events of one answer over one or more connections.
 type streamReader struct {
 	sink gateway.AnswerSink
+	// status is that of the first response; zero before it.
+	status int
 	// events counts the data events passed on; a resume starts after them.
 	events int
 	tokens int
@@ -51,27 +53,21 @@
 	written error
 }
 
-func (s *Sender) readStream(ctx context.Context, d gateway.Dispatch, response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
-	result := gateway.DispatchResult{Outcome: gateway.DispatchBroken, Status: response.StatusCode}
-	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
-		return result
-	}
-	reader := &streamReader{sink: sink}
-	err := reader.read(response.Body)
-	for err != nil && reader.written == nil && !errors.Is(err, errCrossed) && result.Resumed < MaxResumes {
+// follow takes up a broken stream until it ends whole or can't be mended.
+func (s *Sender) follow(ctx context.Context, d gateway.Dispatch, reader *streamReader, err error) gateway.DispatchResult {
+	result := gateway.DispatchResult{Outcome: gateway.DispatchBroken}
+	for reader.mendable(err) && result.Resumed < MaxResumes && ctx.Err() == nil {
 		result.Resumed++
 		s.resumed.Add(1)
 		err = s.resume(ctx, d, reader)
-		if ctx.Err() != nil {
-			break
-		}
 	}
+	result.Status = reader.status
 	result.OutputTokens = reader.tokens
 	result.Err = err
-	if err == nil {
+	switch {
+	case err == nil:
 		result.Outcome = gateway.DispatchWhole
-	}
-	if errors.Is(err, errCrossed) {
+	case errors.Is(err, errCrossed):
 		result.Outcome = gateway.DispatchCrossed
 	}
 	return result
@@ -101,7 +97,24 @@
 	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
 		return errCrossed
 	}
-	return reader.read(response.Body)
+	return reader.take(response)
+}
+
+// mendable reports whether another connection can bring the rest.
+func (r *streamReader) mendable(err error) bool {
+	return err != nil && r.written == nil && !errors.Is(err, errCrossed)
+}
+
+// take passes on what a response brings.
+func (r *streamReader) take(response *http.Response) error {
+	if r.status == 0 {
+		r.status = response.StatusCode
+		r.written = r.sink.Begin(response.StatusCode, response.Header.Get("Content-Type"))
+		if r.written != nil {
+			return r.written
+		}
+	}
+	return r.read(response.Body)
 }
 
 // read passes on events until the stream's end mark. It returns nil only then.
