Replicated state on consensus with real data folders

Cause: each replica applied commands for itself in memory. Change: replicas run the consensus node over net/rpc connections of its own, on the data folder; a stopping leader hands over. Conclusion: claims, leases and configuration are now replicated.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -52,6 +52,7 @@
 	draining atomic.Bool
 	drained  chan struct{}
 	drain    sync.Once
+	stopOnce sync.Once
 
 	mu      sync.Mutex
 	clients map[ident.PoolName]*poolClient
@@ -108,6 +109,14 @@
 	return ids
 }
 
+func replicaAddresses(s *settings.Settings) map[ident.NodeID]string {
+	addresses := make(map[ident.NodeID]string, len(s.Replicas))
+	for _, r := range s.Replicas {
+		addresses[r.ID] = r.Address
+	}
+	return addresses
+}
+
 func callerLimits(s *settings.Settings) callerhttp.Limits {
 	return callerhttp.Limits{
 		MaxBodyBytes:      s.Limits.MaxBodyBytes,
@@ -201,9 +210,29 @@
 	}
 }
 
-// Kill stops the node at once, as a crash would.
+// Kill stops the node at once: callers' connections break and a leader does
+// not hand over.
 func (a *Agent) Kill() {
-	a.cancel()
+	a.stop(false)
+}
+
+// stop ends all parts of the node. It may be called again.
+func (a *Agent) stop(handOver bool) {
+	a.stopOnce.Do(func() {
+		if handOver && a.replica != nil {
+			a.replica.stop(true)
+		}
+		a.cancel()
+		a.closeSockets()
+		a.stopPools()
+		a.loops.Wait()
+		if !handOver && a.replica != nil {
+			a.replica.stop(false)
+		}
+	})
+}
+
+func (a *Agent) closeSockets() {
 	if a.callers != nil {
 		_ = a.callers.Close()
 	}
@@ -215,11 +244,6 @@
 	}
 	a.calls.Close()
 	a.sender.Close()
-	a.stopPools()
-	a.loops.Wait()
-	if a.replica != nil {
-		a.replica.kill()
-	}
 }
 
 // Node returns the node's name.
--- a/internal/command/agent/controlcalls.go
+++ b/internal/command/agent/controlcalls.go
@@ -19,11 +19,7 @@
 
 // replicaCaller sends control calls to replicas by their names.
 func (a *Agent) replicaCaller() control.Caller {
-	addresses := make(map[ident.NodeID]string, len(a.settings.Replicas))
-	for _, r := range a.settings.Replicas {
-		addresses[r.ID] = r.Address
-	}
-	return &replicaCaller{calls: a.calls, addresses: addresses}
+	return &replicaCaller{calls: a.calls, addresses: replicaAddresses(&a.settings)}
 }
 
 type replicaCaller struct {
--- a/internal/command/agent/drain.go
+++ b/internal/command/agent/drain.go
@@ -40,7 +40,7 @@
 	}
 	a.events.Record(timeline.Event{Kind: timeline.KindDrain, Detail: "complete"})
 	klog.InfoS("draining complete", "node", a.settings.Node)
-	a.Kill()
+	a.stop(true)
 }
 
 // awaitUnlisted waits until the system knows that the node drains, so that no
--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -2,39 +2,90 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
+// handOverTimeout bounds the handing over of the leadership when a node stops.
+const handOverTimeout = 2 * time.Second
+
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
-	machine *machine.Machine
+	calls   *rpcnet.Client
+	node    *consensus.Node[machine.Result]
 	service *control.Service
-	cancel  context.CancelFunc
 }
 
-// openReplica opens the data folder and offers the control service.
+// openReplica opens the data folder and offers the replica's services.
 func openReplica(a *Agent) (*replica, error) {
+	calls := rpcnet.NewClient()
 	m := machine.New(ledger.DefaultLimits())
-	proposer := control.NewLocalProposer(a.settings.Node, m)
-	r := &replica{machine: m, service: control.NewService(a.settings.Node, proposer, m)}
+	node, err := consensus.New(consensus.Options{
+		ID:              a.settings.Node,
+		InitialReplicas: replicaIDs(&a.settings),
+		FS:              disk.NewOS(a.settings.DataDir),
+		Peers:           &peers{calls: calls, addresses: replicaAddresses(&a.settings)},
+	}, m)
+	if err != nil {
+		calls.Close()
+		return nil, fmt.Errorf("data folder %s: %w", a.settings.DataDir, err)
+	}
+	r := &replica{calls: calls, node: node, service: control.NewService(a.settings.Node, node, m)}
 	if err := a.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
-	return r, nil
+	return r, a.server.Register(consensusServiceName, node.Service())
 }
 
 func (r *replica) start(a *Agent) {
-	ctx, cancel := context.WithCancel(a.ctx)
-	r.cancel = cancel
-	a.loops.Go(func() { r.service.Run(ctx) })
+	r.node.Start()
+	a.loops.Go(func() { r.service.Run(a.ctx) })
+	a.loops.Go(func() { r.watch(a) })
 }
 
-// kill ends the replica without any last word to the others.
-func (r *replica) kill() {
-	if r.cancel != nil {
-		r.cancel()
+// watch tells of changes of the leadership and of the replica's own end.
+func (r *replica) watch(a *Agent) {
+	var known consensus.Leadership
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case err := <-r.node.Fatal():
+			klog.ErrorS(err, "replica stopped", "node", a.settings.Node)
+			a.fail(fmt.Errorf("replica: %w", err))
+			return
+		case <-r.node.Changes():
+		}
+		now := r.node.Leadership()
+		if now == known {
+			continue
+		}
+		known = now
+		detail := fmt.Sprintf("term %d, leader %q, leading here: %t", now.Term, now.Leader, now.Leading)
+		a.events.Record(timeline.Event{Kind: timeline.KindLeadership, Detail: detail})
+		klog.InfoS("leadership changed", "node", a.settings.Node, "term", now.Term, "leader", now.Leader, "leading", now.Leading)
+	}
+}
+
+// stop ends the replica; a leader hands over first when asked to.
+func (r *replica) stop(handOver bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if !handOver {
+		cancel()
+	}
+	if err := r.node.Stop(ctx); err != nil {
+		klog.ErrorS(err, "replica did not stop in order")
 	}
+	r.calls.Close()
 }
