--- /dev/null
+++ b/internal/coordination/orders/driver.go
@@ -0,0 +1,135 @@
+package orders
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+const (
+	// stepEvery is the time between the driver's steps.
+	stepEvery = time.Second
+	// callTimeout bounds one call to the journal or an engine.
+	callTimeout = 3 * time.Second
+)
+
+// Source tells what the engines should run now.
+type Source func() ([]Engine, []Want)
+
+// Driver carries out a planner's decisions during one term of leadership.
+type Driver struct {
+	journal Journal
+	sender  Sender
+	source  Source
+	origin  time.Time
+
+	mu      sync.Mutex
+	planner *Planner
+	unsaved []machine.CompleteOrder
+	calls   sync.WaitGroup
+}
+
+// NewDriver returns a driver for a leader that has just begun; see NewPlanner.
+func NewDriver(term uint64, open []machine.Order, j Journal, s Sender, source Source, o Options) *Driver {
+	engines, _ := source()
+	return &Driver{
+		journal: j,
+		sender:  s,
+		source:  source,
+		origin:  time.Now(),
+		planner: NewPlanner(term, engines, open, o, 0),
+	}
+}
+
+func (d *Driver) now() time.Duration { return time.Since(d.origin) }
+
+// Run works until ctx ends, which must be no later than the leadership.
+func (d *Driver) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	defer d.calls.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.step(ctx)
+		}
+	}
+}
+
+func (d *Driver) step(ctx context.Context) {
+	engines, wants := d.source()
+	d.mu.Lock()
+	d.planner.SetWants(engines, wants)
+	ask := d.planner.Ask(d.now())
+	due := d.planner.Due(d.now())
+	d.unsaved = append(d.unsaved, d.planner.Ended()...)
+	d.mu.Unlock()
+	for _, e := range ask {
+		d.calls.Go(func() { d.ask(ctx, e) })
+	}
+	for _, o := range due {
+		d.calls.Go(func() { d.carryOut(ctx, o) })
+	}
+	d.save(ctx)
+}
+
+func (d *Driver) ask(ctx context.Context, e Engine) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	askedAt := d.now()
+	r, err := d.sender.Ask(ctx, e)
+	if err != nil {
+		return
+	}
+	r.Address = e.Address
+	r.AskedAt = askedAt
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.planner.Observe(r, d.now())
+}
+
+// carryOut writes an order down and then sends it.
+func (d *Driver) carryOut(ctx context.Context, o Order) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	number, err := d.journal.IssueOrder(ctx, o.IssueOrder)
+	d.mu.Lock()
+	if err != nil {
+		d.planner.IssueFailed(o, d.now())
+		d.mu.Unlock()
+		return
+	}
+	send := d.planner.Issued(o, number, d.now())
+	d.mu.Unlock()
+	if !send {
+		return
+	}
+	o.Number = number
+	reply, err := d.sender.Send(ctx, o)
+	if err != nil {
+		klog.InfoS("order may have been obeyed", "order", o.ID, "engine", o.Address, "err", err)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.planner.Replied(o, reply, d.now())
+}
+
+// save records the ended orders; what fails is tried again.
+func (d *Driver) save(ctx context.Context) {
+	for len(d.unsaved) > 0 {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := d.journal.CompleteOrder(call, d.unsaved[0])
+		cancel()
+		if err != nil {
+			return
+		}
+		d.unsaved = d.unsaved[1:]
+	}
+}
