Index what each engine's prefix cache should hold

Cause: requests with a common beginning went to engines that did not hold it. Change: a bounded index per engine of blocks that grants and events put there; least recently used beyond an assumed capacity goes, which adapts to what engines report as cached; placement prices prompt tokens to compute. The model now evicts the end of a prompt before its beginning and reports cached tokens.

--- a/internal/coordination/policymodel/cache.go
+++ b/internal/coordination/policymodel/cache.go
@@ -28,9 +28,11 @@
 	return n
 }
 
-// store caches blocks and returns those that are new and those that went.
+// store caches blocks and returns those that are new and those that went. The
+// end of a prompt goes before its beginning.
 func (c *prefixCache) store(prefixes []uint64) (stored, evicted []uint64) {
-	for _, block := range prefixes {
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		block := prefixes[i]
 		if at, cached := c.blocks[block]; cached {
 			c.order.MoveToFront(at)
 			continue
--- a/internal/coordination/policymodel/metrics.go
+++ b/internal/coordination/policymodel/metrics.go
@@ -31,7 +31,11 @@
 	// PrefillTokens counts computed prompt tokens, WastedPrefill those of
 	// requests that were not answered in time or that were computed again.
 	PrefillTokens int
-	WastedPrefill int
+	// PromptTokens counts the prompt tokens of the requests answered in time,
+	// ComputedTokens those that no cache held.
+	PromptTokens   int
+	ComputedTokens int
+	WastedPrefill  int
 	// UsefulWork is the cost of the requests answered in time within the
 	// measured window, in seconds of the reference engine a second.
 	UsefulWork float64
@@ -121,6 +125,8 @@
 	switch r.Outcome {
 	case OutcomeDone:
 		t.Done++
+		s.PromptTokens += r.Prompt
+		s.ComputedTokens += min(r.Prompt, r.prefilled)
 		s.WastedPrefill += max(0, r.prefilled-r.Prompt)
 	case OutcomeRefused:
 		t.Refused++
--- a/internal/coordination/policymodel/policy_bench_test.go
+++ b/internal/coordination/policymodel/policy_bench_test.go
@@ -73,6 +73,7 @@
 		b.ReportMetric(s.Tiers[t.Name].Goodput*100, "goodput-"+string(t.Name)+"-%")
 	}
 	b.ReportMetric(float64(s.WastedPrefill)/float64(max(1, s.PrefillTokens))*100, "wasted-prefill-%")
+	b.ReportMetric(100-float64(s.ComputedTokens)/float64(max(1, s.PromptTokens))*100, "cached-prompt-%")
 	b.ReportMetric(float64(s.FirstTokenP95.Milliseconds()), "p95-first-ms")
 	b.ReportMetric(float64(s.BetweenP95.Microseconds())/1000, "p95-between-ms")
 	b.ReportMetric(s.UsefulWork/full.work*100, "useful-work-%")
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -18,10 +18,11 @@
 	speed   speed
 	limiter limiter
 	backlog backlog
+	cache   cacheIndex
 }
 
 func newEngine(u Upstream, pool *speed) *engine {
-	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter()}
+	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), cache: newCacheIndex()}
 }
 
 // used counts the slots that are or may be taken.
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -42,6 +42,7 @@
 	// missed is the part of the prompt that the engine is expected to compute,
 	// and prefillAhead what it had to compute before at dispatch; in tokens.
 	missed       int
+	matched      int
 	prefillAhead float64
 	retries      int
 	refusal      Refusal
@@ -81,3 +82,19 @@
 func (e *entry) tokens() float64 {
 	return float64(max(1, e.ticket.PromptTokens+e.ticket.OutputTokens))
 }
+
+// cachedTokens converts leading cached blocks to prompt tokens.
+func (e *entry) cachedTokens(blocks int) int {
+	if blocks == 0 {
+		return 0
+	}
+	return min(e.ticket.PromptTokens-1, e.ticket.PromptTokens*blocks/len(e.ticket.Prefixes))
+}
+
+// cachedBlocks converts cached prompt tokens to leading blocks.
+func (e *entry) cachedBlocks(tokens int) int {
+	if e.ticket.PromptTokens == 0 {
+		return 0
+	}
+	return tokens * len(e.ticket.Prefixes) / e.ticket.PromptTokens
+}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -97,10 +97,17 @@
 	return a.upstream.Name < b.upstream.Name
 }
 
-// expect estimates the time to complete the ticket on the upstream.
+// affinityWeight prices a prompt token to compute, beyond the time it takes the
+// ticket itself, for the work that it keeps from others.
+const affinityWeight = 1.0
+
+// expect estimates the time to complete the ticket on the upstream, and adds
+// the price of the prompt that its cache does not hold.
 func (g *engine) expect(e *entry, now time.Duration) time.Duration {
-	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + float64(e.ticket.PromptTokens)
-	return g.speed.service(tokens, e.output, g.used()+1)
+	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
+	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + missed
+	service := g.speed.service(tokens, e.output, g.used()+1)
+	return service + scaleBy(g.speed.prefillTime(missed), affinityWeight)
 }
 
 // grant gives a slot to a ticket that is in no queue.
@@ -111,7 +118,9 @@
 	e.grantExpires = now + GrantTTL
 	e.startedAt = now
 	e.firstTokenAt = 0
-	e.missed = e.ticket.PromptTokens
+	e.matched = g.cache.match(e.ticket.Prefixes)
+	e.missed = e.ticket.PromptTokens - e.cachedTokens(e.matched)
+	g.cache.store(e.ticket.Prefixes, now)
 	e.prefillAhead = g.backlog.ahead(g.speed.prefillRate(), now)
 	g.backlog.add(e.missed, now)
 	g.running[e] = struct{}{}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -131,8 +131,10 @@
 			g = newEngine(u, &p.speed)
 			p.engines[u.Name] = g
 		}
+		g.cache.setBound(cacheBlocksTotal / len(upstreams))
 		if g.upstream.Version != u.Version {
 			g.unready = false
+			g.cache.clear()
 		}
 		g.upstream = u
 		g.listed = true
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -49,6 +49,7 @@
 	e.engine.backlog.done(e.missed, now)
 	if e.ticket.PromptTokens > 0 {
 		missed := max(0, e.ticket.PromptTokens-r.CachedTokens)
+		e.engine.cache.observeMatch(e.matched, e.cachedBlocks(r.CachedTokens+1))
 		e.engine.speed.observeFirstToken(e.prefillAhead+float64(missed), r.Elapsed)
 	}
 	e.startedAt = now - r.Elapsed
@@ -127,6 +128,9 @@
 }
 
 // Cache implements Scheduler.
-func (p *Pool) Cache(_ CacheEvent, now time.Duration) {
+func (p *Pool) Cache(c CacheEvent, now time.Duration) {
+	if g, known := p.engines[c.Upstream]; known {
+		g.cache.observe(c, now)
+	}
 	p.step(now)
 }
