Choose among the head of a ready heap and the holders of a prompt

Cause: a decision looked at every upstream, and the slot that came free took whatever ticket was first, cached there or not. Change: ready upstreams of a version form a heap by reference completion; a ticket looks at its first 8 and at up to 6 known holders of its beginning; prompts are indexed on a widening grid of positions; a free slot picks among 4 tickets with slack the one whose prompt costs it the least extra.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -9,7 +9,7 @@
 // admit returns the reason to refuse a new ticket at once, or none.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
 	p.estimate(e)
-	if !p.serviceable() {
+	if p.slots == 0 {
 		return ReasonNoUpstream
 	}
 	if e.hopeless(p.wait(e, now), p.isLowest(p.tier(e.ticket.Tier), now), now) {
@@ -33,27 +33,6 @@
 	e.longest = p.speed.service(prompt, output.long, batch)
 }
 
-// serviceable tells whether any upstream takes new work.
-func (p *Pool) serviceable() bool {
-	for _, g := range p.engines {
-		if g.open() && g.limit() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// slots is the sum of the limits of upstreams that take new work.
-func (p *Pool) slots() int {
-	n := 0
-	for _, g := range p.engines {
-		if g.open() {
-			n += g.limit()
-		}
-	}
-	return n
-}
-
 // minSpare is the part of the slots that lower tiers are reckoned to get at
 // least, however much work of higher tiers arrives.
 const minSpare = 0.02
@@ -61,7 +40,7 @@
 // spareSlots is the part of all slots that a tier may count on over the coming
 // time: what the work arriving for higher tiers leaves.
 func (p *Pool) spareSlots(tier *tierQueue, horizon, now time.Duration) float64 {
-	slots := float64(max(1, p.slots()))
+	slots := float64(max(1, p.slots))
 	higher := 0.0
 	for _, q := range p.tiers {
 		if q.tier.Rank > tier.tier.Rank {
@@ -83,7 +62,7 @@
 		}
 		lower += q.arrivals.short.now(shortWindow, now)
 	}
-	return lower < minSpare*float64(p.slots())
+	return lower < minSpare*float64(p.slots)
 }
 
 // wait estimates the time until a new ticket gets a slot: the work ahead of it
@@ -107,16 +86,7 @@
 	if !known || own.work == 0 {
 		return 0
 	}
-	return min(q.work, scaleBy(own.work, q.weights()/own.weight))
-}
-
-// weights is the sum of the weights of the teams with waiting tickets.
-func (q *tierQueue) weights() float64 {
-	sum := 0.0
-	for _, t := range q.active {
-		sum += t.weight
-	}
-	return sum
+	return min(q.work, scaleBy(own.work, q.weights/own.weight))
 }
 
 // retryAfter estimates when the work that waits now will have been placed.
@@ -144,6 +114,7 @@
 // sweep gives up at once the waiting tickets that are not going to meet their
 // deadlines, each by the work ahead of it.
 func (p *Pool) sweep(now time.Duration) {
+	p.refreshAll(now)
 	ahead := time.Duration(0)
 	for _, q := range p.tiers {
 		if q.waiting > 0 {
@@ -160,12 +131,11 @@
 		order = append(order, t.entries...)
 	}
 	slices.SortFunc(order, byLatestStart)
-	weights := q.weights()
 	tierWork := time.Duration(0)
 	contended := p.isLowest(q, now)
 	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
 	for _, e := range order {
-		own := scaleBy(teamWork[e.queue], weights/e.queue.weight)
+		own := scaleBy(teamWork[e.queue], q.weights/e.queue.weight)
 		spare := p.spareSlots(q, e.deadline-now, now)
 		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
 		if e.hopeless(wait, contended, now) {
--- a/internal/coordination/scheduler/cacheindex.go
+++ b/internal/coordination/scheduler/cacheindex.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	// cacheBlocksTotal bounds the blocks indexed over all upstreams of a pool.
-	cacheBlocksTotal = 1 << 19
-	// cacheBlocksMax bounds the blocks indexed for one upstream.
-	cacheBlocksMax = 1 << 12
+	// cacheMarksTotal bounds the marks indexed over all upstreams of a pool.
+	cacheMarksTotal = 1 << 18
+	// cacheMarksMax bounds the marks indexed for one upstream.
+	cacheMarksMax = 1 << 12
+	// cacheBlocksMax is the greatest capacity that an index assumes.
+	cacheBlocksMax = 1 << 14
+	// cacheBlocksStart is the capacity assumed of an unknown engine.
+	cacheBlocksStart = 1 << 11
 	// cacheBlocksMin is the least capacity that an index assumes.
 	cacheBlocksMin = 64
 	// cacheFresh is the age below which a block is kept against an event that
@@ -21,55 +25,51 @@
 const none = int32(-1)
 
 // cacheIndex is what an engine's prefix cache is believed to hold. It knows
-// the blocks that granted requests and events put there, and forgets the least
-// recently used beyond an assumed capacity, since evictions may go unreported.
+// the marks of prompts that granted requests and events put there, and forgets
+// the least recently used beyond an assumed capacity in blocks, since evictions
+// may go unreported.
 type cacheIndex struct {
+	owner    *engine
+	holders  holders
 	nodes    []cacheNode
 	byBlock  map[uint64]int32
 	newest   int32
 	oldest   int32
 	unused   int32
+	blocks   int
 	capacity float64
 	bound    int
 	sequence uint64
 }
 
+// cacheNode is one mark; it stands for the blocks since the mark before it.
 type cacheNode struct {
 	block        uint64
+	blocks       int32
 	newer, older int32
 	usedAt       time.Duration
 }
 
-func newCacheIndex() cacheIndex {
-	return cacheIndex{newest: none, oldest: none, unused: none, capacity: cacheBlocksMax, bound: cacheBlocksMax}
+func newCacheIndex(owner *engine, h holders) cacheIndex {
+	return cacheIndex{
+		owner: owner, holders: h, byBlock: make(map[uint64]int32),
+		newest: none, oldest: none, unused: none,
+		capacity: cacheBlocksStart, bound: cacheMarksMax,
+	}
 }
 
-// setBound limits the memory of the index, in blocks.
-func (c *cacheIndex) setBound(blocks int) {
-	c.bound = min(cacheBlocksMax, max(cacheBlocksMin, blocks))
+// setBound limits the memory of the index, in marks.
+func (c *cacheIndex) setBound(marks int) {
+	c.bound = min(cacheMarksMax, max(cacheBlocksMin, marks))
 	c.trim()
 }
 
-// match returns how many leading blocks are believed to be cached. Hashes are
-// chained, so that a cached block implies those before it.
+// match returns how many leading blocks are believed to be cached.
 func (c *cacheIndex) match(prefixes []uint64) int {
-	if len(c.byBlock) == 0 || len(prefixes) == 0 || !c.has(prefixes[0]) {
+	if len(c.byBlock) == 0 {
 		return 0
 	}
-	low, high := 1, 2
-	for high <= len(prefixes) && c.has(prefixes[high-1]) {
-		low, high = high, high*2
-	}
-	high = min(high, len(prefixes)+1)
-	for high-low > 1 {
-		middle := (low + high) / 2
-		if c.has(prefixes[middle-1]) {
-			low = middle
-		} else {
-			high = middle
-		}
-	}
-	return low
+	return longestMatch(prefixes, c.has)
 }
 
 func (c *cacheIndex) has(block uint64) bool {
@@ -77,27 +77,32 @@
 	return known
 }
 
-// store notes blocks as cached, the last one as the oldest: engines evict the
-// ends of prompts before their beginnings.
-func (c *cacheIndex) store(blocks []uint64, now time.Duration) {
-	if c.byBlock == nil {
-		c.byBlock = make(map[uint64]int32)
-	}
-	keep := min(len(blocks), c.limit())
-	for i := keep - 1; i >= 0; i-- {
-		c.touch(blocks[i], now)
+// store notes a prompt as cached, its end as the oldest: engines evict the ends
+// of prompts before their beginnings.
+func (c *cacheIndex) store(prefixes []uint64, now time.Duration) {
+	var buffer [maxMarks]int
+	grid := marks(len(prefixes), buffer[:0])
+	for i := len(grid) - 1; i >= 0; i-- {
+		before := 0
+		if i > 0 {
+			before = grid[i-1]
+		}
+		c.touch(prefixes[grid[i]-1], int32(grid[i]-before), now)
 	}
 	c.trim()
 }
 
-func (c *cacheIndex) touch(block uint64, now time.Duration) {
+func (c *cacheIndex) touch(block uint64, blocks int32, now time.Duration) {
 	at, known := c.byBlock[block]
 	if known {
 		c.unlink(at)
 	} else {
 		at = c.allocate()
 		c.nodes[at].block = block
+		c.nodes[at].blocks = blocks
+		c.blocks += int(blocks)
 		c.byBlock[block] = at
+		c.holders.add(block, c.owner)
 	}
 	c.nodes[at].usedAt = now
 	c.pushNewest(at)
@@ -125,24 +130,23 @@
 
 // clear forgets everything.
 func (c *cacheIndex) clear() {
-	bound, capacity, sequence := c.bound, c.capacity, c.sequence
-	*c = newCacheIndex()
-	c.bound, c.capacity, c.sequence = bound, capacity, sequence
-}
-
-func (c *cacheIndex) limit() int {
-	return min(c.bound, int(c.capacity))
+	for c.oldest != none {
+		c.drop(c.oldest)
+	}
 }
 
 func (c *cacheIndex) trim() {
-	for len(c.byBlock) > c.limit() {
+	for len(c.byBlock) > c.bound || float64(c.blocks) > c.capacity && c.oldest != c.newest {
 		c.drop(c.oldest)
 	}
 }
 
 func (c *cacheIndex) drop(at int32) {
 	c.unlink(at)
-	delete(c.byBlock, c.nodes[at].block)
+	block := c.nodes[at].block
+	delete(c.byBlock, block)
+	c.holders.remove(block, c.owner)
+	c.blocks -= int(c.nodes[at].blocks)
 	c.nodes[at].older = c.unused
 	c.unused = at
 }
@@ -182,8 +186,9 @@
 	}
 }
 
-// observe takes in an event. Events that come out of order are left out; after a
-// gap the least recently used blocks leave the index as capacity demands.
+// observe takes in an event. Events that come out of order are left out; after
+// a gap the least recently used marks leave the index as capacity demands.
+// Stored blocks count if they are marks of a prompt that some upstream holds.
 func (c *cacheIndex) observe(e CacheEvent, now time.Duration) {
 	if e.Sequence <= c.sequence && e.Sequence != 0 {
 		return
@@ -193,5 +198,10 @@
 		c.clear()
 	}
 	c.observeEvicted(e.Evicted, now)
-	c.store(e.Stored, now)
+	for _, block := range e.Stored {
+		if c.holders.has(block) && !c.has(block) {
+			c.touch(block, 1, now)
+		}
+	}
+	c.trim()
 }
--- /dev/null
+++ b/internal/coordination/scheduler/choose.go
@@ -0,0 +1,93 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// leadingEngines is the number of upstreams at the head of a ready set that a
+// ticket looks at, besides those that hold its prompt's beginning.
+const leadingEngines = 8
+
+// choose returns the upstream with the least expected completion among the
+// versions that the shares allow, or nil. Without shares every version is as
+// good.
+func (p *Pool) choose(e *entry, now time.Duration) *engine {
+	var best candidate
+	if len(p.shares.shares) == 0 {
+		for _, r := range p.readySets {
+			p.chooseAmong(e, r, &best, now)
+		}
+		return best.engine
+	}
+	var buffer [4]ident.VersionName
+	for _, version := range p.shares.order(e.shareKey(), buffer[:0]) {
+		p.chooseAmong(e, p.readySet(version), &best, now)
+		if best.engine != nil {
+			return best.engine
+		}
+	}
+	return nil
+}
+
+// candidate is an upstream that a ticket could go to.
+type candidate struct {
+	engine *engine
+	cost   time.Duration
+}
+
+// chooseAmong considers the head of a ready set and those of its upstreams
+// that hold the longest beginning of the prompt.
+func (p *Pool) chooseAmong(e *entry, r *readySet, best *candidate, now time.Duration) {
+	for _, g := range r.engines[:min(leadingEngines, len(r.engines))] {
+		best.consider(e, g, now)
+	}
+	if len(r.engines) <= leadingEngines {
+		return
+	}
+	blocks := longestMatch(e.ticket.Prefixes, p.holders.has)
+	if blocks == 0 {
+		return
+	}
+	set := p.holders[e.ticket.Prefixes[blocks-1]]
+	for _, g := range set.engines[:set.count] {
+		if g.readyIn == r {
+			best.consider(e, g, now)
+		}
+	}
+}
+
+// consider takes the upstream if it completes the ticket sooner.
+func (c *candidate) consider(e *entry, g *engine, now time.Duration) {
+	if e.excludes(g.upstream.Name) {
+		return
+	}
+	cost := g.expect(e, now)
+	if c.engine == nil || cost < c.cost || cost == c.cost && lighter(g, c.engine) {
+		c.engine, c.cost = g, cost
+	}
+}
+
+// lighter orders upstreams by load, then by name.
+func lighter(a, b *engine) bool {
+	loadA := a.used() * b.limit()
+	loadB := b.used() * a.limit()
+	if loadA != loadB {
+		return loadA < loadB
+	}
+	return a.upstream.Name < b.upstream.Name
+}
+
+// affinityWeight prices a prompt token to compute, beyond the time it takes the
+// ticket itself, for the work that it keeps from others.
+const affinityWeight = 1.0
+
+// expect estimates the time to complete the ticket on the upstream, and adds
+// the price of the prompt that its cache does not hold.
+func (g *engine) expect(e *entry, now time.Duration) time.Duration {
+	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
+	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + missed
+	service := g.speed.service(tokens, e.output, g.used()+1)
+	return service + scaleBy(g.speed.prefillTime(missed), affinityWeight)
+}
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -19,10 +19,21 @@
 	limiter limiter
 	backlog backlog
 	cache   cacheIndex
+	// slots is the engine's part of the pool's slots.
+	slots int
+	// readyIn and readyAt tell the engine's place in a ready set, if any.
+	readyIn *readySet
+	readyAt int
+	// score is the time that a reference request would need.
+	score time.Duration
+	// wake is when a timer looks at the engine again, 0 if none.
+	wake time.Duration
 }
 
-func newEngine(u Upstream, pool *speed) *engine {
-	return &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), cache: newCacheIndex()}
+func newEngine(u Upstream, pool *speed, h holders) *engine {
+	g := &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter()}
+	g.cache = newCacheIndex(g, h)
+	return g
 }
 
 // used counts the slots that are or may be taken.
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -1,113 +1,97 @@
 package scheduler
 
-import (
-	"time"
-
-	"github.com/flamingohaven/flamingohaven/internal/state/ident"
-)
+import "time"
 
 func (e *entry) shareKey() shareKey {
 	return shareKey{route: e.ticket.Route, idempotent: e.ticket.Idempotent}
 }
 
+// windowSize is the number of tickets of a tier among which a free slot finds
+// the one that suits it best.
+const windowSize = 4
+
+// patience is the slack below which a ticket takes the first slot it can get.
+const patience = 5 * time.Second
+
 // place grants slots in strict tier order while there are tickets that can be
 // placed. A ticket that finds no slot does not hold up those that can.
 func (p *Pool) place(now time.Duration) {
 	var passed []*entry
 	for _, q := range p.tiers {
-		for len(passed) < placeAttempts {
-			e := q.next()
-			if e == nil {
-				break
-			}
-			p.dequeue(e)
-			if g := p.choose(e, now); g != nil {
-				p.grant(e, g, now)
-				continue
-			}
-			passed = append(passed, e)
-			if !p.anyFree() {
-				break
-			}
+		if p.readyEngines == 0 {
+			break
 		}
+		passed = p.placeTier(q, passed, now)
 	}
 	for _, e := range passed {
 		p.enqueue(e)
 	}
 }
 
-func (p *Pool) anyFree() bool {
-	for _, g := range p.engines {
-		if g.free() > 0 {
-			return true
+// placeTier grants slots to one tier and appends the tickets it passed over.
+func (p *Pool) placeTier(q *tierQueue, passed []*entry, now time.Duration) []*entry {
+	var buffer [windowSize]*entry
+	window := buffer[:0]
+	limit := len(passed) + placeAttempts
+	for p.readyEngines > 0 && len(passed) < limit {
+		window = p.fillWindow(q, window)
+		if len(window) == 0 {
+			return passed
 		}
-	}
-	return false
-}
-
-// choose returns the upstream with the least expected completion among the
-// versions that the shares allow, or nil.
-func (p *Pool) choose(e *entry, now time.Duration) *engine {
-	if len(p.shares.shares) == 0 {
-		return p.chooseAny(e, now)
-	}
-	var buffer [4]ident.VersionName
-	for _, version := range p.shares.order(e.shareKey(), buffer[:0]) {
-		if g := p.chooseAmong(e, p.versions[version], now); g != nil {
-			return g
+		at, g := p.bestOf(window, now)
+		if g == nil {
+			passed = append(passed, window...)
+			window = window[:0]
+			continue
 		}
+		e := window[at]
+		window = append(window[:at], window[at+1:]...)
+		p.grant(e, g, now)
 	}
-	return nil
+	return append(passed, window...)
 }
 
-// chooseAny serves a view without shares, where every version is as good.
-func (p *Pool) chooseAny(e *entry, now time.Duration) *engine {
-	var best *engine
-	for _, engines := range p.versions {
-		g := p.chooseAmong(e, engines, now)
-		if g != nil && (best == nil || g.expect(e, now) < best.expect(e, now)) {
-			best = g
+func (p *Pool) fillWindow(q *tierQueue, window []*entry) []*entry {
+	for len(window) < windowSize {
+		e := q.next()
+		if e == nil {
+			break
 		}
+		p.dequeue(e)
+		window = append(window, e)
 	}
-	return best
+	return window
 }
 
-func (p *Pool) chooseAmong(e *entry, engines []*engine, now time.Duration) *engine {
-	var best *engine
-	var bestCost time.Duration
-	for _, g := range engines {
-		if g.free() == 0 || e.excludes(g.upstream.Name) || g.prefillWait(now) > maxBacklog {
+// bestOf returns the ticket whose best free upstream costs it the least prompt
+// work over the best one there is, and that upstream. Earlier tickets win ties,
+// and any without much slack wins at once.
+func (p *Pool) bestOf(window []*entry, now time.Duration) (at int, best *engine) {
+	var least time.Duration
+	for i, e := range window {
+		g := p.choose(e, now)
+		if g == nil {
 			continue
 		}
-		cost := g.expect(e, now)
-		if best == nil || cost < bestCost || cost == bestCost && lighter(g, best) {
-			best, bestCost = g, cost
+		if e.latestStart() < now+patience {
+			return i, g
+		}
+		regret := p.regret(e, g)
+		if best == nil || regret < least {
+			at, best, least = i, g, regret
+		}
+		if regret == 0 {
+			break
 		}
 	}
-	return best
-}
-
-// lighter orders upstreams by load, then by name.
-func lighter(a, b *engine) bool {
-	loadA := a.used() * b.limit()
-	loadB := b.used() * a.limit()
-	if loadA != loadB {
-		return loadA < loadB
-	}
-	return a.upstream.Name < b.upstream.Name
+	return at, best
 }
 
-// affinityWeight prices a prompt token to compute, beyond the time it takes the
-// ticket itself, for the work that it keeps from others.
-const affinityWeight = 1.0
-
-// expect estimates the time to complete the ticket on the upstream, and adds
-// the price of the prompt that its cache does not hold.
-func (g *engine) expect(e *entry, now time.Duration) time.Duration {
-	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
-	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + missed
-	service := g.speed.service(tokens, e.output, g.used()+1)
-	return service + scaleBy(g.speed.prefillTime(missed), affinityWeight)
+// regret is the prompt work that the upstream must do and another would not.
+func (p *Pool) regret(e *entry, g *engine) time.Duration {
+	anywhere := longestMatch(e.ticket.Prefixes, p.holders.has)
+	here := g.cache.match(e.ticket.Prefixes)
+	return g.speed.prefillTime(float64(e.cachedTokens(anywhere) - e.cachedTokens(here)))
 }
 
 // grant gives a slot to a ticket that is in no queue.
@@ -129,6 +113,7 @@
 	p.shares.spend(e.shareKey(), e.version)
 	p.queueOf(e).charge(e.tokens())
 	p.retries.dispatched()
+	p.refresh(g, now)
 	p.timers.add(timer{at: e.grantExpires + grantMargin, kind: timerGrant, entry: e})
 	p.emitGrant(e, now)
 }
@@ -140,6 +125,7 @@
 	}
 	delete(e.engine.running, e)
 	p.running--
+	p.refresh(e.engine, now)
 }
 
 // orphan turns the slot of a granted or running ticket into one of unknown fate.
@@ -151,5 +137,6 @@
 
 func (p *Pool) addOrphan(g *engine, now time.Duration) {
 	g.addOrphan(now)
+	p.refresh(g, now)
 	p.timers.add(timer{at: now + orphanBound, kind: timerOrphan, engine: g})
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,11 +24,18 @@
 	waiting int
 	running int
 
-	engines  map[ident.UpstreamName]*engine
-	versions map[ident.VersionName][]*engine
-	speed    speed
-	outputs  outputs
-	shares   shareKeeper
+	engines map[ident.UpstreamName]*engine
+	// order holds the engines in a fixed order.
+	order   []*engine
+	holders holders
+	// readySets holds the engines that can take a ticket, by version.
+	readySets    []*readySet
+	readyEngines int
+	// slots is the sum of the limits of engines that take new work.
+	slots   int
+	speed   speed
+	outputs outputs
+	shares  shareKeeper
 
 	timers    timers
 	nextSweep time.Duration
@@ -48,6 +56,7 @@
 		engines:    make(map[ident.UpstreamName]*engine),
 		speed:      newSpeed(nil),
 		outputs:    make(outputs),
+		holders:    make(holders),
 		retries:    newRetryBudget(),
 	}
 	p.SetView(v, now)
@@ -58,7 +67,7 @@
 func (p *Pool) SetView(v View, now time.Duration) {
 	p.view = v
 	p.setGateways(v.Gateways, now)
-	p.setUpstreams(v.Upstreams)
+	p.setUpstreams(v.Upstreams, now)
 	p.shares.set(v.Shares)
 	p.setTiers(v)
 	p.step(now)
@@ -120,31 +129,45 @@
 
 // setUpstreams takes in the view's upstreams. One that the view dropped is
 // kept while requests run on it.
-func (p *Pool) setUpstreams(upstreams []Upstream) {
-	for _, g := range p.engines {
+func (p *Pool) setUpstreams(upstreams []Upstream, now time.Duration) {
+	for _, g := range p.order {
 		g.listed = false
 	}
-	p.versions = make(map[ident.VersionName][]*engine)
 	for _, u := range upstreams {
-		g, known := p.engines[u.Name]
-		if !known {
-			g = newEngine(u, &p.speed)
-			p.engines[u.Name] = g
-		}
-		g.cache.setBound(cacheBlocksTotal / len(upstreams))
+		g := p.engine(u)
+		g.cache.setBound(cacheMarksTotal / len(upstreams))
 		if g.upstream.Version != u.Version {
 			g.unready = false
 			g.cache.clear()
 		}
 		g.upstream = u
 		g.listed = true
-		p.versions[u.Version] = append(p.versions[u.Version], g)
 	}
-	for name, g := range p.engines {
-		if !g.listed && g.used() == 0 {
-			delete(p.engines, name)
-		}
+	p.refreshAll(now)
+	p.dropEngines()
+}
+
+// engine returns the model of an upstream, a new one if need be.
+func (p *Pool) engine(u Upstream) *engine {
+	g, known := p.engines[u.Name]
+	if !known {
+		g = newEngine(u, &p.speed, p.holders)
+		p.engines[u.Name] = g
+		p.order = append(p.order, g)
 	}
+	return g
+}
+
+// dropEngines forgets upstreams that the view no longer names and that are idle.
+func (p *Pool) dropEngines() {
+	p.order = slices.DeleteFunc(p.order, func(g *engine) bool {
+		gone := !g.listed && g.used() == 0
+		if gone {
+			g.cache.clear()
+			delete(p.engines, g.upstream.Name)
+		}
+		return gone
+	})
 }
 
 // Submit implements Scheduler.
@@ -269,6 +292,10 @@
 			p.forget(t.entry)
 		case timerOrphan:
 			t.engine.expireOrphans(now - orphanBound)
+			p.refresh(t.engine, now)
+		case timerWake:
+			t.engine.wake = 0
+			p.refresh(t.engine, now)
 		}
 	}
 }
@@ -300,14 +327,9 @@
 
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
-	s := Stats{Waiting: p.waiting, Running: p.running, WaitingByTier: make(map[ident.TierName]int, len(p.tiers))}
+	s := Stats{Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers))}
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
 	}
-	for _, g := range p.engines {
-		if g.open() {
-			s.Capacity += g.limit()
-		}
-	}
 	return s
 }
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -54,6 +54,8 @@
 	waiting  int
 	work     time.Duration
 	arrivals rate
+	// weights is the sum of the weights of the active teams.
+	weights float64
 	// served is the virtual time of the last team that was served.
 	served float64
 }
@@ -74,11 +76,13 @@
 	t := x.(*teamQueue)
 	t.index = len(q.active)
 	q.active = append(q.active, t)
+	q.weights += t.weight
 }
 
 func (q *tierQueue) Pop() any {
 	last := q.active[len(q.active)-1]
 	q.active = q.active[:len(q.active)-1]
+	q.weights -= last.weight
 	last.index = -1
 	return last
 }
@@ -87,10 +91,9 @@
 func (q *tierQueue) team(name ident.TeamName, weight float64) *teamQueue {
 	t, known := q.teams[name]
 	if !known {
-		t = &teamQueue{tier: q, index: -1}
+		t = &teamQueue{tier: q, index: -1, weight: weight}
 		q.teams[name] = t
 	}
-	t.weight = weight
 	return t
 }
 
--- /dev/null
+++ b/internal/coordination/scheduler/readyset.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// referenceOutput is the answer length, in tokens, by which upstreams are
+// ordered before a ticket's own lengths are known.
+const referenceOutput = 200
+
+// readySet is a min-heap of the upstreams of one version that can take a
+// ticket now, by the time that they would need for a reference request.
+type readySet struct {
+	version ident.VersionName
+	engines []*engine
+}
+
+func (r *readySet) Len() int { return len(r.engines) }
+func (r *readySet) Less(i, j int) bool {
+	a, b := r.engines[i], r.engines[j]
+	if a.score != b.score {
+		return a.score < b.score
+	}
+	return a.upstream.Name < b.upstream.Name
+}
+
+func (r *readySet) Swap(i, j int) {
+	r.engines[i], r.engines[j] = r.engines[j], r.engines[i]
+	r.engines[i].readyAt = i
+	r.engines[j].readyAt = j
+}
+
+func (r *readySet) Push(x any) {
+	g := x.(*engine)
+	g.readyAt = len(r.engines)
+	r.engines = append(r.engines, g)
+}
+
+func (r *readySet) Pop() any {
+	last := r.engines[len(r.engines)-1]
+	r.engines = r.engines[:len(r.engines)-1]
+	last.readyAt = -1
+	return last
+}
+
+// refresh brings the pool's summary of an upstream up to date. It must follow
+// every change to the upstream.
+func (p *Pool) refresh(g *engine, now time.Duration) {
+	slots := 0
+	if g.open() {
+		slots = g.limit()
+	}
+	p.slots += slots - g.slots
+	g.slots = slots
+	wait := g.prefillWait(now)
+	if g.free() == 0 || wait > maxBacklog {
+		p.unready(g)
+		if g.free() > 0 {
+			p.wakeAt(g, now+wait-maxBacklog)
+		}
+		return
+	}
+	g.score = wait + referenceOutput*g.speed.perToken(g.used()+1)
+	p.ready(g)
+}
+
+func (p *Pool) ready(g *engine) {
+	if g.readyIn != nil && g.readyIn.version == g.upstream.Version {
+		heap.Fix(g.readyIn, g.readyAt)
+		return
+	}
+	p.unready(g)
+	g.readyIn = p.readySet(g.upstream.Version)
+	heap.Push(g.readyIn, g)
+	p.readyEngines++
+}
+
+func (p *Pool) unready(g *engine) {
+	if g.readyIn == nil {
+		return
+	}
+	heap.Remove(g.readyIn, g.readyAt)
+	g.readyIn = nil
+	p.readyEngines--
+}
+
+// wakeAt looks at the upstream again when its prompt backlog should be short.
+func (p *Pool) wakeAt(g *engine, at time.Duration) {
+	if g.wake != 0 && g.wake <= at {
+		return
+	}
+	g.wake = at
+	p.timers.add(timer{at: at, kind: timerWake, engine: g})
+}
+
+func (p *Pool) readySet(version ident.VersionName) *readySet {
+	for _, r := range p.readySets {
+		if r.version == version {
+			return r
+		}
+	}
+	r := &readySet{version: version}
+	p.readySets = append(p.readySets, r)
+	return r
+}
+
+// refreshAll brings the summaries of all upstreams up to date.
+func (p *Pool) refreshAll(now time.Duration) {
+	for _, g := range p.order {
+		p.refresh(g, now)
+	}
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -6,7 +6,9 @@
 func (p *Pool) Report(r Report, now time.Duration) {
 	e, known := p.entries[r.Ticket]
 	if known && e.holdsSlot() && e.ticket.Gateway == r.Gateway && e.engine.upstream.Name == r.Upstream {
+		g := e.engine
 		p.report(e, r, now)
+		p.refresh(g, now)
 	}
 	p.step(now)
 }
@@ -107,6 +109,7 @@
 func (p *Pool) Load(r LoadReport, now time.Duration) {
 	if g, known := p.engines[r.Upstream]; known {
 		p.load(g, r, now)
+		p.refresh(g, now)
 	}
 	p.step(now)
 }
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -96,9 +96,8 @@
 	}
 	g, listed := p.engines[r.Upstream]
 	if !listed {
-		g = newEngine(Upstream{Name: r.Upstream, Version: r.Version}, &p.speed)
+		g = p.engine(Upstream{Name: r.Upstream, Version: r.Version})
 		g.listed = false
-		p.engines[r.Upstream] = g
 	}
 	e.state = stateRunning
 	e.engine = g
@@ -107,6 +106,8 @@
 	g.running[e] = struct{}{}
 	g.limiter.atLeast(g.used())
 	e.batchAtStart = g.used()
+	g.cache.store(r.Ticket.Prefixes, now)
+	p.refresh(g, now)
 	p.running++
 }
 
--- a/internal/coordination/scheduler/timers.go
+++ b/internal/coordination/scheduler/timers.go
@@ -12,6 +12,7 @@
 	timerGrant timerKind = iota + 1
 	timerForget
 	timerOrphan
+	timerWake
 )
 
 // timer is one piece of time-driven work.
