Take an overdue engine to stay busy as long as it is overdue

Cause: when a prompt was not cached as believed, the estimate ran out and the engine got urgent work behind it (two requests of 1369 at 90% load). Change: beyond 200 ms of delay the time overdue counts as the time still to go.

--- a/internal/coordination/scheduler/backlog.go
+++ b/internal/coordination/scheduler/backlog.go
@@ -6,6 +6,9 @@
 // further tickets wait in the scheduler's queue, where their order can change.
 const maxBacklog = 500 * time.Millisecond
 
+// overdueAfter is how late a first token may be before the estimate is doubted.
+const overdueAfter = 200 * time.Millisecond
+
 // backlog estimates the prompt tokens that an engine has yet to compute before
 // it can begin a new prompt. Engines compute prompts in order of arrival.
 type backlog struct {
@@ -29,9 +32,13 @@
 }
 
 // ahead estimates the tokens yet to compute at a rate in tokens per second.
+// Once the engine is overdue, as much as it is overdue is taken to remain.
 func (b *backlog) ahead(rate float64, now time.Duration) float64 {
-	if rate <= 0 {
+	if b.tokens == 0 || rate <= 0 {
 		return float64(b.tokens)
 	}
-	return max(0, float64(b.tokens)-rate*(now-b.since).Seconds())
+	elapsed := now - b.since
+	left := float64(b.tokens) - rate*elapsed.Seconds()
+	overdue := -left - rate*overdueAfter.Seconds()
+	return max(0, left, overdue)
 }
