Eject slow, silent and failing upstreams, return them by probes

Cause: an engine slowed tenfold kept getting work until its answers were slow. Change: upstreams leave rotation after three failures, when three times slower than they were, or when a request shows no sign of life; slow ones only while half of the version stays. Single idempotent requests of the lowest tier probe them, from 1 s doubling to 30 s; a passed probe restarts the limit at 2.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -9,7 +9,7 @@
 // admit returns the reason to refuse a new ticket at once, or none.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
 	p.estimate(e)
-	if p.slots == 0 {
+	if p.slots == 0 && !p.anyProbe(e, now) {
 		return ReasonNoUpstream
 	}
 	if e.hopeless(p.wait(e, now), p.isLowest(p.tier(e.ticket.Tier), now), now) {
@@ -33,6 +33,11 @@
 	e.longest = p.speed.service(prompt, output.long, batch)
 }
 
+// anyProbe tells whether the ticket could serve as a probe now.
+func (p *Pool) anyProbe(e *entry, now time.Duration) bool {
+	return p.probeEngine(e, now) != nil
+}
+
 // minSpare is the part of the slots that lower tiers are reckoned to get at
 // least, however much work of higher tiers arrives.
 const minSpare = 0.02
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -14,6 +14,9 @@
 // versions that the shares allow, or nil. Without shares every version is as
 // good.
 func (p *Pool) choose(e *entry, now time.Duration) *engine {
+	if g := p.probeEngine(e, now); g != nil {
+		return g
+	}
 	var best candidate
 	if len(p.shares.shares) == 0 {
 		for _, r := range p.readySets {
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -17,6 +17,7 @@
 	orphans []time.Duration
 	speed   speed
 	limiter limiter
+	health  health
 	backlog backlog
 	cache   cacheIndex
 	// slots is the engine's part of the pool's slots.
@@ -28,10 +29,12 @@
 	score time.Duration
 	// wake is when a timer looks at the engine again, 0 if none.
 	wake time.Duration
+	// countedEjected tells whether the pool counts the engine as ejected.
+	countedEjected bool
 }
 
 func newEngine(u Upstream, pool *speed, h holders) *engine {
-	g := &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter()}
+	g := &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), health: newHealth()}
 	g.cache = newCacheIndex(g, h)
 	return g
 }
@@ -41,8 +44,11 @@
 	return len(e.running) + len(e.orphans)
 }
 
-// limit is the present bound on requests in flight.
+// limit is the present bound on requests in flight; probes come beyond it.
 func (e *engine) limit() int {
+	if e.health.ejected {
+		return 0
+	}
 	return min(e.upstream.MaxConcurrent, int(e.limiter.limit))
 }
 
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -41,11 +41,13 @@
 	batchAtStart int
 	// missed is the part of the prompt that the engine is expected to compute,
 	// and prefillAhead what it had to compute before at dispatch; in tokens.
-	missed       int
-	matched      int
-	prefillAhead float64
-	retries      int
-	refusal      Refusal
+	missed  int
+	matched int
+	// expectedFirst is the expected time from dispatch to the first token.
+	expectedFirst time.Duration
+	prefillAhead  float64
+	retries       int
+	refusal       Refusal
 }
 
 // latestStart is the last moment at which a dispatch still meets the deadline.
--- /dev/null
+++ b/internal/coordination/scheduler/health.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import "time"
+
+const (
+	// failuresToEject is the number of failures in a row that ejects an upstream.
+	failuresToEject = 3
+	// failurePart is the part of recent outcomes that does so as well.
+	failurePart = 0.5
+	// outcomeWeight is the weight of the latest outcome or slowness.
+	outcomeWeight = 0.2
+	// slowToEject is the slowness, against its own learned speed, that ejects.
+	slowToEject = 3.0
+	// slowProbe is the slowness up to which a probe counts as passed.
+	slowProbe = 2.0
+	// silentBase and silentStretch bound the time to an expected answer.
+	silentBase    = 2 * time.Second
+	silentStretch = 4.0
+	// probeFirst and probeMax bound the time between probes, which doubles.
+	probeFirst = time.Second
+	probeMax   = 30 * time.Second
+	// probeOverdue is how long a probe may wait for a request that suits it.
+	probeOverdue = 5 * time.Second
+	// recoveredLimit is where the limit starts again after a passed probe.
+	recoveredLimit = 2
+)
+
+// health tells whether an upstream is in rotation. An ejected one gets single
+// requests as probes; the first that passes returns it, with a small limit.
+type health struct {
+	ejected  bool
+	since    time.Duration
+	probeAt  time.Duration
+	backoff  time.Duration
+	probe    *entry
+	failures int
+	failing  float64
+	slowness float64
+}
+
+func newHealth() health {
+	return health{slowness: 1}
+}
+
+// probeDue tells whether the next probe may start.
+func (h *health) probeDue(now time.Duration) bool {
+	return h.ejected && h.probe == nil && now >= h.probeAt
+}
+
+// eject takes the upstream out of rotation.
+func (h *health) eject(now time.Duration) {
+	if h.ejected {
+		return
+	}
+	h.ejected = true
+	h.since = now
+	h.backoff = probeFirst
+	h.probeAt = now + h.backoff
+	h.probe = nil
+}
+
+// failed counts a request that the upstream failed or did not get.
+func (h *health) failed(e *entry, now time.Duration) {
+	h.failures++
+	h.failing += outcomeWeight * (1 - h.failing)
+	if h.failures >= failuresToEject || h.failing >= failurePart {
+		h.eject(now)
+	}
+	if h.probe == e {
+		h.probeFailed(now)
+	}
+}
+
+func (h *health) probeFailed(now time.Duration) {
+	h.probe = nil
+	h.backoff = min(probeMax, 2*h.backoff)
+	h.probeAt = now + h.backoff
+}
+
+// answered counts an answer that took the given multiple of what was expected.
+// It returns true if that returns the upstream to rotation.
+func (h *health) answered(e *entry, slowness float64, now time.Duration) bool {
+	h.failures = 0
+	h.failing -= outcomeWeight * h.failing
+	if h.ejected {
+		return h.probed(e, slowness, now)
+	}
+	h.slowness += outcomeWeight * (min(slowness, 2*slowToEject) - h.slowness)
+	return false
+}
+
+func (h *health) probed(e *entry, slowness float64, now time.Duration) bool {
+	if h.probe != e {
+		return false
+	}
+	if slowness > slowProbe {
+		h.probeFailed(now)
+		return false
+	}
+	*h = newHealth()
+	return true
+}
+
+// released forgets a probe that ended without an outcome.
+func (h *health) released(e *entry) {
+	if h.probe == e {
+		h.probe = nil
+	}
+}
+
+// silent tells whether a running request should have shown a sign of life.
+func (e *entry) silent(now time.Duration) bool {
+	if e.state != stateRunning {
+		return false
+	}
+	if e.firstTokenAt == 0 {
+		return now-e.startedAt > silentBase+scaleBy(e.expectedFirst, silentStretch)
+	}
+	return now-e.firstTokenAt > silentBase+scaleBy(e.longest, silentStretch)
+}
+
+// checkSilent ejects the upstreams that hold requests without a sign of life.
+func (p *Pool) checkSilent(now time.Duration) {
+	for _, g := range p.order {
+		for e := range g.running {
+			if !e.silent(now) {
+				continue
+			}
+			if g.health.probe == e {
+				g.health.probeFailed(now)
+			}
+			p.ejectSlow(g, now)
+			break
+		}
+	}
+}
+
+// ejectSlow takes a slow upstream out of rotation unless half of its version
+// is out already: then the load or the estimate is at fault.
+func (p *Pool) ejectSlow(g *engine, now time.Duration) {
+	all, out := 0, 0
+	for _, other := range p.order {
+		if other.upstream.Version != g.upstream.Version || !other.listed {
+			continue
+		}
+		all++
+		if other.health.ejected {
+			out++
+		}
+	}
+	if 2*(out+1) <= all {
+		g.health.eject(now)
+		p.refresh(g, now)
+	}
+}
+
+// probeDue tells whether an ejected upstream may get its next probe.
+func (g *engine) probeDue(now time.Duration) bool {
+	return g.health.probeDue(now) && g.open() && g.used() < g.upstream.MaxConcurrent
+}
+
+// canPlace tells whether any upstream may take a ticket.
+func (p *Pool) canPlace(now time.Duration) bool {
+	if p.readyEngines > 0 {
+		return true
+	}
+	for _, g := range p.ejected {
+		if g.probeDue(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// probeEngine returns an ejected upstream that the ticket may probe, or nil.
+// Only idempotent tickets of the lowest tier at work serve as probes, unless
+// none has come for a while.
+func (p *Pool) probeEngine(e *entry, now time.Duration) *engine {
+	for _, g := range p.ejected {
+		if !g.probeDue(now) || e.excludes(g.upstream.Name) {
+			continue
+		}
+		overdue := now >= g.health.probeAt+probeOverdue
+		suits := e.ticket.Idempotent && p.isLowest(p.tier(e.ticket.Tier), now)
+		if (suits || overdue) && p.shares.allows(e.shareKey(), g.upstream.Version) {
+			return g
+		}
+	}
+	return nil
+}
--- a/internal/coordination/scheduler/limiter.go
+++ b/internal/coordination/scheduler/limiter.go
@@ -34,6 +34,12 @@
 	return limiter{limit: initialLimit}
 }
 
+// restart begins the search anew.
+func (l *limiter) restart(limit float64) {
+	l.limit = limit
+	l.cutOnce = false
+}
+
 // atLeast raises the limit to the requests found running at a takeover.
 func (l *limiter) atLeast(running int) {
 	l.limit = max(l.limit, float64(running))
--- a/internal/coordination/scheduler/params.go
+++ b/internal/coordination/scheduler/params.go
@@ -19,6 +19,8 @@
 	defaultQueueLimit = 10_000
 	// sweepEvery is the period of the review of waiting tickets.
 	sweepEvery = 100 * time.Millisecond
+	// checkEvery is the period of the search for silent upstreams.
+	checkEvery = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advice in refusals.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 60 * time.Second
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -18,7 +18,7 @@
 func (p *Pool) place(now time.Duration) {
 	var passed []*entry
 	for _, q := range p.tiers {
-		if p.readyEngines == 0 {
+		if !p.canPlace(now) {
 			break
 		}
 		passed = p.placeTier(q, passed, now)
@@ -33,7 +33,7 @@
 	var buffer [windowSize]*entry
 	window := buffer[:0]
 	limit := len(passed) + placeAttempts
-	for p.readyEngines > 0 && len(passed) < limit {
+	for p.canPlace(now) && len(passed) < limit {
 		window = p.fillWindow(q, window)
 		if len(window) == 0 {
 			return passed
@@ -107,6 +107,10 @@
 	g.cache.store(e.ticket.Prefixes, now)
 	e.prefillAhead = g.backlog.ahead(g.speed.prefillRate(), now)
 	g.backlog.add(e.missed, now)
+	e.expectedFirst = g.speed.firstToken(e.prefillAhead + float64(e.ticket.PromptTokens))
+	if g.health.ejected {
+		g.health.probe = e
+	}
 	g.running[e] = struct{}{}
 	e.batchAtStart = g.used()
 	p.running++
@@ -124,6 +128,7 @@
 		e.engine.backlog.done(e.missed, now)
 	}
 	delete(e.engine.running, e)
+	e.engine.health.released(e)
 	p.running--
 	p.refresh(e.engine, now)
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -32,10 +32,13 @@
 	readySets    []*readySet
 	readyEngines int
 	// slots is the sum of the limits of engines that take new work.
-	slots   int
-	speed   speed
-	outputs outputs
-	shares  shareKeeper
+	slots int
+	// ejected holds the engines out of rotation.
+	ejected   []*engine
+	nextCheck time.Duration
+	speed     speed
+	outputs   outputs
+	shares    shareKeeper
 
 	timers    timers
 	nextSweep time.Duration
@@ -163,13 +166,21 @@
 	p.order = slices.DeleteFunc(p.order, func(g *engine) bool {
 		gone := !g.listed && g.used() == 0
 		if gone {
-			g.cache.clear()
+			p.removeEngine(g)
 			delete(p.engines, g.upstream.Name)
 		}
 		return gone
 	})
 }
 
+// removeEngine takes an upstream out of the pool's sums and sets.
+func (p *Pool) removeEngine(g *engine) {
+	g.cache.clear()
+	g.health.ejected = false
+	p.countEjected(g)
+	p.unready(g)
+}
+
 // Submit implements Scheduler.
 func (p *Pool) Submit(t Ticket, now time.Duration) {
 	p.submit(t, now)
@@ -274,6 +285,10 @@
 		p.nextSweep = now + sweepEvery
 		p.sweep(now)
 	}
+	if now >= p.nextCheck {
+		p.nextCheck = now + checkEvery
+		p.checkSilent(now)
+	}
 	if p.placing {
 		p.place(now)
 	}
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -148,3 +148,37 @@
 	must.Len(t, 1, second)
 	must.NotEq(t, first.Upstream, second[0].Upstream)
 }
+
+func TestPool_FailingUpstreamLosesShareAndWinsItBack(t *testing.T) {
+	v := testView()
+	v.Upstreams[0].MaxConcurrent = 20
+	p := openPool(v)
+	bad := ident.UpstreamName("u1")
+	served := 0
+	run := func(from, to int, fails bool) {
+		served = 0
+		for i := from; i < to; i++ {
+			now := time.Duration(i) * 100 * time.Millisecond
+			for j := range 3 {
+				p.Submit(testTicket(3*i+j, "urgent"), now)
+			}
+			for _, g := range grants(p.Decisions()) {
+				kind := ReportEnded
+				if g.Upstream == bad {
+					served++
+					if fails {
+						kind = ReportFailed
+					}
+				}
+				p.Report(Report{Kind: kind, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Elapsed: 50 * time.Millisecond}, now+50*time.Millisecond)
+			}
+		}
+	}
+	run(0, 100, true)
+	// Three failures eject it, with one more in flight; probes come after 1, 2
+	// and 4 seconds.
+	must.Eq(t, failuresToEject+1+3, served)
+	must.Eq(t, 2, p.Stats().Capacity)
+	run(100, 300, false)
+	must.GreaterEq(t, 100, served)
+}
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -55,6 +56,7 @@
 	}
 	p.slots += slots - g.slots
 	g.slots = slots
+	p.countEjected(g)
 	wait := g.prefillWait(now)
 	if g.free() == 0 || wait > maxBacklog {
 		p.unready(g)
@@ -67,6 +69,19 @@
 	p.ready(g)
 }
 
+// countEjected keeps the list of ejected upstreams.
+func (p *Pool) countEjected(g *engine) {
+	if g.health.ejected == g.countedEjected {
+		return
+	}
+	g.countedEjected = g.health.ejected
+	if g.countedEjected {
+		p.ejected = append(p.ejected, g)
+		return
+	}
+	p.ejected = slices.DeleteFunc(p.ejected, func(other *engine) bool { return other == g })
+}
+
 func (p *Pool) ready(g *engine) {
 	if g.readyIn != nil && g.readyIn.version == g.upstream.Version {
 		heap.Fix(g.readyIn, g.readyAt)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -25,13 +25,16 @@
 		p.release(e, now)
 		p.end(e, now)
 	case ReportFailed:
+		e.engine.health.failed(e, now)
 		p.release(e, now)
 		p.end(e, now)
 	case ReportUnsent:
+		e.engine.health.failed(e, now)
 		p.unsent(e, now)
 	case ReportDropped:
 		p.dropped(e, now)
 	case ReportUnknown:
+		e.engine.health.failed(e, now)
 		p.orphan(e, now)
 	}
 }
@@ -64,6 +67,7 @@
 	if e.ticket.PromptTokens == 0 {
 		e.engine.speed.observeFirstToken(0, r.Elapsed)
 		e.engine.limiter.observeService(r.Elapsed, e.startedAt, now, full)
+		p.answered(e, r.Elapsed, e.expectedFirst, now)
 		return
 	}
 	p.outputs.observe(e.ticket.Route, e.ticket.OutputTokens, r.OutputTokens)
@@ -73,10 +77,27 @@
 	}
 	gap := (r.Elapsed - first) / time.Duration(r.OutputTokens-1)
 	batch := (e.batchAtStart + e.engine.used()) / 2
+	expected := e.engine.speed.perToken(max(1, batch))
+	p.answered(e, gap, expected, now)
 	e.engine.speed.observePerToken(max(1, batch), gap)
 	e.engine.limiter.observe(gap, e.engine.speed.perTokenBound(), e.startedAt, now, full)
 }
 
+// answered compares an answer's speed with what its upstream was expected to do.
+func (p *Pool) answered(e *entry, actual, expected, now time.Duration) {
+	slowness := 1.0
+	if expected > 0 {
+		slowness = float64(actual) / float64(expected)
+	}
+	g := e.engine
+	if g.health.answered(e, slowness, now) {
+		g.limiter.restart(recoveredLimit)
+	}
+	if !g.health.ejected && g.health.slowness > slowToEject {
+		p.ejectSlow(g, now)
+	}
+}
+
 // unsent returns a ticket that provably did not reach its upstream to the
 // queue, within the retry budget.
 func (p *Pool) unsent(e *entry, now time.Duration) {
--- a/internal/coordination/scheduler/shares.go
+++ b/internal/coordination/scheduler/shares.go
@@ -75,6 +75,20 @@
 	return append(out, k.shares[base].Version)
 }
 
+// allows tells whether the next request of the key may go to a version.
+func (k *shareKeeper) allows(key shareKey, version ident.VersionName) bool {
+	if len(k.shares) == 0 {
+		return true
+	}
+	var buffer [4]ident.VersionName
+	for _, allowed := range k.order(key, buffer[:0]) {
+		if allowed == version {
+			return true
+		}
+	}
+	return false
+}
+
 // spend counts a request that went to a version.
 func (k *shareKeeper) spend(key shareKey, version ident.VersionName) {
 	k.add(key, version, 1)
