Generated histories over whole replicas in virtual time

Change: histories of crashes, lost disks, partitions, failed syncs and drifting clocks, with oracles for leases, applied entries, acknowledged commands and linearizability; the applier learns the genesis membership; the loop's timer has a shortest pause.

--- a/internal/coordination/consensus/applier.go
+++ b/internal/coordination/consensus/applier.go
@@ -33,6 +33,8 @@
 
 // appliable is a step of the applier, its fields in their order.
 type appliable struct {
+	// genesis is the first membership when the replica enters its cluster.
+	genesis *Membership
 	restore *snap.Snapshot
 	entries []wal.Entry
 	then    []func()
@@ -58,7 +60,7 @@
 
 // push adds a step. It never blocks.
 func (a *applier) push(step appliable) {
-	if step.restore == nil && len(step.entries) == 0 && len(step.then) == 0 {
+	if step.genesis == nil && step.restore == nil && len(step.entries) == 0 && len(step.then) == 0 {
 		return
 	}
 	a.queue.push(step)
@@ -112,6 +114,9 @@
 }
 
 func (a *applier) step(step appliable) error {
+	if step.genesis != nil {
+		a.members = *step.genesis
+	}
 	if step.restore != nil {
 		if err := a.restore(*step.restore); err != nil {
 			return err
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -119,12 +119,38 @@
 
 // member is one node of a test cluster with its disk.
 type member struct {
-	id      ident.NodeID
-	fs      *disk.Fake
+	id     ident.NodeID
+	fs     *disk.Fake
+	rate   float64
+	faults faults
+
+	mu      sync.Mutex
 	node    *Node[int]
 	machine *register
-	rate    float64
-	faults  faults
+}
+
+// running returns the node, or nil while it is down.
+func (m *member) running() *Node[int] {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.node
+}
+
+// state returns the state machine of the last start.
+func (m *member) state() *register {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine
+}
+
+// set replaces the node.
+func (m *member) set(node *Node[int], machine *register) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.node = node
+	if machine != nil {
+		m.machine = machine
+	}
 }
 
 // cluster runs replicas over a network in memory.
@@ -162,12 +188,12 @@
 	options.Peers = memPeers{net: c.net, self: id}
 	options.clockRate = m.rate
 	options.faults = m.faults
-	m.machine = &register{oracle: c.oracle, values: map[string]int{}}
-	node, err := New(options, m.machine)
+	machine := &register{oracle: c.oracle, values: map[string]int{}}
+	node, err := New(options, machine)
 	if err != nil {
 		return err
 	}
-	m.node = node
+	m.set(node, machine)
 	c.net.attach(id, node.Service())
 	node.Start()
 	return nil
@@ -181,7 +207,7 @@
 	}
 	c.net.attach(id, nil)
 	_ = m.node.replica.halt()
-	m.node = nil
+	m.set(nil, nil)
 	m.fs.Release()
 }
 
@@ -217,7 +243,7 @@
 // leading returns the node with a valid lease, if any.
 func (c *cluster) leading() *member {
 	for _, id := range c.ids {
-		if m := c.members[id]; m.node != nil && m.node.Leadership().Leading {
+		if m := c.members[id]; m.running() != nil && m.running().Leadership().Leading {
 			return m
 		}
 	}
@@ -240,7 +266,7 @@
 	if err != nil {
 		return err
 	}
-	node := m.node
+	node := m.running()
 	if node == nil {
 		return &NotLeaderError{}
 	}
@@ -256,7 +282,7 @@
 	if m == nil {
 		return false
 	}
-	voters := m.node.Members().Voters()
+	voters := m.running().Members().Voters()
 	if len(voters) != len(c.ids) {
 		return false
 	}
@@ -266,5 +292,5 @@
 			return false
 		}
 	}
-	return m.node.ReadBarrier(context.Background()) == nil
+	return m.running().ReadBarrier(context.Background()) == nil
 }
--- a/internal/coordination/consensus/enter.go
+++ b/internal/coordination/consensus/enter.go
@@ -99,6 +99,7 @@
 	err := r.post(r.ctx, func(now time.Time) {
 		r.own = own
 		r.core.adoptGenesis(now, genesis.Members)
+		r.applier.push(appliable{genesis: &genesis.Members})
 		r.answer(false, func() { close(done) })
 	})
 	if err != nil {
--- a/internal/coordination/consensus/loop.go
+++ b/internal/coordination/consensus/loop.go
@@ -15,6 +15,9 @@
 	eventBuffer = 256
 	// maxDrain is how many inputs one round takes before it acts.
 	maxDrain = 512
+	// minWake is the shortest pause of the timer; it outweighs the rounding of
+	// clocks.
+	minWake = 100 * time.Microsecond
 	// maxUncommitted is how many entries may wait for their commit before no
 	// further proposal is accepted.
 	maxUncommitted = 8192
@@ -47,7 +50,7 @@
 		if !r.flush(now) {
 			return
 		}
-		timer.Reset(max(0, r.until(r.core.nextWake(now))))
+		timer.Reset(max(minWake, r.until(r.core.nextWake(now))))
 	}
 }
 
--- a/internal/coordination/consensus/main_test.go
+++ b/internal/coordination/consensus/main_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"k8s.io/klog/v2"
-	_ "pgregory.net/rapid"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 )
--- /dev/null
+++ b/internal/coordination/consensus/script_test.go
@@ -0,0 +1,393 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// action is one kind of fault or repair.
+type action string
+
+const (
+	actWait        action = "wait"
+	actStart       action = "start"
+	actKill        action = "kill"
+	actCrash       action = "crash"
+	actCrashTwo    action = "crash two"
+	actCrashLeader action = "crash leader"
+	actStop        action = "stop"
+	actLoseDisk    action = "lose disk"
+	actIsolate     action = "isolate"
+	actCutOneWay   action = "cut one way"
+	actHeal        action = "heal"
+	actFailSync    action = "fail sync"
+	actSlowDisk    action = "slow disk"
+	actLossy       action = "lossy network"
+)
+
+var actions = []action{
+	actWait, actStart, actStart, actKill, actCrash, actCrashTwo, actCrashLeader, actCrashLeader, actStop,
+	actLoseDisk, actLoseDisk, actIsolate, actIsolate, actCutOneWay, actHeal, actFailSync, actSlowDisk, actLossy,
+}
+
+// step is one action, then a pause.
+type step struct {
+	Act   action
+	Node  int
+	Other int
+	Pause time.Duration
+}
+
+// script is a generated history.
+type script struct {
+	Seed     int64
+	Replicas int
+	// Rates are the speeds of the clocks in percent.
+	Rates []int
+	Steps []step
+}
+
+// maxDriftPercent keeps two clocks within the margin of the lease.
+const maxDriftPercent = 4
+
+var stepGen = rapid.Custom(func(t *rapid.T) step {
+	pause := rapid.OneOf(rapid.IntRange(0, 30), rapid.IntRange(100, 1500)).Draw(t, "pause")
+	return step{
+		Act:   rapid.SampledFrom(actions).Draw(t, "act"),
+		Node:  rapid.IntRange(0, 4).Draw(t, "node"),
+		Other: rapid.IntRange(1, 4).Draw(t, "other"),
+		Pause: time.Duration(pause) * time.Millisecond,
+	}
+})
+
+var scriptGen = rapid.Custom(func(t *rapid.T) script {
+	return script{
+		Seed:     rapid.Int64().Draw(t, "seed"),
+		Replicas: rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "replicas"),
+		Rates:    rapid.SliceOfN(rapid.IntRange(100-maxDriftPercent, 100+maxDriftPercent), 5, 5).Draw(t, "rates"),
+		Steps:    rapid.SliceOfN(stepGen, 10, 40).Draw(t, "steps"),
+	}
+})
+
+// fuzzTiming makes elections follow closely on the end of a promise.
+var fuzzTiming = Timing{ElectionMax: DefaultElectionMin + 100*time.Millisecond}
+
+// recorder keeps the callers' calls for the check of linearizability.
+type recorder struct {
+	mu     sync.Mutex
+	began  time.Time
+	nextID int
+	ops    []porcupine.Operation
+}
+
+// call is the input of a recorded operation.
+type call struct {
+	Key   string
+	Write bool
+	Value int
+}
+
+func (r *recorder) next() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextID++
+	return r.nextID
+}
+
+func (r *recorder) add(client int, in call, out int, from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{
+		ClientId: client, Input: in, Output: out,
+		Call: from.Sub(r.began).Nanoseconds(), Return: to.Sub(r.began).Nanoseconds(),
+	})
+}
+
+// run is one running history.
+type run struct {
+	*cluster
+	script   script
+	recorder recorder
+	stopped  chan struct{}
+	wg       sync.WaitGroup
+}
+
+// play runs a history in virtual time and returns its first violation. It must
+// be called in a bubble.
+func play(s script, injected faults) ([]porcupine.Operation, error) {
+	options := Options{Timing: fuzzTiming, SnapshotEntries: 30, faults: injected}
+	r := &run{cluster: newCluster(s.Seed, s.Replicas, options), script: s, stopped: make(chan struct{})}
+	r.recorder.began = time.Now()
+	for i, id := range r.ids {
+		r.members[id].rate = float64(s.Rates[i]) / 100
+		r.members[id].fs.Inject(disk.Faults{Tear: true})
+	}
+	defer r.stopAll()
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	if _, err := r.waitLeading(10 * time.Second); err != nil {
+		return nil, err
+	}
+	r.background()
+	for _, st := range s.Steps {
+		r.act(st)
+		time.Sleep(st.Pause)
+		if r.oracle.violation() != nil {
+			break
+		}
+	}
+	close(r.stopped)
+	r.wg.Wait()
+	if r.oracle.violation() == nil {
+		r.settle()
+	}
+	return r.recorder.ops, r.oracle.violation()
+}
+
+// node returns the i-th node, counted around.
+func (r *run) node(i int) *member {
+	return r.members[r.ids[i%len(r.ids)]]
+}
+
+// act carries out one step.
+func (r *run) act(st step) {
+	m := r.node(st.Node)
+	other := r.node(st.Node + st.Other)
+	switch st.Act {
+	case actStart:
+		r.restart(m.id)
+	case actKill:
+		r.kill(m.id)
+	case actCrash:
+		r.crash(m.id)
+	case actCrashTwo:
+		r.crash(m.id)
+		r.crash(other.id)
+	case actCrashLeader:
+		r.crashLeader(st)
+	case actStop:
+		r.stop(m.id)
+	case actLoseDisk:
+		r.loseDisk(m)
+	case actIsolate:
+		for _, id := range r.ids {
+			r.net.setCut(m.id, id, true)
+			r.net.setCut(id, m.id, true)
+		}
+	case actCutOneWay:
+		r.net.setCut(m.id, other.id, true)
+	case actHeal:
+		r.net.heal()
+	case actFailSync:
+		m.fs.Inject(disk.Faults{Tear: true, FailSyncs: true})
+	case actSlowDisk:
+		m.fs.Inject(disk.Faults{Tear: true, SyncDelay: 5 * time.Millisecond})
+	case actLossy:
+		r.net.mu.Lock()
+		r.net.dropPercent, r.net.maxDelay = 10, 30*time.Millisecond
+		r.net.mu.Unlock()
+	}
+}
+
+// restart brings a node back with a sound disk.
+func (r *run) restart(id ident.NodeID) {
+	m := r.members[id]
+	if m.node != nil && m.node.replica.ctx.Err() == nil {
+		return
+	}
+	r.crash(id)
+	m.fs.Inject(disk.Faults{Tear: true})
+	if err := r.start(id); err != nil {
+		r.oracle.fail("start of %s: %v", id, err)
+	}
+}
+
+// crashLeader waits for a new leadership and crashes it early in its term.
+func (r *run) crashLeader(st step) {
+	for range 1000 {
+		time.Sleep(time.Millisecond)
+		for _, id := range r.ids {
+			m := r.members[id]
+			if m.node != nil && m.node.replica.view.Load().leads {
+				time.Sleep(time.Duration(st.Node) * time.Millisecond)
+				r.crash(id)
+				return
+			}
+		}
+	}
+}
+
+// loseDisk replaces a disk by an empty one, once the last repair is complete.
+func (r *run) loseDisk(m *member) {
+	if !r.repaired() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	l := r.leading()
+	if l == nil || r.put(ctx, l, command{ID: r.recorder.next(), Key: "repair"}) != nil || !r.repaired() {
+		return
+	}
+	r.crash(m.id)
+	m.fs.Wipe()
+	r.restart(m.id)
+}
+
+// background starts the callers and the watch over the leases.
+func (r *run) background() {
+	for client := range 3 {
+		rng := rand.New(rand.NewSource(r.script.Seed + int64(client)))
+		r.wg.Go(func() { r.callAtRandom(client, rng) })
+	}
+	r.wg.Go(func() {
+		for r.sleep(2 * time.Millisecond) {
+			r.watch()
+		}
+	})
+}
+
+// sleep returns false once the history ends.
+func (r *run) sleep(d time.Duration) bool {
+	select {
+	case <-r.stopped:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// watch checks that at most one lease is valid and that no replica stopped but
+// for an injected failure.
+func (r *run) watch() {
+	var leading []ident.NodeID
+	for _, id := range r.ids {
+		node := r.members[id].running()
+		if node == nil {
+			continue
+		}
+		if node.Leadership().Leading {
+			leading = append(leading, id)
+		}
+		select {
+		case err := <-node.Fatal():
+			if !errors.Is(err, disk.ErrInjected) && !errors.Is(err, disk.ErrStale) {
+				r.oracle.fail("%s stopped: %v", id, err)
+			}
+		default:
+		}
+	}
+	if len(leading) > 1 {
+		r.oracle.fail("%v hold a valid lease at one time", leading)
+	}
+}
+
+// callAtRandom writes and reads until the history ends.
+func (r *run) callAtRandom(client int, rng *rand.Rand) {
+	target := r.node(client)
+	for r.sleep(time.Duration(1+rng.Intn(60)) * time.Millisecond) {
+		in := call{Key: string(rune('p' + rng.Intn(6))), Write: rng.Intn(2) == 0}
+		var hint *NotLeaderError
+		err := r.call(client, target, in)
+		switch {
+		case errors.As(err, &hint) && hint.Leader != "":
+			target = r.members[hint.Leader]
+		case err != nil:
+			target = r.node(rng.Intn(len(r.ids)))
+		}
+	}
+}
+
+// call makes one call and records what its caller may conclude from it.
+func (r *run) call(client int, m *member, in call) error {
+	node, machine := m.running(), m.state()
+	if node == nil {
+		return &NotLeaderError{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	from := time.Now()
+	if !in.Write {
+		err := node.ReadBarrier(ctx)
+		if err == nil {
+			r.recorder.add(client, in, machine.get(in.Key), from, time.Now())
+		}
+		return err
+	}
+	in.Value = r.recorder.next()
+	err := r.put(ctx, m, command{ID: in.Value, Key: in.Key, Value: in.Value})
+	switch {
+	case err == nil:
+		r.recorder.add(client, in, 0, from, time.Now())
+	case errors.Is(err, ErrUncertain):
+		// Such a write may take effect at any later time, also as another
+		// caller: it ends with the history.
+		r.recorder.add(1000+in.Value, in, 0, from, r.recorder.began.Add(time.Hour))
+	}
+	return err
+}
+
+// settle repairs everything and checks what must have survived.
+func (r *run) settle() {
+	r.net.heal()
+	for _, id := range r.ids {
+		r.members[id].fs.Inject(disk.Faults{Tear: true})
+		r.restart(id)
+	}
+	for end := time.Now().Add(time.Minute); !r.repaired(); time.Sleep(10 * time.Millisecond) {
+		r.watch()
+		if time.Now().After(end) {
+			r.oracle.fail("no repair within a minute: %s", r.describe())
+			return
+		}
+	}
+	l := r.leading()
+	if err := r.put(context.Background(), l, command{ID: r.recorder.next(), Key: "last"}); err != nil {
+		r.oracle.fail("last write: %v", err)
+	}
+	time.Sleep(2 * time.Second)
+	r.checkSurvivors()
+}
+
+// checkSurvivors compares the replicas with each other and with the callers.
+func (r *run) checkSurvivors() {
+	want := r.node(0).state().history()
+	for _, id := range r.ids {
+		if got := r.members[id].state().history(); fmt.Sprint(got) != fmt.Sprint(want) {
+			r.oracle.fail("%s applied %d commands, %s %d, or others", id, len(got), r.ids[0], len(want))
+		}
+	}
+	count := map[int]int{}
+	for _, c := range want {
+		count[c.ID]++
+		if count[c.ID] > 1 {
+			r.oracle.fail("command %d was applied twice", c.ID)
+		}
+	}
+	for id := range r.oracle.acked {
+		if count[id] == 0 {
+			r.oracle.fail("acknowledged command %d is lost", id)
+		}
+	}
+}
+
+// describe shows the cluster when it does not settle.
+func (r *run) describe() string {
+	text := ""
+	for _, id := range r.ids {
+		if node := r.members[id].running(); node != nil {
+			text += fmt.Sprintf("\n%+v %+v stopped=%v", node.Status(), node.Members(), node.replica.ctx.Err())
+		}
+	}
+	return text
+}
