--- /dev/null
+++ b/internal/coordination/moves/evidence_test.go
@@ -0,0 +1,137 @@
+package moves
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func testRand(stream uint64) *rand.Rand {
+	seed, err := strconv.ParseUint(os.Getenv("FLAMINGOHAVEN_SEED"), 10, 64)
+	if err != nil {
+		seed = 1
+	}
+	return rand.New(rand.NewPCG(seed, stream))
+}
+
+// history draws the samples of one route. Load, failure rate and latency drift
+// together for both versions; worse tells how the new one differs.
+type history struct {
+	share    float64
+	failures float64
+	worse    struct {
+		failures float64
+		slowness float64
+	}
+}
+
+func (h history) sample(rng *rand.Rand, i int) (Sample, bool) {
+	isNew := rng.Float64() < h.share
+	drift := 0.5 + 0.4*math.Sin(float64(i)/150)
+	failures, slowness := h.failures*2*drift, 1+drift
+	if isNew {
+		failures += h.worse.failures
+		slowness *= 1 + h.worse.slowness
+	}
+	latency := 100 * float64(time.Millisecond) * slowness
+	return Sample{
+		Route: "r", Load: drift, PromptTokens: 1 + rng.IntN(2000),
+		Failed:     rng.Float64() < failures,
+		FirstToken: time.Duration(latency * math.Exp(0.5*rng.NormFloat64())),
+		PerToken:   time.Duration(latency / 10 * math.Exp(0.3*rng.NormFloat64())),
+	}, isNew
+}
+
+// firstAlarm returns the number of new samples before the evidence reaches
+// 1/alpha, looked at after each sample, or -1.
+func (h history) firstAlarm(rng *rand.Rand, alpha float64, samples int) int {
+	e := newRouteEvidence(Sample{Route: "r"}, alpha, 1)
+	now := time.Unix(0, 0)
+	for i := range samples {
+		now = now.Add(50 * time.Millisecond)
+		s, isNew := h.sample(rng, i)
+		e.observe(s, isNew, 0.5+0.5*float64(i)/float64(samples), now)
+		if e.value() >= e.limit {
+			return e.newer.n
+		}
+	}
+	return -1
+}
+
+// TestEvidence_FalseAlarmsStayBelowAlpha runs equal versions with a look after
+// every sample.
+func TestEvidence_FalseAlarmsStayBelowAlpha(t *testing.T) {
+	const runs, alpha = 400, 0.05
+	for i, share := range []float64{0.05, 0.5, 0.95} {
+		alarms := 0
+		for run := range runs {
+			h := history{share: share, failures: 0.02}
+			if h.firstAlarm(testRand(uint64(1000*i+run)), alpha, 2000) >= 0 {
+				alarms++
+			}
+		}
+		t.Logf("share %v: %d alarms in %d runs", share, alarms, runs)
+		must.LessEq(t, int(alpha*runs), alarms)
+	}
+}
+
+// TestEvidence_EachFaultIsCaught runs bad versions of each kind at the first share.
+func TestEvidence_EachFaultIsCaught(t *testing.T) {
+	const alpha = 0.001
+	var cases [4]history
+	for i := range cases {
+		cases[i] = history{share: 0.05, failures: 0.01}
+	}
+	cases[0].worse.failures = 0.9
+	cases[1].worse.failures = 0.15
+	cases[2].worse.slowness = 2
+	cases[3].share = 0.95
+	cases[3].worse.failures = 0.5
+	for i, h := range cases {
+		for run := range uint64(10) {
+			n := h.firstAlarm(testRand(run), alpha, 20000)
+			must.NonNegative(t, n, must.Sprintf("case %d run %d", i, run))
+		}
+	}
+}
+
+func TestFailureFactor_ExpectationIsAtMostOne(t *testing.T) {
+	for _, p := range []float64{0.001, 0.05, 0.5, 0.95} {
+		for _, effect := range failureEffects {
+			for m := 1; m <= blockLimit; m++ {
+				sum := 0.0
+				for failedNew := range 2 {
+					for failedOld := range m + 1 {
+						f := failureFactor(effect, 0.01, outcomes{1, failedNew}, outcomes{m, failedOld})
+						sum += f * binomial(1, failedNew, p) * binomial(m, failedOld, p)
+					}
+				}
+				must.LessEq(t, 1+1e-9, sum)
+			}
+		}
+	}
+}
+
+func binomial(n, k int, p float64) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return math.Exp(a - b - c + float64(k)*math.Log(p) + float64(n-k)*math.Log(1-p))
+}
+
+func TestSlownessFactor_ExpectationIsOne(t *testing.T) {
+	for effect := range slownessEffects {
+		for m := 1; m <= blockLimit; m++ {
+			sum := 0.0
+			for r := range m + 1 {
+				sum += slownessFactor(effect, r, m) / float64(m+1)
+			}
+			must.InDelta(t, 1, sum, 1e-9)
+		}
+	}
+}
