Demo of three nodes under load, and the operators' edge of a node

Cause: whoever tries the system needs one command that shows its promises kept while things leave; operators need the edge at every node. Change: package internal/command/demo: three nodes with real consensus and data folders on loopback, three engines of unlike speed, a service, mixed load with lost answers and a burst; a node is drained and an engine leaves on the way. Package internal/command/operator: forwards operators' calls to the leader and merges the events of all nodes. Load reports describe the first broken promises with their request ids.

--- /dev/null
+++ b/internal/command/demo/cluster.go
@@ -0,0 +1,234 @@
+// Package demo runs three nodes in one process before fake upstreams, puts
+// mixed load on them while a node and an upstream leave, and counts what
+// became of every request.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/agent"
+	"github.com/flamingohaven/flamingohaven/internal/command/operator"
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/transport/opshttp"
+)
+
+const (
+	nodeCount = 3
+	// addressTTL is short, so that a drain ends within the demo.
+	addressTTL = 500 * time.Millisecond
+	// startTimeout bounds the wait for the first configuration.
+	startTimeout = 20 * time.Second
+	startPause   = 50 * time.Millisecond
+)
+
+// Limits of a demo node.
+const (
+	demoMaxBody        = 4 << 20
+	demoMaxHeader      = 64 << 10
+	demoMaxConnections = 2048
+	demoMaxWaiting     = 64 << 20
+	demoReadTimeout    = 5 * time.Second
+	demoIdleTimeout    = 30 * time.Second
+)
+
+// node is one running node.
+type node struct {
+	agent    *agent.Agent
+	edge     *operator.Edge
+	settings *settings.Settings
+}
+
+// cluster is three nodes and their upstreams.
+type cluster struct {
+	folder    string
+	nodes     []*node
+	upstreams *upstreams
+	client    *opshttp.Client
+}
+
+// listeners are the bound sockets of one node.
+type listeners struct {
+	caller, internal, operator net.Listener
+}
+
+// startCluster starts upstreams and nodes on loopback and puts the
+// configuration in force. Close removes all of it, also after an error.
+func startCluster(ctx context.Context) (*cluster, error) {
+	folder, err := os.MkdirTemp("", "flamingohaven-demo-")
+	if err != nil {
+		return nil, fmt.Errorf("demo folder: %w", err)
+	}
+	c := &cluster{folder: folder}
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.close())
+	}
+	return c, nil
+}
+
+func (c *cluster) start(ctx context.Context) error {
+	var err error
+	if c.upstreams, err = startUpstreams(); err != nil {
+		return err
+	}
+	token := uuid.NewString()
+	tokenFile := filepath.Join(c.folder, "token")
+	if err := os.WriteFile(tokenFile, []byte(token), 0o600); err != nil {
+		return fmt.Errorf("operators' token: %w", err)
+	}
+	if err := c.startNodes(tokenFile); err != nil {
+		return err
+	}
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, n.edge.Address())
+	}
+	c.client = opshttp.NewClient(addresses, token)
+	return c.apply(ctx)
+}
+
+func (c *cluster) startNodes(tokenFile string) error {
+	var sockets []listeners
+	var replicas []settings.Replica
+	for i := range nodeCount {
+		l, err := bind()
+		if err != nil {
+			return err
+		}
+		sockets = append(sockets, l)
+		replicas = append(replicas, settings.Replica{ID: nodeName(i), Address: l.internal.Addr().String()})
+	}
+	for i, l := range sockets {
+		s := c.nodeSettings(i, l, replicas, tokenFile)
+		n, err := startNode(s, l)
+		if err != nil {
+			return err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	return nil
+}
+
+func bind() (l listeners, err error) {
+	for _, socket := range []*net.Listener{&l.caller, &l.internal, &l.operator} {
+		if *socket, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return l, fmt.Errorf("demo listener: %w", err)
+		}
+	}
+	return l, nil
+}
+
+func nodeName(i int) ident.NodeID {
+	return ident.NodeID(fmt.Sprintf("node-%d", i+1))
+}
+
+func (c *cluster) nodeSettings(i int, l listeners, replicas []settings.Replica, tokenFile string) *settings.Settings {
+	return &settings.Settings{
+		Node:              nodeName(i),
+		Zone:              ident.Zone(fmt.Sprintf("zone-%d", i+1)),
+		CallerListen:      l.caller.Addr().String(),
+		InternalListen:    l.internal.Addr().String(),
+		OperatorListen:    l.operator.Addr().String(),
+		CallerAdvertise:   l.caller.Addr().String(),
+		InternalAdvertise: l.internal.Addr().String(),
+		OperatorAdvertise: l.operator.Addr().String(),
+		DataDir:           filepath.Join(c.folder, string(nodeName(i))),
+		Replicas:          replicas,
+		OperatorTokenFile: tokenFile,
+		PlatformURL:       "http://" + c.upstreams.platform.Addr(),
+		AddressTTL:        addressTTL,
+		Limits: settings.Limits{
+			MaxBodyBytes:      demoMaxBody,
+			MaxHeaderBytes:    demoMaxHeader,
+			MaxConnections:    demoMaxConnections,
+			MaxWaitingBytes:   demoMaxWaiting,
+			ReadHeaderTimeout: demoReadTimeout,
+			ReadBodyTimeout:   demoReadTimeout,
+			IdleTimeout:       demoIdleTimeout,
+		},
+	}
+}
+
+func startNode(s *settings.Settings, l listeners) (*node, error) {
+	a, err := agent.New(s, agent.Listeners{Caller: l.caller, Internal: l.internal})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", s.Node, err)
+	}
+	edge, err := operator.New(s, a, l.operator)
+	if err != nil {
+		a.Kill()
+		return nil, fmt.Errorf("%s: %w", s.Node, err)
+	}
+	a.Start()
+	go func() { _ = edge.Serve() }()
+	return &node{agent: a, edge: edge, settings: s}, nil
+}
+
+// apply puts the configuration in force at every node.
+func (c *cluster) apply(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	request := &opsapi.ApplyRequest{
+		ID:    uuid.NewString(),
+		Who:   "demo",
+		Files: []opsapi.File{{Name: "demo" + config.FileSuffix, Data: c.upstreams.configuration()}},
+	}
+	for {
+		reply, err := c.client.Apply(ctx, request)
+		switch {
+		case err == nil && len(reply.Mistakes) > 0:
+			return fmt.Errorf("demo configuration: %v", reply.Mistakes)
+		case err == nil && reply.InForce && c.allListed():
+			return nil
+		case ctx.Err() != nil:
+			return fmt.Errorf("the nodes did not start in %s: %w", startTimeout, errors.Join(ctx.Err(), err))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(startPause):
+		}
+	}
+}
+
+// allListed reports whether every node tells callers of all nodes.
+func (c *cluster) allListed() bool {
+	for _, n := range c.nodes {
+		if !n.agent.Fresh() || len(n.agent.Addresses().Addresses) < nodeCount {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) callerAddresses() []string {
+	var addresses []string
+	for _, n := range c.nodes {
+		addresses = append(addresses, n.settings.CallerAdvertise)
+	}
+	return addresses
+}
+
+// close stops everything and removes the folder.
+func (c *cluster) close() error {
+	for _, n := range c.nodes {
+		_ = n.edge.Close()
+		n.agent.Kill()
+	}
+	if c.upstreams != nil {
+		c.upstreams.close()
+	}
+	if err := os.RemoveAll(c.folder); err != nil {
+		return fmt.Errorf("remove the demo folder: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/demo/demo.go
@@ -0,0 +1,171 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/load"
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// Options describes one demo.
+type Options struct {
+	Duration time.Duration
+	Seed     uint64
+	// Rate is the mean number of arrivals per second.
+	Rate float64
+	// Say is told of each step, in one line; nil means silence.
+	Say func(line string)
+}
+
+// DefaultRate is the mean number of arrivals per second.
+const DefaultRate = 150
+
+const (
+	// leavingGrace is how long after the platform's word a leaving upstream
+	// may still get new work.
+	leavingGrace = 3 * time.Second
+	// drainTimeout bounds the wait for the drained node's end.
+	drainTimeout = 20 * time.Second
+
+	lostAnswers = 0.2
+	lostAfter   = 20 * time.Millisecond
+	burstFactor = 3
+)
+
+// Report is the outcome of a demo.
+type Report struct {
+	*load.Report
+	Drained Drained `json:"drained"`
+	Leaving Leaving `json:"leaving"`
+}
+
+// Drained tells how the drained node left.
+type Drained struct {
+	Node ident.NodeID `json:"node"`
+	// Ended means that the node ended by itself.
+	Ended bool `json:"ended"`
+	// Seconds run from the operator's call to the node's end.
+	Seconds float64 `json:"seconds"`
+}
+
+// Leaving tells what the leaving upstream got.
+type Leaving struct {
+	Upstream string `json:"upstream"`
+	// RunsBefore counts its runs before it was named as leaving.
+	RunsBefore int `json:"runs_before"`
+	// RunsWithinGrace counts new runs within GraceSeconds of that.
+	RunsWithinGrace int     `json:"runs_within_grace"`
+	GraceSeconds    float64 `json:"grace_seconds"`
+	// RunsAfterGrace counts later ones; it must be zero.
+	RunsAfterGrace int `json:"runs_after_grace"`
+}
+
+// Failed reports whether the demo broke a promise.
+func (r *Report) Failed() bool {
+	return r.Report.Failed() || !r.Drained.Ended || r.Leaving.RunsAfterGrace > 0
+}
+
+// Run runs a demo. It leaves nothing behind.
+func Run(ctx context.Context, o Options) (report *Report, err error) {
+	say := o.Say
+	if say == nil {
+		say = func(string) {}
+	}
+	say("starting 3 nodes, 3 engines of unlike speed, 1 plain service")
+	c, err := startCluster(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, c.close()) }()
+	say("configuration in force at every node")
+	return c.run(ctx, o, say)
+}
+
+func (c *cluster) run(ctx context.Context, o Options, say func(string)) (*Report, error) {
+	report := &Report{}
+	var steps sync.WaitGroup
+	steps.Go(func() {
+		pause(ctx, o.Duration/4)
+		report.Drained = c.drain(ctx, say)
+	})
+	var leftAt time.Time
+	steps.Go(func() {
+		pause(ctx, o.Duration/2)
+		say("engine slow is named as leaving")
+		leftAt = time.Now()
+		c.upstreams.platform.SetLeaving(c.upstreams.slow.Addr())
+	})
+	result, err := load.Run(ctx, load.Options{
+		Addresses:   c.callerAddresses(),
+		Workload:    workload(),
+		Rate:        o.Rate,
+		Duration:    o.Duration,
+		Bursts:      []load.Burst{{At: o.Duration * 5 / 8, Length: o.Duration / 8, Factor: burstFactor}},
+		Seed:        o.Seed,
+		LostAnswers: lostAnswers,
+		LostAfter:   lostAfter,
+		VerifyEcho:  true,
+		Progress: func(p load.Progress) {
+			say(fmt.Sprintf("%4.1fs  sent %d, ended %d", p.Elapsed.Seconds(), p.Sent, p.Ended))
+		},
+	})
+	steps.Wait()
+	if err != nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	report.Report = result.Report(load.NewUpstreams(c.upstreams.runs()...))
+	report.Leaving = leaving(c.upstreams.slow.Runs(), leftAt)
+	return report, nil
+}
+
+// drain makes the last node leave and waits for its end.
+func (c *cluster) drain(ctx context.Context, say func(string)) Drained {
+	n := c.nodes[len(c.nodes)-1]
+	drained := Drained{Node: n.settings.Node}
+	say(fmt.Sprintf("%s is drained", drained.Node))
+	began := time.Now()
+	if _, err := c.client.Drain(ctx, drained.Node); err != nil {
+		say(fmt.Sprintf("drain failed: %v", err))
+		return drained
+	}
+	select {
+	case <-n.agent.Drained():
+		drained.Ended = true
+		drained.Seconds = time.Since(began).Seconds()
+		say(fmt.Sprintf("%s ended by itself after %.1fs", drained.Node, drained.Seconds))
+	case <-time.After(drainTimeout):
+	case <-ctx.Done():
+	}
+	return drained
+}
+
+// leaving counts what the leaving upstream got before and after its leaving.
+func leaving(runs []fakes.Run, at time.Time) Leaving {
+	l := Leaving{Upstream: "slow", GraceSeconds: leavingGrace.Seconds()}
+	for _, r := range runs {
+		switch after := r.StartedAt.Sub(at); {
+		case after < 0:
+			l.RunsBefore++
+		case after <= leavingGrace:
+			l.RunsWithinGrace++
+		default:
+			l.RunsAfterGrace++
+		}
+	}
+	return l
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/command/load/broken.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// maxBroken bounds the broken promises that a report describes.
+const maxBroken = 20
+
+// Broken describes one request for which a promise was broken, so that its
+// events can be looked up in the time line.
+type Broken struct {
+	Promise string    `json:"promise"`
+	Class   string    `json:"class"`
+	Key     string    `json:"key,omitempty"`
+	Sends   []Send    `json:"sends"`
+	Seen    []Sighted `json:"seen_at_upstreams,omitempty"`
+}
+
+// Send is one send of a request, as its caller saw it.
+type Send struct {
+	Address string          `json:"address"`
+	Request ident.RequestID `json:"request,omitempty"`
+	Result  string          `json:"result"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// Sighted is one run of a request, as an upstream saw it.
+type Sighted struct {
+	Request ident.RequestID `json:"request"`
+	State   string          `json:"state"`
+}
+
+// describe returns the broken promise that the counts of an outcome show, if any.
+func (o *outcome) describe(c Counts, u *Upstreams) (Broken, bool) {
+	b := Broken{Class: o.job.class.Name, Key: o.job.key}
+	switch {
+	case c.Doubled > 0:
+		b.Promise = "doubled"
+	case c.Lost > 0:
+		b.Promise = "lost"
+	case c.Wrong > 0:
+		b.Promise = "wrong_answer"
+	case c.FalseNotRun > 0:
+		b.Promise = "false_not_run"
+	default:
+		return b, false
+	}
+	for _, a := range o.attempts {
+		s := Send{Address: a.address, Request: a.request, Result: a.kind.String(), Reason: string(a.reason)}
+		if s.Reason == "" && a.err != nil {
+			s.Reason = a.err.Error()
+		}
+		b.Sends = append(b.Sends, s)
+	}
+	if u != nil {
+		for _, run := range u.byEcho[o.job.echo] {
+			b.Seen = append(b.Seen, Sighted{Request: run.RequestID, State: string(run.State)})
+		}
+	}
+	return b, true
+}
+
+// String returns the kind's name in reports.
+func (k attemptKind) String() string {
+	return [...]string{"answered", "not_run", "may_have_run", "broken", "unreached", "wrong"}[k]
+}
--- a/internal/command/load/count.go
+++ b/internal/command/load/count.go
@@ -51,7 +51,7 @@
 	if o.job.key == "" {
 		return
 	}
-	runs := u.byEcho[o.job.echo]
+	runs := len(u.byEcho[o.job.echo])
 	if runs > 1 {
 		c.Doubled = 1
 	}
--- a/internal/command/load/report.go
+++ b/internal/command/load/report.go
@@ -94,6 +94,8 @@
 	Goodput      float64       `json:"goodput_per_second"`
 	Tiers        []TierReport  `json:"tiers"`
 	Refused      []ReasonCount `json:"refusals_by_reason"`
+	// Broken describes the first broken promises.
+	Broken []Broken `json:"broken,omitempty"`
 }
 
 // Failed reports whether the run broke a promise.
@@ -140,6 +142,7 @@
 func (r *Result) Report(upstreams *Upstreams) *Report {
 	all, tiers := newTally(), map[ident.TierName]*tally{}
 	reasons := map[callerapi.Reason]int{}
+	var broken []Broken
 	for i := range r.outcomes {
 		o := &r.outcomes[i]
 		tier := tiers[o.job.class.Tier]
@@ -154,6 +157,9 @@
 				t.answered(o)
 			}
 		}
+		if b, found := o.describe(counts, upstreams); found && len(broken) < maxBroken {
+			broken = append(broken, b)
+		}
 		for _, a := range o.attempts {
 			if a.reason != "" {
 				reasons[a.reason]++
@@ -167,6 +173,7 @@
 		Elapsed:        r.Elapsed.Seconds(),
 		UpstreamsAsked: upstreams != nil,
 		Counts:         all.counts,
+		Broken:         broken,
 		Redispatched:   upstreams.repeatedRequests(),
 		Goodput:        float64(all.counts.InTime) / r.Duration.Seconds(),
 	}
@@ -206,15 +213,15 @@
 // Upstreams is what fakes saw. A nil value means that nobody counted.
 type Upstreams struct {
 	counts fakes.Counts
-	byEcho map[string]int
+	byEcho map[string][]fakes.Run
 }
 
 // NewUpstreams indexes the runs of all fakes.
 func NewUpstreams(runs ...[]fakes.Run) *Upstreams {
-	u := &Upstreams{counts: fakes.Count(runs...), byEcho: map[string]int{}}
+	u := &Upstreams{counts: fakes.Count(runs...), byEcho: map[string][]fakes.Run{}}
 	for _, list := range runs {
 		for _, run := range list {
-			u.byEcho[run.Echo]++
+			u.byEcho[run.Echo] = append(u.byEcho[run.Echo], run)
 		}
 	}
 	return u
--- /dev/null
+++ b/internal/command/operator/backend.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/agent"
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/opshttp"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+const (
+	// callTimeout bounds one try of a call to the leader. It exceeds the
+	// longest wait of an apply.
+	callTimeout = control.MaxApplyWait + time.Second
+	// statusTimeout bounds the asking for the live nodes.
+	statusTimeout = 2 * time.Second
+	// eventsTimeout bounds the asking of one node for its events.
+	eventsTimeout = 2 * time.Second
+	// eventsMethod is the call that returns a node's events.
+	eventsMethod = "Node.Events"
+)
+
+// backend implements opshttp.Backend.
+type backend struct {
+	opshttp.Control
+	settings *settings.Settings
+	node     Node
+	calls    *rpcnet.Client
+}
+
+// Addresses implements opshttp.Backend.
+func (b *backend) Addresses() callerapi.AddressList {
+	return b.node.Addresses()
+}
+
+// Ready implements opshttp.Backend.
+func (b *backend) Ready() error {
+	if !b.node.Fresh() {
+		return errCutOff
+	}
+	return nil
+}
+
+// Timeline implements opshttp.Backend.
+func (b *backend) Timeline(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.NodeID) {
+	nodes := b.knownNodes(ctx)
+	lists := make([][]timeline.Event, len(nodes))
+	answered := make([]bool, len(nodes))
+	var asking sync.WaitGroup
+	for i, n := range nodes {
+		asking.Go(func() { lists[i], answered[i] = b.events(ctx, n.Address, filter) })
+	}
+	asking.Wait()
+	var missing []ident.NodeID
+	for i, n := range nodes {
+		if !answered[i] {
+			missing = append(missing, n.ID)
+		}
+	}
+	return timeline.Merge(lists...), missing
+}
+
+func (b *backend) events(ctx context.Context, address string, filter timeline.Filter) ([]timeline.Event, bool) {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	var reply agent.EventsReply
+	if err := b.calls.Call(ctx, address, eventsMethod, &agent.EventsArgs{Filter: filter}, &reply); err != nil {
+		return nil, false
+	}
+	return reply.Events, true
+}
+
+// knownNodes returns the replicas and the live nodes. Without a leader these
+// are the replicas and this node.
+func (b *backend) knownNodes(ctx context.Context) []settings.Replica {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	nodes := slices.Clone(b.settings.Replicas)
+	nodes = append(nodes, settings.Replica{ID: b.settings.Node, Address: b.settings.InternalAdvertise})
+	if status, err := b.Status(ctx); err == nil {
+		for _, n := range status.Nodes {
+			nodes = append(nodes, settings.Replica{ID: n.ID, Address: n.InternalAddress})
+		}
+	}
+	slices.SortStableFunc(nodes, func(a, b settings.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(nodes, func(a, b settings.Replica) bool { return a.ID == b.ID })
+}
--- /dev/null
+++ b/internal/command/operator/operator.go
@@ -0,0 +1,146 @@
+// Package operator assembles the operators' edge of one node: it forwards
+// calls to the leader and merges the events of all nodes.
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/transport/opshttp"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+// Node is what the edge needs of the node that it belongs to.
+type Node interface {
+	// Fresh reports whether the node holds a lease that has surely not ended.
+	Fresh() bool
+	// Addresses returns the nodes that callers should use.
+	Addresses() callerapi.AddressList
+}
+
+// Measured is implemented by a node that has metrics of its own.
+type Measured interface {
+	Gatherer() prometheus.Gatherer
+}
+
+// Edge is the operators' edge of one node.
+type Edge struct {
+	listener net.Listener
+	server   *opshttp.Server
+	calls    *rpcnet.Client
+}
+
+// New binds the operators' listener, or takes the given one. Serve makes the
+// edge work.
+func New(s *settings.Settings, node Node, listener net.Listener) (*Edge, error) {
+	token, err := settings.ReadToken(s.OperatorTokenFile)
+	if err != nil {
+		return nil, fmt.Errorf("operators' token: %w", err)
+	}
+	if listener == nil {
+		if listener, err = net.Listen("tcp", s.OperatorListen); err != nil {
+			return nil, fmt.Errorf("operators' listener: %w", err)
+		}
+	}
+	calls := rpcnet.NewClient()
+	caller := newReplicaCaller(calls, s.Replicas)
+	backend := &backend{
+		Control:  opshttp.Control{Client: control.NewClient(caller, caller.ids())},
+		settings: s,
+		node:     node,
+		calls:    calls,
+	}
+	metrics := promhttp.HandlerFor(gatherer(node), promhttp.HandlerOpts{})
+	return &Edge{listener: listener, server: opshttp.New(backend, token, metrics), calls: calls}, nil
+}
+
+// gatherer joins the metrics of the process with those of the node.
+func gatherer(node Node) prometheus.Gatherer {
+	process := prometheus.NewRegistry()
+	process.MustRegister(collectors.NewGoCollector())
+	process.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	process.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "flamingohaven_node_lease_fresh",
+		Help: "1 while the node holds a lease that has surely not ended, else 0.",
+	}, func() float64 {
+		if node.Fresh() {
+			return 1
+		}
+		return 0
+	}))
+	gatherers := prometheus.Gatherers{process}
+	if m, ok := node.(Measured); ok {
+		gatherers = append(gatherers, m.Gatherer())
+	}
+	return gatherers
+}
+
+// Address returns host:port of the listener.
+func (e *Edge) Address() string {
+	return e.listener.Addr().String()
+}
+
+// Serve accepts operators until Shutdown or Close.
+func (e *Edge) Serve() error {
+	return e.server.Serve(e.listener)
+}
+
+// Shutdown waits until every call has its answer.
+func (e *Edge) Shutdown(ctx context.Context) error {
+	err := e.server.Shutdown(ctx)
+	e.calls.Close()
+	return err
+}
+
+// Close breaks all connections.
+func (e *Edge) Close() error {
+	e.calls.Close()
+	return e.server.Close()
+}
+
+var errCutOff = errors.New("the node holds no fresh lease")
+
+// replicaCaller sends control calls to replicas by their names.
+type replicaCaller struct {
+	calls    *rpcnet.Client
+	replicas []settings.Replica
+}
+
+func newReplicaCaller(calls *rpcnet.Client, replicas []settings.Replica) *replicaCaller {
+	return &replicaCaller{calls: calls, replicas: replicas}
+}
+
+func (c *replicaCaller) ids() []ident.NodeID {
+	var ids []ident.NodeID
+	for _, r := range c.replicas {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+// Call implements control.Caller.
+func (c *replicaCaller) Call(ctx context.Context, node ident.NodeID, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for _, r := range c.replicas {
+		if r.ID != node {
+			continue
+		}
+		err := c.calls.Call(ctx, r.Address, method, args, reply)
+		if errors.Is(err, rpcnet.ErrUnsent) {
+			return fmt.Errorf("%w: %w", control.ErrNotSent, err)
+		}
+		return err
+	}
+	return fmt.Errorf("%w: replica %q is not in the settings", control.ErrNotSent, node)
+}
