Subcommands of the binary

Cause: operators and newcomers drive the system from one binary. Change: serve, config check|apply|show|history, status, addresses, moves list|wait, timeline, drain, demo, load and version, one file each; help with an example, -o text|json, exit codes, and errors that say what to do next.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -1,13 +1,178 @@
 // Package command holds the subcommands of the binary, one file each.
 package command
 
-import "os"
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+)
+
+// Name is the name of the binary.
+const Name = "flamingohaven"
+
+// ui is what the subcommands know of the process around them.
+type ui struct {
+	out io.Writer
+	err io.Writer
+	// environ has the form of os.Environ.
+	environ []string
+}
 
 // Main runs the subcommand that args name and returns the exit code.
 func Main(args []string) int {
-	if len(args) < 2 {
-		os.Stderr.WriteString("usage: flamingohaven <subcommand>\n")
-		return 2
+	u := &ui{out: os.Stdout, err: os.Stderr, environ: os.Environ()}
+	return u.run(context.Background(), args[1:])
+}
+
+func (u *ui) run(ctx context.Context, args []string) int {
+	flags := flag.NewFlagSet(Name, flag.ContinueOnError)
+	flags.SetOutput(u.err)
+	commander := u.commander(flags, Name)
+	const daemon, operators, trial, other = "daemon", "operators", "trying it out", "other"
+	commander.Register(u.serveCommand(), daemon)
+	commander.Register(u.configCommand(), operators)
+	commander.Register(u.statusCommand(), operators)
+	commander.Register(u.addressesCommand(), operators)
+	commander.Register(u.movesCommand(), operators)
+	commander.Register(u.timelineCommand(), operators)
+	commander.Register(u.drainCommand(), operators)
+	commander.Register(u.demoCommand(), trial)
+	commander.Register(u.loadCommand(), trial)
+	commander.Register(u.versionCommand(), other)
+	commander.Register(commander.HelpCommand(), other)
+	commander.Register(commander.FlagsCommand(), other)
+	if err := flags.Parse(args); err != nil {
+		return int(ExitUsage)
+	}
+	return int(commander.Execute(ctx))
+}
+
+func (u *ui) commander(flags *flag.FlagSet, name string) *subcommands.Commander {
+	commander := subcommands.NewCommander(flags, name)
+	commander.Output = u.out
+	commander.Error = u.err
+	return commander
+}
+
+// cmd implements subcommands.Command.
+type cmd struct {
+	name     string
+	synopsis string
+	// usage is the line of arguments, then sentences and an example.
+	usage    string
+	setFlags func(f *flag.FlagSet)
+	run      func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus
+}
+
+// Name implements subcommands.Command.
+func (c *cmd) Name() string { return c.name }
+
+// Synopsis implements subcommands.Command.
+func (c *cmd) Synopsis() string { return c.synopsis }
+
+// Usage implements subcommands.Command.
+func (c *cmd) Usage() string { return c.usage + "\nFlags:\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *cmd) SetFlags(f *flag.FlagSet) {
+	if c.setFlags != nil {
+		c.setFlags(f)
+	}
+}
+
+// Execute implements subcommands.Command.
+func (c *cmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx, f)
+}
+
+// group returns a command that has subcommands of its own.
+func (u *ui) group(name, synopsis string, commands ...subcommands.Command) subcommands.Command {
+	usage := name + " <subcommand> [flags]\n\n" + synopsis + ".\n\nSubcommands:\n"
+	for _, c := range commands {
+		usage += fmt.Sprintf("  %-10s %s\n", c.Name(), c.Synopsis())
+	}
+	usage += fmt.Sprintf("\nExample:\n  %s %s help %s\n", Name, name, commands[0].Name())
+	return &cmd{
+		name:     name,
+		synopsis: synopsis,
+		usage:    usage,
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			commander := u.commander(f, Name+" "+name)
+			for _, c := range commands {
+				commander.Register(c, "")
+			}
+			commander.Register(commander.HelpCommand(), "")
+			return commander.Execute(ctx)
+		},
+	}
+}
+
+// arguments returns exactly want positional arguments, which flags may follow.
+func arguments(f *flag.FlagSet, want int) ([]string, error) {
+	var given []string
+	for f.NArg() > 0 {
+		given = append(given, f.Arg(0))
+		if err := f.Parse(f.Args()[1:]); err != nil {
+			return nil, err
+		}
+	}
+	if len(given) != want {
+		return nil, fmt.Errorf("%d arguments given, want %d", len(given), want)
+	}
+	return given, nil
+}
+
+// usageError prints a mistake in the arguments and how to get help.
+func (u *ui) usageError(command string, err error) subcommands.ExitStatus {
+	help := "help " + command
+	if group, sub, grouped := strings.Cut(command, " "); grouped {
+		help = group + " help " + sub
+	}
+	fmt.Fprintf(u.err, "%s: %v\nnext: see %s %s\n", command, err, Name, help)
+	return ExitUsage
+}
+
+// format is a form of output.
+type format string
+
+const (
+	formatText format = "text"
+	formatJSON format = "json"
+)
+
+// String implements flag.Value.
+func (o *format) String() string {
+	return string(*o)
+}
+
+// Set implements flag.Value.
+func (o *format) Set(value string) error {
+	*o = format(value)
+	if *o != formatText && *o != formatJSON {
+		return fmt.Errorf("want %s or %s", formatText, formatJSON)
+	}
+	return nil
+}
+
+// setFormat adds the flag -o.
+func setFormat(f *flag.FlagSet, o *format) {
+	*o = formatText
+	f.Var(o, "o", "output `format`: text or json")
+}
+
+// print writes data as JSON, or by the given function for people.
+func (u *ui) print(o format, data any, text func(w io.Writer)) {
+	if o == formatText {
+		text(u.out)
+		return
 	}
-	return 0
+	encoder := json.NewEncoder(u.out)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(data)
 }
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/demo"
+)
+
+// Defaults of the demo.
+const (
+	defaultDemoDuration = 8 * time.Second
+	defaultSeed         = 1
+)
+
+func (u *ui) demoCommand() subcommands.Command {
+	o := demo.Options{}
+	var out format
+	var logs bool
+	return &cmd{
+		name:     "demo",
+		synopsis: "run three nodes under load on this machine and count what became of the work",
+		usage: `demo [flags]
+
+Runs three nodes with real consensus and data folders before fake engines of
+unlike speed, puts mixed load on them, drains a node and makes an engine leave
+on the way. It ends by itself and leaves nothing behind. Ends with 8 if any
+request was lost, doubled, answered wrongly or falsely called "not run".
+
+Example:
+  flamingohaven demo -duration 8s -seed 1 -o json
+`,
+		setFlags: func(f *flag.FlagSet) {
+			f.DurationVar(&o.Duration, "duration", defaultDemoDuration, "how long to send load")
+			f.Uint64Var(&o.Seed, "seed", defaultSeed, "`number` from which arrivals and lengths are drawn")
+			f.Float64Var(&o.Rate, "rate", demo.DefaultRate, "mean `arrivals` per second")
+			f.BoolVar(&logs, "logs", false, "show the nodes' logs")
+			setFormat(f, &out)
+		},
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			if _, err := arguments(f, 0); err != nil {
+				return u.usageError("demo", err)
+			}
+			if !logs {
+				klog.LogToStderr(false)
+				klog.SetOutput(io.Discard)
+			}
+			if out == formatText {
+				o.Say = func(line string) { fmt.Fprintln(u.out, line) }
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			report, err := demo.Run(ctx, o)
+			if err != nil {
+				return u.failed("demo", err)
+			}
+			u.print(out, report, func(w io.Writer) { printDemo(w, report) })
+			if report.Failed() {
+				return ExitBroken
+			}
+			return ExitOK
+		},
+	}
+}
+
+func printDemo(w io.Writer, r *demo.Report) {
+	fmt.Fprintln(w)
+	printLoadReport(w, r.Report)
+	fmt.Fprintf(w, "node %s drained: ended by itself %t, after %.1fs\n", r.Drained.Node, r.Drained.Ended, r.Drained.Seconds)
+	fmt.Fprintf(w, "engine %s left: %d runs before, %d within %gs of its leaving, %d later\n",
+		r.Leaving.Upstream, r.Leaving.RunsBefore, r.Leaving.RunsWithinGrace, r.Leaving.GraceSeconds, r.Leaving.RunsAfterGrace)
+}
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/agent"
+	"github.com/flamingohaven/flamingohaven/internal/command/operator"
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+)
+
+func (u *ui) serveCommand() subcommands.Command {
+	var loader *settings.Loader
+	return &cmd{
+		name:     "serve",
+		synopsis: "run the daemon of one node",
+		usage: `serve [flags]
+
+Runs the daemon of one node until SIGTERM or SIGINT, which drain it: callers
+are sent elsewhere, accepted work is finished, then the process ends. A second
+signal ends it at once. Every flag has an environment variable; see
+docs/operations/install.md.
+
+Example, a node that keeps no log:
+  flamingohaven serve -node n4 -zone z1 -operator-token-file token \
+    -replicas n1=10.0.1.1:8081,n2=10.0.2.1:8081,n3=10.0.3.1:8081 \
+    -caller-listen 10.0.1.4:8080 -internal-listen 10.0.1.4:8081 -operator-listen 10.0.1.4:8082
+`,
+		setFlags: func(f *flag.FlagSet) { loader = settings.Register(f) },
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			if _, err := arguments(f, 0); err != nil {
+				return u.usageError("serve", err)
+			}
+			s, err := loader.Load(u.environ)
+			if err != nil {
+				return u.usageError("serve", err)
+			}
+			if err := serve(ctx, s); err != nil {
+				fmt.Fprintf(u.err, "serve: %v\nnext: mend the cause and start again; the data folder is left as it is\n", err)
+				return ExitFailed
+			}
+			return ExitOK
+		},
+	}
+}
+
+// serve runs a node until a signal has drained it.
+func serve(ctx context.Context, s *settings.Settings) error {
+	defer klog.Flush()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node, err := agent.New(s, agent.Listeners{})
+	if err != nil {
+		return err
+	}
+	edge, err := operator.New(s, node, nil)
+	if err != nil {
+		node.Kill()
+		return err
+	}
+	go func() {
+		if err := edge.Serve(); err != nil {
+			klog.ErrorS(err, "operators' listener ended")
+		}
+	}()
+	go func() {
+		<-ctx.Done()
+		stop()
+	}()
+	return errors.Join(node.Run(ctx), edge.Close())
+}
