Judge the scheduler by an oracle under faults and fail-over

Cause: tier order, shares, slots and single decisions were shown by examples. Found and mended: a grant of old shares refunded under new ones overdrew a canary; a registration longer than the queue limit shed a higher tier before a lower one not yet taken in; a ticket without time left was granted.

--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -35,6 +35,7 @@
 
 	engine       *engine
 	version      ident.VersionName
+	generation   int
 	grantExpires time.Duration
 	startedAt    time.Duration
 	firstTokenAt time.Duration
@@ -60,9 +61,9 @@
 // its deadline; any other is given up only when even a short answer misses it.
 func (e *entry) hopeless(wait time.Duration, contended bool, now time.Duration) bool {
 	if contended && wait > 0 {
-		return now+wait+e.longest > e.deadline
+		return now+wait+e.longest >= e.deadline
 	}
-	return now+wait+e.shortest > e.deadline
+	return now+wait+e.shortest >= e.deadline
 }
 
 // holdsSlot tells whether the ticket occupies a slot of an upstream.
--- /dev/null
+++ b/internal/coordination/scheduler/oracle_test.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// oracle judges the decisions of a scheduler by the rules of the brief, from
+// what gateways and upstreams do alone.
+type oracle struct {
+	view    View
+	ranks   map[ident.TierName]int
+	sent    map[shareKey]map[ident.VersionName]float64
+	total   map[shareKey]float64
+	ejected func(ident.UpstreamName) bool
+}
+
+func (o *oracle) setView(v View) {
+	if fmt.Sprint(v.Shares) != fmt.Sprint(o.view.Shares) || o.sent == nil {
+		o.sent = make(map[shareKey]map[ident.VersionName]float64)
+		o.total = make(map[shareKey]float64)
+	}
+	o.view = v
+	o.ranks = make(map[ident.TierName]int)
+	for _, t := range v.Tiers {
+		o.ranks[t.Name] = t.Rank
+	}
+}
+
+func (o *oracle) upstream(name ident.UpstreamName) (Upstream, bool) {
+	for _, u := range o.view.Upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
+func (o *oracle) share(key shareKey, version ident.VersionName) (share float64, base bool) {
+	most := 0.0
+	for _, s := range o.view.Shares {
+		most = max(most, s.of(key.idempotent))
+		if s.Version == version {
+			share = s.of(key.idempotent)
+		}
+	}
+	return share, share == most
+}
+
+// grant judges a new grant of r, given all requests.
+func (o *oracle) grant(r *modelRequest, g Grant, all []*modelRequest, now time.Duration) error {
+	u, listed := o.upstream(g.Upstream)
+	if !listed || u.Leaving {
+		return fmt.Errorf("%s granted on leaving upstream %s", r.ticket.ID, g.Upstream)
+	}
+	if r.place != placeWaiting || !r.known {
+		return fmt.Errorf("%s granted though not waiting", r.ticket.ID)
+	}
+	if u.Version != g.Version {
+		return fmt.Errorf("%s granted version %s on an upstream of %s", r.ticket.ID, g.Version, u.Version)
+	}
+	if err := o.spend(r.key(), g.Version); err != nil {
+		return err
+	}
+	taken := 1
+	for _, other := range all {
+		if other != r && other.counts(g.Upstream, now) {
+			taken++
+		}
+	}
+	if taken > u.MaxConcurrent {
+		return fmt.Errorf("%d requests on %s of %d", taken, u.Name, u.MaxConcurrent)
+	}
+	return o.order(r, u, all)
+}
+
+// order tells whether a higher tier waits that could have had the slot.
+func (o *oracle) order(r *modelRequest, u Upstream, all []*modelRequest) error {
+	if o.ejected(u.Name) {
+		return nil
+	}
+	for _, other := range all {
+		if other.place != placeWaiting || !other.known || o.ranks[other.ticket.Tier] <= o.ranks[r.ticket.Tier] {
+			continue
+		}
+		_, base := o.share(other.key(), u.Version)
+		if base && !other.excludes(u.Name) {
+			return fmt.Errorf("%s of %s placed before %s of %s", r.ticket.ID, r.ticket.Tier, other.ticket.ID, other.ticket.Tier)
+		}
+	}
+	return nil
+}
+
+func (o *oracle) spend(key shareKey, version ident.VersionName) error {
+	share, base := o.share(key, version)
+	if share <= 0 {
+		return fmt.Errorf("version %s has no share of %v", version, key)
+	}
+	if o.sent[key] == nil {
+		o.sent[key] = make(map[ident.VersionName]float64)
+	}
+	o.sent[key][version]++
+	o.total[key]++
+	if !base && o.sent[key][version] > share*o.total[key]+1 {
+		return fmt.Errorf("version %s got %v of %v requests of %v", version, o.sent[key][version], o.total[key], key)
+	}
+	return nil
+}
+
+// refund takes back a request that did not reach its version.
+func (o *oracle) refund(key shareKey, version ident.VersionName) {
+	if o.sent[key][version] > 0 {
+		o.sent[key][version]--
+		o.total[key]--
+	}
+}
+
+// refusal judges a new refusal of r.
+func (o *oracle) refusal(r *modelRequest, refusal Refusal, all []*modelRequest) error {
+	if r.place != placeWaiting || !r.known {
+		return fmt.Errorf("%s refused though not waiting", r.ticket.ID)
+	}
+	if refusal.RetryAfter < minRetryAfter || refusal.RetryAfter > maxRetryAfter {
+		return fmt.Errorf("%s to retry after %s", r.ticket.ID, refusal.RetryAfter)
+	}
+	if refusal.Reason != ReasonOverload {
+		return nil
+	}
+	for _, other := range all {
+		if other != r && other.place == placeWaiting && other.known && o.ranks[other.ticket.Tier] < o.ranks[r.ticket.Tier] {
+			return fmt.Errorf("%s of %s shed before %s of %s", r.ticket.ID, r.ticket.Tier, other.ticket.ID, other.ticket.Tier)
+		}
+	}
+	return nil
+}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -114,7 +114,7 @@
 	g.running[e] = struct{}{}
 	e.batchAtStart = g.used()
 	p.running++
-	p.shares.spend(e.shareKey(), e.version)
+	e.generation = p.shares.spend(e.shareKey(), e.version)
 	p.queueOf(e).charge(e.tokens())
 	p.retries.dispatched()
 	p.refresh(g, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -201,7 +201,6 @@
 	}
 	p.enqueue(e)
 	e.queue.tier.arrivals.add(e.service.Seconds(), now)
-	p.shedOverLimit(now)
 }
 
 func (p *Pool) enqueue(e *entry) {
@@ -277,7 +276,9 @@
 	p.step(now)
 }
 
-// step does the time-driven work that is due, then places what it can.
+// step does the time-driven work that is due, then places what it can and
+// sheds what the queue can't hold. Nothing is shed during a takeover, while
+// tickets of lower tiers may still be unknown.
 func (p *Pool) step(now time.Duration) {
 	p.runTimers(now)
 	p.openAfterTakeover(now)
@@ -291,6 +292,7 @@
 	}
 	if p.placing {
 		p.place(now)
+		p.shedOverLimit(now)
 	}
 }
 
@@ -322,7 +324,7 @@
 		return
 	}
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version)
+	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.end(e, now)
 }
 
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -102,7 +102,7 @@
 // queue, within the retry budget.
 func (p *Pool) unsent(e *entry, now time.Duration) {
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version)
+	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.queueOf(e).charge(-e.tokens())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
@@ -121,7 +121,7 @@
 		return
 	}
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version)
+	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.queueOf(e).charge(-e.tokens())
 	p.end(e, now)
 }
--- a/internal/coordination/scheduler/shares.go
+++ b/internal/coordination/scheduler/shares.go
@@ -23,6 +23,8 @@
 type shareKeeper struct {
 	shares  []VersionShare
 	credits map[shareKey]credits
+	// generation counts the changes of shares.
+	generation int
 }
 
 // set replaces the shares. Credits start anew when they change.
@@ -36,6 +38,7 @@
 	}
 	k.shares = append([]VersionShare(nil), shares...)
 	k.credits = make(map[shareKey]credits)
+	k.generation++
 }
 
 func (s VersionShare) of(idempotent bool) float64 {
@@ -89,14 +92,19 @@
 	return false
 }
 
-// spend counts a request that went to a version.
-func (k *shareKeeper) spend(key shareKey, version ident.VersionName) {
+// spend counts a request that went to a version and returns the generation of
+// the shares it was counted under.
+func (k *shareKeeper) spend(key shareKey, version ident.VersionName) (generation int) {
 	k.add(key, version, 1)
+	return k.generation
 }
 
-// refund takes back a request that provably did not reach its version.
-func (k *shareKeeper) refund(key shareKey, version ident.VersionName) {
-	k.add(key, version, -1)
+// refund takes back a request that provably did not reach its version, unless
+// the shares have changed since.
+func (k *shareKeeper) refund(key shareKey, version ident.VersionName, generation int) {
+	if generation == k.generation {
+		k.add(key, version, -1)
+	}
 }
 
 func (k *shareKeeper) add(key shareKey, version ident.VersionName, requests float64) {
@@ -110,6 +118,6 @@
 		if s.Version == version {
 			credit -= requests
 		}
-		have[s.Version] = min(creditBound, max(-creditBound, credit))
+		have[s.Version] = min(creditBound, credit)
 	}
 }
