--- a/internal/coordination/moves/model_test.go
+++ b/internal/coordination/moves/model_test.go
@@ -67,6 +67,8 @@
 	deadline  time.Duration
 	watch     time.Duration
 	readyAt   time.Duration
+	// loaded is when each new upstream is ready; empty means at readyAt.
+	loaded    []time.Duration
 	commitLag time.Duration
 	// outage is when one new upstream dies; zero is never.
 	outage time.Duration
@@ -132,6 +134,23 @@
 	return worst
 }
 
+// ready returns how many new upstreams are ready.
+func (m model) ready(now time.Duration) int {
+	if len(m.loaded) == 0 {
+		if now >= m.readyAt {
+			return m.upstreams
+		}
+		return 0
+	}
+	n := 0
+	for _, at := range m.loaded {
+		if now >= at {
+			n++
+		}
+	}
+	return n
+}
+
 func (m model) spec() config.Move {
 	return config.Move{
 		Pool: "model", From: oldVersion, To: newVersion,
@@ -217,7 +236,11 @@
 	if r.rng.Float64() < share {
 		version = newVersion
 	}
-	limit := r.model.upstreams * r.model.capacity
+	upstreams := r.model.upstreams
+	if version == newVersion {
+		upstreams = max(r.model.ready(r.now), 1)
+	}
+	limit := upstreams * r.model.capacity
 	load := min(float64(r.running[version])/float64(limit), 1)
 	prompt := int(math.Exp(4 + 1.2*r.rng.NormFloat64()))
 	factor := math.Exp(r.model.noise*r.rng.NormFloat64()) * (1 + 2*load*load)
@@ -228,7 +251,7 @@
 	if r.now >= r.model.troubleAt && r.now < r.model.troubleAt+time.Minute && r.model.troubleAt > 0 {
 		failed = failed || r.rng.Float64() < 0.3
 	}
-	upstream := r.rng.IntN(r.model.upstreams)
+	upstream := r.rng.IntN(upstreams)
 	harmed := false
 	if version == newVersion {
 		if r.model.outage > 0 && upstream == 0 && r.now >= r.model.outage && r.now < r.model.outage+20*time.Second {
@@ -266,8 +289,8 @@
 
 func (r *run) tick() {
 	readiness := []moves.Readiness{{Version: oldVersion, Ready: r.model.upstreams, Capacity: r.model.upstreams * r.model.capacity}}
-	if r.now >= r.model.readyAt {
-		readiness = append(readiness, moves.Readiness{Version: newVersion, Ready: r.model.upstreams, Capacity: r.model.upstreams * r.model.capacity})
+	if n := r.model.ready(r.now); n > 0 {
+		readiness = append(readiness, moves.Readiness{Version: newVersion, Ready: n, Capacity: n * r.model.capacity})
 	}
 	r.c.SetReadiness(readiness, r.wall())
 	for len(r.commits) > 0 && r.commits[0].at <= r.now {
