Let a share recover on the evidence of the routes that were suspected

Cause: after a suspicion the share waited for new evidence on every route, also on slow ones that had not been suspected. Change: only the routes that raised the suspicion count; all after a fail-over.

--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -83,6 +83,8 @@
 	compared int
 	// settled counts them since the last suspicion.
 	settled int
+	// suspect tells that the route raised the suspicion that is in force.
+	suspect bool
 }
 
 func newRouteEvidence(s Sample, alpha, tolerance float64) *routeEvidence {
--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -153,6 +153,7 @@
 	}
 	m.ceiling = m.spec.CanaryShare * retreatPart
 	m.reduced = true
+	suspect.suspect = true
 	for _, e := range m.routes {
 		e.forgive()
 	}
--- a/internal/coordination/moves/progress.go
+++ b/internal/coordination/moves/progress.go
@@ -199,14 +199,17 @@
 	return neededSamples(work, e.rate.perSecond(now), left)
 }
 
-// recover lets a reduced share double once every route has new evidence.
+// recover lets a reduced share double once the routes that raised the
+// suspicion have new evidence; after a fail-over, every route.
 func (m *Move) recover(now time.Time) {
 	if !m.reduced {
 		return
 	}
+	suspects := slices.ContainsFunc(m.sorted(), func(e *routeEvidence) bool { return e.suspect })
 	need := recoverSamples << min(max(m.retreats-1, 0), maxBackoff)
 	for _, e := range m.routes {
 		tried := e.idempotent || m.committed.NonIdempotentShare > 0
+		tried = tried && (e.suspect || !suspects)
 		if tried && m.carries(e, now) && e.settled < need {
 			return
 		}
@@ -216,11 +219,18 @@
 	}
 	if m.ceiling >= m.committed.Share {
 		m.reduced = false
+		m.clearSuspects()
 		return
 	}
 	m.ceiling = nextShare(m.ceiling, m.spec.CanaryShare)
 }
 
+func (m *Move) clearSuspects() {
+	for _, e := range m.routes {
+		e.suspect = false
+	}
+}
+
 // sparseNote names the routes that had too little traffic to be judged.
 func (m *Move) sparseNote(now time.Time) string {
 	note := ""
