--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -58,7 +58,7 @@
 
 func TestCommands_HelpHasAnExample(t *testing.T) {
 	for _, line := range []string{
-		"serve", "status", "addresses", "timeline", "drain", "demo", "load", "version",
+		"serve", "status", "addresses", "timeline", "drain", "demo", "load", "fakes", "version",
 		"config check", "config apply", "config show", "config history", "moves list", "moves wait",
 	} {
 		words := strings.Fields(line)
--- /dev/null
+++ b/internal/command/fakes.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+func (u *ui) fakesCommand() subcommands.Command {
+	var step time.Duration
+	return &cmd{
+		name:     "fakes",
+		synopsis: "stand in for the upstreams of a configuration on this machine",
+		usage: `fakes DIR [flags]
+
+Starts a fake engine or plain service at every upstream address of the
+configuration in DIR, all of which must be loopback addresses, until SIGTERM or
+SIGINT. Each next engine is half as fast as the one before, down to a quarter.
+
+Example:
+  flamingohaven fakes examples/quickstart
+`,
+		setFlags: func(f *flag.FlagSet) {
+			f.DurationVar(&step, "step", fakes.DefaultStepBase, "time between two tokens of the fastest engine")
+		},
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			args, err := arguments(f, 1)
+			if err != nil {
+				return u.usageError("fakes", err)
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			if err := u.runFakes(ctx, args[0], step); err != nil {
+				return u.failed("fakes", err)
+			}
+			return ExitOK
+		},
+	}
+}
+
+// slowest is the factor between the fastest and the slowest fake engine.
+const slowest = 4
+
+func (u *ui) runFakes(ctx context.Context, folder string, step time.Duration) (err error) {
+	files, report, err := checkFolder(folder)
+	if err != nil {
+		return err
+	}
+	if len(report.Mistakes) > 0 {
+		return fmt.Errorf("%d mistakes; see config check %s", len(report.Mistakes), folder)
+	}
+	cfg, _ := config.Load(files, time.Now())
+	var started []io.Closer
+	defer func() {
+		for _, c := range started {
+			err = errors.Join(err, c.Close())
+		}
+	}()
+	factor := 1
+	for _, name := range slices.Sorted(maps.Keys(cfg.Upstreams)) {
+		upstream := cfg.Upstreams[name]
+		engine := cfg.Pools[upstream.Pool].Kind == config.KindEngine
+		c, err := startFake(&cfg, name, step*time.Duration(factor))
+		if err != nil {
+			return err
+		}
+		started = append(started, c)
+		if engine {
+			factor = min(2*factor, slowest)
+		}
+		fmt.Fprintf(u.out, "%s: %s, version %s, at %s\n", name, cfg.Pools[upstream.Pool].Kind, upstream.Version, upstream.Address)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// startFake starts the stand-in of one upstream.
+func startFake(cfg *config.Config, name ident.UpstreamName, step time.Duration) (io.Closer, error) {
+	upstream := cfg.Upstreams[name]
+	address, err := netip.ParseAddrPort(upstream.Address)
+	if err != nil || !address.Addr().IsLoopback() {
+		return nil, fmt.Errorf("upstream %s: %s is no loopback address", name, upstream.Address)
+	}
+	if cfg.Pools[upstream.Pool].Kind == config.KindEngine {
+		return fakes.StartEngine(fakes.EngineOptions{
+			Listen: upstream.Address, Version: upstream.Version, StepBase: step,
+			IgnoreFence: upstream.Fencing == config.FencingIgnored,
+		})
+	}
+	options := fakes.ServiceOptions{Listen: upstream.Address, Version: upstream.Version}
+	for _, r := range cfg.Routes {
+		if r.Pool == upstream.Pool && r.StatusPath != "" {
+			options.StatusPath = r.StatusPath
+		}
+	}
+	return fakes.StartService(options)
+}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -38,7 +38,7 @@
 wrongly. Doubled work shows only at the upstreams; see demo.
 
 Example:
-  flamingohaven load -addresses 10.0.1.1:8080 -workload examples/quickstart/load/workload -rate 100
+  flamingohaven load -addresses 10.0.1.1:8080 -workload examples/quickstart/load/workload.yaml -rate 100
 `,
 		setFlags: func(f *flag.FlagSet) {
 			f.StringVar(&addresses, "addresses", "", "callers' listeners to ask first (`IP:port, comma-separated`)")
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -22,6 +22,8 @@
 
 // EngineOptions sets an engine's speed and habits. Zero fields take defaults.
 type EngineOptions struct {
+	// Listen is host:port; empty selects a free loopback port.
+	Listen string
 	// Version is what the engine runs at its start.
 	Version ident.VersionName
 	// Faults holds the faulty versions; others behave well.
@@ -112,7 +114,7 @@
 	mux.HandleFunc("POST "+upstreamapi.PathOrders, e.serveOrder)
 	mux.HandleFunc("GET "+upstreamapi.PathStreams+"{id}", e.serveResume)
 	mux.HandleFunc("DELETE "+upstreamapi.PathStreams+"{id}", e.serveCancel)
-	s, err := startServer(mux)
+	s, err := startServer(options.Listen, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fakes/platform.go
+++ b/internal/fakes/platform.go
@@ -12,6 +12,8 @@
 
 // PlatformOptions sets the platform's habits.
 type PlatformOptions struct {
+	// Listen is host:port; empty selects a free loopback port.
+	Listen string
 	// Lag is how long a change stays out of the list.
 	Lag time.Duration
 }
@@ -36,7 +38,7 @@
 	p := &Platform{options: options}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+upstreamapi.PathVMs, p.serveVMs)
-	started, err := startServer(mux)
+	started, err := startServer(options.Listen, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -31,12 +31,16 @@
 	closed   bool
 }
 
-func startServer(handler http.Handler) (*server, error) {
+// startServer listens on addr; an empty one stands for a free loopback port.
+func startServer(addr string, handler http.Handler) (*server, error) {
+	if addr == "" {
+		addr = loopback
+	}
 	s := &server{
 		http:  &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
 		conns: map[*conn]struct{}{},
 	}
-	if err := s.listen(loopback); err != nil {
+	if err := s.listen(addr); err != nil {
 		return nil, err
 	}
 	return s, nil
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -19,6 +19,8 @@
 
 // ServiceOptions sets a service's speed and habits. Zero fields take defaults.
 type ServiceOptions struct {
+	// Listen is host:port; empty selects a free loopback port.
+	Listen string
 	// Latency is the time that one call takes.
 	Latency time.Duration
 	// Workers bounds the calls that run at once; zero means no bound.
@@ -70,7 +72,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+options.StatusPath, s.serveStatus)
 	mux.HandleFunc("/", s.serveCall)
-	started, err := startServer(mux)
+	started, err := startServer(options.Listen, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fakes/weightstore.go
+++ b/internal/fakes/weightstore.go
@@ -16,6 +16,8 @@
 
 // WeightStoreOptions sets the store's size and rate.
 type WeightStoreOptions struct {
+	// Listen is host:port; empty selects a free loopback port.
+	Listen string
 	// WeightBytes is the size of every version's weights.
 	WeightBytes int
 	// BytesPerSecond is the rate that all readers share.
@@ -47,7 +49,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathWeights, s.serveWeights)
-	started, err := startServer(mux)
+	started, err := startServer(options.Listen, mux)
 	if err != nil {
 		return nil, err
 	}
