Faults from end to end on real sockets

Change: tests that kill, drain, cut off, silence, lose disks, race operators and restart after 300 changes. A draining node now serves on for a node lease longer, until no node can list it any more; found by the drain test. Conclusion: silent faults between callers and upstreams are still to be shown.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/nodeview"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/callerhttp"
@@ -28,6 +29,17 @@
 type Listeners struct {
 	Caller   net.Listener
 	Internal net.Listener
+	// Dial connects to other nodes; nil selects rpcnet.Dial.
+	Dial rpcnet.DialFunc
+	// Disk holds the data folder; nil selects the settings' folder.
+	Disk disk.FS
+}
+
+func (l Listeners) dial() rpcnet.DialFunc {
+	if l.Dial == nil {
+		return rpcnet.Dial
+	}
+	return l.Dial
 }
 
 // Agent is the daemon of one node.
@@ -75,7 +87,7 @@
 		settings:    *s,
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
 		view:        nodeview.New(),
-		calls:       rpcnet.NewClient(),
+		calls:       rpcnet.NewClientWith(l.dial()),
 		sender:      upstreamhttp.NewSender(),
 		pools:       pool.NewService(),
 		budget:      gateway.NewBudget(s.Limits.MaxWaitingBytes),
@@ -94,7 +106,7 @@
 	a.control = control.NewClient(a.replicaCaller(), replicaIDs(s))
 	a.gateway = gateway.New(a, &ledgerClient{client: a.control}, a.sender, a.budget, a.events)
 	a.callers = callerhttp.New(callerLimits(s), a, a.gateway, a.metrics)
-	if err := a.register(); err != nil {
+	if err := a.register(l); err != nil {
 		a.Kill()
 		return nil, err
 	}
@@ -145,7 +157,7 @@
 }
 
 // register offers the node's services to the other nodes.
-func (a *Agent) register() error {
+func (a *Agent) register(l Listeners) error {
 	if err := a.server.Register(pool.ServiceName, a.pools); err != nil {
 		return err
 	}
@@ -156,7 +168,7 @@
 		return nil
 	}
 	var err error
-	a.replica, err = openReplica(a)
+	a.replica, err = openReplica(a, l)
 	return err
 }
 
--- a/internal/command/agent/drain.go
+++ b/internal/command/agent/drain.go
@@ -6,12 +6,17 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // drainPoll is the time between two looks at the work left on a draining node.
 const drainPoll = 20 * time.Millisecond
 
+// unlistedEverywhere is how long after a drain is committed another node may
+// still list this one: a node that has not heard of it has lost its lease.
+const unlistedEverywhere = control.NodeTTL
+
 // Drain makes the node leave: it is taken off the list of addresses, serves on
 // until callers' lists have run out and all accepted work is done, and stops.
 // It returns at once; Drained tells of the end.
@@ -30,7 +35,7 @@
 func (a *Agent) finishDrain() {
 	defer close(a.drained)
 	a.awaitUnlisted()
-	sleep(a.ctx, a.settings.AddressTTL)
+	sleep(a.ctx, unlistedEverywhere+a.settings.AddressTTL)
 	a.callers.SetKeepAlives(false)
 	if err := a.callers.Shutdown(a.ctx); err != nil {
 		klog.ErrorS(err, "callers' connections did not end")
--- /dev/null
+++ b/internal/command/agent/faults_test.go
@@ -0,0 +1,401 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+)
+
+// final is how a caller's request ended after all its resends.
+type final struct {
+	key     string
+	answer  answer
+	refusal *callerapi.RefusalError
+}
+
+// submitUntilFinal sends a non-idempotent request, through another node after
+// each lost answer or refusal that was not run, until it is settled.
+func (c *cluster) submitUntilFinal(node int, key string, end time.Time) final {
+	f := final{key: key}
+	for try := 0; time.Now().Before(end); try++ {
+		request := call{method: http.MethodPost, path: "/submit", body: `{"key":"` + key + `"}`, key: key, deadline: "3s"}
+		f.answer = c.send((node+try)%len(c.nodes), request)
+		f.refusal = refusalOf(f.answer)
+		if f.answer.err == nil && (f.refusal == nil || f.refusal.Outcome == callerapi.MayHaveRun) {
+			return f
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return f
+}
+
+func refusalOf(a answer) *callerapi.RefusalError {
+	var refusal callerapi.Refusal
+	if a.err != nil || a.header.Get(callerapi.HeaderOutcome) == "" || json.Unmarshal([]byte(a.body), &refusal) != nil {
+		return nil
+	}
+	return &refusal.Error
+}
+
+// checkOnce fails when a key ran more than once, or when an answered one never ran.
+func checkOnce(t *testing.T, s *fakes.Service, finals []final) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, r := range s.Runs() {
+		runs[r.IdempotencyKey]++
+	}
+	for _, f := range finals {
+		must.NoError(t, f.answer.err, must.Sprintf("key %s was never settled", f.key))
+		must.LessEq(t, 1, runs[f.key], must.Sprintf("key %s ran more than once", f.key))
+		if f.refusal == nil {
+			must.Eq(t, http.StatusOK, f.answer.status, must.Sprint(f.answer.body))
+			must.Eq(t, 1, runs[f.key], must.Sprintf("key %s was answered and never ran", f.key))
+		}
+	}
+}
+
+// TestFault_NodeKilledWithRequestsWaiting kills the node that most callers use
+// while their requests wait and run.
+func TestFault_NodeKilledWithRequestsWaiting(t *testing.T) {
+	c := startCluster(t, withService(fakes.ServiceOptions{Latency: 30 * time.Millisecond}))
+	const callers = 120
+	finals := make([]final, callers)
+	end := time.Now().Add(2 * testTimeout)
+	var group sync.WaitGroup
+	var begun atomic.Int64
+	for i := range callers {
+		group.Go(func() {
+			begun.Add(1)
+			finals[i] = c.submitUntilFinal(i%2, newKey(), end)
+		})
+	}
+	c.eventually(t, "requests at the service", func() bool { return len(c.service.Runs()) > 20 })
+	c.nodes[0].Kill()
+	group.Wait()
+	checkOnce(t, c.service, finals)
+	answered := 0
+	for _, f := range finals {
+		if f.refusal == nil {
+			answered++
+		}
+	}
+	must.Greater(t, callers/2, answered)
+}
+
+// TestFault_DrainUnderLoad drains a node while callers use it. Callers fetch
+// the list of addresses anew when it has run out.
+func TestFault_DrainUnderLoad(t *testing.T) {
+	c := startCluster(t)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var sent, cut atomic.Int64
+	for range 24 {
+		group.Go(func() {
+			for running(stop) {
+				address := c.pick(t)
+				fetched := time.Now()
+				for running(stop) && time.Since(fetched) < c.settings[0].AddressTTL {
+					sent.Add(1)
+					if !c.lookupAt(address) {
+						cut.Add(1)
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.nodes[2].Drain()
+	select {
+	case <-c.nodes[2].Drained():
+	case <-time.After(testTimeout):
+		t.Fatal("the drain did not end")
+	}
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	group.Wait()
+	must.Positive(t, sent.Load())
+	must.Zero(t, cut.Load(), must.Sprintf("of %d", sent.Load()))
+}
+
+func running(stop chan struct{}) bool {
+	select {
+	case <-stop:
+		return false
+	default:
+		return true
+	}
+}
+
+// pick returns the first address that a node names. Draining nodes answer too.
+func (c *cluster) pick(t *testing.T) string {
+	list := c.send(0, call{method: http.MethodGet, path: callerapi.PathAddresses})
+	var parsed callerapi.AddressList
+	if list.err != nil || json.Unmarshal([]byte(list.body), &parsed) != nil || len(parsed.Addresses) == 0 {
+		t.Errorf("no addresses: %v %s", list.err, list.body)
+		return c.nodes[0].settings.CallerAdvertise
+	}
+	return parsed.Addresses[int(time.Now().UnixNano())%len(parsed.Addresses)].Address
+}
+
+func (c *cluster) lookupAt(address string) bool {
+	return lookup(c.client, address, "") == nil
+}
+
+// TestFault_UpstreamLeaving lists one of two engines as leaving under load.
+func TestFault_UpstreamLeaving(t *testing.T) {
+	c := startCluster(t)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for running(stop) {
+				c.send(i%3, call{method: http.MethodPost, path: "/v1/chat/completions", body: chatBody})
+			}
+		})
+	}
+	c.eventually(t, "both engines at work", func() bool {
+		return len(c.engines[0].Runs()) > 5 && len(c.engines[1].Runs()) > 5
+	})
+	c.platform.SetLeaving(c.engines[0].Addr())
+	c.eventually(t, "all nodes to know", func() bool {
+		for _, n := range c.nodes {
+			if !n.view.Leaving(c.engines[0].Addr()) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(50 * time.Millisecond)
+	before, other := len(c.engines[0].Runs()), len(c.engines[1].Runs())
+	c.eventually(t, "the other engine to go on", func() bool { return len(c.engines[1].Runs()) > other+20 })
+	must.Eq(t, before, len(c.engines[0].Runs()))
+	close(stop)
+	group.Wait()
+}
+
+// TestFault_StreamBroken breaks every stream of both engines after some events:
+// it is taken up again without a lost or doubled token.
+func TestFault_StreamBroken(t *testing.T) {
+	c := startCluster(t)
+	for _, e := range c.engines {
+		e.BreakStreamsAfter(3)
+	}
+	body := `{"stream":true,"model":"writer-8b","max_tokens":12,"prompt":"count"}`
+	route := `
+  plain: {path: /v1/completions, pool: writer, tier: normal, idempotent: true}
+`
+	c.apply(t, c.configuration()+route)
+	a := c.send(1, call{method: http.MethodPost, path: "/v1/completions", body: body})
+	must.NoError(t, a.err)
+	must.Eq(t, 14, strings.Count(a.body, "data: "), must.Sprint(a.body))
+	must.Eq(t, 1, strings.Count(a.body, "data: [DONE]"))
+	must.Eq(t, 1, len(c.engines[0].Runs())+len(c.engines[1].Runs()))
+}
+
+// TestFault_StreamStopsForGood closes the engine in mid-stream: the caller gets
+// an error event and a broken connection, never an end mark.
+func TestFault_StreamStopsForGood(t *testing.T) {
+	c := startCluster(t)
+	body := `{"stream":true,"model":"writer-8b","max_tokens":2000,"messages":[{"role":"user","content":"long"}]}`
+	go func() {
+		for len(c.engines[0].Runs())+len(c.engines[1].Runs()) == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_ = c.engines[0].Close()
+		_ = c.engines[1].Close()
+	}()
+	a := c.send(0, call{method: http.MethodPost, path: "/v1/chat/completions", body: body})
+	must.Error(t, a.err)
+	must.StrNotContains(t, a.body, "[DONE]")
+	must.StrContains(t, a.body, "event: error")
+	must.StrContains(t, a.body, string(callerapi.MayHaveRun))
+}
+
+// TestFault_AnswersCrossed makes upstreams answer under other requests' ids.
+func TestFault_AnswersCrossed(t *testing.T) {
+	c := startCluster(t)
+	c.service.CrossAnswers(true)
+	c.engines[0].CrossAnswers(true)
+	c.engines[1].CrossAnswers(true)
+	for _, r := range []call{
+		{method: http.MethodGet, path: "/lookup?item=1"},
+		{method: http.MethodPost, path: "/v1/chat/completions", body: chatBody},
+	} {
+		a := c.send(0, r)
+		must.NoError(t, a.err)
+		must.Eq(t, http.StatusBadGateway, a.status, must.Sprint(a.body))
+		refusal := refusalOf(a)
+		must.Eq(t, callerapi.ReasonCrossedAnswer, refusal.Reason)
+		must.Eq(t, callerapi.MayHaveRun, refusal.Outcome)
+	}
+}
+
+// TestFault_SilentBetweenNodes silences every open connection between nodes
+// for good while new ones work.
+func TestFault_SilentBetweenNodes(t *testing.T) {
+	c := startCluster(t)
+	must.True(t, c.lookupAt(c.settings[0].CallerAdvertise))
+	for _, r := range c.relays {
+		r.silenceOpen()
+	}
+	c.eventually(t, "every node to serve again", func() bool {
+		for i := range c.nodes {
+			if a := c.send(i, call{method: http.MethodGet, path: "/lookup?item=1", deadline: "1s"}); a.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestFault_NodeCutOff loses every byte to and from a node's internal listener
+// and checks that it refuses truthfully, that the others drop it from their
+// lists and serve, and that it comes back.
+func TestFault_NodeCutOff(t *testing.T) {
+	c := startCluster(t)
+	victim := c.leader(t)
+	c.isolate(victim)
+	other := (victim + 1) % len(c.nodes)
+	c.eventually(t, "the cut-off node to refuse", func() bool {
+		a := c.send(victim, call{method: http.MethodGet, path: "/lookup?item=1", deadline: "500ms"})
+		refusal := refusalOf(a)
+		return refusal != nil && refusal.Outcome == callerapi.NotRun && len(refusal.Addresses) > 0
+	})
+	c.eventually(t, "the others to drop it and to serve", func() bool {
+		list := c.send(other, call{method: http.MethodGet, path: callerapi.PathAddresses})
+		a := c.send(other, call{method: http.MethodGet, path: "/lookup?item=1", deadline: "1s"})
+		return !strings.Contains(list.body, c.settings[victim].CallerAdvertise) && a.status == http.StatusOK
+	})
+	submitted := c.submitUntilFinal(other, newKey(), time.Now().Add(testTimeout))
+	checkOnce(t, c.service, []final{submitted})
+	c.rejoin(victim)
+	c.eventually(t, "the node to come back", func() bool {
+		return c.send(victim, call{method: http.MethodGet, path: "/lookup?item=1", deadline: "1s"}).status == http.StatusOK
+	})
+}
+
+// leader returns the index of the leading replica.
+func (c *cluster) leader(t *testing.T) int {
+	t.Helper()
+	found := -1
+	c.eventually(t, "a leader", func() bool {
+		for i, n := range c.nodes {
+			if n.replica.node.Leadership().Leading {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// isolate loses all bytes to the node, and all that it sends to the others.
+func (c *cluster) isolate(victim int) {
+	c.relays[victim].cut()
+	c.gates[victim].cut.Store(true)
+}
+
+func (c *cluster) rejoin(victim int) {
+	c.relays[victim].heal()
+	c.gates[victim].cut.Store(false)
+}
+
+// TestFault_SecondLossAfterRepair loses a replica with its disk, waits for the
+// repair, and loses another: nothing acknowledged is lost.
+func TestFault_SecondLossAfterRepair(t *testing.T) {
+	c := startCluster(t)
+	first := c.submitUntilFinal(0, newKey(), time.Now().Add(testTimeout))
+	checkOnce(t, c.service, []final{first})
+	c.nodes[2].Kill()
+	c.disks[2] = disk.NewFake(20)
+	c.restart(t, 2)
+	self := c.nodes[2].replica.node.Self()
+	c.eventually(t, "the repaired replica to vote", func() bool {
+		for _, n := range c.nodes[:2] {
+			for _, v := range n.replica.node.Members().Voters() {
+				if v == self {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	c.nodes[0].Kill()
+	again := c.submitUntilFinal(1, first.key, time.Now().Add(testTimeout))
+	checkOnce(t, c.service, []final{again})
+	must.Eq(t, first.answer.body, again.answer.body)
+	fresh := c.submitUntilFinal(2, newKey(), time.Now().Add(testTimeout))
+	checkOnce(t, c.service, []final{fresh})
+}
+
+// TestFault_RestartAfterManyChanges restarts all nodes after hundreds of
+// configuration changes: the last one is in force, none reverts.
+func TestFault_RestartAfterManyChanges(t *testing.T) {
+	c := startCluster(t)
+	_, revision := c.nodes[0].view.Config()
+	for i := range 300 {
+		text := strings.Replace(c.configuration(), "shares: 2", fmt.Sprintf("shares: %d", 3+i%5), 1)
+		args := applyArgs(text, revision)
+		args.Wait = time.Millisecond
+		reply, err := control.Call[control.ApplyConfigReply](t.Context(), c.nodes[i%3].control, "ApplyConfig", args)
+		must.NoError(t, err)
+		must.Eq(t, config.VerdictAccepted, reply.Outcome.Verdict)
+		revision = reply.Outcome.Revision
+	}
+	for _, n := range c.nodes {
+		n.Kill()
+	}
+	for i := range c.nodes {
+		c.restart(t, i)
+	}
+	c.eventually(t, "the last revision at every node", func() bool {
+		for _, n := range c.nodes {
+			if _, have := n.view.Config(); have != revision {
+				return false
+			}
+		}
+		return true
+	})
+	c.eventually(t, "a node to serve", func() bool { return c.lookupAt(c.settings[1].CallerAdvertise) })
+}
+
+// TestFault_OperatorsRace lets two operators apply under one revision.
+func TestFault_OperatorsRace(t *testing.T) {
+	c := startCluster(t)
+	_, base := c.nodes[0].view.Config()
+	var group sync.WaitGroup
+	var accepted, conflicts atomic.Int64
+	for i := range 4 {
+		group.Go(func() {
+			args := applyArgs(strings.Replace(c.configuration(), "shares: 2", "shares: 3", 1), base)
+			reply, err := control.Call[control.ApplyConfigReply](t.Context(), c.nodes[i%3].control, "ApplyConfig", args)
+			if err != nil {
+				t.Errorf("apply: %v", err)
+				return
+			}
+			if reply.Outcome.Verdict == config.VerdictAccepted {
+				accepted.Add(1)
+			} else {
+				conflicts.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	must.Eq(t, 1, accepted.Load())
+	must.Eq(t, 3, conflicts.Load())
+}
--- a/internal/command/agent/path_test.go
+++ b/internal/command/agent/path_test.go
@@ -15,7 +15,7 @@
 // TestPath_WholeWay takes a request of each kind from the list of addresses to
 // its answer, through every node.
 func TestPath_WholeWay(t *testing.T) {
-	c := startCluster(t)
+	c := startCluster(t, withRealDisks)
 	for node := range c.nodes {
 		list := c.send(node, call{method: http.MethodGet, path: callerapi.PathAddresses})
 		must.NoError(t, list.err)
--- /dev/null
+++ b/internal/command/agent/relay_test.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+// gate stands behind all that one node sends to the others. While it is cut,
+// its connections stay open and carry nothing.
+type gate struct{ cut atomic.Bool }
+
+func (g *gate) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := rpcnet.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &gatedConn{Conn: conn, gate: g}, nil
+}
+
+// gatedConn loses what is written while the gate is cut.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if c.gate.cut.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// relay forwards connections to a target and can go silent: it then holds
+// connections open and passes nothing on, in one direction or both.
+type relay struct {
+	listener net.Listener
+	target   string
+	// dropTo and dropFrom lose bytes towards and from the target.
+	dropTo   atomic.Bool
+	dropFrom atomic.Bool
+
+	mu    sync.Mutex
+	pairs []*relayPair
+}
+
+// relayPair is one forwarded connection. Once silenced it stays silent.
+type relayPair struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+func startRelay(t testing.TB, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	r := &relay{listener: l, target: target}
+	t.Cleanup(r.close)
+	go r.accept()
+	return r
+}
+
+func (r *relay) address() string { return r.listener.Addr().String() }
+
+// silenceOpen makes the connections of now silent for good; new ones work.
+func (r *relay) silenceOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pairs {
+		p.silent.Store(true)
+	}
+}
+
+// cut loses all bytes in both directions until heal; nothing is closed.
+func (r *relay) cut() {
+	r.dropTo.Store(true)
+	r.dropFrom.Store(true)
+}
+
+// heal ends a cut. Connections that lost bytes are closed, since their streams
+// have gaps.
+func (r *relay) heal() {
+	r.closePairs()
+	r.dropTo.Store(false)
+	r.dropFrom.Store(false)
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.closePairs()
+}
+
+func (r *relay) closePairs() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pairs {
+		_ = p.near.Close()
+		_ = p.far.Close()
+	}
+	r.pairs = nil
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		p := &relayPair{near: near, far: far}
+		r.mu.Lock()
+		r.pairs = append(r.pairs, p)
+		r.mu.Unlock()
+		go r.pump(p, far, near, &r.dropTo)
+		go r.pump(p, near, far, &r.dropFrom)
+	}
+}
+
+func (r *relay) pump(p *relayPair, dst, src net.Conn, drop *atomic.Bool) {
+	defer func() {
+		_ = p.near.Close()
+		_ = p.far.Close()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buffer)
+		if err != nil {
+			return
+		}
+		if p.silent.Load() || drop.Load() {
+			continue
+		}
+		if _, err := dst.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -27,13 +27,17 @@
 }
 
 // openReplica opens the data folder and offers the replica's services.
-func openReplica(a *Agent) (*replica, error) {
-	calls := rpcnet.NewClient()
+func openReplica(a *Agent, l Listeners) (*replica, error) {
+	calls := rpcnet.NewClientWith(l.dial())
+	folder := l.Disk
+	if folder == nil {
+		folder = disk.NewOS(a.settings.DataDir)
+	}
 	m := machine.New(ledger.DefaultLimits())
 	node, err := consensus.New(consensus.Options{
 		ID:              a.settings.Node,
 		InitialReplicas: replicaIDs(&a.settings),
-		FS:              disk.NewOS(a.settings.DataDir),
+		FS:              folder,
 		Peers:           &peers{calls: calls, addresses: replicaAddresses(&a.settings)},
 	}, m)
 	if err != nil {
--- a/internal/transport/rpcnet/client.go
+++ b/internal/transport/rpcnet/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,8 @@
 // Client calls net/rpc services at any address over one connection per
 // address. It is safe for concurrent use.
 type Client struct {
+	dial DialFunc
+
 	mu     sync.Mutex
 	conns  map[string]*connection
 	closed bool
@@ -31,9 +34,17 @@
 	err    error
 }
 
-// NewClient returns a client without connections.
+// DialFunc makes a connection to host:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// NewClient returns a client without connections that uses Dial.
 func NewClient() *Client {
-	return &Client{conns: make(map[string]*connection)}
+	return NewClientWith(Dial)
+}
+
+// NewClientWith returns a client without connections that uses dial.
+func NewClientWith(dial DialFunc) *Client {
+	return &Client{dial: dial, conns: make(map[string]*connection)}
 }
 
 // Reconnects returns how often a connection was given up.
@@ -83,7 +94,7 @@
 		return nil, err
 	}
 	conn.once.Do(func() {
-		raw, err := Dial(ctx, address)
+		raw, err := c.dial(ctx, address)
 		if err != nil {
 			conn.err = err
 			return
