Leases and machine: stateful tests under faults

Cause: leases, scheduler leases and acknowledged revisions must hold whatever becomes of heartbeats, proposals, leaders and processes.

The tests found that a node could use a lease granted with a revision that it had not taken in yet: the answer now names its revision. Terms are carried from the decision.

--- a/internal/coordination/control/heartbeat.go
+++ b/internal/coordination/control/heartbeat.go
@@ -8,6 +8,10 @@
 )
 
 // Heartbeat grants or renews a node lease and brings the node up to date.
+//
+// The node counts its lease from sending. This replica led after that, and a
+// later leader gives every lease a full TTL from its own beginning, so that a
+// renewal is safe even if leadership ends before the answer leaves.
 func (s *Service) Heartbeat(args *HeartbeatArgs, reply *HeartbeatReply) error {
 	term, status := s.serving()
 	if !status.OK() {
@@ -16,13 +20,9 @@
 	}
 	decision := s.receive(args, term)
 	if decision.commit {
-		status = s.grant(args.Node)
+		status = s.grant(term, args.Node)
 		decision.leased = status.OK()
 	}
-	// The renewal counts only if this replica led until after it was noted.
-	if check := s.stillServing(term); !check.OK() {
-		status = check
-	}
 	reply.Status = status
 	reply.Superseded = decision.superseded
 	if !status.OK() || decision.superseded {
@@ -32,6 +32,10 @@
 		reply.TTL = NodeTTL
 	}
 	reply.Update = s.machine.ConfigUpdate(args.HaveRevision)
+	reply.Revision = args.HaveRevision
+	if reply.Update != nil {
+		reply.Revision = reply.Update.To
+	}
 	reply.View = s.machine.ViewFrom(args.HaveView)
 	if args.WantLoads {
 		reply.Loads = s.loads()
@@ -99,16 +103,15 @@
 }
 
 // grant commits a node lease or its new attributes.
-func (s *Service) grant(node lease.Node) Status {
+func (s *Service) grant(term uint64, node lease.Node) Status {
 	if committed, leased := s.machine.Node(node.ID); leased && committed.Incarnation == node.Incarnation {
 		node = withDrain(node, committed)
 	}
-	result, status := s.propose(&machine.Command{GrantNode: &machine.GrantNode{Node: node}})
+	result, status := s.proposeIn(term, &machine.Command{GrantNode: &machine.GrantNode{Node: node}})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if memory := s.nodes[node.ID]; memory != nil {
 		memory.granting = false
-		memory.heard = time.Now()
 	}
 	if status.OK() && result.Refusal != "" {
 		return Status{NotLeader: true, Redirect: s.self, Detail: string(result.Refusal)}
@@ -119,13 +122,13 @@
 
 // expireNodes revokes leases that have certainly ended. While the outcome is
 // unknown the nodes get no renewal, and the next tick tries again.
-func (s *Service) expireNodes() {
+func (s *Service) expireNodes(term uint64) {
 	ended := s.expired(time.Now())
 	if len(ended) == 0 {
 		return
 	}
 	command := &machine.Command{RevokeNodes: &machine.RevokeNodes{Nodes: ended}}
-	if _, status := s.propose(command); !status.OK() {
+	if _, status := s.proposeIn(term, command); !status.OK() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/coordination/control/pools.go
+++ b/internal/coordination/control/pools.go
@@ -19,13 +19,13 @@
 
 // assignPools gives each configured pool's scheduler lease to a live node that
 // isn't draining.
-func (s *Service) assignPools() {
+func (s *Service) assignPools(term uint64) {
 	changes := s.poolChanges(time.Now())
 	if len(changes) == 0 {
 		return
 	}
 	command := &machine.Command{GrantPools: &machine.GrantPools{Changes: changes}}
-	if _, status := s.propose(command); !status.OK() {
+	if _, status := s.proposeIn(term, command); !status.OK() {
 		return
 	}
 	s.mu.Lock()
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -112,8 +112,8 @@
 	if !s.leads(leadership) && !s.begin(leadership) {
 		return
 	}
-	s.expireNodes()
-	s.assignPools()
+	s.expireNodes(leadership.Term)
+	s.assignPools(leadership.Term)
 }
 
 // Counters returns a copy of the counters.
@@ -182,12 +182,18 @@
 	return status
 }
 
-// propose commits a command in a term that has begun.
+// propose commits a command in the present term, which must have begun.
 func (s *Service) propose(command *machine.Command) (machine.Result, Status) {
 	term, status := s.serving()
 	if !status.OK() {
 		return machine.Result{}, status
 	}
+	return s.proposeIn(term, command)
+}
+
+// proposeIn commits a command that was decided in a term. It has no effect
+// once another term has begun.
+func (s *Service) proposeIn(term uint64, command *machine.Command) (machine.Result, Status) {
 	command.Term = term
 	return s.commit(command)
 }
--- a/internal/coordination/control/service_test.go
+++ b/internal/coordination/control/service_test.go
@@ -21,21 +21,12 @@
 
 // fakeNode heartbeats to a service as a daemon does.
 type fakeNode struct {
-	node    lease.Node
-	service func() *Service
-	members machine.Members
-	config  config.Config
-	have    ident.Revision
-	until   time.Time
-	// deaf nodes drop updates and views, as if the answers were lost.
-	deaf bool
+	*Follower
+	service *Service
 }
 
 func newFakeNode(id ident.NodeID, service *Service) *fakeNode {
-	return &fakeNode{
-		node:    lease.Node{ID: id, Incarnation: 1, InternalAddress: "127.0.0.1:1"},
-		service: func() *Service { return service },
-	}
+	return &fakeNode{NewFollower(lease.Node{ID: id, Incarnation: 1}), service}
 }
 
 // beat sends one heartbeat and takes the answer in. It tells whether the node
@@ -43,24 +34,10 @@
 func (n *fakeNode) beat(t *testing.T) bool {
 	sent := time.Now()
 	var reply HeartbeatReply
-	test.NoError(t, n.service().Heartbeat(&HeartbeatArgs{Node: n.node, HaveRevision: n.have, HaveView: n.members.Sequence}, &reply))
-	if !reply.OK() || n.deaf {
-		return false
-	}
-	if reply.TTL > 0 {
-		n.until = sent.Add(reply.TTL)
-	}
-	if reply.Update != nil {
-		next, err := reply.Update.Apply(n.config)
-		test.NoError(t, err)
-		n.config, n.have = next, reply.Update.To
-	}
-	if reply.View != nil {
-		next, err := n.members.Apply(reply.View)
-		test.NoError(t, err)
-		n.members = next
-	}
-	return reply.Update != nil || reply.View != nil
+	test.NoError(t, n.service.Heartbeat(n.Heartbeat(0, false), &reply))
+	again, err := n.Take(sent, &reply)
+	test.NoError(t, err)
+	return again
 }
 
 // run heartbeats until the context ends.
@@ -147,7 +124,8 @@
 		must.SliceEmpty(t, applied.Mistakes)
 		must.Eq(t, config.VerdictAccepted, applied.Outcome.Verdict)
 		must.True(t, applied.InForce)
-		must.Eq(t, 1, nodes[0].have)
+		_, revision := nodes[0].Config()
+		must.Eq(t, 1, revision)
 
 		time.Sleep(time.Second)
 		must.Len(t, 2, m.Pools())
--- a/internal/coordination/control/types.go
+++ b/internal/coordination/control/types.go
@@ -59,6 +59,9 @@
 	TTL time.Duration
 	// Superseded means that a later life of the node is known; this one ends.
 	Superseded bool
+	// Revision is the present configuration. The lease counts only at a node
+	// that has it in force.
+	Revision ident.Revision
 	// Update is set when the node is behind the present configuration.
 	Update *config.Update
 	// View is set when the node is behind the present members.
--- /dev/null
+++ b/internal/state/machine/machine_test.go
@@ -0,0 +1,197 @@
+package machine
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+)
+
+var start = time.UnixMilli(1_800_000_000_000).UTC()
+
+// log feeds one machine.
+type log struct {
+	*Machine
+	entries [][]byte
+}
+
+func newLog() *log { return &log{Machine: New(ledger.DefaultLimits())} }
+
+func (l *log) do(c Command) Result {
+	if c.At.IsZero() {
+		c.At = start
+	}
+	l.entries = append(l.entries, c.Encode())
+	return l.Apply(uint64(len(l.entries)), l.entries[len(l.entries)-1])
+}
+
+// apply commits a configuration made of pools and one move.
+func (l *log) apply(id config.OperationID, next config.Config) config.Outcome {
+	present, revision, _ := l.Config()
+	delta := config.Diff(present, next)
+	op := &config.Operation{ID: id, Base: revision, Who: "w", Delta: &delta, Digest: next.Digest()}
+	return *l.do(Command{ApplyConfig: op}).Config
+}
+
+// key is the text form of a UUIDv7 issued at start.
+func key(n int) ledger.Key {
+	stamp := fmt.Sprintf("%012x", start.UnixMilli())
+	return ledger.Key{Team: "t", Route: "r", Idempotency: fmt.Sprintf("%s-%s-7000-8000-%012x", stamp[:8], stamp[8:], n)}
+}
+
+// drawCommand draws a command over few names, so that commands meet.
+func drawCommand(t *rapid.T, l *log) Command {
+	c := Command{At: start.Add(time.Duration(rapid.IntRange(-5, 40).Draw(t, "minutes")) * time.Minute / 8)}
+	c.Term = rapid.Uint64Range(0, 2).Draw(t, "term")
+	node := rapid.SampledFrom([]ident.NodeID{"n1", "n2"}).Draw(t, "node")
+	incarnation := ident.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+	request := ident.RequestID(rapid.SampledFrom([]string{"q1", "q2"}).Draw(t, "request"))
+	k := key(rapid.IntRange(1, 3).Draw(t, "key"))
+	pool, _ := l.Pool("p")
+	present, revision, _ := l.Config()
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	case 0:
+		c.Begin = &Begin{Leader: node, Term: c.Term}
+	case 1:
+		c.GrantNode = &GrantNode{Node: lease.Node{ID: node, Incarnation: incarnation, Draining: rapid.Bool().Draw(t, "draining")}}
+	case 2:
+		c.RevokeNodes = &RevokeNodes{Nodes: []RevokedNode{{node, incarnation}}}
+	case 3:
+		change := PoolChange{Pool: "p", Epoch: pool.Epoch, Holder: node, HolderIncarnation: incarnation}
+		c.GrantPools = &GrantPools{Changes: []PoolChange{change, {Pool: "p", Epoch: pool.Epoch + 1}}[:rapid.IntRange(1, 2).Draw(t, "n")]}
+	case 4:
+		next := present
+		next.Moves = map[ident.MoveName]config.Move{"m": {Pool: "p", From: "a", To: ident.VersionName(request), Deadline: start}}
+		delta := config.Diff(present, next)
+		c.ApplyConfig = &config.Operation{ID: config.OperationID(request), Base: revision, Delta: &delta, Digest: next.Digest()}
+	case 5:
+		c.Claim = &ledger.Claim{Key: k, Gateway: node, Incarnation: incarnation, Request: request}
+	case 6:
+		c.Release = &ledger.Release{Key: k, Request: request}
+	case 7:
+		c.Complete = &ledger.Complete{Key: k, Request: request, Answer: &ledger.Answer{Status: 200, Body: []byte(request)}}
+	case 8:
+		c.Resolve = &ledger.Resolve{Key: k, Answer: ledger.Answer{Status: 200}}
+	case 9:
+		r, _ := l.Move("m")
+		r.State, r.Epoch = move.StateCanary, pool.Epoch
+		c.CommitMove = &r
+	case 10:
+		c.IssueOrder = &IssueOrder{ID: OrderID(request), Upstream: "u", Kind: OrderLoad}
+	case 11:
+		c.CompleteOrder = &CompleteOrder{Number: FencingNumber(rapid.IntRange(0, 3).Draw(t, "number"))}
+	}
+	return c
+}
+
+// TestMachine_RestoreAtAnyMoment drives two machines by one log, one of them
+// restored from a snapshot at any moment: results and states stay equal.
+func TestMachine_RestoreAtAnyMoment(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, twin := newLog(), New(ledger.DefaultLimits())
+		epoch := ident.Epoch(0)
+		members := Members{}
+		t.Repeat(map[string]func(*rapid.T){
+			"command": func(t *rapid.T) {
+				result := l.do(drawCommand(t, l))
+				must.Eq(t, result, twin.Apply(uint64(len(l.entries)), l.entries[len(l.entries)-1]))
+			},
+			"restore": func(t *rapid.T) {
+				snapshot, err := twin.Snapshot()
+				must.NoError(t, err)
+				twin = New(ledger.DefaultLimits())
+				must.NoError(t, twin.Restore(snapshot))
+			},
+			"view": func(t *rapid.T) {
+				if v := twin.ViewFrom(members.Sequence); v != nil {
+					next, err := members.Apply(v)
+					must.NoError(t, err)
+					members = next
+				}
+				must.Eq(t, twin.Nodes(), sortedValues(members.Nodes))
+				must.Eq(t, twin.Pools(), sortedValues(members.Pools))
+				must.Eq(t, twin.Moves(), sortedValues(members.Moves))
+			},
+			"": func(t *rapid.T) {
+				a, err := l.Snapshot()
+				must.NoError(t, err)
+				b, err := twin.Snapshot()
+				must.NoError(t, err)
+				must.True(t, bytes.Equal(a, b))
+				pool, _ := l.Pool("p")
+				must.LessEq(t, pool.Epoch, epoch)
+				epoch = max(epoch, pool.Epoch)
+				if pool.Holder != "" {
+					node, leased := l.Node(pool.Holder)
+					must.True(t, leased && node.Incarnation == pool.HolderIncarnation)
+				}
+			},
+		})
+	})
+}
+
+// TestMachine_FormerTermHasNoEffect commits what a former leader decided.
+func TestMachine_FormerTermHasNoEffect(t *testing.T) {
+	l := newLog()
+	l.do(Command{Begin: &Begin{Leader: "r1", Term: 1}})
+	l.do(Command{Term: 1, GrantNode: &GrantNode{Node: lease.Node{ID: "n", Incarnation: 2}}})
+	l.do(Command{Begin: &Begin{Leader: "r2", Term: 2}})
+	must.True(t, l.do(Command{Term: 1, RevokeNodes: &RevokeNodes{Nodes: []RevokedNode{{"n", 2}}}}).Superseded)
+	must.True(t, l.do(Command{Term: 1, IssueOrder: &IssueOrder{ID: "o"}}).Superseded)
+	must.True(t, l.do(Command{Begin: &Begin{Leader: "r1", Term: 1}}).Superseded)
+	must.Len(t, 1, l.Nodes())
+	must.SliceEmpty(t, l.OpenOrders())
+	later := &GrantNode{Node: lease.Node{ID: "n", Incarnation: 3}}
+	must.Eq(t, RefusedIncarnation, l.do(Command{Term: 2, GrantNode: later}).Refusal)
+}
+
+// TestMachine_PoolHeldByOne grants a scheduler lease that another node holds,
+// under the right epoch.
+func TestMachine_PoolHeldByOne(t *testing.T) {
+	l := newLog()
+	for _, id := range []ident.NodeID{"n1", "n2"} {
+		l.do(Command{GrantNode: &GrantNode{Node: lease.Node{ID: id, Incarnation: 1}}})
+	}
+	grant := func(id ident.NodeID, epoch ident.Epoch) Refusal {
+		change := PoolChange{Pool: "p", Epoch: epoch, Holder: id, HolderIncarnation: 1}
+		return l.do(Command{GrantPools: &GrantPools{Changes: []PoolChange{change}}}).Refusal
+	}
+	must.Eq(t, "", grant("n1", 0))
+	must.Eq(t, RefusedEpoch, grant("n2", 0))
+	must.Eq(t, RefusedHolder, grant("n2", 1))
+	l.do(Command{RevokeNodes: &RevokeNodes{Nodes: []RevokedNode{{"n1", 1}}}})
+	must.Eq(t, RefusedHolder, grant("n1", 2))
+	must.Eq(t, "", grant("n2", 2))
+}
+
+// TestMachine_RestartRevertsNothing restores after hundreds of changes.
+func TestMachine_RestartRevertsNothing(t *testing.T) {
+	l := newLog()
+	next := config.Config{}
+	for i := range 700 {
+		next.Teams = map[ident.TeamName]config.Team{ident.TeamName(strings.Repeat("x", 1+i%50)): {Shares: i + 1}}
+		id := config.OperationID(fmt.Sprint(i))
+		must.Eq(t, config.Outcome{Verdict: config.VerdictAccepted, Revision: ident.Revision(i + 1), Who: "w"}, l.apply(id, next))
+	}
+	snapshot, err := l.Snapshot()
+	must.NoError(t, err)
+	restored := newLog()
+	must.NoError(t, restored.Restore(snapshot))
+	got, revision, _ := restored.Config()
+	must.Eq(t, 700, revision)
+	must.Eq(t, next, got)
+	must.Len(t, 700, restored.History(1000))
+	must.ErrorContains(t, restored.Restore(snapshot[:len(snapshot)/2]), "decode snapshot")
+	_, revision, _ = restored.Config()
+	must.Eq(t, 700, revision)
+}
--- a/internal/state/machine/view.go
+++ b/internal/state/machine/view.go
@@ -131,9 +131,12 @@
 	Moves    map[ident.MoveName]move.Record
 }
 
-// Apply returns the members after a view. It leaves m unchanged, so that
-// readers may keep it.
+// Apply returns the members after a view, or m itself when the view is no
+// newer. It leaves m unchanged, so that readers may keep it.
 func (m Members) Apply(v *View) (Members, error) {
+	if v.Sequence <= m.Sequence {
+		return m, nil
+	}
 	if !v.Full && m.Sequence == 0 {
 		return m, fmt.Errorf("machine: view %d is a difference and there is nothing to apply it to", v.Sequence)
 	}
