--- a/internal/command/operator/backend.go
+++ b/internal/command/operator/backend.go
@@ -47,7 +47,12 @@
 	if !b.node.Fresh() {
 		return errCutOff
 	}
-	return nil
+	for _, a := range b.node.Addresses().Addresses {
+		if a.Node == b.settings.Node {
+			return nil
+		}
+	}
+	return errUnlisted
 }
 
 // Timeline implements opshttp.Backend.
--- a/internal/command/operator/operator.go
+++ b/internal/command/operator/operator.go
@@ -60,12 +60,13 @@
 		node:     node,
 		calls:    calls,
 	}
-	metrics := promhttp.HandlerFor(gatherer(node), promhttp.HandlerOpts{})
+	metrics := promhttp.HandlerFor(backend.gatherer(), promhttp.HandlerOpts{})
 	return &Edge{listener: listener, server: opshttp.New(backend, token, metrics), calls: calls}, nil
 }
 
-// gatherer joins the metrics of the process with those of the node.
-func gatherer(node Node) prometheus.Gatherer {
+// gatherer joins the metrics of the process, of the node and, at replicas, of
+// the whole system.
+func (b *backend) gatherer() prometheus.Gatherer {
 	process := prometheus.NewRegistry()
 	process.MustRegister(collectors.NewGoCollector())
 	process.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -73,13 +74,16 @@
 		Name: "flamingohaven_node_lease_fresh",
 		Help: "1 while the node holds a lease that has surely not ended, else 0.",
 	}, func() float64 {
-		if node.Fresh() {
+		if b.node.Fresh() {
 			return 1
 		}
 		return 0
 	}))
+	if b.settings.IsReplica() {
+		process.MustRegister(newLeaderCollector(b.settings.Node, b.Status))
+	}
 	gatherers := prometheus.Gatherers{process}
-	if m, ok := node.(Measured); ok {
+	if m, ok := b.node.(Measured); ok {
 		gatherers = append(gatherers, m.Gatherer())
 	}
 	return gatherers
@@ -108,7 +112,10 @@
 	return e.server.Close()
 }
 
-var errCutOff = errors.New("the node holds no fresh lease")
+var (
+	errCutOff   = errors.New("the node holds no fresh lease")
+	errUnlisted = errors.New("the node is not on the list of addresses: it is draining or has just started")
+)
 
 // replicaCaller sends control calls to replicas by their names.
 type replicaCaller struct {
--- /dev/null
+++ b/internal/command/operator/operator_test.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/agent"
+	"github.com/flamingohaven/flamingohaven/internal/command/settings"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+func TestLeaderCollector_OnlyTheLeaderExports(t *testing.T) {
+	status := control.StatusReply{Leader: "a", Revision: 7, Moves: []move.Record{{Name: "m", Pool: "p", State: move.StateCanary, Share: 0.02}}}
+	series := func(self ident.NodeID, fail error) int {
+		r := prometheus.NewRegistry()
+		r.MustRegister(newLeaderCollector(self, func(context.Context) (control.StatusReply, error) { return status, fail }))
+		families, err := r.Gather()
+		must.NoError(t, err)
+		return len(families)
+	}
+	must.Eq(t, 8, series("a", nil))
+	must.Zero(t, series("b", nil))
+	must.Zero(t, series("a", errors.New("no leader")))
+}
+
+// testNode answers calls for events as an agent does.
+type testNode struct{ events []timeline.Event }
+
+func (n *testNode) Fresh() bool                      { return false }
+func (n *testNode) Addresses() callerapi.AddressList { return callerapi.AddressList{} }
+
+func (n *testNode) Events(_ *agent.EventsArgs, reply *agent.EventsReply) error {
+	reply.Events = n.events
+	return nil
+}
+
+func serveNode(t *testing.T, n *testNode) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := rpcnet.NewServer(l)
+	must.NoError(t, server.Register("Node", n))
+	go server.Serve()
+	t.Cleanup(server.Close)
+	return l.Addr().String()
+}
+
+// TestTimeline_NoLeaderAndOneNodeDown merges what the reachable nodes know and
+// names the one that is missing.
+func TestTimeline_NoLeaderAndOneNodeDown(t *testing.T) {
+	later := &testNode{events: []timeline.Event{{Node: "b", Stamp: timeline.Stamp{Wall: 2}}}}
+	earlier := &testNode{events: []timeline.Event{{Node: "c", Stamp: timeline.Stamp{Wall: 1}}}}
+	s := &settings.Settings{
+		Node:              "c",
+		InternalAdvertise: serveNode(t, earlier),
+		Replicas:          []settings.Replica{{ID: "a", Address: "127.0.0.1:1"}, {ID: "b", Address: serveNode(t, later)}},
+	}
+	calls := rpcnet.NewClient()
+	defer calls.Close()
+	b := &backend{settings: s, node: earlier, calls: calls}
+	caller := newReplicaCaller(calls, s.Replicas)
+	b.Client = control.NewClient(caller, caller.ids())
+	events, missing := b.Timeline(t.Context(), timeline.Filter{})
+	must.Eq(t, []ident.NodeID{"a"}, missing)
+	must.Len(t, 2, events)
+	must.Eq(t, "c", events[0].Node)
+	must.Error(t, b.Ready())
+}
