A bounded reserve for tiers close to their deadlines

Cause: patient work waited behind higher tiers that could spare the slots until it was too late. Change: a tier with a reserve may hold that part of the slots ahead of higher tiers for tickets within 5 s of their last start, while every waiting ticket of higher tiers keeps half of its time left and neither was shed within 10 s. A request is called silent only where its upstream's speed is known.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -136,6 +136,7 @@
 		order = append(order, t.entries...)
 	}
 	slices.SortFunc(order, byLatestStart)
+	q.margin = 1
 	tierWork := time.Duration(0)
 	contended := p.isLowest(q, now)
 	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
@@ -148,6 +149,8 @@
 			p.refuse(e, ReasonDeadline, now)
 			continue
 		}
+		left := e.deadline - now
+		q.margin = min(q.margin, float64(left-wait-e.longest)/float64(left))
 		tierWork += e.service
 		teamWork[e.queue] += e.service
 	}
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -109,14 +109,16 @@
 }
 
 // silent tells whether a running request should have shown a sign of life.
+// Without an expectation it can't be told.
 func (e *entry) silent(now time.Duration) bool {
 	if e.state != stateRunning {
 		return false
 	}
-	if e.firstTokenAt == 0 {
-		return now-e.startedAt > silentBase+scaleBy(e.expectedFirst, silentStretch)
+	since, expected := e.startedAt, e.expectedFirst
+	if e.firstTokenAt != 0 {
+		since, expected = e.firstTokenAt, e.longest
 	}
-	return now-e.firstTokenAt > silentBase+scaleBy(e.longest, silentStretch)
+	return expected > 0 && now-since > silentBase+scaleBy(expected, silentStretch)
 }
 
 // checkSilent ejects the upstreams that hold requests without a sign of life.
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -94,6 +94,9 @@
 		}
 		p.tier(q.tier.Name).served = q.served
 		p.tier(q.tier.Name).arrivals = q.arrivals
+		p.tier(q.tier.Name).held = q.held
+		p.tier(q.tier.Name).shed = q.shed
+		p.tier(q.tier.Name).shedAt = q.shedAt
 		for _, t := range q.active {
 			for _, e := range t.entries {
 				p.queueOf(e).add(e)
@@ -244,6 +247,9 @@
 
 // refuse ends a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
+	tier := p.tier(e.ticket.Tier)
+	tier.shed = true
+	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, now)}
 	e.state = stateRefused
 	refusal := e.refusal
@@ -291,6 +297,7 @@
 		p.checkSilent(now)
 	}
 	if p.placing {
+		p.placeReserved(now)
 		p.place(now)
 		p.shedOverLimit(now)
 	}
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -182,3 +182,58 @@
 	run(100, 300, false)
 	must.GreaterEq(t, 100, served)
 }
+
+// fillSlots lets the given tier take all slots.
+func fillSlots(p *Pool, tier ident.TierName) []Grant {
+	for i := range p.Stats().Capacity {
+		p.Submit(testTicket(i, tier), 0)
+	}
+	held := grants(p.Decisions())
+	for _, g := range held {
+		p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, 0)
+	}
+	return held
+}
+
+func TestPool_ReserveServesPatientWorkCloseToItsDeadline(t *testing.T) {
+	v := testView()
+	v.Tiers[0].Reserve = 0.25
+	p := openPool(v)
+	held := fillSlots(p, "urgent")
+	patient := testTicket(100, "patient")
+	patient.Remaining = 8 * time.Second
+	p.Submit(patient, 0)
+	for i := range 3 {
+		p.Submit(testTicket(200+i, "urgent"), 0)
+	}
+	now := 4 * time.Second
+	p.Tick(now)
+	for i := range 2 {
+		p.Report(Report{Kind: ReportEnded, Ticket: held[i].Ticket, Gateway: "g1", Upstream: held[i].Upstream}, now)
+	}
+	got := grants(p.Decisions())
+	must.Len(t, 2, got)
+	must.Eq(t, patient.ID, got[0].Ticket)
+	must.Eq(t, ident.RequestID("r0200"), got[1].Ticket)
+}
+
+func TestPool_ReserveGivenUpOnceAHigherTierIsShed(t *testing.T) {
+	v := testView()
+	v.Tiers[0].Reserve = 0.25
+	p := openPool(v)
+	held := fillSlots(p, "urgent")
+	patient := testTicket(100, "patient")
+	patient.Remaining = 8 * time.Second
+	p.Submit(patient, 0)
+	hurried := testTicket(300, "urgent")
+	hurried.Remaining = 3 * time.Second
+	p.Submit(hurried, 0)
+	p.Submit(testTicket(200, "urgent"), 0)
+	now := 4 * time.Second
+	p.Tick(now)
+	must.Eq(t, []Refusal{{Ticket: hurried.ID, Reason: ReasonDeadline, RetryAfter: minRetryAfter}}, refusals(p.Decisions()))
+	p.Report(Report{Kind: ReportEnded, Ticket: held[0].Ticket, Gateway: "g1", Upstream: held[0].Upstream}, now)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.RequestID("r0200"), got[0].Ticket)
+}
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -54,6 +54,14 @@
 	waiting  int
 	work     time.Duration
 	arrivals rate
+	// held counts the slots that the tier holds.
+	held int
+	// margin is the least slack of the waiting tickets as a part of their time
+	// left, by the last review.
+	margin float64
+	// shed and shedAt tell whether and when a ticket was last given up.
+	shed   bool
+	shedAt time.Duration
 	// weights is the sum of the weights of the active teams.
 	weights float64
 	// served is the virtual time of the last team that was served.
--- /dev/null
+++ b/internal/coordination/scheduler/reserve.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import "time"
+
+const (
+	// reserveLead is the slack below which a ticket may claim its tier's reserve.
+	reserveLead = 5 * time.Second
+	// reserveMargin is the part of its time left that every waiting ticket of
+	// higher tiers must keep as slack for a lower tier to claim its reserve.
+	reserveMargin = 0.5
+	// reservePause is how long no reserve holds after a higher tier was shed.
+	reservePause = 10 * time.Second
+)
+
+// placeReserved lets tiers with a reserve place tickets that are close to their
+// deadlines ahead of higher tiers, as long as these are in no danger.
+func (p *Pool) placeReserved(now time.Duration) {
+	if p.readyEngines == 0 {
+		return
+	}
+	for i := len(p.tiers) - 1; i > 0; i-- {
+		q := p.tiers[i]
+		if q.tier.Reserve <= 0 || q.waiting == 0 || !p.reserveHolds(q, now) {
+			continue
+		}
+		p.claimReserve(q, now)
+	}
+}
+
+// reserveHolds tells whether higher tiers have work waiting and can spare the
+// slots. While the tier itself is shed, capacity does not allow a reserve: it
+// would but push higher tiers towards their deadlines.
+func (p *Pool) reserveHolds(tier *tierQueue, now time.Duration) bool {
+	contended := false
+	for _, q := range p.tiers {
+		if q.tier.Rank < tier.tier.Rank {
+			break
+		}
+		if q.shedLately(now) {
+			return false
+		}
+		if q.tier.Rank == tier.tier.Rank || q.waiting == 0 {
+			continue
+		}
+		contended = true
+		if q.margin < reserveMargin {
+			return false
+		}
+	}
+	return contended
+}
+
+func (q *tierQueue) shedLately(now time.Duration) bool {
+	return q.shed && now < q.shedAt+reservePause
+}
+
+// claimReserve places the tier's most urgent tickets while it holds fewer
+// slots than its reserve.
+func (p *Pool) claimReserve(q *tierQueue, now time.Duration) {
+	for float64(q.held+1) <= q.tier.Reserve*float64(p.slots) {
+		e := q.mostUrgent()
+		if e == nil || e.deadline-e.longest > now+reserveLead {
+			return
+		}
+		g := p.choose(e, now)
+		if g == nil {
+			return
+		}
+		p.dequeue(e)
+		p.grant(e, g, now)
+	}
+}
+
+// mostUrgent returns the tier's waiting ticket with the least slack.
+func (q *tierQueue) mostUrgent() *entry {
+	var most *entry
+	for _, t := range q.active {
+		if e := t.entries[0]; most == nil || e.latestStart() < most.latestStart() {
+			most = e
+		}
+	}
+	return most
+}
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -23,10 +25,7 @@
 
 // dropRequests ends the waiting and orphans the placed tickets that match.
 func (p *Pool) dropRequests(now time.Duration, match func(*entry) bool) {
-	for _, e := range p.entries {
-		if !match(e) {
-			continue
-		}
+	for _, e := range p.matching(match) {
 		if e.state == stateWaiting {
 			p.dequeue(e)
 			p.end(e, now)
@@ -36,6 +35,19 @@
 	}
 }
 
+// matching returns the tickets that match, in the order of their names, so that
+// equal histories give equal decisions.
+func (p *Pool) matching(match func(*entry) bool) []*entry {
+	var found []*entry
+	for _, e := range p.entries {
+		if match(e) {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b *entry) int { return cmp.Compare(a.ticket.ID, b.ticket.ID) })
+	return found
+}
+
 // Register implements Scheduler.
 func (p *Pool) Register(r Registration, now time.Duration) {
 	former, known := p.registered[r.Gateway]
@@ -69,10 +81,10 @@
 		})
 		return
 	}
-	for id, e := range p.entries {
-		if e.ticket.Gateway != r.Gateway || named[id] || e.state != stateRunning {
-			continue
-		}
+	finished := p.matching(func(e *entry) bool {
+		return e.ticket.Gateway == r.Gateway && !named[e.ticket.ID] && e.state == stateRunning
+	})
+	for _, e := range finished {
 		p.release(e, now)
 		p.end(e, now)
 	}
@@ -109,6 +121,7 @@
 	g.cache.store(r.Ticket.Prefixes, now)
 	p.refresh(g, now)
 	p.running++
+	p.tier(r.Ticket.Tier).held++
 }
 
 // openAfterTakeover starts placement once every gateway of the view has
