--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -63,6 +63,7 @@
 	margin float64
 
 	tests      [metricCount]tests
+	total      float64
 	blocks     map[stratum]*block
 	references map[stratum]*reference
 	baselines  [metricCount]baseline
@@ -108,11 +109,16 @@
 // value is the route's evidence against the new version. It exceeds limit
 // with a chance of at most 1/limit while the version is no worse.
 func (e *routeEvidence) value() float64 {
+	return e.total
+}
+
+// weigh recomputes the route's evidence after a sample.
+func (e *routeEvidence) weigh() {
 	sum := 0.0
 	for m := metricFailure; m < metricCount; m++ {
 		sum += e.against(m)
 	}
-	return sum / float64(2*metricCount)
+	e.total = sum / float64(2*metricCount)
 }
 
 // against is the evidence of one metric.
@@ -145,11 +151,11 @@
 	e.lastSeen = now
 	e.seen++
 	e.observeOutcome(s, isNew, released, now)
-	if s.Failed {
-		return
+	if !s.Failed {
+		e.observeLatency(metricFirstToken, s.FirstToken, s, isNew, released, now)
+		e.observeLatency(metricPerToken, s.PerToken, s, isNew, released, now)
 	}
-	e.observeLatency(metricFirstToken, s.FirstToken, s, isNew, released, now)
-	e.observeLatency(metricPerToken, s.PerToken, s, isNew, released, now)
+	e.weigh()
 }
 
 func (e *routeEvidence) observeOutcome(s Sample, isNew bool, released float64, now time.Time) {
