Correct own counts by load reports, less the older they are

Cause: load reports were only used after a takeover and for lost requests. Change: a report is compared with the own count at the time it was true; what it shows beyond takes slots, weighted by exp(-age/5 s). A test of shares by tokens between teams.

--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -18,6 +18,7 @@
 	speed   speed
 	limiter limiter
 	health  health
+	foreign foreignLoad
 	backlog backlog
 	cache   cacheIndex
 	// slots is the engine's part of the pool's slots.
@@ -62,7 +63,7 @@
 	if !e.open() {
 		return 0
 	}
-	return max(0, e.limit()-e.used())
+	return max(0, e.limit()-e.used()-e.foreign.slots())
 }
 
 // addOrphan counts a slot whose request may still run.
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -121,9 +121,11 @@
 	return expected > 0 && now-since > silentBase+scaleBy(expected, silentStretch)
 }
 
-// checkSilent ejects the upstreams that hold requests without a sign of life.
-func (p *Pool) checkSilent(now time.Duration) {
+// checkUpstreams ejects the upstreams that hold requests without a sign of
+// life, and notes the own counts.
+func (p *Pool) checkUpstreams(now time.Duration) {
 	for _, g := range p.order {
+		g.foreign.remember(g.used(), now)
 		for e := range g.running {
 			if !e.silent(now) {
 				continue
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -294,7 +294,7 @@
 	}
 	if now >= p.nextCheck {
 		p.nextCheck = now + checkEvery
-		p.checkSilent(now)
+		p.checkUpstreams(now)
 	}
 	if p.placing {
 		p.placeReserved(now)
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -237,3 +237,49 @@
 	must.Len(t, 1, got)
 	must.Eq(t, ident.RequestID("r0200"), got[0].Ticket)
 }
+
+func TestPool_LaggingReportOnlyCorrectsOwnCount(t *testing.T) {
+	p := openPool(testView())
+	held := fillSlots(p, "urgent")
+	now := time.Duration(0)
+	for range 20 {
+		now += checkEvery
+		p.Tick(now)
+	}
+	// All requests end; a report from before says that they still run.
+	for _, g := range held {
+		p.Report(Report{Kind: ReportEnded, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
+	}
+	p.Load(LoadReport{Upstream: "u1", Running: 2, Age: 5 * time.Second}, now+time.Second)
+	must.Eq(t, 2, p.engines["u1"].free())
+	// Two more than were ever granted run on the other; fresh reports count.
+	for range 8 {
+		p.Load(LoadReport{Upstream: "u2", Running: 4}, now)
+	}
+	must.Eq(t, 0, p.engines["u2"].free())
+}
+
+func TestPool_TeamsShareByTokens(t *testing.T) {
+	p := New(1, testView(), 0)
+	var waiting []Ticket
+	for i := range 90 {
+		ticket := testTicket(i, "ordinary")
+		ticket.PromptTokens = 900
+		if i >= 45 {
+			ticket.Team = "b"
+			ticket.PromptTokens = 100
+		}
+		waiting = append(waiting, ticket)
+	}
+	p.Register(Registration{Gateway: "g1", Incarnation: 1, Waiting: waiting}, 0)
+	tokens := map[ident.TeamName]int{}
+	for range 9 {
+		for _, g := range grants(p.Decisions()) {
+			e := p.entries[g.Ticket]
+			tokens[e.ticket.Team] += e.ticket.PromptTokens
+			p.Report(Report{Kind: ReportEnded, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, 0)
+		}
+	}
+	// What one round of placement holds in its window may come from one team.
+	must.Between(t, -windowSize*900, tokens["a"]-tokens["b"], windowSize*900)
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -138,6 +138,7 @@
 func (p *Pool) load(g *engine, r LoadReport, now time.Duration) {
 	at := now - r.Age
 	g.observeLoad(r.Running, at)
+	g.foreign.observe(r.Running, r.Age, now)
 	if now < p.startedAt+takeoverWindow {
 		for g.used() < r.Running {
 			p.addOrphan(g, now)
