--- /dev/null
+++ b/internal/command/agent/addresses.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/membership"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+)
+
+// Addresses returns the nodes that callers should use, for an operator.
+func (a *Agent) Addresses() callerapi.AddressList {
+	return a.AddressesFor("")
+}
+
+// AddressesFor implements callerhttp.Directory.
+func (a *Agent) AddressesFor(caller string) callerapi.AddressList {
+	ordered := membership.Addresses(a.candidates(), a.settings.Zone, xxhash.Sum64String(caller), a.settings.AddressTTL)
+	list := callerapi.AddressList{TTLSeconds: ordered.TTL.Seconds()}
+	for _, entry := range ordered.Addresses {
+		list.Addresses = append(list.Addresses, callerapi.Address{
+			Node:    entry.Node,
+			Address: entry.Address,
+			Zone:    entry.Zone,
+		})
+	}
+	return list
+}
+
+// candidates returns the nodes known to be live. This node is cut off when its
+// own lease is not fresh.
+func (a *Agent) candidates() []membership.Candidate {
+	fresh := a.view.Fresh(time.Now())
+	loads := a.view.Loads()
+	members := a.view.Members().Nodes
+	candidates := make([]membership.Candidate, 0, len(members))
+	for _, n := range members {
+		candidates = append(candidates, membership.Candidate{
+			Node:   n,
+			Load:   float64(loads[n.ID]) / fullLoad,
+			CutOff: n.ID == a.settings.Node && !fresh,
+		})
+	}
+	return candidates
+}
--- a/internal/command/agent/cluster_test.go
+++ b/internal/command/agent/cluster_test.go
@@ -34,6 +34,7 @@
 	client   *http.Client
 
 	serviceOptions fakes.ServiceOptions
+	engineFaults   map[ident.VersionName]fakes.VersionFault
 	connections    int
 	realDisks      bool
 	// relays stand before the nodes' internal listeners.
@@ -53,6 +54,10 @@
 // withRealDisks keeps the replicas' data in folders of the machine.
 func withRealDisks(c *cluster) { c.realDisks = true }
 
+func withEngineFaults(faults map[ident.VersionName]fakes.VersionFault) option {
+	return func(c *cluster) { c.engineFaults = faults }
+}
+
 func withConnections(n int) option {
 	return func(c *cluster) { c.connections = n }
 }
@@ -115,23 +120,30 @@
 
 func (c *cluster) startUpstreams(t testing.TB) {
 	t.Helper()
-	fast, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1"})
-	must.NoError(t, err)
-	slow, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1", StepBase: 6 * time.Millisecond})
-	must.NoError(t, err)
-	c.engines = []*fakes.Engine{fast, slow}
+	for _, step := range []time.Duration{2 * time.Millisecond, 6 * time.Millisecond} {
+		c.startEngine(t, step)
+	}
+	var err error
 	c.service, err = fakes.StartService(c.serviceOptions)
 	must.NoError(t, err)
 	c.platform, err = fakes.StartPlatform(fakes.PlatformOptions{})
 	must.NoError(t, err)
 	t.Cleanup(func() {
-		_ = fast.Close()
-		_ = slow.Close()
 		_ = c.service.Close()
 		_ = c.platform.Close()
 	})
 }
 
+// startEngine adds an engine that runs v1 and takes step for an idle decoding
+// step.
+func (c *cluster) startEngine(t testing.TB, step time.Duration) {
+	t.Helper()
+	e, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1", Faults: c.engineFaults, StepBase: step})
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = e.Close() })
+	c.engines = append(c.engines, e)
+}
+
 func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -200,7 +212,7 @@
 	})
 	reply, err := control.Call[control.ApplyConfigReply](t.Context(), c.nodes[0].control, "ApplyConfig", applyArgs(text, revision))
 	must.NoError(t, err)
-	must.SliceEmpty(t, reply.Mistakes)
+	must.SliceEmpty(t, reply.Mistakes, must.Sprint(reply.Mistakes))
 	c.eventually(t, "the revision at every node", func() bool {
 		for _, n := range c.nodes {
 			if _, have := n.view.Config(); have <= revision {
--- a/internal/command/agent/drain.go
+++ b/internal/command/agent/drain.go
@@ -7,15 +7,18 @@
 	"k8s.io/klog/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/membership"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
-// drainPoll is the time between two looks at the work left on a draining node.
-const drainPoll = 20 * time.Millisecond
-
-// unlistedEverywhere is how long after a drain is committed another node may
-// still list this one: a node that has not heard of it has lost its lease.
-const unlistedEverywhere = control.NodeTTL
+const (
+	// drainPoll is the time between two looks at the work left on a draining node.
+	drainPoll = 20 * time.Millisecond
+	// unlistedEverywhere is how long after a drain is committed another node
+	// may still list this one: a node that has not heard of it by then has lost
+	// its lease.
+	unlistedEverywhere = control.NodeTTL
+)
 
 // Drain makes the node leave: it is taken off the list of addresses, serves on
 // until callers' lists have run out and all accepted work is done, and stops.
@@ -35,7 +38,6 @@
 func (a *Agent) finishDrain() {
 	defer close(a.drained)
 	a.awaitUnlisted()
-	sleep(a.ctx, unlistedEverywhere+a.settings.AddressTTL)
 	a.callers.SetKeepAlives(false)
 	if err := a.callers.Shutdown(a.ctx); err != nil {
 		klog.ErrorS(err, "callers' connections did not end")
@@ -48,17 +50,27 @@
 	a.stop(true)
 }
 
-// awaitUnlisted waits until the system knows that the node drains, so that no
-// other node lists it any more. A node cut off is not listed anyway.
+// awaitUnlisted waits until no caller can hold a list that names this node.
+// The work that is left then ends with the callers' edge.
 func (a *Agent) awaitUnlisted() {
-	for a.ctx.Err() == nil && a.Fresh() {
-		if node, ok := a.view.Members().Nodes[a.settings.Node]; !ok || node.Draining {
-			return
+	origin := time.Now()
+	drain := membership.NewDrain(a.settings.AddressTTL, unlistedEverywhere)
+	drain.Begin()
+	for a.ctx.Err() == nil && !drain.MayExit(time.Since(origin), 0) {
+		if a.unlistedHere() {
+			drain.Committed(time.Since(origin))
 		}
 		sleep(a.ctx, drainPoll)
 	}
 }
 
+// unlistedHere reports whether this node has heard that it drains. A node cut
+// off is not listed anyway.
+func (a *Agent) unlistedHere() bool {
+	node, ok := a.view.Members().Nodes[a.settings.Node]
+	return !ok || node.Draining || !a.Fresh()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/command/agent/environment.go
+++ b/internal/command/agent/environment.go
@@ -7,7 +7,6 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
-	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
@@ -59,12 +58,3 @@
 func (a *Agent) Team(name ident.TeamName) (config.Team, bool) {
 	return a.view.Team(name)
 }
-
-// Addresses implements callerhttp.Directory.
-func (a *Agent) Addresses() callerapi.AddressList {
-	list := callerapi.AddressList{TTLSeconds: a.settings.AddressTTL.Seconds()}
-	for _, n := range a.view.Entries(a.settings.Zone) {
-		list.Addresses = append(list.Addresses, callerapi.Address{Node: n.ID, Address: n.CallerAddress, Zone: n.Zone})
-	}
-	return list
-}
--- /dev/null
+++ b/internal/command/agent/orders.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/orders"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/upstreamhttp"
+)
+
+const (
+	// termCheckInterval is the time between two looks at who leads.
+	termCheckInterval = 100 * time.Millisecond
+	// keepConfigured is how long an engine keeps a version that is no longer
+	// configured for it: requests that run on it may still need it.
+	keepConfigured = 10 * time.Minute
+)
+
+// orderLoop sends orders to engines while this replica leads.
+func (r *replica) orderLoop(a *Agent) {
+	var term uint64
+	stop := func() {}
+	defer func() { stop() }()
+	for a.ctx.Err() == nil {
+		status := &control.StatusReply{}
+		_ = r.service.Status(&control.StatusArgs{}, status)
+		leads := status.OK() && status.Term != 0
+		switch {
+		case !leads && term != 0:
+			stop()
+			term = 0
+		case leads && status.Term != term:
+			stop()
+			term = status.Term
+			stop = r.startOrders(a, status)
+		}
+		sleep(a.ctx, termCheckInterval)
+	}
+}
+
+// startOrders begins to send orders in a term and returns how to end it.
+func (r *replica) startOrders(a *Agent, status *control.StatusReply) func() {
+	ctx, cancel := context.WithCancel(a.ctx)
+	keeper := &versionKeeper{seen: make(map[engineVersion]time.Time)}
+	source := func() ([]orders.Engine, []orders.Want) {
+		cfg, _, _ := r.machine.Config()
+		engines, wants := orders.Wants(&cfg, r.machine.Moves(), nil)
+		return engines, keeper.keep(wants, time.Now())
+	}
+	driver := orders.NewDriver(status.Term, status.OpenOrders, &journal{service: r.service}, &orderSender{sender: a.sender, events: a.events}, source, orders.Options{})
+	var done sync.WaitGroup
+	done.Go(func() { driver.Run(ctx) })
+	klog.InfoS("sending of orders begins", "term", status.Term, "open", len(status.OpenOrders))
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+// engineVersion is one version at one engine.
+type engineVersion struct {
+	address string
+	version ident.VersionName
+}
+
+// versionKeeper remembers which versions were configured at which engines. A
+// new leader knows of none that its predecessor remembered; an engine then
+// unloads what is neither configured nor named by a move.
+type versionKeeper struct {
+	seen map[engineVersion]time.Time
+}
+
+// keep adds what was configured until lately to what the engines keep.
+func (k *versionKeeper) keep(wants []orders.Want, now time.Time) []orders.Want {
+	for _, w := range wants {
+		for _, v := range w.Versions {
+			k.seen[engineVersion{address: w.Address, version: v}] = now
+		}
+	}
+	for i := range wants {
+		for ev, at := range k.seen {
+			if ev.address == wants[i].Address && now.Sub(at) < keepConfigured {
+				wants[i].Keep = append(wants[i].Keep, ev.version)
+			}
+		}
+	}
+	return wants
+}
+
+// journal implements orders.Journal on the local replica, which must lead.
+type journal struct{ service *control.Service }
+
+// IssueOrder implements orders.Journal.
+func (j *journal) IssueOrder(_ context.Context, o machine.IssueOrder) (machine.FencingNumber, error) {
+	reply := &control.OrderReply{}
+	if err := j.service.IssueOrder(&control.IssueOrderArgs{Order: o}, reply); err != nil {
+		return 0, err
+	}
+	if !reply.OK() || reply.Order == nil {
+		return 0, fmt.Errorf("order %s was not written down: %s %s", o.ID, reply.Detail, reply.Refusal)
+	}
+	return reply.Order.Number, nil
+}
+
+// CompleteOrder implements orders.Journal.
+func (j *journal) CompleteOrder(_ context.Context, c machine.CompleteOrder) error {
+	reply := &control.OrderReply{}
+	if err := j.service.CompleteOrder(&control.CompleteOrderArgs{Order: c}, reply); err != nil {
+		return err
+	}
+	if !reply.OK() {
+		return fmt.Errorf("end of order %d was not written down: %s", c.Number, reply.Detail)
+	}
+	return nil
+}
+
+// orderSender implements orders.Sender over HTTP.
+type orderSender struct {
+	sender *upstreamhttp.Sender
+	events *timeline.Recorder
+}
+
+// Send implements orders.Sender.
+func (s *orderSender) Send(ctx context.Context, o orders.Order) (orders.Reply, error) {
+	detail := fmt.Sprintf("%s %s at %s under number %d", o.Kind, o.Subject, o.Address, o.Number)
+	s.events.Record(timeline.Event{Kind: timeline.KindOrder, Detail: detail})
+	reply, err := s.sender.Order(ctx, o.Address, orderMessage(o))
+	if err != nil {
+		return orders.Reply{}, err
+	}
+	return orders.Reply{
+		Accepted: reply.Accepted,
+		Highest:  machine.FencingNumber(reply.HighestFence),
+		Detail:   reply.Error,
+	}, nil
+}
+
+func orderMessage(o orders.Order) upstreamapi.Order {
+	message := upstreamapi.Order{
+		ID:    string(o.ID),
+		Kind:  upstreamapi.OrderKind(o.Kind),
+		Fence: uint64(o.Number),
+	}
+	if o.Kind == machine.OrderRole {
+		message.Role = o.Subject
+	} else {
+		message.Version = ident.VersionName(o.Subject)
+	}
+	return message
+}
+
+// Ask implements orders.Sender.
+func (s *orderSender) Ask(ctx context.Context, e orders.Engine) (orders.ReadBack, error) {
+	load, err := s.sender.Load(ctx, e.Address)
+	if err != nil {
+		return orders.ReadBack{}, err
+	}
+	return orders.ReadBack{Address: e.Address, Versions: load.Versions}, nil
+}
--- a/internal/command/agent/path_test.go
+++ b/internal/command/agent/path_test.go
@@ -17,9 +17,10 @@
 func TestPath_WholeWay(t *testing.T) {
 	c := startCluster(t, withRealDisks)
 	for node := range c.nodes {
-		list := c.send(node, call{method: http.MethodGet, path: callerapi.PathAddresses})
-		must.NoError(t, list.err)
-		must.Eq(t, 3, strings.Count(list.body, `"node":`))
+		c.eventually(t, "a list of all nodes", func() bool {
+			list := c.send(node, call{method: http.MethodGet, path: callerapi.PathAddresses})
+			return list.err == nil && strings.Count(list.body, `"node":`) == len(c.nodes)
+		})
 
 		lookup := c.send(node, call{method: http.MethodGet, path: "/lookup?item=3"})
 		must.NoError(t, lookup.err)
--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -22,6 +22,7 @@
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
 	calls   *rpcnet.Client
+	machine *machine.Machine
 	node    *consensus.Node[machine.Result]
 	service *control.Service
 }
@@ -44,7 +45,7 @@
 		calls.Close()
 		return nil, fmt.Errorf("data folder %s: %w", a.settings.DataDir, err)
 	}
-	r := &replica{calls: calls, node: node, service: control.NewService(a.settings.Node, node, m)}
+	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(a.settings.Node, node, m)}
 	if err := a.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
@@ -55,6 +56,7 @@
 	r.node.Start()
 	a.loops.Go(func() { r.service.Run(a.ctx) })
 	a.loops.Go(func() { r.watch(a) })
+	a.loops.Go(func() { r.orderLoop(a) })
 }
 
 // watch tells of changes of the leadership and of the replica's own end.
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -57,6 +57,9 @@
 	set     *moves.Set
 	samples sampler
 	polled  map[ident.UpstreamName]context.CancelFunc
+	// unloaded names the engines that said last that they do not run the
+	// version configured for them.
+	unloaded map[ident.UpstreamName]struct{}
 }
 
 // Dependencies are what a Runner uses.
@@ -82,6 +85,8 @@
 		set:     moves.NewSet(l.Pool, options),
 		samples: newSampler(),
 		polled:  make(map[ident.UpstreamName]context.CancelFunc),
+
+		unloaded: make(map[ident.UpstreamName]struct{}),
 	}
 	r.set.Configure(cfg, recordsOf(r.view), time.Now())
 	build := func(now time.Duration) scheduler.Scheduler {
@@ -126,24 +131,33 @@
 	cfg, _ := r.view.Config()
 	r.mu.Lock()
 	r.set.Configure(cfg, recordsOf(r.view), time.Now())
-	r.set.SetReadiness(readiness(&cfg, r.view, r.master.Pool()), time.Now())
+	r.set.SetReadiness(r.readiness(&cfg), time.Now())
 	r.mu.Unlock()
 	r.setView()
 	r.pollUpstreams(&cfg)
 }
 
+// setView passes the present view to the scheduler. An upstream that does not
+// run its version yet gets no work.
 func (r *Runner) setView() {
 	r.mu.Lock()
-	shares := r.set.Shares()
+	view := r.view.SchedulerView(r.master.Pool(), r.set.Shares())
+	for i, u := range view.Upstreams {
+		if _, unloaded := r.unloaded[u.Name]; unloaded {
+			view.Upstreams[i].Leaving = true
+		}
+	}
 	r.mu.Unlock()
-	r.master.SetView(r.view.SchedulerView(r.master.Pool(), shares))
+	r.master.SetView(view)
 }
 
-// readiness tells which versions of the pool have upstreams that may serve.
-func readiness(c *config.Config, v *nodeview.View, pool ident.PoolName) []moves.Readiness {
+// readiness tells which versions of the pool have upstreams that may serve. The
+// caller holds the lock.
+func (r *Runner) readiness(c *config.Config) []moves.Readiness {
 	byVersion := make(map[ident.VersionName]*moves.Readiness)
-	for _, u := range c.Upstreams {
-		if u.Pool != pool || v.Leaving(u.Address) {
+	for name, u := range c.Upstreams {
+		_, unloaded := r.unloaded[name]
+		if u.Pool != r.master.Pool() || unloaded || r.view.Leaving(u.Address) {
 			continue
 		}
 		ready := byVersion[u.Version]
@@ -283,6 +297,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ReportTimeout)
 	defer cancel()
 	if load, err := r.reports.Load(ctx, name, u); err == nil {
+		r.noteLoaded(load, u)
 		r.master.Load(load)
 	}
 	events, err := r.reports.Cache(ctx, name, u, after)
@@ -295,3 +310,23 @@
 	}
 	return after
 }
+
+// noteLoaded takes in which versions an engine runs.
+func (r *Runner) noteLoaded(load scheduler.LoadReport, u config.Upstream) {
+	unloaded := len(load.Versions) > 0 && !slices.Contains(load.Versions, u.Version)
+	r.mu.Lock()
+	_, was := r.unloaded[load.Upstream]
+	if unloaded {
+		r.unloaded[load.Upstream] = struct{}{}
+	} else {
+		delete(r.unloaded, load.Upstream)
+	}
+	if was == unloaded {
+		r.mu.Unlock()
+		return
+	}
+	cfg, _ := r.view.Config()
+	r.set.SetReadiness(r.readiness(&cfg), time.Now())
+	r.mu.Unlock()
+	r.setView()
+}
--- a/internal/transport/callerhttp/answer.go
+++ b/internal/transport/callerhttp/answer.go
@@ -14,9 +14,10 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
-func (s *Server) serveAddresses(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.directory.Addresses())
+	_ = json.NewEncoder(w).Encode(s.directory.AddressesFor(r.RemoteAddr))
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -37,7 +38,7 @@
 		s.observer.Finished(parsed, sink.status, nil, time.Since(began))
 		return
 	}
-	refusal = s.describe(parsed, result.Failure)
+	refusal = s.describe(r, parsed, result.Failure)
 	s.observer.Finished(parsed, refusal.Status(), refusal, time.Since(began))
 	if !result.Failure.Begun {
 		s.writeRefusal(w, id, refusal)
@@ -47,7 +48,7 @@
 }
 
 // describe turns a failure into the caller's form.
-func (s *Server) describe(parsed *gateway.Request, f *gateway.Failure) *callerapi.RefusalError {
+func (s *Server) describe(r *http.Request, parsed *gateway.Request, f *gateway.Failure) *callerapi.RefusalError {
 	refusal := &callerapi.RefusalError{
 		Reason:            callerapi.Reason(f.Reason),
 		Message:           f.Message,
@@ -59,14 +60,14 @@
 		refusal.Outcome = callerapi.NotRun
 	}
 	if scheduler.Reason(f.Reason) == scheduler.ReasonCutOff || scheduler.Reason(f.Reason) == scheduler.ReasonDraining {
-		refusal.Addresses = s.otherAddresses()
+		refusal.Addresses = s.otherAddresses(r.RemoteAddr)
 	}
 	return refusal
 }
 
-func (s *Server) otherAddresses() []string {
+func (s *Server) otherAddresses(caller string) []string {
 	var addresses []string
-	for _, a := range s.directory.Addresses().Addresses {
+	for _, a := range s.directory.AddressesFor(caller).Addresses {
 		addresses = append(addresses, a.Address)
 	}
 	return addresses
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -42,8 +42,9 @@
 	Routes() *routing.Table
 	// Team returns a configured team.
 	Team(name ident.TeamName) (config.Team, bool)
-	// Addresses returns the nodes that callers should use.
-	Addresses() callerapi.AddressList
+	// AddressesFor returns the nodes that a caller should use. Callers of one
+	// address get the same order, others another one.
+	AddressesFor(caller string) callerapi.AddressList
 }
 
 // Handler serves one parsed request; gateway.Gateway implements it.
--- a/internal/transport/upstreamhttp/probe.go
+++ b/internal/transport/upstreamhttp/probe.go
@@ -34,6 +34,32 @@
 	return &events, nil
 }
 
+// Order sends an order to an engine on a fresh connection. An error means that
+// the engine may have obeyed it.
+func (s *Sender) Order(ctx context.Context, address string, order upstreamapi.Order) (*upstreamapi.OrderReply, error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+upstreamapi.PathOrders, nil)
+	if err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	request.Body = &onceBody{rest: body}
+	request.ContentLength = int64(len(body))
+	request.Header.Set("Content-Type", "application/json")
+	response, err := s.fresh.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	defer response.Body.Close()
+	var reply upstreamapi.OrderReply
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&reply); err != nil {
+		return nil, fmt.Errorf("order: %s: %w", response.Status, err)
+	}
+	return &reply, nil
+}
+
 // VMs asks the platform at address for its list of VMs.
 func (s *Sender) VMs(ctx context.Context, address string) (*upstreamapi.VMList, error) {
 	var list upstreamapi.VMList
