Count a dispatch whose report came after its grant had expired

Cause: such a request ran uncounted, so its upstream could be overfilled. Change: a late report of a lapsed grant takes the slot again; a grant that lapsed without a word still counts as sent in the shares.

--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -33,9 +33,11 @@
 	queue    *teamQueue
 	index    int
 
-	engine       *engine
-	version      ident.VersionName
-	generation   int
+	engine     *engine
+	version    ident.VersionName
+	generation int
+	// lapsed is true once the grant expired without a report.
+	lapsed       bool
 	grantExpires time.Duration
 	startedAt    time.Duration
 	firstTokenAt time.Duration
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -325,13 +325,13 @@
 }
 
 // expireGrant frees the slot of a grant that no report has confirmed. The
-// gateway dropped it, or registers its request as running.
+// gateway dropped it, or its report is late. It still counts as sent.
 func (p *Pool) expireGrant(e *entry, now time.Duration) {
 	if e.state != stateGranted || now < e.grantExpires+grantMargin {
 		return
 	}
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version, e.generation)
+	e.lapsed = true
 	p.end(e, now)
 }
 
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -5,6 +5,9 @@
 // Report implements Scheduler.
 func (p *Pool) Report(r Report, now time.Duration) {
 	e, known := p.entries[r.Ticket]
+	if known && e.lapsed && e.ticket.Gateway == r.Gateway && e.engine.upstream.Name == r.Upstream {
+		p.revive(e, r.Kind, now)
+	}
 	if known && e.holdsSlot() && e.ticket.Gateway == r.Gateway && e.engine.upstream.Name == r.Upstream {
 		g := e.engine
 		p.report(e, r, now)
@@ -39,6 +42,15 @@
 	}
 }
 
+// revive counts a request again that was dispatched under a grant whose
+// confirmation came after the grant had expired.
+func (p *Pool) revive(e *entry, kind ReportKind, now time.Duration) {
+	if e.state != stateEnded || kind == ReportUnsent || kind == ReportDropped {
+		return
+	}
+	p.occupy(e, e.engine, now)
+}
+
 func (p *Pool) started(e *entry, r Report, now time.Duration) {
 	if e.state == stateGranted {
 		e.state = stateRunning
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -111,17 +111,25 @@
 		g = p.engine(Upstream{Name: r.Upstream, Version: r.Version})
 		g.listed = false
 	}
-	e.state = stateRunning
-	e.engine = g
 	e.version = r.Version
+	p.occupy(e, g, now)
 	e.startedAt = now - r.Elapsed
+	g.cache.store(r.Ticket.Prefixes, now)
+}
+
+// occupy counts a request as running on an upstream.
+func (p *Pool) occupy(e *entry, g *engine, now time.Duration) {
+	e.state = stateRunning
+	e.lapsed = false
+	e.engine = g
+	e.startedAt = now
+	e.missed = 0
 	g.running[e] = struct{}{}
 	g.limiter.atLeast(g.used())
 	e.batchAtStart = g.used()
-	g.cache.store(r.Ticket.Prefixes, now)
-	p.refresh(g, now)
 	p.running++
-	p.tier(r.Ticket.Tier).held++
+	p.tier(e.ticket.Tier).held++
+	p.refresh(g, now)
 }
 
 // openAfterTakeover starts placement once every gateway of the view has
