Tell the time line of suspicions and restored shares

Cause: a share that fell on a suspicion was seen in no event. Change: Set adds an event, in the state that stays, when the share is reduced and when it is restored, with the evidence in words.

--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -21,6 +21,8 @@
 	// fail-over, until evidence has grown anew. It is in force while reduced.
 	ceiling float64
 	reduced bool
+	// suspicion says why the share was last reduced; empty after a fail-over.
+	suspicion string
 	// retreats counts suspicions; each makes recovery take longer.
 	retreats    int
 	lastRetreat time.Time
@@ -154,6 +156,7 @@
 	m.ceiling = m.spec.CanaryShare * retreatPart
 	m.reduced = true
 	suspect.suspect = true
+	m.suspicion = suspect.explain(m.spec.From, m.spec.To)
 	for _, e := range m.routes {
 		e.forgive()
 	}
--- a/internal/coordination/moves/set.go
+++ b/internal/coordination/moves/set.go
@@ -177,7 +177,11 @@
 // Observe takes in the outcome of one request of the pool.
 func (s *Set) Observe(sample Sample, now time.Time) {
 	for _, m := range s.open {
+		last := m.lastRetreat
 		m.Observe(sample, now)
+		if m.lastRetreat != last && m.verdict == "" {
+			s.noteShare(m, "suspicion: "+m.suspicion, now)
+		}
 	}
 }
 
@@ -194,7 +198,13 @@
 func (s *Set) Tick(now time.Time) []move.Record {
 	var rs []move.Record
 	for _, name := range sortedNames(s.open) {
-		if r := s.open[name].Tick(now); r != nil {
+		m := s.open[name]
+		reduced := m.reduced
+		r := m.Tick(now)
+		if reduced && !m.reduced {
+			s.noteShare(m, "the share is restored", now)
+		}
+		if r != nil {
 			rs = append(rs, *r)
 		}
 	}
@@ -218,6 +228,16 @@
 	return true
 }
 
+// noteShare records a change of the share within one state.
+func (s *Set) noteShare(m *Move, reason string, now time.Time) {
+	share, _ := m.Shares()
+	r := m.Record()
+	s.events = append(s.events, Event{
+		At: now, Move: r.Name, Pool: r.Pool,
+		From: r.State, To: r.State, Share: share, Reason: reason,
+	})
+}
+
 func (s *Set) note(last move.Record, to move.State, reason string, now time.Time) {
 	s.events = append(s.events, Event{
 		At: now, Move: last.Name, Pool: last.Pool,
