Demo: a move to a bad version

Cause: taking back bad versions is a promise that the demo did not show. Change: a fourth engine runs a version whose requests all fail, and the configuration moves traffic to it; the report has the state, the time, the runs on it and the runs that came later than a second after its taking back, which must be none.

--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -31,8 +31,8 @@
 		usage: `demo [flags]
 
 Runs three nodes with real consensus and data folders before fake engines of
-unlike speed, puts mixed load on them, drains a node and makes an engine leave
-on the way. It ends by itself and leaves nothing behind. Ends with 8 if any
+unlike speed, puts mixed load on them, drains a node, makes an engine leave and
+moves traffic to a bad version on the way. It ends by itself and leaves nothing behind. Ends with 8 if any
 request was lost, doubled, answered wrongly or falsely called "not run".
 
 Example:
@@ -77,4 +77,6 @@
 	fmt.Fprintf(w, "node %s drained: ended by itself %t, after %.1fs\n", r.Drained.Node, r.Drained.Ended, r.Drained.Seconds)
 	fmt.Fprintf(w, "engine %s left: %d runs before, %d within %gs of its leaving, %d later\n",
 		r.Leaving.Upstream, r.Leaving.RunsBefore, r.Leaving.RunsWithinGrace, r.Leaving.GraceSeconds, r.Leaving.RunsAfterGrace)
+	fmt.Fprintf(w, "move %s to a bad version: %s after %.1fs; %d of the pool's %d runs were on it, %d later than %gs after that\n",
+		r.Move.Name, r.Move.State, r.Move.Seconds, r.Move.BadRuns, r.Move.PoolRuns, r.Move.RunsAfterGrace, r.Move.GraceSeconds)
 }
--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -55,6 +55,8 @@
 	nodes     []*node
 	upstreams *upstreams
 	client    *opshttp.Client
+	// takenBackAt is when the move to the bad version was taken back.
+	takenBackAt time.Time
 }
 
 // listeners are the bound sockets of one node.
--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -10,6 +10,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/command/load"
 	"github.com/flamingohaven/flamingohaven/internal/fakes"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/move"
 )
 
 // Options describes one demo.
@@ -42,6 +43,7 @@
 	*load.Report
 	Drained Drained `json:"drained"`
 	Leaving Leaving `json:"leaving"`
+	Move    Move    `json:"move"`
 }
 
 // Drained tells how the drained node left.
@@ -65,9 +67,25 @@
 	RunsAfterGrace int `json:"runs_after_grace"`
 }
 
+// Move tells what became of the move to a bad version.
+type Move struct {
+	Name   ident.MoveName `json:"name"`
+	State  move.State     `json:"state"`
+	Reason string         `json:"reason,omitempty"`
+	// Seconds run from the start of the load to the taking back.
+	Seconds float64 `json:"seconds"`
+	// PoolRuns counts all runs of the pool, BadRuns those on the bad version.
+	PoolRuns int `json:"pool_runs"`
+	BadRuns  int `json:"bad_runs"`
+	// RunsAfterGrace counts runs on the bad version that began more than
+	// GraceSeconds after it was taken back; it must be zero.
+	RunsAfterGrace int     `json:"runs_after_grace"`
+	GraceSeconds   float64 `json:"grace_seconds"`
+}
+
 // Failed reports whether the demo broke a promise.
 func (r *Report) Failed() bool {
-	return r.Report.Failed() || !r.Drained.Ended || r.Leaving.RunsAfterGrace > 0
+	return r.Report.Failed() || !r.Drained.Ended || r.Leaving.RunsAfterGrace > 0 || r.Move.RunsAfterGrace > 0
 }
 
 // Run runs a demo. It leaves nothing behind.
@@ -100,6 +118,10 @@
 		leftAt = time.Now()
 		c.upstreams.platform.SetLeaving(c.upstreams.slow.Addr())
 	})
+	watchCtx, stopWatching := context.WithCancel(ctx)
+	defer stopWatching()
+	var watching sync.WaitGroup
+	watching.Go(func() { report.Move = c.watchMove(watchCtx, say) })
 	result, err := load.Run(ctx, load.Options{
 		Addresses:   c.callerAddresses(),
 		Workload:    workload(),
@@ -115,6 +137,8 @@
 		},
 	})
 	steps.Wait()
+	stopWatching()
+	watching.Wait()
 	if err != nil {
 		return nil, err
 	}
@@ -122,6 +146,7 @@
 		return nil, ctx.Err()
 	}
 	report.Report = result.Report(load.NewUpstreams(c.upstreams.runs()...))
+	c.countMove(&report.Move)
 	report.Leaving = leaving(c.upstreams.slow.Runs(), leftAt)
 	return report, nil
 }
--- a/internal/command/demo/upstreams.go
+++ b/internal/command/demo/upstreams.go
@@ -9,34 +9,64 @@
 	"github.com/flamingohaven/flamingohaven/internal/command/load"
 	"github.com/flamingohaven/flamingohaven/internal/fakes"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 // platformLag is how late the platform names a leaving upstream.
 const platformLag = 300 * time.Millisecond
 
+// Habits of the engines' caches.
+const (
+	cacheEventLag = 100 * time.Millisecond
+	cacheEventGap = 10
+)
+
+// Versions of the engines.
+const (
+	goodVersion ident.VersionName = "v1"
+	badVersion  ident.VersionName = "v2"
+)
+
+// moveName names the move to the bad version.
+const moveName ident.MoveName = "text-v2"
+
+// moveDeadline lies beyond the demo, so that only evidence ends the move, and
+// is near enough for the move to begin at once.
+const moveDeadline = 2 * time.Minute
+
 // upstreams are engines of unlike speed, a plain service and the platform.
 type upstreams struct {
 	fast, middle, slow *fakes.Engine
-	service            *fakes.Service
-	platform           *fakes.Platform
-	closers            []io.Closer
+	// bad runs the version of the move; all its requests fail.
+	bad      *fakes.Engine
+	service  *fakes.Service
+	platform *fakes.Platform
+	closers  []io.Closer
 }
 
 func startUpstreams() (*upstreams, error) {
 	u := &upstreams{}
 	var err error
-	engine := func(prefill float64, step time.Duration) *fakes.Engine {
+	engine := func(version ident.VersionName, prefill float64, step time.Duration) *fakes.Engine {
 		if err != nil {
 			return nil
 		}
 		var e *fakes.Engine
-		e, err = fakes.StartEngine(fakes.EngineOptions{PrefillTokensPerSecond: prefill, StepBase: step, CacheEventLag: 100 * time.Millisecond, CacheEventGap: 10})
+		e, err = fakes.StartEngine(fakes.EngineOptions{
+			Version:                version,
+			Faults:                 map[ident.VersionName]fakes.VersionFault{badVersion: {FailRate: 1}},
+			PrefillTokensPerSecond: prefill,
+			StepBase:               step,
+			CacheEventLag:          cacheEventLag,
+			CacheEventGap:          cacheEventGap,
+		})
 		u.add(e, err)
 		return e
 	}
-	u.fast = engine(40_000, 2*time.Millisecond)
-	u.middle = engine(20_000, 4*time.Millisecond)
-	u.slow = engine(8_000, 8*time.Millisecond)
+	u.fast = engine(goodVersion, 40_000, 2*time.Millisecond)
+	u.middle = engine(goodVersion, 20_000, 4*time.Millisecond)
+	u.slow = engine(goodVersion, 8_000, 8*time.Millisecond)
+	u.bad = engine(badVersion, 40_000, 2*time.Millisecond)
 	if err == nil {
 		u.service, err = fakes.StartService(fakes.ServiceOptions{Version: "v1", Workers: 32})
 		u.add(u.service, err)
@@ -49,7 +79,7 @@
 		u.close()
 		return nil, err
 	}
-	for _, e := range []*fakes.Engine{u.fast, u.middle, u.slow} {
+	for _, e := range []*fakes.Engine{u.fast, u.middle, u.slow, u.bad} {
 		u.platform.SetLive(e.Addr())
 	}
 	return u, nil
@@ -69,7 +99,7 @@
 
 // runs returns what every upstream saw.
 func (u *upstreams) runs() [][]fakes.Run {
-	return [][]fakes.Run{u.fast.Runs(), u.middle.Runs(), u.slow.Runs(), u.service.Runs()}
+	return [][]fakes.Run{u.fast.Runs(), u.middle.Runs(), u.slow.Runs(), u.bad.Runs(), u.service.Runs()}
 }
 
 func (u *upstreams) configuration() string {
@@ -91,13 +121,17 @@
   fast: {pool: text, version: v1, address: %q, max_concurrent: 16}
   middle: {pool: text, version: v1, address: %q, max_concurrent: 12}
   slow: {pool: text, version: v1, address: %q, max_concurrent: 8}
+  next: {pool: text, version: v2, address: %q, max_concurrent: 16}
   records: {pool: records, version: v1, address: %q, max_concurrent: 32}
 routes:
   review: {path: /v1/completions, pool: text, tier: patient, idempotent: true}
   draft: {path: /v1/chat/completions, pool: text, tier: ordinary, idempotent: true}
   submit: {path: /submit, pool: records, tier: urgent, idempotent: false, status_path: /status}
   lookup: {path: /lookup, pool: records, tier: critical, idempotent: true}
-`, u.fast.Addr(), u.middle.Addr(), u.slow.Addr(), u.service.Addr())
+moves:
+  %s: {pool: text, from: v1, to: v2, deadline: %s, canary_share: 0.05, watch: 10s}
+`, u.fast.Addr(), u.middle.Addr(), u.slow.Addr(), u.bad.Addr(), u.service.Addr(),
+		moveName, time.Now().Add(moveDeadline).UTC().Format(time.RFC3339))
 }
 
 // workload is a mix of all tiers; lengths differ a hundredfold.
