Ledger and configuration: linearizable under faults

Cause: concurrent clients, lost answers and changes of leader need a check of whole histories, not only of single steps.

Change: histories of four gateways and of three operators through the service, in virtual time, checked by porcupine; a dying gateway is an operation of the history. An apply whose leader was lost while it waited is now uncertain, not without effect: its revision is committed.

--- a/internal/coordination/control/apply.go
+++ b/internal/coordination/control/apply.go
@@ -73,7 +73,7 @@
 		if !status.OK() {
 			// The revision is committed; a resend to the next leader tells
 			// when it is in force.
-			reply.Status = status
+			reply.Status = Status{Uncertain: true, Redirect: status.Redirect, Detail: status.Detail}
 			return
 		}
 		if reply.InForce || !time.Now().Before(end) {
--- a/internal/coordination/control/client.go
+++ b/internal/coordination/control/client.go
@@ -125,13 +125,11 @@
 		return
 	}
 	c.leader = ""
-	if status.NotLeader && status.Redirect != "" {
+	if status.Redirect != "" {
 		c.leader = status.Redirect
 		return
 	}
-	if status.NotLeader {
-		c.next++
-	}
+	c.next++
 }
 
 // sleep waits and tells whether the context still lasts.
--- /dev/null
+++ b/internal/coordination/control/linear_test.go
@@ -0,0 +1,415 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// network lets concurrent clients and services share a cluster: it adds
+// delays, faults, lost answers and changes of leader.
+type network struct {
+	*cluster
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// wire is a replica's proposer behind the network.
+type wire struct {
+	network *network
+	replica *replica
+}
+
+func newNetwork(seed uint64) *network {
+	n := &network{cluster: newCluster("r1", "r2", "r3"), random: rand.New(rand.NewPCG(seed, 1))}
+	kinds := []fault{faultNone, faultLost, faultReply, faultLate}
+	n.fault = func() fault { return kinds[max(0, n.random.IntN(12)-8)] }
+	for _, r := range n.replicas {
+		r.service = NewService(r.id, &wire{n, r}, r.machine)
+	}
+	return n
+}
+
+func (n *network) number(limit int) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.random.IntN(limit)
+}
+
+func (n *network) delay() { time.Sleep(time.Duration(n.number(30)) * time.Millisecond) }
+
+// Propose implements consensus.Proposer.
+func (w *wire) Propose(ctx context.Context, command []byte) (machine.Result, error) {
+	w.network.delay()
+	defer w.network.delay()
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	return w.replica.Propose(ctx, command)
+}
+
+// ReadBarrier implements consensus.Proposer.
+func (w *wire) ReadBarrier(ctx context.Context) error {
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	return w.replica.ReadBarrier(ctx)
+}
+
+// Leadership implements consensus.Proposer.
+func (w *wire) Leadership() consensus.Leadership {
+	w.network.mu.Lock()
+	defer w.network.mu.Unlock()
+	return w.replica.Leadership()
+}
+
+// present returns the leading service.
+func (n *network) present() *Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader.service
+}
+
+// changeLeaders elects another leader now and then.
+func (n *network) changeLeaders(ctx context.Context) {
+	for sleep(ctx, time.Duration(200+n.number(600))*time.Millisecond) {
+		next := n.replicas[n.number(len(n.replicas))]
+		n.mu.Lock()
+		n.late = nil
+		n.elect(next)
+		n.mu.Unlock()
+	}
+}
+
+// start runs the services and heartbeating nodes.
+func (n *network) start(t *testing.T, b *background, ids ...ident.NodeID) {
+	for _, r := range n.replicas {
+		b.group.Go(func() { r.service.Run(b.ctx) })
+	}
+	for _, id := range ids {
+		f := newFakeNode(id, nil)
+		b.group.Go(func() {
+			for sleep(b.ctx, HeartbeatInterval/5) {
+				f.service = n.present()
+				f.beat(t)
+			}
+		})
+	}
+	b.group.Go(func() { n.changeLeaders(b.ctx) })
+}
+
+// history records operations. An operation of unknown outcome may take effect
+// at any time after its call.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+func (h *history) add(client int, input any, call time.Time, output any, returned time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{
+		ClientId: client, Input: input, Call: call.UnixNano(), Output: output, Return: returned.UnixNano(),
+	})
+}
+
+// never is when operations of unknown outcome return.
+var never = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// record runs one call and records it unless it certainly had no effect.
+// output is read only when the outcome is known.
+func (h *history) record(n *network, client int, input any, run func() (Status, string)) (output string, known bool) {
+	call := time.Now()
+	n.delay()
+	status, output := run()
+	n.delay()
+	lost := n.number(12) == 0
+	switch {
+	case status.NotLeader:
+		return "", false
+	case status.Uncertain || lost:
+		h.add(client, input, call, "?", never)
+		return "", false
+	}
+	h.add(client, input, call, output, time.Now())
+	return output, true
+}
+
+// ledgerInput is one operation on a key.
+type ledgerInput struct {
+	kind    string
+	key     ledger.Key
+	gateway ident.NodeID
+	request ident.RequestID
+	attempt uint32
+}
+
+// ledgerState is the model's state of one key.
+type ledgerState struct {
+	state   string
+	gateway ident.NodeID
+	request ident.RequestID
+	attempt uint32
+	body    string
+	// dead is the gateway whose lease has ended.
+	dead ident.NodeID
+}
+
+// stepLedger is the table of verdicts for one key.
+func stepLedger(s ledgerState, in ledgerInput) (string, ledgerState) {
+	same := s.request == in.request
+	switch in.kind {
+	case "die":
+		if s.dead = in.gateway; s.state == "running" && s.gateway == in.gateway {
+			s.state = "lost"
+		}
+		return "", s
+	case "claim":
+		switch {
+		case in.gateway == s.dead, s.state == "" && same && in.attempt <= s.attempt && s.request != "":
+			return string(ledger.VerdictStale), s
+		case s.state == "":
+			s.state, s.gateway, s.request, s.attempt = "running", in.gateway, in.request, in.attempt
+			return string(ledger.VerdictGranted), s
+		case s.state == "running" && same && s.gateway == in.gateway && s.attempt == in.attempt:
+			return string(ledger.VerdictGranted), s
+		case s.state == "running":
+			return string(ledger.VerdictRunning), s
+		case s.state == "recorded":
+			return string(ledger.VerdictRecorded) + s.body, s
+		}
+		return string(ledger.VerdictMayHaveRun), s
+	case "release":
+		switch {
+		case s.request != "" && (!same || s.attempt != in.attempt):
+			return string(ledger.OutcomeNotHeld), s
+		case s.state == "recorded":
+			return string(ledger.OutcomeKnown), s
+		}
+		s.state, s.request, s.attempt = "", in.request, in.attempt
+		return string(ledger.OutcomeDone), s
+	}
+	switch { // complete
+	case s.state == "" || !same:
+		return string(ledger.OutcomeNotHeld), s
+	case s.state == "recorded":
+		return string(ledger.OutcomeKnown), s
+	}
+	s.state, s.body = "recorded", string(in.request)
+	return string(ledger.OutcomeDone), s
+}
+
+var ledgerModel = porcupine.Model{
+	Init: func() any { return ledgerState{} },
+	Step: func(state, input, output any) (bool, any) {
+		want, next := stepLedger(state.(ledgerState), input.(ledgerInput))
+		return output == "?" || output == want, next
+	},
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[ledger.Key][]porcupine.Operation{}
+		for _, op := range ops {
+			key := op.Input.(ledgerInput).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+}
+
+// call sends one operation to the leading service.
+func (in ledgerInput) call(s *Service) (Status, string) {
+	if in.kind == "claim" {
+		var reply ClaimReply
+		claim := ledger.Claim{Key: in.key, Gateway: in.gateway, Incarnation: 1, Request: in.request, Attempt: in.attempt}
+		_ = s.Claim(&ClaimArgs{Claim: claim}, &reply)
+		body := ""
+		if reply.Result.Answer != nil {
+			body = string(reply.Result.Answer.Body)
+		}
+		return reply.Status, string(reply.Result.Verdict) + body
+	}
+	var reply LedgerReply
+	if in.kind == "release" {
+		_ = s.Release(&ReleaseArgs{Release: ledger.Release{Key: in.key, Request: in.request, Attempt: in.attempt}}, &reply)
+	} else {
+		answer := &ledger.Answer{Status: 200, Body: []byte(in.request)}
+		_ = s.Complete(&CompleteArgs{Complete: ledger.Complete{Key: in.key, Request: in.request, Answer: answer}}, &reply)
+	}
+	return reply.Status, string(reply.Outcome)
+}
+
+// gateway claims, resends, releases and completes over few keys.
+func (h *history) gateway(n *network, client int, id ident.NodeID, keys []ledger.Key) {
+	for i := range 12 {
+		time.Sleep(time.Duration(n.number(400)) * time.Millisecond)
+		in := ledgerInput{"claim", keys[n.number(len(keys))], id, ident.RequestID(fmt.Sprint(id, "-", i)), 0}
+		granted := false
+		for try := 0; try < 4 && !granted; try++ {
+			verdict, known := h.record(n, client, in, func() (Status, string) { return in.call(n.present()) })
+			granted = verdict == string(ledger.VerdictGranted)
+			if known && !granted {
+				break
+			}
+		}
+		in.kind = []string{"release", "complete", "none"}[n.number(3)]
+		if !granted && in.kind != "none" {
+			in.kind = "release"
+		}
+		for try := 0; try < 2 && in.kind != "none"; try++ {
+			h.record(n, client, in, func() (Status, string) { return in.call(n.present()) })
+		}
+		if n.number(3) == 0 {
+			// A copy of the claim that the network kept back.
+			in.kind = "claim"
+			h.record(n, client, in, func() (Status, string) { return in.call(n.present()) })
+		}
+	}
+}
+
+// seeds returns the seeds of the histories.
+func seeds(t *testing.T, count uint64) []uint64 {
+	first := uint64(1)
+	if text, set := os.LookupEnv("FLAMINGOHAVEN_SEED"); set {
+		n, err := strconv.ParseUint(text, 10, 64)
+		must.NoError(t, err)
+		first = n
+	}
+	list := make([]uint64, count)
+	for i := range list {
+		list[i] = first + uint64(i)
+	}
+	return list
+}
+
+// TestLedger_LinearizableUnderFaults lets gateways race over few keys while
+// answers are lost, leaders change and one gateway dies.
+func TestLedger_LinearizableUnderFaults(t *testing.T) {
+	for _, seed := range seeds(t, 10) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBackground(t)
+			n := newNetwork(seed)
+			dying := newBackground(t)
+			n.start(t, b, "g1", "g2", "g3")
+			n.start(t, dying, "g4")
+			time.Sleep(2 * time.Second)
+			keys := []ledger.Key{newKey(1), newKey(2), newKey(3), newKey(4), newKey(5), newKey(6)}
+			h := &history{}
+			var clients sync.WaitGroup
+			for i, id := range []ident.NodeID{"g1", "g2", "g3", "g4"} {
+				clients.Go(func() { h.gateway(n, i, id, keys) })
+			}
+			time.Sleep(time.Second)
+			died := time.Now()
+			dying.stop()
+			clients.Wait()
+			time.Sleep(5 * time.Second)
+			for _, key := range keys {
+				h.add(4, ledgerInput{kind: "die", key: key, gateway: "g4"}, died, "?", time.Now())
+			}
+			b.stop()
+			must.True(t, porcupine.CheckOperations(ledgerModel, h.ops))
+		})
+	}
+}
+
+// configInput is one operation on the configuration; an empty id reads it.
+type configInput struct {
+	id   config.OperationID
+	base ident.Revision
+}
+
+// configState is the model's state: the present revision, its author, and the
+// first outcome of every operation.
+type configState struct {
+	revision ident.Revision
+	who      config.OperationID
+	first    string
+}
+
+func stepConfig(s configState, in configInput) (string, configState) {
+	if in.id == "" {
+		return fmt.Sprint(s.revision), s
+	}
+	if _, rest, known := strings.Cut(s.first, "\n"+string(in.id)+"="); known {
+		outcome, _, _ := strings.Cut(rest, "\n")
+		return outcome, s
+	}
+	outcome := fmt.Sprint(config.VerdictConflict, " ", s.revision, " ", s.who)
+	if in.base == s.revision {
+		s.revision++
+		s.who = in.id
+		outcome = fmt.Sprint(config.VerdictAccepted, " ", s.revision, " ", s.who)
+	}
+	s.first += "\n" + string(in.id) + "=" + outcome + "\n"
+	return outcome, s
+}
+
+var configModel = porcupine.Model{
+	Init: func() any { return configState{} },
+	Step: func(state, input, output any) (bool, any) {
+		want, next := stepConfig(state.(configState), input.(configInput))
+		return output == "?" || output == want, next
+	},
+}
+
+// operator reads the revision, applies on top of it and resends.
+func (h *history) operator(n *network, client int) {
+	for i := range 5 {
+		base := ident.Revision(0)
+		h.record(n, client, configInput{}, func() (Status, string) {
+			var reply ShowConfigReply
+			_ = n.present().ShowConfig(&ShowConfigArgs{}, &reply)
+			base = reply.Revision
+			return reply.Status, fmt.Sprint(reply.Revision)
+		})
+		in := configInput{config.OperationID(fmt.Sprint("op", client, "-", i)), base}
+		args := sampleArgs(in.id, base, fmt.Sprintf("teams: {north: {shares: %d}}", 1+client*10+i))
+		args.Who = string(in.id)
+		args.Wait = time.Nanosecond
+		for range 3 {
+			h.record(n, client, in, func() (Status, string) {
+				var reply ApplyConfigReply
+				_ = n.present().ApplyConfig(args, &reply)
+				return reply.Status, fmt.Sprint(reply.Outcome.Verdict, " ", reply.Outcome.Revision, " ", reply.Outcome.Who)
+			})
+		}
+	}
+}
+
+// TestConfig_LinearizableUnderFaults lets operators race under equal bases and
+// resend after lost answers while leaders change.
+func TestConfig_LinearizableUnderFaults(t *testing.T) {
+	for _, seed := range seeds(t, 10) {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBackground(t)
+			n := newNetwork(seed)
+			n.start(t, b, "g1")
+			time.Sleep(2 * time.Second)
+			h := &history{}
+			var operators sync.WaitGroup
+			for i := range 3 {
+				operators.Go(func() { h.operator(n, i) })
+			}
+			operators.Wait()
+			b.stop()
+			must.True(t, porcupine.CheckOperations(configModel, h.ops))
+		})
+	}
+}
--- a/internal/coordination/control/types.go
+++ b/internal/coordination/control/types.go
@@ -15,7 +15,7 @@
 type Status struct {
 	// NotLeader means that the call had certainly no effect here.
 	NotLeader bool
-	// Redirect is the replica believed to lead, with NotLeader; empty if unknown.
+	// Redirect is the replica believed to lead; empty if unknown.
 	Redirect ident.NodeID
 	// Uncertain means that the call may or may not take effect. Every call may
 	// be sent again with the same arguments.
