Measure a version that is half slower on one route

Cause: slowness was measured at 2.5 times only. Change: one more bad version; at the deadline the lack of capacity is named before the evidence that it keeps away. Conclusion: small slowness needs a test of its own.

--- a/internal/coordination/moves/bench_test.go
+++ b/internal/coordination/moves/bench_test.go
@@ -27,6 +27,7 @@
 	{"slow-under-load", fault{minLoad: 0.4, slow: 2.5}},
 	{"fails-one-route", fault{route: "reviews", failRate: 0.9}},
 	{"slow-one-route", fault{route: "summaries", slow: 2.5}},
+	{"half-slower-one-route", fault{route: "summaries", slow: 1.5}},
 	{"fails-non-idempotent-route", fault{route: "entries", failRate: 0.9}},
 }
 
--- a/internal/coordination/moves/progress.go
+++ b/internal/coordination/moves/progress.go
@@ -97,21 +97,21 @@
 	case m.capacityLimit() == 0:
 		m.Abort(fmt.Sprintf("no upstream with %s is ready at the deadline", m.spec.To))
 	default:
-		lack := m.lacking(now)
-		if lack == "" {
-			lack = m.unfinished(now)
-		}
-		m.Abort("not done by the deadline: " + lack)
+		m.Abort("not done by the deadline: " + m.unfinished(now))
 	}
 }
 
+// unfinished says what kept the move from being done.
 func (m *Move) unfinished(now time.Time) string {
-	if m.committed.State == move.StateWatching {
-		return fmt.Sprintf("watched for %v of %v", now.Sub(m.committed.At).Round(time.Second), m.spec.Watch)
-	}
 	if limit := m.capacityLimit(); limit < 1 {
 		return fmt.Sprintf("the ready upstreams with %s can carry %.0f%% of the traffic", m.spec.To, 100*limit)
 	}
+	if lack := m.lacking(now); lack != "" {
+		return lack
+	}
+	if m.committed.State == move.StateWatching {
+		return fmt.Sprintf("watched for %v of %v", now.Sub(m.committed.At).Round(time.Second), m.spec.Watch)
+	}
 	return fmt.Sprintf("reached %.0f%% of idempotent and %.0f%% of other traffic",
 		100*m.committed.Share, 100*m.committed.NonIdempotentShare)
 }
