--- a/internal/coordination/moves/baseline.go
+++ b/internal/coordination/moves/baseline.go
@@ -19,6 +19,9 @@
 	maxBaseFailures = 0.3
 	// baseSlowRate is the rate of slow samples that the baseline test allows.
 	baseSlowRate = 0.15
+	// baseMiddleRate is the rate of samples above the mean and the tolerance
+	// that the middle test allows.
+	baseMiddleRate = 0.5
 	// slowDeviations is how many standard deviations above the old version's
 	// mean log latency a sample counts as slow.
 	slowDeviations = 1.5
@@ -30,7 +33,7 @@
 
 // baseEffects are the alternatives of the baseline test: the rate of bad
 // samples of a bad version.
-var baseEffects = [...]float64{0.3, 0.6, 0.95}
+var baseEffects = [...]float64{0.3, 0.65, 0.95}
 
 const (
 	// betLimit is how many new samples may count against the baseline before
@@ -56,6 +59,14 @@
 	return baseline{tests: newTests(len(baseEffects))}
 }
 
+func (b *baseline) add(isNew, bad bool, rate float64, band int, released float64) {
+	if isNew {
+		b.addNew(bad, rate, band, released)
+	} else {
+		b.addOld(bad, rate)
+	}
+}
+
 func (b *baseline) addOld(bad bool, rate float64) {
 	b.oldRun.add(bad, rate)
 	b.bets = 0
@@ -113,9 +124,10 @@
 	return r.n >= referenceMin
 }
 
-// slow reports whether a sample is unusually slow.
-func (r *reference) slow(log, margin float64) bool {
-	limit := r.mean + slowDeviations*math.Sqrt(r.variance) + margin
+// slow reports whether a sample is slower than the mean by more than the
+// given standard deviations and margin.
+func (r *reference) slow(log, deviations, margin float64) bool {
+	limit := r.mean + deviations*math.Sqrt(r.variance) + margin
 	return log > limit
 }
 
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -18,6 +18,9 @@
 	metricCount
 )
 
+// testKinds counts the tests of one metric: concurrent, baseline and middle.
+const testKinds = 3
+
 // stratum selects samples that are compared with each other. Load bands stand
 // apart for references only; comparisons match them by themselves.
 type stratum struct {
@@ -67,6 +70,9 @@
 	blocks     map[stratum]*block
 	references map[stratum]*reference
 	baselines  [metricCount]baseline
+	// middles compares latencies with the old version's mean, for slowness too
+	// small to make samples unusual.
+	middles [metricCount]baseline
 
 	rate     rateMeter
 	oldRate  float64
@@ -99,6 +105,7 @@
 	}
 	for m := range e.baselines {
 		e.baselines[m] = newBaseline()
+		e.middles[m] = newBaseline()
 	}
 	e.tests[metricFailure] = newTests(len(failureEffects))
 	e.tests[metricFirstToken] = newTests(len(slownessEffects))
@@ -118,12 +125,12 @@
 	for m := metricFailure; m < metricCount; m++ {
 		sum += e.against(m)
 	}
-	e.total = sum / float64(2*metricCount)
+	e.total = sum / float64(testKinds*metricCount)
 }
 
 // against is the evidence of one metric.
 func (e *routeEvidence) against(m metric) float64 {
-	return e.tests[m].value() + e.baselines[m].tests.value()
+	return e.tests[m].value() + e.baselines[m].tests.value() + e.middles[m].tests.value()
 }
 
 // suspicious reports whether recent samples call for a smaller share.
@@ -163,7 +170,7 @@
 	if s.Failed {
 		value = 1
 	}
-	e.addBaseline(metricFailure, isNew, s.Failed, e.baseFailures(), loadBand(s.Load), released)
+	e.baselines[metricFailure].add(isNew, s.Failed, e.baseFailures(), loadBand(s.Load), released)
 	c, ok := e.block(stratum{metric: metricFailure}).add(isNew, reading{at: now, value: value})
 	if isNew {
 		e.newBand = loadBand(s.Load)
@@ -184,14 +191,6 @@
 	return min(max(2*e.oldRate, minBaseFailures), maxBaseFailures)
 }
 
-func (e *routeEvidence) addBaseline(m metric, isNew, bad bool, rate float64, band int, released float64) {
-	if isNew {
-		e.baselines[m].addNew(bad, rate, band, released)
-	} else {
-		e.baselines[m].addOld(bad, rate)
-	}
-}
-
 func (e *routeEvidence) count(isNew, failed bool, value float64) {
 	o := &e.older
 	if isNew {
@@ -215,7 +214,8 @@
 	ref := e.reference(key)
 	r := reading{at: now, value: log, band: key.load, known: ref.known(), adjusted: log - ref.mean}
 	if r.known {
-		e.addBaseline(m, isNew, ref.slow(log, e.margin), baseSlowRate, key.load, released)
+		e.baselines[m].add(isNew, ref.slow(log, slowDeviations, e.margin), baseSlowRate, key.load, released)
+		e.middles[m].add(isNew, ref.slow(log, 0, e.margin), baseMiddleRate, key.load, released)
 	}
 	if r.known && isNew {
 		e.ratio[m].add(r.adjusted, now)
