Ask for more samples where a fault would harm more

Cause: from 40% on a step took seconds, long before small slowness can show. Change: the samples of a step grow with the square root of the share.

--- a/internal/coordination/moves/plan.go
+++ b/internal/coordination/moves/plan.go
@@ -1,6 +1,9 @@
 package moves
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// stepFactor and stepMax bound a step: the share at most doubles and grows
@@ -8,7 +11,7 @@
 	stepFactor = 2.0
 	stepMax    = 0.25
 	// stepSamples is the number of compared samples that each route needs at
-	// the present share before the next step.
+	// the first share before the next step.
 	stepSamples = 24
 	// stepSamplesMin is the least number, however close the deadline is.
 	stepSamplesMin = 6
@@ -59,27 +62,32 @@
 	return next
 }
 
-// stepsWork returns the sum over the steps still to go, from share, of the
-// reciprocal of the share: the time they take for one sample at one request a
-// second.
+// stepWeight returns how many times the samples of the first step are needed
+// at a share: more where a fault harms more.
+func stepWeight(share, canary float64) float64 {
+	return math.Sqrt(max(share/canary, 1))
+}
+
+// stepsWork returns the time that the steps still to go from share take when
+// the first step needs one sample, at one request a second, in seconds.
 func stepsWork(share, canary float64) float64 {
 	work := 0.0
 	for share < 1 {
 		if share > 0 {
-			work += 1 / share
+			work += stepWeight(share, canary) / share
 		}
 		share = nextShare(share, canary)
 	}
 	return work
 }
 
-// neededSamples returns how many compared samples a route needs for a step,
-// when its phases have the given work left and rate is in requests a second.
-// It falls with the time left, but not below stepSamplesMin.
-func neededSamples(work, rate float64, left time.Duration) int {
-	if work <= 0 {
-		return stepSamples
+// neededSamples returns how many compared samples a route needs for a step of
+// the given weight, when its phase has the given work left and rate is in
+// requests a second. It falls with the time left, but not below stepSamplesMin.
+func neededSamples(weight, work, rate float64, left time.Duration) int {
+	first := float64(stepSamples)
+	if work > 0 {
+		first = min(first, planMargin*left.Seconds()*rate/work)
 	}
-	possible := planMargin * left.Seconds() * rate / work
-	return int(min(max(possible, stepSamplesMin), stepSamples))
+	return int(max(first*weight, stepSamplesMin))
 }
--- a/internal/coordination/moves/progress.go
+++ b/internal/coordination/moves/progress.go
@@ -184,19 +184,19 @@
 
 // needed returns the compared samples that a route needs for the next step.
 func (m *Move) needed(e *routeEvidence, now time.Time) int {
+	canary := m.spec.CanaryShare
 	if m.committed.State == move.StateWatching {
 		return stepSamples
 	}
-	work := stepsWork(m.committed.NonIdempotentShare, m.spec.CanaryShare)
+	share := m.committed.NonIdempotentShare
 	left := m.timeToGrow(now)
 	if m.committed.Share < 1 {
-		idempotent := stepsWork(m.committed.Share, m.spec.CanaryShare)
+		share = m.committed.Share
 		if m.anySeen(false) && !m.onlyNonIdempotent(now) {
 			left /= 2
 		}
-		work = idempotent
 	}
-	return neededSamples(work, e.rate.perSecond(now), left)
+	return neededSamples(stepWeight(share, canary), stepsWork(share, canary), e.rate.perSecond(now), left)
 }
 
 // recover lets a reduced share double once the routes that raised the
