Take slowness common to both versions off the record

Change: records remember long; the old version's present drift is taken off before a new sample counts against its record, and the rate that is allowed is no less than the old version's own recent one.

--- a/internal/coordination/moves/baseline.go
+++ b/internal/coordination/moves/baseline.go
@@ -25,8 +25,15 @@
 	// slowDeviations is how many standard deviations above the old version's
 	// mean log latency a sample counts as slow.
 	slowDeviations = 1.5
-	// referenceWeight is the weight of one sample in a reference.
-	referenceWeight = 0.02
+	// referenceWeight is the least weight of one sample in a reference: it
+	// remembers long, so that a short slowdown does not become the record of
+	// the strata that the old version happens to be in.
+	referenceWeight = 0.002
+	// driftWeight is the weight of one sample in the old version's present
+	// distance from its references.
+	driftWeight = 0.1
+	// failureWeight is the least weight of one sample in the failure rate.
+	failureWeight = 0.005
 	// referenceMin is the least number of samples for a reference to be used.
 	referenceMin = 50
 )
@@ -42,6 +49,10 @@
 	// wellLimit is the old version's own log-likelihood, in nats, above which
 	// trouble counts as common to both versions.
 	wellLimit = 2.0
+	// recentWeight is the weight of one sample in the old version's recent rate.
+	recentWeight = 0.1
+	// maxAllowedRate is the rate above which nothing counts.
+	maxAllowedRate = 0.9
 )
 
 // baseline compares the new version with the recorded behaviour of the old
@@ -53,6 +64,8 @@
 	newRun cusum
 	oldRun cusum
 	bets   int
+	// oldRate is the old version's recent rate of bad samples.
+	oldRate float64
 }
 
 func newBaseline() baseline {
@@ -70,11 +83,24 @@
 func (b *baseline) addOld(bad bool, rate float64) {
 	b.oldRun.add(bad, rate)
 	b.bets = 0
+	value := 0.0
+	if bad {
+		value = 1
+	}
+	b.oldRate += recentWeight * (value - b.oldRate)
+}
+
+// allowed returns the rate of bad samples that is no worse than the recorded
+// rate and than the old version's own recent one, with two standard errors.
+func (b *baseline) allowed(rate float64) float64 {
+	r := b.oldRate
+	return max(rate, r+2*math.Sqrt(r*(1-r)*recentWeight/(2-recentWeight)))
 }
 
 func (b *baseline) addNew(bad bool, rate float64, band int, released float64) {
 	b.newRun.add(bad, rate)
-	if b.bets >= betLimit || b.oldRun.sum > wellLimit {
+	rate = b.allowed(rate)
+	if b.bets >= betLimit || b.oldRun.sum > wellLimit || rate > maxAllowedRate {
 		return
 	}
 	b.bets++
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -80,6 +80,9 @@
 	seen     int
 	newer    outcomes
 	older    outcomes
+	// drift is the old version's present distance from its references, as the
+	// smoothed difference of log latencies, by metric.
+	drift [metricCount]float64
 	// ratio is the smoothed log of new over old latency, by metric.
 	ratio [metricCount]level
 	// forgiven is the evidence at the last suspicion.
@@ -196,7 +199,7 @@
 	if isNew {
 		o = &e.newer
 	} else {
-		weight := max(referenceWeight/4, 1/float64(e.older.n+100))
+		weight := max(failureWeight, 1/float64(e.older.n+100))
 		e.oldRate += weight * (value - e.oldRate)
 	}
 	o.n++
@@ -214,8 +217,7 @@
 	ref := e.reference(key)
 	r := reading{at: now, value: log, band: key.load, known: ref.known(), adjusted: log - ref.mean}
 	if r.known {
-		e.baselines[m].add(isNew, ref.slow(log, slowDeviations, e.margin), baseSlowRate, key.load, released)
-		e.middles[m].add(isNew, ref.slow(log, 0, e.margin), baseMiddleRate, key.load, released)
+		e.compareWithRecord(m, isNew, ref, log, key.load, released)
 	}
 	if r.known && isNew {
 		e.ratio[m].add(r.adjusted, now)
@@ -233,6 +235,19 @@
 	})
 }
 
+// compareWithRecord runs the tests against the old version's record, from
+// which its own present drift is taken off for the new version.
+func (e *routeEvidence) compareWithRecord(m metric, isNew bool, ref *reference, log float64, band int, released float64) {
+	margin := e.margin
+	if isNew {
+		margin += max(e.drift[m], 0)
+	} else {
+		e.drift[m] += driftWeight * (log - ref.mean - e.drift[m])
+	}
+	e.baselines[m].add(isNew, ref.slow(log, slowDeviations, margin), baseSlowRate, band, released)
+	e.middles[m].add(isNew, ref.slow(log, 0, margin), baseMiddleRate, band, released)
+}
+
 func (e *routeEvidence) block(key stratum) *block {
 	b := e.blocks[key]
 	if b == nil {
--- a/internal/coordination/moves/model_test.go
+++ b/internal/coordination/moves/model_test.go
@@ -74,6 +74,8 @@
 	outage time.Duration
 	// troubleAt is when both versions fail often for a minute; zero is never.
 	troubleAt time.Duration
+	// slowAt is when both versions slow down for five minutes; zero is never.
+	slowAt time.Duration
 	// burst multiplies the rate between burstFrom and burstTo.
 	burst              float64
 	burstFrom, burstTo time.Duration
@@ -279,6 +281,9 @@
 	first := float64(route.service) / 4 * factor * (1 + float64(prompt)/500)
 	total := float64(route.service) * factor
 	perToken := float64(20*time.Millisecond) * math.Exp(0.3*r.rng.NormFloat64()) * (1 + load*load)
+	if r.model.slowAt > 0 && r.now >= r.model.slowAt && r.now < r.model.slowAt+5*time.Minute {
+		first, total, perToken = 1.8*first, 1.8*total, 1.8*perToken
+	}
 	failed := r.rng.Float64() < r.model.failRate
 	if r.now >= r.model.troubleAt && r.now < r.model.troubleAt+time.Minute && r.model.troubleAt > 0 {
 		failed = failed || r.rng.Float64() < 0.3
