Let the length of a suspicious run grow with the samples

Cause: three failures of five happen by chance among 60000 samples; a good version was suspected four times in 78 minutes. Change: the limit is at least the logarithm of the samples plus 3 nats.

--- a/internal/coordination/moves/baseline.go
+++ b/internal/coordination/moves/baseline.go
@@ -6,11 +6,14 @@
 )
 
 const (
-	// suspicionLimit is the log-likelihood, in nats, at which a run of bad
-	// samples makes the controller retreat to the first share.
+	// suspicionLimit is the least log-likelihood, in nats, at which a run of
+	// bad samples makes the controller reduce the share. It grows with the
+	// logarithm of the samples, since runs by chance do.
 	suspicionLimit = 8.0
-	// suspicionExcess bounds how far a long run goes beyond the limit.
-	suspicionExcess = 2.0
+	// suspicionMargin is the limit less the logarithm of the samples.
+	suspicionMargin = 3.0
+	// suspicionMax bounds how far a long run goes.
+	suspicionMax = 18.0
 	// badRate is the rate of bad samples that the baseline test looks for.
 	badRate = 0.6
 	// minBaseFailures is the least failure rate that the baseline test allows.
@@ -124,11 +127,12 @@
 	} else {
 		c.sum += math.Log((1 - badRate) / (1 - rate))
 	}
-	c.sum = min(max(c.sum, 0), suspicionLimit+suspicionExcess)
+	c.sum = min(max(c.sum, 0), suspicionMax)
 }
 
-func (c *cusum) raised() bool {
-	return c.sum >= suspicionLimit
+// raised reports whether the run is too long to be chance among n samples.
+func (c *cusum) raised(n int) bool {
+	return c.sum >= max(suspicionLimit, math.Log(float64(n+1))+suspicionMargin)
 }
 
 // reference tracks the log latency of the old version in one stratum.
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -139,7 +139,7 @@
 // suspicious reports whether recent samples call for a smaller share.
 func (e *routeEvidence) suspicious() bool {
 	for m := range e.baselines {
-		if e.baselines[m].newRun.raised() {
+		if e.baselines[m].newRun.raised(e.newer.n) {
 			return true
 		}
 	}
