Hold tickets back from 300 ms of prompt ahead on an engine

Cause: ordinary work placed behind a prompt could not be placed elsewhere any more when a better engine came free.

--- a/internal/coordination/scheduler/backlog.go
+++ b/internal/coordination/scheduler/backlog.go
@@ -4,7 +4,7 @@
 
 // maxBacklog is the expected prefill time ahead on an engine above which
 // further tickets wait in the scheduler's queue, where their order can change.
-const maxBacklog = 500 * time.Millisecond
+const maxBacklog = 300 * time.Millisecond
 
 // overdueAfter is how late a first token may be before the estimate is doubted.
 const overdueAfter = 200 * time.Millisecond
