--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -59,6 +59,8 @@
 	leadership
 
 	out output
+	// appendBytes bounds the entries of one AppendRequest.
+	appendBytes int
 	// broken is set once an invariant is found broken; the replica must stop.
 	broken error
 }
@@ -129,7 +131,7 @@
 
 // newCore returns the core of a replica that was just started.
 func newCore(now time.Time, s start) (*core, error) {
-	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults}
+	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults, appendBytes: maxAppendBytes}
 	c.term = s.hard.Term
 	c.vote = Replica{ID: s.hard.VoteID, Incarnation: s.hard.VoteIncarnation}
 	c.log.reset(s.snapshot.Index, s.snapshot.Term)
--- a/internal/coordination/consensus/core_append.go
+++ b/internal/coordination/consensus/core_append.go
@@ -54,7 +54,7 @@
 		p.snapshotting = true
 		c.out.streams = append(c.out.streams, to)
 	case !p.streaming && p.inFlight == 0:
-		c.sendAppend(now, to, p, p.next-1, c.log.batch(p.next, maxAppendBytes), false)
+		c.sendAppend(now, to, p, p.next-1, c.log.batch(p.next, c.appendBytes), false)
 	case p.streaming:
 		c.streamTo(now, to, p)
 	}
@@ -63,7 +63,7 @@
 // streamTo sends new entries without waiting for answers.
 func (c *core) streamTo(now time.Time, to Replica, p *progress) {
 	for p.next <= c.log.last() && p.inFlight < maxInFlight {
-		entries := c.log.batch(p.next, maxAppendBytes)
+		entries := c.log.batch(p.next, c.appendBytes)
 		c.sendAppend(now, to, p, p.next-1, entries, false)
 		p.next += uint64(len(entries))
 	}
--- a/internal/coordination/consensus/main_test.go
+++ b/internal/coordination/consensus/main_test.go
@@ -21,7 +21,7 @@
 )
 
 // defaultHistories is how many generated histories an ordinary run checks.
-const defaultHistories = "40"
+const defaultHistories = "60"
 
 // TestMain fixes the seed and the number of generated histories.
 func TestMain(m *testing.M) {
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -27,7 +27,8 @@
 	lock    io.Closer
 	log     *wal.Log
 	store   *snap.Store
-	storeMu sync.Mutex
+	// storeTurn holds a token while the store is in use.
+	storeTurn chan struct{}
 
 	core     *core                 // loop
 	own      identity              // loop
@@ -87,6 +88,7 @@
 	r := &replica{
 		opts: opts, machine: m, lock: lock, began: time.Now(),
 		readers:   map[uint64]chan error{},
+		storeTurn: make(chan struct{}, 1),
 		events:    make(chan func(time.Time), eventBuffer),
 		proposals: make(chan proposal),
 		changes:   make(chan struct{}, 1),
--- a/internal/coordination/consensus/script_test.go
+++ b/internal/coordination/consensus/script_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -25,10 +26,15 @@
 	actCrash       action = "crash"
 	actCrashTwo    action = "crash two"
 	actCrashLeader action = "crash leader"
+	actCrashAll    action = "crash all and restart"
 	actStop        action = "stop"
 	actLoseDisk    action = "lose disk"
+	actLoseNewer   action = "lose a disk while the others are behind or down"
 	actIsolate     action = "isolate"
 	actCutOneWay   action = "cut one way"
+	actIsolateLead action = "isolate leader"
+	actRestartPeer action = "cut a follower off the leader, then cut all and restart the others"
+	actHandOver    action = "restart the leader gracefully"
 	actHeal        action = "heal"
 	actFailSync    action = "fail sync"
 	actSlowDisk    action = "slow disk"
@@ -36,8 +42,9 @@
 )
 
 var actions = []action{
-	actWait, actStart, actStart, actKill, actCrash, actCrashTwo, actCrashLeader, actCrashLeader, actStop,
-	actLoseDisk, actLoseDisk, actIsolate, actIsolate, actCutOneWay, actHeal, actFailSync, actSlowDisk, actLossy,
+	actWait, actStart, actStart, actKill, actCrash, actCrashTwo, actCrashAll, actCrashAll, actCrashLeader, actCrashLeader, actStop,
+	actLoseDisk, actLoseDisk, actLoseNewer, actLoseNewer, actIsolate, actIsolateLead, actIsolateLead, actCutOneWay, actRestartPeer, actRestartPeer,
+	actHandOver, actHandOver, actHeal, actHeal, actFailSync, actSlowDisk, actLossy,
 }
 
 // step is one action, then a pause.
@@ -57,8 +64,8 @@
 	Steps []step
 }
 
-// maxDriftPercent keeps two clocks within the margin of the lease.
-const maxDriftPercent = 4
+// rates of the clocks in percent stay within the margin of the lease.
+var rates = []int{96, 104}
 
 var stepGen = rapid.Custom(func(t *rapid.T) step {
 	pause := rapid.OneOf(rapid.IntRange(0, 30), rapid.IntRange(100, 1500)).Draw(t, "pause")
@@ -74,13 +81,16 @@
 	return script{
 		Seed:     rapid.Int64().Draw(t, "seed"),
 		Replicas: rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "replicas"),
-		Rates:    rapid.SliceOfN(rapid.IntRange(100-maxDriftPercent, 100+maxDriftPercent), 5, 5).Draw(t, "rates"),
+		Rates:    rapid.SliceOfN(rapid.SampledFrom(rates), 5, 5).Draw(t, "rates"),
 		Steps:    rapid.SliceOfN(stepGen, 10, 40).Draw(t, "steps"),
 	}
 })
 
+// soundDisk is a disk without faults but those of a loss of power.
+var soundDisk = disk.Faults{Tear: true, SyncDelay: 3 * time.Millisecond}
+
 // fuzzTiming makes elections follow closely on the end of a promise.
-var fuzzTiming = Timing{ElectionMax: DefaultElectionMin + 100*time.Millisecond}
+var fuzzTiming = Timing{ElectionMax: DefaultElectionMin + 50*time.Millisecond}
 
 // recorder keeps the callers' calls for the check of linearizability.
 type recorder struct {
@@ -119,7 +129,9 @@
 	script   script
 	recorder recorder
 	stopped  chan struct{}
-	wg       sync.WaitGroup
+	// quiet keeps the callers from calling.
+	quiet atomic.Bool
+	wg    sync.WaitGroup
 }
 
 // play runs a history in virtual time and returns its first violation. It must
@@ -130,7 +142,7 @@
 	r.recorder.began = time.Now()
 	for i, id := range r.ids {
 		r.members[id].rate = float64(s.Rates[i]) / 100
-		r.members[id].fs.Inject(disk.Faults{Tear: true})
+		r.members[id].fs.Inject(soundDisk)
 	}
 	defer r.stopAll()
 	if err := r.startAll(); err != nil {
@@ -174,16 +186,32 @@
 	case actCrashTwo:
 		r.crash(m.id)
 		r.crash(other.id)
+	case actCrashAll:
+		for _, id := range r.ids {
+			r.members[id].fs.Crash()
+		}
+		for _, id := range r.ids {
+			r.kill(id)
+			r.restart(id)
+		}
 	case actCrashLeader:
 		r.crashLeader(st)
 	case actStop:
 		r.stop(m.id)
 	case actLoseDisk:
 		r.loseDisk(m)
+	case actLoseNewer:
+		r.loseNewer(m)
 	case actIsolate:
-		for _, id := range r.ids {
-			r.net.setCut(m.id, id, true)
-			r.net.setCut(id, m.id, true)
+		r.isolate(m)
+	case actIsolateLead:
+		r.isolateLeader()
+	case actRestartPeer:
+		r.restartPeers(m, time.Duration(st.Other)*50*time.Millisecond)
+	case actHandOver:
+		if l := r.leading(); l != nil {
+			r.stop(l.id)
+			r.restart(l.id)
 		}
 	case actCutOneWay:
 		r.net.setCut(m.id, other.id, true)
@@ -207,7 +235,7 @@
 		return
 	}
 	r.crash(id)
-	m.fs.Inject(disk.Faults{Tear: true})
+	m.fs.Inject(soundDisk)
 	if err := r.start(id); err != nil {
 		r.oracle.fail("start of %s: %v", id, err)
 	}
@@ -228,15 +256,70 @@
 	}
 }
 
-// loseDisk replaces a disk by an empty one, once the last repair is complete.
-func (r *run) loseDisk(m *member) {
-	if !r.repaired() {
+// isolate cuts a node off from all others.
+func (r *run) isolate(m *member) {
+	for _, id := range r.ids {
+		r.net.setCut(m.id, id, true)
+		r.net.setCut(id, m.id, true)
+	}
+}
+
+// isolateLeader cuts the leader off. It prefers one with a slow clock, whose
+// lease seems to it to last longer.
+func (r *run) isolateLeader() {
+	for range len(r.ids) {
+		l, err := r.waitLeading(2 * time.Second)
+		if err != nil {
+			return
+		}
+		if l.rate < 1 {
+			r.isolate(l)
+			time.Sleep(DefaultElectionMin + DefaultHeartbeat)
+			return
+		}
+		r.stop(l.id)
+		r.restart(l.id)
+	}
+}
+
+// restartPeers cuts a follower off the leader until it is about to campaign,
+// then cuts the leader off and restarts the others, which had promised it not
+// to vote.
+func (r *run) restartPeers(m *member, extra time.Duration) {
+	l := r.leading()
+	if l == nil || l == m {
 		return
 	}
+	r.quiet.Store(true)
+	defer r.quiet.Store(false)
+	time.Sleep(DefaultHeartbeat)
+	r.net.setCut(m.id, l.id, true)
+	r.net.setCut(l.id, m.id, true)
+	time.Sleep(DefaultElectionMin - 2*DefaultHeartbeat + extra)
+	r.isolate(l)
+	for _, id := range r.ids {
+		if id != m.id && id != l.id {
+			r.crash(id)
+			r.restart(id)
+		}
+	}
+	time.Sleep(DefaultElectionMin)
+}
+
+// sound reports whether the last repair is complete and committed.
+func (r *run) sound() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	l := r.leading()
-	if l == nil || r.put(ctx, l, command{ID: r.recorder.next(), Key: "repair"}) != nil || !r.repaired() {
+	if l == nil || !r.repaired() {
+		return false
+	}
+	return r.put(ctx, l, command{ID: r.recorder.next(), Key: "repair"}) == nil && r.repaired()
+}
+
+// loseDisk replaces a disk by an empty one, once the last repair is complete.
+func (r *run) loseDisk(m *member) {
+	if !r.sound() {
 		return
 	}
 	r.crash(m.id)
@@ -244,6 +327,28 @@
 	r.restart(m.id)
 }
 
+// loseNewer lets one follower fall behind, then replaces the disk of another
+// and takes the power from the leader, which alone holds the newest entries.
+func (r *run) loseNewer(behind *member) {
+	l := r.leading()
+	if l == nil || l == behind || !r.sound() {
+		return
+	}
+	r.isolate(behind)
+	time.Sleep(DefaultHeartbeat)
+	r.crash(l.id)
+	for _, id := range r.ids {
+		if id != l.id && id != behind.id {
+			r.crash(id)
+			r.members[id].fs.Wipe()
+			r.restart(id)
+			break
+		}
+	}
+	r.net.heal()
+	time.Sleep(2 * DefaultElectionMax)
+}
+
 // background starts the callers and the watch over the leases.
 func (r *run) background() {
 	for client := range 3 {
@@ -251,7 +356,7 @@
 		r.wg.Go(func() { r.callAtRandom(client, rng) })
 	}
 	r.wg.Go(func() {
-		for r.sleep(2 * time.Millisecond) {
+		for r.sleep(time.Millisecond) {
 			r.watch()
 		}
 	})
@@ -296,6 +401,9 @@
 func (r *run) callAtRandom(client int, rng *rand.Rand) {
 	target := r.node(client)
 	for r.sleep(time.Duration(1+rng.Intn(60)) * time.Millisecond) {
+		if r.quiet.Load() {
+			continue
+		}
 		in := call{Key: string(rune('p' + rng.Intn(6))), Write: rng.Intn(2) == 0}
 		var hint *NotLeaderError
 		err := r.call(client, target, in)
@@ -341,7 +449,7 @@
 func (r *run) settle() {
 	r.net.heal()
 	for _, id := range r.ids {
-		r.members[id].fs.Inject(disk.Faults{Tear: true})
+		r.members[id].fs.Inject(soundDisk)
 		r.restart(id)
 	}
 	for end := time.Now().Add(time.Minute); !r.repaired(); time.Sleep(10 * time.Millisecond) {
--- a/internal/coordination/consensus/sender.go
+++ b/internal/coordination/consensus/sender.go
@@ -81,9 +81,9 @@
 
 // streamSnapshot returns the index of the snapshot that the peer installed.
 func (r *replica) streamSnapshot(header Header, term uint64) (index uint64, ok bool) {
-	r.storeMu.Lock()
+	r.storeTurn <- struct{}{}
 	snapshot, found, err := r.store.Latest()
-	r.storeMu.Unlock()
+	<-r.storeTurn
 	if err != nil || !found {
 		return 0, false
 	}
--- a/internal/coordination/consensus/writer.go
+++ b/internal/coordination/consensus/writer.go
@@ -129,8 +129,8 @@
 
 // saveSnapshot stores a snapshot and drops older ones.
 func (r *replica) saveSnapshot(s snap.Snapshot) error {
-	r.storeMu.Lock()
-	defer r.storeMu.Unlock()
+	r.storeTurn <- struct{}{}
+	defer func() { <-r.storeTurn }()
 	if err := r.store.Save(s); err != nil {
 		return err
 	}
