--- a/internal/coordination/moves/block.go
+++ b/internal/coordination/moves/block.go
@@ -76,6 +76,9 @@
 type block struct {
 	newer []reading
 	older []reading
+	// rate is the old version's failure rate known when the block was empty:
+	// an alternative may not depend on the outcomes that it is tested on.
+	rate float64
 }
 
 // comparison holds concurrent readings of both versions.
@@ -84,10 +87,13 @@
 	older []reading
 }
 
-// add takes in a reading and returns the comparison that it completes, if any.
-func (b *block) add(isNew bool, r reading) (comparison, bool) {
+// add takes in a reading, with the old version's present failure rate, and returns the comparison that it completes, if any.
+func (b *block) add(isNew bool, r reading, rate float64) (comparison, bool) {
 	b.newer = dropOld(b.newer, r.at)
 	b.older = dropOld(b.older, r.at)
+	if len(b.newer)+len(b.older) == 0 {
+		b.rate = rate
+	}
 	var c comparison
 	if isNew {
 		c.newer = []reading{r}
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -174,14 +174,15 @@
 		value = 1
 	}
 	e.baselines[metricFailure].add(isNew, s.Failed, e.baseFailures(), loadBand(s.Load), released)
-	c, ok := e.block(stratum{metric: metricFailure}).add(isNew, reading{at: now, value: value})
+	b := e.block(stratum{metric: metricFailure})
+	c, ok := b.add(isNew, reading{at: now, value: value}, e.oldRate)
 	if isNew {
 		e.newBand = loadBand(s.Load)
 	}
 	if ok {
 		newer, older := countOutcomes(c.newer), countOutcomes(c.older)
 		e.tests[metricFailure].update(e.newBand, released, func(i int) float64 {
-			return failureFactor(failureEffects[i], e.oldRate, newer, older)
+			return failureFactor(failureEffects[i], b.rate, newer, older)
 		})
 		e.compared += newer.n
 		e.settled += newer.n
@@ -225,7 +226,7 @@
 	if !isNew {
 		ref.add(log)
 	}
-	c, ok := e.block(stratum{metric: m, prompt: key.prompt}).add(isNew, r)
+	c, ok := e.block(stratum{metric: m, prompt: key.prompt}).add(isNew, r, e.oldRate)
 	if !ok {
 		return
 	}
