Let records of latency follow by time, not by samples

Cause: in a common slowdown the old version's busy stratum learned the slowdown within five minutes while the idle strata kept the former record, so the adjusted comparison took a good version back.

--- a/internal/coordination/moves/baseline.go
+++ b/internal/coordination/moves/baseline.go
@@ -28,10 +28,12 @@
 	// slowDeviations is how many standard deviations above the old version's
 	// mean log latency a sample counts as slow.
 	slowDeviations = 1.5
-	// referenceWeight is the least weight of one sample in a reference: it
-	// remembers long, so that a short slowdown does not become the record of
-	// the strata that the old version happens to be in.
-	referenceWeight = 0.002
+	// referenceMemory is the time constant of a reference: it remembers long,
+	// so that a short slowdown does not become the record of the strata that
+	// the old version happens to be in.
+	referenceMemory = 30 * time.Minute
+	// referenceWeight bounds the weight of one sample in a known reference.
+	referenceWeight = 0.02
 	// driftWeight is the weight of one sample in the old version's present
 	// distance from its references.
 	driftWeight = 0.1
@@ -140,11 +142,16 @@
 	n        int
 	mean     float64
 	variance float64
+	last     time.Time
 }
 
-func (r *reference) add(log float64) {
+func (r *reference) add(log float64, now time.Time) {
 	r.n++
-	weight := max(referenceWeight, 1/float64(r.n))
+	weight := 1 / float64(r.n)
+	if r.n > 2*referenceMin {
+		weight = min(now.Sub(r.last).Seconds()/referenceMemory.Seconds(), referenceWeight)
+	}
+	r.last = now
 	d := log - r.mean
 	r.mean += weight * d
 	r.variance = (1 - weight) * (r.variance + weight*d*d)
--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -224,7 +224,7 @@
 		e.ratio[m].add(r.adjusted, now)
 	}
 	if !isNew {
-		ref.add(log)
+		ref.add(log, now)
 	}
 	c, ok := e.block(stratum{metric: m, prompt: key.prompt}).add(isNew, r, e.oldRate)
 	if !ok {
