Fakes count reset requests; shorter functions in load, demo and fakes

Cause: a request whose connection the fake resets had reached it, so that a second dispatch went uncounted; some functions had grown long. Change: a reset counts as a failed run. Reports, streams, the demo's run and the fake engine's completion are split into functions with one job.

--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -106,7 +106,7 @@
 
 func (c *cluster) run(ctx context.Context, o Options, say func(string)) (*Report, error) {
 	report := &Report{}
-	var steps sync.WaitGroup
+	var steps, watching sync.WaitGroup
 	steps.Go(func() {
 		pause(ctx, o.Duration/4)
 		report.Drained = c.drain(ctx, say)
@@ -120,9 +120,22 @@
 	})
 	watchCtx, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
-	var watching sync.WaitGroup
 	watching.Go(func() { report.Move = c.watchMove(watchCtx, say) })
-	result, err := load.Run(ctx, load.Options{
+	result, err := load.Run(ctx, c.loadOptions(o, say))
+	steps.Wait()
+	stopWatching()
+	watching.Wait()
+	if err := errors.Join(err, ctx.Err()); err != nil {
+		return nil, err
+	}
+	report.Report = result.Report(load.NewUpstreams(c.upstreams.runs()...))
+	c.countMove(&report.Move)
+	report.Leaving = leaving(c.upstreams.slow.Runs(), leftAt)
+	return report, nil
+}
+
+func (c *cluster) loadOptions(o Options, say func(string)) load.Options {
+	return load.Options{
 		Addresses:   c.callerAddresses(),
 		Workload:    workload(),
 		Rate:        o.Rate,
@@ -135,20 +148,7 @@
 		Progress: func(p load.Progress) {
 			say(fmt.Sprintf("%4.1fs  sent %d, ended %d", p.Elapsed.Seconds(), p.Sent, p.Ended))
 		},
-	})
-	steps.Wait()
-	stopWatching()
-	watching.Wait()
-	if err != nil {
-		return nil, err
 	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	report.Report = result.Report(load.NewUpstreams(c.upstreams.runs()...))
-	c.countMove(&report.Move)
-	report.Leaving = leaving(c.upstreams.slow.Runs(), leftAt)
-	return report, nil
 }
 
 // drain makes the last node leave and waits for its end.
--- a/internal/command/load/answer.go
+++ b/internal/command/load/answer.go
@@ -15,8 +15,11 @@
 	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
 )
 
-// maxEventBytes bounds one line of a stream.
-const maxEventBytes = 1 << 20
+// Sizes of the buffer for one line of a stream, in bytes.
+const (
+	firstLineBuffer = 4 << 10
+	maxEventBytes   = 1 << 20
+)
 
 var (
 	errTruncated = errors.New("the answer was cut short")
@@ -68,40 +71,31 @@
 	return c, nil
 }
 
+// streamEvent is one event of a stream: a chunk, or a refusal that ends it.
+type streamEvent struct {
+	openai.Chunk
+	Error *callerapi.RefusalError `json:"error"`
+}
+
 func readStream(body io.Reader, countTokens bool) (*content, error) {
 	c := &content{}
-	var text strings.Builder
 	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	lines.Buffer(make([]byte, 0, firstLineBuffer), maxEventBytes)
 	done := false
 	for lines.Scan() {
 		data, isData := strings.CutPrefix(lines.Text(), "data:")
 		if !isData {
 			continue
 		}
-		data = strings.TrimSpace(data)
 		if c.firstAt.IsZero() {
 			c.firstAt = time.Now()
 		}
-		if data == openai.DoneData {
+		if data = strings.TrimSpace(data); data == openai.DoneData {
 			done = true
 			continue
 		}
-		var event struct {
-			openai.Chunk
-			Error *callerapi.RefusalError `json:"error"`
-		}
-		if err := json.Unmarshal([]byte(data), &event); err != nil {
-			return nil, fmt.Errorf("event of a stream: %w", err)
-		}
-		if event.Error != nil {
-			return nil, &refusedError{refusal: *event.Error}
-		}
-		for _, choice := range event.Choices {
-			if part := choice.Delta.Content + choice.Text; part != "" && countTokens {
-				text.WriteString(part)
-				c.tokens++
-			}
+		if err := c.take(data, countTokens); err != nil {
+			return nil, err
 		}
 	}
 	if err := lines.Err(); err != nil {
@@ -110,10 +104,27 @@
 	if !done {
 		return nil, errTruncated
 	}
-	c.text = text.String()
 	return c, nil
 }
 
+// take adds the data of one event.
+func (c *content) take(data string, countTokens bool) error {
+	var event streamEvent
+	if err := json.Unmarshal([]byte(data), &event); err != nil {
+		return fmt.Errorf("event of a stream: %w", err)
+	}
+	if event.Error != nil {
+		return &refusedError{refusal: *event.Error}
+	}
+	for _, choice := range event.Choices {
+		if part := choice.Delta.Content + choice.Text; part != "" && countTokens {
+			c.text += part
+			c.tokens++
+		}
+	}
+	return nil
+}
+
 func readCompletion(body io.Reader) (*content, error) {
 	var completion openai.Completion
 	if err := json.NewDecoder(body).Decode(&completion); err != nil {
--- a/internal/command/load/report.go
+++ b/internal/command/load/report.go
@@ -137,61 +137,90 @@
 	}
 }
 
+// tallies gathers what a report is made of.
+type tallies struct {
+	upstreams *Upstreams
+	all       *tally
+	tiers     map[ident.TierName]*tally
+	reasons   map[callerapi.Reason]int
+	broken    []Broken
+}
+
+// take counts one outcome.
+func (t *tallies) take(o *outcome) {
+	tier := t.tiers[o.job.class.Tier]
+	if tier == nil {
+		tier = newTally()
+		t.tiers[o.job.class.Tier] = tier
+	}
+	counts := o.count(t.upstreams)
+	for _, into := range []*tally{t.all, tier} {
+		into.counts.add(counts)
+		if counts.Answered > 0 {
+			into.answered(o)
+		}
+	}
+	if b, found := o.describe(counts, t.upstreams); found && len(t.broken) < maxBroken {
+		t.broken = append(t.broken, b)
+	}
+	for _, a := range o.attempts {
+		if a.reason != "" {
+			t.reasons[a.reason]++
+		}
+	}
+}
+
+// byTier returns the reports of all tiers in the order of their names.
+func (t *tallies) byTier(duration time.Duration) []TierReport {
+	var tiers []TierReport
+	for name, tier := range t.tiers {
+		tiers = append(tiers, TierReport{
+			Tier:       name,
+			Counts:     tier.counts,
+			Goodput:    float64(tier.counts.InTime) / duration.Seconds(),
+			FirstToken: latency(tier.first),
+			Total:      latency(tier.total),
+		})
+	}
+	slices.SortFunc(tiers, func(a, b TierReport) int { return cmp.Compare(a.Tier, b.Tier) })
+	return tiers
+}
+
+// byReason returns the counts of refusals in the order of their reasons.
+func (t *tallies) byReason() []ReasonCount {
+	var refused []ReasonCount
+	for reason, n := range t.reasons {
+		refused = append(refused, ReasonCount{Reason: reason, Count: n})
+	}
+	slices.SortFunc(refused, func(a, b ReasonCount) int { return cmp.Compare(a.Reason, b.Reason) })
+	return refused
+}
+
 // Report counts the outcomes from the callers' view, and from the upstreams'
 // view where their runs are known.
 func (r *Result) Report(upstreams *Upstreams) *Report {
-	all, tiers := newTally(), map[ident.TierName]*tally{}
-	reasons := map[callerapi.Reason]int{}
-	var broken []Broken
+	t := &tallies{
+		upstreams: upstreams,
+		all:       newTally(),
+		tiers:     map[ident.TierName]*tally{},
+		reasons:   map[callerapi.Reason]int{},
+	}
 	for i := range r.outcomes {
-		o := &r.outcomes[i]
-		tier := tiers[o.job.class.Tier]
-		if tier == nil {
-			tier = newTally()
-			tiers[o.job.class.Tier] = tier
-		}
-		counts := o.count(upstreams)
-		for _, t := range []*tally{all, tier} {
-			t.counts.add(counts)
-			if counts.Answered > 0 {
-				t.answered(o)
-			}
-		}
-		if b, found := o.describe(counts, upstreams); found && len(broken) < maxBroken {
-			broken = append(broken, b)
-		}
-		for _, a := range o.attempts {
-			if a.reason != "" {
-				reasons[a.reason]++
-			}
-		}
+		t.take(&r.outcomes[i])
 	}
-	report := &Report{
+	return &Report{
 		Seed:           r.Seed,
 		Rate:           r.Rate,
 		Duration:       r.Duration.Seconds(),
 		Elapsed:        r.Elapsed.Seconds(),
 		UpstreamsAsked: upstreams != nil,
-		Counts:         all.counts,
-		Broken:         broken,
+		Counts:         t.all.counts,
 		Redispatched:   upstreams.repeatedRequests(),
-		Goodput:        float64(all.counts.InTime) / r.Duration.Seconds(),
-	}
-	for name, t := range tiers {
-		report.Tiers = append(report.Tiers, TierReport{
-			Tier:       name,
-			Counts:     t.counts,
-			Goodput:    float64(t.counts.InTime) / r.Duration.Seconds(),
-			FirstToken: latency(t.first),
-			Total:      latency(t.total),
-		})
-	}
-	slices.SortFunc(report.Tiers, func(a, b TierReport) int { return cmp.Compare(a.Tier, b.Tier) })
-	for reason, n := range reasons {
-		report.Refused = append(report.Refused, ReasonCount{Reason: reason, Count: n})
+		Goodput:        float64(t.all.counts.InTime) / r.Duration.Seconds(),
+		Tiers:          t.byTier(r.Duration),
+		Refused:        t.byReason(),
+		Broken:         t.broken,
 	}
-	slices.SortFunc(report.Refused, func(a, b ReasonCount) int { return cmp.Compare(a.Reason, b.Reason) })
-	return report
 }
 
 func (c *Counts) add(o Counts) {
--- a/internal/fakes/engine_completion.go
+++ b/internal/fakes/engine_completion.go
@@ -31,10 +31,11 @@
 		return
 	}
 	mode := e.faults.failMode()
+	s := e.newSequence(r, call, version)
 	if mode == FailReset {
+		e.runLog.end(s.run, RunFailed)
 		panic(http.ErrAbortHandler)
 	}
-	s := e.newSequence(r, call, version)
 	if mode == FailStatus || e.refusedByVersion(s) {
 		e.runLog.end(s.run, RunFailed)
 		w.Header().Set(upstreamapi.HeaderRequestID, string(s.id))
@@ -44,24 +45,34 @@
 	if mode == FailMidStream {
 		s.failAt = s.outputTokens/2 + 1
 	}
+	e.admit(s, call)
+	if mode == FailAnswerLost {
+		e.awaitEnd(r, s)
+		panic(http.ErrAbortHandler)
+	}
+	e.answer(w, r, s, call.Stream)
+}
+
+// admit puts a request into the batch.
+func (e *Engine) admit(s *sequence, call *openai.Request) {
 	s.cachedTokens = min(e.cache.use(call.Prefixes()), s.promptTokens-1)
 	s.prefillLeft = s.promptTokens - s.cachedTokens
 	e.streams.add(s)
 	e.batch.admit(s)
 	go e.recordEnd(s)
-	if mode == FailAnswerLost {
-		e.awaitEnd(r, s)
-		panic(http.ErrAbortHandler)
-	}
-	answered := s
+}
+
+// answer writes the answer to a request, or while answers are crossed that to
+// another one.
+func (e *Engine) answer(w http.ResponseWriter, r *http.Request, s *sequence, stream bool) {
 	if e.faults.crossing() {
-		answered = e.streams.other(s)
+		s = e.streams.other(s)
 	}
-	if call.Stream {
-		e.writeStream(w, r, answered, 0, e.faults.breakStreamsAfter())
+	if stream {
+		e.writeStream(w, r, s, 0, e.faults.breakStreamsAfter())
 		return
 	}
-	e.writeWhole(w, r, answered)
+	e.writeWhole(w, r, s)
 }
 
 func (e *Engine) newSequence(r *http.Request, call *openai.Request, version ident.VersionName) *sequence {
--- a/internal/fakes/engine_faults.go
+++ b/internal/fakes/engine_faults.go
@@ -11,7 +11,8 @@
 	FailNone FailMode = ""
 	// FailStatus answers 500 without running the request.
 	FailStatus FailMode = "status"
-	// FailReset breaks the connection without running the request.
+	// FailReset breaks the connection without running the request. The sender
+	// cannot know that, so it counts as a run.
 	FailReset FailMode = "reset"
 	// FailAnswerLost runs the request and breaks the connection before the answer.
 	FailAnswerLost FailMode = "answer_lost"
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -108,10 +108,11 @@
 		return
 	}
 	mode := s.faults.failMode()
+	run, answer := s.record(r, body)
 	if mode == FailReset {
+		s.runLog.end(run, RunFailed)
 		panic(http.ErrAbortHandler)
 	}
-	run, answer := s.record(r, body)
 	s.work()
 	if mode == FailStatus || s.faults.failsNow(s.options.FailRate) {
 		s.runLog.end(run, RunFailed)
