Let the samples of a step grow with the share, up to eight times

Cause: half-slower-one-route harmed 12.6% of its requests, most of them while the share grew from 40% to all. Change: a step needs samples in proportion to the share, in place of its square root, up to eight times those of the first step.

--- a/internal/coordination/moves/plan.go
+++ b/internal/coordination/moves/plan.go
@@ -1,7 +1,6 @@
 package moves
 
 import (
-	"math"
 	"time"
 )
 
@@ -65,7 +64,7 @@
 // stepWeight returns how many times the samples of the first step are needed
 // at a share: more where a fault harms more.
 func stepWeight(share, canary float64) float64 {
-	return math.Sqrt(max(share/canary, 1))
+	return min(max(share/canary, 1), 8)
 }
 
 // stepsWork returns the time that the steps still to go from share take when
