Unlearn a slow spell by a trial a second

Cause: once upstreams had been slower than a deadline allows, every ticket with that deadline was refused for good, since no new answer taught better. Change: a ticket that only the learned speed speaks against is let through once a second; an answer in half of the expected time drops what was learned. Prompt hashes of finished tickets are dropped at once.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -12,12 +12,31 @@
 	if p.slots == 0 && !p.anyProbe(e, now) {
 		return ReasonNoUpstream
 	}
-	if e.hopeless(p.wait(e, now), p.isLowest(p.tier(e.ticket.Tier), now), now) {
+	wait := p.wait(e, now)
+	if e.hopeless(wait, p.isLowest(p.tier(e.ticket.Tier), now), now) && !p.tryAnyway(e, wait, now) {
 		return ReasonDeadline
 	}
 	return ""
 }
 
+// trialEvery is the time between tickets that are tried against an estimate
+// that says that even an idle upstream would be too slow.
+const trialEvery = time.Second
+
+// trialFaster is the part of the expected time below which the answer to such
+// a ticket shows that the slow spell is over.
+const trialFaster = 0.5
+
+// tryAnyway lets a ticket through now and then when nothing but the learned
+// speed speaks against it: otherwise a slow spell would never be unlearned.
+func (p *Pool) tryAnyway(e *entry, wait, now time.Duration) bool {
+	e.trial = wait == 0 && now < e.deadline && p.readyEngines > 0 && now >= p.nextTrial
+	if e.trial {
+		p.nextTrial = now + trialEvery
+	}
+	return e.trial
+}
+
 // estimate sets the expected service time of a ticket on an upstream of the
 // pool at its usual load.
 func (p *Pool) estimate(e *entry) {
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -36,6 +36,8 @@
 	engine     *engine
 	version    ident.VersionName
 	generation int
+	// trial is true for a ticket that goes against the estimate, to renew it.
+	trial bool
 	// lapsed is true once the grant expired without a report.
 	lapsed       bool
 	grantExpires time.Duration
@@ -62,6 +64,9 @@
 // that contends with others of the lowest tier at work must be likely to meet
 // its deadline; any other is given up only when even a short answer misses it.
 func (e *entry) hopeless(wait time.Duration, contended bool, now time.Duration) bool {
+	if e.trial {
+		return now >= e.deadline
+	}
 	if contended && wait > 0 {
 		return now+wait+e.longest >= e.deadline
 	}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -36,6 +36,7 @@
 	// ejected holds the engines out of rotation.
 	ejected   []*engine
 	nextCheck time.Duration
+	nextTrial time.Duration
 	speed     speed
 	outputs   outputs
 	shares    shareKeeper
@@ -259,6 +260,7 @@
 
 // forgetLater keeps a finished ticket for a while, to answer duplicates.
 func (p *Pool) forgetLater(e *entry, now time.Duration) {
+	e.ticket.Prefixes = nil
 	p.timers.add(timer{at: now + recentBound, kind: timerForget, entry: e})
 }
 
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -283,3 +283,26 @@
 	// What one round of placement holds in its window may come from one team.
 	must.Between(t, -windowSize*900, tokens["a"]-tokens["b"], windowSize*900)
 }
+
+func TestPool_SlowSpellIsUnlearned(t *testing.T) {
+	p := openPool(testView())
+	latency := 10 * time.Second
+	now := time.Duration(0)
+	done := 0
+	for i := range 200 {
+		now += latency
+		if i == 20 {
+			latency = 50 * time.Millisecond
+		}
+		ticket := testTicket(i, "urgent")
+		ticket.Remaining = 6 * time.Second
+		p.Submit(ticket, now)
+		for _, g := range grants(p.Decisions()) {
+			p.Report(Report{Kind: ReportEnded, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Elapsed: latency}, now+latency)
+			if latency < ticket.Remaining {
+				done++
+			}
+		}
+	}
+	must.Greater(t, 100, done)
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -102,6 +102,10 @@
 		slowness = float64(actual) / float64(expected)
 	}
 	g := e.engine
+	if e.trial && slowness < trialFaster {
+		g.speed.forget()
+		p.speed.forget()
+	}
 	if g.health.answered(e, slowness, now) {
 		g.limiter.restart(recoveredLimit)
 	}
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -158,6 +158,12 @@
 	}
 }
 
+// forget drops what was learned, after a change that a few samples would not
+// show for long.
+func (s *speed) forget() {
+	s.prefill, s.decode, s.curve = fit{}, fit{}, fit{}
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
