Measure the loss of the scheduler

Cause: the price of a fail-over was not measured. Change: Central.FailOver in the policy model and BenchmarkPolicyFailOver, with 3 s and 10 s without a scheduler at 80% load.

--- a/internal/coordination/policymodel/central.go
+++ b/internal/coordination/policymodel/central.go
@@ -15,6 +15,9 @@
 type Central struct {
 	Scheduler scheduler.Scheduler
 	sim       *Simulation
+	view      scheduler.View
+	epoch     ident.Epoch
+	down      bool
 	requests  map[ident.RequestID]*Request
 }
 
@@ -22,18 +25,63 @@
 func NewCentral(shares []scheduler.VersionShare) func(*Simulation) Policy {
 	return func(s *Simulation) Policy {
 		v := s.View(shares)
-		pool := scheduler.New(1, v, 0)
-		for _, g := range v.Gateways {
-			pool.Register(scheduler.Registration{Gateway: g, Incarnation: 1}, 0)
-		}
-		c := &Central{Scheduler: pool, sim: s, requests: make(map[ident.RequestID]*Request)}
-		s.Clock.Every(tickEvery, func() { c.do(func(now time.Duration) { pool.Tick(now) }) })
+		c := &Central{sim: s, view: v, requests: make(map[ident.RequestID]*Request)}
+		c.begin()
+		s.Clock.Every(tickEvery, func() { c.do(func(now time.Duration) { c.Scheduler.Tick(now) }) })
 		return c
 	}
 }
 
-// do calls the scheduler and sends out its decisions.
+// begin starts the scheduler of the next epoch and registers all gateways with it.
+func (c *Central) begin() {
+	c.epoch++
+	c.down = false
+	c.Scheduler = scheduler.New(c.epoch, c.view, c.sim.Clock.Now())
+	for _, g := range c.view.Gateways {
+		c.do(func(now time.Duration) { c.Scheduler.Register(c.registration(g), now) })
+	}
+}
+
+// FailOver loses the scheduler with all it knows; the next one begins after the
+// gap. Gateways keep their requests meanwhile.
+func (c *Central) FailOver(gap time.Duration) {
+	c.down = true
+	c.sim.Clock.After(gap, c.begin)
+}
+
+// registration names the gateway's waiting and running requests.
+func (c *Central) registration(g ident.NodeID) scheduler.Registration {
+	r := scheduler.Registration{Gateway: g, Incarnation: 1}
+	now := c.sim.Clock.Now()
+	for _, request := range c.sim.Requests {
+		if request.Gateway != g || request.Outcome != OutcomePending || c.requests[request.ID] == nil {
+			continue
+		}
+		if request.Engine == nil {
+			r.Waiting = append(r.Waiting, ticket(request, now))
+			continue
+		}
+		r.Running = append(r.Running, scheduler.Running{
+			Ticket: ticket(request, now), Upstream: request.Engine.Name, Version: request.Engine.Version,
+			Elapsed: now - request.Dispatched,
+		})
+	}
+	return r
+}
+
+// ticket stands for a request, with the time that it has left.
+func ticket(r *Request, now time.Duration) scheduler.Ticket {
+	return scheduler.Ticket{
+		ID: r.ID, Gateway: r.Gateway, Tier: r.Tier, Team: r.Team, Route: r.Route, Idempotent: r.Idempotent,
+		Remaining: r.Deadline - now, PromptTokens: r.Prompt, OutputTokens: r.EstimatedOutput, Prefixes: r.Prefixes,
+	}
+}
+
+// do calls the scheduler, if there is one, and sends out its decisions.
 func (c *Central) do(call func(now time.Duration)) {
+	if c.down {
+		return
+	}
 	call(c.sim.Clock.Now())
 	for _, d := range c.Scheduler.Decisions() {
 		c.sim.Clock.After(c.sim.Delay, func() { c.apply(d) })
@@ -74,10 +122,7 @@
 // Arrive implements Policy.
 func (c *Central) Arrive(r *Request) {
 	c.requests[r.ID] = r
-	t := scheduler.Ticket{
-		ID: r.ID, Gateway: r.Gateway, Tier: r.Tier, Team: r.Team, Route: r.Route, Idempotent: r.Idempotent,
-		Remaining: r.Deadline - r.Arrival, PromptTokens: r.Prompt, OutputTokens: r.EstimatedOutput, Prefixes: r.Prefixes,
-	}
+	t := ticket(r, r.Arrival)
 	c.later(func(now time.Duration) { c.Scheduler.Submit(t, now) })
 }
 
--- a/internal/coordination/policymodel/policy_bench_test.go
+++ b/internal/coordination/policymodel/policy_bench_test.go
@@ -122,3 +122,19 @@
 		c.CacheLag = 10 * time.Second
 	})
 }
+
+// BenchmarkPolicyFailOver loses the scheduler twice, for 3 s and for 10 s; the
+// baselines have none to lose.
+func BenchmarkPolicyFailOver(b *testing.B) {
+	benchmarkCase(b, func(c *Config, full capacity) {
+		steady(0.8)(c, full)
+		c.Prepare = func(s *Simulation) {
+			central, ok := s.Policy().(*Central)
+			if !ok {
+				return
+			}
+			s.Clock.At(120*time.Second, func() { central.FailOver(3 * time.Second) })
+			s.Clock.At(200*time.Second, func() { central.FailOver(10 * time.Second) })
+		}
+	})
+}
--- a/internal/coordination/policymodel/simulation.go
+++ b/internal/coordination/policymodel/simulation.go
@@ -88,6 +88,11 @@
 	return s
 }
 
+// Policy returns the policy under test.
+func (s *Simulation) Policy() Policy {
+	return s.policy
+}
+
 // Engine returns the engine of the given name.
 func (s *Simulation) Engine(name ident.UpstreamName) *Engine {
 	return s.byName[name]
