--- /dev/null
+++ b/internal/coordination/control/client_test.go
@@ -0,0 +1,101 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// script answers the calls of a client.
+type script struct {
+	called []ident.NodeID
+	answer func(node ident.NodeID, reply *ClaimReply) error
+}
+
+// Call implements Caller.
+func (s *script) Call(_ context.Context, node ident.NodeID, method string, _, reply any) error {
+	if method != "Control.Claim" {
+		return errors.New("unknown method " + method)
+	}
+	s.called = append(s.called, node)
+	return s.answer(node, reply.(*ClaimReply))
+}
+
+// runClient makes one call in virtual time and returns its error.
+func runClient(t *testing.T, s *script) (c *Client, err error) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		c = NewClient(s, []ident.NodeID{"r1", "r2", "r3"})
+		_, err = Call[ClaimReply](ctx, c, "Claim", &ClaimArgs{})
+	})
+	return c, err
+}
+
+func TestClient_FollowsRedirectPastDeadReplica(t *testing.T) {
+	s := &script{answer: func(node ident.NodeID, reply *ClaimReply) error {
+		switch node {
+		case "r1":
+			return errors.New("silent")
+		case "r2":
+			reply.Status = Status{NotLeader: true, Redirect: "r3"}
+		}
+		return nil
+	}}
+	c, err := runClient(t, s)
+	must.NoError(t, err)
+	must.Eq(t, []ident.NodeID{"r1", "r2", "r3"}, s.called)
+	must.Eq(t, "r3", c.Leader())
+}
+
+// TestClient_DeadLeaderInEveryRedirect lets replicas go on naming a leader
+// that is gone: the client comes back to the others and finds the next one.
+func TestClient_DeadLeaderInEveryRedirect(t *testing.T) {
+	s := &script{}
+	s.answer = func(node ident.NodeID, reply *ClaimReply) error {
+		switch {
+		case node == "r1":
+			return errors.New("silent")
+		case len(s.called) < 8:
+			reply.Status = Status{NotLeader: true, Redirect: "r1"}
+		case node == "r2":
+			reply.Status = Status{NotLeader: true, Redirect: "r3"}
+		}
+		return nil
+	}
+	c, err := runClient(t, s)
+	must.NoError(t, err)
+	must.Eq(t, "r3", c.Leader())
+}
+
+// TestClient_SaysWhatIsKnown tells a call without effect from one that may
+// have had one.
+func TestClient_SaysWhatIsKnown(t *testing.T) {
+	notLeader := func(_ ident.NodeID, reply *ClaimReply) error {
+		reply.Status = Status{NotLeader: true}
+		return nil
+	}
+	unsent := func(ident.NodeID, *ClaimReply) error { return ErrNotSent }
+	for _, answer := range []func(ident.NodeID, *ClaimReply) error{notLeader, unsent} {
+		s := &script{answer: answer}
+		_, err := runClient(t, s)
+		must.ErrorIs(t, err, ErrUnavailable)
+		must.True(t, slices.Contains(s.called, "r1") && slices.Contains(s.called, "r2") && slices.Contains(s.called, "r3"))
+	}
+	first := true
+	_, err := runClient(t, &script{answer: func(node ident.NodeID, reply *ClaimReply) error {
+		if first {
+			first = false
+			return errors.New("answer lost")
+		}
+		return notLeader(node, reply)
+	}})
+	must.ErrorIs(t, err, ErrUncertain)
+}
--- a/internal/coordination/control/linear_test.go
+++ b/internal/coordination/control/linear_test.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -15,103 +13,11 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/shoenig/test/must"
 
-	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
-	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
-// network lets concurrent clients and services share a cluster: it adds
-// delays, faults, lost answers and changes of leader.
-type network struct {
-	*cluster
-	mu     sync.Mutex
-	random *rand.Rand
-}
-
-// wire is a replica's proposer behind the network.
-type wire struct {
-	network *network
-	replica *replica
-}
-
-func newNetwork(seed uint64) *network {
-	n := &network{cluster: newCluster("r1", "r2", "r3"), random: rand.New(rand.NewPCG(seed, 1))}
-	kinds := []fault{faultNone, faultLost, faultReply, faultLate}
-	n.fault = func() fault { return kinds[max(0, n.random.IntN(12)-8)] }
-	for _, r := range n.replicas {
-		r.service = NewService(r.id, &wire{n, r}, r.machine)
-	}
-	return n
-}
-
-func (n *network) number(limit int) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.random.IntN(limit)
-}
-
-func (n *network) delay() { time.Sleep(time.Duration(n.number(30)) * time.Millisecond) }
-
-// Propose implements consensus.Proposer.
-func (w *wire) Propose(ctx context.Context, command []byte) (machine.Result, error) {
-	w.network.delay()
-	defer w.network.delay()
-	w.network.mu.Lock()
-	defer w.network.mu.Unlock()
-	return w.replica.Propose(ctx, command)
-}
-
-// ReadBarrier implements consensus.Proposer.
-func (w *wire) ReadBarrier(ctx context.Context) error {
-	w.network.mu.Lock()
-	defer w.network.mu.Unlock()
-	return w.replica.ReadBarrier(ctx)
-}
-
-// Leadership implements consensus.Proposer.
-func (w *wire) Leadership() consensus.Leadership {
-	w.network.mu.Lock()
-	defer w.network.mu.Unlock()
-	return w.replica.Leadership()
-}
-
-// present returns the leading service.
-func (n *network) present() *Service {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.leader.service
-}
-
-// changeLeaders elects another leader now and then.
-func (n *network) changeLeaders(ctx context.Context) {
-	for sleep(ctx, time.Duration(200+n.number(600))*time.Millisecond) {
-		next := n.replicas[n.number(len(n.replicas))]
-		n.mu.Lock()
-		n.late = nil
-		n.elect(next)
-		n.mu.Unlock()
-	}
-}
-
-// start runs the services and heartbeating nodes.
-func (n *network) start(t *testing.T, b *background, ids ...ident.NodeID) {
-	for _, r := range n.replicas {
-		b.group.Go(func() { r.service.Run(b.ctx) })
-	}
-	for _, id := range ids {
-		f := newFakeNode(id, nil)
-		b.group.Go(func() {
-			for sleep(b.ctx, HeartbeatInterval/5) {
-				f.service = n.present()
-				f.beat(t)
-			}
-		})
-	}
-	b.group.Go(func() { n.changeLeaders(b.ctx) })
-}
-
 // history records operations. An operation of unknown outcome may take effect
 // at any time after its call.
 type history struct {
--- a/internal/state/machine/machine_bench_test.go
+++ b/internal/state/machine/machine_bench_test.go
@@ -117,6 +117,11 @@
 		}
 		b.ReportMetric(float64(len(snapshot)), "snapshot-B")
 	})
+	b.Run("locked", func(b *testing.B) {
+		for b.Loop() {
+			l.image()
+		}
+	})
 	b.Run("restore", func(b *testing.B) {
 		for b.Loop() {
 			if err := New(ledger.DefaultLimits()).Restore(snapshot); err != nil {
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -33,20 +34,28 @@
 	Changes changeLog
 }
 
-// Snapshot returns the encoded state after the last applied command.
+// Snapshot returns the encoded state after the last applied command. The state
+// is copied under the lock and encoded after it.
 func (m *Machine) Snapshot() ([]byte, error) {
+	data, err := encoding.Marshal(m.image())
+	if err != nil {
+		return nil, fmt.Errorf("machine: encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// image copies what Apply changes in place; maps of configurations, answers and
+// the elements of append-only lists are never changed and stay shared.
+func (m *Machine) image() *image {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	data, err := encoding.Marshal(image{
+	store := *m.config
+	return &image{
 		Format: snapshotFormat, Index: m.index, Clock: m.clock, Begin: m.begin,
-		Config: m.config, Ledger: m.ledger.State(),
+		Config: &store, Ledger: m.ledger.State(),
 		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
-		Orders: m.orders, Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("machine: encode snapshot: %w", err)
+		Orders: slices.Clone(m.orders), Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
 	}
-	return data, nil
 }
 
 // maxSnapshotElements bounds the elements of one list of a snapshot.
