Say in refusals when capacity really returns

Cause: without an upstream, or when only the learned speed spoke against a ticket, callers were told to come back after 100 ms. Change: the advice is the next probe, or the next trial of the learned speed.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -113,9 +113,33 @@
 	return min(q.work, scaleBy(own.work, q.weights/own.weight))
 }
 
-// retryAfter estimates when the work that waits now will have been placed.
-func (p *Pool) retryAfter(e *entry, now time.Duration) time.Duration {
-	return min(maxRetryAfter, max(minRetryAfter, p.wait(e, now)))
+// retryAfter estimates when capacity returns: when the work that waits now
+// will have been placed, when an upstream is probed again, or when the speed
+// that was learned is put to the test.
+func (p *Pool) retryAfter(e *entry, reason Reason, now time.Duration) time.Duration {
+	after := p.wait(e, now)
+	switch {
+	case reason == ReasonNoUpstream:
+		after = p.nextProbe(now)
+	case reason == ReasonDeadline && after == 0:
+		after = trialEvery
+	}
+	return min(maxRetryAfter, max(minRetryAfter, after))
+}
+
+// nextProbe is the time until an ejected upstream may be probed, or the first
+// interval between probes if there is none.
+func (p *Pool) nextProbe(now time.Duration) time.Duration {
+	next := time.Duration(0)
+	for _, g := range p.ejected {
+		if until := g.health.probeAt - now; next == 0 || until < next {
+			next = until
+		}
+	}
+	if next == 0 {
+		return probeFirst
+	}
+	return next
 }
 
 // shedOverLimit refuses tickets of the lowest tier while the queue is too long.
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -251,7 +251,7 @@
 	tier := p.tier(e.ticket.Tier)
 	tier.shed = true
 	tier.shedAt = now
-	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, now)}
+	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
 	e.state = stateRefused
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
