--- a/internal/coordination/consensus/loop.go
+++ b/internal/coordination/consensus/loop.go
@@ -45,12 +45,13 @@
 	defer timer.Stop()
 	for r.step(timer) {
 		now := r.now()
+		r.releaseEarly(now)
 		r.core.tick(now)
 		r.core.replicate(now)
 		if !r.flush(now) {
 			return
 		}
-		timer.Reset(max(minWake, r.until(r.core.nextWake(now))))
+		timer.Reset(max(minWake, r.until(r.nextWake(now))))
 	}
 }
 
--- a/internal/coordination/consensus/receiver.go
+++ b/internal/coordination/consensus/receiver.go
@@ -72,8 +72,10 @@
 			answer(false, AppendReply{}, ErrWrongAddress)
 			return
 		}
-		reply := r.core.handleAppend(now, req.Header.From, req)
-		answer(r.core.replyNeedsSync(reply.Match), reply, nil)
+		r.takeAppend(now, req, func(now time.Time) {
+			reply := r.core.handleAppend(now, req.Header.From, req)
+			answer(r.core.replyNeedsSync(reply.Match), reply, nil)
+		})
 	})
 }
 
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -35,6 +35,7 @@
 	readers  map[uint64]chan error // loop
 	token    uint64                // loop
 	gated    []func()              // loop
+	early    []earlyAppend         // loop
 	answers  []func()              // loop
 	incoming incomingSnapshot      // loop
 
