Hand over a leader that nobody can reach; callers' and silence tests

Cause: a leading replica whose inbound connections were lost kept its lease by its own outbound ones while no control call reached it: claims were refused for the 60 s of the test, and every other node's lease would end. A body that timed out also left its connection open for good. Ruled out: the lease itself; it was valid, acknowledged over outbound links. Change: a leader that hears no other node for 1 s although the log commits hands over, once a term; the read deadline stays after a failed body.

--- a/internal/command/agent/cluster_test.go
+++ b/internal/command/agent/cluster_test.go
@@ -64,6 +64,9 @@
 
 func startCluster(t testing.TB, options ...option) *cluster {
 	t.Helper()
+	if test, ok := t.(*testing.T); ok {
+		test.Parallel()
+	}
 	c := &cluster{client: &http.Client{Timeout: testTimeout}, connections: 256}
 	for _, o := range options {
 		o(c)
--- a/internal/command/agent/relay_test.go
+++ b/internal/command/agent/relay_test.go
@@ -14,7 +14,11 @@
 
 // gate stands behind all that one node sends to the others. While it is cut,
 // its connections stay open and carry nothing.
-type gate struct{ cut atomic.Bool }
+type gate struct {
+	cut atomic.Bool
+	// deaf loses what the node reads on connections that it made.
+	deaf atomic.Bool
+}
 
 func (g *gate) dial(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := rpcnet.Dial(ctx, address)
@@ -30,6 +34,16 @@
 	gate *gate
 }
 
+// Read loses what comes while the node is deaf.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.gate.deaf.Load() {
+			return n, err
+		}
+	}
+}
+
 func (c *gatedConn) Write(p []byte) (int, error) {
 	if c.gate.cut.Load() {
 		return len(p), nil
--- /dev/null
+++ b/internal/command/agent/silence_test.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+)
+
+// TestSilence_EngineStream silences every connection to the engines in
+// mid-stream while new ones work: the stream is taken up on a new one.
+func TestSilence_EngineStream(t *testing.T) {
+	c := startCluster(t)
+	body := strings.Replace(chatBody, `{"model":"writer-8b","max_tokens":8`, `{"stream":true,"model":"writer-8b","max_tokens":400`, 1)
+	answers := make(chan answer, 1)
+	go func() {
+		answers <- c.send(0, call{method: http.MethodPost, path: "/v1/chat/completions", body: body})
+	}()
+	c.eventually(t, "the stream to run", func() bool {
+		return len(c.engines[0].Runs())+len(c.engines[1].Runs()) > 0
+	})
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range c.engines {
+		e.Silence()
+	}
+	a := <-answers
+	must.NoError(t, a.err)
+	must.Eq(t, 402, strings.Count(a.body, "data: "))
+	must.Eq(t, 1, len(c.engines[0].Runs())+len(c.engines[1].Runs()))
+}
+
+// TestSilence_ServiceCall silences the connection of a call that may not be
+// repeated: it is not run again, and the service's own word settles it.
+func TestSilence_ServiceCall(t *testing.T) {
+	c := startCluster(t)
+	c.service.SetSlow(20)
+	key := newKey()
+	request := call{method: http.MethodPost, path: "/submit", body: `{"item":1}`, key: key, deadline: "2s"}
+	answers := make(chan answer, 1)
+	go func() { answers <- c.send(0, request) }()
+	c.eventually(t, "the call to run", func() bool { return len(c.service.Runs()) > 0 })
+	c.service.Silence()
+	c.service.SetSlow(1)
+	a := <-answers
+	must.NoError(t, a.err)
+	must.Eq(t, http.StatusOK, a.status, must.Sprint(a.body))
+	again := c.send(1, request)
+	must.Eq(t, a.body, again.body)
+	must.Len(t, 1, c.service.Runs())
+}
+
+// TestSilence_Caller has a caller stop reading and go silent: its request ends
+// and the node serves on.
+func TestSilence_Caller(t *testing.T) {
+	c := startCluster(t)
+	conn, err := net.Dial("tcp", c.settings[0].CallerAdvertise)
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("POST /lookup HTTP/1.1\r\nHost: x\r\nX-Team: alpha\r\nContent-Length: 10\r\n\r\n{"))
+	must.NoError(t, err)
+	must.True(t, c.lookupAt(c.settings[0].CallerAdvertise))
+	c.eventually(t, "the silent caller's connection to end", func() bool {
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		_, err := conn.Read(make([]byte, 4096))
+		return err != nil && !isTimeout(err)
+	})
+}
+
+// TestSilence_ReplicaToReplica silences all open connections between replicas
+// twice in a row: claims go on.
+func TestSilence_ReplicaToReplica(t *testing.T) {
+	c := startCluster(t)
+	for range 2 {
+		for _, r := range c.relays {
+			r.silenceOpen()
+		}
+		f := c.submitUntilFinal(0, newKey(), time.Now().Add(testTimeout))
+		checkOnce(t, c.service, []final{f})
+		must.Nil(t, f.refusal)
+	}
+}
+
+// TestSilence_OneWay loses all that a leading replica would hear, and nothing
+// that it says.
+func TestSilence_OneWay(t *testing.T) {
+	c := startCluster(t)
+	victim := c.leader(t)
+	c.relays[victim].dropTo.Store(true)
+	c.gates[victim].deaf.Store(true)
+	c.checkOthersServe(t, victim)
+	c.gates[victim].deaf.Store(false)
+	c.relays[victim].heal()
+	c.eventually(t, "the node to serve", func() bool { return c.lookupAt(c.settings[victim].CallerAdvertise) })
+}
+
+// TestSilence_LeaderUnreachable lets a leading replica reach the others, who
+// can't reach it: it hands over.
+func TestSilence_LeaderUnreachable(t *testing.T) {
+	c := startCluster(t)
+	victim := c.leader(t)
+	c.relays[victim].dropTo.Store(true)
+	c.checkOthersServe(t, victim)
+	c.relays[victim].heal()
+	c.eventually(t, "the node to serve", func() bool { return c.lookupAt(c.settings[victim].CallerAdvertise) })
+}
+
+// checkOthersServe submits through a node that is not the victim, and has the
+// victim answer or refuse truthfully.
+func (c *cluster) checkOthersServe(t *testing.T, victim int) {
+	t.Helper()
+	other := (victim + 1) % len(c.nodes)
+	f := c.submitUntilFinal(other, newKey(), time.Now().Add(testTimeout))
+	checkOnce(t, c.service, []final{f})
+	must.Nil(t, f.refusal)
+	c.eventually(t, "a refusal or an answer at the victim", func() bool {
+		a := c.send(victim, call{method: http.MethodGet, path: "/lookup?item=1", deadline: "1s"})
+		refusal := refusalOf(a)
+		return a.status == http.StatusOK || refusal != nil && refusal.Outcome == callerapi.NotRun
+	})
+}
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -45,8 +45,10 @@
 
 	mu sync.Mutex
 	// term is the term whose memory is held; zero while not leading.
-	term  uint64
-	nodes map[ident.NodeID]*nodeMemory
+	term uint64
+	// resigned is the term in which this replica last handed over.
+	resigned uint64
+	nodes    map[ident.NodeID]*nodeMemory
 	// rebalanced is when a lease was last moved to spread the pools.
 	rebalanced time.Time
 	counters   Counters
@@ -112,6 +114,9 @@
 	if !s.leads(leadership) && !s.begin(leadership) {
 		return
 	}
+	if s.resignIfDeaf(leadership.Term) {
+		return
+	}
 	s.expireNodes(leadership.Term)
 	s.assignPools(leadership.Term)
 }
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -146,7 +146,9 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.limits.ReadBodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.MaxBodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
