Compare latencies of versions within a hardware class

Its engines are unlike each other, and the test compared a canary on a slow engine with a mean over fast and slow ones. Ruled out: load on the machine alone; the fixed classes stop it under the same load. Change: upstreams name a hardware class (default: equal max_concurrent); latency is compared only within a class. Conclusion: classes belong to the data that operators give.

--- a/internal/coordination/moves/evidence.go
+++ b/internal/coordination/moves/evidence.go
@@ -25,6 +25,7 @@
 // apart for references only; comparisons match them by themselves.
 type stratum struct {
 	metric metric
+	class  ident.HardwareClass
 	load   int
 	prompt int
 }
@@ -214,7 +215,7 @@
 		return
 	}
 	log := math.Log(d.Seconds())
-	key := stratum{metric: m, load: loadBand(s.Load), prompt: promptBand(s.PromptTokens)}
+	key := stratum{metric: m, class: s.Class, load: loadBand(s.Load), prompt: promptBand(s.PromptTokens)}
 	ref := e.reference(key)
 	r := reading{at: now, value: log, band: key.load, known: ref.known(), adjusted: log - ref.mean}
 	if r.known {
@@ -226,7 +227,7 @@
 	if !isNew {
 		ref.add(log, now)
 	}
-	c, ok := e.block(stratum{metric: m, prompt: key.prompt}).add(isNew, r, e.oldRate)
+	c, ok := e.block(stratum{metric: m, class: key.class, prompt: key.prompt}).add(isNew, r, e.oldRate)
 	if !ok {
 		return
 	}
--- a/internal/coordination/moves/types.go
+++ b/internal/coordination/moves/types.go
@@ -12,9 +12,11 @@
 
 // Sample is the outcome of one request that ran on one version.
 type Sample struct {
-	Route      ident.RouteName
-	Version    ident.VersionName
-	Upstream   ident.UpstreamName
+	Route    ident.RouteName
+	Version  ident.VersionName
+	Upstream ident.UpstreamName
+	// Class is the hardware class of Upstream: latencies compare within it.
+	Class      ident.HardwareClass
 	Idempotent bool
 	Failed     bool
 	// FirstToken is the time from dispatch to the first token or byte.
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -226,7 +226,9 @@
 func (r *Runner) Granted(t scheduler.Ticket, g scheduler.Grant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.samples.granted(t, g)
+	cfg, _ := r.view.Config()
+	u := cfg.Upstreams[g.Upstream]
+	r.samples.granted(t, g, u.HardwareClass())
 }
 
 // Reported implements Observer. It runs under the master's lock, so a changed
--- a/internal/coordination/pool/sample.go
+++ b/internal/coordination/pool/sample.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func (s *sampler) granted(t scheduler.Ticket, g scheduler.Grant) {
+func (s *sampler) granted(t scheduler.Ticket, g scheduler.Grant, class ident.HardwareClass) {
 	if s.open[t.ID] != nil {
 		return
 	}
@@ -39,6 +39,7 @@
 		Route:        t.Route,
 		Version:      g.Version,
 		Upstream:     g.Upstream,
+		Class:        class,
 		Idempotent:   t.Idempotent,
 		PromptTokens: t.PromptTokens,
 		Load:         float64(s.running[g.Upstream]) / float64(s.peak[g.Upstream]),
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -78,6 +79,10 @@
 	// Address is host:port of the upstream's HTTP listener, by IP number.
 	Address string     `yaml:"address"`
 	Zone    ident.Zone `yaml:"zone,omitempty"`
+	// Class names the upstreams that are equally fast. A move compares the
+	// latencies of two versions only within a class. Empty stands for all
+	// upstreams of the pool with the same MaxConcurrent.
+	Class ident.HardwareClass `yaml:"class,omitempty"`
 	// MaxConcurrent bounds requests in flight; the learned limit stays below it.
 	MaxConcurrent int         `yaml:"max_concurrent"`
 	Fencing       FencingMode `yaml:"fencing,omitempty"`
@@ -107,3 +112,11 @@
 	// Watch is how long From stays ready after To carries all traffic.
 	Watch time.Duration `yaml:"watch,omitempty"`
 }
+
+// HardwareClass returns the class in which the upstream's latencies compare.
+func (u *Upstream) HardwareClass() ident.HardwareClass {
+	if u.Class != "" {
+		return u.Class
+	}
+	return ident.HardwareClass(fmt.Sprintf("max_concurrent %d", u.MaxConcurrent))
+}
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -34,6 +34,8 @@
 	UpstreamName string
 	// VersionName names a version that upstreams of a pool run.
 	VersionName string
+	// HardwareClass names upstreams that are equally fast.
+	HardwareClass string
 	// RouteName names a route.
 	RouteName string
 	// MoveName names a move of traffic between two versions.
