--- a/internal/coordination/control/control_bench_test.go
+++ b/internal/coordination/control/control_bench_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/gob"
 	"fmt"
+	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,3 +118,45 @@
 		})
 	}
 }
+
+// BenchmarkHeartbeat_RPC measures an idle heartbeat by net/rpc over loopback;
+// the processor time is that of both ends together.
+func BenchmarkHeartbeat_RPC(b *testing.B) {
+	service, _ := newLocalService()
+	service.Tick()
+	server := rpc.NewServer()
+	if err := server.RegisterName(ServiceName, service); err != nil {
+		b.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer listener.Close()
+	go server.Accept(listener)
+	client, err := rpc.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	n := benchNode(1)
+	n.take(service)
+	n.take(service)
+	before := processorTime()
+	for b.Loop() {
+		var reply HeartbeatReply
+		if err := client.Call(ServiceName+".Heartbeat", n.Heartbeat(0, false), &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
