Measure goodput by tier of the whole path

Cause: the scheduler was measured in virtual time only; nothing showed what callers get through three nodes, HTTP and RPC when the upstreams are overloaded.

Change: BenchmarkPathGoodput sends the same open-loop arrivals through three nodes and directly by round robin, at the same time, to equal fakes of their own. Capacity is measured first in a closed loop with all slots in use.

--- /dev/null
+++ b/internal/command/agent/overload_bench_test.go
@@ -0,0 +1,398 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/openai"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+)
+
+const (
+	overloadArrivals  = 8 * time.Second
+	overloadWarmUp    = time.Second
+	overloadCalibrate = 4 * time.Second
+	// overloadGrace is how long a caller listens past its deadline.
+	overloadGrace         = 250 * time.Millisecond
+	overloadEngineSlots   = 32
+	overloadServiceSlots  = 8
+	overloadServiceTime   = 20 * time.Millisecond
+	overloadServiceCalls  = float64(overloadServiceSlots) * float64(time.Second) / float64(overloadServiceTime)
+	overloadSeed          = 1
+	overloadConfiguration = `
+tiers:
+  patient: {rank: 1, deadline: 5s}
+  normal: {rank: 2, deadline: 3s}
+  urgent: {rank: 3, deadline: 1s}
+teams:
+  alpha: {shares: 2}
+  beta: {shares: 1}
+pools:
+  writer: {kind: engine, model: writer-8b, version: v1}
+  ledger: {kind: service, version: v1}
+upstreams:
+  fast: {pool: writer, version: v1, address: %q, max_concurrent: 32}
+  slow: {pool: writer, version: v1, address: %q, max_concurrent: 32}
+  entries: {pool: ledger, version: v1, address: %q, max_concurrent: 8}
+routes:
+  chat: {path: /v1/chat/completions, pool: writer, tier: normal, idempotent: true}
+  review: {path: /v1/completions, pool: writer, tier: patient, idempotent: true}
+  lookup: {path: /lookup, pool: ledger, tier: urgent, idempotent: true}
+  submit: {path: /submit, pool: ledger, tier: urgent, idempotent: false, status_path: /status}
+  history: {path: /history, pool: ledger, tier: patient, idempotent: true}
+`
+)
+
+// overloadClass is one kind of request; engine classes have tokens.
+type overloadClass struct {
+	path, tier         string
+	deadline           time.Duration
+	weight             float64
+	minTokens, maxToks float64
+}
+
+// engineMix differs a hundredfold in lengths; a prompt has five tokens for
+// each of the answer.
+var engineMix = []overloadClass{
+	{path: openai.PathChat, tier: "normal", deadline: 3 * time.Second, weight: 0.7, minTokens: 4, maxToks: 400},
+	{path: openai.PathCompletion, tier: "patient", deadline: 5 * time.Second, weight: 0.3, minTokens: 40, maxToks: 400},
+}
+
+var serviceMix = []overloadClass{
+	{path: "/lookup", tier: "urgent", deadline: time.Second, weight: 0.5},
+	{path: "/submit", tier: "urgent", deadline: time.Second, weight: 0.1},
+	{path: "/history", tier: "patient", deadline: 5 * time.Second, weight: 0.4},
+}
+
+// overloadJob is one request of a caller.
+type overloadJob struct {
+	class  *overloadClass
+	at     time.Duration
+	body   string
+	query  string
+	echo   string
+	tokens int
+}
+
+func drawJob(rng *rand.Rand, mix []overloadClass, marker string) overloadJob {
+	left := rng.Float64()
+	class := &mix[len(mix)-1]
+	for i := range mix {
+		if left -= mix[i].weight; left < 0 {
+			class = &mix[i]
+			break
+		}
+	}
+	j := overloadJob{class: class}
+	switch class.path {
+	case openai.PathChat, openai.PathCompletion:
+		j.fillCompletion(rng, marker)
+	case "/submit":
+		j.body = fmt.Sprintf(`{"item":%q}`, marker)
+		j.echo = fakes.Echo([]byte(j.body))
+	default:
+		j.query = "?q=" + marker
+		j.echo = fakes.Echo([]byte(class.path + j.query))
+	}
+	return j
+}
+
+func (j *overloadJob) fillCompletion(rng *rand.Rand, marker string) {
+	low, high := math.Log(j.class.minTokens), math.Log(j.class.maxToks)
+	output := int(math.Exp(low + rng.Float64()*(high-low)))
+	text, _ := json.Marshal(marker + strings.Repeat("x", output*5*openai.BytesPerToken))
+	call := openai.Request{Model: "writer-8b", Stream: true, MaxTokens: output, Prompt: text}
+	if j.class.path == openai.PathChat {
+		call.Prompt, call.Messages = nil, []openai.Message{{Role: "user", Content: text}}
+	}
+	body, _ := json.Marshal(call)
+	j.body, j.echo, j.tokens = string(body), fakes.EchoOf(&call), output+call.PromptTokens()
+}
+
+func planJobs(rng *rand.Rand, mix []overloadClass, rate float64, name string) []overloadJob {
+	var jobs []overloadJob
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / rate
+		if at >= overloadArrivals.Seconds() {
+			return jobs
+		}
+		j := drawJob(rng, mix, fmt.Sprintf("%s-%d", name, len(jobs)))
+		j.at = time.Duration(at * float64(time.Second))
+		jobs = append(jobs, j)
+	}
+}
+
+// arm is one way to the upstreams with fakes of its own.
+type arm struct {
+	name    string
+	engines []*fakes.Engine
+	service *fakes.Service
+	// nodes are the callers' addresses; without any, callers go directly to
+	// the upstreams in turn.
+	nodes  []string
+	client *http.Client
+	next   atomic.Int64
+}
+
+func startArm(b *testing.B, name string) *arm {
+	a := &arm{name: name, client: benchClient()}
+	for _, step := range []time.Duration{2 * time.Millisecond, 6 * time.Millisecond} {
+		e, err := fakes.StartEngine(fakes.EngineOptions{Version: "v1", StepBase: step})
+		must.NoError(b, err)
+		b.Cleanup(func() { _ = e.Close() })
+		a.engines = append(a.engines, e)
+	}
+	var err error
+	a.service, err = fakes.StartService(fakes.ServiceOptions{Latency: overloadServiceTime, Workers: overloadServiceSlots})
+	must.NoError(b, err)
+	b.Cleanup(func() { _ = a.service.Close() })
+	return a
+}
+
+func (a *arm) address(j *overloadJob) string {
+	turn := int(a.next.Add(1))
+	if len(a.nodes) > 0 {
+		return a.nodes[turn%len(a.nodes)]
+	}
+	if j.tokens > 0 {
+		return a.engines[turn%len(a.engines)].Addr()
+	}
+	return a.service.Addr()
+}
+
+// overloadOutcome is what a caller saw.
+type overloadOutcome struct {
+	job    *overloadJob
+	ended  time.Time
+	first  time.Duration
+	total  time.Duration
+	whole  bool
+	refuse callerapi.Outcome
+}
+
+func (a *arm) send(j *overloadJob, began time.Time) overloadOutcome {
+	o := overloadOutcome{job: j}
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(j.class.deadline+overloadGrace))
+	defer cancel()
+	method := http.MethodPost
+	if j.body == "" {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+a.address(j)+j.class.path+j.query, strings.NewReader(j.body))
+	if err != nil {
+		return o
+	}
+	request.Header.Set(callerapi.HeaderTeam, "alpha")
+	request.Header.Set(callerapi.HeaderDeadline, j.class.deadline.String())
+	if j.class.path == "/submit" {
+		request.Header.Set(callerapi.HeaderIdempotencyKey, newKey())
+	}
+	if len(a.nodes) == 0 {
+		request.Header.Set(upstreamapi.HeaderRequestID, newKey())
+	}
+	if response, err := a.client.Do(request); err == nil {
+		o.read(response, began)
+	}
+	o.ended = time.Now()
+	o.total = o.ended.Sub(began)
+	return o
+}
+
+// read takes in an answer. Comments of a stream are no first token.
+func (o *overloadOutcome) read(response *http.Response, began time.Time) {
+	defer response.Body.Close()
+	o.refuse = callerapi.Outcome(response.Header.Get(callerapi.HeaderOutcome))
+	echoed, done := false, o.job.tokens == 0
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		line := lines.Text()
+		if o.first == 0 && line != "" && !strings.HasPrefix(line, ":") {
+			o.first = time.Since(began)
+		}
+		echoed = echoed || strings.Contains(line, o.job.echo)
+		done = done || strings.Contains(line, openai.DoneData)
+		for _, refusal := range []callerapi.Outcome{callerapi.NotRun, callerapi.MayHaveRun} {
+			if strings.Contains(line, `"`+string(refusal)+`"`) {
+				o.refuse = refusal
+			}
+		}
+	}
+	o.whole = echoed && done && o.refuse == "" && lines.Err() == nil && response.StatusCode == http.StatusOK
+}
+
+// run sends all jobs at their times and waits for their ends.
+func (a *arm) run(jobs []overloadJob) ([]overloadOutcome, time.Time) {
+	outcomes := make([]overloadOutcome, len(jobs))
+	var callers sync.WaitGroup
+	began := time.Now()
+	for i := range jobs {
+		time.Sleep(time.Until(began.Add(jobs[i].at)))
+		callers.Go(func() { outcomes[i] = a.send(&jobs[i], began.Add(jobs[i].at)) })
+	}
+	callers.Wait()
+	return outcomes, began
+}
+
+// engineCapacity returns the requests of engineMix that the engines end in a
+// second with all slots in use.
+func engineCapacity(b *testing.B) float64 {
+	a := startArm(b, "calibrate")
+	var ended atomic.Int64
+	began := time.Now()
+	end := began.Add(overloadWarmUp + overloadCalibrate)
+	var callers sync.WaitGroup
+	for i := range overloadEngineSlots * len(a.engines) {
+		callers.Go(func() {
+			rng := rand.New(rand.NewPCG(overloadSeed, uint64(i)))
+			direct := &arm{engines: a.engines[i%len(a.engines) : i%len(a.engines)+1], client: a.client}
+			for n := 0; time.Now().Before(end); n++ {
+				j := drawJob(rng, engineMix, fmt.Sprintf("calibrate-%d-%d", i, n))
+				patient := *j.class
+				patient.deadline = testTimeout
+				j.class = &patient
+				o := direct.send(&j, time.Now())
+				if o.whole && o.ended.After(began.Add(overloadWarmUp)) && o.ended.Before(end) {
+					ended.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return float64(ended.Load()) / overloadCalibrate.Seconds()
+}
+
+// BenchmarkPathGoodput sends the same open-loop arrivals through three nodes
+// and directly, by round robin, to equal upstreams at the same time. The load
+// is a part of what the upstreams can do, engines and service alike.
+func BenchmarkPathGoodput(b *testing.B) {
+	capacity := engineCapacity(b)
+	c := startCluster(b, withConnections(20_000))
+	through, direct := startArm(b, "through"), startArm(b, "direct")
+	c.apply(b, fmt.Sprintf(overloadConfiguration, through.engines[0].Addr(), through.engines[1].Addr(), through.service.Addr()))
+	for _, n := range c.nodes {
+		through.nodes = append(through.nodes, n.settings.CallerAdvertise)
+	}
+	for _, load := range []float64{0.6, 0.9, 1.5} {
+		b.Run(fmt.Sprintf("load-%.0f", load*100), func(b *testing.B) {
+			for i := range b.N {
+				rng := rand.New(rand.NewPCG(overloadSeed, uint64(i)))
+				name := fmt.Sprintf("%.0f-%d-%d", load*100, b.N, i)
+				engineJobs := planJobs(rng, engineMix, load*capacity, "e"+name)
+				serviceJobs := planJobs(rng, serviceMix, load*overloadServiceCalls, "s"+name)
+				var arms sync.WaitGroup
+				for _, a := range []*arm{through, direct} {
+					arms.Go(func() { a.measure(b, engineJobs, serviceJobs) })
+				}
+				arms.Wait()
+			}
+			b.ReportMetric(load*capacity, "engine-req/s")
+		})
+	}
+}
+
+var reportLock sync.Mutex
+
+func (a *arm) measure(b *testing.B, lists ...[]overloadJob) {
+	outcomes := make([][]overloadOutcome, len(lists))
+	deadlines := make(map[string]time.Time)
+	var lock sync.Mutex
+	var senders sync.WaitGroup
+	for i, jobs := range lists {
+		senders.Go(func() {
+			out, began := a.run(jobs)
+			lock.Lock()
+			defer lock.Unlock()
+			outcomes[i] = out
+			for _, j := range jobs {
+				deadlines[j.echo] = began.Add(j.at + j.class.deadline)
+			}
+		})
+	}
+	senders.Wait()
+	reportLock.Lock()
+	defer reportLock.Unlock()
+	a.report(b, outcomes)
+	a.reportWaste(b, deadlines)
+}
+
+func (a *arm) report(b *testing.B, lists [][]overloadOutcome) {
+	sent, inTime := map[string]float64{}, map[string]float64{}
+	refused := map[callerapi.Outcome]float64{callerapi.NotRun: 0, callerapi.MayHaveRun: 0}
+	useful, silent := 0.0, 0.0
+	first := newLatencies()
+	urgent := newLatencies()
+	for _, o := range concat(lists) {
+		tier := o.job.class.tier
+		sent[tier]++
+		switch {
+		case o.whole && o.total <= o.job.class.deadline:
+			inTime[tier]++
+			useful += float64(o.job.tokens)
+		case o.refuse != "":
+			refused[o.refuse]++
+		default:
+			silent++
+		}
+		if o.whole && o.job.tokens > 0 {
+			first.add(o.first)
+		}
+		if o.whole && tier == "urgent" {
+			urgent.add(o.total)
+		}
+	}
+	for _, tier := range []string{"patient", "normal", "urgent"} {
+		b.ReportMetric(inTime[tier]/sent[tier], a.name+"-goodput-"+tier)
+	}
+	b.ReportMetric(useful/overloadArrivals.Seconds(), a.name+"-useful-tokens/s")
+	b.ReportMetric(first.millis(50), a.name+"-first-p50-ms")
+	b.ReportMetric(first.millis(95), a.name+"-first-p95-ms")
+	b.ReportMetric(urgent.millis(99), a.name+"-urgent-p99-ms")
+	b.ReportMetric(refused[callerapi.NotRun], a.name+"-not-run")
+	b.ReportMetric(refused[callerapi.MayHaveRun], a.name+"-may-have-run")
+	b.ReportMetric(silent, a.name+"-late-or-silent")
+}
+
+func concat(lists [][]overloadOutcome) []overloadOutcome {
+	var all []overloadOutcome
+	for _, l := range lists {
+		all = append(all, l...)
+	}
+	return all
+}
+
+// reportWaste counts, at the fakes, the runs that ended after their caller's
+// deadline, were cancelled, or run still.
+func (a *arm) reportWaste(b *testing.B, deadlines map[string]time.Time) {
+	runs := a.service.Runs()
+	for _, e := range a.engines {
+		runs = append(runs, e.Runs()...)
+	}
+	total, wasted := 0.0, 0.0
+	for _, r := range runs {
+		deadline, ours := deadlines[r.Echo]
+		if !ours {
+			continue
+		}
+		total++
+		if r.State != fakes.RunFinished || r.EndedAt.After(deadline) {
+			wasted++
+		}
+	}
+	b.ReportMetric(total, a.name+"-runs")
+	b.ReportMetric(wasted, a.name+"-wasted-runs")
+}
