Probe with short requests and learn nothing from an ejected engine

Cause: answers of an ejected slow engine taught its slowness as normal, so that a probe passed while it was still slow; long probes wasted their prompts. Change: no learning while ejected; probes are short, from the lowest tier, after 5 s from any but the highest, after 15 s any; after 8 slow answers in a row the slowness is accepted as the engine's speed and learned anew.

--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -19,8 +19,15 @@
 	// probeFirst and probeMax bound the time between probes, which doubles.
 	probeFirst = time.Second
 	probeMax   = 30 * time.Second
-	// probeOverdue is how long a probe may wait for a request that suits it.
+	// probeTokens bounds the prompt of a probe.
+	probeTokens = 2000
+	// probeOverdue is how long a probe waits for a request of the lowest tier,
+	// probeAny for one that suits it at all.
 	probeOverdue = 5 * time.Second
+	probeAny     = 15 * time.Second
+	// probesToAccept is the number of slow answers to probes in a row after
+	// which the slowness is taken as the upstream's own speed.
+	probesToAccept = 8
 	// recoveredLimit is where the limit starts again after a passed probe.
 	recoveredLimit = 2
 )
@@ -35,7 +42,9 @@
 	probe    *entry
 	failures int
 	failing  float64
-	slowness float64
+	// slowProbes counts the probes in a row that were answered slowly.
+	slowProbes int
+	slowness   float64
 }
 
 func newHealth() health {
@@ -94,8 +103,11 @@
 		return false
 	}
 	if slowness > slowProbe {
-		h.probeFailed(now)
-		return false
+		h.slowProbes++
+		if h.slowProbes < probesToAccept {
+			h.probeFailed(now)
+			return false
+		}
 	}
 	*h = newHealth()
 	return true
@@ -176,17 +188,28 @@
 	return false
 }
 
+// suitsProbe tells whether a ticket may be a probe that has been due for a
+// while: at first only short idempotent ones of the lowest tier at work, then
+// of any tier but the highest, at last any ticket.
+func (p *Pool) suitsProbe(e *entry, waited, now time.Duration) bool {
+	if waited >= probeAny {
+		return true
+	}
+	if !e.ticket.Idempotent || e.ticket.PromptTokens > probeTokens {
+		return false
+	}
+	tier := p.tier(e.ticket.Tier)
+	return p.isLowest(tier, now) || waited >= probeOverdue && tier != p.tiers[0]
+}
+
 // probeEngine returns an ejected upstream that the ticket may probe, or nil.
-// Only idempotent tickets of the lowest tier at work serve as probes, unless
-// none has come for a while.
 func (p *Pool) probeEngine(e *entry, now time.Duration) *engine {
 	for _, g := range p.ejected {
 		if !g.probeDue(now) || e.excludes(g.upstream.Name) {
 			continue
 		}
-		overdue := now >= g.health.probeAt+probeOverdue
-		suits := e.ticket.Idempotent && p.isLowest(p.tier(e.ticket.Tier), now)
-		if (suits || overdue) && p.shares.allows(e.shareKey(), g.upstream.Version) {
+		waited := now - g.health.probeAt
+		if p.suitsProbe(e, waited, now) && p.shares.allows(e.shareKey(), g.upstream.Version) {
 			return g
 		}
 	}
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -316,3 +316,17 @@
 	p.Submit(testTicket(0, "urgent"), 0)
 	must.Eq(t, []Refusal{{Ticket: "r0000", Reason: ReasonNoUpstream, RetryAfter: probeFirst}}, refusals(p.Decisions()))
 }
+
+func TestHealth_LastingSlownessIsAccepted(t *testing.T) {
+	h := newHealth()
+	h.eject(0)
+	now := time.Duration(0)
+	for range probesToAccept {
+		now += probeMax
+		must.True(t, h.probeDue(now))
+		probe := &entry{}
+		h.probe = probe
+		h.answered(probe, 2*slowToEject, now)
+	}
+	must.False(t, h.ejected)
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -91,6 +91,9 @@
 	batch := (e.batchAtStart + e.engine.used()) / 2
 	expected := e.engine.speed.perToken(max(1, batch))
 	p.answered(e, gap, expected, now)
+	if e.engine.health.ejected {
+		return
+	}
 	e.engine.speed.observePerToken(max(1, batch), gap)
 	e.engine.limiter.observe(gap, e.engine.speed.perTokenBound(), e.startedAt, now, full)
 }
@@ -108,6 +111,9 @@
 	}
 	if g.health.answered(e, slowness, now) {
 		g.limiter.restart(recoveredLimit)
+		if slowness > slowProbe {
+			g.speed.forget()
+		}
 	}
 	if !g.health.ejected && g.health.slowness > slowToEject {
 		p.ejectSlow(g, now)
