--- /dev/null
+++ b/internal/coordination/control/capacity_heartbeat_test.go
@@ -0,0 +1,100 @@
+package control
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// processTime returns the processor time that this process has used.
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkCapacity_Heartbeat measures idle heartbeats of several numbers of
+// nodes to one leader over net/rpc on loopback sockets, one connection a node:
+// the processor time of both ends and the bytes of both directions.
+func BenchmarkCapacity_Heartbeat(b *testing.B) {
+	for _, count := range []int{7, 100, 400} {
+		b.Run(fmt.Sprintf("nodes=%d", count), func(b *testing.B) {
+			service, _ := newLocalService()
+			service.Tick()
+			server := rpc.NewServer()
+			must.NoError(b, server.RegisterName("Control", service))
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(b, err)
+			defer listener.Close()
+			go serveConns(server, listener)
+
+			var bytes atomic.Int64
+			nodes := make([]*fakeNode, count)
+			clients := make([]*rpc.Client, count)
+			beat := func(i int) {
+				sent := time.Now()
+				var reply HeartbeatReply
+				if err := clients[i].Call("Control.Heartbeat", nodes[i].Heartbeat(0, false), &reply); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := nodes[i].Take(sent, &reply); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for i := range count {
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				must.NoError(b, err)
+				nodes[i], clients[i] = benchNode(i), rpc.NewClient(countedConn{conn, &bytes})
+				defer clients[i].Close()
+				beat(i)
+			}
+			for i := range count {
+				beat(i)
+			}
+			began, used := bytes.Load(), processTime()
+			b.ResetTimer()
+			for i := range b.N {
+				beat(i % count)
+			}
+			b.ReportMetric(float64((processTime()-used).Nanoseconds())/1e3/float64(b.N), "cpu-µs/beat")
+			b.ReportMetric(float64(bytes.Load()-began)/float64(b.N), "B/beat")
+		})
+	}
+}
+
+// serveConns serves the connections of a listener until it is closed.
+func serveConns(server *rpc.Server, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
