Give up schedulers that nobody reaches; one follower of the control service

The node view repeated the control service's follower, and took an answer that crossed another. Ruled out: the leader's own hand-over, which had worked in the failing runs. The node view builds on control.Follower. A lapsed grant no longer counts as a connection that failed. Conclusion: reach is now judged by those who must connect.

--- a/internal/command/agent/addresses.go
+++ b/internal/command/agent/addresses.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/membership"
@@ -31,7 +29,7 @@
 // candidates returns the nodes known to be live. This node is cut off when its
 // own lease is not fresh.
 func (a *Agent) candidates() []membership.Candidate {
-	fresh := a.view.Fresh(time.Now())
+	fresh := a.Fresh()
 	loads := a.view.Loads()
 	members := a.view.Members().Nodes
 	candidates := make([]membership.Candidate, 0, len(members))
--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,6 +17,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/callerhttp"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
@@ -63,7 +63,7 @@
 
 	// beat asks for a heartbeat at once.
 	beat     chan struct{}
-	draining atomic.Bool
+	reach    reach
 	drained  chan struct{}
 	drain    sync.Once
 	stopOnce sync.Once
@@ -88,7 +88,6 @@
 	a := &Agent{
 		settings:    *s,
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
-		view:        nodeview.New(),
 		calls:       rpcnet.NewClientWith(l.dial()),
 		sender:      upstreamhttp.NewSender(),
 		pools:       pool.NewService(),
@@ -100,6 +99,7 @@
 		runners:     make(map[ident.PoolName]*pool.Runner),
 		fatal:       make(chan error, 1),
 	}
+	a.view = nodeview.New(a.lease())
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.events = timeline.NewRecorder(s.Node, &timeline.Clock{}, timeline.DefaultCapacity)
 	if err := a.bind(l); err != nil {
@@ -116,6 +116,17 @@
 	return a, nil
 }
 
+// lease returns what the node asks a lease for.
+func (a *Agent) lease() lease.Node {
+	return lease.Node{
+		ID:              a.settings.Node,
+		Incarnation:     a.incarnation,
+		Zone:            a.settings.Zone,
+		CallerAddress:   a.settings.CallerAdvertise,
+		InternalAddress: a.settings.InternalAdvertise,
+	}
+}
+
 func replicaIDs(s *settings.Settings) []ident.NodeID {
 	ids := make([]ident.NodeID, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
--- a/internal/command/agent/drain.go
+++ b/internal/command/agent/drain.go
@@ -25,7 +25,7 @@
 // It returns at once; Drained tells of the end.
 func (a *Agent) Drain() {
 	a.drain.Do(func() {
-		a.draining.Store(true)
+		a.view.SetDraining()
 		a.events.Record(timeline.Event{Kind: timeline.KindDrain, Detail: "begins"})
 		klog.InfoS("draining begins", "node", a.settings.Node, "ttl", a.settings.AddressTTL)
 		go a.finishDrain()
--- a/internal/command/agent/environment.go
+++ b/internal/command/agent/environment.go
@@ -13,7 +13,7 @@
 
 // Fresh implements gateway.Environment.
 func (a *Agent) Fresh() bool {
-	return a.view.Fresh(time.Now())
+	return a.view.Leased(time.Now())
 }
 
 // Placer implements gateway.Environment.
--- a/internal/command/agent/heartbeat.go
+++ b/internal/command/agent/heartbeat.go
@@ -8,7 +8,6 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
-	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
@@ -43,8 +42,8 @@
 // watchLoop has the next heartbeat sent at once when the node is behind.
 func (a *Agent) watchLoop() {
 	for a.ctx.Err() == nil {
-		revision, sequence := a.view.Have()
-		args := &control.WatchArgs{HaveRevision: revision, HaveView: sequence}
+		_, revision := a.view.Config()
+		args := &control.WatchArgs{HaveRevision: revision, HaveView: a.view.Members().Sequence}
 		reply, err := control.Call[control.WatchReply](a.ctx, a.control, "Watch", args)
 		if err != nil || !reply.Changed {
 			continue
@@ -62,7 +61,7 @@
 func (a *Agent) heartbeat(wantLoads bool) bool {
 	ctx, cancel := context.WithTimeout(a.ctx, heartbeatTimeout)
 	defer cancel()
-	args := a.heartbeatArgs(wantLoads)
+	args := a.view.Heartbeat(a.load(), wantLoads)
 	sent := time.Now()
 	reply, err := control.Call[control.HeartbeatReply](ctx, a.control, "Heartbeat", args)
 	if err != nil {
@@ -72,10 +71,9 @@
 		a.fail(errSuperseded)
 		return false
 	}
-	change, err := a.view.Take(&reply, sent)
+	change, err := a.view.TakeReply(sent, &reply)
 	if err != nil {
 		klog.ErrorS(err, "update of the node's view does not fit, asking for everything")
-		return true
 	}
 	if change.Any() {
 		a.applyView(change.Config)
@@ -83,24 +81,6 @@
 	return change.Any()
 }
 
-func (a *Agent) heartbeatArgs(wantLoads bool) *control.HeartbeatArgs {
-	revision, sequence := a.view.Have()
-	return &control.HeartbeatArgs{
-		Node: lease.Node{
-			ID:              a.settings.Node,
-			Incarnation:     a.incarnation,
-			Zone:            a.settings.Zone,
-			CallerAddress:   a.settings.CallerAdvertise,
-			InternalAddress: a.settings.InternalAdvertise,
-			Draining:        a.draining.Load(),
-		},
-		Load:         a.load(),
-		HaveRevision: revision,
-		HaveView:     sequence,
-		WantLoads:    wantLoads,
-	}
-}
-
 // load returns the part of the node's memory for requests in use, 0 to 255.
 func (a *Agent) load() uint8 {
 	return uint8(min(fullLoad, fullLoad*a.budget.Used()/a.settings.Limits.MaxWaitingBytes))
@@ -128,7 +108,7 @@
 	if a.ctx.Err() != nil {
 		return
 	}
-	held := a.heldPools()
+	held := a.view.HeldPools(time.Now())
 	for name, r := range a.runners {
 		if l, ok := held[name]; !ok || l.Epoch != r.Master().Epoch() {
 			a.stopRunner(name, r)
@@ -173,6 +153,7 @@
 			return
 		case <-time.After(leaseCheckInterval):
 		}
+		a.checkReachable(time.Now())
 		now := a.Fresh()
 		if now == fresh {
 			continue
--- a/internal/command/agent/pools.go
+++ b/internal/command/agent/pools.go
@@ -14,21 +14,6 @@
 
 var errSuperseded = errors.New("another process with this node's name has started later")
 
-// heldPools returns the scheduler leases that this life of the node holds. It
-// is empty once the node's own lease may have ended.
-func (a *Agent) heldPools() map[ident.PoolName]lease.Pool {
-	held := make(map[ident.PoolName]lease.Pool)
-	if !a.Fresh() {
-		return held
-	}
-	for name, l := range a.view.Members().Pools {
-		if l.Holder == a.settings.Node && l.HolderIncarnation == a.incarnation {
-			held[name] = l
-		}
-	}
-	return held
-}
-
 func (a *Agent) startRunner(l lease.Pool) {
 	r := pool.StartRunner(l, pool.Dependencies{
 		View:    a.view,
--- a/internal/coordination/control/follower.go
+++ b/internal/coordination/control/follower.go
@@ -38,6 +38,14 @@
 	f.node.Draining = true
 }
 
+// SetUnreachable makes every later heartbeat say whether other nodes can
+// connect to this one.
+func (f *Follower) SetUnreachable(unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.node.Unreachable = unreachable
+}
+
 // Heartbeat returns the next heartbeat. Before it is sent, the node has
 // stopped the schedulers that Holds denies.
 func (f *Follower) Heartbeat(load uint8, wantLoads bool) *HeartbeatArgs {
--- a/internal/coordination/control/pools.go
+++ b/internal/coordination/control/pools.go
@@ -106,7 +106,7 @@
 		plan.known[pool.Pool] = pool
 	}
 	for _, node := range nodes {
-		if !node.Draining {
+		if !node.Draining && !node.Unreachable {
 			plan.nodes = append(plan.nodes, node)
 			plan.eligible[node.ID] = true
 		}
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -43,8 +43,8 @@
 		return g.claimUncertain(ctx, r), true
 	}
 	if claimed.Verdict == ledger.VerdictGranted {
-		result, again := g.releaseUnsent(ctx, r)
-		return result, !again
+		result, end := g.releaseUnsent(ctx, r, lapsed)
+		return result, end == settled
 	}
 	return g.claimRefused(ctx, r, claimed, sink), true
 }
@@ -67,7 +67,7 @@
 
 // attemptClaimed claims the key just before it dispatches. No byte is sent
 // before the claim is committed.
-func (g *Gateway) attemptClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, bool) {
+func (g *Gateway) attemptClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, verdict) {
 	r := d.Request
 	r.attempt++
 	claimCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
@@ -75,16 +75,16 @@
 	claimed, err := g.ledger.Claim(claimCtx, g.claim(r))
 	if err != nil {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
-		return g.claimUncertain(ctx, r), false
+		return g.claimUncertain(ctx, r), settled
 	}
 	if claimed.Verdict != ledger.VerdictGranted {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
-		return g.claimRefused(claimCtx, r, claimed, sink), false
+		return g.claimRefused(claimCtx, r, claimed, sink), settled
 	}
 	g.record(r, timeline.KindClaimed, r.Key)
 	if !placer.Begin(r.ID) {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
-		return g.releaseUnsent(ctx, r)
+		return g.releaseUnsent(ctx, r, lapsed)
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
 	return g.dispatchClaimed(ctx, placer, d, grant, sink)
@@ -92,7 +92,7 @@
 
 // dispatchClaimed sends a claimed request. It runs to its end also when the
 // caller leaves, so that a resend finds the outcome.
-func (g *Gateway) dispatchClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, bool) {
+func (g *Gateway) dispatchClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, verdict) {
 	r := d.Request
 	sendCtx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), r.Deadline, errDeadline)
 	defer cancel()
@@ -100,7 +100,7 @@
 	sent := g.upstreams.Send(sendCtx, d, answer)
 	placer.Finish(r.ID, reportKind(sendCtx, sent), 0)
 	if sent.Outcome == DispatchUnsent {
-		return g.releaseUnsent(ctx, r)
+		return g.releaseUnsent(ctx, r, unsent)
 	}
 	recorded := answer.whole(sent)
 	if recorded == nil {
@@ -108,10 +108,10 @@
 	}
 	g.commitOutcome(context.WithoutCancel(ctx), r, recorded)
 	if recorded == nil {
-		return broken(sendCtx, sent, false), false
+		return broken(sendCtx, sent, false), settled
 	}
 	header := AnswerHeader{Status: recorded.Status, ContentType: recorded.ContentType, Upstream: d.Target.Name, Version: grant.Version}
-	return deliver(sink, header, recorded.Body), false
+	return deliver(sink, header, recorded.Body), settled
 }
 
 // claimRefused ends a request whose claim was not granted. A stale verdict may
@@ -135,11 +135,11 @@
 
 // releaseUnsent gives a claim back after a dispatch that sent nothing. The
 // request may be placed again only when the release is committed.
-func (g *Gateway) releaseUnsent(ctx context.Context, r *Request) (Result, bool) {
+func (g *Gateway) releaseUnsent(ctx context.Context, r *Request, why verdict) (Result, verdict) {
 	if g.release(context.WithoutCancel(ctx), r) {
-		return Result{}, true
+		return Result{}, why
 	}
-	return Result{Failure: &Failure{Reason: ReasonNoQuorum, Message: "the claim could not be released", RetryAfter: time.Second}}, false
+	return Result{Failure: &Failure{Reason: ReasonNoQuorum, Message: "the claim could not be released", RetryAfter: time.Second}}, settled
 }
 
 func (g *Gateway) release(ctx context.Context, r *Request) bool {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -59,6 +59,18 @@
 	return g.run(ctx, waitCtx, held, r, sink)
 }
 
+// verdict tells what a dispatch under one grant came to.
+type verdict uint8
+
+const (
+	// settled means that the result stands.
+	settled verdict = iota
+	// unsent means that provably no connection to the upstream was made.
+	unsent
+	// lapsed means that the grant could not be used; nothing was tried.
+	lapsed
+)
+
 // run places and dispatches the request until a dispatch is not provably
 // unsent. WaitCtx ends also when the request is shed while it waits.
 func (g *Gateway) run(ctx, waitCtx context.Context, held *Hold, r *Request, sink Sink) Result {
@@ -67,18 +79,20 @@
 		return refusal(ReasonUnknownPool, "no scheduler serves the pool yet", time.Second)
 	}
 	var excluded []ident.UpstreamName
-	for range MaxUnsent {
+	for len(excluded) < MaxUnsent {
 		grant, failure := g.place(waitCtx, placer, r, excluded)
 		if failure != nil {
 			return Result{Failure: failure}
 		}
 		held.Dispatching()
-		result, again := g.attempt(ctx, placer, r, grant, sink)
-		if !again {
+		result, end := g.attempt(ctx, placer, r, grant, sink)
+		if end == settled {
 			return result
 		}
 		held.Waiting()
-		excluded = append(excluded, grant.Upstream)
+		if end == unsent {
+			excluded = append(excluded, grant.Upstream)
+		}
 	}
 	return refusal(Reason(scheduler.ReasonUnsent), "no connection to an upstream could be made", time.Second)
 }
@@ -131,13 +145,12 @@
 	return &Failure{Reason: ReasonCallerLeft, NotRun: true, Message: "the caller left while the request waited"}
 }
 
-// attempt dispatches under one grant. It reports true when provably nothing
-// was sent and the request may be placed again.
-func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, sink Sink) (Result, bool) {
+// attempt dispatches under one grant.
+func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, sink Sink) (Result, verdict) {
 	upstream, ok := g.env.Upstream(grant.Upstream)
 	if !ok {
-		placer.Finish(r.ID, scheduler.ReportUnsent, 0)
-		return Result{}, true
+		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		return Result{}, lapsed
 	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
 	if !r.Idempotent {
@@ -145,7 +158,7 @@
 	}
 	if !placer.Begin(r.ID) {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
-		return Result{}, true
+		return Result{}, lapsed
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
 	sendCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
@@ -157,15 +170,15 @@
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
 	}
 	if sent.Outcome == DispatchUnsent {
-		return Result{}, true
+		return Result{}, unsent
 	}
 	if sent.Outcome != DispatchWhole {
-		return broken(sendCtx, sent, relay.begun), false
+		return broken(sendCtx, sent, relay.begun), settled
 	}
 	if err := relay.Flush(); err != nil {
-		return Result{Failure: &Failure{Reason: ReasonCallerLeft, Message: err.Error(), Begun: true}}, false
+		return Result{Failure: &Failure{Reason: ReasonCallerLeft, Message: err.Error(), Begun: true}}, settled
 	}
-	return Result{Answered: true}, false
+	return Result{Answered: true}, settled
 }
 
 // reportKind maps the end of a dispatch to what the scheduler must know.
--- a/internal/coordination/nodeview/nodeview.go
+++ b/internal/coordination/nodeview/nodeview.go
@@ -13,27 +13,23 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
-	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
-// View is the knowledge of one node. It is safe for concurrent use.
+// View is the knowledge of one node. It adds to the follower of the control
+// service what is derived from it or comes from elsewhere. It is safe for
+// concurrent use.
 type View struct {
-	mu       sync.Mutex
-	revision ident.Revision
-	config   config.Config
-	routes   *routing.Table
-	members  machine.Members
-	loads    map[ident.NodeID]uint8
-	leaving  map[string]struct{}
-	// resync asks for everything with the next heartbeat.
-	resync bool
-	// leaseEnd is when the node's lease ends at the latest.
-	leaseEnd time.Time
+	*control.Follower
+
+	mu      sync.Mutex
+	routes  *routing.Table
+	loads   map[ident.NodeID]uint8
+	leaving map[string]struct{}
 }
 
-// New returns a view that knows nothing.
-func New() *View {
-	return &View{}
+// New returns the view of one life of a node, which knows nothing yet.
+func New(node lease.Node) *View {
+	return &View{Follower: control.NewFollower(node)}
 }
 
 // Change tells what a heartbeat's reply changed.
@@ -47,94 +43,38 @@
 // Any reports whether anything changed.
 func (c Change) Any() bool { return c.Config || c.Members }
 
-// Take takes in the reply to a heartbeat that was sent at the given time. An
-// update that does not fit leaves the view unchanged, and the next heartbeat
-// asks for everything.
-func (v *View) Take(reply *control.HeartbeatReply, sent time.Time) (Change, error) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	change, err := v.takeState(reply)
-	if err != nil {
-		return change, err
-	}
-	if end := sent.Add(reply.TTL); reply.TTL > 0 && end.After(v.leaseEnd) {
-		v.leaseEnd = end
+// TakeReply takes in the reply to a heartbeat that was sent at the given time.
+// An update that does not fit leaves the view unchanged, and the next heartbeat
+// asks for everything. Only one goroutine calls it.
+func (v *View) TakeReply(sent time.Time, reply *control.HeartbeatReply) (Change, error) {
+	_, revision := v.Config()
+	sequence := v.Members().Sequence
+	_, err := v.Take(sent, reply)
+	cfg, now := v.Config()
+	change := Change{Config: now != revision, Members: v.Members().Sequence != sequence}
+	if change.Config {
+		v.setRoutes(routing.NewTable(&cfg))
 	}
 	if reply.Loads != nil {
-		v.loads = make(map[ident.NodeID]uint8, len(reply.Loads))
-		for _, l := range reply.Loads {
-			v.loads[l.Node] = l.Load
-		}
-	}
-	return change, nil
-}
-
-func (v *View) takeState(reply *control.HeartbeatReply) (Change, error) {
-	var change Change
-	if reply.Update != nil {
-		if err := v.takeUpdate(reply.Update); err != nil {
-			v.resync = true
-			return change, err
-		}
-		change.Config = true
-	}
-	if reply.View != nil {
-		members, err := v.members.Apply(reply.View)
-		if err != nil {
-			v.resync = true
-			return change, err
-		}
-		v.members = members
-		change.Members = true
-	}
-	v.resync = false
-	return change, nil
-}
-
-// takeUpdate puts a later revision in force. An older one never replaces it.
-func (v *View) takeUpdate(update *config.Update) error {
-	if update.To <= v.revision {
-		return nil
-	}
-	next, err := update.Apply(v.config)
-	if err != nil {
-		return err
-	}
-	v.config = next
-	v.revision = update.To
-	v.routes = routing.NewTable(&next)
-	return nil
-}
-
-// Have returns what the next heartbeat names as known.
-func (v *View) Have() (ident.Revision, uint64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.resync {
-		return 0, 0
+		v.setLoads(reply.Loads)
 	}
-	return v.revision, v.members.Sequence
+	return change, err
 }
 
-// Fresh reports whether the node may rely on its lease at the given time.
-func (v *View) Fresh(now time.Time) bool {
+func (v *View) setRoutes(table *routing.Table) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return now.Before(v.leaseEnd)
+	v.routes = table
 }
 
-// LeaseEnd returns when the node's lease ends unless it is renewed.
-func (v *View) LeaseEnd() time.Time {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.leaseEnd
-}
-
-// Config returns the configuration in force. It must not be changed.
-func (v *View) Config() (config.Config, ident.Revision) {
+func (v *View) setLoads(loads []control.NodeLoad) {
+	byNode := make(map[ident.NodeID]uint8, len(loads))
+	for _, l := range loads {
+		byNode[l.Node] = l.Load
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.config, v.revision
+	v.loads = byNode
 }
 
 // Routes returns the routes in force; nil before the first configuration.
@@ -144,15 +84,7 @@
 	return v.routes
 }
 
-// Members returns the live nodes, scheduler leases and moves. It must not be
-// changed.
-func (v *View) Members() machine.Members {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.members
-}
-
-// Loads returns the nodes' loads, 0 to 255.
+// Loads returns the nodes' loads, 0 to 255. They must not be changed.
 func (v *View) Loads() map[ident.NodeID]uint8 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -179,32 +111,38 @@
 
 // Team returns a configured team.
 func (v *View) Team(name ident.TeamName) (config.Team, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	team, ok := v.config.Teams[name]
+	cfg, _ := v.Config()
+	team, ok := cfg.Teams[name]
 	return team, ok
 }
 
-// Upstream returns a configured upstream that may get new work.
+// Upstream returns a configured upstream. It is false for one that may not get
+// new work.
 func (v *View) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	u, ok := v.config.Upstreams[name]
-	if !ok {
-		return config.Upstream{}, false
-	}
-	_, leaving := v.leaving[u.Address]
-	return u, !leaving
+	cfg, _ := v.Config()
+	u, ok := cfg.Upstreams[name]
+	return u, ok && !v.Leaving(u.Address)
 }
 
 // Holder returns the node that holds a pool's scheduler lease.
 func (v *View) Holder(pool ident.PoolName) (lease.Pool, lease.Node, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	held, ok := v.members.Pools[pool]
+	members := v.Members()
+	held, ok := members.Pools[pool]
 	if !ok || held.Holder == "" {
 		return lease.Pool{}, lease.Node{}, false
 	}
-	node, ok := v.members.Nodes[held.Holder]
+	node, ok := members.Nodes[held.Holder]
 	return held, node, ok && node.Incarnation == held.HolderIncarnation
 }
+
+// HeldPools returns the scheduler leases that this node may act on at the
+// given time.
+func (v *View) HeldPools(now time.Time) map[ident.PoolName]lease.Pool {
+	held := make(map[ident.PoolName]lease.Pool)
+	for name, l := range v.Members().Pools {
+		if _, holds := v.Holds(name, now); holds {
+			held[name] = l
+		}
+	}
+	return held
+}
--- a/internal/coordination/nodeview/schedview.go
+++ b/internal/coordination/nodeview/schedview.go
@@ -13,17 +13,16 @@
 // SchedulerView returns what the scheduler of a pool must know. Shares are the
 // present shares of the pool's versions.
 func (v *View) SchedulerView(pool ident.PoolName, shares []scheduler.VersionShare) scheduler.View {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	cfg, revision := v.Config()
 	return scheduler.View{
 		Pool:       pool,
-		Revision:   v.revision,
-		QueueLimit: v.config.Pools[pool].QueueLimit,
-		Tiers:      tiers(&v.config),
-		Teams:      teams(&v.config),
-		Upstreams:  v.upstreams(pool),
+		Revision:   revision,
+		QueueLimit: cfg.Pools[pool].QueueLimit,
+		Tiers:      tiers(&cfg),
+		Teams:      teams(&cfg),
+		Upstreams:  v.upstreams(&cfg, pool),
 		Shares:     shares,
-		Gateways:   slices.Sorted(maps.Keys(v.members.Nodes)),
+		Gateways:   slices.Sorted(maps.Keys(v.Members().Nodes)),
 	}
 }
 
@@ -45,19 +44,18 @@
 	return list
 }
 
-func (v *View) upstreams(pool ident.PoolName) []scheduler.Upstream {
+func (v *View) upstreams(c *config.Config, pool ident.PoolName) []scheduler.Upstream {
 	var list []scheduler.Upstream
-	for name, u := range v.config.Upstreams {
+	for name, u := range c.Upstreams {
 		if u.Pool != pool {
 			continue
 		}
-		_, leaving := v.leaving[u.Address]
 		list = append(list, scheduler.Upstream{
 			Name:          name,
 			Version:       u.Version,
 			Zone:          u.Zone,
 			MaxConcurrent: u.MaxConcurrent,
-			Leaving:       leaving,
+			Leaving:       v.Leaving(u.Address),
 		})
 	}
 	slices.SortFunc(list, func(a, b scheduler.Upstream) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -22,6 +22,8 @@
 	mu       sync.Mutex
 	sched    scheduler.Scheduler
 	sessions map[ident.NodeID]*session
+	// heard is when each gateway's latest message came.
+	heard    map[ident.NodeID]time.Time
 	observer Observer
 }
 
@@ -49,6 +51,7 @@
 		stop:     make(chan struct{}),
 		sched:    build(0),
 		sessions: make(map[ident.NodeID]*session),
+		heard:    make(map[ident.NodeID]time.Time),
 		observer: observer,
 	}
 	go m.run()
@@ -98,6 +101,20 @@
 	return m.sched.Stats()
 }
 
+// HeardOther returns when the latest message of a gateway other than self came,
+// or when the scheduler began. Every gateway polls without a pause.
+func (m *Master) HeardOther(self ident.NodeID) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest := m.origin
+	for gateway, at := range m.heard {
+		if gateway != self && at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 func (m *Master) run() {
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
@@ -157,6 +174,7 @@
 	if m.Stopped() {
 		return Reply{Refused: true}
 	}
+	m.heard[args.Session.Gateway] = time.Now()
 	now := time.Since(m.origin)
 	s := m.session(args, now)
 	if s == nil {
@@ -245,6 +263,7 @@
 func (m *Master) pollOnce(args *PollArgs) (*session, Reply, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.heard[args.Session.Gateway] = time.Now()
 	s := m.sessions[args.Session.Gateway]
 	if m.Stopped() || s == nil || s.id != args.Session {
 		return nil, Reply{Refused: true}, true
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -16,6 +16,8 @@
 	InternalAddress string
 	// Draining nodes get no new callers.
 	Draining bool
+	// Unreachable nodes get no scheduler leases: others can't connect to them.
+	Unreachable bool
 }
 
 // Pool is the lease of a pool's scheduler.
