Moves: shares withdrawn during a commit, true load of samples, events each tick

Cause: a share that was taken away waited behind a commit of up to 3 s; a sample's load was relative to the peak so far, 1.0 at first; events of a move were told only with a commit; requests of dead gateways stayed in the sampler. Change: a loop of its own passes changed shares on; load is relative to the configured limit; events are told each tick; dead gateways' requests are dropped. Conclusion: a withdrawal no longer depends on the quorum.

--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -94,6 +94,7 @@
 	}
 	r.master = NewMaster(l.Pool, l.Epoch, build, r)
 	r.done.Go(func() { r.run(ctx) })
+	r.done.Go(func() { r.refreshLoop(ctx) })
 	r.Update()
 	return r
 }
@@ -132,6 +133,7 @@
 	r.mu.Lock()
 	r.set.Configure(cfg, recordsOf(r.view), time.Now())
 	r.set.SetReadiness(r.readiness(&cfg), time.Now())
+	r.samples.forget(r.view.Members().Nodes)
 	r.mu.Unlock()
 	r.setView()
 	r.pollUpstreams(&cfg)
@@ -175,6 +177,8 @@
 	return list
 }
 
+// run commits what the moves ask for. A commit may take long, so that a share
+// that is taken away reaches the scheduler by refreshLoop.
 func (r *Runner) run(ctx context.Context) {
 	ticker := time.NewTicker(MoveInterval)
 	defer ticker.Stop()
@@ -182,15 +186,24 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.refresh:
-			r.setView()
 		case <-ticker.C:
 			r.tickMoves(ctx)
 		}
 	}
 }
 
-// tickMoves commits what the moves ask for.
+// refreshLoop passes changed shares to the scheduler.
+func (r *Runner) refreshLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.refresh:
+			r.setView()
+		}
+	}
+}
+
 func (r *Runner) tickMoves(ctx context.Context) {
 	r.mu.Lock()
 	records := r.set.Tick(time.Now())
@@ -198,6 +211,7 @@
 	for _, record := range records {
 		r.commit(ctx, record)
 	}
+	r.tellMoves()
 }
 
 func (r *Runner) commit(ctx context.Context, record move.Record) {
@@ -209,9 +223,15 @@
 	}
 	r.mu.Lock()
 	r.set.Committed(committed, time.Now())
-	events := r.set.Events()
 	r.mu.Unlock()
 	r.setView()
+}
+
+// tellMoves records what happened to the moves since the last call.
+func (r *Runner) tellMoves() {
+	r.mu.Lock()
+	events := r.set.Events()
+	r.mu.Unlock()
 	for _, e := range events {
 		r.events.Record(timeline.Event{
 			Kind:   timeline.KindMove,
@@ -227,8 +247,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cfg, _ := r.view.Config()
-	u := cfg.Upstreams[g.Upstream]
-	r.samples.granted(t, g, u.HardwareClass())
+	r.samples.granted(t, g, cfg.Upstreams[g.Upstream])
 }
 
 // Reported implements Observer. It runs under the master's lock, so a changed
--- a/internal/coordination/pool/sample.go
+++ b/internal/coordination/pool/sample.go
@@ -6,46 +6,57 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/moves"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 )
 
 // sampler turns the reports on granted requests into samples for the moves.
 type sampler struct {
 	open    map[ident.RequestID]*observed
 	running map[ident.UpstreamName]int
-	peak    map[ident.UpstreamName]int
 }
 
 type observed struct {
 	sample     moves.Sample
 	firstToken time.Duration
+	gateway    ident.NodeID
 }
 
 func newSampler() sampler {
 	return sampler{
 		open:    make(map[ident.RequestID]*observed),
 		running: make(map[ident.UpstreamName]int),
-		peak:    make(map[ident.UpstreamName]int),
 	}
 }
 
-func (s *sampler) granted(t scheduler.Ticket, g scheduler.Grant, class ident.HardwareClass) {
+func (s *sampler) granted(t scheduler.Ticket, g scheduler.Grant, u config.Upstream) {
 	if s.open[t.ID] != nil {
 		return
 	}
 	s.running[g.Upstream]++
-	s.peak[g.Upstream] = max(s.peak[g.Upstream], s.running[g.Upstream])
-	s.open[t.ID] = &observed{sample: moves.Sample{
+	s.open[t.ID] = &observed{gateway: t.Gateway, sample: moves.Sample{
 		Route:        t.Route,
 		Version:      g.Version,
 		Upstream:     g.Upstream,
-		Class:        class,
+		Class:        u.HardwareClass(),
 		Idempotent:   t.Idempotent,
 		PromptTokens: t.PromptTokens,
-		Load:         float64(s.running[g.Upstream]) / float64(s.peak[g.Upstream]),
+		Load:         float64(s.running[g.Upstream]) / float64(max(1, u.MaxConcurrent)),
 	}}
 }
 
+// forget drops the requests of gateways that are no longer live: no report on
+// them will come.
+func (s *sampler) forget(live map[ident.NodeID]lease.Node) {
+	for id, o := range s.open {
+		if _, ok := live[o.gateway]; !ok {
+			delete(s.open, id)
+			s.running[o.sample.Upstream]--
+		}
+	}
+}
+
 // reported returns a sample when the report ends a request that ran.
 func (s *sampler) reported(r scheduler.Report) (moves.Sample, bool) {
 	o := s.open[r.Ticket]
