--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -35,9 +35,9 @@
 // health tells whether an upstream is in rotation. An ejected one gets single
 // requests as probes; the first that passes returns it, with a small limit.
 type health struct {
-	ejected  bool
-	since    time.Duration
-	probeAt  time.Duration
+	ejected bool
+	since   time.Duration
+	probeAt time.Duration
 	// soonest is when the next probe may start if nothing else can serve.
 	soonest  time.Duration
 	backoff  time.Duration
