Pool sessions: several messages under way, in order

Cause: a gateway kept one Submit in flight, so a ticket waited for the call that was out: a grant from a scheduler 1 ms away cost twice its round trip. Ruled out: unordered calls (a ticket placed anew could overtake the report that gave its former grant up). Change: messages are numbered within a session and take effect in order; up to four are under way once the session is accepted.

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -29,9 +29,11 @@
 	caller      Caller
 	wake        chan struct{}
 
-	mu         sync.Mutex
-	holder     Holder
-	number     uint64
+	mu     sync.Mutex
+	holder Holder
+	number uint64
+	// sequence numbers the messages of the session.
+	sequence   uint64
 	registered bool
 	accept     bool
 	changed    chan struct{}
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -40,6 +40,10 @@
 	tickets map[ident.RequestID]scheduler.Ticket
 	outbox  []scheduler.Decision
 	ready   chan struct{}
+	// next is the sequence of the message that takes effect next; turn is
+	// closed and replaced when it changes.
+	next uint64
+	turn chan struct{}
 }
 
 // NewMaster starts a scheduler. The caller stops it when the lease ends.
@@ -168,18 +172,49 @@
 	}
 }
 
+// submit takes a message in at its turn. A message whose predecessor was lost
+// waits until the gateway registers anew, and is refused then.
 func (m *Master) submit(args *SubmitArgs) Reply {
+	timeout := time.NewTimer(CallTimeout)
+	defer timeout.Stop()
+	for {
+		reply, turn := m.submitInTurn(args)
+		if turn == nil {
+			return reply
+		}
+		select {
+		case <-turn:
+		case <-m.stop:
+		case <-timeout.C:
+			return Reply{Refused: true}
+		}
+	}
+}
+
+// submitInTurn takes the message in, or returns a channel that is closed when
+// the session's next turn comes.
+func (m *Master) submitInTurn(args *SubmitArgs) (Reply, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.Stopped() {
-		return Reply{Refused: true}
+		return Reply{Refused: true}, nil
 	}
 	m.heard[args.Session.Gateway] = time.Now()
 	now := time.Since(m.origin)
 	s := m.session(args, now)
-	if s == nil {
-		return Reply{Refused: true}
+	if s == nil || args.Sequence < s.next {
+		return Reply{Refused: true}, nil
 	}
+	if args.Sequence > s.next {
+		return Reply{}, s.turn
+	}
+	s.advance()
+	return m.takeIn(s, args, now), nil
+}
+
+// takeIn gives the scheduler what a message says and returns the decisions at
+// hand.
+func (m *Master) takeIn(s *session, args *SubmitArgs, now time.Duration) Reply {
 	for _, r := range args.Reports {
 		m.report(s, r, now)
 	}
@@ -219,6 +254,7 @@
 		id:      args.Session,
 		tickets: make(map[ident.RequestID]scheduler.Ticket),
 		ready:   make(chan struct{}, 1),
+		turn:    make(chan struct{}),
 	}
 	for _, t := range args.Register.Waiting {
 		s.tickets[t.ID] = t
@@ -226,6 +262,9 @@
 	for _, r := range args.Register.Running {
 		s.tickets[r.Ticket.ID] = r.Ticket
 	}
+	if former := m.sessions[args.Session.Gateway]; former != nil {
+		former.advance()
+	}
 	m.sessions[args.Session.Gateway] = s
 	m.sched.Register(*args.Register, now)
 	return s
@@ -236,6 +275,13 @@
 	return known.Incarnation == offered.Incarnation && known.Number >= offered.Number
 }
 
+// advance lets the next message take its turn.
+func (s *session) advance() {
+	s.next++
+	close(s.turn)
+	s.turn = make(chan struct{})
+}
+
 func (s *session) take() []scheduler.Decision {
 	out := s.outbox
 	s.outbox = nil
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -16,6 +16,8 @@
 const (
 	// PollHold is how long a Poll waits for a decision.
 	PollHold = 500 * time.Millisecond
+	// MaxInFlight bounds the Submits of one gateway that are under way.
+	MaxInFlight = 4
 	// CallTimeout bounds one Submit.
 	CallTimeout = time.Second
 	// PollTimeout bounds one Poll.
@@ -36,6 +38,9 @@
 // SubmitArgs carries what a gateway has to tell the pool's scheduler.
 type SubmitArgs struct {
 	Session Session
+	// Sequence numbers the messages of a session from 0. They take effect in
+	// this order, also when several are under way.
+	Sequence uint64
 	// Register is set on the first message of a session.
 	Register *scheduler.Registration
 	Tickets  []scheduler.Ticket
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
@@ -19,27 +20,66 @@
 	<-done
 }
 
+// submitLoop sends what is pending. Until the scheduler has accepted the
+// session it sends one message at a time, then up to MaxInFlight.
 func (c *Client) submitLoop(ctx context.Context) {
+	slots := make(chan struct{}, MaxInFlight)
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.wake:
 		}
-		for c.submitOnce(ctx) {
-			if !sleep(ctx, RetryInterval) {
-				return
+		if !c.isAccepted() {
+			if c.submitOnce(ctx) {
+				sleep(ctx, RetryInterval)
+				c.poke()
 			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
 		}
+		args, address := c.compose(time.Now())
+		if args == nil {
+			<-slots
+			continue
+		}
+		calls.Go(func() {
+			c.send(ctx, args, address)
+			<-slots
+		})
 	}
 }
 
-// submitOnce sends what is pending. It reports whether to try again.
+func (c *Client) isAccepted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.accept
+}
+
+// poke has the submit loop look again.
+func (c *Client) poke() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notify()
+}
+
+// submitOnce sends what is pending and waits. It reports whether to try again.
 func (c *Client) submitOnce(ctx context.Context) bool {
 	args, address := c.compose(time.Now())
 	if args == nil {
 		return false
 	}
+	return !c.send(ctx, args, address) && ctx.Err() == nil
+}
+
+// send sends one message and hands out the decisions that answer it.
+func (c *Client) send(ctx context.Context, args *SubmitArgs, address string) bool {
 	callCtx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	reply := &Reply{}
@@ -47,11 +87,11 @@
 	err := c.caller.Call(callCtx, address, ServiceName+".Submit", args, reply)
 	if err != nil || reply.Refused {
 		c.lost(args.Session)
-		return ctx.Err() == nil
+		return false
 	}
 	c.accepted(args.Session)
 	c.deliver(reply.Decisions, sent)
-	return false
+	return true
 }
 
 // accepted notes that the scheduler knows the session, so that polls can begin.
@@ -64,6 +104,7 @@
 	c.accept = true
 	close(c.changed)
 	c.changed = make(chan struct{})
+	c.notify()
 }
 
 // compose takes the pending messages. It returns nil when there is nothing to
@@ -84,11 +125,14 @@
 		args.Reports = c.reports
 	} else {
 		c.number++
+		c.sequence = 0
 		c.registered = true
 		args.Register = c.registration(now)
 	}
 	c.tickets, c.cancels, c.reports = nil, nil, nil
 	args.Session = c.session()
+	args.Sequence = c.sequence
+	c.sequence++
 	return args, c.holder.Address
 }
 
