--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -24,9 +24,9 @@
 	"github.com/flamingohaven/flamingohaven/internal/transport/upstreamhttp"
 )
 
-// Listeners are bound sockets to use in place of the settings' addresses. Nil
-// fields are bound by New.
-type Listeners struct {
+// Overrides replace what the settings name. Nil fields stand for the settings'
+// own addresses and folder.
+type Overrides struct {
 	Caller   net.Listener
 	Internal net.Listener
 	// Dial connects to other nodes; nil selects rpcnet.Dial.
@@ -35,7 +35,7 @@
 	Disk disk.FS
 }
 
-func (l Listeners) dial() rpcnet.DialFunc {
+func (l Overrides) dial() rpcnet.DialFunc {
 	if l.Dial == nil {
 		return rpcnet.Dial
 	}
@@ -46,6 +46,7 @@
 type Agent struct {
 	settings    settings.Settings
 	incarnation ident.Incarnation
+	clock       *timeline.Clock
 	events      *timeline.Recorder
 	view        *nodeview.View
 
@@ -84,13 +85,13 @@
 }
 
 // New binds the node's sockets and opens its data folder. Start makes it work.
-func New(s *settings.Settings, l Listeners) (*Agent, error) {
+func New(s *settings.Settings, l Overrides) (*Agent, error) {
 	a := &Agent{
 		settings:    *s,
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
+		clock:       &timeline.Clock{},
 		calls:       rpcnet.NewClientWith(l.dial()),
 		sender:      upstreamhttp.NewSender(),
-		pools:       pool.NewService(),
 		budget:      gateway.NewBudget(s.Limits.MaxWaitingBytes),
 		metrics:     newMetrics(),
 		beat:        make(chan struct{}, 1),
@@ -99,9 +100,10 @@
 		runners:     make(map[ident.PoolName]*pool.Runner),
 		fatal:       make(chan error, 1),
 	}
+	a.pools = pool.NewService(a.clock)
 	a.view = nodeview.New(a.lease())
 	a.ctx, a.cancel = context.WithCancel(context.Background())
-	a.events = timeline.NewRecorder(s.Node, &timeline.Clock{}, timeline.DefaultCapacity)
+	a.events = timeline.NewRecorder(s.Node, a.clock, timeline.DefaultCapacity)
 	if err := a.bind(l); err != nil {
 		a.Kill()
 		return nil, err
@@ -155,7 +157,7 @@
 	}
 }
 
-func (a *Agent) bind(l Listeners) error {
+func (a *Agent) bind(l Overrides) error {
 	var err error
 	if a.socket = l.Caller; a.socket == nil {
 		if a.socket, err = net.Listen("tcp", a.settings.CallerListen); err != nil {
@@ -171,7 +173,7 @@
 }
 
 // register offers the node's services to the other nodes.
-func (a *Agent) register(l Listeners) error {
+func (a *Agent) register(l Overrides) error {
 	if err := a.server.Register(pool.ServiceName, a.pools); err != nil {
 		return err
 	}
--- a/internal/command/agent/capacity_test.go
+++ b/internal/command/agent/capacity_test.go
@@ -55,7 +55,7 @@
 // connections that it makes to other nodes.
 func (c *cluster) addGateway(b *testing.B, i int, bytes *atomic.Int64) {
 	b.Helper()
-	l := Listeners{Caller: listen(b), Internal: listen(b)}
+	l := Overrides{Caller: listen(b), Internal: listen(b)}
 	l.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		conn, err := rpcnet.Dial(ctx, address)
 		if err != nil {
--- a/internal/command/agent/cluster_test.go
+++ b/internal/command/agent/cluster_test.go
@@ -72,12 +72,12 @@
 		o(c)
 	}
 	c.startUpstreams(t)
-	var listeners []Listeners
+	var listeners []Overrides
 	var replicas []settings.Replica
 	for i := range 3 {
 		c.gates = append(c.gates, &gate{})
 		c.disks = append(c.disks, disk.NewFake(int64(i)))
-		l := Listeners{Caller: listen(t), Internal: listen(t), Dial: c.gates[i].dial}
+		l := Overrides{Caller: listen(t), Internal: listen(t), Dial: c.gates[i].dial}
 		listeners = append(listeners, l)
 		c.relays = append(c.relays, startRelay(t, l.Internal.Addr().String()))
 		replicas = append(replicas, settings.Replica{ID: nodeID(i), Address: c.relays[i].address()})
@@ -96,7 +96,7 @@
 	return c
 }
 
-func (c *cluster) startNode(t testing.TB, i int, l Listeners) *Agent {
+func (c *cluster) startNode(t testing.TB, i int, l Overrides) *Agent {
 	t.Helper()
 	if !c.realDisks {
 		l.Disk = c.disks[i]
@@ -113,7 +113,7 @@
 func (c *cluster) restart(t testing.TB, i int) {
 	t.Helper()
 	c.disks[i].Crash()
-	l := Listeners{Caller: relisten(t, c.settings[i].CallerAdvertise), Internal: relisten(t, c.relays[i].target), Dial: c.gates[i].dial}
+	l := Overrides{Caller: relisten(t, c.settings[i].CallerAdvertise), Internal: relisten(t, c.relays[i].target), Dial: c.gates[i].dial}
 	c.nodes[i] = c.startNode(t, i, l)
 }
 
@@ -161,7 +161,7 @@
 	return ident.NodeID(fmt.Sprintf("node-%d", i))
 }
 
-func testSettings(t testing.TB, i int, l Listeners, replicas []settings.Replica, platform string) *settings.Settings {
+func testSettings(t testing.TB, i int, l Overrides, replicas []settings.Replica, platform string) *settings.Settings {
 	t.Helper()
 	return &settings.Settings{
 		Node:              nodeID(i),
--- a/internal/command/agent/heartbeat.go
+++ b/internal/command/agent/heartbeat.go
@@ -62,11 +62,13 @@
 	ctx, cancel := context.WithTimeout(a.ctx, heartbeatTimeout)
 	defer cancel()
 	args := a.view.Heartbeat(a.load(), wantLoads)
+	args.Stamp = a.clock.Now(time.Now())
 	sent := time.Now()
 	reply, err := control.Call[control.HeartbeatReply](ctx, a.control, "Heartbeat", args)
 	if err != nil {
 		return false
 	}
+	a.clock.Observe(reply.Stamp)
 	if reply.Superseded {
 		a.fail(errSuperseded)
 		return false
--- a/internal/command/agent/overload_bench_test.go
+++ b/internal/command/agent/overload_bench_test.go
@@ -509,10 +509,10 @@
 		Gateways:   []ident.NodeID{"node-0"},
 	}
 	build := func(now time.Duration) scheduler.Scheduler { return scheduler.New(1, view, now) }
-	caller := &delayedCaller{service: pool.NewService()}
+	caller := &delayedCaller{service: pool.NewService(nil)}
 	caller.service.Put(pool.NewMaster("ledger", 1, build, nil))
 	defer caller.service.Remove("ledger")
-	client := pool.NewClient("ledger", "node-0", 1, caller)
+	client := pool.NewClient("ledger", "node-0", 1, caller, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go client.Run(ctx)
--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,6 +20,9 @@
 // handOverTimeout bounds the handing over of the leadership when a node stops.
 const handOverTimeout = 2 * time.Second
 
+// membersInterval is the time between two looks at the replicas.
+const membersInterval = time.Second
+
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
 	calls   *rpcnet.Client
@@ -28,7 +32,7 @@
 }
 
 // openReplica opens the data folder and offers the replica's services.
-func openReplica(a *Agent, l Listeners) (*replica, error) {
+func openReplica(a *Agent, l Overrides) (*replica, error) {
 	calls := rpcnet.NewClientWith(l.dial())
 	folder := l.Disk
 	if folder == nil {
@@ -46,6 +50,7 @@
 		return nil, fmt.Errorf("data folder %s: %w", a.settings.DataDir, err)
 	}
 	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(a.settings.Node, node, m)}
+	r.service.SetClock(a.clock)
 	if err := a.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
@@ -62,7 +67,9 @@
 // watch tells of changes of the leadership and of the replica's own end.
 func (r *replica) watch(a *Agent) {
 	var known consensus.Leadership
+	var members string
 	for {
+		members = r.noteMembers(a, members)
 		select {
 		case <-a.ctx.Done():
 			return
@@ -71,6 +78,7 @@
 			a.fail(fmt.Errorf("replica: %w", err))
 			return
 		case <-r.node.Changes():
+		case <-time.After(membersInterval):
 		}
 		now := r.node.Leadership()
 		if now == known {
@@ -83,6 +91,20 @@
 	}
 }
 
+// noteMembers tells of a change of the members and returns the present ones.
+func (r *replica) noteMembers(a *Agent, known string) string {
+	var now strings.Builder
+	for _, m := range r.node.Members().Members {
+		fmt.Fprintf(&now, "%s %s, ", m.Replica, m.Role)
+	}
+	if now.String() == known {
+		return known
+	}
+	a.events.Record(timeline.Event{Kind: timeline.KindReplicaChange, Detail: now.String()})
+	klog.InfoS("replicas changed", "node", a.settings.Node, "members", now.String())
+	return now.String()
+}
+
 // stop ends the replica; a leader hands over first when asked to.
 func (r *replica) stop(handOver bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 	commander.Register(u.movesCommand(), operators)
 	commander.Register(u.timelineCommand(), operators)
 	commander.Register(u.drainCommand(), operators)
+	commander.Register(u.replicasCommand(), operators)
 	commander.Register(u.demoCommand(), trial)
 	commander.Register(u.loadCommand(), trial)
 	commander.Register(u.fakesCommand(), trial)
--- a/internal/command/demo/cluster.go
+++ b/internal/command/demo/cluster.go
@@ -162,7 +162,7 @@
 }
 
 func startNode(s *settings.Settings, l listeners) (*node, error) {
-	a, err := agent.New(s, agent.Listeners{Caller: l.caller, Internal: l.internal})
+	a, err := agent.New(s, agent.Overrides{Caller: l.caller, Internal: l.internal})
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", s.Node, err)
 	}
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -56,7 +56,7 @@
 	defer klog.Flush()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	node, err := agent.New(s, agent.Listeners{})
+	node, err := agent.New(s, agent.Overrides{})
 	if err != nil {
 		return err
 	}
--- a/internal/command/settings/check.go
+++ b/internal/command/settings/check.go
@@ -100,16 +100,6 @@
 	return nil
 }
 
-func setSeeds(s *Settings, value string) error {
-	s.Seeds = splitList(value)
-	for _, seed := range s.Seeds {
-		if err := checkAddress(seed); err != nil {
-			return fmt.Errorf("%q: %w", seed, err)
-		}
-	}
-	return nil
-}
-
 func splitList(value string) []string {
 	var parts []string
 	for part := range strings.SplitSeq(value, ",") {
--- a/internal/command/settings/load.go
+++ b/internal/command/settings/load.go
@@ -118,12 +118,6 @@
 	s.CallerAdvertise = firstSet(s.CallerAdvertise, s.CallerListen)
 	s.InternalAdvertise = firstSet(s.InternalAdvertise, s.InternalListen)
 	s.OperatorAdvertise = firstSet(s.OperatorAdvertise, s.OperatorListen)
-	if len(s.Seeds) > 0 {
-		return
-	}
-	for _, r := range s.Replicas {
-		s.Seeds = append(s.Seeds, r.Address)
-	}
 }
 
 func firstSet(a, b string) string {
--- a/internal/command/settings/settings.go
+++ b/internal/command/settings/settings.go
@@ -31,8 +31,6 @@
 	DataDir string
 	// Replicas lists the first members of the replicated log.
 	Replicas []Replica
-	// Seeds lists internal addresses of nodes to contact.
-	Seeds []string
 
 	// OperatorTokenFile holds the bearer token that operators present.
 	OperatorTokenFile string
--- a/internal/command/settings/settings_test.go
+++ b/internal/command/settings/settings_test.go
@@ -34,7 +34,6 @@
 	must.Eq(t, 1<<20, s.Limits.MaxBodyBytes)
 	must.Eq(t, 4096, s.Limits.MaxConnections)
 	must.Eq(t, s.CallerListen, s.CallerAdvertise)
-	must.Eq(t, []string{"127.0.0.1:9001"}, s.Seeds)
 	must.False(t, s.IsReplica())
 }
 
--- a/internal/command/settings/table.go
+++ b/internal/command/settings/table.go
@@ -36,7 +36,6 @@
 	unitBytes    = "bytes, KiB, MiB or GiB"
 	unitCount    = "count"
 	unitReplicas = "id=IP:port, comma-separated"
-	unitSeeds    = "IP:port, comma-separated"
 )
 
 // Table returns every setting of the daemon, in the order of the documents.
@@ -52,7 +51,6 @@
 		{"operator-advertise", "", unitAddress, "what operators use; default: operator-listen", setOptionalAddress(func(s *Settings) *string { return &s.OperatorAdvertise })},
 		{"data-dir", "", unitPath, "folder for the replicated log; set it on replicas only", setDataDir},
 		{"replicas", "", unitReplicas, "first members of the replicated log, the same at all nodes", setReplicas},
-		{"seeds", "", unitSeeds, "internal addresses of nodes to contact; default: the replicas", setSeeds},
 		{"operator-token-file", "", unitPath, "file with the bearer token that operators present", setTokenFile},
 		{"platform-url", "", unitURL, "base URL of the platform's list of VMs; empty means none", setPlatformURL},
 		{"address-ttl", "5s", unitDuration, "how long callers keep the list of addresses; a draining node serves on at least as long", setDuration(func(s *Settings) *time.Duration { return &s.AddressTTL })},
--- a/internal/coordination/control/calls.go
+++ b/internal/coordination/control/calls.go
@@ -136,6 +136,7 @@
 	reply.Pools = s.machine.Pools()
 	reply.Moves = s.machine.Moves()
 	reply.OpenOrders = s.machine.OpenOrders()
+	reply.Replicas = s.members()
 	reply.LedgerEntries, reply.LedgerBytes = s.machine.LedgerSize()
 	reply.Status = s.stillServing(term)
 	return nil
--- a/internal/coordination/control/heartbeat.go
+++ b/internal/coordination/control/heartbeat.go
@@ -13,6 +13,8 @@
 // later leader gives every lease a full TTL from its own beginning, so that a
 // renewal is safe even if leadership ends before the answer leaves.
 func (s *Service) Heartbeat(args *HeartbeatArgs, reply *HeartbeatReply) error {
+	s.clock.Observe(args.Stamp)
+	reply.Stamp = s.clock.Now(time.Now())
 	term, status := s.serving()
 	if !status.OK() {
 		reply.Status = status
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// margin is expiryMargin but in tests that show what happens without it.
 	margin time.Duration
 
+	// clock is the time line's; it is nil where none is kept.
+	clock *timeline.Clock
+
 	mu sync.Mutex
 	// term is the term whose memory is held; zero while not leading.
 	term uint64
@@ -92,6 +96,10 @@
 	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin}
 }
 
+// SetClock has heartbeats carry the time line's clock. It is called before the
+// service serves.
+func (s *Service) SetClock(c *timeline.Clock) { s.clock = c }
+
 // Run drives the service until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(TickInterval)
--- a/internal/coordination/control/types.go
+++ b/internal/coordination/control/types.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // Status tells whether a call was served. The zero value means that it was.
@@ -49,6 +51,8 @@
 	HaveView uint64
 	// WantLoads asks for the loads of all nodes.
 	WantLoads bool
+	// Stamp is the sender's time line clock.
+	Stamp timeline.Stamp
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -57,6 +61,8 @@
 	// TTL is how long after sending the heartbeat the node may rely on its
 	// lease. Zero means that it holds none yet: it sends again.
 	TTL time.Duration
+	// Stamp is the receiver's time line clock.
+	Stamp timeline.Stamp
 	// Superseded means that a later life of the node is known; this one ends.
 	Superseded bool
 	// Revision is the present configuration. The lease counts only at a node
@@ -175,6 +181,7 @@
 	Pools         []lease.Pool
 	Moves         []move.Record
 	OpenOrders    []machine.Order
+	Replicas      []consensus.Member
 	LedgerEntries int
 	LedgerBytes   int64
 }
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -8,6 +8,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // RetryInterval is the pause after a failed call to a scheduler.
@@ -27,6 +28,7 @@
 	gateway     ident.NodeID
 	incarnation ident.Incarnation
 	caller      Caller
+	clock       *timeline.Clock
 	wake        chan struct{}
 
 	mu     sync.Mutex
@@ -61,12 +63,14 @@
 }
 
 // NewClient returns a client that knows no scheduler yet. Run must be called.
-func NewClient(pool ident.PoolName, gateway ident.NodeID, incarnation ident.Incarnation, caller Caller) *Client {
+// Its messages carry the time line's clock, which may be nil.
+func NewClient(pool ident.PoolName, gateway ident.NodeID, incarnation ident.Incarnation, caller Caller, clock *timeline.Clock) *Client {
 	return &Client{
 		pool:        pool,
 		gateway:     gateway,
 		incarnation: incarnation,
 		caller:      caller,
+		clock:       clock,
 		wake:        make(chan struct{}, 1),
 		changed:     make(chan struct{}),
 		waiting:     make(map[ident.RequestID]*waiter),
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -201,7 +201,7 @@
 		return scheduler.New(epoch, testView(), now)
 	}, nil)
 	s.masters = append(s.masters, m)
-	service := NewService()
+	service := NewService(nil)
 	service.Put(m)
 	address := fmt.Sprintf("s%d", epoch)
 	s.hub.mu.Lock()
@@ -297,7 +297,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops, group sync.WaitGroup
 	for i := range testGateways {
-		c := NewClient(testPool, testGateway(i), 1, &link{hub: s.hub, gateway: testGateway(i)})
+		c := NewClient(testPool, testGateway(i), 1, &link{hub: s.hub, gateway: testGateway(i)}, nil)
 		s.clients = append(s.clients, c)
 		loops.Go(func() { c.Run(ctx) })
 	}
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // ServiceName is the net/rpc name of Service.
@@ -46,6 +47,8 @@
 	Tickets  []scheduler.Ticket
 	Cancels  []ident.RequestID
 	Reports  []scheduler.Report
+	// Stamp is the sender's time line clock.
+	Stamp timeline.Stamp
 }
 
 // PollArgs asks for decisions.
@@ -59,6 +62,8 @@
 	// of the message took effect.
 	Refused   bool
 	Decisions []scheduler.Decision
+	// Stamp is the receiver's time line clock.
+	Stamp timeline.Stamp
 }
 
 // Caller reaches the service on another node.
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -2,30 +2,37 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // Service offers the schedulers that this node holds to all gateways. It is
 // registered with net/rpc under ServiceName.
 type Service struct {
+	clock *timeline.Clock
+
 	mu      sync.Mutex
 	masters map[ident.PoolName]*Master
 }
 
-// NewService returns a service without schedulers.
-func NewService() *Service {
-	return &Service{masters: make(map[ident.PoolName]*Master)}
+// NewService returns a service without schedulers. Its messages carry the time
+// line's clock, which may be nil.
+func NewService(clock *timeline.Clock) *Service {
+	return &Service{clock: clock, masters: make(map[ident.PoolName]*Master)}
 }
 
 // Submit takes in a gateway's message and returns the decisions at hand.
 func (s *Service) Submit(args *SubmitArgs, reply *Reply) error {
+	s.clock.Observe(args.Stamp)
 	master := s.find(args.Session)
 	if master == nil {
 		reply.Refused = true
 		return nil
 	}
 	*reply = master.submit(args)
+	reply.Stamp = s.clock.Now(time.Now())
 	return nil
 }
 
@@ -37,6 +44,7 @@
 		return nil
 	}
 	*reply = master.poll(args)
+	reply.Stamp = s.clock.Now(time.Now())
 	return nil
 }
 
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -84,11 +84,13 @@
 	defer cancel()
 	reply := &Reply{}
 	sent := time.Now()
+	args.Stamp = c.clock.Now(sent)
 	err := c.caller.Call(callCtx, address, ServiceName+".Submit", args, reply)
 	if err != nil || reply.Refused {
 		c.lost(args.Session)
 		return false
 	}
+	c.clock.Observe(reply.Stamp)
 	c.accepted(args.Session)
 	c.deliver(reply.Decisions, sent)
 	return true
@@ -225,6 +227,7 @@
 		c.lost(s)
 		return false
 	}
+	c.clock.Observe(reply.Stamp)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
--- a/internal/protocol/opsapi/opsapi.go
+++ b/internal/protocol/opsapi/opsapi.go
@@ -25,6 +25,8 @@
 	// PathTimeline answers GET with a TimelineReply. The query fields request,
 	// move, node and pool select events, limit keeps the latest.
 	PathTimeline = "/v1/timeline"
+	// PathRemoveReplica takes POST with a RemoveReplicaRequest.
+	PathRemoveReplica = "/v1/replicas/remove"
 	// PathDrain takes POST with a DrainRequest.
 	PathDrain = "/v1/drain"
 )
@@ -138,10 +140,30 @@
 	Pools         []Pool         `json:"pools"`
 	Moves         []Move         `json:"moves"`
 	Orders        []Order        `json:"open_orders"`
+	Replicas      []Replica      `json:"replicas"`
 	LedgerEntries int            `json:"ledger_entries"`
 	LedgerBytes   int64          `json:"ledger_bytes"`
 }
 
+// Replica is one replica of the log.
+type Replica struct {
+	Node ident.NodeID `json:"node"`
+	// Incarnation tells lives of a data folder apart, in hexadecimal.
+	Incarnation string `json:"incarnation"`
+	// Role is voter or learner.
+	Role string `json:"role"`
+}
+
+// RemoveReplicaRequest ends the membership of a node's replica.
+type RemoveReplicaRequest struct {
+	Node ident.NodeID `json:"node"`
+}
+
+// RemoveReplicaReply tells that the replica is no member any more.
+type RemoveReplicaReply struct {
+	Node ident.NodeID `json:"node"`
+}
+
 // Move is the committed progress of one move.
 type Move struct {
 	Name  ident.MoveName    `json:"name"`
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -33,8 +33,12 @@
 	last Stamp
 }
 
-// Now returns the next stamp at the given wall time.
+// Now returns the next stamp at the given wall time. A nil clock returns the
+// zero stamp.
 func (c *Clock) Now(wall time.Time) Stamp {
+	if c == nil {
+		return Stamp{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if ns := wall.UnixNano(); ns > c.last.Wall {
@@ -45,8 +49,11 @@
 	return c.last
 }
 
-// Observe merges a stamp from another process.
+// Observe merges a stamp from another process. A nil clock drops it.
 func (c *Clock) Observe(s Stamp) {
+	if c == nil {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if s.Compare(c.last) > 0 {
--- a/internal/transport/opshttp/client.go
+++ b/internal/transport/opshttp/client.go
@@ -84,6 +84,12 @@
 	return send[opsapi.TimelineReply](ctx, c, http.MethodGet, opsapi.PathTimeline+"?"+query.Encode(), nil)
 }
 
+// RemoveReplica ends the membership of a node's replica.
+func (c *Client) RemoveReplica(ctx context.Context, node ident.NodeID) (*opsapi.RemoveReplicaReply, error) {
+	request := &opsapi.RemoveReplicaRequest{Node: node}
+	return send[opsapi.RemoveReplicaReply](ctx, c, http.MethodPost, opsapi.PathRemoveReplica, request)
+}
+
 // Drain asks a node to leave.
 func (c *Client) Drain(ctx context.Context, node ident.NodeID) (*opsapi.DrainReply, error) {
 	return send[opsapi.DrainReply](ctx, c, http.MethodPost, opsapi.PathDrain, &opsapi.DrainRequest{Node: node})
--- a/internal/transport/opshttp/control.go
+++ b/internal/transport/opshttp/control.go
@@ -32,6 +32,11 @@
 	return control.Call[control.StatusReply](ctx, c.Client, "Status", &control.StatusArgs{})
 }
 
+// RemoveReplica ends the membership of a node's replica.
+func (c Control) RemoveReplica(ctx context.Context, node ident.NodeID) (control.RemoveReplicaReply, error) {
+	return control.Call[control.RemoveReplicaReply](ctx, c.Client, "RemoveReplica", &control.RemoveReplicaArgs{Node: node})
+}
+
 // Drain marks a node as draining.
 func (c Control) Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error) {
 	return control.Call[control.DrainReply](ctx, c.Client, "Drain", &control.DrainArgs{Node: node})
--- a/internal/transport/opshttp/server.go
+++ b/internal/transport/opshttp/server.go
@@ -29,6 +29,7 @@
 	History(ctx context.Context, limit int) (control.HistoryReply, error)
 	Status(ctx context.Context) (control.StatusReply, error)
 	Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error)
+	RemoveReplica(ctx context.Context, node ident.NodeID) (control.RemoveReplicaReply, error)
 	// Timeline returns the merged events of all nodes, and the nodes that did
 	// not answer.
 	Timeline(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.NodeID)
@@ -68,6 +69,7 @@
 	mux.HandleFunc("GET "+opsapi.PathMoves, s.authorized(s.moves))
 	mux.HandleFunc("GET "+opsapi.PathTimeline, s.authorized(s.timeline))
 	mux.HandleFunc("POST "+opsapi.PathDrain, s.authorized(s.drain))
+	mux.HandleFunc("POST "+opsapi.PathRemoveReplica, s.authorized(s.removeReplica))
 	mux.HandleFunc("GET "+callerapi.PathAddresses, s.authorized(s.addresses))
 	mux.HandleFunc("GET "+opsapi.PathHealth, s.health)
 	mux.HandleFunc("GET "+opsapi.PathReady, s.ready)
--- a/internal/transport/opshttp/statecalls.go
+++ b/internal/transport/opshttp/statecalls.go
@@ -9,6 +9,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
@@ -49,6 +50,13 @@
 	for _, p := range r.Pools {
 		out.Pools = append(out.Pools, opsapi.Pool{Pool: p.Pool, Scheduler: p.Holder, Epoch: p.Epoch})
 	}
+	for _, m := range r.Replicas {
+		out.Replicas = append(out.Replicas, opsapi.Replica{
+			Node:        m.Replica.ID,
+			Incarnation: fmt.Sprintf("%x", uint64(m.Replica.Incarnation)),
+			Role:        m.Role.String(),
+		})
+	}
 	for _, o := range r.OpenOrders {
 		out.Orders = append(out.Orders, opsapi.Order{
 			Upstream: o.Upstream, Kind: string(o.Kind), Subject: o.Subject, Fence: uint64(o.Number),
@@ -116,6 +124,24 @@
 	return &opsapi.DrainReply{Node: request.Node}, nil
 }
 
+func (s *Server) removeReplica(ctx context.Context, r *http.Request) (any, error) {
+	var request opsapi.RemoveReplicaRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.Node == "" {
+		return nil, badRequest("a removal needs the name of a node")
+	}
+	reply, err := s.backend.RemoveReplica(ctx, request.Node)
+	switch {
+	case err != nil:
+		return nil, err
+	case reply.Refusal == machine.RefusedHolder:
+		return nil, badRequest(fmt.Sprintf("%s leads; drain it first, then remove it", request.Node))
+	case reply.Refusal != "":
+		message := fmt.Sprintf("%s is no replica; see status", request.Node)
+		return nil, &opsapi.Error{Code: opsapi.CodeNotFound, Message: message}
+	}
+	return &opsapi.RemoveReplicaReply{Node: request.Node}, nil
+}
+
 func (s *Server) addresses(context.Context, *http.Request) (any, error) {
 	list := s.backend.Addresses()
 	return &list, nil
