Stopping a pool does not wait for a report under way

Cause: the asking for an engine's report did not end with the runner; stopping a pool could hold the node's lock, and with it the heartbeats, for up to 4 s. Ruled out: commits of moves, which end with the runner. Conclusion: found by reading.

--- a/internal/command/agent/faults_test.go
+++ b/internal/command/agent/faults_test.go
@@ -290,7 +290,7 @@
 }
 
 // leader returns the index of the leading replica.
-func (c *cluster) leader(t *testing.T) int {
+func (c *cluster) leader(t testing.TB) int {
 	t.Helper()
 	found := -1
 	c.eventually(t, "a leader", func() bool {
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -49,6 +49,7 @@
 	reports Reports
 	log     MoveLog
 	events  *timeline.Recorder
+	ctx     context.Context
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	refresh chan struct{}
@@ -80,6 +81,7 @@
 		reports: d.Reports,
 		log:     d.Moves,
 		events:  d.Events,
+		ctx:     ctx,
 		cancel:  cancel,
 		refresh: make(chan struct{}, 1),
 		set:     moves.NewSet(l.Pool, options),
@@ -262,86 +264,3 @@
 		}
 	}
 }
-
-// pollUpstreams starts and stops the asking for reports.
-func (r *Runner) pollUpstreams(c *config.Config) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.master.Stopped() || c.Pools[r.master.Pool()].Kind != config.KindEngine {
-		return
-	}
-	for name, stop := range r.polled {
-		if u, ok := c.Upstreams[name]; !ok || u.Pool != r.master.Pool() {
-			stop()
-			delete(r.polled, name)
-		}
-	}
-	for name, u := range c.Upstreams {
-		if _, polling := r.polled[name]; polling || u.Pool != r.master.Pool() {
-			continue
-		}
-		ctx, stop := context.WithCancel(context.Background())
-		r.polled[name] = stop
-		r.done.Go(func() { r.poll(ctx, name) })
-	}
-}
-
-// poll asks one engine for its reports until ctx or the runner ends.
-func (r *Runner) poll(ctx context.Context, name ident.UpstreamName) {
-	ticker := time.NewTicker(ReportInterval)
-	defer ticker.Stop()
-	var after uint64
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-r.master.stop:
-			return
-		case <-ticker.C:
-			after = r.ask(ctx, name, after)
-		}
-	}
-}
-
-func (r *Runner) ask(ctx context.Context, name ident.UpstreamName, after uint64) uint64 {
-	cfg, _ := r.view.Config()
-	u, ok := cfg.Upstreams[name]
-	if !ok {
-		return after
-	}
-	ctx, cancel := context.WithTimeout(ctx, ReportTimeout)
-	defer cancel()
-	if load, err := r.reports.Load(ctx, name, u); err == nil {
-		r.noteLoaded(load, u)
-		r.master.Load(load)
-	}
-	events, err := r.reports.Cache(ctx, name, u, after)
-	if err != nil {
-		return after
-	}
-	for _, e := range events {
-		r.master.Cache(e)
-		after = max(after, e.Sequence)
-	}
-	return after
-}
-
-// noteLoaded takes in which versions an engine runs.
-func (r *Runner) noteLoaded(load scheduler.LoadReport, u config.Upstream) {
-	unloaded := len(load.Versions) > 0 && !slices.Contains(load.Versions, u.Version)
-	r.mu.Lock()
-	_, was := r.unloaded[load.Upstream]
-	if unloaded {
-		r.unloaded[load.Upstream] = struct{}{}
-	} else {
-		delete(r.unloaded, load.Upstream)
-	}
-	if was == unloaded {
-		r.mu.Unlock()
-		return
-	}
-	cfg, _ := r.view.Config()
-	r.set.SetReadiness(r.readiness(&cfg), time.Now())
-	r.mu.Unlock()
-	r.setView()
-}
