--- a/internal/command/agent/metrics.go
+++ b/internal/command/agent/metrics.go
@@ -2,12 +2,10 @@
 
 import (
 	"strconv"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
-	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
+	"github.com/flamingohaven/flamingohaven/internal/transport/callerhttp"
 )
 
 // metrics counts what the callers' edge does. Its labels are bounded by the
@@ -15,6 +13,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	teams    *prometheus.CounterVec
+	versions *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	rejected prometheus.Counter
@@ -27,6 +27,14 @@
 			Name: "flamingohaven_requests_total",
 			Help: "Requests that ended with an upstream's answer, by tier and status class.",
 		}, []string{"tier", "status"}),
+		teams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingohaven_team_requests_total",
+			Help: "Requests of configured teams that ended, by team and outcome.",
+		}, []string{"team", "outcome"}),
+		versions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingohaven_version_answers_total",
+			Help: "Answers of upstreams, by pool, version and status class.",
+		}, []string{"pool", "version", "status"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "flamingohaven_refusals_total",
 			Help: "Requests that ended with a refusal, by tier, reason and outcome.",
@@ -41,22 +49,43 @@
 			Help: "Callers' connections closed at the limit.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.rejected)
+	m.registry.MustRegister(m.requests, m.teams, m.versions, m.refusals, m.seconds, m.rejected)
 	return m
 }
 
+// outcomeAnswered labels requests that got a whole answer; the others carry
+// their refusal's outcome.
+const outcomeAnswered = "answered"
+
 // Finished implements callerhttp.Observer.
-func (m *metrics) Finished(r *gateway.Request, status int, refusal *callerapi.RefusalError, elapsed time.Duration) {
+func (m *metrics) Finished(e callerhttp.Ended) {
 	tier := ""
-	if r != nil {
-		tier = string(r.Tier)
+	if e.Request != nil {
+		tier = string(e.Request.Tier)
+		m.countRequest(e)
 	}
-	m.seconds.WithLabelValues(tier).Observe(elapsed.Seconds())
-	if refusal != nil {
-		m.refusals.WithLabelValues(tier, string(refusal.Reason), string(refusal.Outcome)).Inc()
+	m.seconds.WithLabelValues(tier).Observe(e.Elapsed.Seconds())
+	if e.Refusal != nil {
+		m.refusals.WithLabelValues(tier, string(e.Refusal.Reason), string(e.Refusal.Outcome)).Inc()
 		return
 	}
-	m.requests.WithLabelValues(tier, strconv.Itoa(status/100)+"xx").Inc()
+	m.requests.WithLabelValues(tier, statusClass(e.Answer.Status)).Inc()
+}
+
+// countRequest counts a parsed request, whose team and pool are configured.
+func (m *metrics) countRequest(e callerhttp.Ended) {
+	outcome := outcomeAnswered
+	if e.Refusal != nil {
+		outcome = string(e.Refusal.Outcome)
+	}
+	m.teams.WithLabelValues(string(e.Request.Team), outcome).Inc()
+	if e.Answer.Version != "" {
+		m.versions.WithLabelValues(string(e.Request.Pool), string(e.Answer.Version), statusClass(e.Answer.Status)).Inc()
+	}
+}
+
+func statusClass(status int) string {
+	return strconv.Itoa(status/100) + "xx"
 }
 
 // Rejected implements callerhttp.Observer.
--- a/internal/transport/callerhttp/answer.go
+++ b/internal/transport/callerhttp/answer.go
@@ -29,17 +29,17 @@
 	parsed, refusal := s.parse(w, r, id, began)
 	if refusal != nil {
 		s.writeRefusal(w, id, refusal)
-		s.observer.Finished(parsed, refusal.Status(), refusal, time.Since(began))
+		s.observer.Finished(Ended{Request: parsed, Refusal: refusal, Elapsed: time.Since(began)})
 		return
 	}
 	sink := &sink{writer: w, control: control, stream: parsed.Stream}
 	result := s.handler.Serve(r.Context(), parsed, sink)
 	if result.Failure == nil {
-		s.observer.Finished(parsed, sink.status, nil, time.Since(began))
+		s.observer.Finished(Ended{Request: parsed, Answer: sink.header, Elapsed: time.Since(began)})
 		return
 	}
 	refusal = s.describe(r, parsed, result.Failure)
-	s.observer.Finished(parsed, refusal.Status(), refusal, time.Since(began))
+	s.observer.Finished(Ended{Request: parsed, Answer: sink.header, Refusal: refusal, Elapsed: time.Since(began)})
 	if !result.Failure.Begun {
 		s.writeRefusal(w, id, refusal)
 		return
@@ -99,12 +99,12 @@
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	stream  bool
-	status  int
+	header  gateway.AnswerHeader
 }
 
 // Begin implements gateway.Sink.
 func (k *sink) Begin(h gateway.AnswerHeader) error {
-	k.status = h.Status
+	k.header = h
 	header := k.writer.Header()
 	header.Set("Content-Type", h.ContentType)
 	if h.Upstream != "" {
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -52,10 +52,22 @@
 	Serve(ctx context.Context, r *gateway.Request, sink gateway.Sink) gateway.Result
 }
 
+// Ended describes a request that ended.
+type Ended struct {
+	// Request is nil when it could not be parsed.
+	Request *gateway.Request
+	// Answer is the header of an answer; its status is zero after a refusal.
+	Answer gateway.AnswerHeader
+	// Refusal is nil after a whole answer.
+	Refusal *callerapi.RefusalError
+	// Elapsed is the time since the request's header was read.
+	Elapsed time.Duration
+}
+
 // Observer counts what the edge does. All methods are safe for concurrent use.
 type Observer interface {
-	// Finished tells of each ended request. Refusal is nil for an answer.
-	Finished(r *gateway.Request, status int, refusal *callerapi.RefusalError, elapsed time.Duration)
+	// Finished tells of each ended request.
+	Finished(e Ended)
 	// Rejected tells of each connection closed at the limit.
 	Rejected()
 }
