A drain that would lose the quorum is refused

Cause: by hand, a node killed and another drained left one of three replicas; all went no_quorum, truthfully, but nothing had warned the operator. Change: the leader refuses a drain that leaves fewer live voters than a majority. Conclusion: SIGTERM still drains, for a host that must go.

--- a/internal/command/agent/replicas_test.go
+++ b/internal/command/agent/replicas_test.go
@@ -30,3 +30,25 @@
 	checkOnce(t, c.service, []final{f})
 	must.Nil(t, f.refusal)
 }
+
+// TestReplicas_DrainKeepsQuorum refuses to drain a replica while another is down.
+func TestReplicas_DrainKeepsQuorum(t *testing.T) {
+	c := startCluster(t)
+	leader := c.leader(t)
+	down, other := (leader+1)%3, (leader+2)%3
+	c.nodes[down].Kill()
+	c.eventually(t, "the dead node's lease to end", func() bool {
+		_, live := c.nodes[leader].view.Members().Nodes[nodeID(down)]
+		return !live
+	})
+	drain := func() machine.Refusal {
+		args := &control.DrainArgs{Node: nodeID(other)}
+		reply, err := control.Call[control.DrainReply](t.Context(), c.nodes[leader].control, "Drain", args)
+		must.NoError(t, err)
+		return reply.Refusal
+	}
+	must.Eq(t, machine.RefusedQuorum, drain())
+	c.restart(t, down)
+	c.eventually(t, "the node to be back", func() bool { return c.lookupAt(c.settings[down].CallerAdvertise) })
+	must.Eq(t, machine.Refusal(""), drain())
+}
--- a/internal/coordination/control/heartbeat.go
+++ b/internal/coordination/control/heartbeat.go
@@ -193,6 +193,10 @@
 		reply.Refusal = machine.RefusedUnknown
 		return nil
 	}
+	if s.neededForQuorum(args.Node) {
+		reply.Refusal = machine.RefusedQuorum
+		return nil
+	}
 	node.Draining = true
 	result, status := s.propose(&machine.Command{GrantNode: &machine.GrantNode{Node: node}})
 	reply.Status = status
--- a/internal/coordination/control/replicas.go
+++ b/internal/coordination/control/replicas.go
@@ -76,6 +76,24 @@
 	}
 }
 
+// neededForQuorum reports whether the voters that live would be too few without
+// the node's.
+func (s *Service) neededForQuorum(node ident.NodeID) bool {
+	set, ok := s.proposer.(ReplicaSet)
+	if !ok {
+		return false
+	}
+	voters := set.Members().Voters()
+	live, votes := 0, false
+	for _, v := range voters {
+		votes = votes || v.ID == node
+		if _, leased := s.machine.Node(v.ID); leased {
+			live++
+		}
+	}
+	return votes && len(voters) > 1 && live-1 < len(voters)/2+1
+}
+
 // members returns the replicas, if the proposer knows them.
 func (s *Service) members() []consensus.Member {
 	if set, ok := s.proposer.(ReplicaSet); ok {
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -154,6 +154,8 @@
 	RefusedUnknown Refusal = "unknown"
 	// RefusedTransition means that a move can't change in this way.
 	RefusedTransition Refusal = "transition"
+	// RefusedQuorum means that too few replicas would be left.
+	RefusedQuorum Refusal = "quorum"
 	// RefusedFull means that a bound was reached.
 	RefusedFull Refusal = "full"
 )
--- a/internal/transport/opshttp/statecalls.go
+++ b/internal/transport/opshttp/statecalls.go
@@ -117,6 +117,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if reply.Refusal == machine.RefusedQuorum {
+		message := fmt.Sprintf("without %s too few replicas would be left; start another first (SIGTERM drains it all the same)", request.Node)
+		return nil, badRequest(message)
+	}
 	if reply.Refusal != "" {
 		message := fmt.Sprintf("node %q cannot be drained: %s", request.Node, reply.Refusal)
 		return nil, &opsapi.Error{Code: opsapi.CodeNotFound, Message: message}
