The team's own limit on waiting bytes takes effect

Cause: max_waiting_bytes of a team was read and never used. Conclusion: found by reading the settings against their uses.

--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -60,7 +60,7 @@
 	need := int64(len(r.Body)) + RequestOverhead
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.byTeam[r.Team]+need > b.teamLimit {
+	if b.byTeam[r.Team]+need > b.limitOf(r) {
 		return nil, memoryFailure("the team's limit on waiting bytes is reached")
 	}
 	if !b.makeRoom(need, r.Rank) {
@@ -74,6 +74,13 @@
 	return h, nil
 }
 
+func (b *Budget) limitOf(r *Request) int64 {
+	if r.TeamWaitingBytes > 0 {
+		return r.TeamWaitingBytes
+	}
+	return b.teamLimit
+}
+
 // makeRoom sheds waiting holds of lower ranks, lowest rank first, until need
 // bytes fit. It sheds nothing when that would not be enough.
 func (b *Budget) makeRoom(need int64, rank int) bool {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -21,6 +21,9 @@
 	Route ident.RouteName
 	Pool  ident.PoolName
 	Tier  ident.TierName
+	// TeamWaitingBytes bounds the memory that the team may hold at this
+	// gateway; zero selects the default share.
+	TeamWaitingBytes int64
 	// Rank is the tier's rank; work of a higher rank is shed later.
 	Rank       int
 	Idempotent bool
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -35,7 +35,8 @@
 		return nil, refuse(callerapi.ReasonUnknownRoute, fmt.Sprintf("no route has the path %q", r.URL.Path))
 	}
 	team := ident.TeamName(r.Header.Get(callerapi.HeaderTeam))
-	if _, ok := s.directory.Team(team); !ok {
+	configured, ok := s.directory.Team(team)
+	if !ok {
 		return nil, refuse(callerapi.ReasonUnknownTeam, fmt.Sprintf("header %s names no configured team: %q", callerapi.HeaderTeam, team))
 	}
 	asked, err := callerapi.ParseDeadline(r.Header.Get(callerapi.HeaderDeadline))
@@ -54,6 +55,7 @@
 		ContentType: r.Header.Get("Content-Type"),
 		Body:        body,
 	}
+	parsed.TeamWaitingBytes = configured.MaxWaitingBytes
 	match, refusal := matchRoute(table, r, parsed)
 	if refusal != nil {
 		return nil, refusal
