--- a/internal/command/agent/bench_test.go
+++ b/internal/command/agent/bench_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -14,9 +15,11 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/fakes"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 // benchLatency is the service time of the fake service in benchmarks.
@@ -135,35 +138,59 @@
 }
 
 // BenchmarkPathWaitingMemory measures the memory of 10,000 requests that wait
-// behind a service that does not answer, per request.
+// at the gateways of three nodes behind a service that does not answer, per
+// request, without callers' connections.
 func BenchmarkPathWaitingMemory(b *testing.B) {
 	const waiting = 10_000
 	for range b.N {
 		c := startBenchCluster(b)
 		c.service.SetSlow(1e5)
-		client := benchClient()
 		before := heapInUse()
+		ctx, cancel := context.WithCancel(b.Context())
 		var callers sync.WaitGroup
 		for n := range waiting {
-			callers.Go(func() { _ = lookup(client, c.nodes[n%len(c.nodes)].settings.CallerAdvertise, "") })
+			callers.Go(func() { c.nodes[n%len(c.nodes)].gateway.Serve(ctx, waitingLookup(), discard{}) })
 		}
-		for count := 0; count < waiting*9/10; time.Sleep(50 * time.Millisecond) {
+		for count := 0; count < waiting; time.Sleep(50 * time.Millisecond) {
 			count = 0
 			for _, n := range c.nodes {
 				count += n.outstanding()
 			}
 		}
-		after := heapInUse()
-		b.ReportMetric(float64(after-before)/waiting, "B/waiting")
+		b.ReportMetric(float64(heapInUse()-before)/waiting, "B/waiting")
+		cancel()
+		callers.Wait()
 		c.service.SetSlow(1)
-		client.CloseIdleConnections()
 		for _, n := range c.nodes {
 			n.Kill()
 		}
-		callers.Wait()
 	}
 }
 
+func waitingLookup() *gateway.Request {
+	return &gateway.Request{
+		ID:         ident.RequestID(newKey()),
+		Team:       "alpha",
+		Route:      "lookup",
+		Pool:       "ledger",
+		Tier:       "patient",
+		Rank:       1,
+		Idempotent: true,
+		Deadline:   time.Now().Add(time.Hour),
+		Method:     http.MethodGet,
+		Path:       "/lookup?item=1",
+		// The teams' default share of the budget would refuse most of them.
+		TeamWaitingBytes: 1 << 30,
+	}
+}
+
+// discard is a sink that keeps nothing.
+type discard struct{}
+
+func (discard) Begin(gateway.AnswerHeader) error { return nil }
+
+func (discard) Write([]byte) error { return nil }
+
 func heapInUse() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
--- a/internal/command/agent/faults_test.go
+++ b/internal/command/agent/faults_test.go
@@ -400,3 +400,48 @@
 	must.Eq(t, 1, accepted.Load())
 	must.Eq(t, 3, conflicts.Load())
 }
+
+// TestFault_ApplyResent sends an apply again after a lost answer: the first
+// outcome comes back and no second revision is made.
+func TestFault_ApplyResent(t *testing.T) {
+	c := startCluster(t)
+	_, base := c.nodes[0].view.Config()
+	args := applyArgs(strings.Replace(c.configuration(), "shares: 2", "shares: 3", 1), base)
+	var outcomes []config.Outcome
+	for i := range c.nodes {
+		reply, err := control.Call[control.ApplyConfigReply](t.Context(), c.nodes[i].control, "ApplyConfig", args)
+		must.NoError(t, err)
+		outcomes = append(outcomes, reply.Outcome)
+	}
+	must.Eq(t, config.VerdictAccepted, outcomes[0].Verdict)
+	must.Eq(t, base+1, outcomes[0].Revision)
+	must.Eq(t, outcomes[0], outcomes[1])
+	must.Eq(t, outcomes[0], outcomes[2])
+}
+
+// TestFault_Together silences all connections between nodes, kills a node,
+// has the service lose answers and an engine leave, while callers submit.
+func TestFault_Together(t *testing.T) {
+	c := startCluster(t, withService(fakes.ServiceOptions{Latency: 20 * time.Millisecond}))
+	const callers = 90
+	finals := make([]final, callers)
+	end := time.Now().Add(2 * testTimeout)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+			finals[i] = c.submitUntilFinal(i, newKey(), end)
+		})
+	}
+	c.eventually(t, "requests at the service", func() bool { return len(c.submits()) > 10 })
+	for _, r := range c.relays {
+		r.silenceOpen()
+	}
+	c.service.SetFail(fakes.FailAnswerLost)
+	c.platform.SetLeaving(c.engines[0].Addr())
+	c.nodes[1].Kill()
+	time.Sleep(300 * time.Millisecond)
+	c.service.SetFail(fakes.FailNone)
+	group.Wait()
+	checkOnce(t, c.service, finals)
+}
