--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"os"
 	"testing"
 	"testing/synctest"
@@ -16,15 +15,11 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/testseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("FLAMINGOHAVEN_SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
+	testseed.Fix()
 	os.Exit(m.Run())
 }
 
--- a/internal/coordination/moves/move.go
+++ b/internal/coordination/moves/move.go
@@ -203,7 +203,7 @@
 	case move.StatePending:
 		return m.tickPending(now)
 	case move.StateCanary, move.StateRamping:
-		return m.tickGrowing(now)
+		return m.tickRamping(now)
 	case move.StateWatching:
 		return m.tickWatching(now)
 	}
--- a/internal/coordination/moves/progress.go
+++ b/internal/coordination/moves/progress.go
@@ -33,7 +33,7 @@
 	return max(left-m.spec.Watch, left/8, 0)
 }
 
-func (m *Move) tickGrowing(now time.Time) *move.Record {
+func (m *Move) tickRamping(now time.Time) *move.Record {
 	if now.Sub(m.committed.At) < stepDwell || m.reduced {
 		return nil
 	}
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -19,15 +18,11 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/testseed"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("FLAMINGOHAVEN_SEED")
-	if seed == "" {
-		seed = "1"
-	}
-	_ = flag.Set("rapid.seed", seed)
+	testseed.Fix()
 	os.Exit(m.Run())
 }
 
--- a/internal/coordination/scheduler/model_run_test.go
+++ b/internal/coordination/scheduler/model_run_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -11,20 +10,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/testseed"
 )
 
 // TestMain fixes the seed of random tests; FLAMINGOHAVEN_SEED overrides it.
 func TestMain(m *testing.M) {
-	seed, set := os.LookupEnv("FLAMINGOHAVEN_SEED")
-	if !set {
-		seed = "1"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
+	testseed.Fix()
 	os.Exit(m.Run())
 }
 
