Fakes: a broken stream brings the events it promises

Ruled out: the test; it asks for what BreakStreamsAfter states. Change: the engine flushes before it breaks the connection. Conclusion: the fault was the fake's; the test stands as it was.

--- a/internal/fakes/engine_stream.go
+++ b/internal/fakes/engine_stream.go
@@ -109,6 +109,7 @@
 		}
 		for ; sent < ready; sent++ {
 			if breakAfter > 0 && sent >= breakAfter {
+				_ = flush()
 				panic(http.ErrAbortHandler)
 			}
 			fmt.Fprintf(w, "data: %s\n\n", s.event(sent, total))
