--- a/cmd/flamingohaven/main.go
+++ b/cmd/flamingohaven/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"github.com/flamingohaven/flamingohaven/internal/command"
+	"github.com/flamingohaven/flamingohaven/platform"
 )
 
 func main() {
-	os.Exit(command.Main(os.Args))
+	os.Exit(command.Main(os.Args, platform.Daemons()...))
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -22,20 +22,49 @@
 	err io.Writer
 	// environ has the form of os.Environ.
 	environ []string
+	daemons []Daemon
 }
 
 // Main runs the subcommand that args name and returns the exit code.
-func Main(args []string) int {
-	u := &ui{out: os.Stdout, err: os.Stderr, environ: os.Environ()}
+// More are daemons' subcommands that the binary adds.
+func Main(args []string, more ...Daemon) int {
+	u := &ui{out: os.Stdout, err: os.Stderr, environ: os.Environ(), daemons: more}
 	return u.run(context.Background(), args[1:])
 }
 
+// Daemon is a subcommand that runs a process until it is stopped.
+type Daemon struct {
+	Name     string
+	Synopsis string
+	Usage    string
+	Run      func(ctx context.Context) error
+}
+
+func (u *ui) daemonCommand(d Daemon) subcommands.Command {
+	return &cmd{
+		name: d.Name, synopsis: d.Synopsis, usage: d.Usage,
+		run: func(ctx context.Context, f *flag.FlagSet) subcommands.ExitStatus {
+			if _, err := arguments(f, 0); err != nil {
+				return u.usageError(d.Name, err)
+			}
+			if err := d.Run(ctx); err != nil {
+				fmt.Fprintf(u.err, "%s: %v\n", d.Name, err)
+				return ExitFailed
+			}
+			return ExitOK
+		},
+	}
+}
+
 func (u *ui) run(ctx context.Context, args []string) int {
 	flags := flag.NewFlagSet(Name, flag.ContinueOnError)
 	flags.SetOutput(u.err)
 	commander := u.commander(flags, Name)
 	const daemon, operators, trial, other = "daemon", "operators", "trying it out", "other"
 	commander.Register(u.serveCommand(), daemon)
+	for _, d := range u.daemons {
+		commander.Register(u.daemonCommand(d), daemon)
+	}
 	commander.Register(u.configCommand(), operators)
 	commander.Register(u.statusCommand(), operators)
 	commander.Register(u.addressesCommand(), operators)
--- /dev/null
+++ b/internal/command/fleet/callers.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// defaultCallers bounds callers where the configuration names no limits.
+var defaultCallers = config.CallerLimits{
+	HeaderBytes: 64 << 10, BodyBytes: 8 << 20,
+	HeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute,
+}
+
+// Callers returns the limits on callers in force.
+func (n *Node) Callers() config.CallerLimits {
+	cfg, _ := n.follower.Config()
+	limits := defaultCallers
+	if c := cfg.Callers; c != nil {
+		limits.HeaderBytes = orDefault(c.HeaderBytes, limits.HeaderBytes)
+		limits.BodyBytes = orDefault(c.BodyBytes, limits.BodyBytes)
+		limits.HeaderTimeout = orDefault(c.HeaderTimeout, limits.HeaderTimeout)
+		limits.IdleTimeout = orDefault(c.IdleTimeout, limits.IdleTimeout)
+	}
+	return limits
+}
+
+func orDefault[T ~int64](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
+
+// Observe counts a request that ended. Status is 0 for an answer that was broken off.
+func (n *Node) Observe(route ident.RouteName, status int, reason string, elapsed time.Duration) {
+}
--- /dev/null
+++ b/internal/command/fleet/node.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+// Edges are what the node uses of the outside.
+type Edges struct {
+	// Upstreams sends requests; gateways need it.
+	Upstreams gateway.Upstreams
+	// List reads the platform's list of upstreams.
+	List func(ctx context.Context) ([]control.Discovered, error)
+}
+
+// bodyShare is the part of the process's memory that waiting bodies may take.
+const bodyShare = 0.2
+
+// Node is the daemon of one node.
+type Node struct {
+	settings    Settings
+	edges       Edges
+	incarnation ident.Incarnation
+	clock       *timeline.Clock
+	events      *timeline.Recorder
+
+	calls    *rpcnet.Client
+	server   *rpcnet.Server
+	control  *control.Client
+	follower *control.FleetFollower
+	replica  *replica
+	pools    *pool.Service
+	gateway  *gateway.Gateway
+	budget   *gateway.Budget
+	quotas   *scheduler.Quotas
+
+	hosts     atomic.Pointer[routing.HostTable]
+	upstreams atomic.Pointer[upstreamTable]
+	draining  atomic.Bool
+	seeds     atomic.Pointer[[]ident.NodeID]
+	// resync ends the sync under way, so that the next one tells of a change.
+	resync chan struct{}
+
+	mu       sync.Mutex
+	clients  map[ident.PoolName]*poolClient
+	masters  map[ident.PoolName]*pool.Master
+	suspects map[string]time.Time
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+	fatal  chan error
+}
+
+// New binds the node's internal socket and opens its data folder.
+func New(s Settings, e Edges) (*Node, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings:    s,
+		edges:       e,
+		incarnation: ident.Incarnation(time.Now().UnixNano()),
+		clock:       &timeline.Clock{},
+		calls:       rpcnet.NewClient(),
+		follower:    &control.FleetFollower{},
+		quotas:      scheduler.NewQuotas(),
+		resync:      make(chan struct{}, 1),
+		clients:     make(map[ident.PoolName]*poolClient),
+		masters:     make(map[ident.PoolName]*pool.Master),
+		suspects:    make(map[string]time.Time),
+		fatal:       make(chan error, 1),
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.upstreams.Store(&upstreamTable{})
+	n.seeds.Store(&n.settings.Seeds)
+	n.events = timeline.NewRecorder(s.ID(), n.clock, timelineCapacity)
+	n.control = control.NewClient(&replicaCaller{node: n}, n.firstReplicas())
+	n.pools = pool.NewService(n.clock)
+	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyShare))
+	n.gateway = gateway.New(n, nil, e.Upstreams, n.budget, n.events)
+	if err := n.listen(); err != nil {
+		n.Stop()
+		return nil, err
+	}
+	return n, nil
+}
+
+// timelineCapacity is how many recent events a node keeps.
+const timelineCapacity = 512
+
+// firstReplicas returns the replicas to ask before others are known.
+func (n *Node) firstReplicas() []ident.NodeID {
+	replicas := slices.Clone(n.settings.Seeds)
+	if n.settings.Replica() && !slices.Contains(replicas, n.settings.ID()) {
+		replicas = append(replicas, n.settings.ID())
+	}
+	return replicas
+}
+
+func (n *Node) listen() error {
+	server, err := rpcnet.Listen(n.settings.address(n.settings.ID()))
+	if err != nil {
+		return err
+	}
+	n.server = server
+	if n.settings.Gateway() {
+		if err := server.Register(pool.ServiceName, n.pools); err != nil {
+			return err
+		}
+	}
+	if n.settings.Replica() {
+		if n.replica, err = openReplica(n); err != nil {
+			return fmt.Errorf("data folder %s: %w", n.settings.DataDir, err)
+		}
+	}
+	return nil
+}
+
+// Start makes the node take part. It returns at once.
+func (n *Node) Start() {
+	n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: "started"})
+	klog.InfoS("node started", "node", n.settings.Name, "ip", n.settings.IP, "zone", n.settings.Zone,
+		"gateway", n.settings.Gateway(), "replica", n.settings.Replica(), "firstStart", n.settings.FirstStart)
+	n.loops.Go(n.server.Serve)
+	if n.replica != nil {
+		n.replica.start(n)
+		n.loops.Go(n.leaderListLoop)
+	} else {
+		n.loops.Go(n.fallbackListLoop)
+	}
+	n.loops.Go(n.syncLoop)
+}
+
+// Fatal returns a channel that gets an error after which the node can't go on.
+func (n *Node) Fatal() <-chan error { return n.fatal }
+
+func (n *Node) fail(err error) {
+	select {
+	case n.fatal <- err:
+	default:
+	}
+}
+
+// Stop ends the node. A replica that leads hands over first.
+func (n *Node) Stop() {
+	if n.replica != nil {
+		n.replica.stop()
+	}
+	n.cancel()
+	n.mu.Lock()
+	for name, m := range n.masters {
+		n.pools.Remove(name)
+		m.Stop()
+	}
+	n.mu.Unlock()
+	if n.server != nil {
+		n.server.Close()
+	}
+	n.calls.Close()
+	n.loops.Wait()
+}
+
+// Drain tells the other nodes that this one takes no new callers.
+func (n *Node) Drain() {
+	n.draining.Store(true)
+	n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: "draining"})
+	klog.InfoS("draining", "node", n.settings.Name)
+	n.pokeSync()
+}
+
+// Draining reports whether Drain was called.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
+// Configured reports whether a configuration is in force.
+func (n *Node) Configured() bool { return n.hosts.Load() != nil }
+
+// Hosts returns the routes in force; nil before the first configuration.
+func (n *Node) Hosts() *routing.HostTable { return n.hosts.Load() }
+
+// Serve carries a request to its end.
+func (n *Node) Serve(ctx context.Context, r *gateway.Request, sink gateway.Sink) gateway.Result {
+	return n.gateway.Serve(ctx, r, sink)
+}
+
+// Members returns the live nodes as last told by a leader.
+func (n *Node) Members() []control.Member { return n.follower.Spread().Members }
+
+// Fresh implements gateway.Environment: it reports whether the configuration in
+// force was certainly the newest a short while ago.
+func (n *Node) Fresh() bool {
+	age, known := n.follower.Age(boottime.Now())
+	return known && age < n.settings.KeyProof
+}
+
+// Identity implements gateway.Environment.
+func (n *Node) Identity() (ident.NodeID, ident.Incarnation) {
+	return n.settings.ID(), n.incarnation
+}
+
+// SetSeeds replaces the replicas to ask while no others are known.
+func (n *Node) SetSeeds(seeds []ident.NodeID) {
+	if len(seeds) > 0 {
+		n.seeds.Store(&seeds)
+		n.applySpread()
+	}
+}
--- /dev/null
+++ b/internal/command/fleet/orders.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"context"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
+)
+
+// Apply commits a numbered configuration. Accepted is false when a higher number
+// is in force already. After an error the outcome is unknown.
+func (n *Node) Apply(ctx context.Context, c config.Numbered) (accepted bool, err error) {
+	reply, err := control.Call[control.ApplyNumberedReply](ctx, n.control, "ApplyNumbered", &control.ApplyNumberedArgs{Numbered: c})
+	return reply.Outcome.Verdict == config.VerdictAccepted, err
+}
+
+// Document returns the newest numbered configuration's own text. The number is 0
+// if there is none.
+func (n *Node) Document(ctx context.Context) (document []byte, number uint64, err error) {
+	reply, err := control.Call[control.ReadDocumentReply](ctx, n.control, "ReadDocument", &control.ReadDocumentArgs{})
+	return reply.Document, reply.Number, err
+}
+
+// StartRollout commits an operator's order.
+func (n *Node) StartRollout(ctx context.Context, o rollout.Order) error {
+	_, err := control.Call[control.RolloutReply](ctx, n.control, "StartRollout", &control.StartRolloutArgs{Order: o})
+	return err
+}
+
+// Rollout returns a pool's latest rollout, or nil.
+func (n *Node) Rollout(ctx context.Context, name ident.PoolName) (*rollout.Record, error) {
+	reply, err := control.Call[control.RolloutReply](ctx, n.control, "ReadRollout", &control.ReadRolloutArgs{Pool: name})
+	return reply.Record, err
+}
--- /dev/null
+++ b/internal/command/fleet/pools.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+const (
+	// schedulerTimeout is how long a gateway waits for a scheduler's answer
+	// before it turns to the next one. Objectives are some hundred milliseconds.
+	schedulerTimeout = 250 * time.Millisecond
+	// suspectFor is how long a scheduler that didn't answer is passed over.
+	suspectFor = 2 * time.Second
+	// gatewaySilence is how long a scheduler keeps the session of a gateway that
+	// sends nothing: two polls.
+	gatewaySilence = 2*pool.PollHold + schedulerTimeout
+)
+
+type poolClient struct {
+	*pool.Client
+	cancel context.CancelFunc
+}
+
+// schedulerCaller reaches schedulers; the one in this process without network.
+type schedulerCaller struct {
+	calls *rpcnet.Client
+	own   string
+	local *pool.Service
+}
+
+// Call implements pool.Caller.
+func (c *schedulerCaller) Call(ctx context.Context, address, method string, args, reply any) error {
+	if address != c.own {
+		return c.calls.Call(ctx, address, method, args, reply)
+	}
+	switch a := args.(type) {
+	case *pool.SubmitArgs:
+		return c.local.Submit(a, reply.(*pool.Reply))
+	case *pool.PollArgs:
+		return c.local.Poll(a, reply.(*pool.Reply))
+	default:
+		return c.calls.Call(ctx, address, method, args, reply)
+	}
+}
+
+// applyPools makes schedulers and their clients agree with configuration,
+// members and upstreams.
+func (n *Node) applyPools() {
+	if !n.settings.Gateway() || n.ctx.Err() != nil {
+		return
+	}
+	cfg, _ := n.follower.Config()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range cfg.Pools {
+		view := n.schedulerView(&cfg, name)
+		if m := n.masters[name]; m != nil {
+			m.SetView(view)
+		} else {
+			n.startMaster(name, view)
+		}
+		if n.clients[name] == nil {
+			n.startClient(name)
+		}
+	}
+	for name, c := range n.clients {
+		if _, kept := cfg.Pools[name]; !kept {
+			c.cancel()
+			delete(n.clients, name)
+			n.pools.Remove(name)
+			delete(n.masters, name)
+		}
+	}
+	n.chooseSchedulers()
+}
+
+func (n *Node) startMaster(name ident.PoolName, view scheduler.View) {
+	build := func(now time.Duration) scheduler.Scheduler {
+		p := scheduler.New(0, view, now)
+		p.SetOrigin(time.Now())
+		return p
+	}
+	m := pool.NewMaster(name, 0, build, nil)
+	m.SetSilence(gatewaySilence)
+	n.masters[name] = m
+	n.pools.Put(m)
+}
+
+func (n *Node) startClient(name ident.PoolName) {
+	ctx, cancel := context.WithCancel(n.ctx)
+	caller := &schedulerCaller{calls: n.calls, own: n.settings.address(n.settings.ID()), local: n.pools}
+	c := &poolClient{
+		Client: pool.NewClient(name, n.settings.ID(), n.incarnation, caller, n.clock),
+		cancel: cancel,
+	}
+	c.Watch(schedulerTimeout, n.suspect)
+	n.clients[name] = c
+	n.loops.Go(func() { c.Run(ctx) })
+}
+
+// suspect passes over a scheduler that didn't answer for a while.
+func (n *Node) suspect(address string) {
+	if n.ctx.Err() != nil || address == n.settings.address(n.settings.ID()) {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.suspects[address].Before(time.Now()) {
+		klog.InfoS("scheduler does not answer, passing it over", "node", n.settings.Name, "scheduler", address, "for", suspectFor)
+	}
+	n.suspects[address] = time.Now().Add(suspectFor)
+	n.chooseSchedulers()
+	time.AfterFunc(suspectFor, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.chooseSchedulers()
+	})
+}
+
+// chooseSchedulers turns the clients to the first live gateway in an order that
+// all gateways share. One scheduler serves all pools, so that quotas are exact.
+// The caller holds the lock.
+func (n *Node) chooseSchedulers() {
+	address := n.schedulerAddress(time.Now())
+	for name, c := range n.clients {
+		c.SetHolder(pool.Holder{Lease: lease.Pool{Pool: name}, Address: address})
+	}
+}
+
+func (n *Node) schedulerAddress(now time.Time) string {
+	candidates := n.gateways()
+	slices.SortFunc(candidates, func(a, b control.Member) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	for _, m := range candidates {
+		if !m.Draining && now.After(n.suspects[m.InternalAddress]) {
+			return m.InternalAddress
+		}
+	}
+	return n.settings.address(n.settings.ID())
+}
+
+// gateways returns the live gateways; this one at least.
+func (n *Node) gateways() []control.Member {
+	self := n.member()
+	list := []control.Member{self}
+	for _, m := range n.follower.Spread().Members {
+		if m.Gateway() && m.ID != self.ID {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// schedulerView returns what the scheduler of a pool must know.
+func (n *Node) schedulerView(c *config.Config, name ident.PoolName) scheduler.View {
+	view := scheduler.View{
+		Pool:       name,
+		QueueLimit: c.Pools[name].QueueLimit,
+		Shared: &scheduler.Shared{
+			RetryRatio: n.settings.RetryRatio,
+			RetryBurst: n.settings.RetryBurst,
+			Quotas:     n.quotas,
+		},
+	}
+	for tier, t := range c.Tiers {
+		view.Tiers = append(view.Tiers, scheduler.Tier{Name: tier, Rank: t.Rank, Reserve: t.Reserve})
+	}
+	for team, t := range c.Teams {
+		view.Teams = append(view.Teams, scheduler.Team{Name: team, Shares: t.Shares})
+	}
+	for _, m := range n.gateways() {
+		view.Gateways = append(view.Gateways, m.ID)
+	}
+	for _, d := range n.upstreams.Load().byPool[name] {
+		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
+			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone,
+			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving,
+		})
+	}
+	return view
+}
+
+// Placer implements gateway.Environment.
+func (n *Node) Placer(name ident.PoolName) gateway.Placer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c := n.clients[name]; c != nil {
+		return c.Client
+	}
+	return nil
+}
+
+// Upstream implements gateway.Environment.
+func (n *Node) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
+	d, known := n.upstreams.Load().byName[name]
+	return d.Upstream, known && !d.Leaving
+}
+
+// PoolUpstreams implements gateway.Environment.
+func (n *Node) PoolUpstreams(name ident.PoolName) []gateway.Target {
+	var targets []gateway.Target
+	for _, d := range n.upstreams.Load().byPool[name] {
+		targets = append(targets, gateway.Target{Name: d.Name, Upstream: d.Upstream})
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/command/fleet/replica.go
@@ -0,0 +1,130 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+// handOverTimeout bounds the handing over of the leadership when a node stops.
+const handOverTimeout = time.Second
+
+// replica is the part of a node that keeps the replicated state.
+type replica struct {
+	calls   *rpcnet.Client
+	machine *machine.Machine
+	node    *consensus.Node[machine.Result]
+	service *control.Service
+}
+
+func openReplica(n *Node) (*replica, error) {
+	s := &n.settings
+	first := slices.Clone(s.Seeds)
+	seeded := slices.Contains(first, s.ID())
+	if !seeded {
+		first = append(first, s.ID())
+	}
+	calls := rpcnet.NewClient()
+	m := machine.New(ledger.DefaultLimits())
+	node, err := consensus.New(consensus.Options{
+		ID:              s.ID(),
+		InitialReplicas: first,
+		JoinOnly:        !s.FirstStart || !seeded,
+		ReplaceDead:     true,
+		FS:              disk.NewOS(s.DataDir),
+		Peers:           &peers{calls: calls, settings: s},
+	}, m)
+	if err != nil {
+		calls.Close()
+		return nil, err
+	}
+	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(s.ID(), node, m)}
+	r.service.RunFleet(n.follower.Spread)
+	r.service.SetClock(n.clock)
+	if err := n.server.Register(control.ServiceName, r.service); err != nil {
+		return nil, err
+	}
+	return r, n.server.Register(consensusServiceName, node.Service())
+}
+
+func (r *replica) start(n *Node) {
+	r.node.Start()
+	n.loops.Go(func() { r.service.Run(n.ctx) })
+	n.loops.Go(func() { r.watch(n) })
+}
+
+// watch tells of changes of the leadership and of the replica's own end.
+func (r *replica) watch(n *Node) {
+	var known consensus.Leadership
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case err := <-r.node.Fatal():
+			n.fail(r.ended(n, err))
+			return
+		case <-r.node.Changes():
+		}
+		now := r.node.Leadership()
+		if now == known {
+			continue
+		}
+		known = now
+		detail := fmt.Sprintf("term %d, leader %q, leading here: %t", now.Term, now.Leader, now.Leading)
+		n.events.Record(timeline.Event{Kind: timeline.KindLeadership, Detail: detail})
+		klog.InfoS("leadership changed", "node", n.settings.Name, "term", now.Term, "leader", now.Leader, "leading", now.Leading)
+	}
+}
+
+// ended explains the end of the replica. One whose place was given to another
+// empties its folder, so that the next start joins anew.
+func (r *replica) ended(n *Node, err error) error {
+	if errors.Is(err, consensus.ErrRemoved) {
+		klog.InfoS("replica was replaced, emptying its data folder", "node", n.settings.Name)
+		if wipeErr := emptyFolder(n.settings.DataDir); wipeErr != nil {
+			return fmt.Errorf("replica was replaced, and its folder can't be emptied: %w", wipeErr)
+		}
+	}
+	return fmt.Errorf("replica: %w", err)
+}
+
+// emptyFolder removes all that is in a folder.
+func emptyFolder(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// leading reports whether this replica leads now.
+func (r *replica) leading() bool { return r.node.Leadership().Leading }
+
+// stop ends the replica; a leader hands over first.
+func (r *replica) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := r.node.Stop(ctx); err != nil {
+		klog.ErrorS(err, "replica did not stop in order")
+	}
+	r.calls.Close()
+}
--- /dev/null
+++ b/internal/command/fleet/sync.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+const (
+	// syncBudget bounds the search for a replica that serves one sync.
+	syncBudget = 3 * time.Second
+	// syncPause is the pause after a sync that no replica served.
+	syncPause = 50 * time.Millisecond
+)
+
+// member describes this node to the leader.
+func (n *Node) member() control.Member {
+	return control.Member{
+		ID:              n.settings.ID(),
+		Incarnation:     n.incarnation,
+		Zone:            n.settings.Zone,
+		CallerAddress:   n.settings.CallerAddress,
+		InternalAddress: n.settings.address(n.settings.ID()),
+		Replica:         n.settings.Replica(),
+		Draining:        n.draining.Load(),
+	}
+}
+
+// pokeSync has the next sync sent at once.
+func (n *Node) pokeSync() {
+	select {
+	case n.resync <- struct{}{}:
+	default:
+	}
+}
+
+// syncLoop keeps the node's knowledge up to date and tells that it lives.
+func (n *Node) syncLoop() {
+	served := true
+	for n.ctx.Err() == nil {
+		ok := n.syncOnce()
+		if ok != served {
+			klog.InfoS("contact with the replicas changed", "node", n.settings.Name, "contact", ok)
+			served = ok
+		}
+		if !ok {
+			sleep(n.ctx, syncPause)
+		}
+	}
+}
+
+// syncOnce sends one sync and acts on its answer.
+func (n *Node) syncOnce() bool {
+	ctx, cancel := context.WithTimeout(n.ctx, syncBudget)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-n.resync:
+			cancel()
+		case <-done:
+		}
+	}()
+	sent := boottime.Now()
+	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), control.MaxSyncHold))
+	if err != nil {
+		return n.ctx.Err() == nil && ctx.Err() == context.Canceled
+	}
+	change, err := n.follower.Take(sent, &reply)
+	if err != nil {
+		klog.ErrorS(err, "update of the configuration does not fit, asking for everything")
+	}
+	if change.Config {
+		n.applyConfig()
+	}
+	if change.Spread {
+		n.applySpread()
+	}
+	if change.Config || change.Spread {
+		n.applyPools()
+	}
+	return true
+}
+
+// applyConfig puts the present configuration in force.
+func (n *Node) applyConfig() {
+	cfg, revision := n.follower.Config()
+	n.hosts.Store(routing.NewHostTable(&cfg))
+	n.quotas.SetLimits(quotaLimits(&cfg), time.Now())
+	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
+	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes))
+}
+
+func quotaLimits(c *config.Config) []scheduler.QuotaLimit {
+	var limits []scheduler.QuotaLimit
+	for name, team := range c.Teams {
+		if q := team.Quota; q != nil && q.PerSecond > 0 {
+			limits = append(limits, scheduler.QuotaLimit{Team: name, PerSecond: q.PerSecond, Burst: q.Burst})
+		}
+	}
+	return limits
+}
+
+// applySpread takes in the members and upstreams that the leader told.
+func (n *Node) applySpread() {
+	spread := n.follower.Spread()
+	replicas := slices.Clone(*n.seeds.Load())
+	for _, m := range spread.Members {
+		if m.Replica && !slices.Contains(replicas, m.ID) {
+			replicas = append(replicas, m.ID)
+		}
+	}
+	n.control.SetReplicas(replicas)
+	if spread.Listed {
+		n.setUpstreams(spread.Upstreams)
+	}
+}
+
+func (n *Node) setUpstreams(found []control.Discovered) {
+	n.upstreams.Store(newUpstreamTable(found))
+}
+
+// upstreamTable indexes the discovered upstreams. It does not change.
+type upstreamTable struct {
+	byName map[ident.UpstreamName]control.Discovered
+	byPool map[ident.PoolName][]control.Discovered
+}
+
+func newUpstreamTable(found []control.Discovered) *upstreamTable {
+	t := &upstreamTable{
+		byName: make(map[ident.UpstreamName]control.Discovered, len(found)),
+		byPool: make(map[ident.PoolName][]control.Discovered),
+	}
+	for _, d := range found {
+		t.byName[d.Name] = d
+		t.byPool[d.Upstream.Pool] = append(t.byPool[d.Upstream.Pool], d)
+	}
+	return t
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -35,6 +35,8 @@
 	timing Timing
 	rng    *rand.Rand
 	faults faults
+	// replaceDead lets new replicas take the places of silent voters.
+	replaceDead bool
 
 	term   uint64
 	vote   Replica
@@ -119,19 +121,20 @@
 
 // start is the state that a core begins with.
 type start struct {
-	self     Replica
-	timing   Timing
-	rng      *rand.Rand
-	faults   faults
-	hard     wal.HardState
-	snapshot snap.Meta
-	members  Membership
-	entries  []wal.Entry
+	self        Replica
+	timing      Timing
+	rng         *rand.Rand
+	faults      faults
+	replaceDead bool
+	hard        wal.HardState
+	snapshot    snap.Meta
+	members     Membership
+	entries     []wal.Entry
 }
 
 // newCore returns the core of a replica that was just started.
 func newCore(now time.Time, s start) (*core, error) {
-	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults, appendBytes: maxAppendBytes}
+	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults, replaceDead: s.replaceDead, appendBytes: maxAppendBytes}
 	c.term = s.hard.Term
 	c.vote = Replica{ID: s.hard.VoteID, Incarnation: s.hard.VoteIncarnation}
 	c.log.reset(s.snapshot.Index, s.snapshot.Term)
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -148,11 +148,43 @@
 			c.change(c.members().without(old))
 			return
 		}
+		if c.replaceDead {
+			dead, silent := c.silentVoter(now)
+			switch {
+			case silent >= DeadAfter:
+				c.change(c.members().without(dead))
+				return
+			case silent >= c.timing.ElectionMax:
+				// The voter may be gone for good: a new voter beside it would
+				// raise the quorum while one of its members is missing.
+				return
+			}
+		}
 		c.change(c.members().withVoter(member.Replica))
 		return
 	}
 }
 
+// DeadAfter is the silence after which a voter's place may go to a new replica.
+// A kill and restart takes less; a replacement must be complete within the time
+// that deployments give a new VM to catch up, 4 s.
+const DeadAfter = 3 * time.Second
+
+// silentVoter returns the voter that has been silent for longest, and how long.
+func (c *core) silentVoter(now time.Time) (Replica, time.Duration) {
+	var found Replica
+	var longest time.Duration
+	for _, voter := range c.members().Voters() {
+		if voter == c.self {
+			continue
+		}
+		if silent := now.Sub(latest(c.progress[voter].ackedAt, c.since)); silent > longest {
+			found, longest = voter, silent
+		}
+	}
+	return found, longest
+}
+
 // caughtUp reports whether a learner answers and holds all that is committed.
 func (c *core) caughtUp(now time.Time, r Replica) bool {
 	p := c.progress[r]
--- a/internal/coordination/consensus/enter.go
+++ b/internal/coordination/consensus/enter.go
@@ -13,19 +13,34 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
+// lostAfter is how long a voter may know no leader before it asks whether it is
+// still a member: one that was replaced meanwhile hears from nobody. It is
+// several elections long.
+const lostAfter = 3 * time.Second
+
 // enter makes this replica a voter: it forms the cluster with the other initial
-// replicas, adopts the cluster that they formed, or joins it as a learner. It
-// ends when the replica votes.
+// replicas, adopts the cluster that they formed, or joins it as a learner. A
+// voter that knows no leader for lostAfter asks to join again.
 func (r *replica) enter() {
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
 	defer ticker.Stop()
+	led := time.Now()
 	for {
 		v := r.view.Load()
+		if v.leader != "" {
+			led = time.Now()
+		}
 		switch {
 		case v.genesis.Cluster == "":
 			r.formOrAdopt(v.self)
 		case v.members.Role(v.self) == RoleVoter:
-			return
+			if time.Since(led) < lostAfter {
+				break
+			}
+			led = time.Now()
+			if !r.join(v) {
+				return
+			}
 		case v.members.Role(v.self) == RoleNone:
 			if !r.join(v) {
 				return
@@ -40,18 +55,23 @@
 }
 
 // formOrAdopt looks for a cluster among the initial replicas. Only when every
-// one of them answers that it belongs to none does the lowest ID form one.
+// one of them answers that it belongs to none does one form it: the lowest ID of
+// those that are not JoinOnly.
 func (r *replica) formOrAdopt(self Replica) {
 	replies := r.probeAll(self)
 	initial := []Replica{self}
+	first := self.ID
 	for _, reply := range replies {
 		if reply.Formed {
 			r.adopt(reply.Genesis)
 			return
 		}
 		initial = append(initial, reply.Replica)
+		if !reply.JoinOnly {
+			first = min(first, reply.Replica.ID)
+		}
 	}
-	if len(initial) < len(r.opts.InitialReplicas) || self.ID != slices.Min(r.opts.InitialReplicas) {
+	if r.opts.JoinOnly || len(initial) < len(r.opts.InitialReplicas) || self.ID != first {
 		return
 	}
 	genesis := Genesis{Cluster: ClusterID(uuid.NewString())}
@@ -143,7 +163,7 @@
 // onProbe answers from the published view; it needs no membership.
 func (r *replica) onProbe() ProbeReply {
 	v := r.view.Load()
-	return ProbeReply{Replica: v.self, Formed: v.genesis.Cluster != "", Genesis: v.genesis}
+	return ProbeReply{Replica: v.self, Formed: v.genesis.Cluster != "", Genesis: v.genesis, JoinOnly: r.opts.JoinOnly}
 }
 
 // onJoin adds a learner if this replica leads.
--- a/internal/coordination/consensus/options.go
+++ b/internal/coordination/consensus/options.go
@@ -24,6 +24,12 @@
 	// InitialReplicas are the replicas that form the cluster, this one
 	// included. A replica added later names the replicas it may ask to join.
 	InitialReplicas []ident.NodeID
+	// JoinOnly keeps this replica from forming a cluster: it adopts or joins the
+	// one that exists. It is set at every start but the very first of a system.
+	JoinOnly bool
+	// ReplaceDead lets a new replica take the place of a voter that has been
+	// silent for DeadAfter, without an operator.
+	ReplaceDead bool
 	// FS is the replica's data folder. One process at a time uses it.
 	FS disk.FS
 	// Peers reaches the other replicas.
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -12,6 +12,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/snap"
 	"github.com/flamingohaven/flamingohaven/internal/state/wal"
 )
@@ -51,7 +52,9 @@
 	wg      sync.WaitGroup
 	fatal   chan error
 	failing sync.Once
-	began   time.Time
+	// began and beganBoot are the same moment on two clocks.
+	began     time.Time
+	beganBoot time.Duration
 }
 
 // machine is a StateMachine without its result type.
@@ -87,7 +90,7 @@
 		return nil, fmt.Errorf("consensus: lock the data folder: %w", err)
 	}
 	r := &replica{
-		opts: opts, machine: m, lock: lock, began: time.Now(),
+		opts: opts, machine: m, lock: lock, began: time.Now(), beganBoot: boottime.Now(),
 		readers:   map[uint64]chan error{},
 		storeTurn: make(chan struct{}, 1),
 		events:    make(chan func(time.Time), eventBuffer),
@@ -152,7 +155,7 @@
 		return start{}, snapshot, err
 	}
 	return start{
-		self: r.own.Replica, timing: r.opts.Timing, faults: r.opts.faults,
+		self: r.own.Replica, timing: r.opts.Timing, faults: r.opts.faults, replaceDead: r.opts.ReplaceDead,
 		rng:  rand.New(rand.NewPCG(randomUint64(), randomUint64())),
 		hard: recovered.Hard, snapshot: snapshot.Meta, members: members, entries: entries,
 	}, snapshot, nil
@@ -218,9 +221,10 @@
 	})
 }
 
-// now returns the replica's clock.
+// now returns the replica's clock. It counts the time of a suspension, so that
+// no lease outlives it.
 func (r *replica) now() time.Time {
-	elapsed := time.Since(r.began)
+	elapsed := boottime.Now() - r.beganBoot
 	return r.began.Add(time.Duration(float64(elapsed) * r.opts.clockRate))
 }
 
--- a/internal/coordination/control/client.go
+++ b/internal/coordination/control/client.go
@@ -42,12 +42,12 @@
 // Client finds the leader among the replicas and sends calls again until one
 // is served. All calls are idempotent when sent with the same arguments.
 type Client struct {
-	caller   Caller
-	replicas []ident.NodeID
+	caller Caller
 
-	mu     sync.Mutex
-	leader ident.NodeID
-	next   int
+	mu       sync.Mutex
+	replicas []ident.NodeID
+	leader   ident.NodeID
+	next     int
 }
 
 // NewClient returns a client of the replicas.
@@ -55,6 +55,17 @@
 	return &Client{caller: caller, replicas: replicas}
 }
 
+// SetReplicas replaces the replicas that calls may go to. An empty list changes
+// nothing.
+func (c *Client) SetReplicas(replicas []ident.NodeID) {
+	if len(replicas) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas = replicas
+}
+
 // Leader returns the replica that served last; empty if none did.
 func (c *Client) Leader() ident.NodeID {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/coordination/control/fleet_follower.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// FleetFollower is a node's side of the sync: the configuration in force, what
+// the leader spreads, and how long the node may rely on both. It is safe for
+// concurrent use.
+//
+// Invariant: neither the revision in force nor the version of the spread ever
+// goes back.
+type FleetFollower struct {
+	mu       sync.Mutex
+	revision ident.Revision
+	config   config.Config
+	spread   Spread
+	// provenAt is the sending, on the boot-time clock, of the latest sync that
+	// was served; zero if none was.
+	provenAt time.Duration
+	// whole asks for a whole configuration after a delta that didn't fit.
+	whole bool
+}
+
+// FleetChange tells what a sync changed.
+type FleetChange struct {
+	Config bool
+	Spread bool
+}
+
+// Args returns the next sync of the given node.
+func (f *FleetFollower) Args(m Member, hold time.Duration) *SyncArgs {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.spread.Version, Hold: hold}
+	if f.whole {
+		args.HaveRevision = 0
+	}
+	return args
+}
+
+// Take takes in the answer to a sync that was sent at the given boot time.
+func (f *FleetFollower) Take(sent time.Duration, reply *SyncReply) (FleetChange, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var change FleetChange
+	if !reply.OK() {
+		return change, nil
+	}
+	if u := reply.Update; u != nil && u.To > f.revision {
+		next, err := u.Apply(f.config)
+		if err != nil {
+			f.whole = true
+			return change, fmt.Errorf("control: update refused: %w", err)
+		}
+		f.config, f.revision, f.whole = next, u.To, false
+		change.Config = true
+	}
+	if s := reply.Spread; s != nil && s.Version.Newer(f.spread.Version) {
+		f.spread = *s
+		change.Spread = true
+	}
+	f.provenAt = max(f.provenAt, sent)
+	return change, nil
+}
+
+// Config returns the configuration in force and its revision. It must not be
+// changed.
+func (f *FleetFollower) Config() (config.Config, ident.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config, f.revision
+}
+
+// Spread returns what the leader told last. It must not be changed.
+func (f *FleetFollower) Spread() Spread {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.spread
+}
+
+// Age returns how long ago the configuration in force was certainly the newest,
+// at the given boot time; known is false if it never was.
+func (f *FleetFollower) Age(now time.Duration) (age time.Duration, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now - f.provenAt, f.provenAt != 0
+}
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -47,6 +47,10 @@
 	// clock is the time line's; it is nil where none is kept.
 	clock *timeline.Clock
 
+	// fleet is nil unless RunFleet was called; known is set with it.
+	fleet *fleet
+	known func() Spread
+
 	mu sync.Mutex
 	// term is the term whose memory is held; zero while not leading.
 	term uint64
@@ -125,6 +129,10 @@
 	if !s.leads(leadership) && !s.begin(leadership) {
 		return
 	}
+	if s.fleet != nil {
+		s.fleet.expire(time.Now())
+		return
+	}
 	if s.resignIfDeaf(leadership.Term) {
 		return
 	}
@@ -152,6 +160,9 @@
 	defer s.mu.Unlock()
 	s.term = 0
 	s.nodes = nil
+	if s.fleet != nil {
+		s.fleet.end()
+	}
 }
 
 // begin commits the start of the term. Every lease that a former leader can
@@ -164,6 +175,9 @@
 		return false
 	}
 	now := time.Now()
+	if s.fleet != nil {
+		s.fleet.begin(l.Term, s.known(), now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.term = l.Term
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -98,7 +98,7 @@
 	defer cancel()
 	answer := &recording{placer: placer, id: r.ID}
 	sent := g.upstreams.Send(sendCtx, d, answer)
-	placer.Finish(r.ID, reportKind(sendCtx, sent), 0)
+	placer.Finish(r.ID, reportKind(sendCtx, sent, settled), 0)
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, unsent)
 	}
@@ -276,6 +276,9 @@
 	return nil
 }
 
+// Fields drops the header fields: a recorded answer is replayed without them.
+func (c *recording) Fields([]HeaderField) {}
+
 func (c *recording) FirstToken() {
 	c.placer.FirstToken(c.id, 0)
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -40,7 +40,7 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, r *Request, sink Sink) Result {
-	if !g.env.Fresh() {
+	if !r.Unleased && !g.env.Fresh() {
 		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
 	}
 	g.record(r, timeline.KindAccepted, "")
@@ -51,7 +51,7 @@
 	defer held.Release()
 	waitCtx, cancel := context.WithDeadlineCause(held.Context(), r.Deadline, errDeadline)
 	defer cancel()
-	if !r.Idempotent {
+	if !r.Idempotent && !r.Unclaimed {
 		if result, done := g.answerKnown(waitCtx, r, sink); done {
 			return result
 		}
@@ -65,36 +65,66 @@
 const (
 	// settled means that the result stands.
 	settled verdict = iota
-	// unsent means that provably no connection to the upstream was made.
+	// unsent means that provably no upstream runs the request.
 	unsent
+	// again means that the request failed and may go on at another upstream.
+	again
 	// lapsed means that the grant could not be used; nothing was tried.
 	lapsed
 )
 
-// run places and dispatches the request until a dispatch is not provably
-// unsent. WaitCtx ends also when the request is shed while it waits.
+// run places and dispatches the request until a dispatch settles it. WaitCtx
+// ends also when the request is shed while it waits.
 func (g *Gateway) run(ctx, waitCtx context.Context, held *Hold, r *Request, sink Sink) Result {
 	placer := g.env.Placer(r.Pool)
 	if placer == nil {
 		return refusal(ReasonUnknownPool, "no scheduler serves the pool yet", time.Second)
 	}
 	var excluded []ident.UpstreamName
-	for len(excluded) < MaxUnsent {
+	relay := newRelay(sink, placer, r)
+	for len(excluded) < MaxUnsent+r.MaxAttempts {
 		grant, failure := g.place(waitCtx, placer, r, excluded)
 		if failure != nil {
-			return Result{Failure: failure}
+			return giveUp(r, relay, failure)
 		}
 		held.Dispatching()
-		result, end := g.attempt(ctx, placer, r, grant, sink)
+		result, end := g.attempt(ctx, placer, r, grant, relay)
 		if end == settled {
 			return result
 		}
-		held.Waiting()
-		if end == unsent {
+		if r.sends == 0 {
+			held.Waiting()
+		}
+		if end != lapsed {
 			excluded = append(excluded, grant.Upstream)
 		}
 	}
-	return refusal(Reason(scheduler.ReasonUnsent), "no connection to an upstream could be made", time.Second)
+	return giveUp(r, relay, &Failure{
+		Reason: Reason(scheduler.ReasonUnsent), NotRun: true, RetryAfter: unsentRetryAfter,
+		Message: "no upstream took the request",
+	})
+}
+
+// unsentRetryAfter is the advice to a caller whose request no upstream took.
+const unsentRetryAfter = time.Second
+
+// giveUp ends a request that can't be placed any more. One that was sent before
+// may have run: its last whole answer stands, else it has failed.
+func giveUp(r *Request, relay *relay, failure *Failure) Result {
+	if r.sends == 0 {
+		return Result{Failure: failure}
+	}
+	if relay.holdsAnswer() {
+		if err := relay.Flush(); err != nil {
+			return Result{Failure: &Failure{Reason: ReasonCallerLeft, Message: err.Error(), Begun: true}}
+		}
+		return Result{Answered: true}
+	}
+	reason := failure.Reason
+	if failure.NotRun && reason != Reason(scheduler.ReasonDeadline) && reason != ReasonCallerLeft {
+		reason = ReasonFailed
+	}
+	return Result{Failure: &Failure{Reason: reason, Begun: relay.begun, Message: "an upstream failed the request, then: " + failure.Message}}
 }
 
 // place queues the request and waits for the scheduler's word.
@@ -127,11 +157,27 @@
 		PromptTokens: r.PromptTokens,
 		OutputTokens: r.OutputTokens,
 		Prefixes:     r.Prefixes,
+		PrefixTokens: r.PrefixTokens,
+		Objective:    r.objectiveLeft(),
+		Cost:         r.Cost,
+		Resumes:      r.sends > 0,
 		BodyBytes:    int64(len(r.Body)),
 		Excluded:     excluded,
 	}
 }
 
+// objectiveLeft is the time left until the answer should begin; zero without an
+// objective, else never zero.
+func (r *Request) objectiveLeft() time.Duration {
+	if r.Objective.IsZero() {
+		return 0
+	}
+	if left := time.Until(r.Objective); left != 0 {
+		return left
+	}
+	return -1
+}
+
 // waitFailure tells why a request stopped waiting. Nothing was sent.
 func waitFailure(ctx context.Context) *Failure {
 	cause := context.Cause(ctx)
@@ -146,15 +192,15 @@
 }
 
 // attempt dispatches under one grant.
-func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, sink Sink) (Result, verdict) {
+func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, relay *relay) (Result, verdict) {
 	upstream, ok := g.env.Upstream(grant.Upstream)
 	if !ok {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
 		return Result{}, lapsed
 	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
-	if !r.Idempotent {
-		return g.attemptClaimed(ctx, placer, d, grant, sink)
+	if !r.Idempotent && !r.Unclaimed {
+		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
 	}
 	if !placer.Begin(r.ID) {
 		placer.Finish(r.ID, scheduler.ReportDropped, 0)
@@ -163,14 +209,15 @@
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
 	sendCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 	defer cancel()
-	relay := newRelay(sink, placer, r, grant)
+	relay.under(grant)
 	sent := g.upstreams.Send(sendCtx, d, relay)
-	placer.Finish(r.ID, reportKind(sendCtx, sent), sent.OutputTokens)
+	end := g.judge(sendCtx, r, sent, relay)
+	placer.Finish(r.ID, reportKind(sendCtx, sent, end), sent.OutputTokens)
 	if sent.Resumed > 0 {
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
 	}
-	if sent.Outcome == DispatchUnsent {
-		return Result{}, unsent
+	if end != settled {
+		return Result{}, end
 	}
 	if sent.Outcome != DispatchWhole {
 		return broken(sendCtx, sent, relay.begun), settled
@@ -181,11 +228,33 @@
 	return Result{Answered: true}, settled
 }
 
+// judge decides whether a dispatch settles the request, and notes what was sent.
+func (g *Gateway) judge(ctx context.Context, r *Request, sent DispatchResult, relay *relay) verdict {
+	if sent.Outcome == DispatchUnsent || sent.Outcome == DispatchRejected {
+		return unsent
+	}
+	r.sends++
+	if sent.LastEvent != "" {
+		r.ResumeAfter = sent.LastEvent
+	}
+	relay.whole = sent.Outcome == DispatchWhole
+	failed := sent.Outcome != DispatchWhole || sent.Status >= firstServerError
+	mayGoOn := r.Repeatable && !relay.begun || r.Resumable
+	if failed && mayGoOn && r.sends < r.MaxAttempts && ctx.Err() == nil {
+		return again
+	}
+	return settled
+}
+
 // reportKind maps the end of a dispatch to what the scheduler must know.
-func reportKind(ctx context.Context, sent DispatchResult) scheduler.ReportKind {
+func reportKind(ctx context.Context, sent DispatchResult, end verdict) scheduler.ReportKind {
 	switch {
 	case sent.Outcome == DispatchUnsent:
 		return scheduler.ReportUnsent
+	case sent.Outcome == DispatchRejected:
+		return scheduler.ReportRejected
+	case end == again:
+		return scheduler.ReportRepeat
 	case sent.Outcome == DispatchWhole && sent.Status < firstServerError:
 		return scheduler.ReportEnded
 	case sent.Outcome == DispatchWhole:
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 )
 
@@ -8,6 +10,9 @@
 // streamed is held back until it is whole, in bytes.
 const MaxBufferedAnswer = 1 << 20
 
+// errOtherStatus ends a stream whose rest another upstream failed.
+var errOtherStatus = errors.New("the rest of the stream came with another status")
+
 // relay passes an upstream's answer to the caller. An answer that is not
 // streamed is held back until it is whole, so that a broken one becomes a
 // clean failure.
@@ -18,28 +23,53 @@
 	grant  *scheduler.Grant
 
 	header AnswerHeader
+	fields []HeaderField
 	held   []byte
 	begun  bool
+	// whole is true once a dispatch brought its whole answer.
+	whole bool
 }
 
-func newRelay(sink Sink, placer Placer, r *Request, grant *scheduler.Grant) *relay {
-	return &relay{sink: sink, placer: placer, r: r, grant: grant}
+func newRelay(sink Sink, placer Placer, r *Request) *relay {
+	return &relay{sink: sink, placer: placer, r: r}
 }
 
+// under names the grant of the next dispatch.
+func (y *relay) under(grant *scheduler.Grant) { y.grant = grant }
+
+// holdsAnswer tells whether a whole answer was held back.
+func (y *relay) holdsAnswer() bool { return !y.begun && y.header.Status != 0 && y.whole }
+
 // Begin implements AnswerSink.
 func (y *relay) Begin(status int, contentType string) error {
+	if y.begun && status != y.header.Status {
+		return errOtherStatus
+	}
+	if y.begun {
+		return nil
+	}
+	y.held, y.whole = nil, false
 	y.header = AnswerHeader{
+		Fields:      y.fields,
 		Status:      status,
 		ContentType: contentType,
 		Upstream:    y.grant.Upstream,
 		Version:     y.grant.Version,
 	}
-	if y.r.Stream {
+	if y.r.Stream && status < firstServerError {
 		return y.start()
 	}
 	return nil
 }
 
+// Fields implements AnswerSink. A stream that goes on elsewhere keeps those of
+// its beginning.
+func (y *relay) Fields(fields []HeaderField) {
+	if !y.begun {
+		y.fields = fields
+	}
+}
+
 // FirstToken implements AnswerSink.
 func (y *relay) FirstToken() {
 	y.placer.FirstToken(y.r.ID, 0)
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -48,18 +48,53 @@
 	PromptTokens int
 	OutputTokens int
 	Prefixes     []uint64
+	// PrefixTokens holds the prompt tokens up to the end of each prefix.
+	PrefixTokens []int
 
+	// Fields are header fields to pass on to the upstream as they are.
+	Fields []HeaderField
+	// Objective is when the answer should begin; zero if the request has none.
+	Objective time.Time
+	// Cost is what the request takes of its team's quota, in tokens.
+	Cost float64
+	// MaxAttempts bounds the upstreams that the request may be sent to; 0
+	// means one.
+	MaxAttempts int
+	// Repeatable permits the request to run again at another upstream after a
+	// failure, and Resumable a stream to go on there.
+	Repeatable bool
+	Resumable  bool
+	// Unclaimed marks a non-idempotent request that its caller never resends
+	// under the same id: it is sent at most once and needs no claim.
+	Unclaimed bool
+	// Unleased permits the request at a node without a fresh lease.
+	Unleased bool
+	// ResumeAfter is the id of the last event that the caller got; empty at the
+	// beginning of a stream.
+	ResumeAfter string
+
+	// sends counts the dispatches that may have reached an upstream.
+	sends int
 	// attempt numbers the claims of the request.
 	attempt uint32
 }
 
+// HeaderField is one header field that the gateway passes on.
+type HeaderField struct {
+	Name  string
+	Value string
+}
+
 // AnswerHeader begins an answer.
 type AnswerHeader struct {
 	Status      int
 	ContentType string
-	Upstream    ident.UpstreamName
-	Version     ident.VersionName
-	Replayed    bool
+	// Fields are the upstream's other header fields, where the edge passes
+	// them on.
+	Fields   []HeaderField
+	Upstream ident.UpstreamName
+	Version  ident.VersionName
+	Replayed bool
 }
 
 // Sink takes the answer to the caller.
@@ -139,6 +174,9 @@
 	DispatchBroken
 	// DispatchCrossed means that the answer belongs to another request.
 	DispatchCrossed
+	// DispatchRejected means that the upstream declined: it did not run the
+	// request and never will.
+	DispatchRejected
 )
 
 // DispatchResult is the end of a dispatch.
@@ -147,6 +185,10 @@
 	// Status is the HTTP status of a whole answer.
 	Status       int
 	OutputTokens int
+	// LastEvent is the id of the last event that was passed on, and Events
+	// their number.
+	LastEvent string
+	Events    int
 	// Resumed counts how often a broken stream was taken up again.
 	Resumed int
 	Err     error
@@ -156,6 +198,8 @@
 type AnswerSink interface {
 	// Begin takes the header. It is called at most once, before any Write.
 	Begin(status int, contentType string) error
+	// Fields takes the header fields to pass on. It is called before Begin.
+	Fields(fields []HeaderField)
 	// FirstToken tells that the answer's content began.
 	FirstToken()
 	// Write takes a part of the body. The part is reused after the call.
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -30,6 +30,10 @@
 	caller      Caller
 	clock       *timeline.Clock
 	wake        chan struct{}
+	// callTimeout bounds one message, beside the hold of a poll.
+	callTimeout time.Duration
+	// failed, if set, is told the address of a scheduler that didn't answer.
+	failed func(address string)
 
 	mu     sync.Mutex
 	holder Holder
@@ -72,12 +76,20 @@
 		caller:      caller,
 		clock:       clock,
 		wake:        make(chan struct{}, 1),
+		callTimeout: CallTimeout,
 		changed:     make(chan struct{}),
 		waiting:     make(map[ident.RequestID]*waiter),
 		running:     make(map[ident.RequestID]*runner),
 	}
 }
 
+// Watch has the client give a scheduler so long for an answer, and tell failed
+// of each that didn't answer. It is called before Run.
+func (c *Client) Watch(timeout time.Duration, failed func(address string)) {
+	c.callTimeout = timeout
+	c.failed = failed
+}
+
 // SetHolder tells who schedules the pool now. A holder of a lower epoch than
 // one already seen is ignored.
 func (c *Client) SetHolder(h Holder) {
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -11,6 +11,14 @@
 // TickInterval is the time between two looks of a scheduler at its clocks.
 const TickInterval = 10 * time.Millisecond
 
+const (
+	// quietTick is the same while nothing waits: grants that lapse and upstreams
+	// that fall silent are looked for at least so often.
+	quietTick = 100 * time.Millisecond
+	// idleTick is the same while nothing runs either.
+	idleTick = 500 * time.Millisecond
+)
+
 // Master runs one scheduler for one lease epoch. It is safe for concurrent use.
 type Master struct {
 	pool   ident.PoolName
@@ -19,7 +27,10 @@
 	stop   chan struct{}
 	once   sync.Once
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// silence is how long a gateway may send nothing before its session ends;
+	// zero where leases tell which gateways live.
+	silence  time.Duration
 	sched    scheduler.Scheduler
 	sessions map[ident.NodeID]*session
 	// heard is when each gateway's latest message came.
@@ -62,6 +73,13 @@
 	return m
 }
 
+// SetSilence ends the sessions of gateways that send nothing for so long.
+func (m *Master) SetSilence(bound time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.silence = bound
+}
+
 // Pool returns the pool that the scheduler serves.
 func (m *Master) Pool() ident.PoolName { return m.pool }
 
@@ -120,15 +138,48 @@
 }
 
 func (m *Master) run() {
-	ticker := time.NewTicker(TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(TickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-m.stop:
 			return
-		case <-ticker.C:
-			m.do(m.sched.Tick)
+		case <-timer.C:
+			m.do(m.tick)
+			timer.Reset(m.pause())
+		}
+	}
+}
+
+// tick ends silent sessions and lets the scheduler do its time-driven work.
+func (m *Master) tick(now time.Duration) {
+	for gateway, heard := range m.heard {
+		if m.silence == 0 || time.Since(heard) <= m.silence {
+			continue
 		}
+		delete(m.heard, gateway)
+		if s := m.sessions[gateway]; s != nil {
+			delete(m.sessions, gateway)
+			s.advance()
+		}
+		m.sched.Depart(gateway, now)
+	}
+	m.sched.Tick(now)
+}
+
+// pause is the time until the next tick. A scheduler without waiting tickets
+// decides when messages come and needs few ticks.
+func (m *Master) pause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	stats := m.sched.Stats()
+	switch {
+	case stats.Waiting > 0:
+		return TickInterval
+	case stats.Running > 0:
+		return quietTick
+	default:
+		return idleTick
 	}
 }
 
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -80,7 +80,7 @@
 
 // send sends one message and hands out the decisions that answer it.
 func (c *Client) send(ctx context.Context, args *SubmitArgs, address string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
 	reply := &Reply{}
 	sent := time.Now()
@@ -88,6 +88,7 @@
 	err := c.caller.Call(callCtx, address, ServiceName+".Submit", args, reply)
 	if err != nil || reply.Refused {
 		c.lost(args.Session)
+		c.tellFailed(err, address)
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
@@ -96,6 +97,12 @@
 	return true
 }
 
+func (c *Client) tellFailed(err error, address string) {
+	if err != nil && c.failed != nil {
+		c.failed(address)
+	}
+}
+
 // accepted notes that the scheduler knows the session, so that polls can begin.
 func (c *Client) accepted(s Session) {
 	c.mu.Lock()
@@ -218,13 +225,14 @@
 }
 
 func (c *Client) pollOnce(ctx context.Context, s Session, address string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, PollTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, PollHold+c.callTimeout)
 	defer cancel()
 	reply := &Reply{}
 	sent := time.Now()
 	err := c.caller.Call(callCtx, address, ServiceName+".Poll", &PollArgs{Session: s}, reply)
 	if err != nil || reply.Refused {
 		c.lost(s)
+		c.tellFailed(err, address)
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
--- /dev/null
+++ b/internal/coordination/routing/hosts.go
@@ -0,0 +1,102 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// HostTable finds routes by authority and the longest prefix of the path. It
+// does not change.
+type HostTable struct {
+	// byHost holds each host's routes, the longest prefix first.
+	byHost map[string][]*HostRoute
+	// byKey finds teams by their API keys.
+	byKey map[string]ident.TeamName
+	teams map[ident.TeamName]config.Team
+	tiers map[ident.TierName]config.Tier
+}
+
+// HostRoute is a route with its name.
+type HostRoute struct {
+	Name ident.RouteName
+	config.Route
+}
+
+// NewHostTable indexes the routes of a checked configuration that name a host.
+func NewHostTable(c *config.Config) *HostTable {
+	t := &HostTable{
+		byHost: make(map[string][]*HostRoute),
+		byKey:  make(map[string]ident.TeamName),
+		teams:  c.Teams,
+		tiers:  c.Tiers,
+	}
+	for name, route := range c.Routes {
+		if route.Host != "" {
+			t.byHost[route.Host] = append(t.byHost[route.Host], &HostRoute{Name: name, Route: route})
+		}
+	}
+	for _, routes := range t.byHost {
+		slices.SortFunc(routes, func(a, b *HostRoute) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	for name, team := range c.Teams {
+		for _, key := range team.Keys {
+			t.byKey[key] = name
+		}
+	}
+	return t
+}
+
+// Match returns the route of a host with the longest prefix that begins path,
+// or nil. Hosts compare without case and without a port.
+func (t *HostTable) Match(host, path string) *HostRoute {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	for _, route := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds an API key.
+func (t *HostTable) Team(key string) (ident.TeamName, config.Team, bool) {
+	name, known := t.byKey[key]
+	return name, t.teams[name], known
+}
+
+// HasTeams reports whether callers must identify their team.
+func (t *HostTable) HasTeams() bool { return len(t.teams) > 0 }
+
+// Tier returns the tier of a team's request on a route, and its rank.
+func (t *HostTable) Tier(route *HostRoute, team config.Team) (ident.TierName, int) {
+	name := route.Tier
+	if replaced, known := team.Tiers[name]; known {
+		name = replaced
+	}
+	return name, t.tiers[name].Rank
+}
+
+// PickPool shares the route's requests among its pools by weight. At is a
+// random number from 0 up to 1.
+func (r *HostRoute) PickPool(at float64) ident.PoolName {
+	total := 0.0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	left := at * total
+	for _, s := range r.Splits {
+		if left < s.Weight {
+			return s.Pool
+		}
+		left -= s.Weight
+	}
+	return r.Pool
+}
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -12,14 +12,39 @@
 	if p.exhausted(e) {
 		return ReasonUnsent
 	}
+	if ok, wait := p.chargeQuota(e, now); !ok {
+		e.quotaWait = wait
+		return ReasonQuota
+	}
 	if p.slots == 0 && !p.anyProbe(e, now) {
 		return ReasonNoUpstream
 	}
 	wait := p.wait(e, now)
-	if e.hopeless(wait, p.isLowest(p.tier(e.ticket.Tier), now), now) && !p.tryAnyway(e, wait, now) {
-		return ReasonDeadline
+	contended := p.isLowest(p.tier(e.ticket.Tier), now)
+	if !e.hopeless(wait, contended, now) || p.serveLate(e, wait, now) || p.tryAnyway(e, wait, now) {
+		return ""
+	}
+	return ReasonDeadline
+}
+
+// latePart is the part of its time left that a ticket which misses its
+// objective may spend waiting. A caller that waits longer is better told to
+// come back.
+const latePart = 0.25
+
+// serveLate keeps a ticket that misses its objective if it can be served soon
+// after; it then waits behind those that meet theirs.
+func (p *Pool) serveLate(e *entry, wait, now time.Duration) bool {
+	if e.objective == 0 {
+		return false
 	}
-	return ""
+	left := e.deadline - now
+	if wait > scaleBy(left, latePart) || now+wait+e.shortest >= e.deadline {
+		return false
+	}
+	e.objective = 0
+	e.lateUntil = now + scaleBy(left, latePart)
+	return true
 }
 
 // exhausted tells whether the ticket was unsent at every upstream that could
@@ -64,6 +89,7 @@
 	output := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
 	prompt := float64(e.ticket.PromptTokens)
 	e.output = output.expected
+	e.first = p.speed.firstToken(prompt)
 	e.service = p.speed.service(prompt, output.expected, batch)
 	e.shortest = p.speed.service(prompt, output.short, batch)
 	e.longest = p.speed.service(prompt, output.long, batch)
@@ -136,12 +162,14 @@
 func (p *Pool) retryAfter(e *entry, reason Reason, now time.Duration) time.Duration {
 	after := p.wait(e, now)
 	switch {
+	case reason == ReasonQuota:
+		after = e.quotaWait
 	case reason == ReasonNoUpstream:
 		after = p.nextProbe(now)
 	case reason == ReasonDeadline && after == 0:
 		after = trialEvery
 	}
-	return min(maxRetryAfter, max(minRetryAfter, after))
+	return min(maxRetryAfter, max(p.tempo.retryBase, after))
 }
 
 // nextProbe is the time until an ejected upstream may be probed, or the first
@@ -154,7 +182,7 @@
 		}
 	}
 	if next == 0 {
-		return probeFirst
+		return p.tempo.probeFirst
 	}
 	return next
 }
@@ -204,7 +232,12 @@
 		own := scaleBy(teamWork[e.queue], q.weights/e.queue.weight)
 		spare := p.spareSlots(q, e.deadline-now, now)
 		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
-		if e.hopeless(wait, contended, now) {
+		if e.hopeless(wait, contended, now) && p.serveLate(e, wait, now) {
+			p.dequeue(e)
+			p.enqueue(e)
+			continue
+		}
+		if e.hopeless(wait, contended, now) || e.lateUntil != 0 && now >= e.lateUntil {
 			p.dequeue(e)
 			p.refuse(e, ReasonDeadline, now)
 			continue
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -30,12 +30,14 @@
 	score time.Duration
 	// wake is when a timer looks at the engine again, 0 if none.
 	wake time.Duration
+	// part is the part of the upstream's slots that this scheduler may use.
+	part float64
 	// countedEjected tells whether the pool counts the engine as ejected.
 	countedEjected bool
 }
 
-func newEngine(u Upstream, pool *speed, h holders) *engine {
-	g := &engine{upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), health: newHealth()}
+func newEngine(u Upstream, pool *speed, h holders, t *tempo) *engine {
+	g := &engine{part: 1, upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), health: newHealth(t)}
 	g.cache = newCacheIndex(g, h)
 	return g
 }
@@ -47,6 +49,11 @@
 
 // limit is the present bound on requests in flight; probes come beyond it.
 func (e *engine) limit() int {
+	return partOf(e.wholeLimit(), e.part)
+}
+
+// wholeLimit is the limit of a scheduler that no other stands beside.
+func (e *engine) wholeLimit() int {
 	if e.health.ejected {
 		return 0
 	}
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -25,6 +25,18 @@
 	deadline time.Duration
 	// output is the predicted number of output tokens.
 	output int
+	// objective is when the answer should begin, on the pool's clock; 0 if the
+	// ticket has no objective or has missed it.
+	objective time.Duration
+	// first is the estimated time from dispatch to the first token.
+	first time.Duration
+	// charged is what the ticket holds of its team's quota, in tokens.
+	charged float64
+	// quotaWait is how long the team's quota takes to allow the ticket.
+	quotaWait time.Duration
+	// lateUntil is until when a ticket that missed its objective waits; 0 if it
+	// has not missed it.
+	lateUntil time.Duration
 	// service is the estimated time from dispatch to the end of the answer;
 	// shortest and longest are those of an answer as short or long as one in ten.
 	service  time.Duration
@@ -57,6 +69,9 @@
 
 // latestStart is the last moment at which a dispatch still meets the deadline.
 func (e *entry) latestStart() time.Duration {
+	if e.objective != 0 {
+		return e.objective - e.first
+	}
 	return e.deadline - e.service
 }
 
@@ -67,6 +82,9 @@
 	if e.trial {
 		return now >= e.deadline
 	}
+	if e.objective != 0 {
+		return now+wait+e.first >= e.objective
+	}
 	if contended && wait > 0 {
 		return now+wait+e.longest >= e.deadline
 	}
@@ -98,6 +116,9 @@
 	if blocks == 0 {
 		return 0
 	}
+	if len(e.ticket.PrefixTokens) == len(e.ticket.Prefixes) {
+		return min(e.ticket.PromptTokens-1, e.ticket.PrefixTokens[blocks-1])
+	}
 	return min(e.ticket.PromptTokens-1, e.ticket.PromptTokens*blocks/len(e.ticket.Prefixes))
 }
 
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -35,6 +35,7 @@
 // health tells whether an upstream is in rotation. An ejected one gets single
 // requests as probes; the first that passes returns it, with a small limit.
 type health struct {
+	tempo   *tempo
 	ejected bool
 	since   time.Duration
 	probeAt time.Duration
@@ -49,8 +50,8 @@
 	slowness   float64
 }
 
-func newHealth() health {
-	return health{slowness: 1}
+func newHealth(t *tempo) health {
+	return health{tempo: t, slowness: 1}
 }
 
 // nextProbe is when the next probe may start. An upstream in whose place no
@@ -69,7 +70,7 @@
 	}
 	h.ejected = true
 	h.since = now
-	h.backoff = probeFirst
+	h.backoff = h.tempo.probeFirst
 	h.probeAt = now + h.backoff
 	h.soonest = h.probeAt
 	h.probe = nil
@@ -89,9 +90,9 @@
 
 func (h *health) probeFailed(now time.Duration) {
 	h.probe = nil
-	h.backoff = min(probeMax, 2*h.backoff)
+	h.backoff = min(h.tempo.probeMax, 2*h.backoff)
 	h.probeAt = now + h.backoff
-	h.soonest = now + probeFirst
+	h.soonest = now + h.tempo.probeFirst
 }
 
 // answered counts an answer that took the given multiple of what was expected.
@@ -117,7 +118,7 @@
 			return false
 		}
 	}
-	*h = newHealth()
+	*h = newHealth(h.tempo)
 	return true
 }
 
@@ -130,7 +131,7 @@
 
 // silent tells whether a running request should have shown a sign of life.
 // Without an expectation it can't be told.
-func (e *entry) silent(now time.Duration) bool {
+func (e *entry) silent(base, now time.Duration) bool {
 	if e.state != stateRunning {
 		return false
 	}
@@ -138,7 +139,7 @@
 	if e.firstTokenAt != 0 {
 		since, expected = e.firstTokenAt, e.longest
 	}
-	return expected > 0 && now-since > silentBase+scaleBy(expected, silentStretch)
+	return expected > 0 && now-since > base+scaleBy(expected, silentStretch)
 }
 
 // checkUpstreams ejects the upstreams that hold requests without a sign of
@@ -147,7 +148,7 @@
 	for _, g := range p.order {
 		g.foreign.remember(g.used(), now)
 		for e := range g.running {
-			if !e.silent(now) {
+			if !e.silent(p.tempo.silentBase, now) {
 				continue
 			}
 			if g.health.probe == e {
@@ -191,6 +192,9 @@
 
 // canPlace tells whether any upstream may take a ticket.
 func (p *Pool) canPlace(now time.Duration) bool {
+	if !p.hasRoom() {
+		return false
+	}
 	if p.readyEngines > 0 {
 		return true
 	}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -145,5 +145,5 @@
 func (p *Pool) addOrphan(g *engine, now time.Duration) {
 	g.addOrphan(now)
 	p.refresh(g, now)
-	p.timers.add(timer{at: now + orphanBound, kind: timerOrphan, engine: g})
+	p.timers.add(timer{at: now + p.tempo.orphanBound, kind: timerOrphan, engine: g})
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -41,6 +41,12 @@
 	outputs   outputs
 	shares    shareKeeper
 
+	tempo tempo
+	// part is the part of capacity in use, 0 to 1.
+	part float64
+	// origin is the moment at which the pool's time is 0, for shared quotas.
+	origin time.Time
+
 	timers    timers
 	nextSweep time.Duration
 	retries   retryBudget
@@ -62,15 +68,22 @@
 		outputs:    make(outputs),
 		holders:    make(holders),
 		retries:    newRetryBudget(),
+		tempo:      tempoOf(v),
+		part:       1,
 	}
 	p.SetView(v, now)
 	return p
 }
 
+// SetOrigin tells the moment at which the pool's time is 0. Quotas that several
+// pools share need it.
+func (p *Pool) SetOrigin(at time.Time) { p.origin = at }
+
 // SetView implements Scheduler.
 func (p *Pool) SetView(v View, now time.Duration) {
 	p.view = v
 	p.setGateways(v.Gateways, now)
+	p.setPortion(now)
 	p.setUpstreams(v.Upstreams, now)
 	p.shares.set(v.Shares)
 	p.setTiers(v)
@@ -158,7 +171,8 @@
 func (p *Pool) engine(u Upstream) *engine {
 	g, known := p.engines[u.Name]
 	if !known {
-		g = newEngine(u, &p.speed, p.holders)
+		g = newEngine(u, &p.speed, p.holders, &p.tempo)
+		g.part = p.part
 		p.engines[u.Name] = g
 		p.order = append(p.order, g)
 	}
@@ -198,6 +212,9 @@
 		return
 	}
 	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining}
+	if t.Objective != 0 {
+		e.objective = now + t.Objective
+	}
 	p.entries[t.ID] = e
 	if reason := p.admit(e, now); reason != "" {
 		p.refuse(e, reason, now)
@@ -253,6 +270,7 @@
 	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
 	e.state = stateRefused
+	p.refundQuota(e)
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
 	p.forgetLater(e, now)
@@ -268,6 +286,7 @@
 func (p *Pool) Cancel(id ident.RequestID, now time.Duration) {
 	if e, known := p.entries[id]; known && e.state == stateWaiting {
 		p.dequeue(e)
+		p.refundQuota(e)
 		p.end(e, now)
 	}
 	p.step(now)
@@ -317,7 +336,7 @@
 		case timerForget:
 			p.forget(t.entry)
 		case timerOrphan:
-			t.engine.expireOrphans(now - orphanBound)
+			t.engine.expireOrphans(now - p.tempo.orphanBound)
 			p.refresh(t.engine, now)
 		case timerWake:
 			t.engine.wake = 0
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -318,7 +318,7 @@
 }
 
 func TestHealth_LastingSlownessIsAccepted(t *testing.T) {
-	h := newHealth()
+	h := newHealth(&leaseTempo)
 	h.eject(0)
 	now := time.Duration(0)
 	for range probesToAccept {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -31,9 +31,11 @@
 		e.engine.health.failed(e, now)
 		p.release(e, now)
 		p.end(e, now)
-	case ReportUnsent:
+	case ReportUnsent, ReportRepeat:
 		e.engine.health.failed(e, now)
 		p.unsent(e, now)
+	case ReportRejected:
+		p.unsent(e, now)
 	case ReportDropped:
 		p.dropped(e, now)
 	case ReportUnknown:
--- a/internal/coordination/scheduler/retry.go
+++ b/internal/coordination/scheduler/retry.go
@@ -13,14 +13,22 @@
 // so that a network fault does not multiply the load.
 type retryBudget struct {
 	tokens float64
+	ratio  float64
+	burst  float64
 }
 
 func newRetryBudget() retryBudget {
-	return retryBudget{tokens: retryBurst}
+	return retryBudget{tokens: retryBurst, ratio: retryRatio, burst: retryBurst}
+}
+
+// configure replaces the bounds. A budget never gains tokens by it.
+func (b *retryBudget) configure(ratio, burst float64) {
+	b.ratio, b.burst = ratio, burst
+	b.tokens = min(b.tokens, burst)
 }
 
 func (b *retryBudget) dispatched() {
-	b.tokens = min(retryBurst, b.tokens+retryRatio)
+	b.tokens = min(b.burst, b.tokens+b.ratio)
 }
 
 func (b *retryBudget) take() bool {
--- /dev/null
+++ b/internal/coordination/scheduler/shared.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// tempo holds the times that differ between a scheduler under a lease and one
+// that others may stand beside.
+type tempo struct {
+	// silentBase is the least time to an expected sign of life.
+	silentBase time.Duration
+	// probeFirst and probeMax bound the time between probes, which doubles.
+	probeFirst time.Duration
+	probeMax   time.Duration
+	// orphanBound is how long a slot of unknown fate stays counted.
+	orphanBound time.Duration
+	// takeoverWait is how long a new scheduler waits for registrations.
+	takeoverWait time.Duration
+	// retryBase is the least advice to a caller that was refused.
+	retryBase time.Duration
+}
+
+var leaseTempo = tempo{
+	silentBase: silentBase, probeFirst: probeFirst, probeMax: probeMax,
+	orphanBound: orphanBound, takeoverWait: takeoverWait, retryBase: minRetryAfter,
+}
+
+// sharedTempo fits objectives of some hundred milliseconds and upstreams that
+// drop a request when its connection closes.
+var sharedTempo = tempo{
+	silentBase: 400 * time.Millisecond, probeFirst: 500 * time.Millisecond, probeMax: 4 * time.Second,
+	orphanBound: 1500 * time.Millisecond, takeoverWait: 40 * time.Millisecond, retryBase: 30 * time.Millisecond,
+}
+
+// tempoOf returns the tempo that a view asks for.
+func tempoOf(v View) tempo {
+	if v.Shared != nil {
+		return sharedTempo
+	}
+	return leaseTempo
+}
+
+// portion is the part of the pool's capacity that this scheduler may use.
+func (p *Pool) portion() float64 {
+	if p.view.Shared == nil || len(p.gateways) == 0 {
+		return 1
+	}
+	registered := 0
+	for id := range p.registered {
+		if p.gateways[id] {
+			registered++
+		}
+	}
+	return float64(max(1, registered)) / float64(len(p.gateways))
+}
+
+// setPortion applies a changed portion to the upstreams.
+func (p *Pool) setPortion(now time.Duration) {
+	portion := p.portion()
+	if portion == p.part {
+		return
+	}
+	p.part = portion
+	for _, g := range p.order {
+		g.part = portion
+	}
+	if s := p.view.Shared; s != nil {
+		p.retries.configure(s.RetryRatio, s.RetryBurst*portion)
+	}
+	p.refreshAll(now)
+}
+
+// partOf scales a bound on one upstream; at least one request stays possible.
+func partOf(limit int, part float64) int {
+	if part >= 1 || limit == 0 {
+		return limit
+	}
+	return max(1, int(math.Ceil(float64(limit)*part)))
+}
+
+// hasRoom tells whether the pool as a whole may run one more request: the
+// bounds on single upstreams are rounded up and may add up to too much.
+func (p *Pool) hasRoom() bool {
+	if p.part >= 1 {
+		return true
+	}
+	whole := 0
+	for _, g := range p.order {
+		if g.open() {
+			whole += g.wholeLimit()
+		}
+	}
+	return p.running < partOf(whole, p.part)
+}
+
+// Depart implements Scheduler.
+func (p *Pool) Depart(gateway ident.NodeID, now time.Duration) {
+	if _, known := p.registered[gateway]; !known {
+		return
+	}
+	delete(p.registered, gateway)
+	p.dropRequests(now, func(e *entry) bool { return e.ticket.Gateway == gateway })
+	p.setPortion(now)
+	p.step(now)
+}
+
+// chargeQuota charges the ticket's team, or returns how long its quota takes to
+// allow the request. The rest of a stream was charged with its beginning.
+func (p *Pool) chargeQuota(e *entry, now time.Duration) (ok bool, wait time.Duration) {
+	s := p.view.Shared
+	if s == nil || s.Quotas == nil || e.ticket.Resumes {
+		return true, 0
+	}
+	ok, wait = s.Quotas.Take(e.ticket.Team, e.ticket.Cost, p.portion(), p.wall(now))
+	if ok {
+		e.charged = e.ticket.Cost
+	}
+	return ok, wait
+}
+
+// refundQuota returns the charge of a ticket that did not run.
+func (p *Pool) refundQuota(e *entry) {
+	if e.charged == 0 {
+		return
+	}
+	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged)
+	e.charged = 0
+}
+
+// wall turns the pool's time into a reading that all pools of a process share.
+func (p *Pool) wall(now time.Duration) time.Time {
+	return p.origin.Add(now)
+}
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -65,6 +65,7 @@
 	}
 	p.reconcile(r, known && r.Incarnation == former, named, now)
 	p.registered[r.Gateway] = r.Incarnation
+	p.setPortion(now)
 	for _, t := range r.Waiting {
 		p.submit(t, now)
 	}
@@ -138,7 +139,7 @@
 	if p.placing {
 		return
 	}
-	if now >= p.startedAt+takeoverWait {
+	if now >= p.startedAt+p.tempo.takeoverWait {
 		p.placing = true
 		return
 	}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -25,6 +25,17 @@
 	OutputTokens int
 	// Prefixes holds chained hashes of the prompt's blocks, longest prefix last.
 	Prefixes []uint64
+	// PrefixTokens holds, for each of Prefixes, the prompt tokens up to its end.
+	// Without it the blocks are taken to be of equal size.
+	PrefixTokens []int
+	// Objective is the time left, when the ticket was sent, in which the answer
+	// should begin; zero if the request has none. A request past its objective
+	// is still served, after those that can meet theirs.
+	Objective time.Duration
+	// Cost is what the request takes of its team's quota, in tokens.
+	Cost float64
+	// Resumes is true for the rest of a stream that broke on its way.
+	Resumes bool
 	// BodyBytes is the memory that the request holds at its gateway.
 	BodyBytes int64
 	// Excluded names upstreams that provably did not get the request.
@@ -60,6 +71,8 @@
 	ReasonCutOff Reason = "cut_off"
 	// ReasonUnsent means that no connection to an upstream could be made.
 	ReasonUnsent Reason = "unsent"
+	// ReasonQuota means that the team has used up its quota.
+	ReasonQuota Reason = "quota"
 )
 
 // Refusal ends one ticket that was not run.
@@ -96,6 +109,12 @@
 	ReportDropped
 	// ReportUnknown says that the connection broke: the upstream may still run it.
 	ReportUnknown
+	// ReportRejected says that the upstream declined to run the request; the
+	// slot is free and the ticket waits again.
+	ReportRejected
+	// ReportRepeat says that the upstream failed a request that may run again;
+	// the ticket waits again.
+	ReportRepeat
 )
 
 // Report tells the scheduler how a granted request fares.
@@ -199,6 +218,21 @@
 	// Gateways lists the nodes that hold a lease. Slots of others are counted
 	// until the upstream reports them gone or a bound has passed.
 	Gateways []ident.NodeID
+	// Shared is set where no lease keeps other schedulers from serving the pool
+	// at the same time.
+	Shared *Shared
+}
+
+// Shared governs a scheduler that others may stand beside. It uses only the
+// part of the upstreams' slots, of the quotas and of the retry budget that its
+// registered gateways are of all gateways.
+type Shared struct {
+	// RetryRatio is the part of dispatches that may be repeated, and RetryBurst
+	// the number of repetitions that may be saved up.
+	RetryRatio float64
+	RetryBurst float64
+	// Quotas bounds what teams use; it may be common to several pools.
+	Quotas *Quotas
 }
 
 // Scheduler is the scheduler of one pool during one lease epoch. It is not
@@ -215,6 +249,9 @@
 	Submit(t Ticket, now time.Duration)
 	// Cancel withdraws a waiting ticket whose caller left.
 	Cancel(id ident.RequestID, now time.Duration)
+	// Depart notes that a gateway has fallen silent. Its waiting tickets are
+	// dropped; its running ones count until a bound has passed.
+	Depart(gateway ident.NodeID, now time.Duration)
 	// Report takes in how a granted request fares.
 	Report(r Report, now time.Duration)
 	// Load takes in an upstream's load report.
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -165,12 +165,18 @@
 	})
 }
 
+// routeTarget is what no two routes may share.
+type routeTarget struct {
+	path string
+	pool ident.PoolName
+}
+
 func (l *loader) checkRoutes() {
 	byPath := make(map[string]ident.RouteName)
-	byTarget := make(map[Route]ident.RouteName)
+	byTarget := make(map[routeTarget]ident.RouteName)
 	sorted(l.config.Routes, func(name ident.RouteName, r Route) {
 		l.checkRouteNames(name, r)
-		target := Route{Path: r.Path, Pool: r.Pool}
+		target := routeTarget{path: r.Path, pool: r.Pool}
 		if other, taken := byTarget[target]; taken {
 			l.wrong("routes", string(name), "path", "route %s has path %s and pool %s too", other, r.Path, r.Pool)
 		} else if other, taken := byPath[r.Path]; taken && !l.byModel(r, l.config.Routes[other]) {
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -18,6 +18,19 @@
 	Upstreams map[ident.UpstreamName]Upstream `yaml:"upstreams,omitempty"`
 	Routes    map[ident.RouteName]Route       `yaml:"routes,omitempty"`
 	Moves     map[ident.MoveName]Move         `yaml:"moves,omitempty"`
+	// Callers bounds what callers may send; nil selects the process's settings.
+	Callers *CallerLimits `yaml:"-" cbor:",omitempty"`
+}
+
+// CallerLimits bounds what a caller may send and how long it may take.
+type CallerLimits struct {
+	// HeaderBytes and BodyBytes bound one request, in bytes.
+	HeaderBytes int64
+	BodyBytes   int64
+	// HeaderTimeout bounds the reading of a header, and IdleTimeout the time
+	// between two requests of a connection.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Tier is a class of service. Work of a higher rank is never shed before work
@@ -39,6 +52,23 @@
 	// MaxWaitingBytes bounds the request bodies that one gateway holds for the
 	// team, in bytes. Zero selects the process default.
 	MaxWaitingBytes int64 `yaml:"max_waiting_bytes,omitempty"`
+	// Keys are the API keys that identify the team's callers, for deployments
+	// that identify callers by key.
+	Keys []string `yaml:"-" cbor:",omitempty"`
+	// Tiers names, by the tier of a route, the tier that the team's requests get
+	// in its place.
+	Tiers map[ident.TierName]ident.TierName `yaml:"-" cbor:",omitempty"`
+	// Quota bounds the team's use over all nodes; nil means no limit.
+	Quota *Quota `yaml:"-" cbor:",omitempty"`
+}
+
+// Quota is a token bucket in tokens of prompts and answers.
+type Quota struct {
+	// PerSecond is the refill in tokens per second, and Burst the capacity in tokens.
+	PerSecond float64
+	Burst     float64
+	// PlainTokens is the cost of a request that declares no token counts.
+	PlainTokens float64
 }
 
 // PoolKind tells what the upstreams of a pool are.
@@ -60,6 +90,11 @@
 	Version ident.VersionName `yaml:"version"`
 	// QueueLimit bounds the requests waiting in the pool. Zero selects the default.
 	QueueLimit int `yaml:"queue_limit,omitempty"`
+	// HealthPath is the path of the upstreams' own health check.
+	HealthPath string `yaml:"-" cbor:",omitempty"`
+	// MaxConnections bounds the connections to one upstream from all nodes
+	// together; 0 means no bound.
+	MaxConnections int `yaml:"-" cbor:",omitempty"`
 }
 
 // FencingMode tells what an upstream checks about orders.
@@ -77,8 +112,11 @@
 	Pool    ident.PoolName    `yaml:"pool"`
 	Version ident.VersionName `yaml:"version"`
 	// Address is host:port of the upstream's HTTP listener, by IP number.
-	Address string     `yaml:"address"`
-	Zone    ident.Zone `yaml:"zone,omitempty"`
+	Address string `yaml:"address"`
+	// Instance is the upstream's own name, which a request may demand to meet;
+	// empty if upstreams have none.
+	Instance string     `yaml:"-" cbor:",omitempty"`
+	Zone     ident.Zone `yaml:"zone,omitempty"`
 	// Class names the upstreams that are equally fast. A move compares the
 	// latencies of two versions only within a class. Empty stands for all
 	// upstreams of the pool with the same MaxConcurrent.
@@ -98,6 +136,35 @@
 	Idempotent bool `yaml:"idempotent"`
 	// StatusPath is the service's query for the outcome of a key, if it has one.
 	StatusPath string `yaml:"status_path,omitempty"`
+
+	// Host and Prefix select requests by authority and by the beginning of the
+	// path, which begins and ends with a slash. Path is empty then.
+	Host   string `yaml:"-" cbor:",omitempty"`
+	Prefix string `yaml:"-" cbor:",omitempty"`
+	// Streams marks a route whose answers are streams of events.
+	Streams bool `yaml:"-" cbor:",omitempty"`
+	// Resumable permits a broken stream to go on at another upstream after the
+	// last event that was passed on.
+	Resumable bool `yaml:"-" cbor:",omitempty"`
+	// Public permits requests without an API key.
+	Public bool `yaml:"-" cbor:",omitempty"`
+	// Timeout is the longest time to keep a request waiting.
+	Timeout time.Duration `yaml:"-" cbor:",omitempty"`
+	// Objective is the time to the first part of the answer within which it has
+	// its full use, and GapObjective the longest pause between events.
+	Objective    time.Duration `yaml:"-" cbor:",omitempty"`
+	GapObjective time.Duration `yaml:"-" cbor:",omitempty"`
+	// MaxAttempts bounds the upstreams that one request may be sent to; 0 means 1.
+	MaxAttempts int `yaml:"-" cbor:",omitempty"`
+	// Splits shares the route's requests among pools. Pool is the first of them.
+	Splits []Split `yaml:"-" cbor:",omitempty"`
+}
+
+// Split is one pool's part of a route's requests.
+type Split struct {
+	Pool ident.PoolName
+	// Weight is relative to the other parts.
+	Weight float64
 }
 
 // Move is an order to shift a pool's traffic from one version to another.
--- a/internal/state/config/delta.go
+++ b/internal/state/config/delta.go
@@ -24,8 +24,13 @@
 	Upstreams Changes[ident.UpstreamName, Upstream]
 	Routes    Changes[ident.RouteName, Route]
 	Moves     Changes[ident.MoveName, Move]
+	// Callers is set when the limits on callers changed.
+	Callers *CallerLimitsChange `cbor:",omitempty"`
 }
 
+// CallerLimitsChange holds the new limits on callers; nil limits are removed.
+type CallerLimitsChange struct{ Limits *CallerLimits }
+
 // Diff returns the delta that turns from into to.
 func Diff(from, to Config) Delta {
 	return Delta{
@@ -35,7 +40,15 @@
 		Upstreams: diff(from.Upstreams, to.Upstreams),
 		Routes:    diff(from.Routes, to.Routes),
 		Moves:     diff(from.Moves, to.Moves),
+		Callers:   diffCallers(from.Callers, to.Callers),
+	}
+}
+
+func diffCallers(from, to *CallerLimits) *CallerLimitsChange {
+	if reflect.DeepEqual(from, to) {
+		return nil
 	}
+	return &CallerLimitsChange{Limits: to}
 }
 
 func diff[K ~string, V any](from, to map[K]V) Changes[K, V] {
@@ -61,7 +74,12 @@
 
 // Apply returns the configuration that d makes of c. It leaves c unchanged.
 func (c Config) Apply(d Delta) Config {
+	callers := c.Callers
+	if d.Callers != nil {
+		callers = d.Callers.Limits
+	}
 	return Config{
+		Callers:   callers,
 		Tiers:     apply(c.Tiers, d.Tiers),
 		Teams:     apply(c.Teams, d.Teams),
 		Pools:     apply(c.Pools, d.Pools),
@@ -89,7 +107,12 @@
 
 // Then returns the delta that has the effect of d followed by next.
 func (d Delta) Then(next Delta) Delta {
+	callers := d.Callers
+	if next.Callers != nil {
+		callers = next.Callers
+	}
 	return Delta{
+		Callers:   callers,
 		Tiers:     compose(d.Tiers, next.Tiers),
 		Teams:     compose(d.Teams, next.Teams),
 		Pools:     compose(d.Pools, next.Pools),
@@ -123,8 +146,12 @@
 
 // Size returns the number of objects that d changes.
 func (d Delta) Size() int {
-	return d.Tiers.size() + d.Teams.size() + d.Pools.size() +
+	size := d.Tiers.size() + d.Teams.size() + d.Pools.size() +
 		d.Upstreams.size() + d.Routes.size() + d.Moves.size()
+	if d.Callers != nil {
+		size++
+	}
+	return size
 }
 
 func (c Changes[K, V]) size() int { return len(c.Set) + len(c.Removed) }
--- a/internal/state/config/store.go
+++ b/internal/state/config/store.go
@@ -34,6 +34,18 @@
 	Delta *Delta
 	// Digest is that of the new configuration.
 	Digest Digest
+
+	// Numbered, if set, replaces compare-and-set on Base by the policy that the
+	// highest number wins; ID, Base and Delta are not used then.
+	Numbered *Numbered `cbor:",omitempty"`
+}
+
+// Numbered is a whole configuration under a number that its author chose.
+type Numbered struct {
+	Number uint64
+	Config Config
+	// Document is the author's own text, for reading back.
+	Document []byte
 }
 
 // Verdict tells what became of an operation.
@@ -42,6 +54,9 @@
 const (
 	// VerdictAccepted means that the operation made a new revision.
 	VerdictAccepted Verdict = "accepted"
+	// VerdictOvertaken means that the number is not above the one in force; the
+	// operation changes nothing.
+	VerdictOvertaken Verdict = "overtaken"
 	// VerdictConflict means that Base is not the present revision.
 	VerdictConflict Verdict = "conflict"
 	// VerdictReused means that the operation id was used for another content.
@@ -93,6 +108,9 @@
 	History    []Change
 	Operations []Finished
 	Steps      []Step
+	// Number and Document are those of the latest numbered operation.
+	Number   uint64 `cbor:",omitempty"`
+	Document []byte `cbor:",omitempty"`
 }
 
 // NewStore returns a store with the empty configuration at revision 0.
@@ -103,6 +121,9 @@
 // Apply decides on an operation. A copy of an earlier operation gets the first
 // outcome again.
 func (s *Store) Apply(op Operation) Outcome {
+	if op.Numbered != nil {
+		return s.decideNumbered(op)
+	}
 	if done, known := s.finished(op.ID); known {
 		if done.Base != op.Base || done.Digest != op.Digest {
 			return Outcome{Verdict: VerdictReused, Revision: s.Revision, Who: s.author()}
@@ -123,6 +144,26 @@
 	if next.Digest() != op.Digest {
 		return Outcome{Verdict: VerdictCorrupt, Revision: s.Revision, Who: s.author()}
 	}
+	return s.accept(op, next)
+}
+
+// decideNumbered puts the configuration in force if its number is the highest.
+// A number that was accepted is never replaced by other content.
+func (s *Store) decideNumbered(op Operation) Outcome {
+	if op.Numbered.Number <= s.Number {
+		return Outcome{Verdict: VerdictOvertaken, Revision: s.Revision, Who: s.author()}
+	}
+	next := op.Numbered.Config.normalize()
+	delta := Diff(s.Config, next)
+	op.Delta = &delta
+	op.Digest = next.Digest()
+	s.Number = op.Numbered.Number
+	s.Document = op.Numbered.Document
+	return s.accept(op, next)
+}
+
+// accept makes next the new revision.
+func (s *Store) accept(op Operation, next Config) Outcome {
 	s.Revision++
 	s.Config = next
 	s.Digest = op.Digest
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 // Command is one entry of the replicated log: exactly one pointer is set.
@@ -37,6 +38,8 @@
 	CommitMove    *move.Record      `cbor:",omitempty"`
 	IssueOrder    *IssueOrder       `cbor:",omitempty"`
 	CompleteOrder *CompleteOrder    `cbor:",omitempty"`
+	StartRollout  *rollout.Order    `cbor:",omitempty"`
+	EndRollout    *rollout.End      `cbor:",omitempty"`
 }
 
 // Begin marks the start of a leader's term.
@@ -138,6 +141,7 @@
 	Ledger  ledger.Outcome
 	Order   *Order
 	Move    *move.Record
+	Rollout *rollout.Record
 }
 
 // Refusal tells why a command had no effect.
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -9,6 +9,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 // Machine is the replicated state machine. Its methods are safe for concurrent
@@ -27,6 +28,9 @@
 	pools  map[ident.PoolName]lease.Pool
 	moves  map[ident.MoveName]move.Record
 	orders []Order
+	// rollouts holds the latest rollout of each pool.
+	rollouts      map[ident.PoolName]rollout.Record
+	rolloutNumber uint64
 	// epoch is the highest scheduler epoch that was ever granted, so that a
 	// pool that is removed and added again never sees an old one.
 	epoch   ident.Epoch
@@ -46,6 +50,8 @@
 		pools:  make(map[ident.PoolName]lease.Pool),
 		moves:  make(map[ident.MoveName]move.Record),
 
+		rollouts: make(map[ident.PoolName]rollout.Record),
+
 		changed: make(chan struct{}),
 	}
 }
@@ -105,6 +111,10 @@
 		return m.applyConfig(*c.ApplyConfig)
 	case c.CommitMove != nil:
 		return m.commitMove(*c.CommitMove)
+	case c.StartRollout != nil:
+		return m.startRollout(*c.StartRollout)
+	case c.EndRollout != nil:
+		return m.endRollout(*c.EndRollout)
 	}
 	if c.Term != m.begin.Term {
 		return Result{Superseded: true}
@@ -184,6 +194,14 @@
 	return m.config.Config, m.config.Revision, m.config.Digest
 }
 
+// Document returns the latest numbered operation's own text and its number;
+// zero if there was none.
+func (m *Machine) Document() (document []byte, number uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.config.Document, m.config.Number
+}
+
 // ConfigUpdate returns what a node at revision have needs, or nil.
 func (m *Machine) ConfigUpdate(have ident.Revision) *config.Update {
 	m.mu.Lock()
--- /dev/null
+++ b/internal/state/machine/rollouts.go
@@ -0,0 +1,55 @@
+package machine
+
+import (
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
+)
+
+// startRollout accepts an order. A repetition changes nothing; another order
+// for the pool replaces one that is running.
+func (m *Machine) startRollout(o rollout.Order) Result {
+	present, known := m.rollouts[o.Pool]
+	if known && present.Repeats(o, m.clock) {
+		return Result{Rollout: &present}
+	}
+	m.rolloutNumber++
+	record := rollout.Record{Order: o, Number: m.rolloutNumber, State: rollout.StateRunning, At: m.clock}
+	m.setRollout(record)
+	return Result{Rollout: &record}
+}
+
+// endRollout makes a running rollout final. The first end stands.
+func (m *Machine) endRollout(e rollout.End) Result {
+	record, known := m.rollouts[e.Pool]
+	if !known || record.Number != e.Number || !e.State.Final() {
+		return Result{Refusal: RefusedUnknown}
+	}
+	if record.State.Final() {
+		return Result{Rollout: &record}
+	}
+	record.State = e.State
+	record.Reason = e.Reason
+	record.EndedAt = m.clock
+	m.setRollout(record)
+	return Result{Rollout: &record}
+}
+
+func (m *Machine) setRollout(r rollout.Record) {
+	m.rollouts[r.Pool] = r
+	m.announce()
+}
+
+// Rollouts returns the latest rollout of each pool, in the order of the pools.
+func (m *Machine) Rollouts() []rollout.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sortedValues(m.rollouts)
+}
+
+// Rollout returns a pool's latest rollout.
+func (m *Machine) Rollout(pool ident.PoolName) (rollout.Record, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, known := m.rollouts[pool]
+	return r, known
+}
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 // snapshotFormat is the number of the snapshot encoding below.
@@ -32,6 +33,9 @@
 	Epoch   ident.Epoch
 	Fencing FencingNumber
 	Changes changeLog
+
+	Rollouts      []rollout.Record `cbor:",omitempty"`
+	RolloutNumber uint64           `cbor:",omitempty"`
 }
 
 // Snapshot returns the encoded state after the last applied command. The state
@@ -55,6 +59,7 @@
 		Config: &store, Ledger: m.ledger.State(),
 		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
 		Orders: slices.Clone(m.orders), Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
+		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber,
 	}
 }
 
@@ -98,6 +103,8 @@
 	m.nodes = index(s.Nodes, func(n lease.Node) ident.NodeID { return n.ID })
 	m.pools = index(s.Pools, func(p lease.Pool) ident.PoolName { return p.Pool })
 	m.moves = index(s.Moves, func(r move.Record) ident.MoveName { return r.Name })
+	m.rollouts = index(s.Rollouts, func(r rollout.Record) ident.PoolName { return r.Pool })
+	m.rolloutNumber = s.RolloutNumber
 	m.orders, m.epoch, m.fencing, m.changes = s.Orders, s.Epoch, s.Fencing, s.Changes
 	m.announce()
 	return nil
