--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,7 @@
 	incarnation ident.Incarnation
 	clock       *timeline.Clock
 	events      *timeline.Recorder
+	lines       *timeline.Lines
 
 	calls    *rpcnet.Client
 	server   *rpcnet.Server
@@ -56,6 +58,8 @@
 	seeds     atomic.Pointer[[]ident.NodeID]
 	// resync ends the sync under way, so that the next one tells of a change.
 	resync chan struct{}
+	// configured is closed once a configuration is in force.
+	configured chan struct{}
 
 	mu       sync.Mutex
 	clients  map[ident.PoolName]*poolClient
@@ -82,6 +86,7 @@
 		follower:    &control.FleetFollower{},
 		quotas:      scheduler.NewQuotas(),
 		resync:      make(chan struct{}, 1),
+		configured:  make(chan struct{}),
 		clients:     make(map[ident.PoolName]*poolClient),
 		masters:     make(map[ident.PoolName]*pool.Master),
 		suspects:    make(map[string]time.Time),
@@ -90,8 +95,12 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.upstreams.Store(&upstreamTable{})
 	n.seeds.Store(&n.settings.Seeds)
-	n.events = timeline.NewRecorder(s.ID(), n.clock, timelineCapacity)
+	n.events = timeline.NewRecorder(ident.NodeID(s.Name), n.clock, timelineCapacity)
+	n.lines = timeline.NewLines(os.Stdout)
+	n.events.WriteTo(n.lines)
+	n.loops.Go(func() { n.lines.Run(n.ctx.Done()) })
 	n.control = control.NewClient(&replicaCaller{node: n}, n.firstReplicas())
+	n.control.SetMaxPause(maxCallPause)
 	n.pools = pool.NewService(n.clock)
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyShare))
 	n.gateway = gateway.New(n, nil, e.Upstreams, n.budget, n.events)
@@ -102,6 +111,10 @@
 	return n, nil
 }
 
+// maxCallPause bounds the pause between two tries to reach a leader: after a
+// start or a loss of the leader nothing with a key is served before.
+const maxCallPause = 100 * time.Millisecond
+
 // timelineCapacity is how many recent events a node keeps.
 const timelineCapacity = 512
 
@@ -188,6 +201,30 @@
 // Draining reports whether Drain was called.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// holdUnconfigured bounds the time, and holdPart the part of a request's own
+// time, for which a starting node keeps a request until it is configured.
+const (
+	holdUnconfigured = time.Second
+	holdPart         = 0.4
+)
+
+// AwaitHosts returns the routes in force. A node that has none yet waits a while
+// for them, since a start is over within about a second; nil if none came.
+func (n *Node) AwaitHosts(ctx context.Context, left time.Duration) *routing.HostTable {
+	if hosts := n.hosts.Load(); hosts != nil {
+		return hosts
+	}
+	most := min(holdUnconfigured, time.Duration(float64(left)*holdPart))
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-n.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return n.hosts.Load()
+}
+
 // Configured reports whether a configuration is in force.
 func (n *Node) Configured() bool { return n.hosts.Load() != nil }
 
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -22,7 +22,7 @@
 const (
 	// schedulerTimeout is how long a gateway waits for a scheduler's answer
 	// before it turns to the next one. Objectives are some hundred milliseconds.
-	schedulerTimeout = 250 * time.Millisecond
+	schedulerTimeout = 450 * time.Millisecond
 	// suspectFor is how long a scheduler that didn't answer is passed over.
 	suspectFor = 2 * time.Second
 	// gatewaySilence is how long a scheduler keeps the session of a gateway that
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -23,6 +23,12 @@
 // handOverTimeout bounds the handing over of the leadership when a node stops.
 const handOverTimeout = time.Second
 
+// timing has a new leader within a second of a start or a loss: until then no
+// key can be proven. A leader's stall of 200 ms is borne.
+var timing = consensus.Timing{
+	Heartbeat: 60 * time.Millisecond, ElectionMin: 300 * time.Millisecond, ElectionMax: 550 * time.Millisecond,
+}
+
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
 	calls   *rpcnet.Client
@@ -45,6 +51,7 @@
 		InitialReplicas: first,
 		JoinOnly:        !s.FirstStart || !seeded,
 		ReplaceDead:     true,
+		Timing:          timing,
 		FS:              disk.NewOS(s.DataDir),
 		Peers:           &peers{calls: calls, settings: s},
 	}, m)
@@ -84,6 +91,7 @@
 			continue
 		}
 		known = now
+		r.service.Tick()
 		detail := fmt.Sprintf("term %d, leader %q, leading here: %t", now.Term, now.Leader, now.Leading)
 		n.events.Record(timeline.Event{Kind: timeline.KindLeadership, Detail: detail})
 		klog.InfoS("leadership changed", "node", n.settings.Name, "term", now.Term, "leader", now.Leader, "leading", now.Leading)
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -41,8 +41,9 @@
 	// RetryRatio and RetryBurst bound repeated requests over all nodes.
 	RetryRatio float64
 	RetryBurst float64
-	// QuotaOverage is the part of a quota, and QuotaSlack the tokens, by which
-	// teams may exceed their quotas.
+	// QuotaWindow is the span in which quotas are counted. QuotaOverage is the
+	// part of a quota, and QuotaSlack the tokens, by which teams may exceed it.
+	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
 	// MemoryBytes is the memory that the process may use.
@@ -80,6 +81,7 @@
 	add(!s.Gateway() && !s.Replica(), "the node neither takes callers nor has a data folder")
 	add(s.KeyProof <= 0, "the bound on the age of a key's proof is %s, not above zero", s.KeyProof)
 	add(s.Grace <= 0, "the grace period is %s, not above zero", s.Grace)
+	add(s.QuotaWindow <= 0, "the quota window is %s, not above zero", s.QuotaWindow)
 	add(s.RetryRatio < 0, "the retry ratio %v is below zero", s.RetryRatio)
 	return errors.Join(wrong...)
 }
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -96,10 +96,12 @@
 // applyConfig puts the present configuration in force.
 func (n *Node) applyConfig() {
 	cfg, revision := n.follower.Config()
-	n.hosts.Store(routing.NewHostTable(&cfg))
+	if n.hosts.Swap(routing.NewHostTable(&cfg)) == nil {
+		defer close(n.configured)
+	}
 	n.quotas.SetLimits(n.quotaLimits(&cfg), time.Now())
 	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
-	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes))
+	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "tiers", cfg.Tiers)
 }
 
 const (
@@ -107,20 +109,21 @@
 	// that are given out. The rest covers the moments in which two schedulers
 	// serve, and requests that reach upstreams closer together than they were
 	// granted.
-	overageUsed = 0.8
-	slackUsed   = 0.7
+	overageUsed = 0.9
+	slackUsed   = 0.85
 )
 
 // quotaLimits returns the teams' limits. The platform counts with an overage and
 // a slack, so that what it calls permitted is not refused.
 func (n *Node) quotaLimits(c *config.Config) []scheduler.QuotaLimit {
 	var limits []scheduler.QuotaLimit
+	window := n.settings.QuotaWindow
 	for name, team := range c.Teams {
 		if q := team.Quota; q != nil && q.PerSecond > 0 {
 			limits = append(limits, scheduler.QuotaLimit{
-				Team:      name,
-				PerSecond: q.PerSecond * (1 + overageUsed*n.settings.QuotaOverage),
-				Burst:     q.Burst + slackUsed*n.settings.QuotaSlack,
+				Team:   name,
+				Tokens: (q.PerSecond*window.Seconds()+q.Burst)*(1+overageUsed*n.settings.QuotaOverage) + slackUsed*n.settings.QuotaSlack,
+				Window: window,
 			})
 		}
 	}
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -52,9 +52,9 @@
 	wg      sync.WaitGroup
 	fatal   chan error
 	failing sync.Once
-	// began and beganBoot are the same moment on two clocks.
-	began     time.Time
-	beganBoot time.Duration
+	began   time.Time
+	// suspended is how long the VM had been suspended when the replica began.
+	suspended time.Duration
 }
 
 // machine is a StateMachine without its result type.
@@ -90,7 +90,7 @@
 		return nil, fmt.Errorf("consensus: lock the data folder: %w", err)
 	}
 	r := &replica{
-		opts: opts, machine: m, lock: lock, began: time.Now(), beganBoot: boottime.Now(),
+		opts: opts, machine: m, lock: lock, began: time.Now(), suspended: boottime.Suspended(),
 		readers:   map[uint64]chan error{},
 		storeTurn: make(chan struct{}, 1),
 		events:    make(chan func(time.Time), eventBuffer),
@@ -224,7 +224,7 @@
 // now returns the replica's clock. It counts the time of a suspension, so that
 // no lease outlives it.
 func (r *replica) now() time.Time {
-	elapsed := boottime.Now() - r.beganBoot
+	elapsed := time.Since(r.began) + boottime.Suspended() - r.suspended
 	return r.began.Add(time.Duration(float64(elapsed) * r.opts.clockRate))
 }
 
--- a/internal/coordination/control/client.go
+++ b/internal/coordination/control/client.go
@@ -44,6 +44,9 @@
 type Client struct {
 	caller Caller
 
+	// pause bounds the pause between two tries.
+	pause time.Duration
+
 	mu       sync.Mutex
 	replicas []ident.NodeID
 	leader   ident.NodeID
@@ -52,9 +55,13 @@
 
 // NewClient returns a client of the replicas.
 func NewClient(caller Caller, replicas []ident.NodeID) *Client {
-	return &Client{caller: caller, replicas: replicas}
+	return &Client{caller: caller, replicas: replicas, pause: maxRetryPause}
 }
 
+// SetMaxPause bounds the pause between two tries of a call. It is called before
+// the first call.
+func (c *Client) SetMaxPause(most time.Duration) { c.pause = most }
+
 // SetReplicas replaces the replicas that calls may go to. An empty list changes
 // nothing.
 func (c *Client) SetReplicas(replicas []ident.NodeID) {
@@ -102,7 +109,7 @@
 		if !sleep(ctx, pause) {
 			break
 		}
-		pause = min(2*pause, maxRetryPause)
+		pause = min(2*pause, c.pause)
 	}
 	var none R
 	if uncertain {
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -51,6 +51,9 @@
 	fleet *fleet
 	known func() Spread
 
+	// ticking keeps one Tick from running beside another.
+	ticking sync.Mutex
+
 	mu sync.Mutex
 	// term is the term whose memory is held; zero while not leading.
 	term uint64
@@ -121,6 +124,8 @@
 // Tick begins a term that this replica won, expires node leases and assigns
 // pools.
 func (s *Service) Tick() {
+	s.ticking.Lock()
+	defer s.ticking.Unlock()
 	leadership := s.proposer.Leadership()
 	if !leadership.Leading {
 		s.forget()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -43,7 +43,7 @@
 	if !r.Unleased && !g.env.Fresh() {
 		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
 	}
-	g.record(r, timeline.KindAccepted, "")
+	g.record(r, timeline.KindAccepted, r.describe())
 	held, failure := g.budget.Acquire(ctx, r)
 	if failure != nil {
 		return Result{Failure: failure}
@@ -138,10 +138,10 @@
 			Reason:     Reason(decision.Refusal.Reason),
 			NotRun:     true,
 			RetryAfter: decision.Refusal.RetryAfter,
-			Message:    "the pool's scheduler refused the request",
+			Message:    "the pool's scheduler refused the request: " + decision.Basis.String(),
 		}
 	}
-	g.record(r, timeline.KindGranted, string(decision.Grant.Upstream))
+	g.record(r, timeline.KindGranted, fmt.Sprintf("%s: %s", decision.Grant.Upstream, decision.Basis))
 	return decision.Grant, nil
 }
 
@@ -212,6 +212,7 @@
 	relay.under(grant)
 	sent := g.upstreams.Send(sendCtx, d, relay)
 	end := g.judge(sendCtx, r, sent, relay)
+	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sent, end))
 	placer.Finish(r.ID, reportKind(sendCtx, sent, end), sent.OutputTokens)
 	if sent.Resumed > 0 {
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
@@ -228,6 +229,29 @@
 	return Result{Answered: true}, settled
 }
 
+// describe tells people what was asked for.
+func (r *Request) describe() string {
+	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, deadline in %d ms, objective in %d ms",
+		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens,
+		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds())
+}
+
+// describeAttempt tells people how a dispatch ended.
+func describeAttempt(d Dispatch, sent DispatchResult, end verdict) string {
+	outcomes := map[DispatchOutcome]string{
+		DispatchWhole: "whole", DispatchUnsent: "unsent", DispatchBroken: "broken",
+		DispatchCrossed: "crossed", DispatchRejected: "rejected",
+	}
+	text := fmt.Sprintf("%s at %s, status %d, %d events", outcomes[sent.Outcome], d.Target.Name, sent.Status, sent.Events)
+	if sent.Err != nil {
+		text += ": " + sent.Err.Error()
+	}
+	if end == again {
+		text += "; goes on elsewhere"
+	}
+	return text
+}
+
 // judge decides whether a dispatch settles the request, and notes what was sent.
 func (g *Gateway) judge(ctx context.Context, r *Request, sent DispatchResult, relay *relay) verdict {
 	if sent.Outcome == DispatchUnsent || sent.Outcome == DispatchRejected {
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -20,7 +20,8 @@
 		return ReasonNoUpstream
 	}
 	wait := p.wait(e, now)
-	contended := p.isLowest(p.tier(e.ticket.Tier), now)
+	e.waitAhead = wait
+	contended := p.isLowest(p.tierOf(e), now)
 	if !e.hopeless(wait, contended, now) || p.serveLate(e, wait, now) || p.tryAnyway(e, wait, now) {
 		return ""
 	}
@@ -32,6 +33,9 @@
 // come back.
 const latePart = 0.25
 
+// lateMost bounds the same: callers leave a stream that does not begin.
+const lateMost = 1500 * time.Millisecond
+
 // serveLate keeps a ticket that misses its objective if it can be served soon
 // after; it then waits behind those that meet theirs.
 func (p *Pool) serveLate(e *entry, wait, now time.Duration) bool {
@@ -39,11 +43,12 @@
 		return false
 	}
 	left := e.deadline - now
-	if wait > scaleBy(left, latePart) || now+wait+e.shortest >= e.deadline {
+	most := min(lateMost, scaleBy(left, latePart))
+	if wait > most || now+wait+e.shortest >= e.deadline {
 		return false
 	}
 	e.objective = 0
-	e.lateUntil = now + scaleBy(left, latePart)
+	e.lateUntil = now + most
 	return true
 }
 
@@ -135,7 +140,7 @@
 // wait estimates the time until a new ticket gets a slot: the work ahead of it
 // in its own and higher tiers, over the slots that its tier may count on.
 func (p *Pool) wait(e *entry, now time.Duration) time.Duration {
-	tier := p.tier(e.ticket.Tier)
+	tier := p.tierOf(e)
 	ahead := time.Duration(0)
 	for _, q := range p.tiers {
 		if q.tier.Rank > tier.tier.Rank {
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -43,10 +43,10 @@
 // chooseAmong considers the head of a ready set and those of its upstreams
 // that hold the longest beginning of the prompt.
 func (p *Pool) chooseAmong(e *entry, r *readySet, best *candidate, now time.Duration) {
-	for _, g := range r.engines[:min(leadingEngines, len(r.engines))] {
+	for _, g := range r.engines[:min(p.tempo.leading, len(r.engines))] {
 		best.consider(e, g, now)
 	}
-	if len(r.engines) <= leadingEngines {
+	if len(r.engines) <= p.tempo.leading {
 		return
 	}
 	blocks := longestMatch(e.ticket.Prefixes, p.holders.has)
@@ -92,5 +92,6 @@
 	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
 	tokens := g.backlog.ahead(g.speed.prefillRate(), now) + missed
 	service := g.speed.service(tokens, e.output, g.used()+1)
-	return service + scaleBy(g.speed.prefillTime(missed), affinityWeight)
+	penalty := scaleBy(g.health.tempo.failurePenalty, g.health.failing)
+	return service + scaleBy(g.speed.prefillTime(missed), affinityWeight) + penalty
 }
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -32,6 +32,10 @@
 	first time.Duration
 	// charged is what the ticket holds of its team's quota, in tokens.
 	charged float64
+	// submittedAt is when the ticket came, and waitAhead the wait that was
+	// estimated then.
+	submittedAt time.Duration
+	waitAhead   time.Duration
 	// quotaWait is how long the team's quota takes to allow the ticket.
 	quotaWait time.Duration
 	// lateUntil is until when a ticket that missed its objective waits; 0 if it
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -76,16 +76,30 @@
 	h.probe = nil
 }
 
-// failed counts a request that the upstream failed or did not get.
-func (h *health) failed(e *entry, now time.Duration) {
+// failed counts a request that the upstream failed or did not get. It returns
+// true if the upstream is to be ejected.
+func (h *health) failed(e *entry, now time.Duration) bool {
 	h.failures++
 	h.failing += outcomeWeight * (1 - h.failing)
-	if h.failures >= failuresToEject || h.failing >= failurePart {
-		h.eject(now)
-	}
 	if h.probe == e {
 		h.probeFailed(now)
 	}
+	return h.failures >= h.tempo.failuresToEject || h.failing >= h.tempo.failurePart
+}
+
+// failed counts a request that its upstream failed or did not get, and ejects
+// the upstream if that happens too often. Where others may stand beside this
+// scheduler, half of a version stays in rotation: a fault that hits most
+// upstreams is better borne than served by a few.
+func (p *Pool) failed(e *entry, now time.Duration) {
+	g := e.engine
+	switch {
+	case !g.health.failed(e, now):
+	case p.view.Shared != nil:
+		p.ejectSlow(g, now)
+	default:
+		g.health.eject(now)
+	}
 }
 
 func (h *health) probeFailed(now time.Duration) {
@@ -135,6 +149,11 @@
 	if e.state != stateRunning {
 		return false
 	}
+	if e.engine.declared && e.firstTokenAt != 0 {
+		// Lengths of answers are far too uncertain to tell silence by them; the
+		// gateway sees the pauses of a stream itself.
+		return false
+	}
 	since, expected := e.startedAt, e.expectedFirst
 	if e.firstTokenAt != 0 {
 		since, expected = e.firstTokenAt, e.longest
@@ -206,17 +225,24 @@
 	return false
 }
 
+// sharedProbeOverdue is how long a probe of a scheduler that others may stand
+// beside waits for a request of the lowest tier at work.
+const sharedProbeOverdue = 500 * time.Millisecond
+
 // suitsProbe tells whether a ticket may be a probe that has been due for a
 // while: any if no upstream is in rotation; else at first only short idempotent ones of the lowest tier at work, then
 // of any tier but the highest, at last any ticket.
 func (p *Pool) suitsProbe(e *entry, waited, now time.Duration) bool {
+	if p.view.Shared != nil {
+		return p.isLowest(p.tierOf(e), now) || waited >= sharedProbeOverdue || p.alone()
+	}
 	if waited >= probeAny || p.alone() {
 		return true
 	}
 	if !e.ticket.Idempotent || e.ticket.PromptTokens > probeTokens {
 		return false
 	}
-	tier := p.tier(e.ticket.Tier)
+	tier := p.tierOf(e)
 	return p.isLowest(tier, now) || waited >= probeOverdue && tier != p.tiers[0]
 }
 
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -114,7 +114,7 @@
 	g.running[e] = struct{}{}
 	e.batchAtStart = g.used()
 	p.running++
-	p.tier(e.ticket.Tier).held++
+	p.tierOf(e).held++
 	e.generation = p.shares.spend(e.shareKey(), e.version)
 	p.queueOf(e).charge(e.tokens())
 	p.retries.dispatched()
@@ -130,7 +130,7 @@
 	}
 	delete(e.engine.running, e)
 	e.engine.health.released(e)
-	p.tier(e.ticket.Tier).held--
+	p.tierOf(e).held--
 	p.running--
 	p.refresh(e.engine, now)
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -47,6 +47,9 @@
 	// origin is the moment at which the pool's time is 0, for shared quotas.
 	origin time.Time
 
+	// now is the time of the latest step.
+	now time.Duration
+
 	timers    timers
 	nextSweep time.Duration
 	retries   retryBudget
@@ -99,6 +102,10 @@
 	}
 	p.tiers = make([]*tierQueue, 0, len(v.Tiers))
 	for _, t := range v.Tiers {
+		if v.Shared != nil {
+			p.tiers = append(p.tiers, newTierQueue(onTimeTier(t)), newTierQueue(lateTier(t)))
+			continue
+		}
 		p.tiers = append(p.tiers, newTierQueue(t))
 	}
 	sort.SliceStable(p.tiers, func(i, j int) bool { return p.tiers[i].tier.Rank > p.tiers[j].tier.Rank })
@@ -144,7 +151,7 @@
 }
 
 func (p *Pool) queueOf(e *entry) *teamQueue {
-	return p.tier(e.ticket.Tier).team(e.ticket.Team, p.weight(e.ticket.Team))
+	return p.tierOf(e).team(e.ticket.Team, p.weight(e.ticket.Team))
 }
 
 // setUpstreams takes in the view's upstreams. One that the view dropped is
@@ -208,11 +215,12 @@
 
 // submit queues a ticket, or answers it again when it is known.
 func (p *Pool) submit(t Ticket, now time.Duration) {
+	p.now = now
 	if e, known := p.entries[t.ID]; known && e.state != stateEnded {
 		p.answerAgain(e, now)
 		return
 	}
-	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining}
+	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining, submittedAt: now}
 	if t.Objective != 0 {
 		e.objective = now + t.Objective
 	}
@@ -249,6 +257,11 @@
 
 func (p *Pool) emit(e *entry, d Decision) {
 	d.Gateway = e.ticket.Gateway
+	d.Basis = Basis{
+		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
+		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected),
+		Percent: int(100 * p.part),
+	}
 	p.decisions = append(p.decisions, d)
 }
 
@@ -266,7 +279,7 @@
 
 // refuse ends a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
-	tier := p.tier(e.ticket.Tier)
+	tier := p.tierOf(e)
 	tier.shed = true
 	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
@@ -308,6 +321,7 @@
 // sheds what the queue can't hold. Nothing is shed during a takeover, while
 // tickets of lower tiers may still be unknown.
 func (p *Pool) step(now time.Duration) {
+	p.now = now
 	p.runTimers(now)
 	p.openAfterTakeover(now)
 	if now >= p.nextSweep {
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -8,81 +8,141 @@
 )
 
 const (
-	// quotaStart is the part of a bucket that a scheduler begins with: another
-	// one may have given out a full bucket just before.
-	quotaStart = 0.15
+	// quotaSteps is the number of steps in which a quota's window slides.
+	quotaSteps = 64
+	// quotaLowest is the part of a window that the least urgent requests of a
+	// team may fill; the rest is left for its more urgent ones. What is agreed,
+	// without overage, slack and burst, stays below it.
+	quotaLowest = 0.9
+	// quotaSmall is the part of a window below which a request is too small to
+	// use up a quota, and quotaSmallRoom the part of a window kept for such
+	// requests. It is less than what the limits leave of the permitted overage.
+	quotaSmall     = 0.001
+	quotaSmallRoom = 0.01
 )
 
-// QuotaLimit is one team's quota.
+// QuotaLimit bounds what one team may use in any window of a fixed length.
 type QuotaLimit struct {
 	Team ident.TeamName
-	// PerSecond and Burst are in tokens.
-	PerSecond float64
-	Burst     float64
+	// Tokens is the most that may be used within Window.
+	Tokens float64
+	Window time.Duration
 }
 
-// Quotas keeps the token buckets of teams for all schedulers of a process. It
-// is safe for concurrent use. Times are readings of one clock.
+// Quotas keeps what teams have used, for all schedulers of a process. It is
+// safe for concurrent use. Times are readings of one clock.
 type Quotas struct {
-	mu      sync.Mutex
-	buckets map[ident.TeamName]*bucket
+	mu   sync.Mutex
+	used map[ident.TeamName]*usage
 }
 
-type bucket struct {
-	limit  QuotaLimit
-	tokens float64
-	at     time.Time
+// usage is what one team used in the latest window.
+type usage struct {
+	limit QuotaLimit
+	steps [quotaSteps]float64
+	// step is the number of the present step since the clock's origin.
+	step int64
+	sum  float64
+	// promised are the tokens of requests that were told when to come back.
+	promised   float64
+	promisedAt time.Time
 }
 
 // NewQuotas returns quotas without limits.
 func NewQuotas() *Quotas {
-	return &Quotas{buckets: make(map[ident.TeamName]*bucket)}
+	return &Quotas{used: make(map[ident.TeamName]*usage)}
 }
 
-// SetLimits replaces the limits. Teams without one are not bounded.
+// SetLimits replaces the limits. Teams without one are not bounded. A team that
+// is new here begins as if it had used its whole quota evenly: another scheduler
+// may have granted that.
 func (q *Quotas) SetLimits(limits []QuotaLimit, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	next := make(map[ident.TeamName]*bucket, len(limits))
+	next := make(map[ident.TeamName]*usage, len(limits))
 	for _, limit := range limits {
-		b := q.buckets[limit.Team]
-		if b == nil {
-			b = &bucket{tokens: limit.Burst * quotaStart, at: now}
+		u := q.used[limit.Team]
+		if u == nil {
+			u = &usage{step: now.UnixNano() / stepOf(limit)}
+			for i := range u.steps {
+				u.steps[i] = limit.Tokens / quotaSteps
+			}
+			u.sum = limit.Tokens
 		}
-		b.limit = limit
-		b.tokens = min(b.tokens, limit.Burst)
-		next[limit.Team] = b
+		u.limit = limit
+		next[limit.Team] = u
 	}
-	q.buckets = next
+	q.used = next
 }
 
-// Take charges a team with tokens if its bucket, of which the given portion
-// counts here, holds them. Otherwise it returns how long the refill takes.
-func (q *Quotas) Take(team ident.TeamName, tokens, portion float64, now time.Time) (ok bool, wait time.Duration) {
+func stepOf(l QuotaLimit) int64 { return max(1, int64(l.Window)/quotaSteps) }
+
+// slide forgets what was used before the window that ends now.
+func (u *usage) slide(now time.Time) {
+	step := now.UnixNano() / stepOf(u.limit)
+	for ; u.step < step; u.step++ {
+		if step-u.step > quotaSteps {
+			u.step = step - quotaSteps
+		}
+		at := (u.step + 1) % quotaSteps
+		u.sum -= u.steps[at]
+		u.steps[at] = 0
+	}
+}
+
+func (u *usage) add(tokens float64) {
+	u.steps[u.step%quotaSteps] += tokens
+	u.sum += tokens
+}
+
+// Take charges a team with tokens if its quota, of which the given portion
+// counts here, allows. Urgency runs from 0, the team's least urgent requests, to
+// 1. Otherwise it returns when a request that comes back may hope for room.
+func (q *Quotas) Take(team ident.TeamName, tokens, portion, urgency float64, now time.Time) (ok bool, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	b := q.buckets[team]
-	if b == nil || tokens <= 0 {
+	u := q.used[team]
+	if u == nil || tokens <= 0 {
 		return true, 0
 	}
-	perSecond := b.limit.PerSecond * portion
-	b.tokens = min(b.limit.Burst*portion, b.tokens+perSecond*max(0, now.Sub(b.at).Seconds()))
-	b.at = now
-	if b.tokens >= min(tokens, b.limit.Burst*portion) {
-		b.tokens -= tokens
+	u.slide(now)
+	limit := u.limit.Tokens * portion
+	allowed := limit * (quotaLowest + (1-quotaLowest)*urgency)
+	if tokens < limit*quotaSmall {
+		allowed = limit * (1 + quotaSmallRoom)
+	}
+	if u.sum+tokens <= allowed || u.sum <= 0 {
+		u.add(tokens)
 		return true, 0
 	}
+	return false, u.promise(tokens, u.sum+tokens-allowed, limit/u.limit.Window.Seconds(), now)
+}
+
+// promise returns when the deficit and all that was promised before will have
+// been worked off at the given rate, and adds the tokens to the promises.
+func (u *usage) promise(tokens, deficit, perSecond float64, now time.Time) time.Duration {
 	if perSecond <= 0 {
-		return false, maxRetryAfter
+		return maxRetryAfter
 	}
-	return false, seconds((tokens - b.tokens) / perSecond)
+	passed := max(0, now.Sub(u.promisedAt).Seconds())
+	u.promised = max(0, u.promised-passed*perSecond)
+	u.promisedAt = now
+	wait := seconds((deficit + u.promised) / perSecond)
+	u.promised += tokens
+	return wait
 }
 
-// Refund returns tokens of a request that did not run.
-func (q *Quotas) Refund(team ident.TeamName, tokens float64) {
+// Force charges a team for a request that runs once more.
+func (q *Quotas) Force(team ident.TeamName, tokens float64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if b := q.buckets[team]; b != nil {
-		b.tokens = min(b.limit.Burst, b.tokens+tokens)
+	if u := q.used[team]; u != nil {
+		u.slide(now)
+		u.add(tokens)
 	}
 }
+
+// Refund returns tokens of a request that did not run.
+func (q *Quotas) Refund(team ident.TeamName, tokens float64, now time.Time) {
+	q.Force(team, -tokens, now)
+}
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -58,7 +58,7 @@
 	g.slots = slots
 	p.countEjected(g)
 	wait := g.prefillWait(now)
-	if g.free() == 0 || wait > maxBacklog {
+	if g.free() == 0 || wait > maxBacklog && !g.declared {
 		p.unready(g)
 		if g.free() > 0 {
 			p.wakeAt(g, now+wait-maxBacklog)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -28,18 +28,22 @@
 		p.release(e, now)
 		p.end(e, now)
 	case ReportFailed:
-		e.engine.health.failed(e, now)
+		p.failed(e, now)
 		p.release(e, now)
 		p.end(e, now)
-	case ReportUnsent, ReportRepeat:
-		e.engine.health.failed(e, now)
+	case ReportUnsent:
+		p.failed(e, now)
+		p.unsent(e, now)
+	case ReportRepeat:
+		p.failed(e, now)
+		p.chargeAgain(e, now)
 		p.unsent(e, now)
 	case ReportRejected:
 		p.unsent(e, now)
 	case ReportDropped:
 		p.dropped(e, now)
 	case ReportUnknown:
-		e.engine.health.failed(e, now)
+		p.failed(e, now)
 		p.orphan(e, now)
 	}
 }
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -19,6 +19,16 @@
 	orphanBound time.Duration
 	// takeoverWait is how long a new scheduler waits for registrations.
 	takeoverWait time.Duration
+	// failuresToEject is the number of failures in a row, and failurePart the
+	// part of recent outcomes, that ejects an upstream.
+	failuresToEject int
+	failurePart     float64
+	// failurePenalty is how much longer an answer may take elsewhere, for an
+	// upstream that fails all requests to be passed over.
+	failurePenalty time.Duration
+	// leading is the number of upstreams at the head of a ready set that a
+	// ticket looks at.
+	leading int
 	// retryBase is the least advice to a caller that was refused.
 	retryBase time.Duration
 }
@@ -26,13 +36,15 @@
 var leaseTempo = tempo{
 	silentBase: silentBase, probeFirst: probeFirst, probeMax: probeMax,
 	orphanBound: orphanBound, takeoverWait: takeoverWait, retryBase: minRetryAfter,
+	failuresToEject: failuresToEject, failurePart: failurePart, leading: leadingEngines,
 }
 
 // sharedTempo fits objectives of some hundred milliseconds and upstreams that
 // drop a request when its connection closes.
 var sharedTempo = tempo{
-	silentBase: 400 * time.Millisecond, probeFirst: 500 * time.Millisecond, probeMax: 4 * time.Second,
+	silentBase: time.Second, probeFirst: 500 * time.Millisecond, probeMax: 4 * time.Second,
 	orphanBound: 1500 * time.Millisecond, takeoverWait: 40 * time.Millisecond, retryBase: 30 * time.Millisecond,
+	failuresToEject: 6, failurePart: 0.85, failurePenalty: 3 * time.Second, leading: 64,
 }
 
 // tempoOf returns the tempo that a view asks for.
@@ -43,18 +55,39 @@
 	return leaseTempo
 }
 
+// lateSuffix marks the queue of a tier's tickets that have missed their objective.
+const lateSuffix = "/late"
+
+// onTimeTier and lateTier split a tier: tickets past their objective rank below
+// those of the tier that can meet theirs, and above all lower tiers.
+func onTimeTier(t Tier) Tier {
+	return Tier{Name: t.Name, Rank: 2*t.Rank + 1, Reserve: t.Reserve}
+}
+
+func lateTier(t Tier) Tier {
+	return Tier{Name: t.Name + lateSuffix, Rank: 2 * t.Rank}
+}
+
+// tierOf returns the queue of a ticket's tier.
+func (p *Pool) tierOf(e *entry) *tierQueue {
+	if p.view.Shared != nil && e.lateUntil != 0 {
+		return p.tier(e.ticket.Tier + lateSuffix)
+	}
+	return p.tier(e.ticket.Tier)
+}
+
 // portion is the part of the pool's capacity that this scheduler may use.
 func (p *Pool) portion() float64 {
 	if p.view.Shared == nil || len(p.gateways) == 0 {
 		return 1
 	}
-	registered := 0
+	all := len(p.gateways)
 	for id := range p.registered {
-		if p.gateways[id] {
-			registered++
+		if !p.gateways[id] {
+			all++
 		}
 	}
-	return float64(max(1, registered)) / float64(len(p.gateways))
+	return float64(max(1, len(p.registered))) / float64(all)
 }
 
 // setPortion applies a changed portion to the upstreams.
@@ -114,7 +147,7 @@
 	if s == nil || s.Quotas == nil || e.ticket.Resumes {
 		return true, 0
 	}
-	ok, wait = s.Quotas.Take(e.ticket.Team, e.ticket.Cost, p.portion(), p.wall(now))
+	ok, wait = s.Quotas.Take(e.ticket.Team, e.ticket.Cost, p.portion(), p.urgency(e), p.wall(now))
 	if ok {
 		e.charged = e.ticket.Cost
 	}
@@ -126,10 +159,38 @@
 	if e.charged == 0 {
 		return
 	}
-	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged)
+	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged, p.wall(p.now))
 	e.charged = 0
 }
 
+// chargeAgain charges a ticket that has run and is placed once more.
+func (p *Pool) chargeAgain(e *entry, now time.Duration) {
+	if s := p.view.Shared; s != nil && s.Quotas != nil {
+		s.Quotas.Force(e.ticket.Team, e.ticket.Cost, p.wall(now))
+	}
+}
+
+// urgency places a ticket's tier among the tiers at work: 1 is the highest.
+func (p *Pool) urgency(e *entry) float64 {
+	own := p.tier(e.ticket.Tier)
+	below, above := 0, 0
+	for _, q := range p.tiers {
+		if q.arrivals.short.now(shortWindow, p.now) <= 0 {
+			continue
+		}
+		switch {
+		case q.tier.Rank < own.tier.Rank-1:
+			below++
+		case q.tier.Rank > own.tier.Rank:
+			above++
+		}
+	}
+	if below+above == 0 {
+		return 1
+	}
+	return float64(below) / float64(below+above)
+}
+
 // wall turns the pool's time into a reading that all pools of a process share.
 func (p *Pool) wall(now time.Duration) time.Time {
 	return p.origin.Add(now)
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -15,6 +15,11 @@
 	for _, id := range gateways {
 		p.gateways[id] = true
 	}
+	if p.view.Shared != nil {
+		// Members are soft state here and may be missing for a moment; a gateway
+		// that has really gone falls silent.
+		return
+	}
 	for id := range p.registered {
 		if !p.gateways[id] {
 			delete(p.registered, id)
@@ -129,7 +134,7 @@
 	g.limiter.atLeast(g.used())
 	e.batchAtStart = g.used()
 	p.running++
-	p.tier(e.ticket.Tier).held++
+	p.tierOf(e).held++
 	p.refresh(g, now)
 }
 
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -83,11 +84,33 @@
 	RetryAfter time.Duration
 }
 
-// Decision is the scheduler's word on one ticket: exactly one field is set.
+// Decision is the scheduler's word on one ticket: exactly one of Grant and
+// Refusal is set.
 type Decision struct {
 	Gateway ident.NodeID
 	Grant   *Grant
 	Refusal *Refusal
+	Basis   Basis
+}
+
+// Basis is what a decision went by, for logs.
+type Basis struct {
+	// Waited is how long the ticket waited here, and Wait the estimate of what a
+	// ticket like it had ahead.
+	Waited time.Duration
+	Wait   time.Duration
+	// Slots are those of upstreams in rotation, Running and Waiting tickets.
+	Slots, Running, Waiting int
+	// Ejected counts the upstreams out of rotation.
+	Ejected int
+	// Percent is the part of capacity that this scheduler may use.
+	Percent int
+}
+
+// String implements fmt.Stringer.
+func (b Basis) String() string {
+	return fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d%% of capacity",
+		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Percent)
 }
 
 // ReportKind is a step in the life of a granted request.
--- a/internal/state/boottime/boottime.go
+++ b/internal/state/boottime/boottime.go
@@ -9,14 +9,26 @@
 	"golang.org/x/sys/unix"
 )
 
-// Now returns the time since the VM's start. It never goes back. It falls back
-// to the process's monotonic clock where the kernel has no such clock.
+// Now returns the time since the VM's start, suspensions included. It never
+// goes back.
 func Now() time.Duration {
-	var at unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &at); err != nil {
-		return time.Since(processStart)
+	return time.Since(processStart) + Suspended() - suspendedAtStart
+}
+
+// resolution hides the time that passes between the readings of two clocks.
+const resolution = 20 * time.Millisecond
+
+// Suspended returns how long the VM has been suspended since its start, in
+// steps of the resolution. It is zero where the kernel can't tell.
+func Suspended() time.Duration {
+	var whole, awake unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &awake) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &whole) != nil {
+		return 0
 	}
-	return time.Duration(at.Nano())
+	return time.Duration(whole.Nano() - awake.Nano()).Truncate(resolution)
 }
 
-var processStart = time.Now()
+var (
+	processStart     = time.Now()
+	suspendedAtStart = Suspended()
+)
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -83,6 +83,11 @@
 	KindOrder         Kind = "order"
 	KindConnection    Kind = "connection"
 	KindProcess       Kind = "process"
+	KindScheduler     Kind = "scheduler"
+	KindContact       Kind = "contact"
+	KindMembers       Kind = "members"
+	KindSettings      Kind = "settings"
+	KindAttemptEnded  Kind = "attempt_ended"
 	KindReplicaChange Kind = "replica_change"
 )
 
@@ -106,11 +111,17 @@
 	node  ident.NodeID
 	clock *Clock
 
+	// lines, if set, get every event too.
+	lines *Lines
+
 	mu     sync.Mutex
 	events []Event
 	next   int
 }
 
+// WriteTo has every event written as a line too. It is called before the first.
+func (r *Recorder) WriteTo(l *Lines) { r.lines = l }
+
 // NewRecorder returns a recorder that keeps capacity events.
 func NewRecorder(node ident.NodeID, clock *Clock, capacity int) *Recorder {
 	return &Recorder{node: node, clock: clock, events: make([]Event, 0, capacity)}
@@ -123,6 +134,9 @@
 	}
 	e.Node = r.node
 	e.Stamp = r.clock.Now(time.Now())
+	if r.lines != nil {
+		r.lines.Add(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.events) < cap(r.events) {
