--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -101,7 +101,7 @@
 	}
 	n.quotas.SetLimits(n.quotaLimits(&cfg), time.Now())
 	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
-	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "tiers", cfg.Tiers)
+	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "quotas", n.quotaLimits(&cfg))
 }
 
 const (
@@ -109,15 +109,19 @@
 	// that are given out. The rest covers the moments in which two schedulers
 	// serve, and requests that reach upstreams closer together than they were
 	// granted.
-	overageUsed = 0.9
-	slackUsed   = 0.85
+	overageUsed = 0.8
+	slackUsed   = 0.7
+	// quotaSpread is how much longer than the platform's window quotas are
+	// counted: a window slides in steps, and granted requests reach upstreams at
+	// unlike times.
+	quotaSpread = 250 * time.Millisecond
 )
 
 // quotaLimits returns the teams' limits. The platform counts with an overage and
 // a slack, so that what it calls permitted is not refused.
 func (n *Node) quotaLimits(c *config.Config) []scheduler.QuotaLimit {
 	var limits []scheduler.QuotaLimit
-	window := n.settings.QuotaWindow
+	window := n.settings.QuotaWindow + quotaSpread
 	for name, team := range c.Teams {
 		if q := team.Quota; q != nil && q.PerSecond > 0 {
 			limits = append(limits, scheduler.QuotaLimit{
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -231,8 +231,8 @@
 
 // describe tells people what was asked for.
 func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, deadline in %d ms, objective in %d ms",
-		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens,
+	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, cost %.0f, deadline in %d ms, objective in %d ms",
+		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens, r.Cost,
 		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds())
 }
 
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -31,7 +31,8 @@
 	// first is the estimated time from dispatch to the first token.
 	first time.Duration
 	// charged is what the ticket holds of its team's quota, in tokens.
-	charged float64
+	charged   float64
+	chargedAt time.Duration
 	// submittedAt is when the ticket came, and waitAhead the wait that was
 	// estimated then.
 	submittedAt time.Duration
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -34,6 +34,8 @@
 type Quotas struct {
 	mu   sync.Mutex
 	used map[ident.TeamName]*usage
+	// takenAt is when a quota was last asked for.
+	takenAt time.Time
 }
 
 // usage is what one team used in the latest window.
@@ -53,9 +55,35 @@
 	return &Quotas{used: make(map[ident.TeamName]*usage)}
 }
 
+// quotaIdle is how long quotas may go unused before another scheduler must be
+// thought to have granted from them.
+const quotaIdle = time.Second
+
+// Presume is called when a scheduler begins to serve. Unless these quotas were
+// in use just now, every team is taken to have used its whole quota evenly:
+// another scheduler may have granted that.
+func (q *Quotas) Presume(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.takenAt) < quotaIdle {
+		return
+	}
+	q.takenAt = now
+	for _, u := range q.used {
+		u.presume(now)
+	}
+}
+
+func (u *usage) presume(now time.Time) {
+	u.step = now.UnixNano() / stepOf(u.limit)
+	for i := range u.steps {
+		u.steps[i] = u.limit.Tokens / quotaSteps
+	}
+	u.sum = u.limit.Tokens
+}
+
 // SetLimits replaces the limits. Teams without one are not bounded. A team that
-// is new here begins as if it had used its whole quota evenly: another scheduler
-// may have granted that.
+// is new here begins as if it had used its whole quota evenly.
 func (q *Quotas) SetLimits(limits []QuotaLimit, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -63,11 +91,8 @@
 	for _, limit := range limits {
 		u := q.used[limit.Team]
 		if u == nil {
-			u = &usage{step: now.UnixNano() / stepOf(limit)}
-			for i := range u.steps {
-				u.steps[i] = limit.Tokens / quotaSteps
-			}
-			u.sum = limit.Tokens
+			u = &usage{limit: limit}
+			u.presume(now)
 		}
 		u.limit = limit
 		next[limit.Team] = u
@@ -101,6 +126,7 @@
 func (q *Quotas) Take(team ident.TeamName, tokens, portion, urgency float64, now time.Time) (ok bool, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.takenAt = now
 	u := q.used[team]
 	if u == nil || tokens <= 0 {
 		return true, 0
@@ -142,7 +168,27 @@
 	}
 }
 
-// Refund returns tokens of a request that did not run.
-func (q *Quotas) Refund(team ident.TeamName, tokens float64, now time.Time) {
-	q.Force(team, -tokens, now)
+// Refund returns tokens that were taken at the given time, of a request that
+// did not run.
+func (q *Quotas) Refund(team ident.TeamName, tokens float64, taken, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	u := q.used[team]
+	if u == nil {
+		return
+	}
+	u.slide(now)
+	step := taken.UnixNano() / stepOf(u.limit)
+	if u.step-step >= quotaSteps || step > u.step {
+		return
+	}
+	u.steps[step%quotaSteps] -= tokens
+	u.sum -= tokens
+}
+
+// Postpone moves the charge of a request that was taken at the given time to
+// the moment at which it is sent.
+func (q *Quotas) Postpone(team ident.TeamName, tokens float64, taken, now time.Time) {
+	q.Refund(team, tokens, taken, now)
+	q.Force(team, tokens, now)
 }
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -148,6 +148,7 @@
 		p.orphan(e, now)
 		return
 	}
+	p.refundQuota(e)
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.queueOf(e).charge(-e.tokens())
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -150,6 +150,7 @@
 	ok, wait = s.Quotas.Take(e.ticket.Team, e.ticket.Cost, p.portion(), p.urgency(e), p.wall(now))
 	if ok {
 		e.charged = e.ticket.Cost
+		e.chargedAt = now
 	}
 	return ok, wait
 }
@@ -159,10 +160,19 @@
 	if e.charged == 0 {
 		return
 	}
-	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged, p.wall(p.now))
+	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged, p.wall(e.chargedAt), p.wall(p.now))
 	e.charged = 0
 }
 
+// postponeCharge counts a ticket's charge from its grant on.
+func (p *Pool) postponeCharge(e *entry, now time.Duration) {
+	if e.charged == 0 {
+		return
+	}
+	p.view.Shared.Quotas.Postpone(e.ticket.Team, e.charged, p.wall(e.chargedAt), p.wall(now))
+	e.chargedAt = now
+}
+
 // chargeAgain charges a ticket that has run and is placed once more.
 func (p *Pool) chargeAgain(e *entry, now time.Duration) {
 	if s := p.view.Shared; s != nil && s.Quotas != nil {
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -68,6 +68,9 @@
 	for _, t := range r.Waiting {
 		named[t.ID] = true
 	}
+	if s := p.view.Shared; s != nil && s.Quotas != nil && len(p.registered) == 0 {
+		s.Quotas.Presume(p.wall(now))
+	}
 	p.reconcile(r, known && r.Incarnation == former, named, now)
 	p.registered[r.Gateway] = r.Incarnation
 	p.setPortion(now)
