Quotas counted by gateway: a scheduler that takes over learns what was sent

Cause: after each change of scheduler teams were refused 429 for seconds, since the new one took their quotas to be used up. Ruled out: starting with an empty window (breaks QUOTA).

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -51,6 +51,7 @@
 	gateway  *gateway.Gateway
 	budget   *gateway.Budget
 	quotas   *scheduler.Quotas
+	usage    *scheduler.UsageLog
 
 	hosts     atomic.Pointer[routing.HostTable]
 	upstreams atomic.Pointer[upstreamTable]
@@ -85,6 +86,7 @@
 		calls:       rpcnet.NewClient(),
 		follower:    &control.FleetFollower{},
 		quotas:      scheduler.NewQuotas(),
+		usage:       scheduler.NewUsageLog(time.Now()),
 		resync:      make(chan struct{}, 1),
 		configured:  make(chan struct{}),
 		clients:     make(map[ident.PoolName]*poolClient),
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -108,6 +108,7 @@
 		cancel: cancel,
 	}
 	c.Watch(schedulerTimeout, n.suspect)
+	c.CountUsage(n.usage)
 	n.clients[name] = c
 	n.loops.Go(func() { c.Run(ctx) })
 }
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -99,7 +99,7 @@
 	if n.hosts.Swap(routing.NewHostTable(&cfg)) == nil {
 		defer close(n.configured)
 	}
-	n.quotas.SetLimits(n.quotaLimits(&cfg), time.Now())
+	n.quotas.SetLimits(n.quotaLimits(&cfg))
 	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
 	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "quotas", n.quotaLimits(&cfg))
 }
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -32,6 +32,8 @@
 	wake        chan struct{}
 	// callTimeout bounds one message, beside the hold of a poll.
 	callTimeout time.Duration
+	// usage, if set, counts what this gateway sends.
+	usage *scheduler.UsageLog
 	// failed, if set, is told the address of a scheduler that didn't answer.
 	failed func(address string)
 
@@ -90,6 +92,10 @@
 	c.failed = failed
 }
 
+// CountUsage has the client count what it sends in a log that all clients of
+// the gateway share. It is called before Run.
+func (c *Client) CountUsage(l *scheduler.UsageLog) { c.usage = l }
+
 // SetHolder tells who schedules the pool now. A holder of a lower epoch than
 // one already seen is ignored.
 func (c *Client) SetHolder(h Holder) {
@@ -162,6 +168,9 @@
 		return false
 	}
 	r.since = now
+	if c.usage != nil {
+		c.usage.Sent(r.ticket.Team, r.ticket.Cost, now)
+	}
 	c.push(scheduler.Report{Kind: scheduler.ReportDispatched, Ticket: id, Upstream: r.grant.Upstream})
 	return true
 }
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -169,6 +169,9 @@
 // message carried needs no resend: a request absent here has ended.
 func (c *Client) registration(now time.Time) *scheduler.Registration {
 	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation}
+	if c.usage != nil {
+		r.Sent, r.Uptime = c.usage.Recent(now)
+	}
 	for _, w := range c.waiting {
 		r.Waiting = append(r.Waiting, w.current(now))
 	}
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -12,7 +12,7 @@
 	if p.exhausted(e) {
 		return ReasonUnsent
 	}
-	if ok, wait := p.chargeQuota(e, now); !ok {
+	if ok, wait := p.admitQuota(e, now); !ok {
 		e.quotaWait = wait
 		return ReasonQuota
 	}
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -30,9 +30,9 @@
 	objective time.Duration
 	// first is the estimated time from dispatch to the first token.
 	first time.Duration
-	// charged is what the ticket holds of its team's quota, in tokens.
-	charged   float64
-	chargedAt time.Duration
+	// pending is what the ticket holds of its team's quota while it waits, in
+	// tokens.
+	pending float64
 	// submittedAt is when the ticket came, and waitAhead the wait that was
 	// estimated then.
 	submittedAt time.Duration
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -102,7 +102,7 @@
 	e.grantExpires = now + GrantTTL
 	e.startedAt = now
 	e.firstTokenAt = 0
-	p.postponeCharge(e, now)
+	p.spendQuota(e, now)
 	e.matched = g.cache.match(e.ticket.Prefixes)
 	e.missed = e.ticket.PromptTokens - e.cachedTokens(e.matched)
 	g.cache.store(e.ticket.Prefixes, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -284,7 +284,7 @@
 	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
 	e.state = stateRefused
-	p.refundQuota(e)
+	p.leaveQuota(e)
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
 	p.forgetLater(e, now)
@@ -300,7 +300,6 @@
 func (p *Pool) Cancel(id ident.RequestID, now time.Duration) {
 	if e, known := p.entries[id]; known && e.state == stateWaiting {
 		p.dequeue(e)
-		p.refundQuota(e)
 		p.end(e, now)
 	}
 	p.step(now)
@@ -308,6 +307,7 @@
 
 // end closes a ticket that holds no slot and is in no queue.
 func (p *Pool) end(e *entry, now time.Duration) {
+	p.leaveQuota(e)
 	e.state = stateEnded
 	p.forgetLater(e, now)
 }
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -11,8 +11,7 @@
 	// quotaSteps is the number of steps in which a quota's window slides.
 	quotaSteps = 64
 	// quotaLowest is the part of a window that the least urgent requests of a
-	// team may fill; the rest is left for its more urgent ones. What is agreed,
-	// without overage, slack and burst, stays below it.
+	// team may fill; the rest is left for its more urgent ones.
 	quotaLowest = 0.9
 	// quotaSmall is the part of a window below which a request is too small to
 	// use up a quota, and quotaSmallRoom the part of a window kept for such
@@ -29,166 +28,246 @@
 	Window time.Duration
 }
 
-// Quotas keeps what teams have used, for all schedulers of a process. It is
-// safe for concurrent use. Times are readings of one clock.
+// TeamUsage is what a gateway has sent for one team, in tokens: Recent[i] in the
+// second that ended i seconds ago.
+type TeamUsage struct {
+	Team   ident.TeamName
+	Recent []float64
+}
+
+// Quotas keeps what teams use through the gateways of all schedulers of a
+// process. It is safe for concurrent use. Times are readings of one clock.
 type Quotas struct {
-	mu   sync.Mutex
-	used map[ident.TeamName]*usage
-	// takenAt is when a quota was last asked for.
-	takenAt time.Time
+	mu    sync.Mutex
+	teams map[ident.TeamName]*teamQuota
 }
 
-// usage is what one team used in the latest window.
-type usage struct {
+// teamQuota is one team's quota and its use in the latest window.
+type teamQuota struct {
 	limit QuotaLimit
+	// gateways holds the use by the gateway that sent the requests.
+	gateways map[ident.NodeID]*usage
+	// pending is the cost of the requests that wait.
+	pending float64
+	// promised are the tokens of requests that were told when to come back.
+	promised   float64
+	promisedAt time.Time
+}
+
+// usage is a sliding window of tokens.
+type usage struct {
 	steps [quotaSteps]float64
 	// step is the number of the present step since the clock's origin.
 	step int64
 	sum  float64
-	// promised are the tokens of requests that were told when to come back.
-	promised   float64
-	promisedAt time.Time
 }
 
 // NewQuotas returns quotas without limits.
 func NewQuotas() *Quotas {
-	return &Quotas{used: make(map[ident.TeamName]*usage)}
+	return &Quotas{teams: make(map[ident.TeamName]*teamQuota)}
 }
 
-// quotaIdle is how long quotas may go unused before another scheduler must be
-// thought to have granted from them.
-const quotaIdle = time.Second
-
-// Presume is called when a scheduler begins to serve. Unless these quotas were
-// in use just now, every team is taken to have used its whole quota evenly:
-// another scheduler may have granted that.
-func (q *Quotas) Presume(now time.Time) {
+// SetLimits replaces the limits. Teams without one are not bounded.
+func (q *Quotas) SetLimits(limits []QuotaLimit) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Sub(q.takenAt) < quotaIdle {
-		return
-	}
-	q.takenAt = now
-	for _, u := range q.used {
-		u.presume(now)
+	next := make(map[ident.TeamName]*teamQuota, len(limits))
+	for _, limit := range limits {
+		t := q.teams[limit.Team]
+		if t == nil {
+			t = &teamQuota{gateways: make(map[ident.NodeID]*usage)}
+		}
+		t.limit = limit
+		next[limit.Team] = t
 	}
+	q.teams = next
 }
 
-func (u *usage) presume(now time.Time) {
-	u.step = now.UnixNano() / stepOf(u.limit)
-	for i := range u.steps {
-		u.steps[i] = u.limit.Tokens / quotaSteps
+// stepLength is the length of one step of the window, in nanoseconds.
+func (l QuotaLimit) stepLength() int64 { return max(1, int64(l.Window)/quotaSteps) }
+
+// of returns the use through a gateway, slid to the present.
+func (t *teamQuota) of(gateway ident.NodeID, now time.Time) *usage {
+	u := t.gateways[gateway]
+	if u == nil {
+		u = &usage{step: now.UnixNano() / t.limit.stepLength()}
+		t.gateways[gateway] = u
 	}
-	u.sum = u.limit.Tokens
+	u.slide(now.UnixNano() / t.limit.stepLength())
+	return u
 }
 
-// SetLimits replaces the limits. Teams without one are not bounded. A team that
-// is new here begins as if it had used its whole quota evenly.
-func (q *Quotas) SetLimits(limits []QuotaLimit, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	next := make(map[ident.TeamName]*usage, len(limits))
-	for _, limit := range limits {
-		u := q.used[limit.Team]
-		if u == nil {
-			u = &usage{limit: limit}
-			u.presume(now)
-		}
-		u.limit = limit
-		next[limit.Team] = u
+// slide forgets what was used before the window that ends with a step.
+func (u *usage) slide(step int64) {
+	u.step = max(u.step, step-quotaSteps)
+	for u.step < step {
+		u.step++
+		u.sum -= u.steps[u.step%quotaSteps]
+		u.steps[u.step%quotaSteps] = 0
 	}
-	q.used = next
 }
 
-func stepOf(l QuotaLimit) int64 { return max(1, int64(l.Window)/quotaSteps) }
-
-// slide forgets what was used before the window that ends now.
-func (u *usage) slide(now time.Time) {
-	step := now.UnixNano() / stepOf(u.limit)
-	for ; u.step < step; u.step++ {
-		if step-u.step > quotaSteps {
-			u.step = step - quotaSteps
-		}
-		at := (u.step + 1) % quotaSteps
-		u.sum -= u.steps[at]
-		u.steps[at] = 0
+// add counts tokens a number of steps ago.
+func (u *usage) add(tokens float64, ago int64) {
+	if ago < 0 || ago >= quotaSteps || u.step < ago {
+		return
 	}
+	u.steps[(u.step-ago)%quotaSteps] += tokens
+	u.sum += tokens
 }
 
-func (u *usage) add(tokens float64) {
-	u.steps[u.step%quotaSteps] += tokens
-	u.sum += tokens
+// used is the whole team's use in the window that ends now.
+func (t *teamQuota) used(now time.Time) float64 {
+	step := now.UnixNano() / t.limit.stepLength()
+	sum := 0.0
+	for _, u := range t.gateways {
+		u.slide(step)
+		sum += u.sum
+	}
+	return sum
 }
 
-// Take charges a team with tokens if its quota, of which the given portion
-// counts here, allows. Urgency runs from 0, the team's least urgent requests, to
-// 1. Otherwise it returns when a request that comes back may hope for room.
-func (q *Quotas) Take(team ident.TeamName, tokens, portion, urgency float64, now time.Time) (ok bool, wait time.Duration) {
+// Admit lets a request wait if its team's quota, of which the given portion
+// counts here, allows it beside those that wait already. Urgency runs from 0,
+// the team's least urgent requests, to 1. Otherwise it returns when a request
+// that comes back may hope for room.
+func (q *Quotas) Admit(team ident.TeamName, tokens, portion, urgency float64, now time.Time) (ok bool, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.takenAt = now
-	u := q.used[team]
-	if u == nil || tokens <= 0 {
+	t := q.teams[team]
+	if t == nil || tokens <= 0 {
 		return true, 0
 	}
-	u.slide(now)
-	limit := u.limit.Tokens * portion
+	limit := t.limit.Tokens * portion
 	allowed := limit * (quotaLowest + (1-quotaLowest)*urgency)
 	if tokens < limit*quotaSmall {
 		allowed = limit * (1 + quotaSmallRoom)
 	}
-	if u.sum+tokens <= allowed || u.sum <= 0 {
-		u.add(tokens)
+	taken := t.used(now) + t.pending
+	if taken+tokens <= allowed || taken <= 0 {
+		t.pending += tokens
 		return true, 0
 	}
-	return false, u.promise(tokens, u.sum+tokens-allowed, limit/u.limit.Window.Seconds(), now)
+	return false, t.promise(tokens, taken+tokens-allowed, limit/t.limit.Window.Seconds(), now)
 }
 
 // promise returns when the deficit and all that was promised before will have
 // been worked off at the given rate, and adds the tokens to the promises.
-func (u *usage) promise(tokens, deficit, perSecond float64, now time.Time) time.Duration {
+func (t *teamQuota) promise(tokens, deficit, perSecond float64, now time.Time) time.Duration {
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
-	passed := max(0, now.Sub(u.promisedAt).Seconds())
-	u.promised = max(0, u.promised-passed*perSecond)
-	u.promisedAt = now
-	wait := seconds((deficit + u.promised) / perSecond)
-	u.promised += tokens
+	passed := max(0, now.Sub(t.promisedAt).Seconds())
+	t.promised = max(0, t.promised-passed*perSecond)
+	t.promisedAt = now
+	wait := seconds((deficit + t.promised) / perSecond)
+	t.promised += tokens
 	return wait
 }
 
-// Force charges a team for a request that runs once more.
-func (q *Quotas) Force(team ident.TeamName, tokens float64, now time.Time) {
+// Leave ends the waiting of an admitted request.
+func (q *Quotas) Leave(team ident.TeamName, tokens float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if u := q.used[team]; u != nil {
-		u.slide(now)
-		u.add(tokens)
+	if t := q.teams[team]; t != nil {
+		t.pending = max(0, t.pending-tokens)
 	}
 }
 
-// Refund returns tokens that were taken at the given time, of a request that
-// did not run.
-func (q *Quotas) Refund(team ident.TeamName, tokens float64, taken, now time.Time) {
+// Spend counts a request that a gateway sends now.
+func (q *Quotas) Spend(team ident.TeamName, gateway ident.NodeID, tokens float64, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	u := q.used[team]
-	if u == nil {
-		return
+	if t := q.teams[team]; t != nil {
+		t.of(gateway, now).add(tokens, 0)
 	}
-	u.slide(now)
-	step := taken.UnixNano() / stepOf(u.limit)
-	if u.step-step >= quotaSteps || step > u.step {
-		return
+}
+
+// Register replaces what is known of a gateway by what it has sent itself. What
+// came before its start is unknown: its part, one of all gateways, is taken to
+// have been used whole and evenly.
+func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, all int, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	byTeam := make(map[ident.TeamName][]float64, len(sent))
+	for _, s := range sent {
+		byTeam[s.Team] = s.Recent
+	}
+	for name, t := range q.teams {
+		delete(t.gateways, gateway)
+		u := t.of(gateway, now)
+		length := t.limit.stepLength()
+		for ago, tokens := range byTeam[name] {
+			u.add(tokens, int64(ago)*int64(time.Second)/length)
+		}
+		for ago := int64(uptime) / length; ago < quotaSteps; ago++ {
+			u.add(t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
+		}
+	}
+}
+
+// Forget drops what is known of a gateway that another scheduler serves now.
+func (q *Quotas) Forget(gateway ident.NodeID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.teams {
+		delete(t.gateways, gateway)
 	}
-	u.steps[step%quotaSteps] -= tokens
-	u.sum -= tokens
 }
 
-// Postpone moves the charge of a request that was taken at the given time to
-// the moment at which it is sent.
-func (q *Quotas) Postpone(team ident.TeamName, tokens float64, taken, now time.Time) {
-	q.Refund(team, tokens, taken, now)
-	q.Force(team, tokens, now)
+// UsageLog is what a gateway itself has sent, for the schedulers that it
+// registers with. It is safe for concurrent use.
+type UsageLog struct {
+	mu    sync.Mutex
+	began time.Time
+	teams map[ident.TeamName]*[usageSeconds]float64
+	// second is the number of the present second since began.
+	second int64
+}
+
+// usageSeconds is how far back a usage log reaches.
+const usageSeconds = 16
+
+// NewUsageLog returns a log that begins now.
+func NewUsageLog(now time.Time) *UsageLog {
+	return &UsageLog{began: now, teams: make(map[ident.TeamName]*[usageSeconds]float64)}
+}
+
+// Sent counts a request.
+func (l *UsageLog) Sent(team ident.TeamName, tokens float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slide(now)
+	t := l.teams[team]
+	if t == nil {
+		t = &[usageSeconds]float64{}
+		l.teams[team] = t
+	}
+	t[l.second%usageSeconds] += tokens
+}
+
+func (l *UsageLog) slide(now time.Time) {
+	second := int64(now.Sub(l.began) / time.Second)
+	l.second = max(l.second, second-usageSeconds)
+	for l.second < second {
+		l.second++
+		for _, t := range l.teams {
+			t[l.second%usageSeconds] = 0
+		}
+	}
+}
+
+// Recent returns what was sent by team and second, and how long the log runs.
+func (l *UsageLog) Recent(now time.Time) (sent []TeamUsage, uptime time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slide(now)
+	for name, t := range l.teams {
+		recent := make([]float64, min(usageSeconds, l.second+1))
+		for ago := range recent {
+			recent[ago] = t[(l.second-int64(ago))%usageSeconds]
+		}
+		sent = append(sent, TeamUsage{Team: name, Recent: recent})
+	}
+	return sent, now.Sub(l.began)
 }
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -31,13 +31,9 @@
 		p.failed(e, now)
 		p.release(e, now)
 		p.end(e, now)
-	case ReportUnsent:
+	case ReportUnsent, ReportRepeat:
 		p.failed(e, now)
 		p.unsent(e, now)
-	case ReportRepeat:
-		p.failed(e, now)
-		p.chargeAgain(e, now)
-		p.unsent(e, now)
 	case ReportRejected:
 		p.unsent(e, now)
 	case ReportDropped:
@@ -148,7 +144,6 @@
 		p.orphan(e, now)
 		return
 	}
-	p.refundQuota(e)
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.queueOf(e).charge(-e.tokens())
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -135,48 +135,43 @@
 		return
 	}
 	delete(p.registered, gateway)
+	if q := p.view.Shared.Quotas; q != nil {
+		q.Forget(gateway)
+	}
 	p.dropRequests(now, func(e *entry) bool { return e.ticket.Gateway == gateway })
 	p.setPortion(now)
 	p.step(now)
 }
 
-// chargeQuota charges the ticket's team, or returns how long its quota takes to
-// allow the request. The rest of a stream was charged with its beginning.
-func (p *Pool) chargeQuota(e *entry, now time.Duration) (ok bool, wait time.Duration) {
+// admitQuota lets the ticket wait under its team's quota, or returns how long the
+// quota takes to allow the request. The rest of a stream was admitted with its
+// beginning.
+func (p *Pool) admitQuota(e *entry, now time.Duration) (ok bool, wait time.Duration) {
 	s := p.view.Shared
 	if s == nil || s.Quotas == nil || e.ticket.Resumes {
 		return true, 0
 	}
-	ok, wait = s.Quotas.Take(e.ticket.Team, e.ticket.Cost, p.portion(), p.urgency(e), p.wall(now))
+	ok, wait = s.Quotas.Admit(e.ticket.Team, e.ticket.Cost, p.portion(), p.urgency(e), p.wall(now))
 	if ok {
-		e.charged = e.ticket.Cost
-		e.chargedAt = now
+		e.pending = e.ticket.Cost
 	}
 	return ok, wait
 }
 
-// refundQuota returns the charge of a ticket that did not run.
-func (p *Pool) refundQuota(e *entry) {
-	if e.charged == 0 {
-		return
-	}
-	p.view.Shared.Quotas.Refund(e.ticket.Team, e.charged, p.wall(e.chargedAt), p.wall(p.now))
-	e.charged = 0
-}
-
-// postponeCharge counts a ticket's charge from its grant on.
-func (p *Pool) postponeCharge(e *entry, now time.Duration) {
-	if e.charged == 0 {
-		return
+// leaveQuota ends the ticket's waiting under its team's quota.
+func (p *Pool) leaveQuota(e *entry) {
+	if e.pending != 0 {
+		p.view.Shared.Quotas.Leave(e.ticket.Team, e.pending)
+		e.pending = 0
 	}
-	p.view.Shared.Quotas.Postpone(e.ticket.Team, e.charged, p.wall(e.chargedAt), p.wall(now))
-	e.chargedAt = now
 }
 
-// chargeAgain charges a ticket that has run and is placed once more.
-func (p *Pool) chargeAgain(e *entry, now time.Duration) {
+// spendQuota counts a ticket that is granted, each time anew: a request that
+// runs again counts again.
+func (p *Pool) spendQuota(e *entry, now time.Duration) {
+	p.leaveQuota(e)
 	if s := p.view.Shared; s != nil && s.Quotas != nil {
-		s.Quotas.Force(e.ticket.Team, e.ticket.Cost, p.wall(now))
+		s.Quotas.Spend(e.ticket.Team, e.ticket.Gateway, e.ticket.Cost, p.wall(now))
 	}
 }
 
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -68,8 +68,8 @@
 	for _, t := range r.Waiting {
 		named[t.ID] = true
 	}
-	if s := p.view.Shared; s != nil && s.Quotas != nil && len(p.registered) == 0 {
-		s.Quotas.Presume(p.wall(now))
+	if s := p.view.Shared; s != nil && s.Quotas != nil {
+		s.Quotas.Register(r.Gateway, r.Sent, r.Uptime, len(p.gateways), p.wall(now))
 	}
 	p.reconcile(r, known && r.Incarnation == former, named, now)
 	p.registered[r.Gateway] = r.Incarnation
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -169,6 +169,10 @@
 	Incarnation ident.Incarnation
 	Waiting     []Ticket
 	Running     []Running
+	// Sent is what the gateway has sent lately by team, and Uptime how long it
+	// has kept count; where quotas are shared.
+	Sent   []TeamUsage
+	Uptime time.Duration
 }
 
 // LoadReport is an upstream's own word about its load. It lags.
