A new leader reads the list at once; starting gateways wait for it

Cause: after a loss of all processes the gateways had a configuration 0.5 s before the list, refused what they had kept, and their callers' second tries met quotas that were taken to be used up.

--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -29,7 +29,11 @@
 		if n.replica.leading() {
 			reached = n.readList(reached, true)
 		}
-		sleep(n.ctx, listInterval)
+		select {
+		case <-n.ctx.Done():
+		case <-n.replica.elected:
+		case <-time.After(listInterval):
+		}
 	}
 }
 
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -59,8 +59,10 @@
 	seeds     atomic.Pointer[[]ident.NodeID]
 	// resync ends the sync under way, so that the next one tells of a change.
 	resync chan struct{}
-	// configured is closed once a configuration is in force.
-	configured chan struct{}
+	// configured is closed once a configuration is in force and the upstreams
+	// are known.
+	configured  chan struct{}
+	configuring sync.Once
 
 	mu       sync.Mutex
 	clients  map[ident.PoolName]*poolClient
@@ -213,8 +215,10 @@
 // AwaitHosts returns the routes in force. A node that has none yet waits a while
 // for them, since a start is over within about a second; nil if none came.
 func (n *Node) AwaitHosts(ctx context.Context, left time.Duration) *routing.HostTable {
-	if hosts := n.hosts.Load(); hosts != nil {
-		return hosts
+	select {
+	case <-n.configured:
+		return n.hosts.Load()
+	default:
 	}
 	most := min(holdUnconfigured, time.Duration(float64(left)*holdPart))
 	timer := time.NewTimer(most)
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -26,7 +26,7 @@
 // timing has a new leader within a second of a start or a loss: until then no
 // key can be proven. A leader's stall of 200 ms is borne.
 var timing = consensus.Timing{
-	Heartbeat: 60 * time.Millisecond, ElectionMin: 300 * time.Millisecond, ElectionMax: 550 * time.Millisecond,
+	Heartbeat: 60 * time.Millisecond, ElectionMin: 300 * time.Millisecond, ElectionMax: 450 * time.Millisecond,
 }
 
 // replica is the part of a node that keeps the replicated state.
@@ -35,6 +35,8 @@
 	machine *machine.Machine
 	node    *consensus.Node[machine.Result]
 	service *control.Service
+	// elected signals that this replica has begun to lead.
+	elected chan struct{}
 }
 
 func openReplica(n *Node) (*replica, error) {
@@ -59,7 +61,7 @@
 		calls.Close()
 		return nil, err
 	}
-	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(s.ID(), node, m)}
+	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(s.ID(), node, m), elected: make(chan struct{}, 1)}
 	r.service.RunFleet(n.follower.Spread)
 	r.service.SetClock(n.clock)
 	if err := n.server.Register(control.ServiceName, r.service); err != nil {
@@ -92,6 +94,12 @@
 		}
 		known = now
 		r.service.Tick()
+		if now.Leading {
+			select {
+			case r.elected <- struct{}{}:
+			default:
+			}
+		}
 		detail := fmt.Sprintf("term %d, leader %q, leading here: %t", now.Term, now.Leader, now.Leading)
 		n.events.Record(timeline.Event{Kind: timeline.KindLeadership, Detail: detail})
 		klog.InfoS("leadership changed", "node", n.settings.Name, "term", now.Term, "leader", now.Leader, "leading", now.Leading)
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -89,16 +89,23 @@
 	}
 	if change.Config || change.Spread {
 		n.applyPools()
+		n.noteConfigured()
 	}
 	return true
 }
 
+// noteConfigured lets the requests in that wait for the node's first
+// configuration and list of upstreams.
+func (n *Node) noteConfigured() {
+	if n.hosts.Load() != nil && n.follower.Spread().Listed {
+		n.configuring.Do(func() { close(n.configured) })
+	}
+}
+
 // applyConfig puts the present configuration in force.
 func (n *Node) applyConfig() {
 	cfg, revision := n.follower.Config()
-	if n.hosts.Swap(routing.NewHostTable(&cfg)) == nil {
-		defer close(n.configured)
-	}
+	n.hosts.Store(routing.NewHostTable(&cfg))
 	n.quotas.SetLimits(n.quotaLimits(&cfg))
 	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
 	klog.InfoS("configuration in force", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "quotas", n.quotaLimits(&cfg))
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -185,7 +185,8 @@
 
 // Register replaces what is known of a gateway by what it has sent itself. What
 // came before its start is unknown: its part, one of all gateways, is taken to
-// have been used whole and evenly.
+// have been used evenly, up to what the least urgent requests may use. A start
+// takes longer than what that leaves out.
 func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, all int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -201,7 +202,7 @@
 			u.add(tokens, int64(ago)*int64(time.Second)/length)
 		}
 		for ago := int64(uptime) / length; ago < quotaSteps; ago++ {
-			u.add(t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
+			u.add(quotaLowest*t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
 		}
 	}
 }
