--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -163,6 +163,9 @@
 		n.loops.Go(n.fallbackListLoop)
 	}
 	n.loops.Go(n.syncLoop)
+	if n.settings.Gateway() {
+		n.loops.Go(n.hotLoop)
+	}
 }
 
 // Fatal returns a channel that gets an error after which the node can't go on.
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// hotInterval is the time between two looks for teams that come near their
+// quotas: the time in which a team of many times its usual load uses a few
+// hundredths of a window.
+const hotInterval = 250 * time.Millisecond
+
+// hotLoop tells the leader at once when a team comes near its quota.
+func (n *Node) hotLoop() {
+	var told []ident.TeamName
+	for n.ctx.Err() == nil {
+		sleep(n.ctx, hotInterval)
+		if hot := n.quotas.Hot(time.Now()); !slices.Equal(hot, told) {
+			told = hot
+			n.pokeSync()
+		}
+	}
+}
+
 // syncOnce sends one sync and acts on its answer.
 func (n *Node) syncOnce() bool {
 	ctx, cancel := context.WithTimeout(n.ctx, syncBudget)
@@ -73,7 +90,7 @@
 		}
 	}()
 	sent := boottime.Now()
-	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), control.MaxSyncHold))
+	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), n.quotas.Hot(time.Now()), control.MaxSyncHold))
 	if err != nil {
 		return n.ctx.Err() == nil && ctx.Err() == context.Canceled
 	}
@@ -151,6 +168,7 @@
 		}
 	}
 	n.control.SetReplicas(replicas)
+	n.quotas.SetHot(spread.HotTeams)
 	if spread.Listed {
 		n.setUpstreams(spread.Upstreams)
 	}
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -33,6 +33,8 @@
 	members map[ident.NodeID]*fleetMember
 	listed  bool
 	found   []Discovered
+	// hot is when each team was last reported near its quota.
+	hot map[ident.TeamName]time.Time
 	// changed is closed and replaced at each change, and when the term ends.
 	changed chan struct{}
 }
@@ -63,6 +65,7 @@
 		f.members[m.ID] = &fleetMember{Member: m, heard: now.Add(takeoverSilence - memberSilence)}
 	}
 	f.listed, f.found = known.Listed, known.Upstreams
+	f.hot = make(map[ident.TeamName]time.Time)
 	f.wake()
 }
 
@@ -113,6 +116,58 @@
 	return true
 }
 
+// hotFor is how long a team counts as hot after the last report: longer than the
+// windows in which quotas are counted.
+const hotFor = 12 * time.Second
+
+// reportHot notes teams that are near their quotas.
+func (f *fleet) reportHot(teams []ident.TeamName, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, team := range teams {
+		if f.hot != nil {
+			f.hot[team] = now
+		}
+	}
+}
+
+// hotTeams returns the teams that are hot now, those committed included until
+// the leader has served for a while, in order.
+func (f *fleet) hotTeams(committed []ident.TeamName, now time.Time) []ident.TeamName {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, team := range committed {
+		if _, known := f.hot[team]; !known {
+			f.hot[team] = now
+		}
+	}
+	var hot []ident.TeamName
+	for team, at := range f.hot {
+		if now.Sub(at) < hotFor {
+			hot = append(hot, team)
+		} else {
+			delete(f.hot, team)
+		}
+	}
+	slices.Sort(hot)
+	return hot
+}
+
+// commitHotTeams makes a change of the hot teams durable.
+func (s *Service) commitHotTeams(term uint64) {
+	committed := s.machine.HotTeams()
+	hot := s.fleet.hotTeams(committed, time.Now())
+	if slices.Equal(hot, committed) {
+		return
+	}
+	if _, status := s.proposeIn(term, &machine.Command{SetHotTeams: &machine.SetHotTeams{Teams: hot}}); !status.OK() {
+		return
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.fleet.note()
+}
+
 // leave notes that a node's sync has ended.
 func (f *fleet) leave(m Member, now time.Time) {
 	f.mu.Lock()
@@ -182,6 +237,7 @@
 		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: "the term is beginning"}
 		return nil
 	}
+	s.fleet.reportHot(args.HotTeams, time.Now())
 	timer := time.NewTimer(min(args.Hold, MaxSyncHold))
 	defer timer.Stop()
 	for !s.syncOnce(args, reply) {
@@ -200,6 +256,7 @@
 	reply.Spread, _ = s.fleet.spread(args.HaveSpread)
 	if reply.Spread != nil {
 		reply.Spread.Rollouts = s.machine.Rollouts()
+		reply.Spread.HotTeams = s.machine.HotTeams()
 	}
 	return reply.Update != nil || reply.Spread != nil
 }
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -34,10 +34,10 @@
 }
 
 // Args returns the next sync of the given node.
-func (f *FleetFollower) Args(m Member, hold time.Duration) *SyncArgs {
+func (f *FleetFollower) Args(m Member, hot []ident.TeamName, hold time.Duration) *SyncArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.spread.Version, Hold: hold}
+	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.spread.Version, HotTeams: hot, Hold: hold}
 	if f.whole {
 		args.HaveRevision = 0
 	}
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -57,6 +57,8 @@
 	Listed    bool
 	Upstreams []Discovered
 	Rollouts  []rollout.Record
+	// HotTeams have used up most of their quotas.
+	HotTeams []ident.TeamName
 }
 
 // SyncArgs tells the leader that a node lives, and asks for what it lacks.
@@ -64,6 +66,8 @@
 	Member       Member
 	HaveRevision ident.Revision
 	HaveSpread   SpreadVersion
+	// HotTeams are those that the node's schedulers see near their quotas.
+	HotTeams []ident.TeamName
 	// Hold is how long the call may wait for a change. It is cut to MaxSyncHold.
 	Hold time.Duration
 }
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -136,6 +136,7 @@
 	}
 	if s.fleet != nil {
 		s.fleet.expire(time.Now())
+		s.commitHotTeams(leadership.Term)
 		return
 	}
 	if s.resignIfDeaf(leadership.Term) {
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 type Quotas struct {
 	mu    sync.Mutex
 	teams map[ident.TeamName]*teamQuota
+	// hot teams were near their quotas lately, as far as all schedulers know.
+	hot map[ident.TeamName]bool
 }
 
 // teamQuota is one team's quota and its use in the latest window.
@@ -185,8 +188,8 @@
 
 // Register replaces what is known of a gateway by what it has sent itself. What
 // came before its start is unknown: its part, one of all gateways, is taken to
-// have been used evenly, up to what the least urgent requests may use. A start
-// takes longer than what that leaves out.
+// have been used evenly: by a hot team up to what the least urgent requests may
+// use, by others as much as makes a team hot.
 func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, all int, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -197,14 +200,50 @@
 	for name, t := range q.teams {
 		delete(t.gateways, gateway)
 		u := t.of(gateway, now)
+		part := hotPart
+		if q.hot[name] {
+			part = quotaLowest
+		}
 		length := t.limit.stepLength()
 		for ago, tokens := range byTeam[name] {
 			u.add(tokens, int64(ago)*int64(time.Second)/length)
 		}
 		for ago := int64(uptime) / length; ago < quotaSteps; ago++ {
-			u.add(quotaLowest*t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
+			u.add(part*t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
+		}
+	}
+}
+
+const (
+	// hotPart is the part of a quota above which a team is hot, and coolPart the
+	// part below which it no longer is.
+	hotPart  = 0.5
+	coolPart = 0.4
+)
+
+// SetHot tells the teams that are hot as far as all schedulers know.
+func (q *Quotas) SetHot(teams []ident.TeamName) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.hot = make(map[ident.TeamName]bool, len(teams))
+	for _, team := range teams {
+		q.hot[team] = true
+	}
+}
+
+// Hot returns the teams that are hot by what is known here, in order.
+func (q *Quotas) Hot(now time.Time) []ident.TeamName {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var hot []ident.TeamName
+	for name, t := range q.teams {
+		part := t.used(now) / t.limit.Tokens
+		if part > hotPart || part > coolPart && q.hot[name] {
+			hot = append(hot, name)
 		}
 	}
+	slices.Sort(hot)
+	return hot
 }
 
 // Forget drops what is known of a gateway that another scheduler serves now.
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -40,6 +40,14 @@
 	CompleteOrder *CompleteOrder    `cbor:",omitempty"`
 	StartRollout  *rollout.Order    `cbor:",omitempty"`
 	EndRollout    *rollout.End      `cbor:",omitempty"`
+	SetHotTeams   *SetHotTeams      `cbor:",omitempty"`
+}
+
+// SetHotTeams replaces the teams that have used up most of their quotas. After a
+// loss of all schedulers only these are taken to have none left.
+type SetHotTeams struct {
+	// Teams are in order.
+	Teams []ident.TeamName
 }
 
 // Begin marks the start of a leader's term.
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -31,6 +31,8 @@
 	// rollouts holds the latest rollout of each pool.
 	rollouts      map[ident.PoolName]rollout.Record
 	rolloutNumber uint64
+	// hotTeams have used up most of their quotas.
+	hotTeams []ident.TeamName
 	// epoch is the highest scheduler epoch that was ever granted, so that a
 	// pool that is removed and added again never sees an old one.
 	epoch   ident.Epoch
@@ -120,6 +122,9 @@
 		return Result{Superseded: true}
 	}
 	switch {
+	case c.SetHotTeams != nil:
+		m.hotTeams = c.SetHotTeams.Teams
+		return Result{}
 	case c.GrantNode != nil:
 		return m.grantNode(c.GrantNode.Node)
 	case c.RevokeNodes != nil:
@@ -194,6 +199,13 @@
 	return m.config.Config, m.config.Revision, m.config.Digest
 }
 
+// HotTeams returns the teams that have used up most of their quotas, in order.
+func (m *Machine) HotTeams() []ident.TeamName {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hotTeams
+}
+
 // Document returns the latest numbered operation's own text and its number;
 // zero if there was none.
 func (m *Machine) Document() (document []byte, number uint64) {
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -36,6 +36,7 @@
 
 	Rollouts      []rollout.Record `cbor:",omitempty"`
 	RolloutNumber uint64           `cbor:",omitempty"`
+	HotTeams      []ident.TeamName `cbor:",omitempty"`
 }
 
 // Snapshot returns the encoded state after the last applied command. The state
@@ -59,7 +60,7 @@
 		Config: &store, Ledger: m.ledger.State(),
 		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
 		Orders: slices.Clone(m.orders), Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
-		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber,
+		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber, HotTeams: m.hotTeams,
 	}
 }
 
@@ -104,7 +105,7 @@
 	m.pools = index(s.Pools, func(p lease.Pool) ident.PoolName { return p.Pool })
 	m.moves = index(s.Moves, func(r move.Record) ident.MoveName { return r.Name })
 	m.rollouts = index(s.Rollouts, func(r rollout.Record) ident.PoolName { return r.Pool })
-	m.rolloutNumber = s.RolloutNumber
+	m.rolloutNumber, m.hotTeams = s.RolloutNumber, s.HotTeams
 	m.orders, m.epoch, m.fencing, m.changes = s.Orders, s.Epoch, s.Fencing, s.Changes
 	m.announce()
 	return nil
