A leader that begins its term again spreads on; silence before an answer sends a request elsewhere

Change: the sequence goes on within a term; only requests without any sign of an answer go elsewhere, never a stream that has begun.

--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -63,7 +63,7 @@
 	case leading:
 		n.replica.service.SetUpstreams(found)
 	default:
-		n.setUpstreams(found)
+		n.setUpstreams(found, "the platform's list")
 		n.applyPools()
 	}
 	return err == nil
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -26,7 +26,7 @@
 // timing has a new leader within a second of a start or a loss: until then no
 // key can be proven. A leader's stall of 200 ms is borne.
 var timing = consensus.Timing{
-	Heartbeat: 60 * time.Millisecond, ElectionMin: 300 * time.Millisecond, ElectionMax: 450 * time.Millisecond,
+	Heartbeat: 50 * time.Millisecond, ElectionMin: 250 * time.Millisecond, ElectionMax: 400 * time.Millisecond,
 }
 
 // replica is the part of a node that keeps the replicated state.
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -170,12 +171,31 @@
 	n.control.SetReplicas(replicas)
 	n.quotas.SetHot(spread.HotTeams)
 	if spread.Listed {
-		n.setUpstreams(spread.Upstreams)
+		n.setUpstreams(spread.Upstreams, fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
 	}
 }
 
-func (n *Node) setUpstreams(found []control.Discovered) {
-	n.upstreams.Store(newUpstreamTable(found))
+// setUpstreams puts a list of upstreams in force and tells what it changes.
+func (n *Node) setUpstreams(found []control.Discovered, source string) {
+	next := newUpstreamTable(found)
+	former := n.upstreams.Swap(next)
+	for name, d := range next.byName {
+		old, known := former.byName[name]
+		if known && old.Leaving == d.Leaving && old.Upstream == d.Upstream {
+			continue
+		}
+		n.tellUpstream(d, fmt.Sprintf("%s at %s, version %s, %d slots, leaving: %t, from %s",
+			name, d.Upstream.Address, d.Upstream.Version, d.Upstream.MaxConcurrent, d.Leaving, source))
+	}
+	for name, d := range former.byName {
+		if _, kept := next.byName[name]; !kept {
+			n.tellUpstream(d, fmt.Sprintf("%s at %s is gone, from %s", name, d.Upstream.Address, source))
+		}
+	}
+}
+
+func (n *Node) tellUpstream(d control.Discovered, detail string) {
+	n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: d.Upstream.Pool, Detail: detail})
 }
 
 // upstreamTable indexes the discovered upstreams. It does not change.
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -55,11 +55,16 @@
 	s.known = known
 }
 
-// begin starts a term with the members and upstreams known before.
+// begin starts a term with the members and upstreams known before. A leader
+// whose lease had run out for a moment begins its term again; what it spreads
+// then must still be newer than all before.
 func (f *fleet) begin(term uint64, known Spread, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version = SpreadVersion{Term: term, Sequence: 1}
+	if f.version.Term != term {
+		f.version = SpreadVersion{Term: term}
+	}
+	f.version.Sequence++
 	f.members = make(map[ident.NodeID]*fleetMember, len(known.Members))
 	for _, m := range known.Members {
 		f.members[m.ID] = &fleetMember{Member: m, heard: now.Add(takeoverSilence - memberSilence)}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -207,11 +207,14 @@
 		return Result{}, lapsed
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
-	sendCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
+	deadlineCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 	defer cancel()
-	relay.under(grant)
+	sendCtx, silence := context.WithCancelCause(deadlineCtx)
+	defer silence(nil)
+	relay.under(grant, watchSilence(silenceBound(r, grant, relay.begun), silence))
 	sent := g.upstreams.Send(sendCtx, d, relay)
-	end := g.judge(sendCtx, r, sent, relay)
+	relay.watch.stop()
+	end := g.judge(deadlineCtx, r, sent, relay)
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sent, end))
 	placer.Finish(r.ID, reportKind(sendCtx, sent, end), sent.OutputTokens)
 	if sent.Resumed > 0 {
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -26,6 +26,7 @@
 	fields []HeaderField
 	held   []byte
 	begun  bool
+	watch  *silenceWatch
 	// whole is true once a dispatch brought its whole answer.
 	whole bool
 }
@@ -34,8 +35,10 @@
 	return &relay{sink: sink, placer: placer, r: r}
 }
 
-// under names the grant of the next dispatch.
-func (y *relay) under(grant *scheduler.Grant) { y.grant = grant }
+// under names the grant of the next dispatch and what watches for its silence.
+func (y *relay) under(grant *scheduler.Grant, watch *silenceWatch) {
+	y.grant, y.watch = grant, watch
+}
 
 // holdsAnswer tells whether a whole answer was held back.
 func (y *relay) holdsAnswer() bool { return !y.begun && y.header.Status != 0 && y.whole }
@@ -72,6 +75,7 @@
 
 // FirstToken implements AnswerSink.
 func (y *relay) FirstToken() {
+	y.watch.stop()
 	y.placer.FirstToken(y.r.ID, 0)
 }
 
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -55,6 +55,8 @@
 	Fields []HeaderField
 	// Objective is when the answer should begin; zero if the request has none.
 	Objective time.Time
+	// ObjectiveSpan is the whole time that the request had for it.
+	ObjectiveSpan time.Duration
 	// Cost is what the request takes of its team's quota, in tokens.
 	Cost float64
 	// MaxAttempts bounds the upstreams that the request may be sent to; 0
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -273,6 +273,7 @@
 		Epoch:    p.epoch,
 		Upstream: e.engine.upstream.Name,
 		Version:  e.version,
+		First:    e.expectedFirst,
 		TTL:      e.grantExpires - now,
 	}})
 }
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -49,6 +49,9 @@
 	Epoch    ident.Epoch
 	Upstream ident.UpstreamName
 	Version  ident.VersionName
+	// First is the expected time from dispatch to the first sign of an answer; 0
+	// if unknown.
+	First time.Duration
 	// TTL runs from the moment the gateway sent the call that the grant
 	// answers. A gateway drops the grant after it.
 	TTL time.Duration
