Quotas: the unknown past counts by the gateways that are registered

Cause: after a restart of all, each gateway that registered first was taken for the only one and brought the whole presumed use with it: three quotas and more.

--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -43,6 +43,8 @@
 	teams map[ident.TeamName]*teamQuota
 	// hot teams were near their quotas lately, as far as all schedulers know.
 	hot map[ident.TeamName]bool
+	// since is from when on it is known what each gateway has sent.
+	since map[ident.NodeID]time.Time
 }
 
 // teamQuota is one team's quota and its use in the latest window.
@@ -67,7 +69,7 @@
 
 // NewQuotas returns quotas without limits.
 func NewQuotas() *Quotas {
-	return &Quotas{teams: make(map[ident.TeamName]*teamQuota)}
+	return &Quotas{teams: make(map[ident.TeamName]*teamQuota), since: make(map[ident.NodeID]time.Time)}
 }
 
 // SetLimits replaces the limits. Teams without one are not bounded.
@@ -146,7 +148,7 @@
 	if tokens < limit*quotaSmall {
 		allowed = limit * (1 + quotaSmallRoom)
 	}
-	taken := t.used(now) + t.pending
+	taken := t.used(now) + t.pending + q.unknown(team, limit, t.limit.Window, now)
 	if taken+tokens <= allowed || taken <= 0 {
 		t.pending += tokens
 		return true, 0
@@ -154,6 +156,24 @@
 	return false, t.promise(tokens, taken+tokens-allowed, limit/t.limit.Window.Seconds(), now)
 }
 
+// unknown estimates what a team used in the window before it is known what the
+// gateways have sent: a hot team up to what the least urgent requests may use,
+// others as much as makes a team hot.
+func (q *Quotas) unknown(team ident.TeamName, limit float64, window time.Duration, now time.Time) float64 {
+	part := hotPart
+	if q.hot[team] {
+		part = quotaLowest
+	}
+	missing := 0.0
+	for _, since := range q.since {
+		missing += max(0, 1-float64(now.Sub(since))/float64(window))
+	}
+	if missing == 0 {
+		return 0
+	}
+	return limit * part * missing / float64(len(q.since))
+}
+
 // promise returns when the deficit and all that was promised before will have
 // been worked off at the given rate, and adds the tokens to the promises.
 func (t *teamQuota) promise(tokens, deficit, perSecond float64, now time.Time) time.Duration {
@@ -186,13 +206,12 @@
 	}
 }
 
-// Register replaces what is known of a gateway by what it has sent itself. What
-// came before its start is unknown: its part, one of all gateways, is taken to
-// have been used evenly: by a hot team up to what the least urgent requests may
-// use, by others as much as makes a team hot.
-func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, all int, now time.Time) {
+// Register replaces what is known of a gateway by what it has sent itself since
+// it began to count.
+func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.since[gateway] = now.Add(-uptime)
 	byTeam := make(map[ident.TeamName][]float64, len(sent))
 	for _, s := range sent {
 		byTeam[s.Team] = s.Recent
@@ -200,25 +219,18 @@
 	for name, t := range q.teams {
 		delete(t.gateways, gateway)
 		u := t.of(gateway, now)
-		part := hotPart
-		if q.hot[name] {
-			part = quotaLowest
-		}
 		length := t.limit.stepLength()
 		for ago, tokens := range byTeam[name] {
 			u.add(tokens, int64(ago)*int64(time.Second)/length)
 		}
-		for ago := int64(uptime) / length; ago < quotaSteps; ago++ {
-			u.add(part*t.limit.Tokens/float64(quotaSteps*max(1, all)), ago)
-		}
 	}
 }
 
 const (
 	// hotPart is the part of a quota above which a team is hot, and coolPart the
 	// part below which it no longer is.
-	hotPart  = 0.5
-	coolPart = 0.4
+	hotPart  = 0.65
+	coolPart = 0.55
 )
 
 // SetHot tells the teams that are hot as far as all schedulers know.
@@ -250,6 +262,7 @@
 func (q *Quotas) Forget(gateway ident.NodeID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	delete(q.since, gateway)
 	for _, t := range q.teams {
 		delete(t.gateways, gateway)
 	}
--- /dev/null
+++ b/internal/coordination/scheduler/quota_test.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+const testWindow = 8 * time.Second
+
+var quotaStart = time.Unix(5000, 0)
+
+// knownQuotas returns quotas of 8000 tokens a window with gateways whose use is
+// wholly known.
+func knownQuotas(gateways ...ident.NodeID) *Quotas {
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
+	for _, g := range gateways {
+		q.Register(g, nil, testWindow, quotaStart)
+	}
+	return q
+}
+
+// TestQuotas_WindowHolds replays a team that asks for many times its quota, with
+// requests that wait and some that never run: no window may hold more than the limit.
+func TestQuotas_WindowHolds(t *testing.T) {
+	q := knownQuotas("g1", "g2")
+	type sent struct {
+		at     time.Time
+		tokens float64
+	}
+	var all []sent
+	for i := range 4000 {
+		now := quotaStart.Add(time.Duration(i) * 10 * time.Millisecond)
+		tokens := float64(20 + i%7*10)
+		if ok, _ := q.Admit("a", tokens, 1, 1, now); !ok {
+			continue
+		}
+		q.Leave("a", tokens)
+		if i%3 == 0 {
+			continue
+		}
+		later := now.Add(time.Duration(i%5) * 2 * time.Millisecond)
+		q.Spend("a", ident.NodeID([]string{"g1", "g2"}[i%2]), tokens, later)
+		all = append(all, sent{later, tokens})
+	}
+	most := 0.0
+	for i := range all {
+		sum := 0.0
+		for _, s := range all[i:] {
+			if s.at.Sub(all[i].at) >= testWindow-testWindow/quotaSteps {
+				break
+			}
+			sum += s.tokens
+		}
+		most = max(most, sum)
+	}
+	must.LessEq(t, 8000.0, most)
+	must.Greater(t, 7000.0, most)
+}
+
+// TestQuotas_RefusedRequestsLeaveNoDebt admits and refuses requests that wait:
+// their tokens are free again at once, and not twice.
+func TestQuotas_RefusedRequestsLeaveNoDebt(t *testing.T) {
+	q := knownQuotas("g1")
+	ok, _ := q.Admit("a", 8000, 1, 1, quotaStart)
+	must.True(t, ok)
+	ok, wait := q.Admit("a", 100, 1, 1, quotaStart)
+	must.False(t, ok)
+	must.Positive(t, wait)
+	q.Leave("a", 8000)
+	ok, _ = q.Admit("a", 8000, 1, 1, quotaStart.Add(time.Second))
+	must.True(t, ok)
+	ok, _ = q.Admit("a", 100, 1, 1, quotaStart.Add(time.Second))
+	must.False(t, ok)
+}
+
+// TestQuotas_TakeoverKnowsWhatWasSent hands a team's use from one scheduler to
+// the next by the gateway's own count.
+func TestQuotas_TakeoverKnowsWhatWasSent(t *testing.T) {
+	log := NewUsageLog(quotaStart.Add(-time.Minute))
+	log.Sent("a", 7000, quotaStart)
+	next := NewQuotas()
+	next.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
+	now := quotaStart.Add(2 * time.Second)
+	sent, uptime := log.Recent(now)
+	next.Register("g1", sent, uptime, now)
+	ok, _ := next.Admit("a", 1500, 1, 1, now)
+	must.False(t, ok)
+	ok, _ = next.Admit("a", 900, 1, 1, now)
+	must.True(t, ok)
+}
+
+// TestQuotas_AllGatewaysRestart loses all counts at once. A team that was not
+// near its quota goes on at its usual load whatever the order in which the
+// gateways come; one that was near it gets what a window has left for it.
+func TestQuotas_AllGatewaysRestart(t *testing.T) {
+	q := NewQuotas()
+	limits := []QuotaLimit{{Team: "usual", Tokens: 8000, Window: testWindow}, {Team: "hot", Tokens: 8000, Window: testWindow}}
+	q.SetLimits(limits)
+	q.SetHot([]ident.TeamName{"hot"})
+	for _, g := range []ident.NodeID{"g1", "g2", "g3"} {
+		q.Register(g, nil, 500*time.Millisecond, quotaStart)
+	}
+	for i := range 20 {
+		now := quotaStart.Add(time.Duration(i) * 100 * time.Millisecond)
+		ok, _ := q.Admit("usual", 50, 1, 0, now)
+		must.True(t, ok, must.Sprintf("refused after %d", i))
+		q.Leave("usual", 50)
+		q.Spend("usual", "g1", 50, now)
+	}
+	ok, _ := q.Admit("hot", 1500, 1, 0, quotaStart)
+	must.False(t, ok)
+}
+
+// TestQuotas_PartOfTheGateways lets a scheduler with half of the gateways give
+// out half of the quota.
+func TestQuotas_PartOfTheGateways(t *testing.T) {
+	q := knownQuotas("g1")
+	ok, _ := q.Admit("a", 3900, 0.5, 1, quotaStart)
+	must.True(t, ok)
+	ok, _ = q.Admit("a", 200, 0.5, 1, quotaStart)
+	must.False(t, ok)
+}
+
+// TestQuotas_ReturnsAreSpread has refused requests come back one after the other.
+func TestQuotas_ReturnsAreSpread(t *testing.T) {
+	q := knownQuotas("g1")
+	ok, _ := q.Admit("a", 8000, 1, 1, quotaStart)
+	must.True(t, ok)
+	last := time.Duration(0)
+	for range 5 {
+		_, wait := q.Admit("a", 1000, 1, 1, quotaStart)
+		must.Greater(t, last, wait)
+		last = wait
+	}
+}
+
+// TestQuotas_UrgentRequestsGoFurther leaves the end of a quota to a team's more
+// urgent requests.
+func TestQuotas_UrgentRequestsGoFurther(t *testing.T) {
+	q := knownQuotas("g1")
+	q.Spend("a", "g1", 7300, quotaStart)
+	ok, _ := q.Admit("a", 100, 1, 0, quotaStart)
+	must.False(t, ok)
+	ok, _ = q.Admit("a", 100, 1, 1, quotaStart)
+	must.True(t, ok)
+}
+
+// TestUsageLog_ForgetsOldSeconds slides over a pause longer than the log.
+func TestUsageLog_ForgetsOldSeconds(t *testing.T) {
+	log := NewUsageLog(quotaStart)
+	log.Sent("a", 10, quotaStart)
+	log.Sent("a", 5, quotaStart.Add(3*time.Second))
+	sent, _ := log.Recent(quotaStart.Add(4 * time.Second))
+	must.Eq(t, []float64{0, 5, 0, 0, 10}, sent[0].Recent)
+	sent, _ = log.Recent(quotaStart.Add(time.Minute))
+	for _, tokens := range sent[0].Recent {
+		must.Eq(t, 0.0, tokens)
+	}
+}
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -69,7 +69,7 @@
 		named[t.ID] = true
 	}
 	if s := p.view.Shared; s != nil && s.Quotas != nil {
-		s.Quotas.Register(r.Gateway, r.Sent, r.Uptime, len(p.gateways), p.wall(now))
+		s.Quotas.Register(r.Gateway, r.Sent, r.Uptime, p.wall(now))
 	}
 	p.reconcile(r, known && r.Incarnation == former, named, now)
 	p.registered[r.Gateway] = r.Incarnation
