Nodes dial each other within 200 ms

Cause: after a loss of power a gateway's connection to a replica that was still down hung until the opening packet was sent again, 1 s later.

--- a/internal/command/fleet/calls.go
+++ b/internal/command/fleet/calls.go
@@ -18,6 +18,9 @@
 	orderTimeout = 600 * time.Millisecond
 	// syncTimeout bounds one sync, its hold included.
 	syncTimeout = control.MaxSyncHold + orderTimeout
+	// dialTimeout bounds the making of a connection to another node: many times
+	// the round trip between regions.
+	dialTimeout = 200 * time.Millisecond
 	// consensusServiceName is the net/rpc name of the replicas' own service.
 	consensusServiceName = "Consensus"
 )
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -85,7 +85,7 @@
 		edges:       e,
 		incarnation: ident.Incarnation(time.Now().UnixNano()),
 		clock:       &timeline.Clock{},
-		calls:       rpcnet.NewClient(),
+		calls:       rpcnet.NewClientWith(rpcnet.DialWithin(dialTimeout)),
 		follower:    &control.FleetFollower{},
 		quotas:      scheduler.NewQuotas(),
 		usage:       scheduler.NewUsageLog(time.Now()),
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -46,7 +46,7 @@
 	if !seeded {
 		first = append(first, s.ID())
 	}
-	calls := rpcnet.NewClient()
+	calls := rpcnet.NewClientWith(rpcnet.DialWithin(dialTimeout))
 	m := machine.New(ledger.DefaultLimits())
 	node, err := consensus.New(consensus.Options{
 		ID:              s.ID(),
--- a/internal/transport/rpcnet/dial.go
+++ b/internal/transport/rpcnet/dial.go
@@ -28,8 +28,21 @@
 // Dial connects to address with the package's limits on silence. A failed dial
 // has sent nothing.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dial(ctx, address, DialTimeout)
+}
+
+// DialWithin returns a Dial that takes no longer than the timeout. A packet that
+// opens a connection is sent again after a second: where nodes come back within
+// that time, a new try is sooner than the same.
+func DialWithin(timeout time.Duration) DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dial(ctx, address, timeout)
+	}
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: DialTimeout,
+		Timeout: timeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
