--- a/internal/command/fleet/callers.go
+++ b/internal/command/fleet/callers.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
-	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 // defaultCallers bounds callers where the configuration names no limits.
@@ -32,7 +31,3 @@
 	}
 	return value
 }
-
-// Observe counts a request that ended. Status is 0 for an answer that was broken off.
-func (n *Node) Observe(route ident.RouteName, status int, reason string, elapsed time.Duration) {
-}
--- /dev/null
+++ b/internal/command/fleet/metrics.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// metrics counts what a node does. Labels are bounded by the configuration and
+// by lists of reasons in the code.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+func newMetrics(n *Node) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingohaven_fleet_requests_total",
+			Help: "Requests that ended, by route and status; status 0 is an answer that was broken off.",
+		}, []string{"route", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "flamingohaven_fleet_failures_total",
+			Help: "Requests that ended without an upstream's answer, by reason.",
+		}, []string{"reason"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "flamingohaven_fleet_request_seconds",
+			Help:    "Time from a request's header to the end of its answer, in seconds, by route.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}, []string{"route"}),
+	}
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("flamingohaven_fleet_config_revision", "Revision of the configuration in force.", func() float64 {
+		_, revision := n.follower.Config()
+		return float64(revision)
+	})
+	gauge("flamingohaven_fleet_proof_age_seconds", "Time since the configuration was certainly the newest; -1 if it never was.", func() float64 {
+		age, known := n.follower.Age(boottime.Now())
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
+	gauge("flamingohaven_fleet_members", "Live nodes as last told by a leader.", func() float64 {
+		return float64(len(n.Members()))
+	})
+	gauge("flamingohaven_fleet_leading", "1 while this replica leads.", func() float64 {
+		if n.replica != nil && n.replica.leading() {
+			return 1
+		}
+		return 0
+	})
+	gauge("flamingohaven_fleet_waiting_bytes", "Memory of the requests that this gateway holds, in bytes.", func() float64 {
+		return float64(n.budget.Used())
+	})
+	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
+		return float64(n.lines.Dropped())
+	})
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds)
+	return m
+}
+
+// MetricsHandler serves the node's metrics as text.
+func (n *Node) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// Observe counts a request that ended. Status is 0 for an answer that was broken
+// off, and reason is empty for an upstream's own answer.
+func (n *Node) Observe(route ident.RouteName, status int, reason string, elapsed time.Duration) {
+	n.metrics.requests.WithLabelValues(string(route), strconv.Itoa(status)).Inc()
+	n.metrics.seconds.WithLabelValues(string(route)).Observe(elapsed.Seconds())
+	if reason != "" {
+		n.metrics.refusals.WithLabelValues(reason).Inc()
+	}
+}
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -41,6 +41,7 @@
 	clock       *timeline.Clock
 	events      *timeline.Recorder
 	lines       *timeline.Lines
+	metrics     *metrics
 
 	calls    *rpcnet.Client
 	server   *rpcnet.Server
@@ -68,6 +69,7 @@
 	clients  map[ident.PoolName]*poolClient
 	masters  map[ident.PoolName]*pool.Master
 	suspects map[string]time.Time
+	watches  map[ident.PoolName]*rolloutWatch
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -94,6 +96,7 @@
 		clients:     make(map[ident.PoolName]*poolClient),
 		masters:     make(map[ident.PoolName]*pool.Master),
 		suspects:    make(map[string]time.Time),
+		watches:     make(map[ident.PoolName]*rolloutWatch),
 		fatal:       make(chan error, 1),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -107,6 +110,7 @@
 	n.control.SetMaxPause(maxCallPause)
 	n.pools = pool.NewService(n.clock)
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyShare))
+	n.metrics = newMetrics(n)
 	n.gateway = gateway.New(n, nil, e.Upstreams, n.budget, n.events)
 	if err := n.listen(); err != nil {
 		n.Stop()
@@ -165,6 +169,7 @@
 	n.loops.Go(n.syncLoop)
 	if n.settings.Gateway() {
 		n.loops.Go(n.hotLoop)
+		n.loops.Go(n.rolloutLoop)
 	}
 }
 
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -66,6 +66,7 @@
 	cfg, _ := n.follower.Config()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.followRollouts(time.Now())
 	for name := range cfg.Pools {
 		view := n.schedulerView(&cfg, name)
 		if m := n.masters[name]; m != nil {
@@ -94,7 +95,7 @@
 		p.SetOrigin(time.Now())
 		return p
 	}
-	m := pool.NewMaster(name, 0, build, nil)
+	m := pool.NewMaster(name, 0, build, n.watchOf(name))
 	m.SetSilence(gatewaySilence)
 	n.masters[name] = m
 	n.pools.Put(m)
@@ -175,6 +176,7 @@
 	view := scheduler.View{
 		Pool:       name,
 		QueueLimit: c.Pools[name].QueueLimit,
+		Shares:     n.watchOf(name).shares(n.versions(name), time.Now()),
 		Shared: &scheduler.Shared{
 			RetryRatio: n.settings.RetryRatio,
 			RetryBurst: n.settings.RetryBurst,
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -29,6 +29,9 @@
 	Heartbeat: 50 * time.Millisecond, ElectionMin: 250 * time.Millisecond, ElectionMax: 400 * time.Millisecond,
 }
 
+// fullDiskPause is the time between two tries to open a data folder on a full disk.
+const fullDiskPause = 250 * time.Millisecond
+
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
 	calls   *rpcnet.Client
@@ -48,15 +51,23 @@
 	}
 	calls := rpcnet.NewClientWith(rpcnet.DialWithin(dialTimeout))
 	m := machine.New(ledger.DefaultLimits())
-	node, err := consensus.New(consensus.Options{
-		ID:              s.ID(),
-		InitialReplicas: first,
-		JoinOnly:        !s.FirstStart || !seeded,
-		ReplaceDead:     true,
-		Timing:          timing,
-		FS:              disk.NewOS(s.DataDir),
-		Peers:           &peers{calls: calls, settings: s},
-	}, m)
+	open := func() (*consensus.Node[machine.Result], error) {
+		return consensus.New(consensus.Options{
+			ID:              s.ID(),
+			InitialReplicas: first,
+			JoinOnly:        !s.FirstStart || !seeded,
+			ReplaceDead:     true,
+			Timing:          timing,
+			FS:              disk.NewOS(s.DataDir),
+			Peers:           &peers{calls: calls, settings: s},
+		}, m)
+	}
+	node, err := open()
+	for errors.Is(err, disk.ErrFull) {
+		klog.ErrorS(err, "the disk is full, opening the data folder again", "node", s.Name)
+		time.Sleep(fullDiskPause)
+		node, err = open()
+	}
 	if err != nil {
 		calls.Close()
 		return nil, err
--- a/internal/coordination/consensus/writer.go
+++ b/internal/coordination/consensus/writer.go
@@ -1,8 +1,12 @@
 package consensus
 
 import (
+	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/snap"
 	"github.com/flamingohaven/flamingohaven/internal/state/wal"
 )
@@ -12,6 +16,8 @@
 type writer struct {
 	r     *replica
 	queue queue[job]
+	// full is true while the disk has no space.
+	full bool
 }
 
 // job is one output of the loop.
@@ -54,15 +60,38 @@
 		}
 		for len(jobs) > 0 {
 			n := groupLength(jobs)
-			if err := w.write(jobs[:n]); err != nil {
+			err := w.write(jobs[:n])
+			if errors.Is(err, disk.ErrFull) && w.awaitSpace(err) {
+				continue
+			}
+			if err != nil {
 				w.r.fail(err)
 				return
 			}
+			w.full = false
 			jobs = jobs[n:]
 		}
 	}
 }
 
+// spaceInterval is the time between two tries to write to a full disk.
+const spaceInterval = 100 * time.Millisecond
+
+// awaitSpace waits before the next try; it returns false once the replica
+// stops. Meanwhile the replica acknowledges nothing that it has not written.
+func (w *writer) awaitSpace(err error) bool {
+	if !w.full {
+		w.full = true
+		klog.ErrorS(err, "the disk is full, trying again until there is space", "replica", w.r.opts.ID)
+	}
+	select {
+	case <-w.r.ctx.Done():
+		return false
+	case <-time.After(spaceInterval):
+		return true
+	}
+}
+
 // groupLength returns how many jobs one sync may cover: a snapshot must be
 // durable before the log that continues it, and so begins a group.
 func groupLength(jobs []job) int {
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -11,6 +11,10 @@
 // ErrLocked means that another process holds the data folder.
 var ErrLocked = errors.New("disk: the data folder is in use by another process")
 
+// ErrFull means that the disk has no room for a write. Nothing that was durable
+// is touched, and the write may succeed later.
+var ErrFull = errors.New("disk: no space left")
+
 // File is an open file that only grows.
 type File interface {
 	io.Writer
@@ -32,6 +36,9 @@
 	ReadFile(name string) ([]byte, error)
 	// Rename replaces newName by oldName atomically.
 	Rename(oldName, newName string) error
+	// Truncate cuts a file to a length, in bytes. The cut is durable with the
+	// file's next sync.
+	Truncate(name string, size int64) error
 	// Remove deletes a file.
 	Remove(name string) error
 	// List returns the names of the files in a folder, sorted, without folders.
--- a/internal/state/disk/fake.go
+++ b/internal/state/disk/fake.go
@@ -41,6 +41,8 @@
 	Tear bool
 	// FailWrites and FailSyncs fail every such call.
 	FailWrites, FailSyncs bool
+	// Full fails every write with ErrFull after a part of it.
+	Full bool
 	// SyncDelay is how long each sync takes.
 	SyncDelay time.Duration
 }
@@ -103,6 +105,19 @@
 	f.locks = map[string]bool{}
 }
 
+// Truncate implements FS.
+func (f *Fake) Truncate(name string, size int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, known := f.files[name]
+	if !known {
+		return fs.ErrNotExist
+	}
+	node.content = node.content[:min(int(size), len(node.content))]
+	node.synced = min(node.synced, len(node.content))
+	return nil
+}
+
 // Crash discards everything that was not synced, as a loss of power does.
 func (f *Fake) Crash() {
 	f.mu.Lock()
--- a/internal/state/disk/fake_file.go
+++ b/internal/state/disk/fake_file.go
@@ -21,6 +21,11 @@
 		f.node.content = append(f.node.content, data[:n]...)
 		return n, ErrInjected
 	}
+	if f.fake.faults.Full {
+		n := f.fake.rng.Intn(len(data) + 1)
+		f.node.content = append(f.node.content, data[:n]...)
+		return n, ErrFull
+	}
 	f.node.content = append(f.node.content, data...)
 	return len(data), nil
 }
--- a/internal/state/disk/os.go
+++ b/internal/state/disk/os.go
@@ -44,7 +44,36 @@
 
 // Append implements FS.
 func (o *OS) Append(name string) (File, error) {
-	return os.OpenFile(o.path(name), os.O_WRONLY|os.O_APPEND|os.O_CREATE, fileMode)
+	file, err := os.OpenFile(o.path(name), os.O_WRONLY|os.O_APPEND|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, named(err)
+	}
+	return osFile{file}, nil
+}
+
+// osFile names the errors of a file.
+type osFile struct{ *os.File }
+
+// Write implements io.Writer.
+func (f osFile) Write(data []byte) (int, error) {
+	n, err := f.File.Write(data)
+	return n, named(err)
+}
+
+// Sync implements File.
+func (f osFile) Sync() error { return f.File.Sync() }
+
+// named adds ErrFull to the error of a disk without space.
+func named(err error) error {
+	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
+		return errors.Join(ErrFull, err)
+	}
+	return err
+}
+
+// Truncate implements FS.
+func (o *OS) Truncate(name string, size int64) error {
+	return os.Truncate(o.path(name), size)
 }
 
 // ReadFile implements FS.
--- /dev/null
+++ b/internal/state/wal/full_test.go
@@ -0,0 +1,33 @@
+package wal
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+)
+
+// TestLog_FullDisk refuses an append while the disk is full and takes the next
+// one; the log holds each entry once, also after a loss of power.
+func TestLog_FullDisk(t *testing.T) {
+	fsys := disk.NewFake(7)
+	log, _, err := Open(fsys, "wal", Options{})
+	must.NoError(t, err)
+	entry := func(index uint64) Batch {
+		return Batch{Entries: []Entry{{Index: index, Term: 1, Data: []byte("some data of a command")}}}
+	}
+	must.NoError(t, log.Append(entry(1)))
+	fsys.Inject(disk.Faults{Full: true})
+	for range 3 {
+		must.ErrorIs(t, log.Append(entry(2)), disk.ErrFull)
+	}
+	fsys.Inject(disk.Faults{})
+	must.NoError(t, log.Append(entry(2)))
+	must.NoError(t, log.Append(entry(3)))
+	fsys.Crash()
+	_, recovered, err := Open(fsys, "wal", Options{})
+	must.NoError(t, err)
+	must.Len(t, 3, recovered.Entries)
+	must.Zero(t, recovered.TornBytes)
+}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -109,12 +109,20 @@
 }
 
 // Append writes the batches and makes them durable with one sync. After an
-// error the log accepts nothing more: unsynced pages may be gone.
+// error the log accepts nothing more: unsynced pages may be gone. Only a write
+// that found no space (disk.ErrFull) is taken back, and may be tried again.
 func (l *Log) Append(batches ...Batch) error {
 	if l.failed != nil {
 		return l.failed
 	}
 	if err := l.append(batches); err != nil {
+		if errors.Is(err, disk.ErrFull) && l.file != nil {
+			takeBack := l.fs.Truncate(l.path(l.current().number), int64(l.current().size))
+			if takeBack == nil {
+				return fmt.Errorf("wal: append: %w", err)
+			}
+			err = errors.Join(err, takeBack)
+		}
 		l.failed = fmt.Errorf("wal: append: %w", err)
 		return l.failed
 	}
@@ -170,12 +178,6 @@
 // roll begins a new segment. Its first records repeat the hard state, so that
 // earlier segments may be dropped.
 func (l *Log) roll() error {
-	if l.file != nil {
-		if err := l.file.Close(); err != nil {
-			return err
-		}
-		l.file = nil
-	}
 	var number uint64 = 1
 	if len(l.segments) > 0 {
 		number = l.current().number + 1
@@ -184,6 +186,12 @@
 	if err := disk.WriteFile(l.fs, l.dir, segmentName(number), content); err != nil {
 		return err
 	}
+	if l.file != nil {
+		if err := l.file.Close(); err != nil {
+			return err
+		}
+		l.file = nil
+	}
 	l.segments = append(l.segments, segment{number: number, size: len(content)})
 	return l.openLast()
 }
