--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -159,6 +159,7 @@
 		Prefixes:     r.Prefixes,
 		PrefixTokens: r.PrefixTokens,
 		Objective:    r.objectiveLeft(),
+		Patience:     r.patienceLeft(),
 		Cost:         r.Cost,
 		Resumes:      r.sends > 0,
 		BodyBytes:    int64(len(r.Body)),
@@ -166,6 +167,14 @@
 	}
 }
 
+// patienceLeft is the time left until the caller gives up; zero if unknown.
+func (r *Request) patienceLeft() time.Duration {
+	if r.Patience.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(r.Patience))
+}
+
 // objectiveLeft is the time left until the answer should begin; zero without an
 // objective, else never zero.
 func (r *Request) objectiveLeft() time.Duration {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -55,6 +55,9 @@
 	Fields []HeaderField
 	// Objective is when the answer should begin; zero if the request has none.
 	Objective time.Time
+	// Patience is when the caller gives up an answer that has not begun; zero if
+	// unknown.
+	Patience time.Time
 	// ObjectiveSpan is the whole time that the request had for it.
 	ObjectiveSpan time.Duration
 	// Cost is what the request takes of its team's quota, in tokens.
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -28,13 +28,14 @@
 	return ReasonDeadline
 }
 
-// latePart is the part of its time left that a ticket which misses its
-// objective may spend waiting. A caller that waits longer is better told to
-// come back.
-const latePart = 0.25
-
-// lateMost bounds the same: callers leave a stream that does not begin.
-const lateMost = 1500 * time.Millisecond
+const (
+	// latePart is the part of its time left that a ticket which misses its
+	// objective may spend waiting. A caller that waits longer is better told to
+	// come back.
+	latePart = 0.3
+	// latePatience is the part of its caller's patience that it may spend.
+	latePatience = 0.75
+)
 
 // serveLate keeps a ticket that misses its objective if it can be served soon
 // after; it then waits behind those that meet theirs.
@@ -42,13 +43,20 @@
 	if e.objective == 0 {
 		return false
 	}
-	left := e.deadline - now
-	most := min(lateMost, scaleBy(left, latePart))
+	most := scaleBy(e.deadline-now, latePart)
+	if e.ticket.Patience > 0 {
+		most = min(most, e.submittedAt+scaleBy(e.ticket.Patience, latePatience)-now)
+	}
 	if wait > most || now+wait+e.shortest >= e.deadline {
 		return false
 	}
-	e.objective = 0
-	e.lateUntil = now + most
+	objective := e.objective
+	e.objective, e.lateUntil = 0, now+most
+	if p.wait(e, now) > most {
+		// Those that are late already leave no room for one more.
+		e.objective, e.lateUntil = objective, 0
+		return false
+	}
 	return true
 }
 
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -33,6 +33,9 @@
 	// should begin; zero if the request has none. A request past its objective
 	// is still served, after those that can meet theirs.
 	Objective time.Duration
+	// Patience is the time left, when the ticket was sent, after which its caller
+	// gives up an answer that has not begun; zero if unknown.
+	Patience time.Duration
 	// Cost is what the request takes of its team's quota, in tokens.
 	Cost float64
 	// Resumes is true for the rest of a stream that broke on its way.
