--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -56,7 +56,10 @@
 	defer cancel()
 	found, err := n.edges.List(ctx)
 	if (err == nil) != reached {
-		klog.InfoS("contact with the platform's list changed", "node", n.settings.Name, "contact", err == nil, "err", err)
+		n.tellContact("the platform's list", err == nil)
+		if err != nil {
+			klog.ErrorS(err, "list not read, the last one stays in force", "node", n.settings.Name)
+		}
 	}
 	switch {
 	case err != nil:
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
@@ -122,6 +123,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.suspects[address].Before(time.Now()) {
+		n.events.Record(timeline.Event{Kind: timeline.KindScheduler, Detail: address + " does not answer, passed over for " + suspectFor.String()})
 		klog.InfoS("scheduler does not answer, passing it over", "node", n.settings.Name, "scheduler", address, "for", suspectFor)
 	}
 	n.suspects[address] = time.Now().Add(suspectFor)
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -51,7 +51,7 @@
 	for n.ctx.Err() == nil {
 		ok := n.syncOnce()
 		if ok != served {
-			klog.InfoS("contact with the replicas changed", "node", n.settings.Name, "contact", ok)
+			n.tellContact("the replicas", ok)
 			served = ok
 		}
 		if !ok {
@@ -77,6 +77,12 @@
 	}
 }
 
+// tellContact tells of a dependency that was lost or regained.
+func (n *Node) tellContact(dependency string, contact bool) {
+	n.events.Record(timeline.Event{Kind: timeline.KindContact, Detail: fmt.Sprintf("%s: %t", dependency, contact)})
+	klog.InfoS("contact changed", "node", n.settings.Name, "with", dependency, "contact", contact)
+}
+
 // syncOnce sends one sync and acts on its answer.
 func (n *Node) syncOnce() bool {
 	ctx, cancel := context.WithTimeout(n.ctx, syncBudget)
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
@@ -37,6 +38,9 @@
 	// failed, if set, is told the address of a scheduler that didn't answer.
 	failed func(address string)
 
+	// failures counts the calls in a row that were not answered.
+	failures atomic.Int32
+
 	mu     sync.Mutex
 	holder Holder
 	number uint64
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -92,13 +93,23 @@
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
+	c.failures.Store(0)
 	c.accepted(args.Session)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
 
+// failuresToTell is the number of unanswered calls in a row after which a
+// scheduler counts as failed: the first may have met a connection to a former
+// process. A call that ran out of time counts at once.
+const failuresToTell = 2
+
 func (c *Client) tellFailed(err error, address string) {
-	if err != nil && c.failed != nil {
+	if err == nil || c.failed == nil {
+		return
+	}
+	if c.failures.Add(1) >= failuresToTell || errors.Is(err, context.DeadlineExceeded) {
+		c.failures.Store(0)
 		c.failed(address)
 	}
 }
--- /dev/null
+++ b/internal/coordination/scheduler/shared_test.go
@@ -0,0 +1,275 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// sharedView is a pool of upstreams with two slots each that gateways g1 to g4 share.
+func sharedView(upstreams int) View {
+	v := View{
+		Pool:     "p",
+		Tiers:    []Tier{{Name: "low", Rank: 1}, {Name: "high", Rank: 2}},
+		Gateways: []ident.NodeID{"g1", "g2", "g3", "g4"},
+		Shared:   &Shared{RetryRatio: 0.2, RetryBurst: 20, Quotas: NewQuotas()},
+	}
+	for i := range upstreams {
+		v.Upstreams = append(v.Upstreams, Upstream{Name: ident.UpstreamName(fmt.Sprintf("u%d", i)), Version: "v1", MaxConcurrent: 2})
+	}
+	return v
+}
+
+func sharedPool(v View, gateways ...ident.NodeID) *Pool {
+	p := New(0, v, 0)
+	for _, g := range gateways {
+		p.Register(Registration{Gateway: g, Incarnation: 1}, 0)
+	}
+	p.Tick(sharedTempo.takeoverWait)
+	return p
+}
+
+func sharedTicket(id int, tier ident.TierName) Ticket {
+	return Ticket{
+		ID: ident.RequestID(fmt.Sprintf("r%04d", id)), Gateway: "g1", Tier: tier, Team: "a", Route: "r",
+		Idempotent: true, Remaining: 10 * time.Second, Objective: 500 * time.Millisecond, Patience: 2 * time.Second,
+	}
+}
+
+// served sends a request through an upstream, as its gateway reports it.
+func served(p *Pool, g Grant, kind ReportKind, at, elapsed time.Duration) {
+	p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, at)
+	p.Report(Report{Kind: kind, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Elapsed: elapsed}, at+elapsed)
+}
+
+const start = 100 * time.Millisecond
+
+// TestShared_PartOfTheCapacity lets two schedulers with one and three of four
+// gateways use no more than all slots together.
+func TestShared_PartOfTheCapacity(t *testing.T) {
+	granted := 0
+	for _, gateways := range [][]ident.NodeID{{"g1"}, {"g1", "g2", "g3"}} {
+		p := sharedPool(sharedView(4), gateways...)
+		for i := range 20 {
+			p.Submit(sharedTicket(i, "low"), start)
+		}
+		granted += len(grants(p.Decisions()))
+	}
+	must.Eq(t, 8, granted)
+}
+
+// TestShared_MemberMissingForAMoment keeps a gateway's part while the members,
+// which are soft state, leave it out.
+func TestShared_MemberMissingForAMoment(t *testing.T) {
+	v := sharedView(4)
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	v.Gateways = []ident.NodeID{"g1"}
+	p.SetView(v, start)
+	must.Eq(t, 1.0, p.portion())
+	v.Gateways = []ident.NodeID{"g1", "g2", "g3", "g4"}
+	p.SetView(v, start)
+	must.Eq(t, 1.0, p.portion())
+}
+
+// TestShared_SilentGatewayDeparts drops what waits for a gateway that fell
+// silent, and counts what it runs for a while.
+func TestShared_SilentGatewayDeparts(t *testing.T) {
+	v := sharedView(1)
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	for i := range 3 {
+		p.Submit(sharedTicket(i, "low"), start)
+	}
+	must.Len(t, 2, grants(p.Decisions()))
+	p.Depart("g1", start)
+	must.Eq(t, 0, p.waiting)
+	must.Eq(t, 0.75, p.portion())
+	ticket := sharedTicket(9, "low")
+	ticket.Gateway, ticket.Objective = "g2", 0
+	p.Submit(ticket, start)
+	must.Len(t, 0, grants(p.Decisions()))
+	p.Tick(start + sharedTempo.orphanBound + confirmMargin)
+	must.Len(t, 1, grants(p.Decisions()))
+}
+
+// TestShared_MostUpstreamsFailALittle replays a fault that hits all upstreams:
+// none leaves rotation, since the rest could not carry the load.
+func TestShared_MostUpstreamsFailALittle(t *testing.T) {
+	p := sharedPool(sharedView(4), "g1", "g2", "g3", "g4")
+	now := start
+	for i := range 400 {
+		now += 5 * time.Millisecond
+		p.Submit(sharedTicket(i, "low"), now)
+		for _, g := range grants(p.Decisions()) {
+			kind := ReportEnded
+			if i%5 < 2 {
+				kind = ReportFailed
+			}
+			served(p, g, kind, now, 4*time.Millisecond)
+		}
+	}
+	must.Len(t, 0, p.ejected)
+	must.Eq(t, 8, p.slots)
+}
+
+// TestShared_FailingUpstreamIsPassedOver gives one that fails nearly all its
+// requests few of them, and all of them again once it serves.
+func TestShared_FailingUpstreamIsPassedOver(t *testing.T) {
+	p := sharedPool(sharedView(4), "g1", "g2", "g3", "g4")
+	now, got := start, 0
+	for i := range 300 {
+		now += 10 * time.Millisecond
+		p.Submit(sharedTicket(i, "low"), now)
+		for _, g := range grants(p.Decisions()) {
+			kind := ReportEnded
+			if g.Upstream == "u1" {
+				kind = ReportFailed
+				got++
+			}
+			served(p, g, kind, now, 5*time.Millisecond)
+		}
+	}
+	must.Less(t, 30, got)
+}
+
+// TestShared_EjectedUpstreamComesBack probes one that was silent with the next
+// request of the lowest tier at work, whatever its route's kind.
+func TestShared_EjectedUpstreamComesBack(t *testing.T) {
+	p := sharedPool(sharedView(4), "g1", "g2", "g3", "g4")
+	p.engines["u2"].health.eject(start)
+	p.refresh(p.engines["u2"], start)
+	now := start + sharedTempo.probeFirst
+	ticket := sharedTicket(1, "low")
+	ticket.Idempotent = false
+	p.Submit(ticket, now)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.UpstreamName("u2"), got[0].Upstream)
+	served(p, got[0], ReportEnded, now, 5*time.Millisecond)
+	must.Len(t, 0, p.ejected)
+}
+
+// TestShared_LongAnswersAreNotSilence keeps an upstream in rotation whose answer
+// has begun and takes far longer than expected.
+func TestShared_LongAnswersAreNotSilence(t *testing.T) {
+	p := sharedPool(sharedView(4), "g1", "g2", "g3", "g4")
+	ticket := sharedTicket(1, "low")
+	ticket.PromptTokens, ticket.OutputTokens = 100, 10
+	p.Submit(ticket, start)
+	g := grants(p.Decisions())[0]
+	p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, start)
+	p.Report(Report{Kind: ReportFirstToken, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Elapsed: 30 * time.Millisecond}, start+30*time.Millisecond)
+	for at := start; at < start+8*time.Second; at += checkEvery {
+		p.Tick(at)
+	}
+	must.Len(t, 0, p.ejected)
+}
+
+// fill takes all slots and teaches the pool that an answer takes 400 ms.
+func fill(p *Pool, slots int) (at time.Duration, running []Grant) {
+	at = start
+	for i := range 6 {
+		p.Submit(sharedTicket(9000+i, "low"), at)
+		for _, g := range grants(p.Decisions()) {
+			served(p, g, ReportEnded, at, 400*time.Millisecond)
+		}
+		at += 410 * time.Millisecond
+	}
+	for i := range slots {
+		ticket := sharedTicket(8000+i, "high")
+		ticket.Objective = 0
+		p.Submit(ticket, at)
+	}
+	return at, grants(p.Decisions())
+}
+
+// TestShared_BurstLateAfterOnTime replays a burst: of one tier, a request that
+// can meet its objective goes before one that came earlier and can't any more.
+func TestShared_BurstLateAfterOnTime(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	at, running := fill(p, 2)
+	must.Len(t, 2, running)
+	late := sharedTicket(1, "low")
+	late.Objective = 100 * time.Millisecond
+	p.Submit(late, at)
+	onTime := sharedTicket(2, "low")
+	onTime.Objective = 3 * time.Second
+	p.Submit(onTime, at+time.Millisecond)
+	must.Len(t, 0, p.Decisions())
+	served(p, running[0], ReportEnded, at, 50*time.Millisecond)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, onTime.ID, got[0].Ticket)
+}
+
+// TestShared_LateWorkBeforeLowerTiers keeps the order of tiers: late work of a
+// higher tier goes before work of a lower one that is on time.
+func TestShared_LateWorkBeforeLowerTiers(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	at, running := fill(p, 2)
+	late := sharedTicket(1, "high")
+	late.Objective = 100 * time.Millisecond
+	p.Submit(late, at)
+	lower := sharedTicket(2, "low")
+	lower.Objective = 5 * time.Second
+	p.Submit(lower, at)
+	served(p, running[0], ReportEnded, at, 50*time.Millisecond)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, late.ID, got[0].Ticket)
+}
+
+// TestShared_HopelessIsRefusedAtOnce refuses what its caller would not wait for,
+// when it comes and not later, and says when to come back.
+func TestShared_HopelessIsRefusedAtOnce(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	at, _ := fill(p, 2)
+	refused := 0
+	for i := range 40 {
+		p.Submit(sharedTicket(i, "low"), at)
+		for _, r := range refusals(p.Decisions()) {
+			must.Eq(t, ReasonDeadline, r.Reason)
+			must.Positive(t, r.RetryAfter)
+			refused++
+		}
+	}
+	must.Greater(t, 20, refused)
+	must.Positive(t, p.waiting)
+}
+
+// TestShared_LateWorkEndsWithPatience gives up late work before its caller does.
+func TestShared_LateWorkEndsWithPatience(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	at, _ := fill(p, 2)
+	late := sharedTicket(1, "low")
+	late.Objective = 100 * time.Millisecond
+	p.Submit(late, at)
+	must.Len(t, 0, p.Decisions())
+	for now := at; now < at+late.Patience; now += sweepEvery {
+		p.Tick(now)
+	}
+	must.Len(t, 1, refusals(p.Decisions()))
+}
+
+// TestShared_PromptBacklogKeepsNoSlotFree uses a free slot of an upstream whose
+// bound on requests is known, however many prompts it has to read first.
+func TestShared_PromptBacklogKeepsNoSlotFree(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	for i := range 2 {
+		ticket := sharedTicket(i, "low")
+		ticket.PromptTokens, ticket.OutputTokens = 50_000, 10
+		p.Submit(ticket, start)
+	}
+	must.Len(t, 2, grants(p.Decisions()))
+}
+
+// TestShared_UnevenParts counts the tokens of a prompt's cached parts, whose
+// sizes differ.
+func TestShared_UnevenParts(t *testing.T) {
+	e := &entry{ticket: Ticket{PromptTokens: 3780, Prefixes: []uint64{1, 2}, PrefixTokens: []int{60, 3780}}}
+	must.Eq(t, 60, e.cachedTokens(1))
+	must.Eq(t, 3779, e.cachedTokens(2))
+}
--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -68,7 +68,9 @@
 	ReasonCrossedAnswer  Reason = "answer_mismatch"
 	ReasonLostAnswer     Reason = "answer_lost"
 	ReasonTimeout        Reason = "timeout"
-	ReasonCallerLeft     Reason = "caller_left"
+	// ReasonQuota is the scheduler's: the team has used up its quota.
+	ReasonQuota      Reason = "quota"
+	ReasonCallerLeft Reason = "caller_left"
 )
 
 // Refusal is the body of every answer that does not come from an upstream.
@@ -112,6 +114,8 @@
 		return http.StatusBadGateway
 	case ReasonTimeout:
 		return http.StatusGatewayTimeout
+	case ReasonQuota:
+		return http.StatusTooManyRequests
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -85,8 +85,6 @@
 	KindProcess       Kind = "process"
 	KindScheduler     Kind = "scheduler"
 	KindContact       Kind = "contact"
-	KindMembers       Kind = "members"
-	KindSettings      Kind = "settings"
 	KindAttemptEnded  Kind = "attempt_ended"
 	KindReplicaChange Kind = "replica_change"
 )
