A restart of all replicas elects at once

Cause: a restarted replica refuses votes for 250 ms, since it may have answered a leader before; after a loss of all of them there is no such leader. Ruled out: shorter elections (a lost packet stalls a link for 200 ms). Change: a restarted voter that hears from every other voter that it knows no leader ends its promise and campaigns at its turn.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -55,6 +55,8 @@
 	// promisedUntil is until when this replica refuses votes: it heard a
 	// leader, or may have before a restart.
 	promisedUntil time.Time
+	// startPromise is true while promisedUntil is that of a restart.
+	startPromise bool
 	electionAt    time.Time
 	votes         map[Replica]bool
 
@@ -150,6 +152,7 @@
 	c.emittedHard = c.stableHard
 	if !c.faults.voteAfterRestart {
 		c.promisedUntil = now.Add(c.timing.ElectionMin)
+		c.startPromise = true
 	}
 	c.resetElection(now)
 	if c.soleVoter() {
--- a/internal/coordination/consensus/core_append.go
+++ b/internal/coordination/consensus/core_append.go
@@ -120,6 +120,7 @@
 	}
 	c.becomeFollower(now, term, from)
 	c.promisedUntil = now.Add(c.timing.ElectionMin)
+	c.startPromise = false
 	c.resetElection(now)
 	return true
 }
--- a/internal/coordination/consensus/core_vote.go
+++ b/internal/coordination/consensus/core_vote.go
@@ -24,6 +24,29 @@
 	c.requestVotes(VoteRequest{Term: c.term, Transfer: transfer})
 }
 
+// releaseStep spaces the first campaigns after a common start, so that the votes
+// are not split: more than a round trip and the writing of a vote.
+const releaseStep = 30 * time.Millisecond
+
+// releaseStartPromise ends the promise that a restarted voter keeps, unless it
+// has heard a leader since, and has it campaign soon: each voter at its turn.
+func (c *core) releaseStartPromise(now time.Time) {
+	if !c.startPromise || c.role != follower || c.leader != (Replica{}) {
+		return
+	}
+	c.startPromise = false
+	c.promisedUntil = time.Time{}
+	turn := 1
+	for _, voter := range c.members().Voters() {
+		if voter.ID < c.self.ID {
+			turn++
+		}
+	}
+	if at := now.Add(time.Duration(turn) * releaseStep); at.Before(c.electionAt) {
+		c.electionAt = at
+	}
+}
+
 // requestVotes sends a request to every other voter.
 func (c *core) requestVotes(req VoteRequest) {
 	req.LastIndex = c.log.last()
--- a/internal/coordination/consensus/enter.go
+++ b/internal/coordination/consensus/enter.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,6 +23,7 @@
 // replicas, adopts the cluster that they formed, or joins it as a learner. A
 // voter that knows no leader for lostAfter asks to join again.
 func (r *replica) enter() {
+	r.releaseAfterStart()
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
 	defer ticker.Stop()
 	led := time.Now()
@@ -54,6 +56,63 @@
 	}
 }
 
+const (
+	// releaseInterval is the time between two askings of a starting voter whether
+	// the others are without a leader too.
+	releaseInterval = 20 * time.Millisecond
+	// releaseCall bounds one asking.
+	releaseCall = 100 * time.Millisecond
+)
+
+// releaseAfterStart ends the time in which a voter that was restarted refuses
+// votes once that has no use: every other voter answers that it neither leads
+// nor knows a leader. The time protects a leader that relies on an answer from
+// before the restart; there is none then. A voter whose address is served by
+// another incarnation lost its disk, and its former life with it.
+func (r *replica) releaseAfterStart() {
+	ticker := time.NewTicker(releaseInterval)
+	defer ticker.Stop()
+	for end := time.Now().Add(r.opts.Timing.ElectionMin); time.Now().Before(end); {
+		v := r.view.Load()
+		if v.leader != "" || v.members.Role(v.self) != RoleVoter {
+			return
+		}
+		if r.allLeaderless(v) {
+			_ = r.post(r.ctx, func(now time.Time) { r.core.releaseStartPromise(now) })
+			return
+		}
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// allLeaderless asks all other voters and reports whether each answered that it
+// knows no leader.
+func (r *replica) allLeaderless(v *view) bool {
+	ctx, cancel := context.WithTimeout(r.ctx, releaseCall)
+	defer cancel()
+	var leaderless atomic.Int32
+	var wg sync.WaitGroup
+	others := 0
+	for _, voter := range v.members.Voters() {
+		if voter == v.self {
+			continue
+		}
+		others++
+		wg.Go(func() {
+			reply, err := r.opts.Peers.Probe(ctx, voter.ID, &ProbeRequest{From: v.self})
+			if err == nil && reply.Replica.ID == voter.ID && !reply.Led {
+				leaderless.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(leaderless.Load()) == others
+}
+
 // formOrAdopt looks for a cluster among the initial replicas. Only when every
 // one of them answers that it belongs to none does one form it: the lowest ID of
 // those that are not JoinOnly.
@@ -163,7 +222,7 @@
 // onProbe answers from the published view; it needs no membership.
 func (r *replica) onProbe() ProbeReply {
 	v := r.view.Load()
-	return ProbeReply{Replica: v.self, Formed: v.genesis.Cluster != "", Genesis: v.genesis, JoinOnly: r.opts.JoinOnly}
+	return ProbeReply{Replica: v.self, Formed: v.genesis.Cluster != "", Genesis: v.genesis, Led: v.leader != "" || v.leads, JoinOnly: r.opts.JoinOnly}
 }
 
 // onJoin adds a learner if this replica leads.
--- a/internal/coordination/consensus/messages.go
+++ b/internal/coordination/consensus/messages.go
@@ -107,6 +107,8 @@
 	// Formed is true if the node belongs to the cluster that Genesis began.
 	Formed  bool
 	Genesis Genesis
+	// Led is true if the node leads or knows a leader.
+	Led bool
 	// JoinOnly is true if the node never forms a cluster itself.
 	JoinOnly bool
 }
