Lost answers are not silence; a broken connection frees its slot soon

Cause: during lost answers 28 to 41 of 60 slots were used while 20 requests waited: each broken connection held its slot for 1.5 s, and one request without an answer put its upstream out of rotation though others were served there.

--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -35,6 +35,8 @@
 	declared bool
 	// part is the part of the upstream's slots that this scheduler may use.
 	part float64
+	// heardAt is when the upstream last showed a sign of life.
+	heardAt time.Duration
 	// countedEjected tells whether the pool counts the engine as ejected.
 	countedEjected bool
 }
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -167,7 +167,8 @@
 	for _, g := range p.order {
 		g.foreign.remember(g.used(), now)
 		for e := range g.running {
-			if !e.silent(p.tempo.silentBase, now) {
+			if !e.silent(p.tempo.silentBase, now) || g.declared && g.heardAt > e.startedAt {
+				// Where others were served meanwhile, one answer was lost.
 				continue
 			}
 			if g.health.probe == e {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -24,6 +24,7 @@
 		p.started(e, r, now)
 		p.firstToken(e, r, now)
 	case ReportEnded:
+		e.engine.heardAt = now
 		p.observeEnd(e, r, now)
 		p.release(e, now)
 		p.end(e, now)
@@ -65,6 +66,7 @@
 		return
 	}
 	e.firstTokenAt = max(1, now)
+	e.engine.heardAt = now
 	e.engine.backlog.done(e.missed, now)
 	if e.ticket.PromptTokens > 0 {
 		missed := max(0, e.ticket.PromptTokens-r.CachedTokens)
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -43,7 +43,7 @@
 // drop a request when its connection closes.
 var sharedTempo = tempo{
 	silentBase: time.Second, probeFirst: 500 * time.Millisecond, probeMax: 4 * time.Second,
-	orphanBound: 1500 * time.Millisecond, takeoverWait: 40 * time.Millisecond, retryBase: 30 * time.Millisecond,
+	orphanBound: 250 * time.Millisecond, takeoverWait: 40 * time.Millisecond, retryBase: 30 * time.Millisecond,
 	failuresToEject: 6, failurePart: 0.85, failurePenalty: 3 * time.Second, leading: 64,
 }
 
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -273,3 +273,25 @@
 	must.Eq(t, 60, e.cachedTokens(1))
 	must.Eq(t, 3779, e.cachedTokens(2))
 }
+
+// TestShared_LostAnswersAreNotSilence replays upstreams that lose some answers
+// and serve the rest: they stay in rotation, and a slot is free again soon after
+// its connection broke.
+func TestShared_LostAnswersAreNotSilence(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	p.Submit(sharedTicket(1, "low"), start)
+	lost := grants(p.Decisions())[0]
+	p.Report(Report{Kind: ReportDispatched, Ticket: lost.Ticket, Gateway: "g1", Upstream: lost.Upstream}, start)
+	now := start
+	for i := range 40 {
+		now += 100 * time.Millisecond
+		p.Submit(sharedTicket(10+i, "low"), now)
+		for _, g := range grants(p.Decisions()) {
+			served(p, g, ReportEnded, now, 5*time.Millisecond)
+		}
+	}
+	must.Len(t, 0, p.ejected)
+	p.Report(Report{Kind: ReportUnknown, Ticket: lost.Ticket, Gateway: "g1", Upstream: lost.Upstream}, now)
+	p.Tick(now + sharedTempo.orphanBound)
+	must.Eq(t, 0, p.engines[lost.Upstream].used())
+}
