--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -32,11 +32,15 @@
 		p.failed(e, now)
 		p.release(e, now)
 		p.end(e, now)
-	case ReportUnsent, ReportRepeat:
+	case ReportUnsent:
 		p.failed(e, now)
-		p.unsent(e, now)
+		p.unreachable(e, now)
+		p.unsent(e, now, p.view.Shared == nil)
+	case ReportRepeat:
+		p.failed(e, now)
+		p.unsent(e, now, true)
 	case ReportRejected:
-		p.unsent(e, now)
+		p.unsent(e, now, true)
 	case ReportDropped:
 		p.dropped(e, now)
 	case ReportUnknown:
@@ -124,15 +128,23 @@
 	}
 }
 
-// unsent returns a ticket that provably did not reach its upstream to the
-// queue, within the retry budget.
-func (p *Pool) unsent(e *entry, now time.Duration) {
+// unreachable ejects an upstream to which no connection can be made, where
+// probes follow soon.
+func (p *Pool) unreachable(e *entry, now time.Duration) {
+	if p.view.Shared != nil {
+		p.ejectSlow(e.engine, now)
+	}
+}
+
+// unsent returns a ticket that may be sent again to the queue. Those that have
+// reached an upstream are bounded by the retry budget.
+func (p *Pool) unsent(e *entry, now time.Duration, budgeted bool) {
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.generation)
 	p.queueOf(e).charge(-e.tokens())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
-	if e.retries > maxRetries || p.exhausted(e) || !p.retries.take() {
+	if e.retries > maxRetries || p.exhausted(e) || budgeted && !p.retries.take() {
 		p.refuse(e, ReasonUnsent, now)
 		return
 	}
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -295,3 +295,30 @@
 	p.Tick(now + sharedTempo.orphanBound)
 	must.Eq(t, 0, p.engines[lost.Upstream].used())
 }
+
+// TestShared_CrashedUpstream replays the crash of one upstream of four under
+// load: each request whose connection was refused is served elsewhere, without
+// using up the budget of those that have reached an upstream.
+func TestShared_CrashedUpstream(t *testing.T) {
+	v := sharedView(4)
+	v.Shared.RetryRatio, v.Shared.RetryBurst = 0, 0
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	now, refused, tried := start, 0, 0
+	for i := range 200 {
+		now += 10 * time.Millisecond
+		p.Submit(sharedTicket(i, "low"), now)
+		for decisions := p.Decisions(); len(decisions) > 0; decisions = p.Decisions() {
+			refused += len(refusals(decisions))
+			for _, g := range grants(decisions) {
+				if g.Upstream == "u1" {
+					tried++
+					p.Report(Report{Kind: ReportUnsent, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
+					continue
+				}
+				served(p, g, ReportEnded, now, 5*time.Millisecond)
+			}
+		}
+	}
+	must.Eq(t, 0, refused)
+	must.Less(t, 10, tried)
+}
