A gateway that turns to another scheduler ends its session with the former

While a frozen leader was replaced, one gateway went over to its own scheduler and the others came back to theirs; for a second both held the sessions of all gateways, each with 100% of capacity and quotas, because the one that was left heard nothing of it. Also: the use that a gateway hands to its next scheduler was filed by whole seconds, up to a second too old, so that it left the window early; steps of 250 ms, counted from the newest moment that they hold. Also: a second loop that ticked a control service while the first proposed waited on a mutex, which stops the clock of the linearizability test (hung TestLedger_LinearizableUnderFaults); a tick beside another is skipped now. Conclusion: schedulers that go on beside each other must be told who left.

--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -11,9 +11,11 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/peernet"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
@@ -43,7 +45,7 @@
 		ID:              a.settings.Node,
 		InitialReplicas: replicaIDs(&a.settings),
 		FS:              folder,
-		Peers:           &peers{calls: calls, addresses: replicaAddresses(&a.settings)},
+		Peers:           &peernet.Peers{Calls: calls, Address: addressOf(replicaAddresses(&a.settings))},
 	}, m)
 	if err != nil {
 		calls.Close()
@@ -54,7 +56,15 @@
 	if err := a.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
-	return r, a.server.Register(consensusServiceName, node.Service())
+	return r, a.server.Register(peernet.ServiceName, node.Service())
+}
+
+// addressOf looks addresses up in the settings' table.
+func addressOf(addresses map[ident.NodeID]string) func(ident.NodeID) (string, bool) {
+	return func(id ident.NodeID) (string, bool) {
+		address, ok := addresses[id]
+		return address, ok
+	}
 }
 
 func (r *replica) start(a *Agent) {
--- a/internal/command/fleet/calls.go
+++ b/internal/command/fleet/calls.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
@@ -21,8 +20,6 @@
 	// dialTimeout bounds the making of a connection to another node: many times
 	// the round trip between regions.
 	dialTimeout = 200 * time.Millisecond
-	// consensusServiceName is the net/rpc name of the replicas' own service.
-	consensusServiceName = "Consensus"
 )
 
 // replicaCaller implements control.Caller.
@@ -42,48 +39,3 @@
 	}
 	return err
 }
-
-// peers implements consensus.Peers over connections of its own, so that a large
-// call can't delay a heartbeat between replicas.
-type peers struct {
-	calls    *rpcnet.Client
-	settings *Settings
-}
-
-// Vote implements consensus.Peers.
-func (p *peers) Vote(ctx context.Context, to ident.NodeID, req *consensus.VoteRequest) (*consensus.VoteReply, error) {
-	return callPeer[consensus.VoteReply](ctx, p, to, "Vote", req)
-}
-
-// Append implements consensus.Peers.
-func (p *peers) Append(ctx context.Context, to ident.NodeID, req *consensus.AppendRequest) (*consensus.AppendReply, error) {
-	return callPeer[consensus.AppendReply](ctx, p, to, "Append", req)
-}
-
-// Snapshot implements consensus.Peers.
-func (p *peers) Snapshot(ctx context.Context, to ident.NodeID, req *consensus.SnapshotRequest) (*consensus.SnapshotReply, error) {
-	return callPeer[consensus.SnapshotReply](ctx, p, to, "Snapshot", req)
-}
-
-// Elect implements consensus.Peers.
-func (p *peers) Elect(ctx context.Context, to ident.NodeID, req *consensus.ElectRequest) (*consensus.ElectReply, error) {
-	return callPeer[consensus.ElectReply](ctx, p, to, "Elect", req)
-}
-
-// Probe implements consensus.Peers.
-func (p *peers) Probe(ctx context.Context, to ident.NodeID, req *consensus.ProbeRequest) (*consensus.ProbeReply, error) {
-	return callPeer[consensus.ProbeReply](ctx, p, to, "Probe", req)
-}
-
-// Join implements consensus.Peers.
-func (p *peers) Join(ctx context.Context, to ident.NodeID, req *consensus.JoinRequest) (*consensus.JoinReply, error) {
-	return callPeer[consensus.JoinReply](ctx, p, to, "Join", req)
-}
-
-func callPeer[R any](ctx context.Context, p *peers, to ident.NodeID, method string, req any) (*R, error) {
-	reply := new(R)
-	if err := p.calls.Call(ctx, p.settings.address(to), consensusServiceName+"."+method, req, reply); err != nil {
-		return nil, err
-	}
-	return reply, nil
-}
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -53,6 +53,8 @@
 		return c.local.Submit(a, reply.(*pool.Reply))
 	case *pool.PollArgs:
 		return c.local.Poll(a, reply.(*pool.Reply))
+	case *pool.LeaveArgs:
+		return c.local.Leave(a, reply.(*pool.Reply))
 	default:
 		return c.calls.Call(ctx, address, method, args, reply)
 	}
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -14,9 +14,11 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/peernet"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
@@ -59,7 +61,7 @@
 			ReplaceDead:     true,
 			Timing:          timing,
 			FS:              disk.NewOS(s.DataDir),
-			Peers:           &peers{calls: calls, settings: s},
+			Peers:           &peernet.Peers{Calls: calls, Address: func(id ident.NodeID) (string, bool) { return s.address(id), true }},
 		}, m)
 	}
 	node, err := open()
@@ -78,7 +80,7 @@
 	if err := n.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
-	return r, n.server.Register(consensusServiceName, node.Service())
+	return r, n.server.Register(peernet.ServiceName, node.Service())
 }
 
 func (r *replica) start(n *Node) {
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -140,12 +140,12 @@
 	// that are given out. The rest covers the moments in which two schedulers
 	// serve, and requests that reach upstreams closer together than they were
 	// granted.
-	overageUsed = 0.9
-	slackUsed   = 0.8
+	overageUsed = 0.8
+	slackUsed   = 0.7
 	// quotaSpread is how much longer than the platform's window quotas are
 	// counted: a window slides in steps, and granted requests reach upstreams at
 	// unlike times.
-	quotaSpread = 180 * time.Millisecond
+	quotaSpread = 250 * time.Millisecond
 )
 
 // quotaLimits returns the teams' limits. The platform counts with an overage and
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -57,8 +57,8 @@
 	promisedUntil time.Time
 	// startPromise is true while promisedUntil is that of a restart.
 	startPromise bool
-	electionAt    time.Time
-	votes         map[Replica]bool
+	electionAt   time.Time
+	votes        map[Replica]bool
 
 	leadership
 
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -124,7 +124,9 @@
 // Tick begins a term that this replica won, expires node leases and assigns
 // pools.
 func (s *Service) Tick() {
-	s.ticking.Lock()
+	if !s.ticking.TryLock() {
+		return // the tick under way does the same
+	}
 	defer s.ticking.Unlock()
 	leadership := s.proposer.Leadership()
 	if !leadership.Leading {
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
@@ -108,10 +110,25 @@
 	if h.Lease.Epoch < c.holder.Lease.Epoch || h == c.holder {
 		return
 	}
+	if c.registered && h.Lease.Epoch == c.holder.Lease.Epoch {
+		// Without a new epoch the former scheduler may go on for others. It
+		// would use this gateway's part of the capacity and of the quotas too.
+		go c.leave(c.session(), c.holder.Address)
+	}
 	c.holder = h
 	c.forget()
 }
 
+// leave tells a former scheduler that the session has ended. If the call is
+// lost, the scheduler ends a silent session by itself.
+func (c *Client) leave(s Session, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.callTimeout)
+	defer cancel()
+	if err := c.caller.Call(ctx, address, ServiceName+".Leave", &LeaveArgs{Session: s}, &Reply{}); err != nil {
+		klog.V(1).InfoS("former scheduler was not told that a gateway left", "pool", c.pool, "scheduler", address, "err", err)
+	}
+}
+
 // forget makes the next message register anew. The caller holds the lock.
 func (c *Client) forget() {
 	c.registered = false
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -54,7 +53,7 @@
 	gateway ident.NodeID
 }
 
-func (l *link) Call(ctx context.Context, address, method string, args, reply any) error {
+func (l *link) Call(ctx context.Context, address, _ string, args, reply any) error {
 	service, before, after, delay := l.hub.draw(l.gateway, address)
 	time.Sleep(delay)
 	if before || service == nil {
@@ -63,10 +62,13 @@
 	}
 	into := reply.(*Reply)
 	var err error
-	if strings.HasSuffix(method, ".Submit") {
-		err = service.Submit(args.(*SubmitArgs), into)
-	} else {
-		err = service.Poll(args.(*PollArgs), into)
+	switch a := args.(type) {
+	case *SubmitArgs:
+		err = service.Submit(a, into)
+	case *PollArgs:
+		err = service.Poll(a, into)
+	case *LeaveArgs:
+		err = service.Leave(a, into)
 	}
 	if after {
 		<-ctx.Done()
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -157,16 +157,30 @@
 		if m.silence == 0 || time.Since(heard) <= m.silence {
 			continue
 		}
-		delete(m.heard, gateway)
-		if s := m.sessions[gateway]; s != nil {
-			delete(m.sessions, gateway)
-			s.advance()
-		}
-		m.sched.Depart(gateway, now)
+		m.endSession(gateway, now)
 	}
 	m.sched.Tick(now)
 }
 
+// endSession drops what is known of a gateway. The caller holds the lock.
+func (m *Master) endSession(gateway ident.NodeID, now time.Duration) {
+	delete(m.heard, gateway)
+	if s := m.sessions[gateway]; s != nil {
+		delete(m.sessions, gateway)
+		s.advance()
+	}
+	m.sched.Depart(gateway, now)
+}
+
+// leave ends a session that its gateway gave up. A later session stays.
+func (m *Master) leave(id Session) {
+	m.do(func(now time.Duration) {
+		if s := m.sessions[id.Gateway]; s != nil && s.id == id {
+			m.endSession(id.Gateway, now)
+		}
+	})
+}
+
 // pause is the time until the next tick. A scheduler without waiting tickets
 // decides when messages come and needs few ticks.
 func (m *Master) pause() time.Duration {
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -51,6 +51,9 @@
 	Stamp timeline.Stamp
 }
 
+// LeaveArgs ends a session: the gateway has turned to another scheduler.
+type LeaveArgs struct{ Session Session }
+
 // PollArgs asks for decisions.
 type PollArgs struct {
 	Session Session
--- a/internal/coordination/pool/service.go
+++ b/internal/coordination/pool/service.go
@@ -48,6 +48,15 @@
 	return nil
 }
 
+// Leave ends the session of a gateway that has turned to another scheduler.
+func (s *Service) Leave(args *LeaveArgs, reply *Reply) error {
+	if master := s.find(args.Session); master != nil {
+		master.leave(args.Session)
+	}
+	reply.Stamp = s.clock.Now(time.Now())
+	return nil
+}
+
 // Put installs the scheduler of a pool in place of an older one.
 func (s *Service) Put(m *Master) {
 	s.mu.Lock()
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -29,8 +29,9 @@
 	Window time.Duration
 }
 
-// TeamUsage is what a gateway has sent for one team, in tokens: Recent[i] in the
-// second that ended i seconds ago.
+// TeamUsage is what a gateway has sent for one team, in tokens: Recent[0] in the
+// present step of its usage log, and Recent[i] in the step that ended more than
+// i-1 and at most i steps ago.
 type TeamUsage struct {
 	Team   ident.TeamName
 	Recent []float64
@@ -221,7 +222,8 @@
 		u := t.of(gateway, now)
 		length := t.limit.stepLength()
 		for ago, tokens := range byTeam[name] {
-			u.add(tokens, int64(ago)*int64(time.Second)/length)
+			// Counted from the latest moment that the step holds.
+			u.add(tokens, int64(max(0, ago-1))*int64(usageStep)/length)
 		}
 	}
 }
@@ -273,17 +275,22 @@
 type UsageLog struct {
 	mu    sync.Mutex
 	began time.Time
-	teams map[ident.TeamName]*[usageSeconds]float64
-	// second is the number of the present second since began.
-	second int64
+	teams map[ident.TeamName]*[usageSteps]float64
+	// step is the number of the present step since began.
+	step int64
 }
 
-// usageSeconds is how far back a usage log reaches.
-const usageSeconds = 16
+const (
+	// usageStep is the length of one step of a usage log, a small part of the
+	// windows in which quotas are counted (8 s on the first platform).
+	usageStep = 250 * time.Millisecond
+	// usageSteps is how many steps back a usage log reaches: 16 s.
+	usageSteps = 64
+)
 
 // NewUsageLog returns a log that begins now.
 func NewUsageLog(now time.Time) *UsageLog {
-	return &UsageLog{began: now, teams: make(map[ident.TeamName]*[usageSeconds]float64)}
+	return &UsageLog{began: now, teams: make(map[ident.TeamName]*[usageSteps]float64)}
 }
 
 // Sent counts a request.
@@ -293,32 +300,32 @@
 	l.slide(now)
 	t := l.teams[team]
 	if t == nil {
-		t = &[usageSeconds]float64{}
+		t = &[usageSteps]float64{}
 		l.teams[team] = t
 	}
-	t[l.second%usageSeconds] += tokens
+	t[l.step%usageSteps] += tokens
 }
 
 func (l *UsageLog) slide(now time.Time) {
-	second := int64(now.Sub(l.began) / time.Second)
-	l.second = max(l.second, second-usageSeconds)
-	for l.second < second {
-		l.second++
+	step := int64(now.Sub(l.began) / usageStep)
+	l.step = max(l.step, step-usageSteps)
+	for l.step < step {
+		l.step++
 		for _, t := range l.teams {
-			t[l.second%usageSeconds] = 0
+			t[l.step%usageSteps] = 0
 		}
 	}
 }
 
-// Recent returns what was sent by team and second, and how long the log runs.
+// Recent returns what was sent by team and step, and how long the log runs.
 func (l *UsageLog) Recent(now time.Time) (sent []TeamUsage, uptime time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.slide(now)
 	for name, t := range l.teams {
-		recent := make([]float64, min(usageSeconds, l.second+1))
+		recent := make([]float64, min(usageSteps, l.step+1))
 		for ago := range recent {
-			recent[ago] = t[(l.second-int64(ago))%usageSeconds]
+			recent[ago] = t[(l.step-int64(ago))%usageSteps]
 		}
 		sent = append(sent, TeamUsage{Team: name, Recent: recent})
 	}
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -150,12 +150,28 @@
 	must.True(t, ok)
 }
 
-// TestUsageLog_ForgetsOldSeconds slides over a pause longer than the log.
-func TestUsageLog_ForgetsOldSeconds(t *testing.T) {
+// TestQuotas_TakeoverLeavesNoGap moves a team's use to the next scheduler at every
+// moment of a step: nothing may leave the window early by the move.
+func TestQuotas_TakeoverLeavesNoGap(t *testing.T) {
+	for offset := time.Duration(0); offset < time.Second; offset += 10 * time.Millisecond {
+		log := NewUsageLog(quotaStart.Add(-time.Minute))
+		spent := quotaStart.Add(offset)
+		log.Sent("a", 7000, spent)
+		next := knownQuotas()
+		moved := spent.Add(20 * time.Millisecond)
+		sent, uptime := log.Recent(moved)
+		next.Register("g1", sent, uptime, moved)
+		ok, _ := next.Admit("a", 1500, 1, 1, spent.Add(testWindow-testWindow/quotaSteps-time.Millisecond))
+		must.False(t, ok, must.Sprintf("use at %s", offset))
+	}
+}
+
+// TestUsageLog_ForgetsOldSteps slides over a pause longer than the log.
+func TestUsageLog_ForgetsOldSteps(t *testing.T) {
 	log := NewUsageLog(quotaStart)
 	log.Sent("a", 10, quotaStart)
-	log.Sent("a", 5, quotaStart.Add(3*time.Second))
-	sent, _ := log.Recent(quotaStart.Add(4 * time.Second))
+	log.Sent("a", 5, quotaStart.Add(3*usageStep))
+	sent, _ := log.Recent(quotaStart.Add(4 * usageStep))
 	must.Eq(t, []float64{0, 5, 0, 0, 10}, sent[0].Recent)
 	sent, _ = log.Recent(quotaStart.Add(time.Minute))
 	for _, tokens := range sent[0].Recent {
