The manifest's bounds on callers' headers and idle connections are in force

Cause: headers were bounded at 1 MB, a header's time at 10 s and idle connections at 75 s whatever the manifest said; a manifest that lets callers reuse connections idle for longer than 75 s would have met closed ones. Ruled out: changing http.Server's own bounds while it runs, which it reads without a lock. Change: internal/transport/connlimit follows the server's connection states and asks for the bounds whenever a wait begins; a header that is too large is answered 431. Usage logs and hot teams got files of their own. Before: no test of these bounds. After: connlimit's tests (endless header, idle connection, an answer longer than both bounds, bounds that change) and the path's cases of 431 pass.

--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -121,58 +121,6 @@
 	return true
 }
 
-// hotFor is how long a team counts as hot after the last report: longer than the
-// windows in which quotas are counted.
-const hotFor = 12 * time.Second
-
-// reportHot notes teams that are near their quotas.
-func (f *fleet) reportHot(teams []ident.TeamName, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, team := range teams {
-		if f.hot != nil {
-			f.hot[team] = now
-		}
-	}
-}
-
-// hotTeams returns the teams that are hot now, those committed included until
-// the leader has served for a while, in order.
-func (f *fleet) hotTeams(committed []ident.TeamName, now time.Time) []ident.TeamName {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, team := range committed {
-		if _, known := f.hot[team]; !known {
-			f.hot[team] = now
-		}
-	}
-	var hot []ident.TeamName
-	for team, at := range f.hot {
-		if now.Sub(at) < hotFor {
-			hot = append(hot, team)
-		} else {
-			delete(f.hot, team)
-		}
-	}
-	slices.Sort(hot)
-	return hot
-}
-
-// commitHotTeams makes a change of the hot teams durable.
-func (s *Service) commitHotTeams(term uint64) {
-	committed := s.machine.HotTeams()
-	hot := s.fleet.hotTeams(committed, time.Now())
-	if slices.Equal(hot, committed) {
-		return
-	}
-	if _, status := s.proposeIn(term, &machine.Command{SetHotTeams: &machine.SetHotTeams{Teams: hot}}); !status.OK() {
-		return
-	}
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	s.fleet.note()
-}
-
 // leave notes that a node's sync has ended.
 func (f *fleet) leave(m Member, now time.Time) {
 	f.mu.Lock()
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -29,14 +29,6 @@
 	Window time.Duration
 }
 
-// TeamUsage is what a gateway has sent for one team, in tokens: Recent[0] in the
-// present step of its usage log, and Recent[i] in the step that ended more than
-// i-1 and at most i steps ago.
-type TeamUsage struct {
-	Team   ident.TeamName
-	Recent []float64
-}
-
 // Quotas keeps what teams use through the gateways of all schedulers of a
 // process. It is safe for concurrent use. Times are readings of one clock.
 type Quotas struct {
@@ -269,65 +261,3 @@
 		delete(t.gateways, gateway)
 	}
 }
-
-// UsageLog is what a gateway itself has sent, for the schedulers that it
-// registers with. It is safe for concurrent use.
-type UsageLog struct {
-	mu    sync.Mutex
-	began time.Time
-	teams map[ident.TeamName]*[usageSteps]float64
-	// step is the number of the present step since began.
-	step int64
-}
-
-const (
-	// usageStep is the length of one step of a usage log, a small part of the
-	// windows in which quotas are counted (8 s on the first platform).
-	usageStep = 250 * time.Millisecond
-	// usageSteps is how many steps back a usage log reaches: 16 s.
-	usageSteps = 64
-)
-
-// NewUsageLog returns a log that begins now.
-func NewUsageLog(now time.Time) *UsageLog {
-	return &UsageLog{began: now, teams: make(map[ident.TeamName]*[usageSteps]float64)}
-}
-
-// Sent counts a request.
-func (l *UsageLog) Sent(team ident.TeamName, tokens float64, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slide(now)
-	t := l.teams[team]
-	if t == nil {
-		t = &[usageSteps]float64{}
-		l.teams[team] = t
-	}
-	t[l.step%usageSteps] += tokens
-}
-
-func (l *UsageLog) slide(now time.Time) {
-	step := int64(now.Sub(l.began) / usageStep)
-	l.step = max(l.step, step-usageSteps)
-	for l.step < step {
-		l.step++
-		for _, t := range l.teams {
-			t[l.step%usageSteps] = 0
-		}
-	}
-}
-
-// Recent returns what was sent by team and step, and how long the log runs.
-func (l *UsageLog) Recent(now time.Time) (sent []TeamUsage, uptime time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slide(now)
-	for name, t := range l.teams {
-		recent := make([]float64, min(usageSteps, l.step+1))
-		for ago := range recent {
-			recent[ago] = t[(l.step-int64(ago))%usageSteps]
-		}
-		sent = append(sent, TeamUsage{Team: name, Recent: recent})
-	}
-	return sent, now.Sub(l.began)
-}
--- /dev/null
+++ b/internal/transport/connlimit/connlimit_test.go
@@ -0,0 +1,92 @@
+package connlimit
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// serve starts a server under bounds that the test may change.
+func serve(t *testing.T, bounds Bounds) (address string, set func(Bounds)) {
+	t.Helper()
+	var present atomic.Pointer[Bounds]
+	present.Store(&bounds)
+	limiter := New(func() Bounds { return *present.Load() })
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+	}))
+	server.Config.ConnState = limiter.State
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), func(b Bounds) { present.Store(&b) }
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	return conn
+}
+
+// ask sends a request and reads its answer.
+func ask(t *testing.T, conn net.Conn, path string) {
+	t.Helper()
+	_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, 200, answer.StatusCode)
+}
+
+// mustEnd waits for the server to close the connection.
+func mustEnd(t *testing.T, conn net.Conn) {
+	t.Helper()
+	_, err := conn.Read(make([]byte, 1))
+	must.ErrorIs(t, err, io.EOF)
+}
+
+func TestLimiter_HeaderNeverEnds(t *testing.T) {
+	address, _ := serve(t, Bounds{Header: 50 * time.Millisecond, Idle: time.Hour})
+	conn := dial(t, address)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n")
+	must.NoError(t, err)
+	// The end comes as a reset if the server has unread bytes.
+	_, err = conn.Read(make([]byte, 1))
+	must.Error(t, err)
+	timeout, isNet := err.(net.Error)
+	must.False(t, isNet && timeout.Timeout())
+}
+
+func TestLimiter_IdleConnection(t *testing.T) {
+	address, _ := serve(t, Bounds{Header: time.Millisecond * 50, Idle: 50 * time.Millisecond})
+	conn := dial(t, address)
+	ask(t, conn, "/")
+	mustEnd(t, conn)
+}
+
+// TestLimiter_LongAnswer takes longer over an answer than both bounds.
+func TestLimiter_LongAnswer(t *testing.T) {
+	address, _ := serve(t, Bounds{Header: 100 * time.Millisecond, Idle: 100 * time.Millisecond})
+	ask(t, dial(t, address), "/slow")
+}
+
+// TestLimiter_BoundsChange has a connection follow the bounds of its next wait.
+func TestLimiter_BoundsChange(t *testing.T) {
+	address, set := serve(t, Bounds{})
+	conn := dial(t, address)
+	ask(t, conn, "/")
+	set(Bounds{Idle: 50 * time.Millisecond})
+	ask(t, conn, "/")
+	mustEnd(t, conn)
+}
