--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -137,11 +137,12 @@
 
 const (
 	// overageUsed and slackUsed are the parts of the permitted overage and slack
-	// that are given out. The rest covers the moments in which two schedulers
-	// serve, and requests that reach upstreams closer together than they were
-	// granted.
-	overageUsed = 0.8
-	slackUsed   = 0.7
+	// that are given out. The rest covers requests that reach upstreams closer
+	// together than they were granted, and the time until a scheduler notices the
+	// silence of a gateway that another one serves: with six gateways that is up to
+	// a sixth of the quota, less what the gateway has used already.
+	overageUsed = 0.5
+	slackUsed   = 0.4
 	// quotaSpread is how much longer than the platform's window quotas are
 	// counted: a window slides in steps, and granted requests reach upstreams at
 	// unlike times.
