A scheduler of a part of the gateways waits until the former has let go of them

Cause: a scheduler that can't be told that a gateway left counts its part of slots and quotas until its session has been silent for 1.45 s; the one that serves the gateway now counted it from the first moment. Both together could exceed a team's quota by up to that part, less what the gateway had used. Ruled out: a shorter silence (a gateway may be held up for two polls). Change: for 1.5 s after a new gateway registered, a scheduler that serves only a part of the gateways lets teams near their quotas use no more than they brought. TestQuotas_FormerSchedulerStillCounts failed before.

--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -19,6 +19,11 @@
 	// requests. It is less than what the limits leave of the permitted overage.
 	quotaSmall     = 0.001
 	quotaSmallRoom = 0.01
+	// registrationOverlap is how long the former scheduler of a gateway may go on
+	// counting it, if it can't be told that the gateway left: the silence after
+	// which a session ends (1.45 s) and a tick. Until then a scheduler of a part of
+	// the gateways lets a team near its quota use no more than they used before.
+	registrationOverlap = 1500 * time.Millisecond
 )
 
 // QuotaLimit bounds what one team may use in any window of a fixed length.
@@ -38,6 +43,9 @@
 	hot map[ident.TeamName]bool
 	// since is from when on it is known what each gateway has sent.
 	since map[ident.NodeID]time.Time
+	// overlapUntil is until when another scheduler may still count a gateway that
+	// registered here.
+	overlapUntil time.Time
 }
 
 // teamQuota is one team's quota and its use in the latest window.
@@ -45,6 +53,8 @@
 	limit QuotaLimit
 	// gateways holds the use by the gateway that sent the requests.
 	gateways map[ident.NodeID]*usage
+	// brought is the use that the latest new gateways brought with them.
+	brought float64
 	// pending is the cost of the requests that wait.
 	pending float64
 	// promised are the tokens of requests that were told when to come back.
@@ -141,6 +151,9 @@
 	if tokens < limit*quotaSmall {
 		allowed = limit * (1 + quotaSmallRoom)
 	}
+	if portion < 1 && q.hot[team] && now.Before(q.overlapUntil) {
+		allowed = min(allowed, t.brought)
+	}
 	taken := t.used(now) + t.pending + q.unknown(team, limit, t.limit.Window, now)
 	if taken+tokens <= allowed || taken <= 0 {
 		t.pending += tokens
@@ -204,6 +217,10 @@
 func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if _, known := q.since[gateway]; !known {
+		q.overlapUntil = now.Add(registrationOverlap)
+		defer q.noteBrought(now)
+	}
 	q.since[gateway] = now.Add(-uptime)
 	byTeam := make(map[ident.TeamName][]float64, len(sent))
 	for _, s := range sent {
@@ -227,6 +244,14 @@
 	coolPart = 0.55
 )
 
+// noteBrought takes down what each team has used when a new gateway came. The
+// caller holds the lock.
+func (q *Quotas) noteBrought(now time.Time) {
+	for _, t := range q.teams {
+		t.brought = t.used(now)
+	}
+}
+
 // SetHot tells the teams that are hot as far as all schedulers know.
 func (q *Quotas) SetHot(teams []ident.TeamName) {
 	q.mu.Lock()
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -116,6 +116,28 @@
 	must.False(t, ok)
 }
 
+// TestQuotas_FormerSchedulerStillCounts cuts one of six gateways off from the
+// scheduler, which can't notice it yet: both count the gateway. A team near its
+// quota must not get room at both.
+func TestQuotas_FormerSchedulerStillCounts(t *testing.T) {
+	own := NewQuotas()
+	own.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
+	own.SetHot([]ident.TeamName{"a"})
+	const portion = 1.0 / 6
+	log := NewUsageLog(quotaStart.Add(-time.Minute))
+	log.Sent("a", 300, quotaStart)
+	now := quotaStart.Add(2 * time.Second)
+	sent, uptime := log.Recent(now)
+	own.Register("g6", sent, uptime, now)
+	ok, _ := own.Admit("a", 500, portion, 1, now.Add(time.Second))
+	must.False(t, ok)
+	ok, _ = own.Admit("a", 500, portion, 1, now.Add(registrationOverlap))
+	must.True(t, ok)
+	// A scheduler of all gateways has nobody beside it.
+	ok, _ = own.Admit("a", 500, 1, 1, now.Add(time.Second))
+	must.True(t, ok)
+}
+
 // TestQuotas_PartOfTheGateways lets a scheduler with half of the gateways give
 // out half of the quota.
 func TestQuotas_PartOfTheGateways(t *testing.T) {
