A stopping gateway refuses late requests that it might cut

A gateway was told to stop at 27.3 s, took a stream with 6 s to run at 30.52 s, and cut it at 34.82, the end of its grace period. Ruled out: ending the acceptance of connections earlier, which meets callers that still keep an old address. Change: from 2 s after the stop began, a request whose deadline lies beyond the end of the grace period is refused at once; it has not run, and its caller goes elsewhere.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -56,8 +56,9 @@
 
 	hosts     atomic.Pointer[routing.HostTable]
 	upstreams atomic.Pointer[upstreamTable]
-	draining  atomic.Bool
-	seeds     atomic.Pointer[[]ident.NodeID]
+	// drainBegan is nil until the node is told to stop.
+	drainBegan atomic.Pointer[time.Time]
+	seeds      atomic.Pointer[[]ident.NodeID]
 	// resync ends the sync under way, so that the next one tells of a change.
 	resync chan struct{}
 	// configured is closed once a configuration is in force and the upstreams
@@ -204,14 +205,15 @@
 
 // Drain tells the other nodes that this one takes no new callers.
 func (n *Node) Drain() {
-	n.draining.Store(true)
+	began := time.Now()
+	n.drainBegan.CompareAndSwap(nil, &began)
 	n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: "draining"})
 	klog.InfoS("draining", "node", n.settings.Name)
 	n.pokeSync()
 }
 
 // Draining reports whether Drain was called.
-func (n *Node) Draining() bool { return n.draining.Load() }
+func (n *Node) Draining() bool { return n.drainBegan.Load() != nil }
 
 // holdUnconfigured bounds the time, and holdPart the part of a request's own
 // time, for which a starting node keeps a request until it is configured.
@@ -247,6 +249,9 @@
 
 // Serve carries a request to its end.
 func (n *Node) Serve(ctx context.Context, r *gateway.Request, sink gateway.Sink) gateway.Result {
+	if failure := n.refuseStopping(r, time.Now()); failure != nil {
+		return gateway.Result{Failure: failure}
+	}
 	return n.gateway.Serve(ctx, r, sink)
 }
 
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -33,7 +33,7 @@
 		CallerAddress:   n.settings.CallerAddress,
 		InternalAddress: n.settings.address(n.settings.ID()),
 		Replica:         n.settings.Replica(),
-		Draining:        n.draining.Load(),
+		Draining:        n.Draining(),
 	}
 }
 
