Fakes and capacity benchmarks share what they repeated

Faults of fakes were switched by two copies of the same methods, three benchmarks had their own counted connection and clock of processor time, two the same measured section. Ruled out: one body for the control calls that copy a result into typed replies; net/rpc needs one method and reply type each.

--- a/internal/command/agent/capacity_test.go
+++ b/internal/command/agent/capacity_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -19,38 +18,13 @@
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/testmeter"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 	"github.com/flamingohaven/flamingohaven/internal/transport/upstreamhttp"
 )
 
-// processTime returns the processor time that this process has used.
-func processTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		panic(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1e3 }
 
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // addGateway starts a node that is no replica; it counts the bytes of the
 // connections that it makes to other nodes.
 func (c *cluster) addGateway(b *testing.B, i int, bytes *atomic.Int64) {
@@ -61,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return countedConn{conn, bytes}, nil
+		return testmeter.Conn{Conn: conn, Bytes: bytes}, nil
 	}
 	set := testSettings(b, i, l, c.settings[0].Replicas, c.platform.Addr())
 	set.DataDir = ""
@@ -93,13 +67,13 @@
 				return true
 			})
 			time.Sleep(2 * time.Second)
-			began, used := bytes.Load(), processTime()
+			began, used := bytes.Load(), testmeter.ProcessTime()
 			b.ResetTimer()
 			for range b.N {
 				time.Sleep(window)
 			}
 			seconds := window.Seconds() * float64(b.N)
-			b.ReportMetric(micros(processTime()-used)/seconds, "cpu-µs/s")
+			b.ReportMetric(micros(testmeter.ProcessTime()-used)/seconds, "cpu-µs/s")
 			b.ReportMetric(float64(bytes.Load()-began)/seconds/float64(gateways), "B/s/gateway")
 		})
 	}
@@ -131,7 +105,7 @@
 func inParallel(workers, count int, call func() error) time.Duration {
 	var next atomic.Int64
 	var group sync.WaitGroup
-	used := processTime()
+	used := testmeter.ProcessTime()
 	for range workers {
 		group.Go(func() {
 			for n := next.Add(1); n <= int64(count); n = next.Add(1) {
@@ -142,7 +116,7 @@
 		})
 	}
 	group.Wait()
-	return processTime() - used
+	return testmeter.ProcessTime() - used
 }
 
 // BenchmarkCapacity_Stream measures the processor time of streams of several
@@ -209,13 +183,13 @@
 			sender := upstreamhttp.NewSender()
 			defer sender.Close()
 			bytes := bodyBytes(b, "http://"+platform.Addr()+upstreamapi.PathVMs)
-			used := processTime()
+			used := testmeter.ProcessTime()
 			b.ResetTimer()
 			for range b.N {
 				_, err := sender.VMs(b.Context(), platform.Addr())
 				must.NoError(b, err)
 			}
-			b.ReportMetric(micros(processTime()-used)/float64(b.N), "cpu-µs/list")
+			b.ReportMetric(micros(testmeter.ProcessTime()-used)/float64(b.N), "cpu-µs/list")
 			b.ReportMetric(bytes, "body-B")
 		})
 	}
@@ -256,12 +230,12 @@
 			}
 			round()
 			answers := rawAnswerBytes(b, addresses[0], upstreamapi.PathLoad) + rawAnswerBytes(b, addresses[0], upstreamapi.PathCacheEvents+"?after=0")
-			used := processTime()
+			used := testmeter.ProcessTime()
 			b.ResetTimer()
 			for range b.N {
 				round()
 			}
-			b.ReportMetric(micros(processTime()-used)/float64(b.N*count), "cpu-µs/engine")
+			b.ReportMetric(micros(testmeter.ProcessTime()-used)/float64(b.N*count), "cpu-µs/engine")
 			b.ReportMetric(answers, "answer-B/engine")
 		})
 	}
--- a/internal/coordination/control/capacity_heartbeat_test.go
+++ b/internal/coordination/control/capacity_heartbeat_test.go
@@ -5,39 +5,13 @@
 	"net"
 	"net/rpc"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-)
-
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
 
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// processTime returns the processor time that this process has used.
-func processTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		panic(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
+	"github.com/flamingohaven/flamingohaven/internal/state/testmeter"
+)
 
 // BenchmarkCapacity_Heartbeat measures idle heartbeats of several numbers of
 // nodes to one leader over net/rpc on loopback sockets, one connection a node:
@@ -70,19 +44,19 @@
 			for i := range count {
 				conn, err := net.Dial("tcp", listener.Addr().String())
 				must.NoError(b, err)
-				nodes[i], clients[i] = benchNode(i), rpc.NewClient(countedConn{conn, &bytes})
+				nodes[i], clients[i] = benchNode(i), rpc.NewClient(testmeter.Conn{Conn: conn, Bytes: &bytes})
 				defer clients[i].Close()
 				beat(i)
 			}
 			for i := range count {
 				beat(i)
 			}
-			began, used := bytes.Load(), processTime()
+			began, used := bytes.Load(), testmeter.ProcessTime()
 			b.ResetTimer()
 			for i := range b.N {
 				beat(i % count)
 			}
-			b.ReportMetric(float64((processTime()-used).Nanoseconds())/1e3/float64(b.N), "cpu-µs/beat")
+			b.ReportMetric(float64((testmeter.ProcessTime()-used).Nanoseconds())/1e3/float64(b.N), "cpu-µs/beat")
 			b.ReportMetric(float64(bytes.Load()-began)/float64(b.N), "B/beat")
 		})
 	}
--- a/internal/coordination/pool/capacity_messages_test.go
+++ b/internal/coordination/pool/capacity_messages_test.go
@@ -7,7 +7,6 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
+	"github.com/flamingohaven/flamingohaven/internal/state/testmeter"
 )
 
 const capacityPool = ident.PoolName("pool-1")
@@ -33,32 +33,6 @@
 	return c.client.Call(method, args, reply)
 }
 
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// processTime returns the processor time that this process has used.
-func processTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		panic(err)
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // capacityView is a pool with room for all that the benchmarks run at once.
 func capacityView(gateways int) scheduler.View {
 	v := scheduler.View{
@@ -102,7 +76,7 @@
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		must.NoError(b, err)
 		caller := &countedCaller{}
-		caller.client = rpc.NewClient(countedConn{conn, &caller.bytes})
+		caller.client = rpc.NewClient(testmeter.Conn{Conn: conn, Bytes: &caller.bytes})
 		b.Cleanup(func() { _ = caller.client.Close() })
 		client := NewClient(capacityPool, gatewayID(i), 1, caller, nil)
 		client.SetHolder(Holder{Lease: lease.Pool{Pool: capacityPool, Epoch: 1}, Address: listener.Addr().String()})
@@ -146,6 +120,37 @@
 	return nil
 }
 
+// measureTickets runs b.N requests with the given number at once, shared out over
+// the gateways, and reports what one of them costs.
+func measureTickets(b *testing.B, clients []*Client, callers []*countedCaller, atOnce int, pause time.Duration) {
+	for i, client := range clients {
+		must.NoError(b, runTicket(client, gatewayID(i), -int64(i+1), 0))
+	}
+	time.Sleep(pause)
+	calls, bytes := sumCalls(callers)
+	used := testmeter.ProcessTime()
+	var next, failed atomic.Int64
+	b.ResetTimer()
+	var group sync.WaitGroup
+	for i := range atOnce {
+		at := i % len(clients)
+		group.Go(func() {
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				if runTicket(clients[at], gatewayID(at), n, pause) != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	cpu := testmeter.ProcessTime() - used
+	callsNow, bytesNow := sumCalls(callers)
+	b.ReportMetric(float64(cpu.Nanoseconds())/1e3/float64(b.N), "cpu-µs/request")
+	b.ReportMetric(float64(callsNow-calls)/float64(b.N), "calls/request")
+	b.ReportMetric(float64(bytesNow-bytes)/float64(b.N), "B/request")
+	b.ReportMetric(float64(failed.Load()), "failed")
+}
+
 // BenchmarkCapacity_Ticket measures one request between a gateway and the
 // scheduler of its pool over net/rpc on loopback, with several numbers of
 // requests at once, which share messages: processor time of both ends with the
@@ -154,28 +159,7 @@
 	for _, atOnce := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("at-once=%d", atOnce), func(b *testing.B) {
 			clients, callers := startCapacityClients(b, 1)
-			must.NoError(b, runTicket(clients[0], gatewayID(0), 0, 0))
-			calls, bytes := sumCalls(callers)
-			used := processTime()
-			var next, failed atomic.Int64
-			b.ResetTimer()
-			var group sync.WaitGroup
-			for range atOnce {
-				group.Go(func() {
-					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
-						if runTicket(clients[0], gatewayID(0), n, 0) != nil {
-							failed.Add(1)
-						}
-					}
-				})
-			}
-			group.Wait()
-			cpu := processTime() - used
-			callsNow, bytesNow := sumCalls(callers)
-			b.ReportMetric(float64(cpu.Nanoseconds())/1e3/float64(b.N), "cpu-µs/request")
-			b.ReportMetric(float64(callsNow-calls)/float64(b.N), "calls/request")
-			b.ReportMetric(float64(bytesNow-bytes)/float64(b.N), "B/request")
-			b.ReportMetric(float64(failed.Load()), "failed")
+			measureTickets(b, clients, callers, atOnce, 0)
 		})
 	}
 }
@@ -188,31 +172,7 @@
 	for _, count := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("gateways=%d", count), func(b *testing.B) {
 			clients, callers := startCapacityClients(b, count)
-			for i, client := range clients {
-				must.NoError(b, runTicket(client, gatewayID(i), -int64(i+1), 0))
-			}
-			time.Sleep(pause)
-			calls, bytes := sumCalls(callers)
-			used := processTime()
-			var next, failed atomic.Int64
-			b.ResetTimer()
-			var group sync.WaitGroup
-			for i, client := range clients {
-				group.Go(func() {
-					for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
-						if runTicket(client, gatewayID(i), n, pause) != nil {
-							failed.Add(1)
-						}
-					}
-				})
-			}
-			group.Wait()
-			cpu := processTime() - used
-			callsNow, bytesNow := sumCalls(callers)
-			b.ReportMetric(float64(cpu.Nanoseconds())/1e3/float64(b.N), "cpu-µs/request")
-			b.ReportMetric(float64(callsNow-calls)/float64(b.N), "calls/request")
-			b.ReportMetric(float64(bytesNow-bytes)/float64(b.N), "B/request")
-			b.ReportMetric(float64(failed.Load()), "failed")
+			measureTickets(b, clients, callers, count, pause)
 		})
 	}
 }
@@ -226,14 +186,14 @@
 			_, callers := startCapacityClients(b, count)
 			time.Sleep(time.Second)
 			calls, bytes := sumCalls(callers)
-			used := processTime()
+			used := testmeter.ProcessTime()
 			b.ResetTimer()
 			for range b.N {
 				time.Sleep(window)
 			}
 			seconds := window.Seconds() * float64(b.N)
 			callsNow, bytesNow := sumCalls(callers)
-			b.ReportMetric(float64((processTime()-used).Nanoseconds())/1e3/seconds, "cpu-µs/s")
+			b.ReportMetric(float64((testmeter.ProcessTime()-used).Nanoseconds())/1e3/seconds, "cpu-µs/s")
 			b.ReportMetric(float64(callsNow-calls)/seconds/float64(count), "calls/s/gateway")
 			b.ReportMetric(float64(bytesNow-bytes)/seconds/float64(count), "B/s/gateway")
 		})
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -85,8 +85,8 @@
 type Engine struct {
 	*server
 	*runLog
+	faults
 	options  EngineOptions
-	faults   engineFaults
 	batch    *batch
 	cache    *prefixCache
 	versions *versionSet
--- a/internal/fakes/engine_faults.go
+++ b/internal/fakes/faults.go
@@ -20,8 +20,8 @@
 	FailMidStream FailMode = "mid_stream"
 )
 
-// engineFaults holds the faults that are switched at run time.
-type engineFaults struct {
+// faults holds the faults of a fake that are switched at run time.
+type faults struct {
 	mu          sync.Mutex
 	slow        float64
 	fail        FailMode
@@ -30,7 +30,7 @@
 	failCounter float64
 }
 
-func (f *engineFaults) slowFactor() float64 {
+func (f *faults) slowFactor() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.slow <= 0 {
@@ -39,26 +39,26 @@
 	return f.slow
 }
 
-func (f *engineFaults) failMode() FailMode {
+func (f *faults) failMode() FailMode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.fail
 }
 
-func (f *engineFaults) breakStreamsAfter() int {
+func (f *faults) breakStreamsAfter() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.breakAfter
 }
 
-func (f *engineFaults) crossing() bool {
+func (f *faults) crossing() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.cross
 }
 
 // failsNow spreads failures evenly: of n calls with one rate, rate*n fail.
-func (f *engineFaults) failsNow(rate float64) bool {
+func (f *faults) failsNow(rate float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failCounter += rate
@@ -70,17 +70,17 @@
 }
 
 // SetSlow multiplies the time of every step; 1 restores the normal speed.
-func (e *Engine) SetSlow(factor float64) {
-	e.faults.mu.Lock()
-	defer e.faults.mu.Unlock()
-	e.faults.slow = factor
+func (f *faults) SetSlow(factor float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slow = factor
 }
 
 // SetFail chooses how requests fail from now on.
-func (e *Engine) SetFail(mode FailMode) {
-	e.faults.mu.Lock()
-	defer e.faults.mu.Unlock()
-	e.faults.fail = mode
+func (f *faults) SetFail(mode FailMode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fail = mode
 }
 
 // BreakStreamsAfter breaks the connection of every streamed answer after n
@@ -93,8 +93,8 @@
 
 // CrossAnswers gives each caller the answer to another request, under that
 // request's id.
-func (e *Engine) CrossAnswers(cross bool) {
-	e.faults.mu.Lock()
-	defer e.faults.mu.Unlock()
-	e.faults.cross = cross
+func (f *faults) CrossAnswers(cross bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cross = cross
 }
--- a/internal/fakes/service.go
+++ b/internal/fakes/service.go
@@ -40,8 +40,8 @@
 type Service struct {
 	*server
 	*runLog
+	faults
 	options ServiceOptions
-	faults  engineFaults
 	workers chan struct{}
 
 	mu      sync.Mutex
@@ -80,27 +80,6 @@
 	return s, nil
 }
 
-// SetSlow multiplies the latency; 1 restores it.
-func (s *Service) SetSlow(factor float64) {
-	s.faults.mu.Lock()
-	defer s.faults.mu.Unlock()
-	s.faults.slow = factor
-}
-
-// SetFail chooses how calls fail from now on.
-func (s *Service) SetFail(mode FailMode) {
-	s.faults.mu.Lock()
-	defer s.faults.mu.Unlock()
-	s.faults.fail = mode
-}
-
-// CrossAnswers answers every call under another request's id.
-func (s *Service) CrossAnswers(cross bool) {
-	s.faults.mu.Lock()
-	defer s.faults.mu.Unlock()
-	s.faults.cross = cross
-}
-
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
--- /dev/null
+++ b/internal/state/testmeter/testmeter.go
@@ -0,0 +1,40 @@
+// Package testmeter counts what benchmarks spend: processor time and the bytes
+// of connections. Only tests use it.
+package testmeter
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Conn counts the bytes of a connection in both directions.
+type Conn struct {
+	net.Conn
+	Bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.Bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.Bytes.Add(int64(n))
+	return n, err
+}
+
+// ProcessTime returns the processor time that this process has used, in user
+// and system mode. It panics if the system does not tell it.
+func ProcessTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
