A learner whose entry was never committed joins anew

The entry that made it a learner was overwritten by the next leader, which does not send to it; by its own log it was a learner, and learners did not ask again. Ruled out: a lost acknowledged entry (four voters agree), a call to join that hangs (it ends by its time). Figures: TestNode_LostDiskJoinsAtALostLeader builds the case: red before, green after; the package's tests green with -race (50 s).

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -203,7 +203,13 @@
 		c.tickLeader(now)
 		return
 	}
-	if now.Before(c.electionAt) || c.members().Role(c.self) != RoleVoter {
+	if now.Before(c.electionAt) {
+		return
+	}
+	if c.members().Role(c.self) != RoleVoter {
+		// It can't campaign; that it knows no leader has it ask to join again.
+		c.leader = Replica{}
+		c.resetElection(now)
 		return
 	}
 	c.preCampaign(now)
@@ -214,9 +220,6 @@
 	if c.role == leader {
 		return c.nextLeaderWake(now)
 	}
-	if c.members().Role(c.self) != RoleVoter {
-		return now.Add(c.timing.ElectionMax)
-	}
 	return c.electionAt
 }
 
--- a/internal/coordination/consensus/enter.go
+++ b/internal/coordination/consensus/enter.go
@@ -14,14 +14,14 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
-// lostAfter is how long a voter may know no leader before it asks whether it is
-// still a member: one that was replaced meanwhile hears from nobody. It is
-// several elections long.
+// lostAfter is how long a member may know no leader before it asks whether it is
+// still one: a voter that was replaced meanwhile hears from nobody, and neither
+// does a learner whose entry was never committed. It is several elections long.
 const lostAfter = 3 * time.Second
 
 // enter makes this replica a voter: it forms the cluster with the other initial
 // replicas, adopts the cluster that they formed, or joins it as a learner. A
-// voter that knows no leader for lostAfter asks to join again.
+// member that knows no leader for lostAfter asks to join again.
 func (r *replica) enter() {
 	r.releaseAfterStart()
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
@@ -35,18 +35,11 @@
 		switch {
 		case v.genesis.Cluster == "":
 			r.formOrAdopt(v.self)
-		case v.members.Role(v.self) == RoleVoter:
-			if time.Since(led) < lostAfter {
-				break
-			}
+		case v.members.Role(v.self) == RoleNone, time.Since(led) >= lostAfter:
 			led = time.Now()
 			if !r.join(v) {
 				return
 			}
-		case v.members.Role(v.self) == RoleNone:
-			if !r.join(v) {
-				return
-			}
 		}
 		select {
 		case <-r.ctx.Done():
--- a/internal/coordination/consensus/node_test.go
+++ b/internal/coordination/consensus/node_test.go
@@ -87,6 +87,58 @@
 	})
 }
 
+// TestNode_LostDiskJoinsAtALostLeader has a replica with an empty disk join at a
+// leader that is cut off from all other voters: the learner holds an entry that
+// is never committed, and its leader is gone. It joins anew at the next one.
+func TestNode_LostDiskJoinsAtALostLeader(t *testing.T) {
+	runCluster(t, 5, Options{}, func(t *testing.T, c *cluster) {
+		mustPut(t, c, 1, 10)
+		led := mustLead(t, c)
+		var lost *member
+		var others []*member
+		for _, id := range c.ids {
+			switch {
+			case id == led.id:
+			case lost == nil:
+				lost = c.members[id]
+			default:
+				others = append(others, c.members[id])
+			}
+		}
+		c.crash(lost.id)
+		lost.fs.Wipe()
+		cutVoters := func() {
+			for _, m := range others {
+				c.net.setCut(led.id, m.id, true)
+				c.net.setCut(m.id, led.id, true)
+			}
+		}
+		cutVoters()
+		c.net.setCut(others[0].id, others[1].id, true)
+		c.net.setCut(others[1].id, others[2].id, true)
+		c.net.setCut(others[2].id, others[0].id, true)
+		must.NoError(t, c.start(lost.id))
+		isLearner := func() bool {
+			v := lost.node.replica.view.Load()
+			return v.members.Role(v.self) == RoleLearner
+		}
+		for end := time.Now().Add(DefaultElectionMin); !isLearner(); time.Sleep(time.Millisecond) {
+			must.True(t, time.Now().Before(end), must.Sprint("the cut leader takes the replica in"))
+		}
+		// Its call to join ends without an answer.
+		time.Sleep(10 * time.Second)
+		c.net.heal()
+		cutVoters()
+		_, err := c.waitLeading(10 * time.Second)
+		must.NoError(t, err)
+		c.net.heal()
+		for end := time.Now().Add(time.Minute); !c.repaired(); time.Sleep(10 * time.Millisecond) {
+			must.True(t, time.Now().Before(end), must.Sprint("the learner votes again"))
+		}
+		mustPut(t, c, 11, 12)
+	})
+}
+
 func TestNode_FailedSyncStopsReplica(t *testing.T) {
 	runCluster(t, 3, Options{}, func(t *testing.T, c *cluster) {
 		mustPut(t, c, 1, 3)
