A plain service's slot of unknown fate counts for its usual time, not for 30 s

The rest waited longer and missed theirs, until the declared bound of 16 was full of requests that had ended long ago. The generated histories of the scheduler and their mutants pass unchanged: they learn no usual time, so the 30 s hold there. The bound is a promise about what may run; for a service whose answers all take much the same time it ends with the time after which an answer counts as lost anyway. For engines it stays 30 s.

--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -1,9 +1,16 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
+// orphan is a slot whose request may still run.
+type orphan struct {
+	// since is when the request was lost sight of, until how long it counts.
+	since, until time.Duration
+}
+
 // engine is the scheduler's model of one upstream.
 type engine struct {
 	upstream Upstream
@@ -12,9 +19,8 @@
 	// unready is true while the upstream reports that its version is not loaded.
 	unready bool
 	running map[*entry]struct{}
-	// orphans holds, oldest first, the times at which slots of unknown fate
-	// were taken.
-	orphans []time.Duration
+	// orphans holds the slots of unknown fate, oldest first.
+	orphans []orphan
 	speed   speed
 	limiter limiter
 	health  health
@@ -85,18 +91,9 @@
 	return max(0, min(learned, declared)-e.foreign.slots())
 }
 
-// addOrphan counts a slot whose request may still run.
-func (e *engine) addOrphan(now time.Duration) {
-	e.orphans = append(e.orphans, now)
-}
-
-// expireOrphans forgets slots that were taken at or before the given time.
-func (e *engine) expireOrphans(before time.Duration) {
-	n := 0
-	for n < len(e.orphans) && e.orphans[n] <= before {
-		n++
-	}
-	e.orphans = e.orphans[n:]
+// expireOrphans forgets the slots of unknown fate that count no longer.
+func (e *engine) expireOrphans(now time.Duration) {
+	e.orphans = slices.DeleteFunc(e.orphans, func(o orphan) bool { return o.until <= now })
 }
 
 // observeLoad corrects the orphans by a load report that was true at the given
@@ -109,7 +106,7 @@
 		}
 	}
 	known := 0
-	for known < len(e.orphans) && e.orphans[known] <= at {
+	for known < len(e.orphans) && e.orphans[known].since <= at {
 		known++
 	}
 	if gone := known - max(0, running-older); gone > 0 {
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -139,12 +139,33 @@
 // orphan turns the slot of a granted or running ticket into one of unknown fate.
 func (p *Pool) orphan(e *entry, now time.Duration) {
 	p.release(e, now)
-	p.addOrphan(e.engine, now)
+	p.addOrphan(e.engine, now, p.unknownFor(e))
 	p.end(e, now)
 }
 
-func (p *Pool) addOrphan(g *engine, now time.Duration) {
-	g.addOrphan(now)
+const (
+	// fateFloor is the least time for which a slot of unknown fate counts: an
+	// upstream needs some of it to notice that the connection was closed.
+	fateFloor = 250 * time.Millisecond
+	// fateStretch is the multiple of an answer's expected time after which a plain
+	// service is taken to have ended a request, as silentStretch.
+	fateStretch = 4.0
+)
+
+// unknownFor is how long a lost request counts as running. A plain service tells
+// nothing about its load, and its answers take much the same time; were each
+// that missed its deadline counted for the longest time there may be, a flood of
+// requests near their deadlines would leave no slot to serve any.
+func (p *Pool) unknownFor(e *entry) time.Duration {
+	if e.ticket.PromptTokens > 0 || e.expectedFirst <= 0 {
+		return p.tempo.orphanBound
+	}
+	return min(p.tempo.orphanBound, max(fateFloor, scaleBy(e.expectedFirst, fateStretch)))
+}
+
+// addOrphan counts a slot whose request may still run for the given time.
+func (p *Pool) addOrphan(g *engine, now, lasts time.Duration) {
+	g.orphans = append(g.orphans, orphan{since: now, until: now + lasts})
 	p.refresh(g, now)
-	p.timers.add(timer{at: now + p.tempo.orphanBound, kind: timerOrphan, engine: g})
+	p.timers.add(timer{at: now + lasts, kind: timerOrphan, engine: g})
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -352,7 +352,7 @@
 		case timerForget:
 			p.forget(t.entry)
 		case timerOrphan:
-			t.engine.expireOrphans(now - p.tempo.orphanBound)
+			t.engine.expireOrphans(now)
 			p.refresh(t.engine, now)
 		case timerWake:
 			t.engine.wake = 0
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -198,7 +198,7 @@
 	g.foreign.observe(r.Running, r.Age, now)
 	if now < p.startedAt+takeoverWindow {
 		for g.used() < r.Running {
-			p.addOrphan(g, now)
+			p.addOrphan(g, now, p.tempo.orphanBound)
 		}
 	}
 	g.unready = len(r.Versions) > 0
