--- a/internal/command/agent/faults_test.go
+++ b/internal/command/agent/faults_test.go
@@ -95,6 +95,21 @@
 	must.Greater(t, callers/2, answered)
 }
 
+// TestFault_RestartRightAfterDrain starts a node again while the lease of its
+// former life, which was drained, still lasts: the new life serves.
+func TestFault_RestartRightAfterDrain(t *testing.T) {
+	c := startCluster(t)
+	c.nodes[2].Drain()
+	<-c.nodes[2].Drained()
+	c.restart(t, 2)
+	restarted := c.nodes[2]
+	c.eventually(t, "the new life to be listed", func() bool {
+		node, listed := restarted.view.Members().Nodes[nodeID(2)]
+		return listed && node.Incarnation == restarted.incarnation && !node.Draining
+	})
+	must.True(t, c.lookupAt(c.settings[2].CallerAdvertise))
+}
+
 // TestFault_DrainUnderLoad drains a node while callers use it. Callers fetch
 // the list of addresses anew when it has run out.
 func TestFault_DrainUnderLoad(t *testing.T) {
