A caller hears at its deadline, whatever an engine, a service or the ledger says

A claimed request asked the service for the outcome (2 s) and committed it (5 s) before it answered. Ruled out: the callers' connections (nodes not disturbed), waiting for a scheduler (the requests had been granted). A WaitGroup for what goes on behind the answers: a race with the agent's Kill, shown by the race detector; a counter does.

--- a/internal/command/agent/drain.go
+++ b/internal/command/agent/drain.go
@@ -42,7 +42,7 @@
 	if err := a.callers.Shutdown(a.ctx); err != nil {
 		klog.ErrorS(err, "callers' connections did not end")
 	}
-	for a.outstanding() > 0 && a.ctx.Err() == nil {
+	for a.outstanding()+a.gateway.Settling() > 0 && a.ctx.Err() == nil {
 		sleep(a.ctx, drainPoll)
 	}
 	a.events.Record(timeline.Event{Kind: timeline.KindDrain, Detail: "complete"})
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -102,11 +102,14 @@
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, unsent)
 	}
-	recorded := answer.whole(sent)
-	if recorded == nil {
-		recorded = g.queryStatus(context.WithoutCancel(ctx), r, []Target{d.Target})
-	}
-	g.commitOutcome(context.WithoutCancel(ctx), r, recorded)
+	recorded, _ := settleInTime(ctx, g, r, func(ctx context.Context) *ledger.Answer {
+		known := answer.whole(sent)
+		if known == nil {
+			known = g.queryStatus(ctx, r, []Target{d.Target})
+		}
+		g.commitOutcome(ctx, r, known)
+		return known
+	})
 	if recorded == nil {
 		return broken(sendCtx, sent, false), settled
 	}
@@ -118,7 +121,7 @@
 // hide an earlier copy of the claim that was granted, so it is released too.
 func (g *Gateway) claimRefused(ctx context.Context, r *Request, claimed ledger.ClaimResult, sink Sink) Result {
 	result := g.resolve(ctx, r, claimed, sink)
-	if claimed.Verdict == ledger.VerdictStale && !g.release(context.WithoutCancel(ctx), r) {
+	if claimed.Verdict == ledger.VerdictStale && !g.release(ctx, r) {
 		result.Failure.NotRun = false
 	}
 	return result
@@ -127,7 +130,7 @@
 // claimUncertain ends a request whose claim may or may not stand. Nothing was
 // sent; "not run" is said only once the release is committed.
 func (g *Gateway) claimUncertain(ctx context.Context, r *Request) Result {
-	if g.release(context.WithoutCancel(ctx), r) {
+	if g.release(ctx, r) {
 		return refusal(ReasonNoQuorum, "the claim could not be committed", time.Second)
 	}
 	return Result{Failure: &Failure{Reason: ReasonNoQuorum, Message: "the claim could be neither committed nor released", RetryAfter: time.Second}}
@@ -136,16 +139,44 @@
 // releaseUnsent gives a claim back after a dispatch that sent nothing. The
 // request may be placed again only when the release is committed.
 func (g *Gateway) releaseUnsent(ctx context.Context, r *Request, why verdict) (Result, verdict) {
-	if g.release(context.WithoutCancel(ctx), r) {
+	if g.release(ctx, r) {
 		return Result{}, why
 	}
 	return Result{Failure: &Failure{Reason: ReasonNoQuorum, Message: "the claim could not be released", RetryAfter: time.Second}}, settled
 }
 
+// release gives a claim back and reports whether that is committed. It goes on
+// trying when the caller can't wait for it any longer.
 func (g *Gateway) release(ctx context.Context, r *Request) bool {
-	return retryCommit(ctx, func(ctx context.Context) error {
-		return g.ledger.Release(ctx, ledger.Release{Key: r.ledgerKey(), Request: r.ID, Attempt: r.attempt})
+	given := ledger.Release{Key: r.ledgerKey(), Request: r.ID, Attempt: r.attempt}
+	released, _ := settleInTime(ctx, g, r, func(ctx context.Context) bool {
+		return retryCommit(ctx, func(ctx context.Context) error { return g.ledger.Release(ctx, given) })
 	})
+	return released
+}
+
+// settleGrace is how far beyond its deadline a request waits for its outcome to be
+// known: "not run" helps a caller more than a quick "may have run".
+const settleGrace = 250 * time.Millisecond
+
+// settleInTime does work that has to be done also after the caller left, and
+// returns its result, or false once the request's deadline and the grace are over.
+func settleInTime[T any](ctx context.Context, g *Gateway, r *Request, work func(ctx context.Context) T) (result T, known bool) {
+	done := make(chan T, 1)
+	lasting := context.WithoutCancel(ctx)
+	g.settling.Add(1)
+	go func() {
+		defer g.settling.Add(-1)
+		done <- work(lasting)
+	}()
+	late := time.NewTimer(max(0, time.Until(r.Deadline)) + settleGrace)
+	defer late.Stop()
+	select {
+	case result = <-done:
+		return result, true
+	case <-late.C:
+		return result, false
+	}
 }
 
 // commitOutcome records the outcome. When that fails the claim stays, and a
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -177,6 +177,13 @@
 	return err
 }
 
+// awaitSettled waits in virtual time.
+func awaitSettled(g *Gateway) {
+	for g.Settling() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 type memorySink struct {
 	begun int
 	body  []byte
@@ -213,7 +220,9 @@
 			if leaves {
 				time.AfterFunc(time.Second, cancel)
 			}
-			result = New(w, b, w, NewBudget(1<<20), nil).Serve(ctx, r, sink)
+			g := New(w, b, w, NewBudget(1<<20), nil)
+			result = g.Serve(ctx, r, sink)
+			awaitSettled(g)
 		})
 		check(rt, w, r, sink, result)
 	})
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
@@ -22,6 +23,8 @@
 	upstreams Upstreams
 	budget    *Budget
 	events    *timeline.Recorder
+	// settling counts what goes on after a caller was answered at its deadline.
+	settling atomic.Int64
 }
 
 // New returns a gateway. Events may be nil.
@@ -29,6 +32,10 @@
 	return &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events}
 }
 
+// Settling counts the requests whose outcome is still being committed, also those
+// that were answered already: at most StatusTimeout and CommitTimeout after it.
+func (g *Gateway) Settling() int { return int(g.settling.Load()) }
+
 var errDeadline = errors.New("deadline has passed")
 
 // Serve carries r to its end. Exactly one of the result's fields is set. Ctx
--- /dev/null
+++ b/internal/transport/upstreamhttp/cancel_test.go
@@ -0,0 +1,53 @@
+package upstreamhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+)
+
+type noSink struct{}
+
+func (noSink) Begin(int, string) error      { return nil }
+func (noSink) Fields([]gateway.HeaderField) {}
+func (noSink) FirstToken()                  {}
+func (noSink) Write([]byte) error           { return nil }
+
+// TestSender_SilentEngine has an engine take a request and fall silent. Send
+// returns when its context ends, while the engine has not answered the call that
+// cancels the request.
+func TestSender_SilentEngine(t *testing.T) {
+	returned := make(chan struct{})
+	engine := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodDelete {
+			<-returned
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer engine.Close()
+	s := NewSender()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	result := s.Send(ctx, gateway.Dispatch{
+		Request: &gateway.Request{ID: "r1", Method: http.MethodPost, Path: "/v1/completions", Body: []byte("{}"), Engine: true, Idempotent: true},
+		Target:  gateway.Target{Upstream: config.Upstream{Address: strings.TrimPrefix(engine.URL, "http://")}},
+	}, noSink{})
+	close(returned)
+	must.Eq(t, gateway.DispatchBroken, result.Outcome)
+	for end := time.Now().Add(2 * CancelTimeout); s.Canceled() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	must.Eq(t, 1, s.Canceled())
+	s.Close()
+}
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -96,7 +96,8 @@
 func (s *Sender) Send(ctx context.Context, d gateway.Dispatch, sink gateway.AnswerSink) gateway.DispatchResult {
 	result := s.send(ctx, d, sink)
 	if result.Outcome == gateway.DispatchBroken && d.Request.Engine {
-		s.cancel(ctx, d)
+		// The caller's answer does not wait for an engine that may be silent.
+		go s.cancel(ctx, d)
 	}
 	return result
 }
