--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -75,6 +75,7 @@
 	commander.Register(u.demoCommand(), trial)
 	commander.Register(u.loadCommand(), trial)
 	commander.Register(u.fakesCommand(), trial)
+	commander.Register(u.soakCommand(), trial)
 	commander.Register(u.versionCommand(), other)
 	commander.Register(commander.HelpCommand(), other)
 	commander.Register(commander.FlagsCommand(), other)
--- a/internal/command/demo/demo.go
+++ b/internal/command/demo/demo.go
@@ -137,7 +137,7 @@
 func (c *cluster) loadOptions(o Options, say func(string)) load.Options {
 	return load.Options{
 		Addresses:   c.callerAddresses(),
-		Workload:    workload(),
+		Workload:    Workload(),
 		Rate:        o.Rate,
 		Duration:    o.Duration,
 		Bursts:      []load.Burst{{At: o.Duration * 5 / 8, Length: o.Duration / 8, Factor: burstFactor}},
--- a/internal/command/demo/fault_test.go
+++ b/internal/command/demo/fault_test.go
@@ -36,7 +36,7 @@
 	}()
 	result, err := load.Run(t.Context(), load.Options{
 		Addresses:   c.callerAddresses(),
-		Workload:    workload(),
+		Workload:    Workload(),
 		Rate:        faultRate,
 		Duration:    faultLoad,
 		Seed:        1,
--- a/internal/command/demo/upstreams.go
+++ b/internal/command/demo/upstreams.go
@@ -134,8 +134,8 @@
 		moveName, time.Now().Add(moveDeadline).UTC().Format(time.RFC3339))
 }
 
-// workload is a mix of all tiers; lengths differ a hundredfold.
-func workload() *load.Workload {
+// Workload is a mix of all tiers; lengths differ a hundredfold.
+func Workload() *load.Workload {
 	return &load.Workload{
 		Classes: []load.Class{
 			{
--- a/internal/command/load/broken.go
+++ b/internal/command/load/broken.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"time"
+
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -23,6 +25,9 @@
 	Request ident.RequestID `json:"request,omitempty"`
 	Result  string          `json:"result"`
 	Reason  string          `json:"reason,omitempty"`
+	// SentAt and Seconds tell when the send began and how long it took.
+	SentAt  time.Time `json:"sent_at"`
+	Seconds float64   `json:"seconds"`
 }
 
 // Sighted is one run of a request, as an upstream saw it.
@@ -47,7 +52,10 @@
 		return b, false
 	}
 	for _, a := range o.attempts {
-		s := Send{Address: a.address, Request: a.request, Result: a.kind.String(), Reason: string(a.reason)}
+		s := Send{
+			Address: a.address, Request: a.request, Result: a.kind.String(), Reason: string(a.reason),
+			SentAt: a.sentAt, Seconds: a.endedAt.Sub(a.sentAt).Seconds(),
+		}
 		if s.Reason == "" && a.err != nil {
 			s.Reason = a.err.Error()
 		}
--- a/internal/command/load/caller.go
+++ b/internal/command/load/caller.go
@@ -52,7 +52,9 @@
 	retryAfter time.Duration
 	replayed   bool
 	firstAt    time.Time
-	err        error
+	// sentAt and endedAt bound the attempt.
+	sentAt, endedAt time.Time
+	err             error
 }
 
 // outcome is what became of one job.
@@ -62,6 +64,8 @@
 	// first and total run from the arrival.
 	first time.Duration
 	total time.Duration
+	// disturbed is true if the node of the last broken attempt was disturbed.
+	disturbed bool
 }
 
 // caller sends jobs.
@@ -81,7 +85,9 @@
 	var avoid []string
 	for len(o.attempts) < maxAttempts {
 		remaining := j.class.Deadline - time.Since(began)
+		sentAt := time.Now()
 		a := c.try(ctx, j, c.book.choose(ctx, avoid), remaining, len(o.attempts) == 0)
+		a.sentAt, a.endedAt = sentAt, time.Now()
 		o.attempts = append(o.attempts, a)
 		pause := max(a.retryAfter, resendPause)
 		if !c.again(ctx, j, &o, time.Since(began)+pause) {
--- a/internal/command/load/count.go
+++ b/internal/command/load/count.go
@@ -1,5 +1,10 @@
 package load
 
+import (
+	"slices"
+	"time"
+)
+
 // count judges one outcome.
 func (o *outcome) count(u *Upstreams) Counts {
 	c := Counts{Sent: 1, Resent: len(o.attempts) - 1}
@@ -14,6 +19,8 @@
 		c.RefusedNotRun = 1
 	case last.kind == attemptNotRun || last.kind == attemptMayHaveRun:
 		c.MayHaveRun = 1
+	case uncertain && o.disturbed:
+		c.Disturbed = 1
 	case uncertain:
 		c.Lost = 1
 	default:
@@ -68,3 +75,13 @@
 		c.NotRunAfterRun = 1
 	}
 }
+
+// noteDisturbed looks up whether the last broken attempt met a disturbed node.
+func (o *outcome) noteDisturbed(disturbed func(address string, from, to time.Time) bool) {
+	for _, a := range slices.Backward(o.attempts) {
+		if a.kind == attemptBroken {
+			o.disturbed = disturbed(a.address, a.sentAt, a.endedAt)
+			return
+		}
+	}
+}
--- a/internal/command/load/report.go
+++ b/internal/command/load/report.go
@@ -35,6 +35,9 @@
 	// Lost counts requests that were taken and got no final word, and answered
 	// ones that must run once but that no upstream saw.
 	Lost int `json:"lost"`
+	// Disturbed counts requests that got no final word because the node that
+	// took them was kept from answering, in runs that disturb nodes.
+	Disturbed int `json:"disturbed,omitempty"`
 	// Unreached counts requests that no node ever took.
 	Unreached int `json:"unreached"`
 	// Wrong counts answers that belonged to another request.
@@ -229,6 +232,7 @@
 	c.RefusedNotRun += o.RefusedNotRun
 	c.MayHaveRun += o.MayHaveRun
 	c.Lost += o.Lost
+	c.Disturbed += o.Disturbed
 	c.Unreached += o.Unreached
 	c.Wrong += o.Wrong
 	c.Doubled += o.Doubled
--- a/internal/command/load/run.go
+++ b/internal/command/load/run.go
@@ -26,6 +26,9 @@
 	LostAfter   time.Duration
 	// VerifyEcho checks that answers come from fakes and match their request.
 	VerifyEcho bool
+	// Disturbed tells whether the node at an address was kept from answering at
+	// some time between two moments; nil means never.
+	Disturbed func(address string, from, to time.Time) bool
 	// Progress is called about once a second; nil means never.
 	Progress func(Progress)
 }
@@ -90,6 +93,11 @@
 	c := &caller{options: &o, client: client, book: &addressBook{client: client, seeds: o.Addresses}}
 	began := time.Now()
 	sent := c.send(ctx, jobs, began)
+	if o.Disturbed != nil {
+		for i := range c.outcomes {
+			c.outcomes[i].noteDisturbed(o.Disturbed)
+		}
+	}
 	return &Result{Seed: o.Seed, Rate: o.Rate, Duration: o.Duration, Elapsed: time.Since(began), sent: sent, outcomes: c.outcomes}, nil
 }
 
--- /dev/null
+++ b/internal/command/soak/cluster.go
@@ -0,0 +1,331 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/flamingohaven/flamingohaven/internal/fakes"
+	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/transport/opshttp"
+)
+
+const (
+	// replicas is how many nodes keep the replicated log.
+	replicas = 3
+	// Ports of every node, each node at a loopback address of its own.
+	callerPort   = 8080
+	internalPort = 8081
+	operatorPort = 8082
+	// addressTTL lets a node that is told to end do so within seconds.
+	addressTTL = time.Second
+	// startTimeout bounds the wait for the first configuration, and for service
+	// after the last disturbance.
+	startTimeout = 60 * time.Second
+	startPause   = 100 * time.Millisecond
+	// stopBound is how long a node may take to end on SIGTERM: its deadlines are
+	// 6 s at most, and callers keep addresses for addressTTL.
+	stopBound = 20 * time.Second
+	// tornBytes is the length of the torn record left in a log.
+	tornBytes = 37
+)
+
+// node is one process with the proxies through which the others reach it.
+type node struct {
+	process *process
+	folder  string
+	// callers and peers are what others connect to; links lead from each other
+	// node to this one's replica.
+	callers, peers *proxy
+	links          []*proxy
+	operator       string
+}
+
+// proxies returns all proxies before the node.
+func (n *node) proxies() []*proxy {
+	return append([]*proxy{n.callers, n.peers}, n.links...)
+}
+
+// upstream is a fake behind a proxy.
+type upstream struct {
+	fake  faultyFake
+	proxy *proxy
+}
+
+// faultyFake is what all fakes offer.
+type faultyFake interface {
+	Addr() string
+	Runs() []fakes.Run
+	SetSlow(factor float64)
+	SetFail(mode fakes.FailMode)
+	Close() error
+}
+
+// cluster is all that one run started.
+type cluster struct {
+	folder    string
+	nodes     []*node
+	upstreams []*upstream
+	client    *opshttp.Client
+
+	mu sync.Mutex
+	// overdue tells of nodes that did not end on SIGTERM.
+	overdue []string
+	// acknowledged is the highest revision that an operator was told of.
+	acknowledged uint64
+}
+
+// host is the loopback address of a node. Runs at the same time have unlike ones.
+func host(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid%128, pid/128%250, i+1)
+}
+
+func startCluster(ctx context.Context, o *Options) (*cluster, error) {
+	folder, err := os.MkdirTemp("", "flamingohaven-soak-")
+	if err != nil {
+		return nil, fmt.Errorf("soak folder: %w", err)
+	}
+	c := &cluster{folder: folder}
+	if err := c.start(ctx, o); err != nil {
+		return nil, errors.Join(err, c.close())
+	}
+	return c, nil
+}
+
+func (c *cluster) start(ctx context.Context, o *Options) error {
+	token := uuid.NewString()
+	if err := os.WriteFile(c.tokenFile(), []byte(token), 0o600); err != nil {
+		return fmt.Errorf("operators' token: %w", err)
+	}
+	if err := c.startUpstreams(); err != nil {
+		return err
+	}
+	for i := range o.Nodes {
+		n, err := c.prepareNode(i)
+		if err != nil {
+			return err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	var operators []string
+	for i, n := range c.nodes {
+		operators = append(operators, n.operator)
+		if err := c.startNode(i, o); err != nil {
+			return err
+		}
+	}
+	c.client = opshttp.NewClient(operators, token)
+	return c.await(ctx, func(ctx context.Context) error { return c.apply(ctx, 0, uuid.NewString()) })
+}
+
+func (c *cluster) tokenFile() string { return filepath.Join(c.folder, "token") }
+
+// prepareNode makes a node's folder and proxies.
+func (c *cluster) prepareNode(i int) (*node, error) {
+	n := &node{folder: filepath.Join(c.folder, nodeName(i)), operator: fmt.Sprintf("%s:%d", host(i), operatorPort)}
+	var err error
+	open := func(port int) *proxy {
+		var p *proxy
+		if err == nil {
+			p, err = startProxy(fmt.Sprintf("%s:%d", host(i), port))
+		}
+		return p
+	}
+	n.callers, n.peers = open(callerPort), open(internalPort)
+	return n, err
+}
+
+func nodeName(i int) string { return fmt.Sprintf("node-%d", i+1) }
+
+// startNode gives a node its links to the replicas and starts its process.
+func (c *cluster) startNode(i int, o *Options) error {
+	n := c.nodes[i]
+	args := []string{
+		"serve", "-node", nodeName(i), "-zone", fmt.Sprintf("zone-%d", i%replicas+1),
+		"-operator-token-file", c.tokenFile(), "-address-ttl", addressTTL.String(),
+		"-caller-listen", fmt.Sprintf("%s:%d", host(i), callerPort), "-caller-advertise", n.callers.address(),
+		"-internal-listen", fmt.Sprintf("%s:%d", host(i), internalPort), "-internal-advertise", n.peers.address(),
+		"-operator-listen", n.operator,
+	}
+	if i < replicas {
+		args = append(args, "-data-dir", n.folder)
+	}
+	var members []string
+	for j := range replicas {
+		address := c.nodes[j].peers.address()
+		if j != i {
+			link, err := startProxy(fmt.Sprintf("%s:%d", host(j), internalPort))
+			if err != nil {
+				return err
+			}
+			c.nodes[j].links = append(c.nodes[j].links, link)
+			address = link.address()
+		}
+		members = append(members, nodeName(j)+"="+address)
+	}
+	args = append(args, "-replicas", strings.Join(members, ","))
+	log, err := os.Create(filepath.Join(c.folder, nodeName(i)+".log"))
+	if err != nil {
+		return fmt.Errorf("log of %s: %w", nodeName(i), err)
+	}
+	n.process = &process{name: nodeName(i), command: append(slices.Clone(o.Command), args...), environ: o.Environ, log: log}
+	return n.process.start()
+}
+
+// startUpstreams starts two engines of unlike speed and a plain service.
+func (c *cluster) startUpstreams() error {
+	for i := range 3 {
+		var fake faultyFake
+		var err error
+		if i < 2 {
+			fake, err = fakes.StartEngine(fakes.EngineOptions{Version: "v1", StepBase: time.Duration(2*(i+1)) * time.Millisecond})
+		} else {
+			fake, err = fakes.StartService(fakes.ServiceOptions{Version: "v1", Workers: 32, StatusPath: "/status"})
+		}
+		if err != nil {
+			return err
+		}
+		u := &upstream{fake: fake}
+		c.upstreams = append(c.upstreams, u)
+		if u.proxy, err = startProxy(fake.Addr()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// configuration is the operators' file. The round changes a share, so that each
+// round is another configuration.
+func (c *cluster) configuration(round int) string {
+	return fmt.Sprintf(`tiers:
+  patient: {rank: 1, deadline: 30s, reserve: 0.1}
+  ordinary: {rank: 2, deadline: 10s}
+  urgent: {rank: 3, deadline: 4s}
+  critical: {rank: 4, deadline: 2s}
+teams:
+  north: {shares: %d}
+  south: {shares: 4}
+  east: {shares: 1}
+  west: {shares: 1}
+  centre: {shares: 1}
+pools:
+  text: {kind: engine, model: demo-8b, version: v1}
+  records: {kind: service, version: v1}
+upstreams:
+  fast: {pool: text, version: v1, address: %q, max_concurrent: 16}
+  slow: {pool: text, version: v1, address: %q, max_concurrent: 12}
+  records: {pool: records, version: v1, address: %q, max_concurrent: 32}
+routes:
+  review: {path: /v1/completions, pool: text, tier: patient, idempotent: true}
+  draft: {path: /v1/chat/completions, pool: text, tier: ordinary, idempotent: true}
+  submit: {path: /submit, pool: records, tier: urgent, idempotent: false, status_path: /status}
+  lookup: {path: /lookup, pool: records, tier: critical, idempotent: true}
+`, 2+round%8, c.upstreams[0].proxy.address(), c.upstreams[1].proxy.address(), c.upstreams[2].proxy.address())
+}
+
+// apply replaces the configuration of whatever revision there is.
+func (c *cluster) apply(ctx context.Context, round int, id string) error {
+	present, err := c.client.Config(ctx)
+	if err != nil {
+		return err
+	}
+	reply, err := c.client.Apply(ctx, &opsapi.ApplyRequest{
+		ID: id, Base: present.Revision, Who: "soak", WaitSeconds: 1,
+		Files: []opsapi.File{{Name: "soak" + config.FileSuffix, Data: c.configuration(round)}},
+	})
+	switch {
+	case err != nil:
+		return err
+	case len(reply.Mistakes) > 0:
+		return fmt.Errorf("soak configuration: %v", reply.Mistakes)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acknowledged = max(c.acknowledged, uint64(reply.Revision))
+	return nil
+}
+
+// await calls until there is no error.
+func (c *cluster) await(ctx context.Context, call func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		err := call(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(startPause):
+		}
+	}
+}
+
+// emptyDisk removes what a node keeps.
+func (n *node) emptyDisk() error { return os.RemoveAll(n.folder) }
+
+// tearLog leaves the beginning of a record at the end of a node's log, as a
+// crash in the middle of a write does.
+func (n *node) tearLog() error {
+	newest := ""
+	err := filepath.WalkDir(n.folder, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() && strings.HasSuffix(path, ".wal") {
+			newest = max(newest, path)
+		}
+		return err
+	})
+	if err != nil || newest == "" {
+		return err
+	}
+	file, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write(make([]byte, tornBytes))
+	return errors.Join(err, file.Close())
+}
+
+// stop ends a node on SIGTERM and notes when it does not.
+func (c *cluster) stop(n *node) {
+	if !n.process.stop(syscall.SIGTERM, stopBound) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.overdue = append(c.overdue, fmt.Sprintf("%s did not end within %s of SIGTERM", n.process.name, stopBound))
+	}
+}
+
+// close ends what the run started and removes its folder, unless a promise was
+// broken: then the nodes' logs are kept.
+func (c *cluster) close() error {
+	for _, n := range c.nodes {
+		if n.process != nil {
+			n.process.stop(syscall.SIGKILL, stopBound)
+			_ = n.process.log.Close()
+		}
+		for _, p := range n.proxies() {
+			if p != nil {
+				p.close()
+			}
+		}
+	}
+	for _, u := range c.upstreams {
+		if u.proxy != nil {
+			u.proxy.close()
+		}
+		_ = u.fake.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/soak/proxy_test.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/command/load"
+)
+
+// SampleReport is a small report for the test of the page.
+func SampleReport() *Report {
+	return &Report{
+		Report:  &load.Report{Duration: 2, Counts: load.Counts{Sent: 3, Answered: 3}},
+		Faults:  []Fault{{Kind: FaultPause, At: time.Second, For: time.Second}},
+		Goodput: []load.Series{{Tier: "urgent", Answered: []int{1, 0}, Sent: []int{1, 2}}},
+	}
+}
+
+// startEcho answers each line with the same line.
+func startEcho(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// talk sends a line and returns what comes back.
+func talk(conn net.Conn, text string) (string, error) {
+	if _, err := io.WriteString(conn, text+"\n"); err != nil {
+		return "", err
+	}
+	return bufio.NewReader(conn).ReadString('\n')
+}
+
+// TestProxy_Conditions passes data on, holds it while a direction is silent and
+// delivers it after, and breaks connections by a reset.
+func TestProxy_Conditions(t *testing.T) {
+	p, err := startProxy(startEcho(t))
+	must.NoError(t, err)
+	defer p.close()
+	conn, err := net.Dial("tcp", p.address())
+	must.NoError(t, err)
+	defer conn.Close()
+	back, err := talk(conn, "one")
+	must.NoError(t, err)
+	must.Eq(t, "one\n", back)
+
+	p.set(condition{Silent: [2]bool{toClient: true}})
+	answered := make(chan string, 1)
+	go func() {
+		back, _ := talk(conn, "two")
+		answered <- back
+	}()
+	select {
+	case <-answered:
+		t.Fatal("an answer came through a silent direction")
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.set(condition{})
+	must.Eq(t, "two\n", <-answered)
+
+	p.set(condition{Reset: true})
+	_, err = talk(conn, "three")
+	must.Error(t, err)
+	again, err := net.Dial("tcp", p.address())
+	must.NoError(t, err)
+	defer again.Close()
+	_, err = talk(again, "four")
+	must.Error(t, err)
+}
