--- a/internal/coordination/policymodel/bound_bench_test.go
+++ b/internal/coordination/policymodel/bound_bench_test.go
@@ -24,13 +24,14 @@
 	boundWorthVariable = "FLAMINGOHAVEN_BOUND_WORTH"
 	// boundEnd is where the traffic of a platform's day ends.
 	boundEnd = 34 * time.Second
+	// quotaRefusals is how the detail of a refusal begins that a quota called for.
+	quotaRefusals = "quota:"
 )
 
 var (
-	lineFormat    = regexp.MustCompile(`^ *([0-9.]+) .* event=([a-z_]+) .*request="([^"]+)"(?: pool="([^"]+)" detail="(.*)")?`)
-	acceptFormat  = regexp.MustCompile(`route ([^,]+), .*deadline in (\d+) ms, objective in (\d+) ms`)
-	slotsFormat   = regexp.MustCompile(`(\d+) slots`)
-	quotaRefusals = "quota:"
+	lineFormat   = regexp.MustCompile(`^ *([0-9.]+) .* event=([a-z_]+) .*request="([^"]+)"(?: pool="([^"]+)" detail="(.*)")?`)
+	acceptFormat = regexp.MustCompile(`route ([^,]+), .*deadline in (\d+) ms, objective in (\d+) ms`)
+	slotsFormat  = regexp.MustCompile(`(\d+) slots`)
 )
 
 // loggedJob is a request as the log tells it.
