An answer that came in time is delivered, also if its record is late

Cause: found by reading again: a claimed request whose answer had come, but whose outcome was not committed 250 ms after the deadline, was told that it may have run, and the answer was thrown away. Ruled out: running twice; the claim stands until the outcome is committed, which goes on behind the answer. Figures: TestGateway_SilentLedgerKeepsNoAnswerBack red before, green after.

--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -102,14 +102,19 @@
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, unsent)
 	}
-	recorded, _ := settleInTime(ctx, g, r, func(ctx context.Context) *ledger.Answer {
-		known := answer.whole(sent)
-		if known == nil {
-			known = g.queryStatus(ctx, r, []Target{d.Target})
+	whole := answer.whole(sent)
+	recorded, known := settleInTime(ctx, g, r, func(ctx context.Context) *ledger.Answer {
+		outcome := whole
+		if outcome == nil {
+			outcome = g.queryStatus(ctx, r, []Target{d.Target})
 		}
-		g.commitOutcome(ctx, r, known)
-		return known
+		g.commitOutcome(ctx, r, outcome)
+		return outcome
 	})
+	if !known {
+		// An answer that is there is delivered; its record follows.
+		recorded = whole
+	}
 	if recorded == nil {
 		return broken(sendCtx, sent, false), settled
 	}
--- a/internal/coordination/gateway/silent_test.go
+++ b/internal/coordination/gateway/silent_test.go
@@ -89,6 +89,37 @@
 	})
 }
 
+// answeringWorld has an upstream that answers, and a ledger that takes the outcome
+// and falls silent.
+type answeringWorld struct{ silentWorld }
+
+func (w *answeringWorld) Send(_ context.Context, _ Dispatch, sink AnswerSink) DispatchResult {
+	_ = sink.Begin(200, "text/plain")
+	_ = sink.Write([]byte("answer"))
+	return DispatchResult{Outcome: DispatchWhole, Status: 200}
+}
+
+func (w *answeringWorld) Complete(ctx context.Context, _ ledger.Complete) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestGateway_SilentLedgerKeepsNoAnswerBack has the answer come in time and its
+// record not: the caller gets the answer.
+func TestGateway_SilentLedgerKeepsNoAnswerBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &answeringWorld{}
+		g := New(w, w, w, NewBudget(1<<20), nil)
+		r := &Request{ID: "r1", Key: "k1", Deadline: time.Now().Add(time.Second)}
+		sink := &memorySink{}
+		result := g.Serve(t.Context(), r, sink)
+		must.Eq(t, settleGrace, time.Since(r.Deadline))
+		must.True(t, result.Answered)
+		must.Eq(t, "answer", string(sink.body))
+		awaitSettled(g)
+	})
+}
+
 // TestGateway_SilentLedgerAnswersAtTheDeadline has the ledger take a claim and fall
 // silent: the caller hears soon after its deadline that nothing is known.
 func TestGateway_SilentLedgerAnswersAtTheDeadline(t *testing.T) {
