The soak takes tiers, pools and routes from the demo whose workload it sends

Cause: both wrote out the same part of a configuration, which has to fit one workload. Ruled out: the teams and upstreams, which differ; the other pairs that are reported are one typed reply, import block or listener each. Conclusion: one copy beside the workload.

--- a/internal/command/demo/upstreams.go
+++ b/internal/command/demo/upstreams.go
@@ -102,32 +102,36 @@
 	return [][]fakes.Run{u.fast.Runs(), u.middle.Runs(), u.slow.Runs(), u.bad.Runs(), u.service.Runs()}
 }
 
-func (u *upstreams) configuration() string {
-	return fmt.Sprintf(`tiers:
+// WorkloadConfig is the part of a configuration that Workload needs: its tiers,
+// pools and routes. Teams and upstreams are to be added.
+const WorkloadConfig = `tiers:
   patient: {rank: 1, deadline: 30s, reserve: 0.1}
   ordinary: {rank: 2, deadline: 10s}
   urgent: {rank: 3, deadline: 4s}
   critical: {rank: 4, deadline: 2s}
-teams:
+pools:
+  text: {kind: engine, model: demo-8b, version: v1}
+  records: {kind: service, version: v1}
+routes:
+  review: {path: /v1/completions, pool: text, tier: patient, idempotent: true}
+  draft: {path: /v1/chat/completions, pool: text, tier: ordinary, idempotent: true}
+  submit: {path: /submit, pool: records, tier: urgent, idempotent: false, status_path: /status}
+  lookup: {path: /lookup, pool: records, tier: critical, idempotent: true}
+`
+
+func (u *upstreams) configuration() string {
+	return WorkloadConfig + fmt.Sprintf(`teams:
   north: {shares: 4}
   south: {shares: 4}
   east: {shares: 1}
   west: {shares: 1}
   centre: {shares: 1}
-pools:
-  text: {kind: engine, model: demo-8b, version: v1}
-  records: {kind: service, version: v1}
 upstreams:
   fast: {pool: text, version: v1, address: %q, max_concurrent: 16}
   middle: {pool: text, version: v1, address: %q, max_concurrent: 12}
   slow: {pool: text, version: v1, address: %q, max_concurrent: 8}
   next: {pool: text, version: v2, address: %q, max_concurrent: 16}
   records: {pool: records, version: v1, address: %q, max_concurrent: 32}
-routes:
-  review: {path: /v1/completions, pool: text, tier: patient, idempotent: true}
-  draft: {path: /v1/chat/completions, pool: text, tier: ordinary, idempotent: true}
-  submit: {path: /submit, pool: records, tier: urgent, idempotent: false, status_path: /status}
-  lookup: {path: /lookup, pool: records, tier: critical, idempotent: true}
 moves:
   %s: {pool: text, from: v1, to: v2, deadline: %s, canary_share: 0.05, watch: 10s}
 `, u.fast.Addr(), u.middle.Addr(), u.slow.Addr(), u.bad.Addr(), u.service.Addr(),
--- a/internal/command/soak/cluster.go
+++ b/internal/command/soak/cluster.go
@@ -15,6 +15,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/flamingohaven/flamingohaven/internal/command/demo"
 	"github.com/flamingohaven/flamingohaven/internal/fakes"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
@@ -209,29 +210,16 @@
 // configuration is the operators' file. The round changes a share, so that each
 // round is another configuration.
 func (c *cluster) configuration(round int) string {
-	return fmt.Sprintf(`tiers:
-  patient: {rank: 1, deadline: 30s, reserve: 0.1}
-  ordinary: {rank: 2, deadline: 10s}
-  urgent: {rank: 3, deadline: 4s}
-  critical: {rank: 4, deadline: 2s}
-teams:
+	return demo.WorkloadConfig + fmt.Sprintf(`teams:
   north: {shares: %d}
   south: {shares: 4}
   east: {shares: 1}
   west: {shares: 1}
   centre: {shares: 1}
-pools:
-  text: {kind: engine, model: demo-8b, version: v1}
-  records: {kind: service, version: v1}
 upstreams:
   fast: {pool: text, version: v1, address: %q, max_concurrent: 16}
   slow: {pool: text, version: v1, address: %q, max_concurrent: 12}
   records: {pool: records, version: v1, address: %q, max_concurrent: 32}
-routes:
-  review: {path: /v1/completions, pool: text, tier: patient, idempotent: true}
-  draft: {path: /v1/chat/completions, pool: text, tier: ordinary, idempotent: true}
-  submit: {path: /submit, pool: records, tier: urgent, idempotent: false, status_path: /status}
-  lookup: {path: /lookup, pool: records, tier: critical, idempotent: true}
 `, 2+round%8, c.upstreams[0].proxy.address(), c.upstreams[1].proxy.address(), c.upstreams[2].proxy.address())
 }
 
