Quotas: what a gateway used counts on after it left

Ruled out: a silent session (the other pool would be at 83% too), a restart, a second scheduler with the whole, late dispatches. Change: use by gateways that left stays counted until it leaves the window; a gateway gone from the leader's list keeps its part reserved while it may serve cut off; a gateway that restarts is known from before.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -185,6 +185,8 @@
 			RetryRatio: n.settings.RetryRatio,
 			RetryBurst: n.settings.RetryBurst,
 			Quotas:     n.quotas,
+
+			CutOffServes: n.settings.KeyProof,
 		},
 	}
 	for tier, t := range c.Tiers {
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -17,6 +17,8 @@
 	placing    bool
 	registered map[ident.NodeID]ident.Incarnation
 	gateways   map[ident.NodeID]bool
+	// gone holds when gateways left the view, where they may go on without a lease.
+	gone map[ident.NodeID]time.Duration
 
 	entries map[ident.RequestID]*entry
 	tiers   []*tierQueue // highest rank first
@@ -65,6 +67,7 @@
 		epoch:      epoch,
 		startedAt:  now,
 		registered: make(map[ident.NodeID]ident.Incarnation),
+		gone:       make(map[ident.NodeID]time.Duration),
 		entries:    make(map[ident.RequestID]*entry),
 		engines:    make(map[ident.UpstreamName]*engine),
 		speed:      newSpeed(nil),
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -41,8 +41,8 @@
 	teams map[ident.TeamName]*teamQuota
 	// hot teams were near their quotas lately, as far as all schedulers know.
 	hot map[ident.TeamName]bool
-	// since is from when on it is known what each gateway has sent.
-	since map[ident.NodeID]time.Time
+	// gateways are those that are served here and those that were lately.
+	gateways map[ident.NodeID]*quotaGateway
 	// overlapUntil is until when another scheduler may still count a gateway that
 	// registered here.
 	overlapUntil time.Time
@@ -72,7 +72,7 @@
 
 // NewQuotas returns quotas without limits.
 func NewQuotas() *Quotas {
-	return &Quotas{teams: make(map[ident.TeamName]*teamQuota), since: make(map[ident.NodeID]time.Time)}
+	return &Quotas{teams: make(map[ident.TeamName]*teamQuota), gateways: make(map[ident.NodeID]*quotaGateway)}
 }
 
 // SetLimits replaces the limits. Teams without one are not bounded.
@@ -124,21 +124,29 @@
 	u.sum += tokens
 }
 
-// used is the whole team's use in the window that ends now.
-func (t *teamQuota) used(now time.Time) float64 {
+// used is what a team has used in the window that ends now, as far as it is known
+// here: through the gateways that are served here, and through all of them, those
+// included that were served here before. The caller holds the lock.
+func (q *Quotas) used(t *teamQuota, now time.Time) (here, all float64) {
 	step := now.UnixNano() / t.limit.stepLength()
-	sum := 0.0
-	for _, u := range t.gateways {
+	for gateway, u := range t.gateways {
 		u.slide(step)
-		sum += u.sum
+		all += u.sum
+		if g := q.gateways[gateway]; g != nil && g.served() {
+			here += u.sum
+		}
 	}
-	return sum
+	return here, all
 }
 
 // Admit lets a request wait if its team's quota, of which the given portion
 // counts here, allows it beside those that wait already. Urgency runs from 0,
 // the team's least urgent requests, to 1. Otherwise it returns when a request
 // that comes back may hope for room.
+//
+// Invariant: what is admitted here stays within the portion for the gateways that
+// are served here, and within the whole quota together with what former gateways
+// were last known to have used.
 func (q *Quotas) Admit(team ident.TeamName, tokens, portion, urgency float64, now time.Time) (ok bool, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -147,19 +155,26 @@
 		return true, 0
 	}
 	limit := t.limit.Tokens * portion
-	allowed := limit * (quotaLowest + (1-quotaLowest)*urgency)
-	if tokens < limit*quotaSmall {
-		allowed = limit * (1 + quotaSmallRoom)
-	}
+	allowed := allowedOf(limit, tokens, urgency)
 	if portion < 1 && q.hot[team] && now.Before(q.overlapUntil) {
 		allowed = min(allowed, t.brought)
 	}
-	taken := t.used(now) + t.pending + q.unknown(team, limit, t.limit.Window, now)
-	if taken+tokens <= allowed || taken <= 0 {
+	here, all := q.used(t, now)
+	waiting := t.pending + q.unknown(team, limit, t.limit.Window, now)
+	deficit := max(here+waiting+tokens-allowed, all+waiting+tokens-allowedOf(t.limit.Tokens, tokens, urgency))
+	if deficit <= 0 || all+waiting <= 0 {
 		t.pending += tokens
 		return true, 0
 	}
-	return false, t.promise(tokens, taken+tokens-allowed, limit/t.limit.Window.Seconds(), now)
+	return false, t.promise(tokens, deficit, limit/t.limit.Window.Seconds(), now)
+}
+
+// allowedOf is how much of a limit may be used after a request is admitted.
+func allowedOf(limit, tokens, urgency float64) float64 {
+	if tokens < limit*quotaSmall {
+		return limit * (1 + quotaSmallRoom)
+	}
+	return limit * (quotaLowest + (1-quotaLowest)*urgency)
 }
 
 // unknown estimates what a team used in the window before it is known what the
@@ -170,14 +185,17 @@
 	if q.hot[team] {
 		part = quotaLowest
 	}
-	missing := 0.0
-	for _, since := range q.since {
-		missing += max(0, 1-float64(now.Sub(since))/float64(window))
+	missing, served := 0.0, 0
+	for _, g := range q.gateways {
+		if g.served() {
+			served++
+			missing += g.unknownPart(window, now)
+		}
 	}
 	if missing == 0 {
 		return 0
 	}
-	return limit * part * missing / float64(len(q.since))
+	return limit * part * missing / float64(served)
 }
 
 // promise returns when the deficit and all that was promised before will have
@@ -212,31 +230,6 @@
 	}
 }
 
-// Register replaces what is known of a gateway by what it has sent itself since
-// it began to count.
-func (q *Quotas) Register(gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if _, known := q.since[gateway]; !known {
-		q.overlapUntil = now.Add(registrationOverlap)
-		defer q.noteBrought(now)
-	}
-	q.since[gateway] = now.Add(-uptime)
-	byTeam := make(map[ident.TeamName][]float64, len(sent))
-	for _, s := range sent {
-		byTeam[s.Team] = s.Recent
-	}
-	for name, t := range q.teams {
-		delete(t.gateways, gateway)
-		u := t.of(gateway, now)
-		length := t.limit.stepLength()
-		for ago, tokens := range byTeam[name] {
-			// Counted from the latest moment that the step holds.
-			u.add(tokens, int64(max(0, ago-1))*int64(usageStep)/length)
-		}
-	}
-}
-
 const (
 	// hotPart is the part of a quota above which a team is hot, and coolPart the
 	// part below which it no longer is.
@@ -244,14 +237,6 @@
 	coolPart = 0.55
 )
 
-// noteBrought takes down what each team has used when a new gateway came. The
-// caller holds the lock.
-func (q *Quotas) noteBrought(now time.Time) {
-	for _, t := range q.teams {
-		t.brought = t.used(now)
-	}
-}
-
 // SetHot tells the teams that are hot as far as all schedulers know.
 func (q *Quotas) SetHot(teams []ident.TeamName) {
 	q.mu.Lock()
@@ -268,7 +253,8 @@
 	defer q.mu.Unlock()
 	var hot []ident.TeamName
 	for name, t := range q.teams {
-		part := t.used(now) / t.limit.Tokens
+		_, all := q.used(t, now)
+		part := all / t.limit.Tokens
 		if part > hotPart || part > coolPart && q.hot[name] {
 			hot = append(hot, name)
 		}
@@ -276,13 +262,3 @@
 	slices.Sort(hot)
 	return hot
 }
-
-// Forget drops what is known of a gateway that another scheduler serves now.
-func (q *Quotas) Forget(gateway ident.NodeID) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	delete(q.since, gateway)
-	for _, t := range q.teams {
-		delete(t.gateways, gateway)
-	}
-}
--- /dev/null
+++ b/internal/coordination/scheduler/quota_gateways.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// quotaGateway is what quotas know of one gateway.
+type quotaGateway struct {
+	// pools are those whose schedulers serve the gateway here.
+	pools map[ident.PoolName]bool
+	// since is from when on it is known what the gateway has sent, apart from the
+	// time between gapFrom and gapTo: then another scheduler may have served it,
+	// and it has lost its own count.
+	since, gapFrom, gapTo time.Time
+	// leftAt is when the last pool ceased to serve it.
+	leftAt time.Time
+}
+
+// gatewayMemory is how long the use by a gateway that left is kept: longer than
+// the windows in which quotas are counted.
+const gatewayMemory = 20 * time.Second
+
+// served reports whether any pool serves the gateway here.
+func (g *quotaGateway) served() bool { return len(g.pools) > 0 }
+
+// unknownPart is the part of the window that ends now in which it is not known
+// what the gateway sent.
+func (g *quotaGateway) unknownPart(window time.Duration, now time.Time) float64 {
+	begin := now.Add(-window)
+	unknown := overlap(begin, now, begin, g.since) + overlap(begin, now, g.gapFrom, g.gapTo)
+	return min(1, float64(unknown)/float64(window))
+}
+
+// overlap is the time that two spans have in common.
+func overlap(from, to, otherFrom, otherTo time.Time) time.Duration {
+	if otherFrom.After(from) {
+		from = otherFrom
+	}
+	if otherTo.Before(to) {
+		to = otherTo
+	}
+	return max(0, to.Sub(from))
+}
+
+// Register tells that a pool's scheduler serves a gateway from now on, and what
+// the gateway has sent itself since it began to count. What was seen here of a
+// former life of the gateway stays counted.
+func (q *Quotas) Register(pool ident.PoolName, gateway ident.NodeID, sent []TeamUsage, uptime time.Duration, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dropOld(now)
+	began := now.Add(-uptime)
+	g := q.gateways[gateway]
+	if g == nil {
+		g = &quotaGateway{pools: make(map[ident.PoolName]bool), since: began, leftAt: now}
+		q.gateways[gateway] = g
+	}
+	if !g.served() {
+		q.overlapUntil = now.Add(registrationOverlap)
+		g.gapFrom, g.gapTo = g.leftAt, began
+		defer q.noteBrought(now)
+	}
+	if began.Before(g.since) {
+		g.since = began
+	}
+	g.pools[pool] = true
+	byTeam := make(map[ident.TeamName][]float64, len(sent))
+	for _, s := range sent {
+		byTeam[s.Team] = s.Recent
+	}
+	for name, t := range q.teams {
+		u := t.of(gateway, now)
+		length := t.limit.stepLength()
+		// The gateway's own count replaces what was seen here since it began.
+		u.clear(int64(uptime) / length)
+		for ago, tokens := range byTeam[name] {
+			// Counted from the latest moment that the step holds.
+			u.add(tokens, int64(max(0, ago-1))*int64(usageStep)/length)
+		}
+	}
+}
+
+// clear forgets what was used in the present step and the given number before it.
+func (u *usage) clear(steps int64) {
+	for ago := range min(steps+1, quotaSteps, u.step+1) {
+		at := (u.step - ago) % quotaSteps
+		u.sum -= u.steps[at]
+		u.steps[at] = 0
+	}
+}
+
+// noteBrought takes down what each team has used when a new gateway came. The
+// caller holds the lock.
+func (q *Quotas) noteBrought(now time.Time) {
+	for _, t := range q.teams {
+		t.brought, _ = q.used(t, now)
+	}
+}
+
+// Depart tells that a pool's scheduler serves a gateway no longer. What the
+// gateway has used counts on until it leaves the window: it was used, whoever
+// serves the gateway now.
+func (q *Quotas) Depart(pool ident.PoolName, gateway ident.NodeID, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	g := q.gateways[gateway]
+	if g == nil || !g.pools[pool] {
+		return
+	}
+	delete(g.pools, pool)
+	if !g.served() {
+		g.leftAt = now
+	}
+	q.dropOld(now)
+}
+
+// dropOld forgets the gateways that left long ago. The caller holds the lock.
+func (q *Quotas) dropOld(now time.Time) {
+	for id, g := range q.gateways {
+		if g.served() || now.Sub(g.leftAt) < gatewayMemory {
+			continue
+		}
+		delete(q.gateways, id)
+		for _, t := range q.teams {
+			delete(t.gateways, id)
+		}
+	}
+}
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -19,7 +19,7 @@
 	q := NewQuotas()
 	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
 	for _, g := range gateways {
-		q.Register(g, nil, testWindow, quotaStart)
+		q.Register("p", g, nil, testWindow, quotaStart)
 	}
 	return q
 }
@@ -87,7 +87,7 @@
 	next.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
 	now := quotaStart.Add(2 * time.Second)
 	sent, uptime := log.Recent(now)
-	next.Register("g1", sent, uptime, now)
+	next.Register("p", "g1", sent, uptime, now)
 	ok, _ := next.Admit("a", 1500, 1, 1, now)
 	must.False(t, ok)
 	ok, _ = next.Admit("a", 900, 1, 1, now)
@@ -103,7 +103,7 @@
 	q.SetLimits(limits)
 	q.SetHot([]ident.TeamName{"hot"})
 	for _, g := range []ident.NodeID{"g1", "g2", "g3"} {
-		q.Register(g, nil, 500*time.Millisecond, quotaStart)
+		q.Register("p", g, nil, 500*time.Millisecond, quotaStart)
 	}
 	for i := range 20 {
 		now := quotaStart.Add(time.Duration(i) * 100 * time.Millisecond)
@@ -128,7 +128,7 @@
 	log.Sent("a", 300, quotaStart)
 	now := quotaStart.Add(2 * time.Second)
 	sent, uptime := log.Recent(now)
-	own.Register("g6", sent, uptime, now)
+	own.Register("p", "g6", sent, uptime, now)
 	ok, _ := own.Admit("a", 500, portion, 1, now.Add(time.Second))
 	must.False(t, ok)
 	ok, _ = own.Admit("a", 500, portion, 1, now.Add(registrationOverlap))
@@ -138,6 +138,70 @@
 	must.True(t, ok)
 }
 
+// TestQuotas_OnePoolLosesAGateway replays reset connections: one pool's scheduler
+// loses a gateway that another pool's still serves in full, while the team has used
+// up its quota. What the gateway used must not become free.
+func TestQuotas_OnePoolLosesAGateway(t *testing.T) {
+	q := knownQuotas("g1", "g2")
+	q.Register("services", "g2", nil, testWindow, quotaStart)
+	q.Spend("a", "g1", 4000, quotaStart)
+	q.Spend("a", "g2", 4000, quotaStart)
+	now := quotaStart.Add(100 * time.Millisecond)
+	q.Depart("services", "g2", now)
+	ok, _ := q.Admit("a", 100, 1, 1, now)
+	must.False(t, ok)
+	q.Depart("p", "g2", now)
+	ok, _ = q.Admit("a", 100, 1, 1, now)
+	must.False(t, ok, must.Sprint("what a gateway used that left counts on"))
+	ok, _ = q.Admit("a", 100, 1, 1, quotaStart.Add(testWindow))
+	must.True(t, ok, must.Sprint("until it leaves the window"))
+}
+
+// TestQuotas_GatewayRestarts kills a gateway that had sent much of a team's quota.
+// Its next life knows nothing of that, and the scheduler still does.
+func TestQuotas_GatewayRestarts(t *testing.T) {
+	q := knownQuotas("g1", "g2")
+	q.SetHot([]ident.TeamName{"a"})
+	q.Spend("a", "g2", 5000, quotaStart)
+	q.Depart("p", "g2", quotaStart.Add(100*time.Millisecond))
+	now := quotaStart.Add(200 * time.Millisecond)
+	q.Register("p", "g2", nil, 50*time.Millisecond, now)
+	ok, _ := q.Admit("a", 3100, 1, 1, now)
+	must.False(t, ok)
+	// Only the 50 ms without a scheduler that is known here count as unknown.
+	ok, _ = q.Admit("a", 2900, 1, 1, now)
+	must.True(t, ok)
+}
+
+// TestQuotas_CutOffGatewaysGoOn cuts two of four gateways off from the leader and
+// from the scheduler. They serve on with their parts until their proof is too old, so
+// the others may use no more than theirs until then.
+func TestQuotas_CutOffGatewaysGoOn(t *testing.T) {
+	v := sharedView(20)
+	v.Shared.CutOffServes = 5 * time.Second
+	v.Shared.Quotas.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
+	p := New(0, v, 0)
+	p.SetOrigin(quotaStart)
+	for _, g := range v.Gateways {
+		p.Register(Registration{Gateway: g, Incarnation: 1, Uptime: testWindow}, 0)
+	}
+	p.Depart("g3", time.Second)
+	p.Depart("g4", time.Second)
+	v.Gateways = v.Gateways[:2]
+	p.SetView(v, time.Second)
+	use := func(from int, at time.Duration) (tokens float64) {
+		for i := range 20 {
+			ticket := sharedTicket(from+i, "high")
+			ticket.Cost = 500
+			p.Submit(ticket, at)
+		}
+		return float64(len(grants(p.Decisions()))) * 500
+	}
+	must.Eq(t, 4000, use(0, 2*time.Second))
+	must.Eq(t, 0, use(100, 6*time.Second-time.Millisecond))
+	must.Eq(t, 4000, use(200, 6*time.Second))
+}
+
 // TestQuotas_PartOfTheGateways lets a scheduler with half of the gateways give
 // out half of the quota.
 func TestQuotas_PartOfTheGateways(t *testing.T) {
@@ -182,7 +246,7 @@
 		next := knownQuotas()
 		moved := spent.Add(20 * time.Millisecond)
 		sent, uptime := log.Recent(moved)
-		next.Register("g1", sent, uptime, moved)
+		next.Register("p", "g1", sent, uptime, moved)
 		ok, _ := next.Admit("a", 1500, 1, 1, spent.Add(testWindow-testWindow/quotaSteps-time.Millisecond))
 		must.False(t, ok, must.Sprintf("use at %s", offset))
 	}
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -90,6 +91,39 @@
 	return float64(max(1, len(p.registered))) / float64(all)
 }
 
+// quotaPortion is the part of the teams' quotas that this scheduler may use. A
+// gateway that left the view may be cut off from the leader only, and then goes
+// on with its own part for a while.
+func (p *Pool) quotaPortion(now time.Duration) float64 {
+	portion := p.portion()
+	if p.view.Shared == nil {
+		return portion
+	}
+	gone := 0
+	for id, at := range p.gone {
+		if _, registered := p.registered[id]; !registered && now-at < p.view.Shared.CutOffServes {
+			gone++
+		}
+	}
+	if gone == 0 {
+		return portion
+	}
+	here := float64(max(1, len(p.registered)))
+	return here / (here/portion + float64(gone))
+}
+
+// noteGone takes down when gateways left the view, and forgets those that came
+// back or can't serve any more.
+func (p *Pool) noteGone(gateways []ident.NodeID, now time.Duration) {
+	for id := range p.gateways {
+		p.gone[id] = now
+	}
+	for _, id := range gateways {
+		delete(p.gone, id)
+	}
+	maps.DeleteFunc(p.gone, func(_ ident.NodeID, at time.Duration) bool { return now-at >= p.view.Shared.CutOffServes })
+}
+
 // setPortion applies a changed portion to the upstreams.
 func (p *Pool) setPortion(now time.Duration) {
 	portion := p.portion()
@@ -136,7 +170,7 @@
 	}
 	delete(p.registered, gateway)
 	if q := p.view.Shared.Quotas; q != nil {
-		q.Forget(gateway)
+		q.Depart(p.view.Pool, gateway, p.wall(now))
 	}
 	p.dropRequests(now, func(e *entry) bool { return e.ticket.Gateway == gateway })
 	p.setPortion(now)
@@ -151,7 +185,7 @@
 	if s == nil || s.Quotas == nil || e.ticket.Resumes {
 		return true, 0
 	}
-	ok, wait = s.Quotas.Admit(e.ticket.Team, e.ticket.Cost, p.portion(), p.urgency(e), p.wall(now))
+	ok, wait = s.Quotas.Admit(e.ticket.Team, e.ticket.Cost, p.quotaPortion(now), p.urgency(e), p.wall(now))
 	if ok {
 		e.pending = e.ticket.Cost
 	}
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -11,6 +11,9 @@
 // setGateways drops the waiting tickets of gateways that hold no lease any
 // more; their dispatched requests may still run.
 func (p *Pool) setGateways(gateways []ident.NodeID, now time.Duration) {
+	if p.view.Shared != nil {
+		p.noteGone(gateways, now)
+	}
 	p.gateways = make(map[ident.NodeID]bool, len(gateways))
 	for _, id := range gateways {
 		p.gateways[id] = true
@@ -69,7 +72,7 @@
 		named[t.ID] = true
 	}
 	if s := p.view.Shared; s != nil && s.Quotas != nil {
-		s.Quotas.Register(r.Gateway, r.Sent, r.Uptime, p.wall(now))
+		s.Quotas.Register(p.view.Pool, r.Gateway, r.Sent, r.Uptime, p.wall(now))
 	}
 	p.reconcile(r, known && r.Incarnation == former, named, now)
 	p.registered[r.Gateway] = r.Incarnation
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -272,6 +272,9 @@
 	RetryBurst float64
 	// Quotas bounds what teams use; it may be common to several pools.
 	Quotas *Quotas
+	// CutOffServes is how long a gateway that has lost the leader goes on serving
+	// requests under quotas.
+	CutOffServes time.Duration
 }
 
 // Scheduler is the scheduler of one pool during one lease epoch. It is not
