Quotas: a team above its quota gets its rate at every moment

Cause: a team that sends six times its quota used up a window's tokens in 2 s and got little until they came anew: 464, 270, 136, 139, 363 thousand tokens in five spans of 2 s, where its rate is 195. Urgent requests came back late meanwhile. Ruled out: the reserve for urgent requests (held), upstreams (slots were free), two schedulers (100% of capacity throughout). Change: beside the window, what was used beyond the team's rate since any moment of it is bounded by what the window allows beyond the rate; half of that is kept for the team's most urgent tier. Any window holds no more than before.

--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -14,6 +14,8 @@
 	// quotaLowest is the part of a window that the least urgent requests of a
 	// team may fill; the rest is left for its more urgent ones.
 	quotaLowest = 0.9
+	// burstLowest is the same for what may be used at once.
+	burstLowest = 0.5
 	// quotaSmall is the part of a window below which a request is too small to
 	// use up a quota, and quotaSmallRoom the part of a window kept for such
 	// requests. It is less than what the limits leave of the permitted overage.
@@ -32,6 +34,20 @@
 	// Tokens is the most that may be used within Window.
 	Tokens float64
 	Window time.Duration
+	// PerSecond is the rate that the team may use without end; what a window allows
+	// beyond it may be used at once. With 0 all of a window may be used at once.
+	PerSecond float64
+}
+
+// burstLeast is the least part of a window's tokens that may be used at once.
+const burstLeast = 0.2
+
+// burst is how many tokens may be used at once, and refill the rate at which they
+// come anew: over any window both together are no more than its tokens.
+func (l QuotaLimit) burst() (tokens, refill float64) {
+	window := l.Window.Seconds()
+	refill = min(l.PerSecond, (1-burstLeast)*l.Tokens/window)
+	return l.Tokens - refill*window, refill
 }
 
 // Quotas keeps what teams use through the gateways of all schedulers of a
@@ -51,8 +67,10 @@
 // teamQuota is one team's quota and its use in the latest window.
 type teamQuota struct {
 	limit QuotaLimit
-	// gateways holds the use by the gateway that sent the requests.
+	// gateways holds the use by the gateway that sent the requests, and total that
+	// through all of them.
 	gateways map[ident.NodeID]*usage
+	total    usage
 	// brought is the use that the latest new gateways brought with them.
 	brought float64
 	// pending is the cost of the requests that wait.
@@ -124,6 +142,13 @@
 	u.sum += tokens
 }
 
+// add counts tokens that a gateway sent a number of steps ago.
+func (t *teamQuota) add(u *usage, tokens float64, ago int64) {
+	u.add(tokens, ago)
+	t.total.slide(u.step)
+	t.total.add(tokens, ago+t.total.step-u.step)
+}
+
 // used is what a team has used in the window that ends now, as far as it is known
 // here: through the gateways that are served here, and through all of them, those
 // included that were served here before. The caller holds the lock.
@@ -161,7 +186,12 @@
 	}
 	here, all := q.used(t, now)
 	waiting := t.pending + q.unknown(team, limit, t.limit.Window, now)
-	deficit := max(here+waiting+tokens-allowed, all+waiting+tokens-allowedOf(t.limit.Tokens, tokens, urgency))
+	burst, refill := t.limit.burst()
+	deficit := max(
+		here+waiting+tokens-allowed,
+		all+waiting+tokens-allowedOf(t.limit.Tokens, tokens, urgency),
+		t.excess(refill, now)+t.pending+tokens-burstOf(burst, t.limit.Tokens, tokens, urgency),
+	)
 	if deficit <= 0 || all+waiting <= 0 {
 		t.pending += tokens
 		return true, 0
@@ -177,6 +207,33 @@
 	return limit * (quotaLowest + (1-quotaLowest)*urgency)
 }
 
+// burstOf is how much of a burst may be used after a request is admitted.
+func burstOf(burst, limit, tokens, urgency float64) float64 {
+	if tokens < limit*quotaSmall {
+		return burst + limit*quotaSmallRoom
+	}
+	return burst * (burstLowest + (1-burstLowest)*urgency)
+}
+
+// excess is the most that a team has used beyond the refill since any moment of
+// the window that ends now. A team that sends many times its quota gets its rate at
+// every moment, not all of a window's tokens at once and then nothing.
+func (t *teamQuota) excess(refill float64, now time.Time) float64 {
+	step := now.UnixNano() / t.limit.stepLength()
+	t.total.slide(step)
+	perStep := refill * t.limit.Window.Seconds() / quotaSteps
+	most, sum := 0.0, 0.0
+	for ago := range min(quotaSteps, step+1) {
+		if ago > 0 {
+			// Nothing came anew for certain in the present step.
+			sum -= perStep
+		}
+		sum += t.total.steps[(step-ago)%quotaSteps]
+		most = max(most, sum)
+	}
+	return most
+}
+
 // unknown estimates what a team used in the window before it is known what the
 // gateways have sent: a hot team up to what the least urgent requests may use,
 // others as much as makes a team hot.
@@ -226,7 +283,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if t := q.teams[team]; t != nil {
-		t.of(gateway, now).add(tokens, 0)
+		t.add(t.of(gateway, now), tokens, 0)
 	}
 }
 
--- a/internal/coordination/scheduler/quota_gateways.go
+++ b/internal/coordination/scheduler/quota_gateways.go
@@ -74,20 +74,19 @@
 		u := t.of(gateway, now)
 		length := t.limit.stepLength()
 		// The gateway's own count replaces what was seen here since it began.
-		u.clear(int64(uptime) / length)
+		t.clear(u, int64(uptime)/length)
 		for ago, tokens := range byTeam[name] {
 			// Counted from the latest moment that the step holds.
-			u.add(tokens, int64(max(0, ago-1))*int64(usageStep)/length)
+			t.add(u, tokens, int64(max(0, ago-1))*int64(usageStep)/length)
 		}
 	}
 }
 
-// clear forgets what was used in the present step and the given number before it.
-func (u *usage) clear(steps int64) {
+// clear forgets what a gateway used in the present step and the given number of
+// steps before it.
+func (t *teamQuota) clear(u *usage, steps int64) {
 	for ago := range min(steps+1, quotaSteps, u.step+1) {
-		at := (u.step - ago) % quotaSteps
-		u.sum -= u.steps[at]
-		u.steps[at] = 0
+		t.add(u, -u.steps[(u.step-ago)%quotaSteps], ago)
 	}
 }
 
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -264,3 +264,67 @@
 		must.Eq(t, 0.0, tokens)
 	}
 }
+
+// TestQuotas_PacedAtTheRate replays a team that asks for six times its quota for 12 s.
+// Given out as fast as it was asked for, a window's tokens were used up in 2 s, and
+// little was left until they came anew. Each second must bring the team's rate.
+func TestQuotas_PacedAtTheRate(t *testing.T) {
+	const perSecond, burst = 1000.0, 1500.0
+	limit := perSecond*testWindow.Seconds() + burst
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: limit, Window: testWindow, PerSecond: perSecond}})
+	q.Register("p", "g1", nil, testWindow, quotaStart)
+	steps := make([]float64, 1200) // of 10 ms each
+	for i := range steps {
+		now := quotaStart.Add(time.Duration(i) * 10 * time.Millisecond)
+		for range 3 {
+			if ok, wait := q.Admit("a", 20, 1, 1, now); ok {
+				q.Leave("a", 20)
+				q.Spend("a", "g1", 20, now)
+				steps[i] += 20
+			} else {
+				must.Positive(t, wait)
+			}
+		}
+	}
+	for second := range 12 {
+		sum := 0.0
+		for _, tokens := range steps[second*100 : second*100+100] {
+			sum += tokens
+		}
+		must.GreaterEq(t, 0.9*perSecond, sum, must.Sprintf("second %d", second))
+	}
+	for from := range len(steps) - 800 {
+		sum := 0.0
+		for _, tokens := range steps[from : from+790] {
+			sum += tokens
+		}
+		must.LessEq(t, limit, sum, must.Sprintf("window from step %d", from))
+	}
+}
+
+// TestQuotas_NoBurstPermitted lets a team that may use nothing beyond its rate still
+// use some tokens at once: requests come one by one, and no window holds too much.
+func TestQuotas_NoBurstPermitted(t *testing.T) {
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow, PerSecond: 1000}})
+	q.Register("p", "g1", nil, testWindow, quotaStart)
+	ok, _ := q.Admit("a", 1500, 1, 1, quotaStart)
+	must.True(t, ok)
+	ok, wait := q.Admit("a", 500, 1, 1, quotaStart)
+	must.False(t, ok)
+	must.Between(t, 100*time.Millisecond, wait, time.Second)
+}
+
+// TestQuotas_BurstKeepsRoomForUrgentRequests leaves half of what may be used at once
+// to a team's more urgent requests.
+func TestQuotas_BurstKeepsRoomForUrgentRequests(t *testing.T) {
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 10000, Window: testWindow, PerSecond: 1000}})
+	q.Register("p", "g1", nil, testWindow, quotaStart)
+	q.Spend("a", "g1", 950, quotaStart)
+	ok, _ := q.Admit("a", 100, 1, 0, quotaStart)
+	must.False(t, ok)
+	ok, _ = q.Admit("a", 100, 1, 1, quotaStart)
+	must.True(t, ok)
+}
