Callers that come back go after those that can still be served in time

Cause: a caller that comes back after a refusal has missed its objective, which counts from its first attempt, but was taken for a new one. Ruled out: an id that survives the caller's second attempt (it is new each time), what the caller says of itself (nothing). Change: a caller with less than 0.8 of the longest time lately given on its route has tried before (gateway.Returns). Its request waits with the late ones of its tier, above lower tiers, and yields to new ones of its tier at the quota. The time is that of the callers' own header. Both tests fail when the mark is ignored.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -22,6 +22,7 @@
 	ledger    Ledger
 	upstreams Upstreams
 	budget    *Budget
+	returns   Returns
 	events    *timeline.Recorder
 	// settling counts what goes on after a caller was answered at its deadline.
 	settling atomic.Int64
@@ -50,6 +51,7 @@
 	if !r.Unleased && !g.env.Fresh() {
 		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
 	}
+	r.returned = g.returns.Note(r.Route, r.CallerTime, time.Now())
 	g.record(r, timeline.KindAccepted, r.describe())
 	held, failure := g.budget.Acquire(ctx, r)
 	if failure != nil {
@@ -166,6 +168,7 @@
 		Prefixes:     r.Prefixes,
 		PrefixTokens: r.PrefixTokens,
 		Objective:    r.objectiveLeft(),
+		Returned:     r.returned,
 		Patience:     r.patienceLeft(),
 		Cost:         r.Cost,
 		Resumes:      r.sends > 0,
@@ -250,9 +253,9 @@
 
 // describe tells people what was asked for.
 func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, cost %.0f, deadline in %d ms, objective in %d ms",
+	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
 		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens, r.Cost,
-		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds())
+		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds(), r.returned)
 }
 
 // describeAttempt tells people how a dispatch ended.
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -58,6 +58,8 @@
 	// Patience is when the caller gives up an answer that has not begun; zero if
 	// unknown.
 	Patience time.Time
+	// CallerTime is the time that the caller gives the request; zero if it names none.
+	CallerTime time.Duration
 	// ObjectiveSpan is the whole time that the request had for it.
 	ObjectiveSpan time.Duration
 	// Cost is what the request takes of its team's quota, in tokens.
@@ -78,6 +80,8 @@
 	// beginning of a stream.
 	ResumeAfter string
 
+	// returned is true for a caller that has tried before.
+	returned bool
 	// sends counts the dispatches that may have reached an upstream.
 	sends int
 	// attempt numbers the claims of the request.
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -21,6 +21,12 @@
 	}
 	wait := p.wait(e, now)
 	e.waitAhead = wait
+	if e.lateUntil != 0 {
+		if now+wait > e.lateUntil || now+wait+e.shortest >= e.deadline {
+			return ReasonDeadline
+		}
+		return ""
+	}
 	contended := p.isLowest(p.tierOf(e), now)
 	if !e.hopeless(wait, contended, now) || p.serveLate(e, wait, now) || p.tryAnyway(e, wait, now) {
 		return ""
@@ -37,16 +43,22 @@
 	latePatience = 0.75
 )
 
+// lateWait is how long a ticket that misses its objective may wait.
+func (e *entry) lateWait(now time.Duration) time.Duration {
+	most := scaleBy(e.deadline-now, latePart)
+	if e.ticket.Patience > 0 {
+		most = min(most, e.submittedAt+scaleBy(e.ticket.Patience, latePatience)-now)
+	}
+	return most
+}
+
 // serveLate keeps a ticket that misses its objective if it can be served soon
 // after; it then waits behind those that meet theirs.
 func (p *Pool) serveLate(e *entry, wait, now time.Duration) bool {
 	if e.objective == 0 {
 		return false
 	}
-	most := scaleBy(e.deadline-now, latePart)
-	if e.ticket.Patience > 0 {
-		most = min(most, e.submittedAt+scaleBy(e.ticket.Patience, latePatience)-now)
-	}
+	most := e.lateWait(now)
 	if wait > most || now+wait+e.shortest >= e.deadline {
 		return false
 	}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -224,7 +224,11 @@
 		return
 	}
 	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining, submittedAt: now}
-	if t.Objective != 0 {
+	switch {
+	case t.Objective == 0:
+	case t.Returned:
+		e.lateUntil = now + e.lateWait(now)
+	default:
 		e.objective = now + t.Objective
 	}
 	p.entries[t.ID] = e
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -209,7 +209,8 @@
 	}
 }
 
-// urgency places a ticket's tier among the tiers at work: 1 is the highest.
+// urgency places a ticket's tier among the tiers at work: 1 is the highest. One that
+// has missed its objective has less, at the lowest tier less than 0.
 func (p *Pool) urgency(e *entry) float64 {
 	own := p.tier(e.ticket.Tier)
 	below, above := 0, 0
@@ -224,10 +225,16 @@
 			above++
 		}
 	}
-	if below+above == 0 {
-		return 1
+	urgency := 1.0
+	if below+above > 0 {
+		urgency = float64(below) / float64(below+above)
+	}
+	if e.ticket.Returned {
+		// Between those of its own tier that can meet their objectives and the next
+		// lower tier.
+		urgency -= 0.5 / float64(max(1, below+above))
 	}
-	return float64(below) / float64(below+above)
+	return urgency
 }
 
 // wall turns the pool's time into a reading that all pools of a process share.
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -349,3 +349,57 @@
 	// The first, and probes 0.5, 1.5 and 3.5 s after it.
 	must.Between(t, 1, misdirected, 4)
 }
+
+func TestShared_ReturnsAfterFirstAttempts(t *testing.T) {
+	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
+	at, running := fill(p, 2)
+	must.Len(t, 2, running)
+	returned := sharedTicket(1, "high")
+	returned.Returned = true
+	fresh := sharedTicket(2, "high")
+	fresh.Objective = 3 * time.Second
+	lower := sharedTicket(3, "low")
+	lower.Objective = 3 * time.Second
+	for i, ticket := range []Ticket{lower, returned, fresh} {
+		p.Submit(ticket, at+time.Duration(i)*time.Millisecond)
+	}
+	must.SliceEmpty(t, p.Decisions())
+	var order []ident.RequestID
+	for len(running) > 0 {
+		served(p, running[0], ReportEnded, at, 100*time.Millisecond)
+		at += 100 * time.Millisecond
+		running = running[1:]
+		for _, g := range grants(p.Decisions()) {
+			order = append(order, g.Ticket)
+			running = append(running, g)
+		}
+	}
+	must.Eq(t, []ident.RequestID{fresh.ID, returned.ID, lower.ID}, order)
+}
+
+func TestShared_QuotaForFirstAttempts(t *testing.T) {
+	v := sharedView(20)
+	v.Shared.Quotas.SetLimits([]QuotaLimit{{Team: "a", Tokens: 10000, Window: testWindow}})
+	p := New(0, v, 0)
+	p.SetOrigin(quotaStart)
+	for _, g := range v.Gateways {
+		p.Register(Registration{Gateway: g, Incarnation: 1, Uptime: testWindow}, 0)
+	}
+	for i, tier := range []ident.TierName{"low", "high"} {
+		ticket := sharedTicket(100+i, tier)
+		ticket.Cost = 4700
+		p.Submit(ticket, start)
+	}
+	must.Len(t, 2, grants(p.Decisions()))
+	returned := sharedTicket(1, "high")
+	returned.Returned, returned.Cost = true, 200
+	p.Submit(returned, start)
+	decisions := p.Decisions()
+	must.Len(t, 1, decisions)
+	must.NotNil(t, decisions[0].Refusal)
+	must.Eq(t, ReasonQuota, decisions[0].Refusal.Reason)
+	fresh := sharedTicket(2, "high")
+	fresh.Cost = 200
+	p.Submit(fresh, start)
+	must.Len(t, 1, grants(p.Decisions()))
+}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -33,6 +33,9 @@
 	// should begin; zero if the request has none. A request past its objective
 	// is still served, after those that can meet theirs.
 	Objective time.Duration
+	// Returned is true when the caller has tried before, so that its objective, which
+	// counts from its first attempt, has passed.
+	Returned bool
 	// Patience is the time left, when the ticket was sent, after which its caller
 	// gives up an answer that has not begun; zero if unknown.
 	Patience time.Duration
