A long answer waits for an upstream that can finish it

Cause: a third of the upstreams makes a token four times slower (54 against 14 ms an event). Ruled out: silence (each had over 100 events), the estimate of lengths (the hints named 300 to 1,700 tokens), overload (waited 0 ms). Change: an upstream that is not expected to end even a long answer in time is passed over while another in rotation is.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -113,7 +113,7 @@
 	}
 	output := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
 	prompt := float64(e.ticket.PromptTokens)
-	e.output = output.expected
+	e.output, e.longOutput = output.expected, output.long
 	e.first = p.speed.firstToken(prompt)
 	e.service = p.speed.service(prompt, output.expected, batch)
 	e.shortest = p.speed.service(prompt, output.short, batch)
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -17,7 +17,7 @@
 	if g := p.probeEngine(e, now); g != nil {
 		return g
 	}
-	var best candidate
+	best := candidate{pool: p}
 	if len(p.shares.shares) == 0 {
 		for _, r := range p.readySets {
 			p.chooseAmong(e, r, &best, now)
@@ -36,8 +36,12 @@
 
 // candidate is an upstream that a ticket could go to.
 type candidate struct {
+	pool   *Pool
 	engine *engine
 	cost   time.Duration
+	// canFinish tells whether any upstream in rotation is expected to finish the
+	// ticket in time; it is looked for once, and only if need be.
+	canFinish, sought bool
 }
 
 // chooseAmong considers the head of a ready set and those of its upstreams
@@ -63,7 +67,7 @@
 
 // consider takes the upstream if it completes the ticket sooner.
 func (c *candidate) consider(e *entry, g *engine, now time.Duration) {
-	if e.excludes(g.upstream.Name) {
+	if e.excludes(g.upstream.Name) || !g.finishes(e, now) && c.othersFinish(e, now) {
 		return
 	}
 	cost := g.expect(e, now)
@@ -72,6 +76,30 @@
 	}
 }
 
+// othersFinish tells whether the ticket should wait for an upstream that is expected
+// to finish it in time, rather than take a slow one that is free.
+func (c *candidate) othersFinish(e *entry, now time.Duration) bool {
+	if !c.sought {
+		c.sought = true
+		for _, g := range c.pool.order {
+			if g.open() && !g.health.ejected && !e.excludes(g.upstream.Name) && g.finishes(e, now) {
+				c.canFinish = true
+				break
+			}
+		}
+	}
+	return c.canFinish
+}
+
+// finishes tells whether the upstream is expected to end even a long answer by the
+// ticket's deadline. A plain service's answers are short; they are not looked at.
+func (g *engine) finishes(e *entry, now time.Duration) bool {
+	if !g.declared || e.longOutput == 0 || !g.speed.decode.known() {
+		return true
+	}
+	return now+g.speed.service(float64(e.ticket.PromptTokens), e.longOutput, g.used()+1) <= e.deadline
+}
+
 // lighter orders upstreams by load, then by name.
 func lighter(a, b *engine) bool {
 	loadA := a.used() * b.limit()
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -23,8 +23,10 @@
 	state  entryState
 	// deadline is the ticket's deadline on the pool's clock.
 	deadline time.Duration
-	// output is the predicted number of output tokens.
-	output int
+	// output is the predicted number of output tokens; one answer in ten is longer
+	// than longOutput.
+	output     int
+	longOutput int
 	// objective is when the answer should begin, on the pool's clock; 0 if the
 	// ticket has no objective or has missed it.
 	objective time.Duration
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -403,3 +403,58 @@
 	p.Submit(fresh, start)
 	must.Len(t, 1, grants(p.Decisions()))
 }
+
+func slowAndFast(t *testing.T) (*Pool, time.Duration) {
+	t.Helper()
+	p := sharedPool(sharedView(2), "g1", "g2", "g3", "g4")
+	for _, g := range p.order {
+		perToken := 10 * time.Millisecond
+		if g.upstream.Name == "u0" {
+			perToken = 50 * time.Millisecond
+		}
+		for range 2 * fitMinSamples {
+			g.speed.observeFirstToken(100, 20*time.Millisecond)
+			g.speed.observePerToken(1, perToken)
+		}
+		p.refresh(g, start)
+	}
+	return p, start
+}
+
+func longTicket(id, tokens int) Ticket {
+	t := sharedTicket(id, "low")
+	t.PromptTokens, t.OutputTokens = 100, tokens
+	t.Objective = 5 * time.Second
+	return t
+}
+
+func TestShared_LongAnswerWaitsForFastUpstream(t *testing.T) {
+	p, now := slowAndFast(t)
+	p.Submit(longTicket(1, 20), now)
+	p.Submit(longTicket(2, 20), now)
+	busy := grants(p.Decisions())
+	must.Len(t, 2, busy)
+	for _, g := range busy {
+		must.Eq(t, ident.UpstreamName("u1"), g.Upstream)
+	}
+	p.Submit(longTicket(3, 400), now) // 20 s on u0, 4 s on u1, of 10 s
+	must.SliceEmpty(t, p.Decisions())
+	p.Submit(longTicket(4, 20), now)
+	short := grants(p.Decisions())
+	must.Len(t, 1, short)
+	must.Eq(t, ident.UpstreamName("u0"), short[0].Upstream)
+	served(p, busy[0], ReportEnded, now, 200*time.Millisecond)
+	long := grants(p.Decisions())
+	must.Len(t, 1, long)
+	must.Eq(t, ident.UpstreamName("u1"), long[0].Upstream)
+}
+
+func TestShared_LongAnswerTakesSlowUpstreamIfThereIsNoOther(t *testing.T) {
+	p, now := slowAndFast(t)
+	p.ejectSlow(p.engines["u1"], now)
+	must.True(t, p.engines["u1"].health.ejected)
+	p.Submit(longTicket(1, 400), now)
+	got := grants(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ident.UpstreamName("u0"), got[0].Upstream)
+}
