Upstreams out of rotation and back are told with what that went by

Change: the scheduler hands out its changes of rotation like its decisions; the node that schedules writes an `upstream` line with failures in a row, part of answers that failed, and slowness. Conclusion: one line each time an upstream is set aside or comes back.

--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -23,6 +23,9 @@
 // rolloutWatch follows the rollouts of one pool at a node. Where the pool's
 // scheduler runs it also sees the outcomes. It implements pool.Observer.
 type rolloutWatch struct {
+	pool   ident.PoolName
+	events *timeline.Recorder
+
 	mu     sync.Mutex
 	record rollout.Record
 	judge  *rollouts.Judge
@@ -84,6 +87,11 @@
 	w.judge.Observe(sample)
 }
 
+// Rotated implements pool.Observer.
+func (w *rolloutWatch) Rotated(r scheduler.Rotation) {
+	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: r.String()})
+}
+
 // shares splits the pool's requests between the listed versions. It returns nil
 // where no rollout rules them.
 func (w *rolloutWatch) shares(versions []ident.VersionName, now time.Time) []scheduler.VersionShare {
@@ -142,7 +150,7 @@
 func (n *Node) watchOf(name ident.PoolName) *rolloutWatch {
 	w := n.watches[name]
 	if w == nil {
-		w = &rolloutWatch{}
+		w = &rolloutWatch{pool: name, events: n.events}
 		n.watches[name] = w
 	}
 	return w
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -38,12 +38,15 @@
 	observer Observer
 }
 
-// Observer learns what happens to granted requests; it feeds moves of versions.
+// Observer learns what happens to granted requests and to upstreams; it feeds moves
+// of versions and the time line.
 type Observer interface {
 	// Granted tells of each new grant with its ticket.
 	Granted(t scheduler.Ticket, g scheduler.Grant)
 	// Reported tells of each report on a granted request.
 	Reported(r scheduler.Report)
+	// Rotated tells of each upstream that was taken out of rotation or back.
+	Rotated(r scheduler.Rotation)
 }
 
 type session struct {
@@ -212,6 +215,11 @@
 // for a gateway without a session is dropped: its ticket comes back with the
 // next registration and is answered again.
 func (m *Master) distribute() {
+	for _, r := range m.sched.Rotations() {
+		if m.observer != nil {
+			m.observer.Rotated(r)
+		}
+	}
 	for _, d := range m.sched.Decisions() {
 		s := m.sessions[d.Gateway]
 		if s == nil {
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -246,6 +246,11 @@
 	r.samples.granted(t, g, cfg.Upstreams[g.Upstream])
 }
 
+// Rotated implements Observer.
+func (r *Runner) Rotated(change scheduler.Rotation) {
+	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // Reported implements Observer. It runs under the master's lock, so a changed
 // share reaches the scheduler through the refresh channel.
 func (r *Runner) Reported(report scheduler.Report) {
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -17,6 +17,8 @@
 	placing    bool
 	registered map[ident.NodeID]ident.Incarnation
 	gateways   map[ident.NodeID]bool
+	// rotations are the changes since they were last asked for.
+	rotations []Rotation
 	// gone holds when gateways left the view, where they may go on without a lease.
 	gone map[ident.NodeID]time.Duration
 
@@ -393,6 +395,13 @@
 	return out
 }
 
+// Rotations implements Scheduler.
+func (p *Pool) Rotations() []Rotation {
+	out := p.rotations
+	p.rotations = nil
+	return out
+}
+
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
 	s := Stats{Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers))}
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -75,6 +75,9 @@
 		return
 	}
 	g.countedEjected = g.health.ejected
+	p.rotations = append(p.rotations, Rotation{
+		Upstream: g.upstream.Name, Out: g.health.ejected, Failures: g.health.failures, Failing: g.health.failing, Slowness: g.health.slowness,
+	})
 	if g.countedEjected {
 		p.ejected = append(p.ejected, g)
 		return
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -350,6 +350,9 @@
 	must.Between(t, 1, misdirected, 4)
 }
 
+// TestShared_ReturnsAfterFirstAttempts replays the end of a burst, when callers that
+// were refused come back among new ones: one that comes back has missed its
+// objective, so that a new one of its tier goes first, and one of a lower tier later.
 func TestShared_ReturnsAfterFirstAttempts(t *testing.T) {
 	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
 	at, running := fill(p, 2)
@@ -377,6 +380,8 @@
 	must.Eq(t, []ident.RequestID{fresh.ID, returned.ID, lower.ID}, order)
 }
 
+// TestShared_QuotaForFirstAttempts has a team use up its quota: what is left goes to
+// requests that can meet their objectives, not to those that come back late.
 func TestShared_QuotaForFirstAttempts(t *testing.T) {
 	v := sharedView(20)
 	v.Shared.Quotas.SetLimits([]QuotaLimit{{Team: "a", Tokens: 10000, Window: testWindow}})
@@ -404,6 +409,28 @@
 	must.Len(t, 1, grants(p.Decisions()))
 }
 
+// TestShared_RotationIsTold tells once when an upstream that fails is set aside, and
+// once when a probe brings it back.
+func TestShared_RotationIsTold(t *testing.T) {
+	p := sharedPool(sharedView(4), "g1", "g2", "g3", "g4")
+	must.SliceEmpty(t, p.Rotations())
+	p.ejectSlow(p.engines["u2"], start)
+	p.Tick(start)
+	told := p.Rotations()
+	must.Len(t, 1, told)
+	must.Eq(t, ident.UpstreamName("u2"), told[0].Upstream)
+	must.True(t, told[0].Out)
+	now := start + sharedTempo.probeFirst
+	p.Submit(sharedTicket(1, "low"), now)
+	served(p, grants(p.Decisions())[0], ReportEnded, now, 5*time.Millisecond)
+	told = p.Rotations()
+	must.Len(t, 1, told)
+	must.False(t, told[0].Out)
+	must.SliceEmpty(t, p.Rotations())
+}
+
+// slowAndFast is a pool whose u0 makes a token in 50 ms and whose u1 in 10 ms; both
+// have two slots and have learned their speed.
 func slowAndFast(t *testing.T) (*Pool, time.Duration) {
 	t.Helper()
 	p := sharedPool(sharedView(2), "g1", "g2", "g3", "g4")
@@ -428,6 +455,9 @@
 	return t
 }
 
+// TestShared_LongAnswerWaitsForFastUpstream replays long answers that were given to
+// a free slow upstream, which was still at work at their deadlines while a fast one
+// soon had a free slot.
 func TestShared_LongAnswerWaitsForFastUpstream(t *testing.T) {
 	p, now := slowAndFast(t)
 	p.Submit(longTicket(1, 20), now)
@@ -449,6 +479,8 @@
 	must.Eq(t, ident.UpstreamName("u1"), long[0].Upstream)
 }
 
+// TestShared_LongAnswerTakesSlowUpstreamIfThereIsNoOther does not hold a long answer
+// back for a fast upstream that is out of rotation.
 func TestShared_LongAnswerTakesSlowUpstreamIfThereIsNoOther(t *testing.T) {
 	p, now := slowAndFast(t)
 	p.ejectSlow(p.engines["u1"], now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -307,10 +307,35 @@
 	Tick(now time.Duration)
 	// Decisions returns and clears the decisions made since the last call.
 	Decisions() []Decision
+	// Rotations returns and clears the upstreams that were taken out of rotation or
+	// back since the last call.
+	Rotations() []Rotation
 	// Stats returns counters for metrics and for choosing addresses.
 	Stats() Stats
 }
 
+// Rotation tells that an upstream was taken out of rotation or back, and what that
+// went by.
+type Rotation struct {
+	Upstream ident.UpstreamName
+	Out      bool
+	// Failures counts failures in a row, Failing is the part of recent outcomes that
+	// were failures, and Slowness the multiple of its usual time that it takes.
+	Failures int
+	Failing  float64
+	Slowness float64
+}
+
+// String implements fmt.Stringer.
+func (r Rotation) String() string {
+	state := "back in rotation"
+	if r.Out {
+		state = "out of rotation"
+	}
+	return fmt.Sprintf("%s is %s: %d failures in a row, %.0f%% of its answers failed lately, %.1f times its usual time",
+		r.Upstream, state, r.Failures, 100*r.Failing, r.Slowness)
+}
+
 // Stats is a summary of a pool's state.
 type Stats struct {
 	Waiting int
