--- /dev/null
+++ b/internal/command/fleet/addresses_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// TestAddresses_AllGatewaysGetCallers replays the growth to more gateways than one
+// answer may name: the first 64 took all callers.
+func TestAddresses_AllGatewaysGetCallers(t *testing.T) {
+	const gateways, most, answers = 280, 64, 500
+	members := []control.Member{
+		{ID: "core", InternalAddress: "10.0.0.1:7600"},
+		{ID: "stopping", CallerAddress: "10.0.0.2:80", Draining: true},
+	}
+	for i := range gateways {
+		members = append(members, control.Member{ID: ident.NodeID(fmt.Sprint(i)), CallerAddress: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250)})
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	named := make(map[string]int)
+	for range answers {
+		addresses := sampleGateways(members, most, random.Perm)
+		must.Len(t, most, addresses)
+		once := make(map[string]bool)
+		for _, address := range addresses {
+			must.False(t, once[address])
+			once[address] = true
+			named[address]++
+		}
+	}
+	must.MapLen(t, gateways, named)
+	for address, times := range named {
+		// A fair share is 114 answers; 60 is five standard deviations below.
+		must.Greater(t, 60, times, must.Sprint(address))
+	}
+	must.Len(t, 3, sampleGateways(members[:5], most, random.Perm))
+	must.SliceEmpty(t, sampleGateways(members[:2], most, random.Perm))
+}
--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 )
 
@@ -14,8 +18,17 @@
 	// the leader: with the list's own lag it is a fraction of the time after
 	// which an upstream that leaves must get nothing more (3 s).
 	listInterval = 500 * time.Millisecond
-	// listTimeout bounds one reading of the list.
-	listTimeout = time.Second
+	// pageTimeout bounds the reading of one page.
+	pageTimeout = time.Second
+	// listBusyPause is the pause after a call that the platform declined.
+	listBusyPause = 200 * time.Millisecond
+	// maxPages bounds the pages of one reading.
+	maxPages = 400
+	// listPart is the part of the calls which the platform permits to all nodes
+	// that the leader makes steadily, and listBurst the part that it makes at once:
+	// in no second more than 95 of 100.
+	listPart  = 0.75
+	listBurst = 0.2
 	// fallbackAfter is how long a gateway hears no leader before it reads the
 	// list itself, and fallbackInterval the time between two such readings.
 	fallbackAfter    = 2500 * time.Millisecond
@@ -24,10 +37,13 @@
 
 // leaderListLoop reads the platform's list while this replica leads.
 func (n *Node) leaderListLoop() {
+	limit := n.listLimiter(1)
 	reached := true
 	for n.ctx.Err() == nil {
 		if n.replica.leading() {
-			reached = n.readList(reached, true)
+			reached = n.readList(reached, limit, func(found []control.Discovered, complete bool) {
+				n.replica.service.SetUpstreams(found, complete)
+			})
 		}
 		select {
 		case <-n.ctx.Done():
@@ -37,37 +53,96 @@
 	}
 }
 
-// fallbackListLoop reads the list at a gateway that hears no leader.
+// fallbackListLoop reads the list at a gateway that hears no leader. All gateways
+// may be in that state, so each makes its part of the calls.
 func (n *Node) fallbackListLoop() {
 	reached := true
 	for n.ctx.Err() == nil {
 		sleep(n.ctx, fallbackInterval)
 		age, known := n.follower.Age(boottime.Now())
-		if known && age > fallbackAfter {
-			reached = n.readList(reached, false)
+		if !known || age <= fallbackAfter {
+			continue
 		}
+		reached = n.readList(reached, n.listLimiter(len(n.gateways())), func(found []control.Discovered, _ bool) {
+			n.setUpstreams(found, "the platform's list")
+			n.applyPools()
+		})
 	}
 }
 
-// readList reads the list once and reports whether the platform answered. The
-// last good reading stays in force when it does not.
-func (n *Node) readList(reached, leading bool) bool {
-	ctx, cancel := context.WithTimeout(n.ctx, listTimeout)
-	defer cancel()
-	found, err := n.edges.List(ctx)
+// listLimiter paces the calls of one of several readers of the list.
+func (n *Node) listLimiter(readers int) *rate.Limiter {
+	if n.settings.ListCallsPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	permitted := n.settings.ListCallsPerSecond / float64(max(1, readers))
+	return rate.NewLimiter(rate.Limit(listPart*permitted), max(1, int(listBurst*permitted)))
+}
+
+// readList reads the list once, hands on what it says and reports whether the
+// platform answered. What was known before stays in force when it does not.
+func (n *Node) readList(reached bool, limit *rate.Limiter, take func(found []control.Discovered, complete bool)) bool {
+	reading := newListing(n.knownUpstreams())
+	err := n.readPages(limit, func(page ListPage) {
+		reading.add(page)
+		if found, changed := reading.partial(); changed && page.Next != "" {
+			take(found, false)
+		}
+	})
 	if (err == nil) != reached {
 		n.tellContact("the platform's list", err)
+	}
+	if err != nil {
+		klog.ErrorS(err, "list not read, the last one stays in force", "node", n.settings.Name)
+		return false
+	}
+	take(reading.complete(), true)
+	return true
+}
+
+// readPages passes on all pages of the list.
+func (n *Node) readPages(limit *rate.Limiter, each func(ListPage)) error {
+	token := ""
+	for range maxPages {
+		page, err := n.readPage(limit, token)
 		if err != nil {
-			klog.ErrorS(err, "list not read, the last one stays in force", "node", n.settings.Name)
+			return err
+		}
+		each(page)
+		if page.Next == "" {
+			return nil
 		}
+		token = page.Next
+	}
+	return fmt.Errorf("list: more than %d pages", maxPages)
+}
+
+// readPage reads one page as soon as another call is permitted, and once more if
+// the platform declines it.
+func (n *Node) readPage(limit *rate.Limiter, token string) (ListPage, error) {
+	for tried := false; ; tried = true {
+		if err := limit.Wait(n.ctx); err != nil {
+			return ListPage{}, fmt.Errorf("list: %w", err)
+		}
+		ctx, cancel := context.WithTimeout(n.ctx, pageTimeout)
+		page, err := n.edges.ListPage(ctx, token)
+		cancel()
+		if tried || !errors.Is(err, ErrListBusy) {
+			return page, err
+		}
+		sleep(n.ctx, listBusyPause)
+	}
+}
+
+// knownUpstreams returns the upstreams that this node knows.
+func (n *Node) knownUpstreams() []control.Discovered {
+	if n.replica != nil {
+		return n.replica.service.Upstreams()
 	}
-	switch {
-	case err != nil:
-	case leading:
-		n.replica.service.SetUpstreams(found)
-	default:
-		n.setUpstreams(found, "the platform's list")
-		n.applyPools()
+	known := n.upstreams.Load().byName
+	found := make([]control.Discovered, 0, len(known))
+	for _, d := range known {
+		found = append(found, d)
 	}
-	return err == nil
+	return found
 }
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -26,8 +26,9 @@
 type Edges struct {
 	// Upstreams sends requests; gateways need it.
 	Upstreams gateway.Upstreams
-	// List reads the platform's list of upstreams.
-	List func(ctx context.Context) ([]control.Discovered, error)
+	// ListPage reads the page with the given token of the platform's list of
+	// upstreams; an empty token names the first one.
+	ListPage func(ctx context.Context, token string) (ListPage, error)
 }
 
 // bodyShare is the part of the process's memory that waiting bodies may take.
@@ -61,8 +62,8 @@
 	seeds      atomic.Pointer[[]ident.NodeID]
 	// resync ends the sync under way, so that the next one tells of a change.
 	resync chan struct{}
-	// configured is closed once a configuration is in force and the upstreams
-	// are known.
+	// configured is closed once a configuration is in force and upstreams are
+	// known.
 	configured  chan struct{}
 	configuring sync.Once
 
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -46,6 +46,9 @@
 	QuotaWindow  time.Duration
 	QuotaOverage float64
 	QuotaSlack   float64
+	// ListCallsPerSecond is what the platform's list accepts from all nodes
+	// together; 0 if it names no bound.
+	ListCallsPerSecond float64
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
 }
@@ -82,6 +85,7 @@
 	add(s.KeyProof <= 0, "the bound on the age of a key's proof is %s, not above zero", s.KeyProof)
 	add(s.Grace <= 0, "the grace period is %s, not above zero", s.Grace)
 	add(s.QuotaWindow <= 0, "the quota window is %s, not above zero", s.QuotaWindow)
+	add(s.ListCallsPerSecond < 0, "the bound on calls to the list, %v a second, is below zero", s.ListCallsPerSecond)
 	add(s.RetryRatio < 0, "the retry ratio %v is below zero", s.RetryRatio)
 	return errors.Join(wrong...)
 }
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -112,7 +112,7 @@
 	}
 	change, err := n.follower.Take(sent, &reply)
 	if err != nil {
-		klog.ErrorS(err, "update of the configuration does not fit, asking for everything")
+		klog.ErrorS(err, "update from the leader does not fit, asking for everything")
 	}
 	if change.Config {
 		n.applyConfig()
@@ -128,11 +128,19 @@
 }
 
 // noteConfigured lets the requests in that wait for the node's first
-// configuration and list of upstreams.
+// configuration and for the first upstreams of each pool.
 func (n *Node) noteConfigured() {
-	if n.hosts.Load() != nil && n.follower.Spread().Listed {
-		n.configuring.Do(func() { close(n.configured) })
+	if n.hosts.Load() == nil {
+		return
 	}
+	cfg, _ := n.follower.Config()
+	known := n.upstreams.Load().byPool
+	for name := range cfg.Pools {
+		if len(known[name]) == 0 && !n.follower.Spread().Listed {
+			return
+		}
+	}
+	n.configuring.Do(func() { close(n.configured) })
 }
 
 // applyConfig puts the present configuration in force.
@@ -186,7 +194,7 @@
 	}
 	n.control.SetReplicas(replicas)
 	n.quotas.SetHot(spread.HotTeams)
-	if spread.Listed {
+	if spread.Listed || len(spread.Upstreams) > 0 {
 		n.setUpstreams(spread.Upstreams, fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
 	}
 }
@@ -195,23 +203,39 @@
 func (n *Node) setUpstreams(found []control.Discovered, source string) {
 	next := newUpstreamTable(found)
 	former := n.upstreams.Swap(next)
+	events := upstreamEvents(former, next, source)
+	if len(events) > maxUpstreamEvents {
+		events = []timeline.Event{{Kind: timeline.KindUpstream, Detail: fmt.Sprintf("%d changes at once, %d upstreams listed now, from %s", len(events), len(found), source)}}
+	}
+	for _, event := range events {
+		n.events.Record(event)
+	}
+}
+
+// maxUpstreamEvents is the number of changes of upstreams that are told one by one:
+// more come when a node learns a whole list, and would hide all other lines.
+const maxUpstreamEvents = 20
+
+// upstreamEvents returns an event for each upstream that came, changed or left.
+func upstreamEvents(former, next *upstreamTable, source string) []timeline.Event {
+	var events []timeline.Event
+	tell := func(d control.Discovered, detail string) {
+		events = append(events, timeline.Event{Kind: timeline.KindUpstream, Pool: d.Upstream.Pool, Detail: detail})
+	}
 	for name, d := range next.byName {
 		old, known := former.byName[name]
 		if known && old.Leaving == d.Leaving && old.Upstream == d.Upstream {
 			continue
 		}
-		n.tellUpstream(d, fmt.Sprintf("%s at %s, version %s, %d slots, leaving: %t, from %s",
+		tell(d, fmt.Sprintf("%s at %s, version %s, %d slots, leaving: %t, from %s",
 			name, d.Upstream.Address, d.Upstream.Version, d.Upstream.MaxConcurrent, d.Leaving, source))
 	}
 	for name, d := range former.byName {
 		if _, kept := next.byName[name]; !kept {
-			n.tellUpstream(d, fmt.Sprintf("%s at %s is gone, from %s", name, d.Upstream.Address, source))
+			tell(d, fmt.Sprintf("%s at %s is gone, from %s", name, d.Upstream.Address, source))
 		}
 	}
-}
-
-func (n *Node) tellUpstream(d control.Discovered, detail string) {
-	n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: d.Upstream.Pool, Detail: detail})
+	return events
 }
 
 // upstreamTable indexes the discovered upstreams. It does not change.
--- /dev/null
+++ b/internal/coordination/control/await_test.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// electedProposer is a local proposer whose leadership a test sets.
+type electedProposer struct {
+	*LocalProposer
+	mu  sync.Mutex
+	now consensus.Leadership
+}
+
+// Leadership implements consensus.Proposer.
+func (p *electedProposer) Leadership() consensus.Leadership {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now
+}
+
+func (p *electedProposer) set(s *Service, l consensus.Leadership) {
+	p.mu.Lock()
+	p.now = l
+	p.mu.Unlock()
+	s.Tick()
+}
+
+// TestSync_WaitsForAnElection replays the start of all nodes at once: while no
+// leader is known a sync waits, instead of sending its node from replica to replica.
+func TestSync_WaitsForAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := machine.New(ledger.DefaultLimits())
+		p := &electedProposer{LocalProposer: NewLocalProposer("r1", m)}
+		s := NewService("r1", p, m)
+		s.RunFleet(func() Spread { return Spread{} })
+		s.Tick()
+		call := func() (<-chan SyncReply, time.Time) {
+			done := make(chan SyncReply, 1)
+			go func() {
+				var reply SyncReply
+				_ = s.Sync(&SyncArgs{Member: Member{ID: "g1", Incarnation: 1}}, &reply)
+				done <- reply
+			}()
+			synctest.Wait()
+			return done, time.Now()
+		}
+
+		done, began := call()
+		time.Sleep(100 * time.Millisecond)
+		p.set(s, consensus.Leadership{Term: 1, Leader: "r2"})
+		reply := <-done
+		must.Eq(t, ident.NodeID("r2"), reply.Redirect)
+		must.Eq(t, 100*time.Millisecond, time.Since(began))
+
+		p.set(s, consensus.Leadership{Term: 2})
+		done, began = call()
+		reply = <-done
+		must.True(t, reply.NotLeader)
+		must.Eq(t, maxElection, time.Since(began))
+
+		done, _ = call()
+		p.set(s, consensus.Leadership{Term: 3, Leader: "r1", Leading: true})
+		reply = <-done
+		must.True(t, reply.OK())
+		must.Eq(t, uint64(3), reply.Spread.Small.To.Term)
+	})
+}
--- a/internal/coordination/control/control_bench_test.go
+++ b/internal/coordination/control/control_bench_test.go
@@ -124,17 +124,7 @@
 func BenchmarkHeartbeat_RPC(b *testing.B) {
 	service, _ := newLocalService()
 	service.Tick()
-	server := rpc.NewServer()
-	if err := server.RegisterName(ServiceName, service); err != nil {
-		b.Fatal(err)
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer listener.Close()
-	go server.Accept(listener)
-	client, err := rpc.Dial("tcp", listener.Addr().String())
+	client, err := rpc.Dial("tcp", serveLoopback(b, service))
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -152,6 +142,23 @@
 	b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
 }
 
+// serveLoopback serves the calls of a service on a loopback address until the
+// benchmark ends.
+func serveLoopback(b *testing.B, service *Service) (address string) {
+	b.Helper()
+	server := rpc.NewServer()
+	if err := server.RegisterName(ServiceName, service); err != nil {
+		b.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = listener.Close() })
+	go server.Accept(listener)
+	return listener.Addr().String()
+}
+
 // processorTime returns the processor time that the process has used.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -1,16 +1,16 @@
 package control
 
 import (
-	"cmp"
-	"maps"
-	"reflect"
 	"slices"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 const (
@@ -18,30 +18,60 @@
 	// of fresh contact is as old as the call, so this is a fraction of the time
 	// in which a revoked key must stop working (5 s).
 	MaxSyncHold = time.Second
+	// minSyncHold and syncPace set the hold by the number of members: a lost node
+	// is noticed sooner in a small fleet; from 60 nodes on the leader answers 200
+	// idle syncs a second, until the longest hold is reached at 200 nodes.
+	minSyncHold = 300 * time.Millisecond
+	syncPace    = 5 * time.Millisecond
 	// memberSilence is how long a node without a sync under way counts as
 	// live: a connection may have to be made anew in between.
 	memberSilence = 700 * time.Millisecond
 	// takeoverSilence is the same right after a term began, when nodes must
 	// first find the new leader.
 	takeoverSilence = 2 * time.Second
+	// updatesPerSecond and updateBurst pace the replies that carry something, over
+	// all nodes: at the 1 ms that one takes on the smallest VM meant for replicas (a
+	// quarter of a core), half of its time is left for the consensus. A change then
+	// reaches 400 nodes within 0.8 s.
+	updatesPerSecond = 500
+	updateBurst      = 10
+	// maxElection is how long a sync waits for a leader, or for a lease to be renewed:
+	// about the longest time without a leader after which a replica campaigns.
+	maxElection = 400 * time.Millisecond
+	// maxGone bounds the names of members and upstreams that left and are kept for
+	// nodes that are behind: more than a day's at the size that is aimed at.
+	maxGone = 2000
 )
 
 // fleet is the leader's knowledge of nodes and upstreams in its term.
 type fleet struct {
 	mu      sync.Mutex
 	version SpreadVersion
-	members map[ident.NodeID]*fleetMember
-	listed  bool
-	found   []Discovered
+	// floor is the sequence number since when all changes are known, and base the
+	// version before it that had the same entries: what the leader knew as a
+	// follower. Nodes at other versions from before are told everything.
+	floor uint64
+	base  SpreadVersion
+	// leading is true while this replica leads in the version's term.
+	leading bool
+	// heard holds when members were last heard.
+	heard     map[ident.NodeID]*memberContact
+	members   changes[ident.NodeID, Member]
+	listed    bool
+	upstreams changes[ident.UpstreamName, Discovered]
 	// hot is when each team was last reported near its quota.
 	hot map[ident.TeamName]time.Time
-	// changed is closed and replaced at each change, and when the term ends.
-	changed chan struct{}
+	// changed is closed and replaced when changes are told, and when the term ends.
+	changed   chan struct{}
+	rollouts  []rollout.Record
+	committed []ident.TeamName
+	// updates holds what nodes lack of the present version, by the sequence number
+	// since when; 0 stands for all of it.
+	updates map[uint64]SpreadDelivery
 }
 
-// fleetMember is one node and when it was last heard.
-type fleetMember struct {
-	Member
+// memberContact is when a member was last heard.
+type memberContact struct {
 	heard time.Time
 	// syncs counts the calls under way.
 	syncs int
@@ -53,36 +83,63 @@
 func (s *Service) RunFleet(known func() Spread) {
 	s.fleet = &fleet{changed: make(chan struct{})}
 	s.known = known
+	s.updatePace = rate.NewLimiter(updatesPerSecond, updateBurst)
 }
 
-// begin starts a term with the members and upstreams known before. A leader
-// whose lease had run out for a moment begins its term again; what it spreads
-// then must still be newer than all before.
+// begin starts a term with the members and upstreams known before.
 func (f *fleet) begin(term uint64, known Spread, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.version.Term != term {
-		f.version = SpreadVersion{Term: term}
-	}
-	f.version.Sequence++
-	f.members = make(map[ident.NodeID]*fleetMember, len(known.Members))
+	f.leading = true
+	f.version = SpreadVersion{Term: term, Sequence: 1}
+	f.floor, f.base = f.version.Sequence, known.Version
+	f.heard = make(map[ident.NodeID]*memberContact, len(known.Members))
+	f.members = newChanges[ident.NodeID, Member]()
+	f.upstreams = newChanges[ident.UpstreamName, Discovered]()
 	for _, m := range known.Members {
-		f.members[m.ID] = &fleetMember{Member: m, heard: now.Add(takeoverSilence - memberSilence)}
+		f.heard[m.ID] = &memberContact{}
+		f.members.set(m.ID, m, f.version.Sequence)
+	}
+	for _, d := range known.Upstreams {
+		f.upstreams.set(d.Name, d, f.version.Sequence)
 	}
-	f.listed, f.found = known.Listed, known.Upstreams
+	f.rollouts, f.committed = known.Rollouts, known.HotTeams
+	f.listed = known.Listed
 	f.hot = make(map[ident.TeamName]time.Time)
-	f.wake()
+	f.spare(now)
+	f.note()
 }
 
-// end drops the state of a term.
-func (f *fleet) end() {
+// resume goes on with a term whose lease had run out for a moment: no other
+// replica has led since, so all that is known still holds. It returns false if the
+// term is another one.
+func (f *fleet) resume(term uint64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members == nil {
-		return
+	if f.version.Term != term {
+		return false
+	}
+	f.leading = true
+	f.spare(now)
+	return true
+}
+
+// spare gives members time to be heard again. The caller holds the lock.
+func (f *fleet) spare(now time.Time) {
+	for _, contact := range f.heard {
+		contact.heard = now.Add(takeoverSilence - memberSilence)
 	}
-	f.members = nil
-	f.wake()
+}
+
+// end notes that this replica no longer leads. Waiting syncs go on if it may lead
+// again in the same term; they are told when they are answered.
+func (f *fleet) end(lapsed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leading && !lapsed {
+		f.wake()
+	}
+	f.leading = false
 }
 
 // wake has all waiting syncs look again. The caller holds the lock.
@@ -94,30 +151,38 @@
 // note counts a change and wakes the syncs. The caller holds the lock.
 func (f *fleet) note() {
 	f.version.Sequence++
+	f.updates = make(map[uint64]SpreadDelivery)
+	if len(f.members.gone)+len(f.upstreams.gone) > maxGone {
+		f.members.forgetGone()
+		f.upstreams.forgetGone()
+		f.floor, f.base = f.version.Sequence, SpreadVersion{}
+	}
 	f.wake()
 }
 
+// next is the sequence number of a change that note will count.
+func (f *fleet) next() uint64 { return f.version.Sequence + 1 }
+
 // arrive notes that a node lives, and that its sync is under way.
 func (f *fleet) arrive(m Member, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members == nil {
+	if !f.leading {
 		return false
 	}
-	present := f.members[m.ID]
-	if present != nil && present.Incarnation > m.Incarnation {
+	present := f.members.entries[m.ID].value.Incarnation
+	if present > m.Incarnation {
 		return true
 	}
-	if present == nil || present.Incarnation < m.Incarnation {
-		present = &fleetMember{}
-		f.members[m.ID] = present
+	if present < m.Incarnation || f.heard[m.ID] == nil {
+		f.heard[m.ID] = &memberContact{}
 	}
-	if present.Member != m {
-		present.Member = m
+	if f.members.set(m.ID, m, f.next()) {
 		f.note()
 	}
-	present.heard = now
-	present.syncs++
+	contact := f.heard[m.ID]
+	contact.heard = now
+	contact.syncs++
 	return true
 }
 
@@ -125,23 +190,26 @@
 func (f *fleet) leave(m Member, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	present := f.members[m.ID]
-	if present == nil || present.Incarnation != m.Incarnation || present.syncs == 0 {
+	contact := f.heard[m.ID]
+	if contact == nil || f.members.entries[m.ID].value.Incarnation != m.Incarnation || contact.syncs == 0 {
 		return
 	}
-	present.syncs--
-	present.heard = now
+	contact.syncs--
+	contact.heard = now
 }
 
 // expire forgets the nodes that have been silent for too long.
 func (f *fleet) expire(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.leading {
+		return
+	}
 	removed := false
-	for id, m := range f.members {
-		if m.syncs == 0 && now.Sub(m.heard) > memberSilence {
-			delete(f.members, id)
-			removed = true
+	for id, contact := range f.heard {
+		if contact.syncs == 0 && now.Sub(contact.heard) > memberSilence {
+			delete(f.heard, id)
+			removed = f.members.remove(id, f.next()) || removed
 		}
 	}
 	if removed {
@@ -149,39 +217,120 @@
 	}
 }
 
-// SetUpstreams replaces the upstreams that the leader spreads. It does nothing
-// at a replica that doesn't lead.
-func (s *Service) SetUpstreams(found []Discovered) {
+// Upstreams returns the upstreams that the leader spreads; none at a replica that
+// doesn't lead.
+func (s *Service) Upstreams() []Discovered {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if !s.fleet.leading {
+		return nil
+	}
+	found, _ := s.fleet.upstreams.since(0)
+	return found
+}
+
+// SetUpstreams replaces the upstreams that the leader spreads; complete is true if
+// they come from a whole reading of the list. It does nothing at a replica that
+// doesn't lead.
+func (s *Service) SetUpstreams(found []Discovered, complete bool) {
 	f := s.fleet
+	byName := make(map[ident.UpstreamName]Discovered, len(found))
+	for _, d := range found {
+		byName[d.Name] = d
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leading {
+		return
+	}
+	changed := f.upstreams.replace(byName, f.next())
+	if changed || complete && !f.listed {
+		f.listed = f.listed || complete
+		f.note()
+	}
+}
+
+// setCommitted takes in the committed rollouts and hot teams.
+func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members == nil || f.listed && reflect.DeepEqual(f.found, found) {
+	if !f.leading || slices.EqualFunc(f.rollouts, rollouts, sameRollout) && slices.Equal(f.committed, hot) {
 		return
 	}
-	f.listed, f.found = true, found
+	f.rollouts, f.committed = rollouts, hot
 	f.note()
 }
 
-// spread returns what a node at version have lacks, or nil, and a channel that
-// is closed at the next change.
-func (f *fleet) spread(have SpreadVersion) (*Spread, <-chan struct{}) {
+// sameRollout compares records that may come from the log and from another node:
+// their clocks read the same but need not be equal.
+func sameRollout(a, b rollout.Record) bool {
+	return a.Pool == b.Pool && a.Number == b.Number && a.State == b.State
+}
+
+// spread returns what a node at a version lacks; neither form is set if it lacks
+// nothing. Changed is closed at the next change.
+func (f *fleet) spread(have SpreadVersion) (d SpreadDelivery, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members == nil || !f.version.Newer(have) {
-		return nil, f.changed
+	if !f.leading || !f.version.Newer(have) {
+		return d, f.changed
+	}
+	since := f.since(have)
+	d, known := f.updates[since]
+	if !known {
+		d = deliver(f.updateSince(since))
+		f.updates[since] = d
 	}
-	spread := &Spread{Version: f.version, Listed: f.listed, Upstreams: f.found}
-	for _, id := range slices.SortedFunc(maps.Keys(f.members), cmp.Compare[ident.NodeID]) {
-		spread.Members = append(spread.Members, f.members[id].Member)
+	if since != 0 {
+		d.From = have
 	}
-	return spread, f.changed
+	return d, f.changed
+}
+
+// newer reports whether a node at a version lacks something. Changed is closed at
+// the next change.
+func (f *fleet) newer(have SpreadVersion) (changed <-chan struct{}, newer bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed, f.leading && f.version.Newer(have)
+}
+
+// since returns the sequence number of a version if all that changed after it is
+// known, else 0. The caller holds the lock.
+func (f *fleet) since(have SpreadVersion) uint64 {
+	switch {
+	case have == SpreadVersion{}:
+		return 0
+	case have == f.base:
+		return f.floor
+	case have.Term == f.version.Term && have.Sequence > f.floor:
+		return have.Sequence
+	default:
+		return 0
+	}
+}
+
+// updateSince returns all that changed after a sequence number. The caller holds
+// the lock.
+func (f *fleet) updateSince(sequence uint64) *SpreadUpdate {
+	u := &SpreadUpdate{To: f.version, Listed: f.listed, Rollouts: f.rollouts, HotTeams: f.committed}
+	u.Members, u.MembersGone = f.members.since(sequence)
+	u.Upstreams, u.UpstreamsGone = f.upstreams.since(sequence)
+	return u
+}
+
+// hold is how long a sync waits for a change at the fleet's present size.
+func (f *fleet) hold() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(MaxSyncHold, max(minSyncHold, time.Duration(len(f.heard))*syncPace))
 }
 
 // Sync tells that a node lives, waits for a change and brings the node up to
 // date. Every reply that is served proves that this replica led after the call
 // was sent.
 func (s *Service) Sync(args *SyncArgs, reply *SyncReply) error {
-	term, status := s.serving()
+	term, status := s.awaitServing()
 	if !status.OK() {
 		reply.Status = status
 		return nil
@@ -191,34 +340,64 @@
 		return nil
 	}
 	s.fleet.reportHot(args.HotTeams, time.Now())
-	timer := time.NewTimer(min(args.Hold, MaxSyncHold))
+	timer := time.NewTimer(min(args.Hold, s.fleet.hold()))
 	defer timer.Stop()
-	for !s.syncOnce(args, reply) {
+	for !s.lacks(args) {
 		if !s.awaitSync(args, timer.C) {
 			break
 		}
 	}
+	if s.lacks(args) {
+		// Taken after the pause, so that it holds what changed meanwhile.
+		time.Sleep(s.updatePace.Reserve().Delay())
+		reply.Config = s.configDelivery(args.HaveRevision)
+		reply.Spread, _ = s.fleet.spread(args.HaveSpread)
+	}
 	s.fleet.leave(args.Member, time.Now())
 	reply.Status = s.stillServing(term)
 	return nil
 }
 
-// syncOnce fills in what the node lacks and reports whether that is anything.
-func (s *Service) syncOnce(args *SyncArgs, reply *SyncReply) bool {
-	reply.Update = s.machine.ConfigUpdate(args.HaveRevision)
-	reply.Spread, _ = s.fleet.spread(args.HaveSpread)
-	if reply.Spread != nil {
-		reply.Spread.Rollouts = s.machine.Rollouts()
-		reply.Spread.HotTeams = s.machine.HotTeams()
+// awaitServing waits while no other replica is known to lead: an election may be
+// under way, or this replica's lease may have run out for a moment. Were all nodes
+// sent away then, their tries to find a leader would keep the replicas from electing
+// one.
+func (s *Service) awaitServing() (uint64, Status) {
+	timer := time.NewTimer(maxElection)
+	defer timer.Stop()
+	for {
+		changed := s.leadershipChange()
+		term, status := s.serving()
+		leader := s.proposer.Leadership().Leader
+		if status.OK() || leader != "" && leader != s.self {
+			return term, status
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return term, status
+		}
 	}
-	return reply.Update != nil || reply.Spread != nil
+}
+
+// lacks reports whether a node lacks something of the configuration or of what
+// the leader spreads.
+func (s *Service) lacks(args *SyncArgs) bool {
+	_, newer := s.fleet.newer(args.HaveSpread)
+	return newer || s.lacksConfig(args)
+}
+
+// lacksConfig reports whether a node lacks something of the configuration.
+func (s *Service) lacksConfig(args *SyncArgs) bool {
+	_, revision, _ := s.machine.Config()
+	return revision > args.HaveRevision
 }
 
 // awaitSync waits for a change; it returns false when there was none in time.
 func (s *Service) awaitSync(args *SyncArgs, timeout <-chan time.Time) bool {
 	machineChanged := s.machine.Changed()
-	spread, fleetChanged := s.fleet.spread(args.HaveSpread)
-	if spread != nil || s.machine.ConfigUpdate(args.HaveRevision) != nil {
+	fleetChanged, newer := s.fleet.newer(args.HaveSpread)
+	if newer || s.lacksConfig(args) {
 		return true
 	}
 	select {
@@ -227,10 +406,8 @@
 	case <-timeout:
 		return false
 	}
-	if _, status := s.serving(); !status.OK() {
-		return false
-	}
-	return true
+	_, status := s.serving()
+	return status.OK() || s.proposer.Leadership().Leader == s.self
 }
 
 // ApplyNumbered commits a configuration under the policy that the highest
@@ -285,13 +462,16 @@
 	reply.Refusal = string(result.Refusal)
 	reply.Record = result.Rollout
 	if status.OK() {
-		s.fleet.mu.Lock()
-		s.fleet.note()
-		s.fleet.mu.Unlock()
+		s.tellCommitted()
 	}
 	return nil
 }
 
+// tellCommitted spreads the committed rollouts and hot teams.
+func (s *Service) tellCommitted() {
+	s.fleet.setCommitted(s.machine.Rollouts(), s.machine.HotTeams())
+}
+
 // ReadRollout returns a pool's latest rollout.
 func (s *Service) ReadRollout(args *ReadRolloutArgs, reply *RolloutReply) error {
 	term, status := s.read()
--- /dev/null
+++ b/internal/coordination/control/fleet_bench_test.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"fmt"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// benchFleet returns a leader that knows the given numbers of upstreams and teams.
+func benchFleet(b *testing.B, upstreams, teams int) *Service {
+	b.Helper()
+	service, _ := newLocalService()
+	service.RunFleet(func() Spread { return Spread{} })
+	service.Tick()
+	found := make([]Discovered, upstreams)
+	for i := range found {
+		found[i] = discovered(fmt.Sprintf("i-%08x@%08x", i*7919, i*104729), false)
+	}
+	service.SetUpstreams(found, true)
+	c := config.Config{Teams: make(map[ident.TeamName]config.Team)}
+	for i := range teams {
+		c.Teams[ident.TeamName(fmt.Sprintf("team%d", i))] = config.Team{Shares: 1}
+	}
+	var reply ApplyNumberedReply
+	if err := service.ApplyNumbered(&ApplyNumberedArgs{Numbered: config.Numbered{Number: 1, Config: c, Document: []byte("{}")}}, &reply); err != nil || !reply.OK() {
+		b.Fatalf("%v, %+v", err, reply)
+	}
+	return service
+}
+
+// BenchmarkSync_First measures a node's first sync over a new connection, as
+// after a restart of all nodes: it lacks the configuration, members and upstreams.
+// The processor time is that of both ends.
+func BenchmarkSync_First(b *testing.B) {
+	for _, size := range []struct{ upstreams, teams int }{{15, 5}, {1000, 5}, {3000, 5}, {760, 5400}} {
+		b.Run(fmt.Sprintf("upstreams=%d/teams=%d", size.upstreams, size.teams), func(b *testing.B) {
+			address := serveLoopback(b, benchFleet(b, size.upstreams, size.teams))
+			before := processorTime()
+			for b.Loop() {
+				client, err := rpc.Dial("tcp", address)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var reply SyncReply
+				var follower FleetFollower
+				args := follower.Args(Member{ID: "g1", Incarnation: 1}, nil, time.Second)
+				if err := client.Call(ServiceName+".Sync", args, &reply); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := follower.Take(time.Second, &reply); err != nil || len(follower.Spread().Upstreams) != size.upstreams {
+					b.Fatalf("%v, %d upstreams", err, len(follower.Spread().Upstreams))
+				}
+				_ = client.Close()
+			}
+			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -23,8 +23,10 @@
 	// provenAt is the sending, on the boot-time clock, of the latest sync that
 	// was served; zero if none was.
 	provenAt time.Duration
-	// whole asks for a whole configuration after a delta that didn't fit.
-	whole bool
+	// whole asks for a whole configuration, and wholeSpread for a whole spread,
+	// after an update that didn't fit.
+	whole       bool
+	wholeSpread bool
 }
 
 // FleetChange tells what a sync changed.
@@ -41,6 +43,9 @@
 	if f.whole {
 		args.HaveRevision = 0
 	}
+	if f.wholeSpread {
+		args.HaveSpread = SpreadVersion{}
+	}
 	return args
 }
 
@@ -52,7 +57,11 @@
 	if !reply.OK() {
 		return change, nil
 	}
-	if u := reply.Update; u != nil && u.To > f.revision {
+	u, err := reply.Config.Update()
+	if err != nil {
+		return change, err
+	}
+	if u != nil && u.To > f.revision {
 		next, err := u.Apply(f.config)
 		if err != nil {
 			f.whole = true
@@ -61,12 +70,28 @@
 		f.config, f.revision, f.whole = next, u.To, false
 		change.Config = true
 	}
-	if s := reply.Spread; s != nil && s.Version.Newer(f.spread.Version) {
-		f.spread = *s
-		change.Spread = true
-	}
+	change.Spread, err = f.takeSpread(reply)
 	f.provenAt = max(f.provenAt, sent)
-	return change, nil
+	return change, err
+}
+
+// takeSpread takes in what the leader spreads and reports whether it was new. The
+// caller holds the lock.
+func (f *FleetFollower) takeSpread(reply *SyncReply) (changed bool, err error) {
+	u, err := reply.Spread.Update()
+	if err != nil {
+		return false, err
+	}
+	if u == nil || !u.To.Newer(f.spread.Version) {
+		return false, nil
+	}
+	next, err := u.Apply(f.spread)
+	f.wholeSpread = err != nil
+	if err != nil {
+		return false, err
+	}
+	f.spread = next
+	return true, nil
 }
 
 // Config returns the configuration in force and its revision. It must not be
--- a/internal/coordination/control/fleet_hot.go
+++ b/internal/coordination/control/fleet_hot.go
@@ -52,10 +52,7 @@
 	if slices.Equal(hot, committed) {
 		return
 	}
-	if _, status := s.proposeIn(term, &machine.Command{SetHotTeams: &machine.SetHotTeams{Teams: hot}}); !status.OK() {
-		return
+	if _, status := s.proposeIn(term, &machine.Command{SetHotTeams: &machine.SetHotTeams{Teams: hot}}); status.OK() {
+		s.tellCommitted()
 	}
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	s.fleet.note()
 }
--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -12,12 +12,38 @@
 
 func newFleet() *fleet { return &fleet{changed: make(chan struct{})} }
 
+// follow brings a node's spread up to date as a follower does, and reports whether
+// it lacked anything.
+func follow(t must.T, f *fleet, have *Spread) bool {
+	t.Helper()
+	delivery, _ := f.spread(have.Version)
+	update, err := delivery.Update()
+	must.NoError(t, err)
+	if update == nil {
+		return false
+	}
+	next, err := update.Apply(*have)
+	must.NoError(t, err)
+	must.True(t, next.Version.Newer(have.Version))
+	*have = next
+	return true
+}
+
+// known returns all that the fleet spreads.
+func known(t must.T, f *fleet) Spread {
+	t.Helper()
+	var s Spread
+	must.True(t, follow(t, f, &s))
+	return s
+}
+
 func discovered(name string, leaving bool) Discovered {
 	return Discovered{Name: ident.UpstreamName(name), Leaving: leaving, Upstream: config.Upstream{Pool: "p", Address: "10.0.0.1:80"}}
 }
 
-// TestFleet_LeaseLostForAMoment has a leader begin its term again, as after a
-// lost packet: what it spreads from then on must reach nodes that have followed it.
+// TestFleet_LeaseLostForAMoment lets a leader's lease run out for a moment, as when
+// packets are lost or the processor is busy. It goes on with what it knew, and what
+// it spreads from then on reaches nodes that have followed it.
 func TestFleet_LeaseLostForAMoment(t *testing.T) {
 	f := newFleet()
 	now := time.Unix(1000, 0)
@@ -26,16 +52,34 @@
 	for i := range 9 {
 		f.arrive(Member{ID: ident.NodeID(rune('a' + i)), Incarnation: 1}, now)
 	}
-	s.SetUpstreams([]Discovered{discovered("u", false)})
-	known, _ := f.spread(SpreadVersion{})
-	must.NotNil(t, known)
-
-	f.end()
-	f.begin(2, *known, now.Add(time.Second))
-	s.SetUpstreams([]Discovered{discovered("u", true)})
-	next, _ := f.spread(known.Version)
-	must.NotNil(t, next)
-	must.True(t, next.Upstreams[0].Leaving)
+	s.SetUpstreams([]Discovered{discovered("u", false)}, true)
+	node := known(t, f)
+	_, changed := f.spread(node.Version)
+
+	f.end(true)
+	must.False(t, f.arrive(Member{ID: "z"}, now))
+	select {
+	case <-changed:
+		t.Fatal("the lapse woke the waiting syncs")
+	default:
+	}
+	now = now.Add(time.Second)
+	must.True(t, f.resume(2, now))
+	f.expire(now.Add(memberSilence))
+	must.False(t, follow(t, f, &node))
+	must.Len(t, 9, node.Members)
+	s.SetUpstreams([]Discovered{discovered("u", true)}, true)
+	must.True(t, follow(t, f, &node))
+	must.True(t, node.Upstreams[0].Leaving)
+	must.True(t, node.Listed)
+
+	must.False(t, f.resume(3, now))
+	f.end(false)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("syncs wait on although another replica may lead")
+	}
 }
 
 // TestFleet_NewLeaderKeepsMembers checks that the nodes known before stay members
@@ -47,10 +91,9 @@
 	f.arrive(Member{ID: "g1"}, now.Add(time.Second))
 	f.leave(Member{ID: "g1"}, now.Add(2*time.Second))
 	f.expire(now.Add(takeoverSilence - time.Millisecond))
-	spread, _ := f.spread(SpreadVersion{})
-	must.Len(t, 2, spread.Members)
+	must.Len(t, 2, known(t, f).Members)
 	f.expire(now.Add(takeoverSilence + time.Millisecond))
-	spread, _ = f.spread(SpreadVersion{})
+	spread := known(t, f)
 	must.Len(t, 1, spread.Members)
 	must.Eq(t, ident.NodeID("g1"), spread.Members[0].ID)
 }
@@ -63,8 +106,7 @@
 	f.begin(1, Spread{}, now)
 	f.arrive(Member{ID: "g1", Incarnation: 2, CallerAddress: "10.0.0.1:2"}, now)
 	f.arrive(Member{ID: "g1", Incarnation: 1, CallerAddress: "10.0.0.1:1"}, now)
-	spread, _ := f.spread(SpreadVersion{})
-	must.Eq(t, "10.0.0.1:2", spread.Members[0].CallerAddress)
+	must.Eq(t, "10.0.0.1:2", known(t, f).Members[0].CallerAddress)
 }
 
 // TestFleet_HotTeamsOutlastTheLeader checks that teams near their quotas stay
@@ -77,7 +119,7 @@
 	hot := f.hotTeams(nil, now)
 	must.Eq(t, []ident.TeamName{"a", "b"}, hot)
 
-	f.end()
+	f.end(false)
 	f.begin(2, Spread{}, now.Add(time.Second))
 	must.Eq(t, hot, f.hotTeams(hot, now.Add(time.Second)))
 	must.SliceEmpty(t, f.hotTeams(nil, now.Add(time.Second+hotFor)))
@@ -86,10 +128,10 @@
 // TestFollower_NeverGoesBack feeds a follower spreads in the wrong order.
 func TestFollower_NeverGoesBack(t *testing.T) {
 	var f FleetFollower
-	newer := Spread{Version: SpreadVersion{Term: 2, Sequence: 1}, Members: []Member{{ID: "new"}}}
-	older := Spread{Version: SpreadVersion{Term: 1, Sequence: 9}, Members: []Member{{ID: "old"}}}
-	for _, s := range []Spread{newer, older} {
-		_, err := f.Take(time.Second, &SyncReply{Spread: &s})
+	newer := SpreadUpdate{To: SpreadVersion{Term: 2, Sequence: 1}, Members: []Member{{ID: "new"}}}
+	older := SpreadUpdate{To: SpreadVersion{Term: 1, Sequence: 9}, Members: []Member{{ID: "old"}}}
+	for _, u := range []SpreadUpdate{newer, older} {
+		_, err := f.Take(time.Second, &SyncReply{Spread: SpreadDelivery{Small: &u}})
 		must.NoError(t, err)
 	}
 	must.Eq(t, ident.NodeID("new"), f.Spread().Members[0].ID)
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -33,8 +33,6 @@
 	Upstream config.Upstream
 	// Leaving upstreams get no new work.
 	Leaving bool
-	// ColdFor is how much longer the upstream is slow after its start.
-	ColdFor time.Duration
 }
 
 // SpreadVersion orders what the leaders spread: by term, then by sequence.
@@ -48,19 +46,6 @@
 	return v.Term > o.Term || v.Term == o.Term && v.Sequence > o.Sequence
 }
 
-// Spread is what a leader tells all nodes besides the configuration. It is soft
-// state: the next leader gathers it anew.
-type Spread struct {
-	Version SpreadVersion
-	Members []Member
-	// Listed is false until the leader has read the platform's list.
-	Listed    bool
-	Upstreams []Discovered
-	Rollouts  []rollout.Record
-	// HotTeams have used up most of their quotas.
-	HotTeams []ident.TeamName
-}
-
 // SyncArgs tells the leader that a node lives, and asks for what it lacks.
 type SyncArgs struct {
 	Member       Member
@@ -76,10 +61,10 @@
 // newest at some moment after the call was sent.
 type SyncReply struct {
 	Status
-	// Update is set when the node is behind the present configuration.
-	Update *config.Update
-	// Spread is set when the node is behind what the leader spreads.
-	Spread *Spread
+	// Config is what the node lacks of the configuration.
+	Config ConfigDelivery
+	// Spread is what the node lacks of what the leader spreads.
+	Spread SpreadDelivery
 }
 
 // ApplyNumberedArgs puts a configuration in force unless a higher number is.
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
@@ -47,9 +49,17 @@
 	// clock is the time line's; it is nil where none is kept.
 	clock *timeline.Clock
 
-	// fleet is nil unless RunFleet was called; known is set with it.
-	fleet *fleet
-	known func() Spread
+	// fleet is nil unless RunFleet was called; the others are set with it.
+	fleet      *fleet
+	known      func() Spread
+	updatePace *rate.Limiter
+	// whole is the latest whole configuration as nodes get it.
+	whole wholeConfig
+
+	// leadership is what the latest Tick saw; led is closed and replaced when it
+	// changes, and when a term begins.
+	leadership consensus.Leadership
+	led        chan struct{}
 
 	// ticking keeps one Tick from running beside another.
 	ticking sync.Mutex
@@ -100,7 +110,7 @@
 // NewService returns the service of the replica self. The caller drives it by
 // Run, or by calling Tick every TickInterval.
 func NewService(self ident.NodeID, p consensus.Proposer[machine.Result], m *machine.Machine) *Service {
-	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin}
+	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin, led: make(chan struct{})}
 }
 
 // SetClock has heartbeats carry the time line's clock. It is called before the
@@ -129,8 +139,9 @@
 	}
 	defer s.ticking.Unlock()
 	leadership := s.proposer.Leadership()
+	defer s.noteLeadership(leadership)
 	if !leadership.Leading {
-		s.forget()
+		s.forget(leadership)
 		return
 	}
 	if !s.leads(leadership) && !s.begin(leadership) {
@@ -139,6 +150,7 @@
 	if s.fleet != nil {
 		s.fleet.expire(time.Now())
 		s.commitHotTeams(leadership.Term)
+		s.tellCommitted()
 		return
 	}
 	if s.resignIfDeaf(leadership.Term) {
@@ -148,6 +160,25 @@
 	s.assignPools(leadership.Term)
 }
 
+// noteLeadership wakes those who wait for a leader if anything has changed.
+func (s *Service) noteLeadership(l consensus.Leadership) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l != s.leadership {
+		s.leadership = l
+		close(s.led)
+		s.led = make(chan struct{})
+	}
+}
+
+// leadershipChange returns a channel that is closed at the next change of the
+// leadership that a Tick sees.
+func (s *Service) leadershipChange() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.led
+}
+
 // Counters returns a copy of the counters.
 func (s *Service) Counters() Counters {
 	s.mu.Lock()
@@ -162,21 +193,27 @@
 	return l.Leading && s.term == l.Term
 }
 
-// forget drops the memory of a term that has ended.
-func (s *Service) forget() {
+// forget drops the memory of a term that has ended, or whose lease has.
+func (s *Service) forget(l consensus.Leadership) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.term = 0
 	s.nodes = nil
 	if s.fleet != nil {
-		s.fleet.end()
+		s.fleet.end(l.Leader == s.self)
 	}
 }
 
 // begin commits the start of the term. Every lease that a former leader can
 // have renewed began before; it gets a full TTL from now.
 func (s *Service) begin(l consensus.Leadership) bool {
-	s.forget()
+	s.forget(l)
+	if s.fleet != nil && s.fleet.resume(l.Term, time.Now()) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.term = l.Term
+		return true
+	}
 	command := &machine.Command{Begin: &machine.Begin{Leader: s.self, Term: l.Term}}
 	result, status := s.commit(command)
 	if !status.OK() || result.Superseded {
--- /dev/null
+++ b/internal/coordination/control/spread_test.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
+)
+
+// largeFleet is a leader's knowledge of 300 nodes and 3,000 upstreams.
+func largeFleet(t testing.TB) (*fleet, []Discovered) {
+	t.Helper()
+	f := newFleet()
+	now := time.Now()
+	f.begin(1, Spread{}, now)
+	for i := range 300 {
+		f.arrive(Member{ID: ident.NodeID(fmt.Sprintf("10.0.%d.%d:7600", i/250, i%250)), Incarnation: 1}, now)
+	}
+	found := make([]Discovered, 3000)
+	for i := range found {
+		found[i] = discovered(fmt.Sprintf("i-%04d", i), false)
+	}
+	(&Service{fleet: f}).SetUpstreams(found, true)
+	return f, found
+}
+
+// TestFleet_ChangeIsToldAlone replays the growth to 300 nodes, where each change
+// was answered with all members and upstreams at every node.
+func TestFleet_ChangeIsToldAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, found := largeFleet(t)
+		time.Sleep(time.Second)
+		node := known(t, f)
+
+		found[7].Leaving = true
+		(&Service{fleet: f}).SetUpstreams(found[:2999], true)
+		f.arrive(Member{ID: "joins:7600", Incarnation: 1}, time.Now())
+		time.Sleep(time.Second)
+		delivery, _ := f.spread(node.Version)
+		update := delivery.Small
+		must.Eq(t, []Discovered{found[7]}, update.Upstreams)
+		must.Eq(t, []ident.UpstreamName{"i-2999"}, update.UpstreamsGone)
+		must.Len(t, 1, update.Members)
+
+		must.True(t, follow(t, f, &node))
+		must.Eq(t, known(t, f), node)
+		must.Len(t, 2999, node.Upstreams)
+	})
+}
+
+// TestFleet_NextLeaderTellsOnlyWhatDiffers checks that the nodes which knew what
+// the new leader knew are not told everything again.
+func TestFleet_NextLeaderTellsOnlyWhatDiffers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, found := largeFleet(t)
+		time.Sleep(time.Second)
+		node, behind := known(t, f), Spread{Version: SpreadVersion{Term: 1, Sequence: 3}}
+
+		next := newFleet()
+		next.begin(2, node, time.Now())
+		found[0].Leaving = true
+		(&Service{fleet: next}).SetUpstreams(found, true)
+		time.Sleep(time.Second)
+		delivery, _ := next.spread(node.Version)
+		update := delivery.Small
+		must.Len(t, 1, update.Upstreams)
+		must.SliceEmpty(t, update.Members)
+		for _, n := range []*Spread{&node, &behind} {
+			must.True(t, follow(t, next, n))
+			must.Eq(t, known(t, next), *n)
+		}
+	})
+}
+
+// TestSync_UpdatesArePaced has 300 nodes come at once after a restart, and then a
+// change reach all of them: the leader's replies with content are spread over time,
+// so that its consensus gets its turns, and a node that comes late in the order gets
+// all that changed before its turn in one reply.
+func TestSync_UpdatesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 300
+		service, _ := newLocalService()
+		service.RunFleet(func() Spread { return Spread{} })
+		service.Tick()
+		service.SetUpstreams([]Discovered{discovered("u", false)}, true)
+		var mu sync.Mutex
+		replies := make(map[time.Duration]int) // by tenth of a second
+		latest := make(map[int]Spread)
+		began := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for i := range nodes {
+			group.Go(func() {
+				var follower FleetFollower
+				for ctx.Err() == nil {
+					var reply SyncReply
+					_ = service.Sync(follower.Args(Member{ID: ident.NodeID(fmt.Sprint(i)), Incarnation: 1}, nil, MaxSyncHold), &reply)
+					change, err := follower.Take(time.Second, &reply)
+					must.NoError(t, err)
+					if change.Spread {
+						mu.Lock()
+						replies[time.Since(began).Truncate(100*time.Millisecond)]++
+						latest[i] = follower.Spread()
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(4 * time.Second)
+		service.SetUpstreams([]Discovered{discovered("u", true)}, true)
+		time.Sleep(time.Second)
+		mu.Lock()
+		for at, count := range replies {
+			must.LessEq(t, updatesPerSecond/10+updateBurst, count, must.Sprint(at))
+		}
+		must.MapLen(t, nodes, latest)
+		for i, spread := range latest {
+			must.Len(t, nodes, spread.Members, must.Sprint(i))
+			must.True(t, spread.Upstreams[0].Leaving, must.Sprint(i))
+		}
+		mu.Unlock()
+		cancel()
+		group.Wait()
+	})
+}
+
+// TestFleet_NamesThatLeftAreForgotten checks that a node which is behind by more
+// departures than are kept is told everything.
+func TestFleet_NamesThatLeftAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := largeFleet(t)
+		time.Sleep(time.Second)
+		node := known(t, f)
+		s := &Service{fleet: f}
+		s.SetUpstreams([]Discovered{discovered("last", false)}, true)
+		time.Sleep(time.Second)
+		must.MapEmpty(t, f.upstreams.gone)
+		delivery, _ := f.spread(node.Version)
+		must.Eq(t, SpreadVersion{}, delivery.From)
+		must.True(t, follow(t, f, &node))
+		must.Len(t, 1, node.Upstreams)
+	})
+}
+
+// TestFollower_AsksForAllAfterUpdateThatDoesNotFit checks that a node which can't
+// use an update gets the whole with its next sync.
+func TestFollower_AsksForAllAfterUpdateThatDoesNotFit(t *testing.T) {
+	var f FleetFollower
+	update := SpreadDelivery{From: SpreadVersion{Term: 1, Sequence: 4}, Small: &SpreadUpdate{To: SpreadVersion{Term: 1, Sequence: 5}}}
+	_, err := f.Take(time.Second, &SyncReply{Spread: update})
+	must.Error(t, err)
+	must.Eq(t, SpreadVersion{}, f.Args(Member{}, nil, 0).HaveSpread)
+	whole := SpreadUpdate{To: SpreadVersion{Term: 1, Sequence: 6}}
+	for i := range 2 * packFrom {
+		whole.Members = append(whole.Members, Member{ID: ident.NodeID(fmt.Sprint(i))})
+	}
+	change, err := f.Take(time.Second, &SyncReply{Spread: deliver(&whole)})
+	must.NoError(t, err)
+	must.True(t, change.Spread)
+	must.Eq(t, SpreadVersion{Term: 1, Sequence: 6}, f.Args(Member{}, nil, 0).HaveSpread)
+	must.Len(t, 2*packFrom, f.Spread().Members)
+	damaged := deliver(&whole)
+	damaged.Packed = damaged.Packed[:len(damaged.Packed)/2]
+	_, err = f.Take(time.Second, &SyncReply{Spread: damaged})
+	must.Error(t, err)
+	must.Len(t, 2*packFrom, f.Spread().Members)
+}
+
+// TestFuzz_SpreadUpdates checks against an oracle that a node which follows by
+// updates knows what the leader knows, through any order of changes, terms and
+// nodes that fall behind.
+func TestFuzz_SpreadUpdates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		s := &Service{fleet: f}
+		now := time.Unix(1000, 0)
+		term := uint64(1)
+		f.begin(term, Spread{}, now)
+		nodes := make([]Spread, 4)
+		listed := map[string]Discovered{}
+		names := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				f.arrive(Member{ID: ident.NodeID(names.Draw(t, "node")), Incarnation: ident.Incarnation(rapid.IntRange(1, 3).Draw(t, "life"))}, now)
+			case 1:
+				f.expire(now)
+			case 2:
+				name := names.Draw(t, "upstream")
+				listed[name] = discovered(name, rapid.Bool().Draw(t, "leaving"))
+				s.SetUpstreams(slices.Collect(maps.Values(listed)), true)
+			case 3:
+				delete(listed, names.Draw(t, "gone"))
+				s.SetUpstreams(slices.Collect(maps.Values(listed)), true)
+			case 4:
+				number := rapid.Uint64Range(1, 3).Draw(t, "rollout")
+				f.setCommitted([]rollout.Record{{Number: number}}, nil)
+			case 5:
+				lapsed := rapid.Bool().Draw(t, "lapsed")
+				f.end(lapsed)
+				if !lapsed {
+					term++
+				}
+				if !f.resume(term, now) {
+					f.begin(term, nodes[0], now)
+				}
+			}
+			node := &nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "follower")]
+			if follow(t, f, node) {
+				all := known(t, f)
+				if fmt.Sprint(all) != fmt.Sprint(*node) {
+					t.Fatalf("node knows %v, leader spreads %v", *node, all)
+				}
+			}
+		}
+	})
+}
