--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -128,12 +128,16 @@
 	}
 	p.part = portion
 	for _, g := range p.order {
+		before := g.limit()
 		g.part = portion
+		// Limits are whole numbers: most stay the same when one of many gateways comes.
+		if g.limit() != before {
+			p.refresh(g, now)
+		}
 	}
 	if s := p.view.Shared; s != nil {
 		p.retries.configure(s.RetryRatio, s.RetryBurst*portion)
 	}
-	p.refreshAll(now)
 }
 
 // partOf scales a bound on one upstream; at least one request stays possible.
--- a/internal/coordination/scheduler/shared_bench_test.go
+++ b/internal/coordination/scheduler/shared_bench_test.go
@@ -63,3 +63,20 @@
 		})
 	}
 }
+
+// BenchmarkSharedTakeover measures the registrations of all gateways with a new
+// scheduler, as after a restart of all nodes.
+func BenchmarkSharedTakeover(b *testing.B) {
+	v := sharedView(3000)
+	v.Gateways = nil
+	for i := range 288 {
+		v.Gateways = append(v.Gateways, ident.NodeID(fmt.Sprintf("g%d", i)))
+	}
+	for b.Loop() {
+		p := New(0, v, 0)
+		p.SetOrigin(quotaStart)
+		for _, g := range v.Gateways {
+			p.Register(Registration{Gateway: g, Incarnation: 1}, 0)
+		}
+	}
+}
