A start of all nodes packs what the leader tells once, not for each node

Cause: after all of 105 VMs had lost power, a leader was there 0.13 s after the replicas had started, but nodes had a configuration only 0.25 to 2.8 s after it. Each arrival is a change, each change dropped the packed update, and so nearly every first sync packed 1,000 upstreams anew; with two thirds of its time on that the leader lost its lease and its answers were void. Ruled out: the election (0.13 s), the pace of replies alone (nodes without anything paced apart: no gain), the descriptions of types on each connection (0.35 ms of the leader for a first sync after they were taken off, no gain seen by nodes). Change: a packed update is handed out for 0.1 s although more has changed; all updates are packed; an answer whose lease has just run out waits for its renewal. The tests of the spread compare a node that has followed to the end.

--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,12 +35,18 @@
 	// updatesPerSecond and updateBurst pace the replies that carry something, over
 	// all nodes: at the 1 ms that one takes on the smallest VM meant for replicas (a
 	// quarter of a core), half of its time is left for the consensus. A change then
-	// reaches 400 nodes within 0.8 s.
+	// reaches 400 nodes within 0.8 s. Nodes that have nothing yet are paced apart, at
+	// the same rate: after a restart of all nodes each that comes changes something
+	// for those that are up already.
 	updatesPerSecond = 500
 	updateBurst      = 10
 	// maxElection is how long a sync waits for a leader, or for a lease to be renewed:
 	// about the longest time without a leader after which a replica campaigns.
 	maxElection = 400 * time.Millisecond
+	// updateReuse is how long an update is handed out although more has changed since:
+	// while 300 nodes start, each arrival is a change, and to pack all anew for each
+	// took most of the leader's time. What an update lacks comes with the next one.
+	updateReuse = 100 * time.Millisecond
 	// maxGone bounds the names of members and upstreams that left and are kept for
 	// nodes that are behind: more than a day's at the size that is aimed at.
 	maxGone = 2000
@@ -65,9 +74,16 @@
 	changed   chan struct{}
 	rollouts  []rollout.Record
 	committed []ident.TeamName
-	// updates holds what nodes lack of the present version, by the sequence number
-	// since when; 0 stands for all of it.
-	updates map[uint64]SpreadDelivery
+	// updates holds what nodes lack, packed, by the sequence number since when; 0
+	// stands for all of it.
+	updates map[uint64]packedUpdate
+}
+
+// packedUpdate is an update to a version, and when it was made.
+type packedUpdate struct {
+	to     SpreadVersion
+	packed []byte
+	made   time.Time
 }
 
 // memberContact is when a member was last heard.
@@ -84,6 +100,7 @@
 	s.fleet = &fleet{changed: make(chan struct{})}
 	s.known = known
 	s.updatePace = rate.NewLimiter(updatesPerSecond, updateBurst)
+	s.firstPace = rate.NewLimiter(updatesPerSecond, updateBurst)
 }
 
 // begin starts a term with the members and upstreams known before.
@@ -94,6 +111,7 @@
 	f.version = SpreadVersion{Term: term, Sequence: 1}
 	f.floor, f.base = f.version.Sequence, known.Version
 	f.heard = make(map[ident.NodeID]*memberContact, len(known.Members))
+	f.updates = make(map[uint64]packedUpdate)
 	f.members = newChanges[ident.NodeID, Member]()
 	f.upstreams = newChanges[ident.UpstreamName, Discovered]()
 	for _, m := range known.Members {
@@ -151,7 +169,7 @@
 // note counts a change and wakes the syncs. The caller holds the lock.
 func (f *fleet) note() {
 	f.version.Sequence++
-	f.updates = make(map[uint64]SpreadDelivery)
+	maps.DeleteFunc(f.updates, func(_ uint64, u packedUpdate) bool { return time.Since(u.made) >= updateReuse })
 	if len(f.members.gone)+len(f.upstreams.gone) > maxGone {
 		f.members.forgetGone()
 		f.upstreams.forgetGone()
@@ -267,24 +285,28 @@
 	return a.Pool == b.Pool && a.Number == b.Number && a.State == b.State
 }
 
-// spread returns what a node at a version lacks; neither form is set if it lacks
-// nothing. Changed is closed at the next change.
-func (f *fleet) spread(have SpreadVersion) (d SpreadDelivery, changed <-chan struct{}) {
+// spread returns what a node at a version lacks, or lacked a moment ago.
+func (f *fleet) spread(have SpreadVersion) (d SpreadDelivery, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.leading || !f.version.Newer(have) {
-		return d, f.changed
+		return d, nil
 	}
 	since := f.since(have)
-	d, known := f.updates[since]
-	if !known {
-		d = deliver(f.updateSince(since))
-		f.updates[since] = d
+	update, known := f.updates[since]
+	if !known || !update.to.Newer(have) || update.to != f.version && time.Since(update.made) >= updateReuse {
+		packed, err := pack(f.updateSince(since))
+		if err != nil {
+			return d, fmt.Errorf("control: update of members and upstreams: %w", err)
+		}
+		update = packedUpdate{to: f.version, packed: packed, made: time.Now()}
+		f.updates[since] = update
 	}
+	d.Packed = update.packed
 	if since != 0 {
 		d.From = have
 	}
-	return d, f.changed
+	return d, nil
 }
 
 // newer reports whether a node at a version lacks something. Changed is closed at
@@ -349,12 +371,25 @@
 	}
 	if s.lacks(args) {
 		// Taken after the pause, so that it holds what changed meanwhile.
-		time.Sleep(s.updatePace.Reserve().Delay())
-		reply.Config = s.configDelivery(args.HaveRevision)
-		reply.Spread, _ = s.fleet.spread(args.HaveSpread)
+		pace := s.updatePace
+		if args.HaveRevision == 0 {
+			pace = s.firstPace
+		}
+		time.Sleep(pace.Reserve().Delay())
+		var errs [2]error
+		reply.Config, errs[0] = s.configDelivery(args.HaveRevision)
+		reply.Spread, errs[1] = s.fleet.spread(args.HaveSpread)
+		if err := errors.Join(errs[:]...); err != nil {
+			s.fleet.leave(args.Member, time.Now())
+			return err
+		}
 	}
 	s.fleet.leave(args.Member, time.Now())
-	reply.Status = s.stillServing(term)
+	now, status := s.awaitServing()
+	if status.OK() && now != term {
+		status = Status{NotLeader: true, Redirect: s.self, Detail: "the term has changed"}
+	}
+	reply.Status = status
 	return nil
 }
 
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -53,8 +53,8 @@
 	fleet      *fleet
 	known      func() Spread
 	updatePace *rate.Limiter
-	// whole is the latest whole configuration as nodes get it.
-	whole wholeConfig
+	firstPace  *rate.Limiter
+	deliveries configDeliveries
 
 	// leadership is what the latest Tick saw; led is closed and replaced when it
 	// changes, and when a term begins.
