Quotas are paced at what a window gives, not at the team's rate alone

Change: 0.85 of a window's tokens come evenly, 0.15 may be used at once; a window holds no more than before.

--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -176,7 +176,7 @@
 			limits = append(limits, scheduler.QuotaLimit{
 				Team:   name,
 				Tokens: (q.PerSecond*window.Seconds()+q.Burst)*(1+overageUsed*n.settings.QuotaOverage) + slackUsed*n.settings.QuotaSlack,
-				Window: window, PerSecond: q.PerSecond,
+				Window: window, Paced: true,
 			})
 		}
 	}
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -34,20 +34,22 @@
 	// Tokens is the most that may be used within Window.
 	Tokens float64
 	Window time.Duration
-	// PerSecond is the rate that the team may use without end; what a window allows
-	// beyond it may be used at once. With 0 all of a window may be used at once.
-	PerSecond float64
+	// Paced gives a window's tokens out evenly, but for a part that may be used at
+	// once. Otherwise all of them may be used at once.
+	Paced bool
 }
 
-// burstLeast is the least part of a window's tokens that may be used at once.
-const burstLeast = 0.2
+// burstPart is the part of a window's tokens that may be used at once by a team
+// whose quota is paced: more than a second's use, and many times a request.
+const burstPart = 0.15
 
 // burst is how many tokens may be used at once, and refill the rate at which they
 // come anew: over any window both together are no more than its tokens.
 func (l QuotaLimit) burst() (tokens, refill float64) {
-	window := l.Window.Seconds()
-	refill = min(l.PerSecond, (1-burstLeast)*l.Tokens/window)
-	return l.Tokens - refill*window, refill
+	if !l.Paced {
+		return l.Tokens, 0
+	}
+	return burstPart * l.Tokens, (1 - burstPart) * l.Tokens / l.Window.Seconds()
 }
 
 // Quotas keeps what teams use through the gateways of all schedulers of a
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -272,7 +272,7 @@
 	const perSecond, burst = 1000.0, 1500.0
 	limit := perSecond*testWindow.Seconds() + burst
 	q := NewQuotas()
-	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: limit, Window: testWindow, PerSecond: perSecond}})
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: limit, Window: testWindow, Paced: true}})
 	q.Register("p", "g1", nil, testWindow, quotaStart)
 	steps := make([]float64, 1200) // of 10 ms each
 	for i := range steps {
@@ -307,7 +307,7 @@
 // use some tokens at once: requests come one by one, and no window holds too much.
 func TestQuotas_NoBurstPermitted(t *testing.T) {
 	q := NewQuotas()
-	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow, PerSecond: 1000}})
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow, Paced: true}})
 	q.Register("p", "g1", nil, testWindow, quotaStart)
 	ok, _ := q.Admit("a", 1500, 1, 1, quotaStart)
 	must.True(t, ok)
@@ -320,7 +320,7 @@
 // to a team's more urgent requests.
 func TestQuotas_BurstKeepsRoomForUrgentRequests(t *testing.T) {
 	q := NewQuotas()
-	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 10000, Window: testWindow, PerSecond: 1000}})
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 10000, Window: testWindow, Paced: true}})
 	q.Register("p", "g1", nil, testWindow, quotaStart)
 	q.Spend("a", "g1", 950, quotaStart)
 	ok, _ := q.Admit("a", 100, 1, 0, quotaStart)
