Syncs that wait through a lapse of the lease are woken when another replica may lead

Cause: read again: a leader whose lease had run out and that then stepped down woke nobody, since it was not leading any more; its waiting syncs, and with them their nodes' search for the next leader, went on until their hold ended (0.3 to 1 s). Change: a lapse that becomes the end of the leadership wakes them. Figures: TestFleet_LeaseLostForAMoment with the lapse first fails before.

--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -61,8 +61,9 @@
 	// follower. Nodes at other versions from before are told everything.
 	floor uint64
 	base  SpreadVersion
-	// leading is true while this replica leads in the version's term.
-	leading bool
+	// leading is true while this replica leads in the version's term, and lapsed
+	// while it did so last and only its lease has run out.
+	leading, lapsed bool
 	// heard holds when members were last heard.
 	heard     map[ident.NodeID]*memberContact
 	members   changes[ident.NodeID, Member]
@@ -70,7 +71,7 @@
 	upstreams changes[ident.UpstreamName, Discovered]
 	// hot is when each team was last reported near its quota.
 	hot map[ident.TeamName]time.Time
-	// changed is closed and replaced when changes are told, and when the term ends.
+	// changed is closed and replaced at each change, and when the term ends.
 	changed   chan struct{}
 	rollouts  []rollout.Record
 	committed []ident.TeamName
@@ -107,7 +108,7 @@
 func (f *fleet) begin(term uint64, known Spread, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.leading = true
+	f.leading, f.lapsed = true, false
 	f.version = SpreadVersion{Term: term, Sequence: 1}
 	f.floor, f.base = f.version.Sequence, known.Version
 	f.heard = make(map[ident.NodeID]*memberContact, len(known.Members))
@@ -137,7 +138,7 @@
 	if f.version.Term != term {
 		return false
 	}
-	f.leading = true
+	f.leading, f.lapsed = true, false
 	f.spare(now)
 	return true
 }
@@ -149,15 +150,16 @@
 	}
 }
 
-// end notes that this replica no longer leads. Waiting syncs go on if it may lead
-// again in the same term; they are told when they are answered.
+// end notes that this replica does not lead now. Lapsed is true while it may lead
+// again in the same term: waiting syncs go on until that is out of the question.
 func (f *fleet) end(lapsed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leading && !lapsed {
+	waiting := f.leading || f.lapsed
+	f.leading, f.lapsed = false, waiting && lapsed
+	if waiting && !lapsed {
 		f.wake()
 	}
-	f.leading = false
 }
 
 // wake has all waiting syncs look again. The caller holds the lock.
--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -95,11 +95,18 @@
 	must.True(t, node.Listed)
 
 	must.False(t, f.resume(3, now))
-	f.end(false)
-	select {
-	case <-changed:
-	default:
-		t.Fatal("syncs wait on although another replica may lead")
+	for _, lapsedFirst := range []bool{false, true} {
+		must.True(t, f.resume(2, now))
+		changed, _ = f.newer(node.Version)
+		if lapsedFirst {
+			f.end(true)
+		}
+		f.end(false)
+		select {
+		case <-changed:
+		default:
+			t.Fatalf("syncs wait on although another replica may lead, lapsed first: %t", lapsedFirst)
+		}
 	}
 }
 
