--- a/internal/coordination/control/spread_test.go
+++ b/internal/coordination/control/spread_test.go
@@ -227,3 +227,32 @@
 		}
 	})
 }
+
+// TestFleet_StartPacksOnce replays the start of 300 nodes within 0.3 s: each arrival
+// is a change, and each node lacks everything. Packed anew for each of them, 3,000
+// upstreams took the leader's time until its lease ran out.
+func TestFleet_StartPacksOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := largeFleet(t)
+		time.Sleep(time.Second)
+		packs := 0
+		var latest []byte
+		for i := range 300 {
+			f.arrive(Member{ID: ident.NodeID(fmt.Sprintf("joins-%d:7600", i)), Incarnation: 1}, time.Now())
+			delivery, err := f.spread(SpreadVersion{})
+			must.NoError(t, err)
+			if latest == nil || &delivery.Packed[0] != &latest[0] {
+				packs++
+			}
+			latest = delivery.Packed
+			time.Sleep(time.Millisecond)
+		}
+		must.LessEq(t, int(300*time.Millisecond/updateReuse)+1, packs)
+		// What a reused update lacks comes with the next one.
+		var node Spread
+		must.True(t, follow(t, f, &node))
+		for follow(t, f, &node) {
+		}
+		must.Len(t, 600, node.Members)
+	})
+}
