A paced quota gives a team at once what it may use at once

A part of the window (0.15) was all that could be used at once, also where the burst or the permitted slack of a team is larger beside its rate. Ruled out: load (red alone as well), the window (half used), the unknown past of new gateways (0.65 of a window at most). Change: at once is the larger of that part, the team's burst and the slack that is given out; where the rate needs more of the window, the part gets less. On the users' sites the part is the largest of them, so that nothing changes there. The wait in TestQuotas_NoBurstPermitted follows from the quota (1.6 s).

--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -176,7 +176,8 @@
 			limits = append(limits, scheduler.QuotaLimit{
 				Team:   name,
 				Tokens: (q.PerSecond*window.Seconds()+q.Burst)*(1+overageUsed*n.settings.QuotaOverage) + slackUsed*n.settings.QuotaSlack,
-				Window: window, Paced: true,
+				Window: window, PerSecond: q.PerSecond,
+				AtOnce: max(q.Burst, slackUsed*n.settings.QuotaSlack),
 			})
 		}
 	}
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -34,22 +34,34 @@
 	// Tokens is the most that may be used within Window.
 	Tokens float64
 	Window time.Duration
-	// Paced gives a window's tokens out evenly, but for a part that may be used at
-	// once. Otherwise all of them may be used at once.
-	Paced bool
+	// PerSecond is the rate that the team may use without end, and AtOnce the tokens
+	// that it may use at once beside it. A window's tokens are then given out evenly,
+	// but for those and at least burstPart of them. With a rate of 0 all of a
+	// window's tokens may be used at once.
+	PerSecond float64
+	AtOnce    float64
 }
 
-// burstPart is the part of a window's tokens that may be used at once by a team
-// whose quota is paced: more than a second's use, and many times a request.
-const burstPart = 0.15
+const (
+	// burstPart is the part of a window's tokens that any team may use at once: more
+	// than a second's use, and many times a request.
+	burstPart = 0.15
+	// burstLeast is the same where the rate leaves less of a window.
+	burstLeast = 0.05
+)
 
 // burst is how many tokens may be used at once, and refill the rate at which they
 // come anew: over any window both together are no more than its tokens.
 func (l QuotaLimit) burst() (tokens, refill float64) {
-	if !l.Paced {
+	if l.PerSecond <= 0 {
 		return l.Tokens, 0
 	}
-	return burstPart * l.Tokens, (1 - burstPart) * l.Tokens / l.Window.Seconds()
+	window := l.Window.Seconds()
+	refill = (l.Tokens - max(l.AtOnce, burstPart*l.Tokens)) / window
+	if refill < l.PerSecond {
+		refill = min(l.PerSecond, (1-burstLeast)*l.Tokens/window)
+	}
+	return l.Tokens - refill*window, refill
 }
 
 // Quotas keeps what teams use through the gateways of all schedulers of a
