The fleet's sync and orders stand in files of their own

Ruled out: any change of behaviour; the functions are moved as they are. Conclusion: one job a file.

--- /dev/null
+++ b/internal/coordination/control/fleet_orders.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// ApplyNumbered commits a configuration under the policy that the highest
+// number wins. It is acknowledged once a quorum has it on disk.
+func (s *Service) ApplyNumbered(args *ApplyNumberedArgs, reply *ApplyNumberedReply) error {
+	if _, status := s.read(); !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	if _, number := s.machine.Document(); args.Numbered.Number <= number {
+		reply.Number = number
+		reply.Outcome.Verdict = config.VerdictOvertaken
+		return nil
+	}
+	numbered := args.Numbered
+	result, status := s.propose(&machine.Command{ApplyConfig: &config.Operation{Numbered: &numbered}})
+	reply.Status = status
+	if status.OK() && result.Config != nil {
+		reply.Outcome = *result.Config
+		_, reply.Number = s.machine.Document()
+	}
+	return nil
+}
+
+// ReadDocument returns the newest numbered configuration's own text.
+func (s *Service) ReadDocument(_ *ReadDocumentArgs, reply *ReadDocumentReply) error {
+	term, status := s.read()
+	if !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	reply.Document, reply.Number = s.machine.Document()
+	reply.Status = s.stillServing(term)
+	return nil
+}
+
+// StartRollout commits an operator's order.
+func (s *Service) StartRollout(args *StartRolloutArgs, reply *RolloutReply) error {
+	order := args.Order
+	return s.changeRollout(&machine.Command{StartRollout: &order}, reply)
+}
+
+// EndRollout commits the end of a rollout.
+func (s *Service) EndRollout(args *EndRolloutArgs, reply *RolloutReply) error {
+	end := args.End
+	return s.changeRollout(&machine.Command{EndRollout: &end}, reply)
+}
+
+func (s *Service) changeRollout(command *machine.Command, reply *RolloutReply) error {
+	result, status := s.propose(command)
+	reply.Status = status
+	reply.Refusal = string(result.Refusal)
+	reply.Record = result.Rollout
+	if status.OK() {
+		s.tellCommitted()
+	}
+	return nil
+}
+
+// tellCommitted spreads the committed rollouts and hot teams.
+func (s *Service) tellCommitted() {
+	s.fleet.setCommitted(s.machine.Rollouts(), s.machine.HotTeams())
+}
+
+// ReadRollout returns a pool's latest rollout.
+func (s *Service) ReadRollout(args *ReadRolloutArgs, reply *RolloutReply) error {
+	term, status := s.read()
+	if !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	if record, known := s.machine.Rollout(args.Pool); known {
+		reply.Record = &record
+	}
+	reply.Status = s.stillServing(term)
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/control/fleet_sync.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"errors"
+	"time"
+)
+
+// hold is how long a sync waits for a change at the fleet's present size.
+func (f *fleet) hold() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return min(MaxSyncHold, max(minSyncHold, time.Duration(len(f.heard))*syncPace))
+}
+
+// Sync tells that a node lives, waits for a change and brings the node up to
+// date. Every reply that is served proves that this replica led after the call
+// was sent.
+func (s *Service) Sync(args *SyncArgs, reply *SyncReply) error {
+	term, status := s.awaitServing()
+	if !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	if !s.fleet.arrive(args.Member, time.Now()) {
+		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: "the term is beginning"}
+		return nil
+	}
+	s.fleet.reportHot(args.HotTeams, time.Now())
+	timer := time.NewTimer(min(args.Hold, s.fleet.hold()))
+	defer timer.Stop()
+	for !s.lacks(args) {
+		if !s.awaitSync(args, timer.C) {
+			break
+		}
+	}
+	if s.lacks(args) {
+		// Taken after the pause, so that it holds what changed meanwhile.
+		pace := s.updatePace
+		if args.HaveRevision == 0 {
+			pace = s.firstPace
+		}
+		time.Sleep(pace.Reserve().Delay())
+		var errs [2]error
+		reply.Config, errs[0] = s.configDelivery(args.HaveRevision)
+		reply.Spread, errs[1] = s.fleet.spread(args.HaveSpread)
+		if err := errors.Join(errs[:]...); err != nil {
+			s.fleet.leave(args.Member, time.Now())
+			return err
+		}
+	}
+	s.fleet.leave(args.Member, time.Now())
+	now, status := s.awaitServing()
+	if status.OK() && now != term {
+		status = Status{NotLeader: true, Redirect: s.self, Detail: "the term has changed"}
+	}
+	reply.Status = status
+	return nil
+}
+
+// awaitServing waits while no other replica is known to lead: an election may be
+// under way, or this replica's lease may have run out for a moment. Were all nodes
+// sent away then, their tries to find a leader would keep the replicas from electing
+// one.
+func (s *Service) awaitServing() (uint64, Status) {
+	timer := time.NewTimer(maxElection)
+	defer timer.Stop()
+	for {
+		changed := s.leadershipChange()
+		term, status := s.serving()
+		leader := s.proposer.Leadership().Leader
+		if status.OK() || leader != "" && leader != s.self {
+			return term, status
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return term, status
+		}
+	}
+}
+
+// lacks reports whether a node lacks something of the configuration or of what
+// the leader spreads.
+func (s *Service) lacks(args *SyncArgs) bool {
+	_, newer := s.fleet.newer(args.HaveSpread)
+	return newer || s.lacksConfig(args)
+}
+
+// lacksConfig reports whether a node lacks something of the configuration.
+func (s *Service) lacksConfig(args *SyncArgs) bool {
+	_, revision, _ := s.machine.Config()
+	return revision > args.HaveRevision
+}
+
+// awaitSync waits for a change; it returns false when there was none in time.
+func (s *Service) awaitSync(args *SyncArgs, timeout <-chan time.Time) bool {
+	machineChanged := s.machine.Changed()
+	fleetChanged, newer := s.fleet.newer(args.HaveSpread)
+	if newer || s.lacksConfig(args) {
+		return true
+	}
+	select {
+	case <-machineChanged:
+	case <-fleetChanged:
+	case <-timeout:
+		return false
+	}
+	_, status := s.serving()
+	return status.OK() || s.proposer.Leadership().Leader == s.self
+}
