--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -108,16 +107,13 @@
 // recordMembers records the members if they differ from last, and returns the
 // current ones in text form.
 func (r *replica) recordMembers(a *Agent, last string) string {
-	var now strings.Builder
-	for _, m := range r.node.Members().Members {
-		fmt.Fprintf(&now, "%s %s, ", m.Replica, m.Role)
-	}
-	if now.String() == last {
+	now := r.node.Members().String()
+	if now == last {
 		return last
 	}
-	a.events.Record(timeline.Event{Kind: timeline.KindReplicaChange, Detail: now.String()})
-	klog.InfoS("replicas changed", "node", a.settings.Node, "members", now.String())
-	return now.String()
+	a.events.Record(timeline.Event{Kind: timeline.KindReplicaChange, Detail: now})
+	klog.InfoS("replicas changed", "node", a.settings.Node, "members", now)
+	return now
 }
 
 // stop stops the replica. With transferLeadership set, a leader first transfers
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -62,6 +62,20 @@
 		}
 		return 0
 	})
+	if n.settings.Replica() {
+		gauge("flamingohaven_fleet_voters", "Voters in effect at this replica.", func() float64 {
+			if n.replica == nil {
+				return 0
+			}
+			return float64(n.replica.voters())
+		})
+		gauge("flamingohaven_fleet_silent_voters", "Voters that this replica, as the leader, hears nothing from; 0 on the others.", func() float64 {
+			if n.replica == nil {
+				return 0
+			}
+			return float64(n.replica.node.Status().SilentVoters)
+		})
+	}
 	gauge("flamingohaven_fleet_waiting_bytes", "Memory of the requests that this gateway holds, in bytes.", func() float64 {
 		return float64(n.budget.Used())
 	})
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -91,11 +91,14 @@
 	n.loops.Go(func() { r.watch(n) })
 }
 
-// watch records changes of the leadership until the replica fails or the node
-// stops.
+// watch records changes of the leadership and of the members, and failed
+// campaigns, until the replica fails or the node stops.
 func (r *replica) watch(n *Node) {
 	var last consensus.Leadership
+	var members, campaign string
 	for {
+		members = r.recordMembers(n, members)
+		campaign = r.recordFailedCampaign(n, campaign)
 		select {
 		case <-n.ctx.Done():
 			return
@@ -122,6 +125,30 @@
 	}
 }
 
+// recordMembers records the members if they differ from last, and returns the
+// current ones in text form.
+func (r *replica) recordMembers(n *Node, last string) string {
+	now := r.node.Members().String()
+	if now == last {
+		return last
+	}
+	n.events.Record(timeline.Event{Kind: timeline.KindReplicaChange, Detail: now})
+	klog.InfoS("replicas changed", "node", n.settings.Name, "members", now)
+	return now
+}
+
+// recordFailedCampaign records a failed campaign unless it ended as the last one
+// did, and returns its description. A replica that keeps failing for the same
+// reason thus writes one line.
+func (r *replica) recordFailedCampaign(n *Node, last string) string {
+	now := r.node.Status().FailedCampaign
+	if now != "" && now != last {
+		n.events.Record(timeline.Event{Kind: timeline.KindCampaign, Detail: now})
+		klog.InfoS("campaign failed", "node", n.settings.Name, "result", now)
+	}
+	return now
+}
+
 // handleFatal wraps the error that ended the replica. If another replica has
 // replaced this one in the cluster, it also empties the data directory, so that the
 // next start joins as a new replica.
@@ -149,6 +176,9 @@
 	return nil
 }
 
+// voters returns the number of voters in effect at this replica.
+func (r *replica) voters() int { return len(r.node.Members().Voters()) }
+
 // leading reports whether this replica is the leader.
 func (r *replica) leading() bool { return r.node.Leadership().Leading }
 
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -62,6 +62,12 @@
 	voteBlockedByRestart bool
 	electionAt           time.Time
 	votes                map[Replica]bool
+	// refusals holds the reasons of the voters that refused in the current
+	// campaign.
+	refusals map[Replica]VoteRefusal
+	// failedCampaign describes the last campaign that got no majority; empty
+	// once a leader is known.
+	failedCampaign string
 
 	leadership
 
@@ -198,6 +204,9 @@
 	}
 	c.role = follower
 	c.leader = newLeader
+	if newLeader != (Replica{}) {
+		c.failedCampaign = ""
+	}
 }
 
 // failInvariant records a violated invariant, which stops the replica: to
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -67,6 +67,7 @@
 func (c *core) becomeLeader(now time.Time) {
 	c.role = leader
 	c.leader = c.self
+	c.failedCampaign = ""
 	c.leadership = leadership{progress: map[Replica]*progress{}, leaderSince: now, heartbeatAt: now, seq: c.seq}
 	c.syncProgress()
 	c.appendLocal(wal.Entry{Kind: entryNoop})
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -191,6 +191,19 @@
 	return found, longest
 }
 
+// silentVoters returns how many other voters a leader has not heard from for
+// SilentVoterTimeout.
+func (c *core) silentVoters(now time.Time) int {
+	count := 0
+	for _, voter := range c.members().Voters() {
+		p := c.progress[voter]
+		if p != nil && now.Sub(latest(p.ackedAt, c.leaderSince)) >= SilentVoterTimeout {
+			count++
+		}
+	}
+	return count
+}
+
 // caughtUp reports whether a learner answered recently and holds all committed
 // entries.
 func (c *core) caughtUp(now time.Time, r Replica) bool {
--- a/internal/coordination/consensus/core_vote.go
+++ b/internal/coordination/consensus/core_vote.go
@@ -1,13 +1,19 @@
 package consensus
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // preCampaign starts a pre-vote: it asks the other voters whether they would
 // grant a vote, without changing the term.
 func (c *core) preCampaign(now time.Time) {
+	if c.role == preCandidate || c.role == candidate {
+		c.failedCampaign = c.campaignSummary()
+	}
 	c.role = preCandidate
 	c.leader = Replica{}
-	c.votes = map[Replica]bool{}
+	c.votes, c.refusals = map[Replica]bool{}, map[Replica]VoteRefusal{}
 	c.resetElection(now)
 	c.requestVotes(VoteRequest{Term: c.term + 1, Pre: true})
 	c.countVote(now, c.self)
@@ -20,11 +26,32 @@
 	c.vote = c.self
 	c.role = candidate
 	c.leader = Replica{}
-	c.votes = map[Replica]bool{}
+	c.votes, c.refusals = map[Replica]bool{}, map[Replica]VoteRefusal{}
 	c.resetElection(now)
 	c.requestVotes(VoteRequest{Term: c.term, Transfer: transfer})
 }
 
+// campaignSummary describes the votes of the current campaign or pre-vote.
+func (c *core) campaignSummary() string {
+	var granted, refused, silent []string
+	for _, voter := range c.members().Voters() {
+		switch {
+		case c.votes[voter]:
+			granted = append(granted, voter.String())
+		case c.refusals[voter] != "":
+			refused = append(refused, fmt.Sprintf("%v: %s", voter, c.refusals[voter]))
+		default:
+			silent = append(silent, voter.String())
+		}
+	}
+	kind, term := "election", c.term
+	if c.role == preCandidate {
+		kind, term = "pre-vote", c.term+1
+	}
+	return fmt.Sprintf("%s for term %d without a majority: %d of %d votes, %d needed; granted %q, refused %q, no answer %q",
+		kind, term, len(granted), len(c.members().Voters()), c.members().quorum(), granted, refused, silent)
+}
+
 // campaignStagger separates the first campaigns of voters that restarted
 // together, so that they do not split the vote. It is longer than a round trip
 // plus the time to persist a vote.
@@ -87,27 +114,35 @@
 // voters: the candidate asks the voters of its own membership, which may be
 // newer than the membership known here.
 func (c *core) handleVote(now time.Time, from Replica, req *VoteRequest) VoteReply {
-	if c.members().Role(c.self) == RoleNone || c.voteBlocked(now, req) {
-		return VoteReply{Term: c.term}
+	if c.members().Role(c.self) == RoleNone {
+		return c.refuseVote(RefusedNotMember)
 	}
-	if req.Pre {
-		return VoteReply{Term: c.term, Granted: req.Term > c.term && c.upToDate(req)}
+	if c.voteBlocked(now, req) {
+		return c.refuseVote(RefusedBlocked)
 	}
-	if req.Term < c.term {
-		return VoteReply{Term: c.term}
+	if req.Term < c.term || req.Pre && req.Term == c.term {
+		return c.refuseVote(RefusedOldTerm)
 	}
-	if req.Term > c.term {
+	if !req.Pre && req.Term > c.term {
 		c.becomeFollower(now, req.Term, Replica{})
 	}
-	canVote := c.vote == (Replica{}) || c.vote == from
-	if !canVote || !c.upToDate(req) {
-		return VoteReply{Term: c.term}
+	if !req.Pre && c.vote != (Replica{}) && c.vote != from {
+		return c.refuseVote(RefusedVoted)
+	}
+	if !c.upToDate(req) {
+		return c.refuseVote(RefusedLogBehind)
+	}
+	if !req.Pre {
+		c.vote = from
+		c.resetElection(now)
 	}
-	c.vote = from
-	c.resetElection(now)
 	return VoteReply{Term: c.term, Granted: true}
 }
 
+func (c *core) refuseVote(reason VoteRefusal) VoteReply {
+	return VoteReply{Term: c.term, Refusal: reason}
+}
+
 // voteBlocked reports whether this replica must refuse its vote because a
 // leader may hold a valid lease. A leadership transfer overrides this, since
 // the leader has given up its lease.
@@ -138,14 +173,14 @@
 		c.becomeFollower(now, reply.Term, Replica{})
 		return
 	}
-	if !reply.Granted {
-		return
-	}
+	ofPreVote := req.Pre && c.role == preCandidate && req.Term == c.term+1
+	ofCampaign := !req.Pre && c.role == candidate && req.Term == c.term
 	switch {
-	case req.Pre && c.role == preCandidate && req.Term == c.term+1:
-		c.countVote(now, from)
-	case !req.Pre && c.role == candidate && req.Term == c.term:
+	case !ofPreVote && !ofCampaign:
+	case reply.Granted:
 		c.countVote(now, from)
+	default:
+		c.refusals[from] = reply.Refusal
 	}
 }
 
--- a/internal/coordination/consensus/loop.go
+++ b/internal/coordination/consensus/loop.go
@@ -36,6 +36,8 @@
 	self       Replica
 	genesis    Genesis
 	status     Status
+	// membersIndex is the log index of members.
+	membersIndex uint64
 	// announced is the leadership last signalled on the changes channel.
 	announced Leadership
 }
@@ -188,14 +190,14 @@
 	c := r.core
 	next := &view{
 		term: c.term, leader: c.leader.ID, leads: c.role == leader, termStart: c.termStart,
-		members: c.members(), self: c.self, genesis: r.identity.Genesis, status: r.status(),
+		members: c.members(), membersIndex: c.configIndex(), self: c.self, genesis: r.identity.Genesis, status: r.status(now),
 	}
 	if next.leads {
 		next.leaseUntil = c.leaseUntil(now)
 	}
 	next.announced = r.leadershipOf(next, now)
 	old := r.view.Swap(next)
-	if old != nil && old.announced == next.announced {
+	if old != nil && !next.differs(old) {
 		return
 	}
 	if old != nil && (old.announced.Leader != next.announced.Leader || old.announced.Leading != next.announced.Leading) {
@@ -207,6 +209,13 @@
 	}
 }
 
+// differs reports whether a change from old to v is signalled on the changes
+// channel.
+func (v *view) differs(old *view) bool {
+	return v.announced != old.announced || v.membersIndex != old.membersIndex ||
+		v.genesis.Cluster != old.genesis.Cluster || v.status.FailedCampaign != old.status.FailedCampaign
+}
+
 // leadershipOf returns the leadership that a view shows at the given time.
 func (r *replica) leadershipOf(v *view, now time.Time) Leadership {
 	ready := r.applier.applied.Load() >= v.termStart
--- a/internal/coordination/consensus/member.go
+++ b/internal/coordination/consensus/member.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -74,6 +75,15 @@
 	Retired []Replica
 }
 
+// String returns the members with their roles, as in "a/1f voter, b/2c learner".
+func (m Membership) String() string {
+	var text []string
+	for _, member := range m.Members {
+		text = append(text, fmt.Sprintf("%v %v", member.Replica, member.Role))
+	}
+	return strings.Join(text, ", ")
+}
+
 // Role returns the role of a replica.
 func (m Membership) Role(r Replica) Role {
 	for _, member := range m.Members {
--- a/internal/coordination/consensus/messages.go
+++ b/internal/coordination/consensus/messages.go
@@ -35,8 +35,22 @@
 type VoteReply struct {
 	Term    uint64
 	Granted bool
+	// Refusal is the reason why the vote was not granted, for logs.
+	Refusal VoteRefusal
 }
 
+// VoteRefusal is the reason for a refused vote; empty if the vote was granted.
+type VoteRefusal string
+
+// Reasons for a refused vote.
+const (
+	RefusedNotMember VoteRefusal = "not a member"
+	RefusedBlocked   VoteRefusal = "may have a leader"
+	RefusedOldTerm   VoteRefusal = "old term"
+	RefusedVoted     VoteRefusal = "voted for another"
+	RefusedLogBehind VoteRefusal = "log behind"
+)
+
 // AppendRequest carries the entries after PrevIndex. Without entries it is a
 // heartbeat or a probe for the index up to which the logs agree.
 type AppendRequest struct {
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -80,7 +80,8 @@
 	return now
 }
 
-// Changes returns a channel that signals possible changes of Leadership.
+// Changes returns a channel that signals possible changes of Leadership, of
+// Members and of Status.FailedCampaign.
 // Signals that are not received in time are merged into one.
 func (n *Node[R]) Changes() <-chan struct{} {
 	return n.replica.changes
@@ -130,8 +131,18 @@
 	Applied   uint64
 	// LogEntries is the number of log entries in memory.
 	LogEntries int
+	// SilentVoters is the number of other voters that a leader has not heard
+	// from for SilentVoterTimeout; 0 if this replica doesn't lead.
+	SilentVoters int
+	// FailedCampaign describes the votes of this replica's last campaign if no
+	// leader is known since, with the reasons of refusals.
+	FailedCampaign string
 }
 
+// SilentVoterTimeout is how long a voter must be silent to count as silent in
+// Status. Until then it may be restarting.
+const SilentVoterTimeout = time.Second
+
 // Status returns the current status.
 func (n *Node[R]) Status() Status {
 	status := n.replica.view.Load().status
@@ -140,11 +151,12 @@
 }
 
 // status returns the status without Applied. Only the loop may call it.
-func (r *replica) status() Status {
+func (r *replica) status(now time.Time) Status {
 	c := r.core
 	return Status{
 		Replica: c.self, Cluster: r.identity.Genesis.Cluster, Term: c.term, Leader: c.leader.ID,
 		LastIndex: c.log.last(), Commit: c.commit, LogEntries: len(c.log.entries),
+		SilentVoters: c.silentVoters(now), FailedCampaign: c.failedCampaign,
 	}
 }
 
--- a/internal/coordination/consensus/restart_test.go
+++ b/internal/coordination/consensus/restart_test.go
@@ -48,3 +48,24 @@
 		}
 	})
 }
+
+// TestNode_NoMajority crashes two of three replicas. The third must say which
+// votes it lacks, and stop saying so once there is a leader.
+func TestNode_NoMajority(t *testing.T) {
+	runCluster(t, 3, Options{}, func(t *testing.T, c *cluster) {
+		mustPut(t, c, 1, 3)
+		c.crash("a")
+		c.crash("b")
+		time.Sleep(5 * DefaultElectionMax)
+		status := c.members["c"].node.Status()
+		must.StrContains(t, status.FailedCampaign, "1 of 3 votes, 2 needed")
+		for _, id := range c.ids[:2] {
+			must.StrContains(t, status.FailedCampaign, string(id)+"/")
+		}
+		must.NoError(t, c.start("a"))
+		leading := mustLead(t, c)
+		must.Eq(t, "", leading.node.Status().FailedCampaign)
+		time.Sleep(SilentVoterTimeout + DefaultHeartbeat)
+		must.Eq(t, 1, leading.node.Status().SilentVoters)
+	})
+}
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -90,6 +90,7 @@
 	KindContact       Kind = "contact"
 	KindAttemptEnded  Kind = "attempt_ended"
 	KindReplicaChange Kind = "replica_change"
+	KindCampaign      Kind = "campaign_failed"
 )
 
 // Event is one entry of the timeline.
