A voter that is gone or stopping no longer counts towards an even quorum

Cause: the replacement was promoted beside the replica that it replaced, because that still answered (planned), had been silent for less than ElectionMax, or was the lost leader, whom a new leader counted as heard at the beginning of its term. Four voters with one gone need all three others. Nothing removed a voter that was gone unless a further learner waited, so the state lasted until the next loss. The class: redundancy used up by a change that is itself complete, and restored only by an unrelated later event. Change: a leader takes the vote of a voter that is silent for 3 s if the number of voters is even or a learner waits for its place; a replica that stops gracefully gives up its vote first if the number is even; promotion waits until every voter has answered in this term; the silence of a lost leader counts from its last message. The voter becomes a learner, keeps its disk and votes again when it is back, where it was removed and its disk emptied before. A learner silent for a minute, or for 3 s if the membership is full, is removed. Why it works: with an even number of voters a majority of one voter less needs one vote less, so both memberships have overlapping majorities, no tolerance is lost, and the next loss finds an odd number again. Ruled out: refused votes and broken connections (campaign_failed: granted, 2 of 4, 3 needed). A standby learner instead of a fourth voter does not help: the vote of the stopping replica is then lost all the same.

--- a/internal/coordination/consensus/bootstrap.go
+++ b/internal/coordination/consensus/bootstrap.go
@@ -22,8 +22,8 @@
 
 // ensureMembership makes this replica a member and keeps it one: it forms the
 // cluster with the other initial replicas, adopts the cluster that they formed,
-// or joins as a learner. A member that has known no leader for rejoinAfter asks
-// to join again.
+// or joins as a learner. A member that gave up its vote before it was restarted,
+// or has known no leader for rejoinAfter, asks to join again.
 func (r *replica) ensureMembership() {
 	r.awaitLeaderlessPeers()
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
@@ -37,7 +37,8 @@
 		switch {
 		case v.genesis.Cluster == "":
 			r.formOrAdopt(v.self)
-		case v.members.Role(v.self) == RoleNone, time.Since(leaderSeen) >= rejoinAfter:
+		case r.leaving.Load():
+		case v.members.Role(v.self) == RoleNone, r.hasLeft(v), time.Since(leaderSeen) >= rejoinAfter:
 			leaderSeen = time.Now()
 			if !r.join(v) {
 				return
@@ -230,6 +231,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timing.CallTimeout)
 	defer cancel()
-	err := r.changeMembers(ctx, func(c *core) (uint64, error) { return c.join(req.Replica) })
+	err := r.changeMembers(ctx, func(now time.Time, c *core) (uint64, error) { return c.join(now, req.Replica) })
 	return joinReply(err)
 }
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -36,8 +36,8 @@
 	timing Timing
 	rng    *rand.Rand
 	faults faults
-	// replaceDead lets new replicas take the places of voters that are silent
-	// for DeadVoterTimeout.
+	// replaceDead lets voters that are silent for DeadVoterTimeout lose their
+	// votes.
 	replaceDead bool
 
 	term   uint64
@@ -69,6 +69,11 @@
 	// once a leader is known.
 	failedCampaign string
 
+	// lastLeader is the other replica that led most recently as far as this one
+	// knows, and lastLeaderAt the time of its last message.
+	lastLeader   Replica
+	lastLeaderAt time.Time
+
 	leadership
 
 	out output
--- a/internal/coordination/consensus/core_append.go
+++ b/internal/coordination/consensus/core_append.go
@@ -127,6 +127,7 @@
 		return false
 	}
 	c.becomeFollower(now, term, from)
+	c.lastLeader, c.lastLeaderAt = from, now
 	c.voteBlockedUntil = now.Add(c.timing.ElectionMin)
 	c.voteBlockedByRestart = false
 	c.resetElection(now)
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -128,7 +128,7 @@
 		c.heartbeatAt = now.Add(c.timing.Heartbeat)
 		c.heartbeat(now)
 	}
-	c.advanceAutoPromotion(now)
+	c.advanceMembership(now)
 	c.continueTransfer()
 }
 
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -82,7 +82,8 @@
 }
 
 // addLearner adds a learner and returns the index of the membership entry. An
-// auto learner is promoted without an operator.
+// auto learner is promoted without an operator; a learner that left becomes one
+// again.
 func (c *core) addLearner(r Replica, auto bool) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
@@ -90,12 +91,16 @@
 	switch {
 	case c.members().retired(r):
 		return 0, ErrRemoved
+	case c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
+		return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner, AutoPromote: true})), nil
 	case c.members().Role(r) != RoleNone:
 		return c.configIndex(), nil
-	case len(c.members().Members) >= MaxMembers:
+	}
+	next := c.members().withLearner(r, auto)
+	if len(next.Members) > MaxMembers {
 		return 0, ErrTooManyMembers
 	}
-	return c.appendMembership(c.members().withLearner(r, auto)), nil
+	return c.appendMembership(next), nil
 }
 
 // promote turns a learner that has caught up into a voter.
@@ -112,7 +117,7 @@
 	if c.progress[r].match < c.commit {
 		return 0, ErrNotCaughtUp
 	}
-	return c.appendMembership(c.members().withVoter(r)), nil
+	return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleVoter})), nil
 }
 
 // remove removes a replica permanently: the incarnation can't join again.
@@ -130,74 +135,144 @@
 	return c.appendMembership(next), nil
 }
 
-// join adds a learner that later replaces older incarnations of its ID.
-func (c *core) join(r Replica) (uint64, error) {
+// join adds a learner that later replaces older incarnations of its ID. If there
+// are too many members, a learner that is silent is removed first; the replica
+// has to ask again.
+func (c *core) join(now time.Time, r Replica) (uint64, error) {
 	if r.ID == c.self.ID && r != c.self {
 		return 0, ErrIDInUse
 	}
-	return c.addLearner(r, true)
+	index, err := c.addLearner(r, true)
+	if errors.Is(err, ErrTooManyMembers) && c.replaceDead {
+		if stale, silent := c.longestSilentLearner(now); silent >= DeadVoterTimeout {
+			c.appendMembership(c.members().without(stale))
+		}
+	}
+	return index, err
 }
 
-// advanceAutoPromotion takes the next step for a learner that joined and has
-// caught up. An older incarnation of its ID, or a dead voter if replaceDead is
-// set, is removed first; then the learner becomes a voter.
-func (c *core) advanceAutoPromotion(now time.Time) {
+// advanceMembership takes the next step towards a membership in which every
+// voter is alive. A learner that joined and has caught up becomes a voter, after
+// an older incarnation of its ID was removed. With replaceDead, a dead voter
+// becomes a learner as soon as a learner can take its place or the quorum shrinks
+// without it.
+func (c *core) advanceMembership(now time.Time) {
 	if c.checkChangeAllowed() != nil {
 		return
 	}
-	for _, member := range c.members().Members {
-		if !member.AutoPromote || member.Role != RoleLearner || !c.caughtUp(now, member.Replica) {
-			continue
-		}
-		if old, found := c.otherIncarnation(member.Replica); found {
+	learner, waiting := c.promotable(now)
+	if waiting {
+		if old, found := c.otherIncarnation(learner); found {
 			c.appendMembership(c.members().without(old))
 			return
 		}
-		if c.replaceDead {
-			dead, silent := c.longestSilentVoter(now)
-			switch {
-			case silent >= DeadVoterTimeout:
-				c.appendMembership(c.members().without(dead))
-				return
-			case silent >= c.timing.ElectionMax:
-				// The voter may be gone for good. Another voter beside it would
-				// raise the quorum while one of the voters is missing.
-				return
-			}
+	}
+	if c.replaceDead {
+		if dead, silent := c.longestSilentVoter(now); silent >= DeadVoterTimeout && (waiting || c.members().shrinkable()) {
+			c.appendMembership(c.members().withMember(Member{Replica: dead, Role: RoleLearner, AutoPromote: true}))
+			return
 		}
-		c.appendMembership(c.members().withVoter(member.Replica))
-		return
+		if stale, silent := c.longestSilentLearner(now); silent >= staleLearnerTimeout {
+			c.appendMembership(c.members().without(stale))
+			return
+		}
+		// A voter that doesn't answer may be gone for good. Another voter beside it
+		// would raise the quorum while one of the voters is missing.
+		waiting = waiting && c.allVotersAnswer(now)
+	}
+	if waiting {
+		c.appendMembership(c.members().withMember(Member{Replica: learner, Role: RoleVoter}))
 	}
 }
 
-// DeadVoterTimeout is how long a voter must be silent before a new replica may
-// take its place. It is longer than a kill and restart; a replacement must
-// complete within the 4 s that deployments give a new VM to catch up.
-const DeadVoterTimeout = 3 * time.Second
+const (
+	// DeadVoterTimeout is how long a voter must be silent before it loses its vote.
+	// It is longer than a kill and restart; a replacement must complete within the
+	// 4 s that deployments give a new VM to catch up.
+	DeadVoterTimeout = 3 * time.Second
+	// staleLearnerTimeout is how long a learner must be silent before it is
+	// removed. It is longer than any restart, since the replica must empty its
+	// data folder to join again.
+	staleLearnerTimeout = time.Minute
+)
+
+// promotable returns a learner that joined without an operator and has caught
+// up.
+func (c *core) promotable(now time.Time) (Replica, bool) {
+	for _, member := range c.members().Members {
+		if member.AutoPromote && member.Role == RoleLearner && c.caughtUp(now, member.Replica) {
+			return member.Replica, true
+		}
+	}
+	return Replica{}, false
+}
+
+// silence returns how long a peer has been silent, as far as this leader can
+// tell. The previous leader counts from its last message if it had time to
+// answer since; all others count from the beginning of the term at the earliest.
+func (c *core) silence(now time.Time, peer Replica) time.Duration {
+	heard := latest(c.progress[peer].ackedAt, c.leaderSince)
+	if peer == c.lastLeader && c.progress[peer].ackedAt.IsZero() && now.Sub(c.leaderSince) >= c.timing.ElectionMax {
+		heard = c.lastLeaderAt
+	}
+	return now.Sub(heard)
+}
 
 // longestSilentVoter returns the other voter that has been silent for longest,
 // and for how long.
 func (c *core) longestSilentVoter(now time.Time) (Replica, time.Duration) {
+	return c.longestSilent(now, RoleVoter)
+}
+
+// longestSilentLearner returns the learner that has been silent for longest, and
+// for how long.
+func (c *core) longestSilentLearner(now time.Time) (Replica, time.Duration) {
+	return c.longestSilent(now, RoleLearner)
+}
+
+func (c *core) longestSilent(now time.Time, role Role) (Replica, time.Duration) {
 	var found Replica
 	var longest time.Duration
-	for _, voter := range c.members().Voters() {
-		if voter == c.self {
+	for _, member := range c.members().Members {
+		if member.Role != role || member.Replica == c.self {
 			continue
 		}
-		if silent := now.Sub(latest(c.progress[voter].ackedAt, c.leaderSince)); silent > longest {
-			found, longest = voter, silent
+		if silent := c.silence(now, member.Replica); silent > longest {
+			found, longest = member.Replica, silent
 		}
 	}
 	return found, longest
 }
 
+// allVotersAnswer reports whether every other voter answered in this term,
+// within the last ElectionMax.
+func (c *core) allVotersAnswer(now time.Time) bool {
+	for _, voter := range c.members().Voters() {
+		if voter != c.self && now.Sub(c.progress[voter].ackedAt) >= c.timing.ElectionMax {
+			return false
+		}
+	}
+	return true
+}
+
+// leave takes the vote of a replica that is about to stop, if the quorum shrinks
+// without it. The replica becomes a learner until it joins again.
+func (c *core) leave(r Replica) (uint64, error) {
+	if err := c.checkChangeAllowed(); err != nil {
+		return 0, err
+	}
+	if c.members().Role(r) != RoleVoter || !c.members().shrinkable() {
+		return c.configIndex(), nil
+	}
+	return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner})), nil
+}
+
 // silentVoters returns how many other voters a leader has not heard from for
 // SilentVoterTimeout.
 func (c *core) silentVoters(now time.Time) int {
 	count := 0
 	for _, voter := range c.members().Voters() {
-		p := c.progress[voter]
-		if p != nil && now.Sub(latest(p.ackedAt, c.leaderSince)) >= SilentVoterTimeout {
+		if c.progress[voter] != nil && c.silence(now, voter) >= SilentVoterTimeout {
 			count++
 		}
 	}
--- /dev/null
+++ b/internal/coordination/consensus/leave.go
@@ -0,0 +1,56 @@
+package consensus
+
+import (
+	"context"
+	"time"
+)
+
+// leave asks the leader to take this replica's vote before it stops, if the
+// quorum shrinks without it, and waits until that is done. It gives up when ctx
+// ends; the leader then misses the replica after DeadVoterTimeout.
+func (r *replica) leave(ctx context.Context) {
+	r.leaving.Store(true)
+	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
+	defer ticker.Stop()
+	for r.ctx.Err() == nil {
+		v := r.view.Load()
+		if !r.opts.ReplaceDead || v.members.Role(v.self) != RoleVoter || !v.members.shrinkable() {
+			return
+		}
+		if v.leader != "" && !v.leads && r.askToLeave(ctx, v) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// hasLeft reports whether this replica gave up its vote before it was restarted.
+func (r *replica) hasLeft(v *view) bool {
+	self := v.members.member(v.self)
+	return r.opts.ReplaceDead && self.Role == RoleLearner && !self.AutoPromote
+}
+
+// askToLeave sends one LeaveRequest to the leader and reports whether this
+// replica may stop.
+func (r *replica) askToLeave(ctx context.Context, v *view) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
+	defer cancel()
+	reply, err := r.opts.Peers.Leave(ctx, v.leader, &LeaveRequest{Cluster: v.genesis.Cluster, Replica: v.self})
+	return err == nil && reply.Done
+}
+
+// onLeave takes the vote of a replica that is about to stop, if this replica
+// leads.
+func (r *replica) onLeave(req *LeaveRequest) (LeaveReply, error) {
+	if req.Cluster != r.view.Load().genesis.Cluster {
+		return LeaveReply{}, ErrWrongRecipient
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timing.CallTimeout)
+	defer cancel()
+	err := r.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.leave(req.Replica) })
+	return LeaveReply{Done: err == nil}, err
+}
--- a/internal/coordination/consensus/member.go
+++ b/internal/coordination/consensus/member.go
@@ -60,9 +60,9 @@
 type Member struct {
 	Replica Replica
 	Role    Role
-	// AutoPromote marks a learner that joined without an operator. Once it has
-	// caught up, it replaces the older incarnations of its ID and becomes a
-	// voter.
+	// AutoPromote marks a learner that joined without an operator or lost its
+	// vote while it was silent. Once it has caught up, it replaces the older
+	// incarnations of its ID and becomes a voter.
 	AutoPromote bool
 }
 
@@ -86,12 +86,18 @@
 
 // Role returns the role of a replica.
 func (m Membership) Role(r Replica) Role {
+	return m.member(r).Role
+}
+
+// member returns the member with the given replica, or a zero Member if it is
+// not listed.
+func (m Membership) member(r Replica) Member {
 	for _, member := range m.Members {
 		if member.Replica == r {
-			return member.Role
+			return member
 		}
 	}
-	return RoleNone
+	return Member{}
 }
 
 // Voters returns the voting replicas.
@@ -132,18 +138,29 @@
 	return next
 }
 
-// withVoter returns the membership with a learner turned into a voter.
-func (m Membership) withVoter(r Replica) Membership {
+// withMember returns the membership with one member replaced by a new value.
+func (m Membership) withMember(changed Member) Membership {
 	next := m
 	next.Members = slices.Clone(m.Members)
 	for i, member := range next.Members {
-		if member.Replica == r {
-			next.Members[i] = Member{Replica: r, Role: RoleVoter}
+		if member.Replica == changed.Replica {
+			next.Members[i] = changed
 		}
 	}
 	return next
 }
 
+// minShrinkable is the smallest number of voters that may shrink. Fewer than
+// three voters would keep committed entries on a single disk.
+const minShrinkable = 4
+
+// shrinkable reports whether one voter less needs one vote less for a majority,
+// which is the case if the number of voters is even.
+func (m Membership) shrinkable() bool {
+	voters := len(m.Voters())
+	return voters >= minShrinkable && voters%2 == 0
+}
+
 // without returns the membership with a replica removed.
 func (m Membership) without(r Replica) Membership {
 	next := m.retire(r)
--- a/internal/coordination/consensus/messages.go
+++ b/internal/coordination/consensus/messages.go
@@ -152,6 +152,20 @@
 	Leader ident.NodeID
 }
 
+// LeaveRequest tells the leader that a voter is about to stop, so that the
+// quorum can shrink before it does.
+type LeaveRequest struct {
+	Cluster ClusterID
+	Replica Replica
+}
+
+// LeaveReply answers a LeaveRequest.
+type LeaveReply struct {
+	// Done means that the replica may stop: either it votes no more, or its vote
+	// doesn't raise the quorum.
+	Done bool
+}
+
 // Peers sends requests to other replicas. Every call returns by the deadline of
 // its context. Calls to the same node may be reordered. An error doesn't tell
 // whether the request arrived.
@@ -162,4 +176,5 @@
 	Elect(ctx context.Context, to ident.NodeID, req *ElectRequest) (*ElectReply, error)
 	Probe(ctx context.Context, to ident.NodeID, req *ProbeRequest) (*ProbeReply, error)
 	Join(ctx context.Context, to ident.NodeID, req *JoinRequest) (*JoinReply, error)
+	Leave(ctx context.Context, to ident.NodeID, req *LeaveRequest) (*LeaveReply, error)
 }
--- a/internal/coordination/consensus/network_test.go
+++ b/internal/coordination/consensus/network_test.go
@@ -133,3 +133,7 @@
 func (p memPeers) Join(ctx context.Context, to ident.NodeID, req *JoinRequest) (*JoinReply, error) {
 	return request(ctx, p.net, p.self, to, (*Service).Join, req)
 }
+
+func (p memPeers) Leave(ctx context.Context, to ident.NodeID, req *LeaveRequest) (*LeaveReply, error) {
+	return request(ctx, p.net, p.self, to, (*Service).Leave, req)
+}
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -43,10 +43,11 @@
 	n.replica.start()
 }
 
-// Stop transfers the leadership if this replica leads, then stops the replica.
-// ctx bounds the transfer only.
+// Stop transfers the leadership if this replica leads, gives up a vote that only
+// raises the quorum, then stops the replica. ctx bounds the first two only.
 func (n *Node[R]) Stop(ctx context.Context) error {
 	n.replica.transferLeadership(ctx)
+	n.replica.leave(ctx)
 	return n.replica.halt()
 }
 
@@ -106,18 +107,18 @@
 // AddLearner adds a learner, which receives the log but does not vote. Leader
 // only.
 func (n *Node[R]) AddLearner(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.addLearner(r, false) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.addLearner(r, false) })
 }
 
 // Promote turns a learner that has caught up into a voter. Leader only.
 func (n *Node[R]) Promote(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.promote(r) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.promote(r) })
 }
 
 // Remove removes a replica permanently: the incarnation can't join again.
 // Leader only.
 func (n *Node[R]) Remove(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.remove(r) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.remove(r) })
 }
 
 // Status describes a replica for operators and metrics.
@@ -223,12 +224,12 @@
 }
 
 // changeMembers starts a membership change and waits until it is committed.
-func (r *replica) changeMembers(ctx context.Context, change func(c *core) (uint64, error)) error {
+func (r *replica) changeMembers(ctx context.Context, change func(now time.Time, c *core) (uint64, error)) error {
 	ctx, cancel := r.withDefaultTimeout(ctx)
 	defer cancel()
 	done := make(chan outcome, 1)
-	err := r.post(ctx, func(time.Time) {
-		index, err := change(r.core)
+	err := r.post(ctx, func(now time.Time) {
+		index, err := change(now, r.core)
 		switch {
 		case err != nil:
 			done <- outcome{err: err}
--- a/internal/coordination/consensus/options.go
+++ b/internal/coordination/consensus/options.go
@@ -31,8 +31,9 @@
 	// existing one. It must be set at every start except the first start of a
 	// system.
 	JoinOnly bool
-	// ReplaceDead lets a new replica take the place of a voter that has been
-	// silent for DeadVoterTimeout, without an operator.
+	// ReplaceDead lets the members change without an operator: a voter that has
+	// been silent for DeadVoterTimeout, or is stopping, becomes a learner if a new
+	// replica can take its place or the quorum shrinks without it.
 	ReplaceDead bool
 	// FS is the replica's data folder. Only one process may use it at a time.
 	FS disk.FS
--- a/internal/coordination/consensus/replacement_test.go
+++ b/internal/coordination/consensus/replacement_test.go
@@ -36,6 +36,16 @@
 	c.ids = slices.DeleteFunc(slices.Clone(c.ids), func(other ident.NodeID) bool { return other == id })
 }
 
+// describe returns the membership and the last failed campaign of each node.
+func (c *cluster) describe() string {
+	var text string
+	for _, id := range c.ids {
+		status := c.members[id].node.Status()
+		text += fmt.Sprintf("\n%s: %v; %s", id, c.members[id].node.Members(), status.FailedCampaign)
+	}
+	return text
+}
+
 // losePowerAndDisk crashes all nodes, empties the disk of one and starts all
 // again. They must elect a leader and keep every acknowledged command.
 func losePowerAndDisk(t *testing.T, c *cluster, lost ident.NodeID, acked int) {
@@ -46,7 +56,7 @@
 	c.members[lost].fs.Wipe()
 	must.NoError(t, c.startAll())
 	leading, err := c.waitLeading(10 * time.Second)
-	must.NoError(t, err, must.Sprintf("after the loss of the disk of %s", lost))
+	must.NoError(t, err, must.Sprintf("after the loss of the disk of %s: %s", lost, c.describe()))
 	must.NoError(t, leading.node.ReadBarrier(t.Context()))
 	must.Len(t, acked, leading.machine.history())
 	mustPut(t, c, acked+1, acked+1)
@@ -113,3 +123,59 @@
 		})
 	}
 }
+
+// TestNode_VoterOfFourReturns stops one of four voters gracefully, crashes it or
+// cuts it off for longer than DeadVoterTimeout. It must keep its disk and vote
+// again once it is back.
+func TestNode_VoterOfFourReturns(t *testing.T) {
+	for name, interrupt := range map[string]func(t *testing.T, c *cluster){
+		"stopped": func(t *testing.T, c *cluster) {
+			c.stop("b")
+			must.NoError(t, c.start("b"))
+		},
+		"crashed": func(t *testing.T, c *cluster) {
+			c.crash("b")
+			time.Sleep(2 * DeadVoterTimeout)
+			must.NoError(t, c.start("b"))
+		},
+		"cut off": func(t *testing.T, c *cluster) {
+			for _, id := range c.ids {
+				c.net.setCut("b", id, true)
+				c.net.setCut(id, "b", true)
+			}
+			time.Sleep(2 * DeadVoterTimeout)
+			must.Len(t, 3, mustLead(t, c).node.Members().Voters())
+			c.net.heal()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 4, replacementOptions, func(t *testing.T, c *cluster) {
+				mustPut(t, c, 1, 5)
+				before := c.members["b"].node.Self()
+				interrupt(t, c)
+				time.Sleep(catchUpTime)
+				must.Eq(t, before, c.members["b"].node.Self())
+				must.Eq(t, RoleVoter, mustLead(t, c).node.Members().Role(before))
+				mustPut(t, c, 6, 6)
+			})
+		})
+	}
+}
+
+// TestNode_ReplacementsInSeries replaces replicas one after the other until
+// there were more of them than a membership can hold.
+func TestNode_ReplacementsInSeries(t *testing.T) {
+	runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
+		mustPut(t, c, 1, 5)
+		for i := range 2 * MaxMembers {
+			old := c.ids[0]
+			c.join(t, ident.NodeID(fmt.Sprintf("new%02d", i)))
+			time.Sleep(catchUpTime)
+			c.stop(old)
+			c.forget(old)
+		}
+		losePowerAndDisk(t, c, c.ids[1], 5)
+		time.Sleep(2 * staleLearnerTimeout)
+		must.Len(t, 3, mustLead(t, c).node.Members().Members)
+	})
+}
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -47,6 +47,10 @@
 	view      atomic.Pointer[view]
 	changes   chan struct{}
 
+	// leaving is set once this replica stops for good or for a restart, and asks
+	// for no vote any more.
+	leaving atomic.Bool
+
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
--- a/internal/coordination/consensus/service.go
+++ b/internal/coordination/consensus/service.go
@@ -44,6 +44,12 @@
 	return err
 }
 
+// Leave handles a LeaveRequest.
+func (s *Service) Leave(args *LeaveRequest, reply *LeaveReply) (err error) {
+	*reply, err = s.replica.onLeave(args)
+	return err
+}
+
 // joinReply converts the result of a join to a reply.
 func joinReply(err error) (JoinReply, error) {
 	var notLeader *NotLeaderError
--- a/internal/transport/peernet/peernet.go
+++ b/internal/transport/peernet/peernet.go
@@ -52,6 +52,11 @@
 	return callPeer[consensus.JoinReply](ctx, p, to, "Join", req)
 }
 
+// Leave implements consensus.Peers.
+func (p *Peers) Leave(ctx context.Context, to ident.NodeID, req *consensus.LeaveRequest) (*consensus.LeaveReply, error) {
+	return callPeer[consensus.LeaveReply](ctx, p, to, "Leave", req)
+}
+
 func callPeer[R any](ctx context.Context, p *Peers, to ident.NodeID, method string, req any) (*R, error) {
 	address, ok := p.Address(to)
 	if !ok {
