A replica that left asks the leader and the members that it knows to join again

Cause: join asked only the initial replicas, which are fixed when the replica opens. A replaced replica could not learn that it was removed. Change: the known leader is asked first, then the initial replicas, then the members. Result: TestNode_LeftReplicaWhoseSeedsAreGone failed 3 of 3 before and passes.

--- a/internal/coordination/consensus/bootstrap.go
+++ b/internal/coordination/consensus/bootstrap.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -188,11 +187,16 @@
 	}
 }
 
-// join asks the cluster to add this replica as a learner. It returns false if
-// this incarnation was removed, after stopping the replica.
+// join asks the cluster to add this replica as a learner: the leader if it knows
+// one, then the initial replicas, and the members that it knows, since all initial
+// replicas may be gone. It returns false if this incarnation was removed, after
+// stopping the replica.
 func (r *replica) join(v *view) bool {
 	asked := map[ident.NodeID]bool{v.self.ID: true}
-	next := slices.Clone(r.opts.InitialReplicas)
+	next := append([]ident.NodeID{v.leader}, r.opts.InitialReplicas...)
+	for _, member := range v.members.Members {
+		next = append(next, member.Replica.ID)
+	}
 	for len(next) > 0 {
 		to := next[0]
 		next = next[1:]
