A replica gets the entry that takes its vote only once that is committed

Cause: if the leader is lost with its disk right after it appended the entry, and only the replica that it concerns holds it, that replica refuses its vote to all others, whose logs are behind, and can't campaign itself. Of four voters, three with their disks then elect no leader. Change: while a membership is not committed, a replica that votes in the committed one and not in the next gets committed entries only. Ruled out: holding back all learners; a learner that joins through an isolated leader must still get its entry (TestNode_EmptyDiskJoinsThroughIsolatedLeader).

--- a/internal/coordination/consensus/core_append.go
+++ b/internal/coordination/consensus/core_append.go
@@ -57,7 +57,7 @@
 		p.snapshotting = true
 		c.out.snapshotPeers = append(c.out.snapshotPeers, to)
 	case !p.pipelining && p.inFlight == 0:
-		c.sendAppend(now, to, p, p.next-1, c.log.batch(p.next, c.appendBytes), false)
+		c.sendAppend(now, to, p, p.next-1, c.log.batch(p.next, c.sendLimit(to), c.appendBytes), false)
 	case p.pipelining:
 		c.pipelineTo(now, to, p)
 	}
@@ -66,13 +66,26 @@
 // pipelineTo sends new entries without waiting for replies, up to maxInFlight
 // requests.
 func (c *core) pipelineTo(now time.Time, to Replica, p *progress) {
-	for p.next <= c.log.last() && p.inFlight < maxInFlight {
-		entries := c.log.batch(p.next, c.appendBytes)
+	limit := c.sendLimit(to)
+	for p.next <= limit && p.inFlight < maxInFlight {
+		entries := c.log.batch(p.next, limit, c.appendBytes)
 		c.sendAppend(now, to, p, p.next-1, entries, false)
 		p.next += uint64(len(entries))
 	}
 }
 
+// sendLimit returns the last entry that a peer may get now. A replica must not
+// hold the entry that takes its vote before that is committed: if the leader were
+// lost, it would refuse its vote to all voters, which lack the entry, and could
+// not campaign itself.
+func (c *core) sendLimit(to Replica) uint64 {
+	committed := c.configs[0].members
+	if committed.Role(to) == RoleVoter && c.members().Role(to) != RoleVoter {
+		return c.commit
+	}
+	return c.log.last()
+}
+
 func (c *core) sendAppend(now time.Time, to Replica, p *progress, prev uint64, entries []wal.Entry, heartbeat bool) {
 	prevTerm, _ := c.log.term(prev)
 	if !heartbeat {
--- a/internal/coordination/consensus/raftlog.go
+++ b/internal/coordination/consensus/raftlog.go
@@ -56,10 +56,10 @@
 	return l.entries[lo-l.base-1 : hi-l.base : hi-l.base]
 }
 
-// batch returns the entries from lo on that fit in maxBytes, and at least one
+// batch returns the entries from lo to hi that fit in maxBytes, and at least one
 // entry if there is any.
-func (l *raftLog) batch(lo uint64, maxBytes int) []wal.Entry {
-	all := l.slice(lo, l.last())
+func (l *raftLog) batch(lo, hi uint64, maxBytes int) []wal.Entry {
+	all := l.slice(lo, hi)
 	size := 0
 	for i, entry := range all {
 		size += len(entry.Data) + entryOverhead
