A stopping leader without a successor steps aside at once

Cause: leave waited while the replica still led. The transfer took the first voter with the whole log, even a dead one. Change: leave returns at once while the replica leads; the transfer chooses the voter that answered most recently.

--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -326,8 +326,13 @@
 		if p == nil || p.match != c.log.last() {
 			continue
 		}
-		c.transferTo = voter
-		c.out.sends = append(c.out.sends, outbound{to: voter, elect: &ElectRequest{Term: c.term}})
-		return
+		if best == (Replica{}) || p.ackedAt.After(c.progress[best].ackedAt) {
+			best = voter
+		}
+	}
+	if best != (Replica{}) {
+		c.transferTo = best
+		c.out.sends = append(c.out.sends, outbound{to: best, elect: &ElectRequest{Term: c.term}})
 	}
 }
+	var best Replica
--- a/internal/coordination/consensus/leave.go
+++ b/internal/coordination/consensus/leave.go
@@ -7,17 +7,18 @@
 
 // leave asks the leader to take this replica's vote before it stops, if the
 // quorum shrinks without it, and waits until that is done. It gives up when ctx
-// ends; the leader then misses the replica after DeadVoterTimeout.
+// ends, and at once if this replica leads and found no successor: it has no lease
+// any more. The leader then misses the replica after DeadVoterTimeout.
 func (r *replica) leave(ctx context.Context) {
 	r.leaving.Store(true)
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
 	defer ticker.Stop()
 	for r.ctx.Err() == nil {
 		v := r.view.Load()
-		if !r.opts.ReplaceDead || v.members.Role(v.self) != RoleVoter || !v.members.shrinkable() {
+		if !r.opts.ReplaceDead || v.leads || v.members.Role(v.self) != RoleVoter || !v.members.shrinkable() {
 			return
 		}
-		if v.leader != "" && !v.leads && r.askToLeave(ctx, v) {
+		if v.leader != "" && r.askToLeave(ctx, v) {
 			return
 		}
 		select {
