The silence of a former leader does not count from before the own leadership

Cause: the time of the last leader's last message was kept while this replica led itself. Change: the time is forgotten at the end of the own leadership. Result: TestNode_FormerLeaderRestartsAfterLeft failed 3 of 3 before and passes.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -69,8 +69,9 @@
 	// once a leader is known.
 	failedCampaign string
 
-	// lastLeader is the other replica that led most recently as far as this one
-	// knows, and lastLeaderAt the time of its last message.
+	// lastLeader is the replica that led most recently as far as this one knows,
+	// and lastLeaderAt the time of its last message. Both are zero if that was
+	// this replica.
 	lastLeader   Replica
 	lastLeaderAt time.Time
 
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -80,6 +80,7 @@
 		c.out.reads = append(c.out.reads, readReady{token: read.token, failed: true})
 	}
 	c.leadership = leadership{seq: c.seq}
+	c.lastLeader, c.lastLeaderAt = Replica{}, time.Time{}
 	c.out.steppedDown = true
 }
 
