--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -91,7 +91,7 @@
 	switch {
 	case c.members().retired(r):
 		return 0, ErrRemoved
-	case c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
+	case c.replaceDead && c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
 		return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner, AutoPromote: true})), nil
 	case c.members().Role(r) != RoleNone:
 		return c.configIndex(), nil
