Any voter that is not needed loses its vote while it is gone

Cause: a dead voter kept its vote unless the number of voters was even. After two planned replacements that overlap, five voters with two of them gone need all three others; one more lost disk ends the quorum as before. The time of 3 s left room for a loss in between, and the place of a dead voter of three was taken by way of two voters: a crash of all in these milliseconds, one disk lost, left no majority although all others returned. Change: while there are more voters than MinVoters, one that is silent for 1 s or stops becomes a learner. A majority never grows by it, so the others tolerate at least as much. MinVoters is twice the losses that the deployment tolerates plus one (new setting ToleratedLosses, read from the platform's settings): a smaller majority could be on the disks that may be lost. With MinVoters voters, a waiting learner is promoted first, then the dead voter loses its vote. Ruled out: shrinking by count alone; five voters that tolerate two losses would commit on two disks.

--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -61,6 +61,7 @@
 			InitialReplicas: initial,
 			JoinOnly:        !s.FirstStart || !seeded,
 			ReplaceDead:     true,
+			MinVoters:       s.minVoters(),
 			Timing:          consensusTiming,
 			FS:              disk.NewOS(s.DataDir),
 			Peers:           &peernet.Peers{Calls: calls, Address: func(id ident.NodeID) (string, bool) { return s.address(id), true }},
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -34,6 +35,10 @@
 	// seeds then form a new cluster.
 	FirstStart bool
 
+	// ToleratedLosses is the number of replicas that may be lost at once, with their
+	// disks; 0 if unknown.
+	ToleratedLosses int
+
 	// MaxConfigAge is the maximum time since the configuration was last confirmed
 	// as the newest. When it is exceeded, requests with an API key are refused.
 	MaxConfigAge time.Duration
@@ -56,6 +61,12 @@
 	MemoryBytes int64
 }
 
+// minVoters returns the number of voters that keep a majority, and every
+// acknowledged entry on at least one disk, after ToleratedLosses.
+func (s *Settings) minVoters() int {
+	return min(consensus.MaxMembers, max(consensus.DefaultMinVoters, 2*s.ToleratedLosses+1))
+}
+
 // Replica reports whether the node keeps the replicated state.
 func (s *Settings) Replica() bool { return s.DataDir != "" }
 
@@ -85,6 +96,7 @@
 		add(net.ParseIP(string(seed)) == nil, "seed %q is not an IP address", seed)
 	}
 	add(!s.Gateway() && !s.Replica(), "the node has neither a caller address nor a data directory")
+	add(s.ToleratedLosses < 0, "tolerated losses are %d, must not be negative", s.ToleratedLosses)
 	add(s.MaxConfigAge <= 0, "maximum configuration age is %s, must be positive", s.MaxConfigAge)
 	add(s.Grace <= 0, "grace period is %s, must be positive", s.Grace)
 	add(s.QuotaWindow <= 0, "quota window is %s, must be positive", s.QuotaWindow)
--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -36,9 +36,9 @@
 	timing Timing
 	rng    *rand.Rand
 	faults faults
-	// replaceDead lets voters that are silent for DeadVoterTimeout lose their
-	// votes.
+	// replaceDead and minVoters are the options of the same names.
 	replaceDead bool
+	minVoters   int
 
 	term   uint64
 	vote   Replica
@@ -147,6 +147,7 @@
 	rng         *rand.Rand
 	faults      faults
 	replaceDead bool
+	minVoters   int
 	hard        wal.HardState
 	snapshot    snap.Meta
 	members     Membership
@@ -157,7 +158,7 @@
 // for ElectionMin, since it may have acknowledged a leader's heartbeat just
 // before the restart.
 func newCore(now time.Time, s coreConfig) (*core, error) {
-	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults, replaceDead: s.replaceDead, appendBytes: maxAppendBytes}
+	c := &core{self: s.self, timing: s.timing, rng: s.rng, faults: s.faults, replaceDead: s.replaceDead, minVoters: s.minVoters, appendBytes: maxAppendBytes}
 	c.term = s.hard.Term
 	c.vote = Replica{ID: s.hard.VoteID, Incarnation: s.hard.VoteIncarnation}
 	c.log.reset(s.snapshot.Index, s.snapshot.Term)
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -153,9 +153,9 @@
 
 // advanceMembership takes the next step towards a membership in which every
 // voter is alive. A learner that joined and has caught up becomes a voter, after
-// an older incarnation of its ID was removed. With replaceDead, a dead voter
-// becomes a learner as soon as a learner can take its place or the quorum shrinks
-// without it.
+// an older incarnation of its ID was removed. With replaceDead, a silent voter
+// becomes a learner while there are more voters than minVoters. The others
+// tolerate at least as many losses without it, since a majority never grows.
 func (c *core) advanceMembership(now time.Time) {
 	if c.checkChangeAllowed() != nil {
 		return
@@ -168,17 +168,19 @@
 		}
 	}
 	if c.replaceDead {
-		if dead, silent := c.longestSilentVoter(now); silent >= DeadVoterTimeout && (waiting || c.members().shrinkable()) {
-			c.appendMembership(c.members().withMember(Member{Replica: dead, Role: RoleLearner, AutoPromote: true}))
+		voter, silent := c.longestSilentVoter(now)
+		if silent >= SilentVoterTimeout && c.hasSpareVoter() {
+			c.appendMembership(c.members().withMember(Member{Replica: voter, Role: RoleLearner, AutoPromote: true}))
 			return
 		}
 		if stale, silent := c.longestSilentLearner(now); silent >= staleLearnerTimeout {
 			c.appendMembership(c.members().without(stale))
 			return
 		}
-		// A voter that doesn't answer may be gone for good. Another voter beside it
-		// would raise the quorum while one of the voters is missing.
-		waiting = waiting && c.allVotersAnswer(now)
+		// Another voter beside one that doesn't answer would raise the quorum while
+		// a vote is missing. The place of a dead voter is taken by promoting first:
+		// taking its vote first would leave fewer voters than minVoters for a moment.
+		waiting = waiting && (silent >= DeadVoterTimeout || c.allVotersAnswer(now))
 	}
 	if waiting {
 		c.appendMembership(c.members().withMember(Member{Replica: learner, Role: RoleVoter}))
@@ -186,9 +188,12 @@
 }
 
 const (
-	// DeadVoterTimeout is how long a voter must be silent before it loses its vote.
-	// It is longer than a kill and restart; a replacement must complete within the
-	// 4 s that deployments give a new VM to catch up.
+	// SilentVoterTimeout is how long a voter must be silent before it loses its
+	// vote if there are more voters than needed.
+	SilentVoterTimeout = time.Second
+	// DeadVoterTimeout is how long a voter must be silent before a learner takes
+	// its place. It is longer than a kill and restart; a replacement must complete
+	// within the 4 s that deployments give a new VM to catch up.
 	DeadVoterTimeout = 3 * time.Second
 	// staleLearnerTimeout is how long a learner must be silent before it is
 	// removed. It is longer than any restart, since the replica must empty its
@@ -255,13 +260,18 @@
 	return true
 }
 
-// leave takes the vote of a replica that is about to stop, if the quorum shrinks
-// without it. The replica becomes a learner until it joins again.
+// hasSpareVoter reports whether there are more voters than minVoters.
+func (c *core) hasSpareVoter() bool {
+	return len(c.members().Voters()) > c.minVoters
+}
+
+// leave takes the vote of a replica that is about to stop, if there are more
+// voters than minVoters. The replica becomes a learner until it joins again.
 func (c *core) leave(r Replica) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
-	if c.members().Role(r) != RoleVoter || !c.members().shrinkable() {
+	if c.members().Role(r) != RoleVoter || !c.hasSpareVoter() {
 		return c.configIndex(), nil
 	}
 	return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner})), nil
@@ -316,11 +326,13 @@
 	c.continueTransfer()
 }
 
-// continueTransfer asks a voter to campaign as soon as one holds the whole log.
+// continueTransfer asks the voter that answered most recently to campaign, as soon
+// as one holds the whole log.
 func (c *core) continueTransfer() {
 	if !c.transferring || c.transferTo != (Replica{}) {
 		return
 	}
+	var best Replica
 	for _, voter := range c.members().Voters() {
 		p := c.progress[voter]
 		if p == nil || p.match != c.log.last() {
@@ -335,4 +347,3 @@
 		c.out.sends = append(c.out.sends, outbound{to: best, elect: &ElectRequest{Term: c.term}})
 	}
 }
-	var best Replica
--- a/internal/coordination/consensus/leave.go
+++ b/internal/coordination/consensus/leave.go
@@ -5,17 +5,18 @@
 	"time"
 )
 
-// leave asks the leader to take this replica's vote before it stops, if the
-// quorum shrinks without it, and waits until that is done. It gives up when ctx
+// leave asks the leader to take this replica's vote before it stops, if there are
+// more voters than needed, and waits until that is done. It gives up when ctx
 // ends, and at once if this replica leads and found no successor: it has no lease
-// any more. The leader then misses the replica after DeadVoterTimeout.
+// any more. The leader then misses the replica after SilentVoterTimeout.
 func (r *replica) leave(ctx context.Context) {
 	r.leaving.Store(true)
 	ticker := time.NewTicker(r.opts.Timing.Heartbeat)
 	defer ticker.Stop()
 	for r.ctx.Err() == nil {
 		v := r.view.Load()
-		if !r.opts.ReplaceDead || v.leads || v.members.Role(v.self) != RoleVoter || !v.members.shrinkable() {
+		spare := len(v.members.Voters()) > r.opts.MinVoters
+		if !r.opts.ReplaceDead || v.leads || v.members.Role(v.self) != RoleVoter || !spare {
 			return
 		}
 		if v.leader != "" && r.askToLeave(ctx, v) {
--- a/internal/coordination/consensus/member.go
+++ b/internal/coordination/consensus/member.go
@@ -150,17 +150,6 @@
 	return next
 }
 
-// minShrinkable is the smallest number of voters that may shrink. Fewer than
-// three voters would keep committed entries on a single disk.
-const minShrinkable = 4
-
-// shrinkable reports whether one voter less needs one vote less for a majority,
-// which is the case if the number of voters is even.
-func (m Membership) shrinkable() bool {
-	voters := len(m.Voters())
-	return voters >= minShrinkable && voters%2 == 0
-}
-
 // without returns the membership with a replica removed.
 func (m Membership) without(r Replica) Membership {
 	next := m.retire(r)
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -43,8 +43,9 @@
 	n.replica.start()
 }
 
-// Stop transfers the leadership if this replica leads, gives up a vote that only
-// raises the quorum, then stops the replica. ctx bounds the first two only.
+// Stop transfers the leadership if this replica leads, gives up its vote if there
+// are more voters than needed, then stops the replica. ctx bounds the first two
+// only.
 func (n *Node[R]) Stop(ctx context.Context) error {
 	n.replica.transferLeadership(ctx)
 	n.replica.leave(ctx)
@@ -140,10 +141,6 @@
 	FailedCampaign string
 }
 
-// SilentVoterTimeout is how long a voter must be silent to count as silent in
-// Status. Until then it may be restarting.
-const SilentVoterTimeout = time.Second
-
 // Status returns the current status.
 func (n *Node[R]) Status() Status {
 	status := n.replica.view.Load().status
--- a/internal/coordination/consensus/options.go
+++ b/internal/coordination/consensus/options.go
@@ -17,6 +17,8 @@
 	// DefaultSnapshotBytes is the size of applied entries after which a
 	// snapshot is taken, in bytes.
 	DefaultSnapshotBytes = 32 << 20
+	// DefaultMinVoters tolerates the loss of one disk.
+	DefaultMinVoters = 3
 )
 
 // Options configures a Node.
@@ -31,10 +33,16 @@
 	// existing one. It must be set at every start except the first start of a
 	// system.
 	JoinOnly bool
-	// ReplaceDead lets the members change without an operator: a voter that has
-	// been silent for DeadVoterTimeout, or is stopping, becomes a learner if a new
-	// replica can take its place or the quorum shrinks without it.
+	// ReplaceDead lets the members change without an operator: a new replica takes
+	// the place of a voter that has been silent for DeadVoterTimeout. While there
+	// are more voters than MinVoters, a voter also loses its vote when it stops or
+	// has been silent for SilentVoterTimeout, until it is back.
 	ReplaceDead bool
+	// MinVoters is the number of voters that ReplaceDead preserves. A majority of
+	// them must be larger than the number of disks that may be lost at once, or
+	// acknowledged entries could be lost with these disks; 0 means
+	// DefaultMinVoters.
+	MinVoters int
 	// FS is the replica's data folder. Only one process may use it at a time.
 	FS disk.FS
 	// Peers sends requests to the other replicas.
@@ -71,6 +79,9 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if o.MinVoters == 0 {
+		o.MinVoters = DefaultMinVoters
+	}
 	if o.clockRate == 0 {
 		o.clockRate = 1
 	}
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -162,7 +162,7 @@
 		return coreConfig{}, snapshot, err
 	}
 	return coreConfig{
-		self: r.identity.Replica, timing: r.opts.Timing, faults: r.opts.faults, replaceDead: r.opts.ReplaceDead,
+		self: r.identity.Replica, timing: r.opts.Timing, faults: r.opts.faults, replaceDead: r.opts.ReplaceDead, minVoters: r.opts.MinVoters,
 		rng:  rand.New(rand.NewPCG(randomUint64(), randomUint64())),
 		hard: recovered.Hard, snapshot: snapshot.Meta, members: members, entries: entries,
 	}, snapshot, nil
