Generated histories replace replicas by others with new IDs and end with lost disks

Change: tests only. Each history ends with two losses of power in which one disk is lost, of five or more replicas two: a leader within 10 s, every acknowledged command still there, all members again within 4 s. Learners in standby count as repaired: at least three replicas vote, of five or more five. For the clusters of three and five of TestFuzz_Histories this is what was required before.

--- a/internal/coordination/consensus/client_test.go
+++ b/internal/coordination/consensus/client_test.go
@@ -73,7 +73,7 @@
 // no replica stopped except because of an injected disk failure.
 func (r *scriptRun) checkInvariants() {
 	var leading []ident.NodeID
-	for _, id := range r.ids {
+	for _, id := range r.current() {
 		node := r.members[id].running()
 		if node == nil {
 			continue
@@ -83,6 +83,10 @@
 		}
 		select {
 		case err := <-node.Fatal():
+			if r.options.ReplaceDead && errors.Is(err, ErrRemoved) {
+				r.members[id].expelled.Store(node)
+				continue
+			}
 			if !errors.Is(err, disk.ErrInjected) && !errors.Is(err, disk.ErrStale) {
 				r.oracle.fail("%s stopped: %v", id, err)
 			}
@@ -109,7 +113,7 @@
 		case errors.As(err, &hint) && hint.Leader != "":
 			target = r.members[hint.Leader]
 		case err != nil:
-			target = r.node(rng.Intn(len(r.ids)))
+			target = r.node(rng.Int())
 		}
 	}
 }
@@ -177,14 +181,20 @@
 			r.oracle.fail("%s applied %d commands, %s applied %d, or they differ", id, len(got), r.ids[0], len(want))
 		}
 	}
+	r.checkApplied(r.oracle.ackedIDs(), want)
+}
+
+// checkApplied checks that no command was applied twice and every acknowledged
+// one was applied.
+func (r *scriptRun) checkApplied(acked []int, applied []command) {
 	count := map[int]int{}
-	for _, c := range want {
+	for _, c := range applied {
 		count[c.ID]++
 		if count[c.ID] > 1 {
 			r.oracle.fail("command %d was applied twice", c.ID)
 		}
 	}
-	for id := range r.oracle.acked {
+	for _, id := range acked {
 		if count[id] == 0 {
 			r.oracle.fail("acknowledged command %d is lost", id)
 		}
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
@@ -120,12 +122,23 @@
 	o.acked[c.ID] = c
 }
 
+// ackedIDs returns the IDs of the acknowledged commands.
+func (o *oracle) ackedIDs() []int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.acked))
+}
+
 // member is one node of a test cluster with its disk, which survives restarts.
 type member struct {
 	id        ident.NodeID
 	fs        *disk.Fake
 	clockRate float64
 	faults    faults
+	// joinOnly is set for a node that may not form the cluster.
+	joinOnly bool
+	// expelled is the node that stopped because its incarnation was removed.
+	expelled atomic.Pointer[Node[int]]
 
 	mu      sync.Mutex
 	node    *Node[int]
@@ -159,13 +172,30 @@
 
 // cluster runs replicas connected by an in-memory network.
 type cluster struct {
-	net     *network
-	oracle  *oracle
+	net    *network
+	oracle *oracle
+	// ids lists the nodes that exist now, without those that were replaced. Only
+	// the goroutine of the test changes it; all others call current.
+	idsMu   sync.Mutex
 	ids     []ident.NodeID
 	members map[ident.NodeID]*member
 	options Options
 }
 
+// current returns ids.
+func (c *cluster) current() []ident.NodeID {
+	c.idsMu.Lock()
+	defer c.idsMu.Unlock()
+	return c.ids
+}
+
+// setIDs replaces ids. The slice must be a new one.
+func (c *cluster) setIDs(ids []ident.NodeID) {
+	c.idsMu.Lock()
+	defer c.idsMu.Unlock()
+	c.ids = ids
+}
+
 func newCluster(seed int64, count int, options Options) *cluster {
 	c := &cluster{
 		net:     newNetwork(seed),
@@ -188,7 +218,8 @@
 		return nil
 	}
 	options := c.options
-	options.ID, options.InitialReplicas, options.FS = id, c.ids, m.fs
+	options.ID, options.InitialReplicas, options.FS = id, c.initialReplicas(m), m.fs
+	options.JoinOnly = m.joinOnly
 	options.Peers = memPeers{net: c.net, self: id}
 	options.clockRate = m.clockRate
 	options.faults = m.faults
@@ -203,6 +234,19 @@
 	return nil
 }
 
+// initialReplicas returns the replicas that form the cluster or, for a node that
+// joins it, that node and three existing ones.
+func (c *cluster) initialReplicas(m *member) []ident.NodeID {
+	if !m.joinOnly {
+		return c.ids
+	}
+	initial := slices.Clone(c.ids[:min(3, len(c.ids))])
+	if !slices.Contains(initial, m.id) {
+		initial = append(initial, m.id)
+	}
+	return initial
+}
+
 // kill stops a node's process without a graceful shutdown. Writes that reached
 // the disk are kept, even if they were not synced.
 func (c *cluster) kill(id ident.NodeID) {
@@ -248,7 +292,7 @@
 
 // leading returns a node that leads with a valid lease, or nil.
 func (c *cluster) leading() *member {
-	for _, id := range c.ids {
+	for _, id := range c.current() {
 		if m := c.members[id]; m.running() != nil && m.running().Leadership().Leading {
 			return m
 		}
@@ -283,22 +327,60 @@
 	return err
 }
 
-// fullyRepaired reports whether every node runs and votes under its current
-// incarnation, and the leader can confirm a read.
+// votersNeeded returns how many of count replicas must vote to tolerate the lost
+// disks that fuzzedLosses returns.
+func votersNeeded(count int) int {
+	return 2*fuzzedLosses(count) + 1
+}
+
+// fuzzedLosses returns how many of count replicas may lose their disks at the
+// same time.
+func fuzzedLosses(count int) int {
+	switch {
+	case count >= 5:
+		return 2
+	case count > 1:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// fullyRepaired reports whether every node runs and is a member under its
+// current incarnation, no other replica votes, enough of them vote, and the
+// leader can confirm a read. With an odd number of nodes up to five, all must
+// vote.
 func (c *cluster) fullyRepaired() bool {
+	return c.repairedWithout("")
+}
+
+// repairedWithout is fullyRepaired for a cluster in which one node need not be a
+// member yet.
+func (c *cluster) repairedWithout(newcomer ident.NodeID) bool {
 	m := c.leading()
 	if m == nil {
 		return false
 	}
-	voters := m.running().Members().Voters()
-	if len(voters) != len(c.ids) {
-		return false
+	needed := len(c.ids)
+	if slices.Contains(c.ids, newcomer) {
+		needed--
 	}
-	for _, voter := range voters {
-		other := c.members[voter.ID]
-		if other.node == nil || other.node.Self() != voter {
-			return false
+	listed, voters := 0, 0
+	for _, listing := range m.running().Members().Members {
+		other := c.members[listing.Replica.ID]
+		current := slices.Contains(c.ids, other.id) && other.node != nil && other.node.Self() == listing.Replica
+		if listing.Role == RoleVoter {
+			if !current {
+				return false
+			}
+			voters++
 		}
+		if current && other.id != newcomer {
+			listed++
+		}
+	}
+	if listed < needed || voters < votersNeeded(needed) {
+		return false
 	}
 	return m.running().ReadBarrier(context.Background()) == nil
 }
--- a/internal/coordination/consensus/fault_script_test.go
+++ b/internal/coordination/consensus/fault_script_test.go
@@ -36,6 +36,8 @@
 	actFailSync    action = "fail sync"
 	actSlowDisk    action = "slow disk"
 	actLossy       action = "lossy network"
+	actAdd         action = "add a node with a new ID"
+	actRemove      action = "remove a node for good"
 )
 
 var actions = []action{
@@ -101,18 +103,17 @@
 	stopped  chan struct{}
 	// clientsPaused stops the clients from making calls.
 	clientsPaused atomic.Bool
-	wg            sync.WaitGroup
+	replacing
+	wg sync.WaitGroup
 }
 
 // runScript runs a script in virtual time and returns the recorded calls and
 // the first violation. It must be called in a synctest bubble.
 func runScript(s script, injected faults) ([]porcupine.Operation, error) {
 	options := Options{Timing: fuzzTiming, SnapshotEntries: 30, faults: injected}
-	r := &scriptRun{cluster: newCluster(s.Seed, s.Replicas, options), script: s, stopped: make(chan struct{})}
-	r.recorder.startedAt = time.Now()
+	r := newScriptRun(s, s.Replicas, options)
 	for i, id := range r.ids {
 		r.members[id].clockRate = float64(s.Rates[i]) / 100
-		r.members[id].fs.Inject(healthyDisk)
 	}
 	defer r.stopAll()
 	if err := r.startAll(); err != nil {
@@ -122,13 +123,7 @@
 		return nil, err
 	}
 	r.startBackground()
-	for _, st := range s.Steps {
-		r.act(st)
-		time.Sleep(st.Pause)
-		if r.oracle.violation() != nil {
-			break
-		}
-	}
+	r.playSteps()
 	close(r.stopped)
 	r.wg.Wait()
 	if r.oracle.violation() == nil {
@@ -137,9 +132,31 @@
 	return r.recorder.ops, r.oracle.violation()
 }
 
+// newScriptRun returns a run with count nodes that are not started.
+func newScriptRun(s script, count int, options Options) *scriptRun {
+	r := &scriptRun{cluster: newCluster(s.Seed, count, options), script: s, stopped: make(chan struct{})}
+	r.recorder.startedAt = time.Now()
+	for _, m := range r.members {
+		m.fs.Inject(healthyDisk)
+	}
+	return r
+}
+
+// playSteps carries out the steps until a check fails.
+func (r *scriptRun) playSteps() {
+	for _, st := range r.script.Steps {
+		r.act(st)
+		time.Sleep(st.Pause)
+		if r.oracle.violation() != nil {
+			return
+		}
+	}
+}
+
 // node returns the node with index i modulo the number of nodes.
 func (r *scriptRun) node(i int) *member {
-	return r.members[r.ids[i%len(r.ids)]]
+	ids := r.current()
+	return r.members[ids[i%len(ids)]]
 }
 
 // act carries out one step.
@@ -191,6 +208,10 @@
 		m.fs.Inject(disk.Faults{Tear: true, FailSyncs: true})
 	case actSlowDisk:
 		m.fs.Inject(disk.Faults{Tear: true, SyncDelay: 5 * time.Millisecond})
+	case actAdd:
+		r.addWithin(st)
+	case actRemove:
+		r.removeWithin(st)
 	case actLossy:
 		r.net.mu.Lock()
 		r.net.dropPercent, r.net.maxDelay = 10, 30*time.Millisecond
@@ -205,7 +226,11 @@
 	if m.node != nil && m.node.replica.ctx.Err() == nil {
 		return
 	}
+	expelled := m.node != nil && m.expelled.Load() == m.node
 	r.crash(id)
+	if expelled {
+		m.fs.Wipe()
+	}
 	m.fs.Inject(healthyDisk)
 	if err := r.start(id); err != nil {
 		r.oracle.fail("start %s: %v", id, err)
@@ -282,13 +307,19 @@
 // repairCommitted reports whether the cluster is fully repaired and can commit
 // a command.
 func (r *scriptRun) repairCommitted() bool {
+	return r.repairCommittedWithout("")
+}
+
+// repairCommittedWithout is repairCommitted for a cluster in which one node need
+// not be a member yet.
+func (r *scriptRun) repairCommittedWithout(newcomer ident.NodeID) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	l := r.leading()
-	if l == nil || !r.fullyRepaired() {
+	if l == nil || !r.repairedWithout(newcomer) {
 		return false
 	}
-	return r.put(ctx, l, command{ID: r.recorder.nextUnique(), Key: "repair"}) == nil && r.fullyRepaired()
+	return r.put(ctx, l, command{ID: r.recorder.nextUnique(), Key: "repair"}) == nil && r.repairedWithout(newcomer)
 }
 
 // loseDisk replaces a disk with an empty one, unless an earlier repair is
--- a/internal/coordination/consensus/network_test.go
+++ b/internal/coordination/consensus/network_test.go
@@ -19,6 +19,8 @@
 	rng      *rand.Rand
 	services map[ident.NodeID]*Service
 	cut      map[link]bool
+	// gone lists nodes whose VM no longer exists: calls to them get no answer.
+	gone map[ident.NodeID]bool
 	// maxDelay bounds the random delay of a message in one direction.
 	// dropPercent of the messages are lost; the caller notices only through its
 	// deadline.
@@ -31,6 +33,7 @@
 		rng:      rand.New(rand.NewSource(seed)),
 		services: map[ident.NodeID]*Service{},
 		cut:      map[link]bool{},
+		gone:     map[ident.NodeID]bool{},
 		maxDelay: 2 * time.Millisecond,
 	}
 }
@@ -72,7 +75,7 @@
 		time.Sleep(delay)
 	}
 	n.mu.Lock()
-	lost = lost || n.cut[link{from, to}]
+	lost = lost || n.cut[link{from, to}] || n.gone[to]
 	n.mu.Unlock()
 	if lost {
 		<-ctx.Done()
