--- a/internal/coordination/consensus/replacement_script_test.go
+++ b/internal/coordination/consensus/replacement_script_test.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// catchUpTime is the time that deployments give a VM after it is back or, if
-	// it is new, after it starts. Until then it counts as lost.
-	catchUpTime = 4 * time.Second
 	// recoveryTime is the time that deployments give the service after all VMs
 	// are back, if more were lost than it tolerates.
 	recoveryTime = 12 * time.Second
@@ -31,9 +28,6 @@
 	spareCount = 12
 )
 
-// deploymentTiming has the periods and timeouts that deployments use.
-var deploymentTiming = Timing{Heartbeat: 50 * time.Millisecond, ElectionMin: 250 * time.Millisecond, ElectionMax: 400 * time.Millisecond}
-
 // replacing is the state of a run in which nodes are replaced by others with
 // new IDs.
 type replacing struct {
@@ -112,7 +106,9 @@
 // runReplacements runs a script with replacements in virtual time, like
 // runScript.
 func runReplacements(s replacementScript, replaceDead bool) ([]porcupine.Operation, error) {
-	r := newScriptRun(s.script, seedCount, Options{Timing: deploymentTiming, SnapshotEntries: 30, ReplaceDead: replaceDead})
+	options := replacementOptions
+	options.SnapshotEntries, options.ReplaceDead = 30, replaceDead
+	r := newScriptRun(s.script, seedCount, options)
 	defer r.stopAll()
 	r.addSpares()
 	for i, id := range slices.Concat(r.ids, r.spares) {
