Core histories add, promote and remove replicas

Cause: TestCore_Histories runs a fixed membership, so no order of messages was ever tried with a change of it. Change: tests only. TestCore_Memberships plays six cores, three or four of them voters at first: every leader adds, promotes or removes replicas at random, a removed one returns with an empty disk, and the nodes split into two groups. All core histories now also check that a term has one leader and that a leader holds every committed entry. The seeds of the earlier histories play as before.

--- a/internal/coordination/consensus/core_fuzz_test.go
+++ b/internal/coordination/consensus/core_fuzz_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"math/rand"
 	randv2 "math/rand/v2"
@@ -22,6 +23,11 @@
 	// coreHistoriesPerRun is the number of core histories played for each
 	// history of whole replicas.
 	coreHistoriesPerRun = 40
+	// Histories with membership changes are longer and fewer. They have spare
+	// nodes that are no members at first.
+	phasesPerMembershipHistory = 150
+	membershipHistoriesPerRun  = 3
+	membershipHistoryNodes     = 6
 )
 
 // packet is a message in transit.
@@ -46,39 +52,53 @@
 // coreSim simulates a cluster of cores without I/O. Message delivery, syncs,
 // crashes and timeouts happen in random order.
 type coreSim struct {
-	rng       *rand.Rand
-	now       time.Time
-	faults    faults
-	nodes     []*simNode
-	packets   []packet
+	rng     *rand.Rand
+	now     time.Time
+	faults  faults
+	nodes   []*simNode
+	packets []packet
+	// replicas are the current incarnations of the nodes; members are the first
+	// voters.
+	replicas  []Replica
 	members   Membership
 	committed map[uint64]uint64
-	// isolated is the index of the node whose messages are dropped, or -1.
-	isolated int
-	err      error
+	// leaders holds the leader of each term.
+	leaders map[uint64]Replica
+	// changing lets the memberships change.
+	changing bool
+	// partition has a bit for each node. Messages between nodes whose bits
+	// differ are dropped.
+	partition uint64
+	err       error
 }
 
 func newCoreSim(seed int64, count int, injected faults) *coreSim {
 	s := &coreSim{
 		rng: rand.New(rand.NewSource(seed)), now: time.Unix(0, 0), faults: injected,
-		committed: map[uint64]uint64{}, isolated: -1,
+		committed: map[uint64]uint64{}, leaders: map[uint64]Replica{},
 	}
 	for i := range count {
 		replica := Replica{ID: ident.NodeID(rune('a' + i)), Incarnation: 1}
 		s.members.Members = append(s.members.Members, Member{Replica: replica, Role: RoleVoter})
 	}
 	for i := range count {
-		s.nodes = append(s.nodes, &simNode{})
-		s.boot(i)
+		s.addNode(s.members.Members[i].Replica)
 	}
 	return s
 }
 
+// addNode starts a node.
+func (s *coreSim) addNode(r Replica) {
+	s.replicas = append(s.replicas, r)
+	s.nodes = append(s.nodes, &simNode{})
+	s.boot(len(s.nodes) - 1)
+}
+
 // boot starts a core from its durable state.
 func (s *coreSim) boot(i int) {
 	n := s.nodes[i]
 	c, err := newCore(s.now, coreConfig{
-		self: s.members.Members[i].Replica, timing: Timing{}.withDefaults(), faults: s.faults,
+		self: s.replicas[i], timing: Timing{}.withDefaults(), faults: s.faults, replaceDead: s.changing,
 		rng: randv2.New(randv2.NewPCG(s.rng.Uint64(), 1)), hard: n.hard, snapshot: snap.Meta{},
 		members: s.members, entries: append([]wal.Entry(nil), n.entries...),
 	})
@@ -93,11 +113,14 @@
 }
 
 // flush collects a core's output and checks that no index is committed in two
-// terms.
+// terms, no term has two leaders and each leader holds every committed entry.
 func (s *coreSim) flush(i int, repliesAfterSync ...func()) {
 	n := s.nodes[i]
 	n.core.replicate(s.now)
 	out := n.core.take()
+	if n.core.role == leader {
+		s.checkLeader(n.core)
+	}
 	if n.core.invariantErr != nil {
 		s.err = n.core.invariantErr
 	}
@@ -124,6 +147,23 @@
 	n.pendingHard = append(n.pendingHard, n.core.emittedHard)
 }
 
+// checkLeader checks a leader when its term is seen for the first time.
+func (s *coreSim) checkLeader(c *core) {
+	known, seen := s.leaders[c.term]
+	if seen && known != c.self {
+		s.err = fmt.Errorf("%v and %v both lead term %d", known, c.self, c.term)
+	}
+	if seen {
+		return
+	}
+	s.leaders[c.term] = c.self
+	for index, term := range s.committed {
+		if own, ok := c.log.term(index); !ok || own != term {
+			s.err = fmt.Errorf("%v leads term %d without entry %d of term %d, which is committed", c.self, c.term, index, term)
+		}
+	}
+}
+
 func (s *coreSim) index(r Replica) int { return int(r.ID[0] - 'a') }
 
 // send queues a request for delivery. The reply is queued in the same way, and
@@ -141,9 +181,12 @@
 			}})
 		}
 	}
-	from := s.members.Members[i].Replica
+	from := s.replicas[i]
 	s.packets = append(s.packets, packet{from: i, to: to, deliver: func() {
 		c := s.nodes[to].core
+		if msg.to != s.replicas[to] {
+			return
+		}
 		switch {
 		case msg.vote != nil:
 			reply := c.handleVote(s.now, from, msg.vote)
@@ -193,17 +236,23 @@
 	}
 }
 
-// runPhase changes the isolated node, may drop all messages, restart a node and
+// runPhase changes the partition, may drop all messages, restart a node and
 // propose commands, fires one timeout, then performs a random number of
 // deliveries and syncs.
 func (s *coreSim) runPhase() {
-	s.isolated = s.rng.Intn(len(s.nodes)+1) - 1
+	s.partition = 1 << s.rng.Intn(len(s.nodes)+1) >> 1
+	if s.changing && s.rng.Intn(2) == 0 {
+		s.partition = s.rng.Uint64()
+	}
 	if s.rng.Intn(2) == 0 {
 		s.packets = nil
 	}
 	if s.rng.Intn(3) == 0 {
 		s.boot(s.rng.Intn(len(s.nodes)))
 	}
+	if s.changing {
+		s.changeMembers()
+	}
 	s.advanceClock(s.rng.Intn(len(s.nodes)))
 	for i, n := range s.nodes {
 		if s.rng.Intn(4) == 0 {
@@ -220,6 +269,32 @@
 	}
 }
 
+// changeMembers lets every leader add, promote or remove a random node. A node
+// whose removal is committed returns with an empty disk as a new incarnation.
+func (s *coreSim) changeMembers() {
+	for i, n := range s.nodes {
+		other := s.rng.Intn(len(s.nodes))
+		replica := s.replicas[other]
+		var err error
+		switch s.rng.Intn(6) {
+		case 0:
+			_, err = n.core.join(replica)
+		case 1:
+			_, err = n.core.addLearner(replica, false)
+		case 2:
+			_, err = n.core.remove(replica)
+		default:
+			_, err = n.core.promote(replica)
+		}
+		if errors.Is(err, ErrRemoved) {
+			s.replicas[other].Incarnation++
+			*s.nodes[other] = simNode{boots: s.nodes[other].boots}
+			s.boot(other)
+		}
+		s.flush(i)
+	}
+}
+
 // deliver delivers one queued message: usually the oldest, sometimes a random
 // one.
 func (s *coreSim) deliver() {
@@ -233,7 +308,7 @@
 	p := s.packets[at]
 	s.packets = append(s.packets[:at:at], s.packets[at+1:]...)
 	s.now = s.now.Add(time.Millisecond)
-	if p.from != s.isolated && p.to != s.isolated {
+	if (s.partition>>p.from^s.partition>>p.to)&1 == 0 {
 		p.deliver()
 	}
 }
@@ -256,6 +331,31 @@
 	return nil
 }
 
+// runMembershipHistory runs one random history with membership changes.
+func runMembershipHistory(seed int64, injected faults) error {
+	s := newCoreSim(seed, 3+int(seed&1), injected)
+	s.changing = true
+	for i := len(s.nodes); i < membershipHistoryNodes; i++ {
+		s.addNode(Replica{ID: ident.NodeID(rune('a' + i)), Incarnation: 1})
+	}
+	for range phasesPerMembershipHistory {
+		if s.runPhase(); s.err != nil {
+			return s.err
+		}
+	}
+	return nil
+}
+
+// TestCore_Memberships checks the same while replicas are added, promoted and
+// removed.
+func TestCore_Memberships(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		for range membershipHistoriesPerRun {
+			must.NoError(rt, runMembershipHistory(rapid.Int64().Draw(rt, "seed"), faults{}))
+		}
+	})
+}
+
 // TestCore_Histories checks that a committed entry never changes, whatever the
 // order of messages, syncs and crashes.
 func TestCore_Histories(t *testing.T) {
