--- a/internal/coordination/consensus/core_fuzz_test.go
+++ b/internal/coordination/consensus/core_fuzz_test.go
@@ -278,7 +278,7 @@
 		var err error
 		switch s.rng.Intn(6) {
 		case 0:
-			_, err = n.core.join(replica)
+			_, err = n.core.join(s.now, replica)
 		case 1:
 			_, err = n.core.addLearner(replica, false)
 		case 2:
