--- a/internal/coordination/consensus/fuzz_test.go
+++ b/internal/coordination/consensus/fuzz_test.go
@@ -43,6 +43,11 @@
 	if err != nil {
 		return err
 	}
+	return checkLinearizable(ops)
+}
+
+// checkLinearizable returns an error if the calls are not linearizable.
+func checkLinearizable(ops []porcupine.Operation) error {
 	if !porcupine.CheckOperations(registerModel, ops) {
 		return fmt.Errorf("%d calls are not linearizable", len(ops))
 	}
--- a/internal/coordination/consensus/mutation_test.go
+++ b/internal/coordination/consensus/mutation_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// TestFuzz_ReplacementsFindDeadVoters checks that scripts with replacements detect
+// that dead voters keep their votes.
+func TestFuzz_ReplacementsFindDeadVoters(t *testing.T) {
+	budget, err := strconv.Atoi(defaultHistories)
+	must.NoError(t, err)
+	for seed := range budget / replacementShare {
+		if err := checkReplacements(t, replacementScriptGen.Example(seed), false); err != nil {
+			t.Logf("found by history %d: %v", seed, err)
+			return
+		}
+	}
+	t.Error("not found")
+}
+
 // TestCore_FindsMutations does the same with core histories, in which every
 // AppendRequest carries a single entry, so that a message can be lost between
 // any two entries.
