--- a/internal/coordination/consensus/bootstrap.go
+++ b/internal/coordination/consensus/bootstrap.go
@@ -188,14 +188,16 @@
 }
 
 // join asks the cluster to add this replica as a learner: the leader if it knows
-// one, then the initial replicas, and the members that it knows, since all initial
-// replicas may be gone. It returns false if this incarnation was removed, after
-// stopping the replica.
+// one, then the initial replicas. A member also asks the other members, since all
+// initial replicas may be gone. It returns false if this incarnation was removed,
+// after stopping the replica.
 func (r *replica) join(v *view) bool {
 	asked := map[ident.NodeID]bool{v.self.ID: true}
 	next := append([]ident.NodeID{v.leader}, r.opts.InitialReplicas...)
-	for _, member := range v.members.Members {
-		next = append(next, member.Replica.ID)
+	if v.members.Role(v.self) != RoleNone {
+		for _, member := range v.members.Members {
+			next = append(next, member.Replica.ID)
+		}
 	}
 	for len(next) > 0 {
 		to := next[0]
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -144,7 +144,7 @@
 	}
 	index, err := c.addLearner(r, true)
 	if errors.Is(err, ErrTooManyMembers) && c.replaceDead {
-		if stale, silent := c.longestSilentLearner(now); silent >= DeadVoterTimeout {
+		if stale, silent := c.longestSilentLearner(now); silent >= SilentVoterTimeout {
 			c.appendMembership(c.members().without(stale))
 		}
 	}
