--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -36,8 +36,8 @@
 	timing Timing
 	rng    *rand.Rand
 	faults faults
-	// replaceDead lets new replicas take the places of voters that are silent
-	// for DeadVoterTimeout.
+	// replaceDead lets voters that are silent for DeadVoterTimeout lose their
+	// votes.
 	replaceDead bool
 
 	term   uint64
@@ -62,6 +62,17 @@
 	voteBlockedByRestart bool
 	electionAt           time.Time
 	votes                map[Replica]bool
+	// refusals holds the reasons of the voters that refused in the current
+	// campaign.
+	refusals map[Replica]VoteRefusal
+	// failedCampaign describes the last campaign that got no majority; empty
+	// once a leader is known.
+	failedCampaign string
+
+	// lastLeader is the other replica that led most recently as far as this one
+	// knows, and lastLeaderAt the time of its last message.
+	lastLeader   Replica
+	lastLeaderAt time.Time
 
 	leadership
 
@@ -198,6 +209,9 @@
 	}
 	c.role = follower
 	c.leader = newLeader
+	if newLeader != (Replica{}) {
+		c.failedCampaign = ""
+	}
 }
 
 // failInvariant records a violated invariant, which stops the replica: to
--- a/internal/coordination/consensus/messages.go
+++ b/internal/coordination/consensus/messages.go
@@ -35,8 +35,22 @@
 type VoteReply struct {
 	Term    uint64
 	Granted bool
+	// Refusal is the reason why the vote was not granted, for logs.
+	Refusal VoteRefusal
 }
 
+// VoteRefusal is the reason for a refused vote; empty if the vote was granted.
+type VoteRefusal string
+
+// Reasons for a refused vote.
+const (
+	RefusedNotMember VoteRefusal = "not a member"
+	RefusedBlocked   VoteRefusal = "may have a leader"
+	RefusedOldTerm   VoteRefusal = "old term"
+	RefusedVoted     VoteRefusal = "voted for another"
+	RefusedLogBehind VoteRefusal = "log behind"
+)
+
 // AppendRequest carries the entries after PrevIndex. Without entries it is a
 // heartbeat or a probe for the index up to which the logs agree.
 type AppendRequest struct {
@@ -138,6 +152,20 @@
 	Leader ident.NodeID
 }
 
+// LeaveRequest tells the leader that a voter is about to stop, so that the
+// quorum can shrink before it does.
+type LeaveRequest struct {
+	Cluster ClusterID
+	Replica Replica
+}
+
+// LeaveReply answers a LeaveRequest.
+type LeaveReply struct {
+	// Done means that the replica may stop: either it votes no more, or its vote
+	// doesn't raise the quorum.
+	Done bool
+}
+
 // Peers sends requests to other replicas. Every call returns by the deadline of
 // its context. Calls to the same node may be reordered. An error doesn't tell
 // whether the request arrived.
@@ -148,4 +176,5 @@
 	Elect(ctx context.Context, to ident.NodeID, req *ElectRequest) (*ElectReply, error)
 	Probe(ctx context.Context, to ident.NodeID, req *ProbeRequest) (*ProbeReply, error)
 	Join(ctx context.Context, to ident.NodeID, req *JoinRequest) (*JoinReply, error)
+	Leave(ctx context.Context, to ident.NodeID, req *LeaveRequest) (*LeaveReply, error)
 }
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -43,10 +43,11 @@
 	n.replica.start()
 }
 
-// Stop transfers the leadership if this replica leads, then stops the replica.
-// ctx bounds the transfer only.
+// Stop transfers the leadership if this replica leads, gives up a vote that only
+// raises the quorum, then stops the replica. ctx bounds the first two only.
 func (n *Node[R]) Stop(ctx context.Context) error {
 	n.replica.transferLeadership(ctx)
+	n.replica.leave(ctx)
 	return n.replica.halt()
 }
 
@@ -80,7 +81,8 @@
 	return now
 }
 
-// Changes returns a channel that signals possible changes of Leadership.
+// Changes returns a channel that signals possible changes of Leadership, of
+// Members and of Status.FailedCampaign.
 // Signals that are not received in time are merged into one.
 func (n *Node[R]) Changes() <-chan struct{} {
 	return n.replica.changes
@@ -105,18 +107,18 @@
 // AddLearner adds a learner, which receives the log but does not vote. Leader
 // only.
 func (n *Node[R]) AddLearner(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.addLearner(r, false) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.addLearner(r, false) })
 }
 
 // Promote turns a learner that has caught up into a voter. Leader only.
 func (n *Node[R]) Promote(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.promote(r) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.promote(r) })
 }
 
 // Remove removes a replica permanently: the incarnation can't join again.
 // Leader only.
 func (n *Node[R]) Remove(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(c *core) (uint64, error) { return c.remove(r) })
+	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.remove(r) })
 }
 
 // Status describes a replica for operators and metrics.
@@ -130,8 +132,18 @@
 	Applied   uint64
 	// LogEntries is the number of log entries in memory.
 	LogEntries int
+	// SilentVoters is the number of other voters that a leader has not heard
+	// from for SilentVoterTimeout; 0 if this replica doesn't lead.
+	SilentVoters int
+	// FailedCampaign describes the votes of this replica's last campaign if no
+	// leader is known since, with the reasons of refusals.
+	FailedCampaign string
 }
 
+// SilentVoterTimeout is how long a voter must be silent to count as silent in
+// Status. Until then it may be restarting.
+const SilentVoterTimeout = time.Second
+
 // Status returns the current status.
 func (n *Node[R]) Status() Status {
 	status := n.replica.view.Load().status
@@ -140,11 +152,12 @@
 }
 
 // status returns the status without Applied. Only the loop may call it.
-func (r *replica) status() Status {
+func (r *replica) status(now time.Time) Status {
 	c := r.core
 	return Status{
 		Replica: c.self, Cluster: r.identity.Genesis.Cluster, Term: c.term, Leader: c.leader.ID,
 		LastIndex: c.log.last(), Commit: c.commit, LogEntries: len(c.log.entries),
+		SilentVoters: c.silentVoters(now), FailedCampaign: c.failedCampaign,
 	}
 }
 
@@ -211,12 +224,12 @@
 }
 
 // changeMembers starts a membership change and waits until it is committed.
-func (r *replica) changeMembers(ctx context.Context, change func(c *core) (uint64, error)) error {
+func (r *replica) changeMembers(ctx context.Context, change func(now time.Time, c *core) (uint64, error)) error {
 	ctx, cancel := r.withDefaultTimeout(ctx)
 	defer cancel()
 	done := make(chan outcome, 1)
-	err := r.post(ctx, func(time.Time) {
-		index, err := change(r.core)
+	err := r.post(ctx, func(now time.Time) {
+		index, err := change(now, r.core)
 		switch {
 		case err != nil:
 			done <- outcome{err: err}
