--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -91,7 +91,7 @@
 	switch {
 	case c.members().retired(r):
 		return 0, ErrRemoved
-	case c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
+	case c.replaceDead && c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
 		return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner, AutoPromote: true})), nil
 	case c.members().Role(r) != RoleNone:
 		return c.configIndex(), nil
@@ -326,8 +326,13 @@
 		if p == nil || p.match != c.log.last() {
 			continue
 		}
-		c.transferTo = voter
-		c.out.sends = append(c.out.sends, outbound{to: voter, elect: &ElectRequest{Term: c.term}})
-		return
+		if best == (Replica{}) || p.ackedAt.After(c.progress[best].ackedAt) {
+			best = voter
+		}
+	}
+	if best != (Replica{}) {
+		c.transferTo = best
+		c.out.sends = append(c.out.sends, outbound{to: best, elect: &ElectRequest{Term: c.term}})
 	}
 }
+	var best Replica
