--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -137,12 +137,13 @@
 	faults    faults
 	// joinOnly is set for a node that may not form the cluster.
 	joinOnly bool
-	// expelled is the node that stopped because its incarnation was removed.
-	expelled atomic.Pointer[Node[int]]
 
 	mu      sync.Mutex
 	node    *Node[int]
 	machine *registerMachine
+
+	// removed is set once the node stopped because it was removed.
+	removed atomic.Bool
 }
 
 // running returns the node, or nil while it is down.
@@ -267,7 +268,7 @@
 	c.kill(id)
 }
 
-// stopTimeout bounds the preparation of a graceful stop, as deployments do.
+// stopTimeout bounds a graceful stop, as a deployment does.
 const stopTimeout = time.Second
 
 // stop stops a node gracefully.
@@ -332,60 +333,22 @@
 	return err
 }
 
-// votersNeeded returns how many of count replicas must vote to tolerate the lost
-// disks that fuzzedLosses returns.
-func votersNeeded(count int) int {
-	return 2*fuzzedLosses(count) + 1
-}
-
-// fuzzedLosses returns how many of count replicas may lose their disks at the
-// same time.
-func fuzzedLosses(count int) int {
-	switch {
-	case count >= 5:
-		return 2
-	case count > 1:
-		return 1
-	default:
-		return 0
-	}
-}
-
-// fullyRepaired reports whether every node runs and is a member under its
-// current incarnation, no other replica votes, enough of them vote, and the
-// leader can confirm a read. With an odd number of nodes up to five, all must
-// vote.
+// fullyRepaired reports whether every node runs and votes under its current
+// incarnation, and the leader can confirm a read.
 func (c *cluster) fullyRepaired() bool {
-	return c.repairedWithout("")
-}
-
-// repairedWithout is fullyRepaired for a cluster in which one node need not be a
-// member yet.
-func (c *cluster) repairedWithout(newcomer ident.NodeID) bool {
 	m := c.leading()
 	if m == nil {
 		return false
 	}
-	needed := len(c.ids)
-	if slices.Contains(c.ids, newcomer) {
-		needed--
+	voters := m.running().Members().Voters()
+	if len(voters) != len(c.ids) {
+		return false
 	}
-	listed, voters := 0, 0
-	for _, listing := range m.running().Members().Members {
-		other := c.members[listing.Replica.ID]
-		current := slices.Contains(c.ids, other.id) && other.node != nil && other.node.Self() == listing.Replica
-		if listing.Role == RoleVoter {
-			if !current {
-				return false
-			}
-			voters++
+	for _, voter := range voters {
+		other := c.members[voter.ID]
+		if other.node == nil || other.node.Self() != voter {
+			return false
 		}
-		if current && other.id != newcomer {
-			listed++
-		}
-	}
-	if listed < needed || voters < votersNeeded(needed) {
-		return false
 	}
 	return m.running().ReadBarrier(context.Background()) == nil
 }
--- a/internal/coordination/consensus/replacement_script_test.go
+++ b/internal/coordination/consensus/replacement_script_test.go
@@ -101,10 +101,11 @@
 	})
 	return replacementScript{
 		script: script{
-			Seed:     rapid.Int64().Draw(t, "seed"),
-			Replicas: rapid.SampledFrom([]int{3, 3, 4, 5, 6}).Draw(t, "replicas"),
-			Rates:    rapid.SliceOfN(rapid.SampledFrom(clockRates), 5, 5).Draw(t, "rates"),
-			Steps:    rapid.SliceOfN(steps, 0, 16).Draw(t, "steps"),
+			Seed:        rapid.Int64().Draw(t, "seed"),
+			ReplaceDead: true,
+			Replicas:    rapid.SampledFrom([]int{3, 3, 4, 5, 6}).Draw(t, "replicas"),
+			Rates:       rapid.SliceOfN(rapid.SampledFrom(clockRates), 5, 5).Draw(t, "rates"),
+			Steps:       rapid.SliceOfN(steps, 0, 16).Draw(t, "steps"),
 		},
 		Calm:       rapid.SliceOfN(replacementGen, 0, 3).Draw(t, "calm"),
 		WipeSeed:   rapid.Int64().Draw(t, "wipeSeed"),
@@ -119,7 +120,7 @@
 // runScript.
 func runReplacements(s replacementScript, replaceDead bool) ([]porcupine.Operation, error) {
 	options := replacementOptions
-	options.SnapshotEntries, options.ReplaceDead = 30, replaceDead
+	options.SnapshotEntries, options.ReplaceDead, options.MinVoters = 30, replaceDead, 2*toleratedLosses(s.Replicas)+1
 	r := newScriptRun(s.script, seedCount, options)
 	defer r.stopAll()
 	r.addSpares()
@@ -136,7 +137,7 @@
 		r.replace(next)
 	}
 	order := rand.New(rand.NewSource(s.WipeSeed)).Perm(len(r.ids))
-	count := fuzzedLosses(len(r.ids))
+	count := toleratedLosses(s.Replicas)
 	r.losePower(order[:count], s.WipedLater)
 	r.losePower(order[count:2*count], s.WipedLater)
 	close(r.stopped)
@@ -184,6 +185,43 @@
 	return nil
 }
 
+// toleratedLosses returns how many disks a cluster of count replicas may lose at
+// the same time.
+func toleratedLosses(count int) int {
+	if count >= 5 {
+		return 2
+	}
+	return 1
+}
+
+// repairedWithout reports whether every node except newcomer runs and is a
+// member under its current incarnation, no other replica votes, enough of them
+// vote, and the leader can confirm a read.
+func (r *scriptRun) repairedWithout(newcomer ident.NodeID) bool {
+	l := r.leading()
+	if l == nil {
+		return false
+	}
+	missing, voters := len(r.ids), 0
+	if slices.Contains(r.ids, newcomer) {
+		missing--
+	}
+	for _, listing := range l.running().Members().Members {
+		other := r.members[listing.Replica.ID]
+		current := slices.Contains(r.ids, other.id) && other.node != nil && other.node.Self() == listing.Replica
+		if listing.Role == RoleVoter {
+			if !current {
+				return false
+			}
+			voters++
+		}
+		if current && other.id != newcomer {
+			missing--
+		}
+	}
+	return missing <= 0 && voters >= r.options.MinVoters && l.running().ReadBarrier(context.Background()) == nil
+}
+
 // add starts the next spare node.
 func (r *scriptRun) add() {
 	if len(r.spares) == 0 {
@@ -230,13 +268,14 @@
 	if len(r.ids) > r.script.Replicas {
 		newcomer = r.newest
 	}
-	if !r.repairCommittedWithout(newcomer) {
+	repaired := func() bool { return r.repairedWithout(newcomer) }
+	if !repaired() {
 		r.heal()
-		for end := time.Now().Add(catchUpTime); time.Now().Before(end) && !r.repairedWithout(newcomer); {
+		for end := time.Now().Add(catchUpTime); time.Now().Before(end) && !repaired(); {
 			r.settle(10 * time.Millisecond)
 		}
 	}
-	if r.repairCommittedWithout(newcomer) {
+	if r.commitsWhile(repaired) {
 		r.remove(r.node(st.Node), removals[st.Other%len(removals)])
 	}
 }
@@ -261,7 +300,7 @@
 	if _, err := r.waitLeading(electionLimit); err != nil {
 		r.oracle.fail("%v for %v after all faults have ended: %s", err, electionLimit, r.describe())
 	}
-	for end := time.Now().Add(recoveryTime); time.Now().Before(end) && !r.fullyRepaired(); {
+	for end := time.Now().Add(recoveryTime); time.Now().Before(end) && !r.repairedWithout(""); {
 		r.settle(10 * time.Millisecond)
 	}
 	r.settle(catchUpTime)
@@ -278,11 +317,9 @@
 		r.clientsPaused.Store(quiet)
 		r.quiet.Store(quiet)
 		time.Sleep(10 * time.Millisecond)
-		for _, id := range r.ids {
-			if m := r.members[id]; m.node != nil && m.expelled.Load() == m.node {
-				r.restart(id)
-				r.changedAt = time.Now()
-			}
+		if slices.ContainsFunc(r.ids, func(id ident.NodeID) bool { return r.members[id].removed.Load() }) {
+			r.emptyRemoved()
+			r.changedAt = time.Now()
 		}
 	}
 }
@@ -325,6 +362,7 @@
 	for _, i := range wiped {
 		lost = append(lost, r.ids[i])
 		r.members[r.ids[i]].fs.Wipe()
+		r.members[r.ids[i]].removed.Store(false)
 	}
 	for _, id := range r.ids {
 		if !wipedLater || !slices.Contains(lost, id) {
@@ -346,7 +384,7 @@
 	}
 	r.changedAt = time.Now()
 	r.settle(catchUpTime)
-	if !r.fullyRepaired() {
+	if !r.repairedWithout("") {
 		r.oracle.fail("not repaired %v after a loss of power in which %v lost their disks: %s", catchUpTime, lost, r.describe())
 	}
 }
