--- a/internal/coordination/consensus/client_test.go
+++ b/internal/coordination/consensus/client_test.go
@@ -86,11 +86,7 @@
 		}
 		select {
 		case err := <-node.Fatal():
-			if r.options.ReplaceDead && errors.Is(err, ErrRemoved) {
-				r.members[id].expelled.Store(node)
-				continue
-			}
-			if !errors.Is(err, disk.ErrInjected) && !errors.Is(err, disk.ErrStale) {
+			if !errors.Is(err, disk.ErrInjected) && !errors.Is(err, disk.ErrStale) && !(r.script.ReplaceDead && r.members[id].tolerateRemoval(err)) {
 				r.oracle.fail("%s stopped: %v", id, err)
 			}
 		default:
--- a/internal/coordination/consensus/fault_script_test.go
+++ b/internal/coordination/consensus/fault_script_test.go
@@ -229,11 +229,7 @@
 	if m.node != nil && m.node.replica.ctx.Err() == nil {
 		return
 	}
-	expelled := m.node != nil && m.expelled.Load() == m.node
 	r.crash(id)
-	if expelled {
-		m.fs.Wipe()
-	}
 	m.fs.Inject(healthyDisk)
 	if err := r.start(id); err != nil {
 		r.oracle.fail("start %s: %v", id, err)
@@ -310,19 +306,19 @@
 // repairCommitted reports whether the cluster is fully repaired and can commit
 // a command.
 func (r *scriptRun) repairCommitted() bool {
-	return r.repairCommittedWithout("")
+	return r.commitsWhile(r.fullyRepaired)
 }
 
-// repairCommittedWithout is repairCommitted for a cluster in which one node need
-// not be a member yet.
-func (r *scriptRun) repairCommittedWithout(newcomer ident.NodeID) bool {
+// commitsWhile reports whether the cluster can commit a command, and repaired
+// returns true before and after that.
+func (r *scriptRun) commitsWhile(repaired func() bool) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	l := r.leading()
-	if l == nil || !r.repairedWithout(newcomer) {
+	if l == nil || !repaired() {
 		return false
 	}
-	return r.put(ctx, l, command{ID: r.recorder.nextUnique(), Key: "repair"}) == nil && r.repairedWithout(newcomer)
+	return r.put(ctx, l, command{ID: r.recorder.nextUnique(), Key: "repair"}) == nil && repaired()
 }
 
 // loseDisk replaces a disk with an empty one, unless an earlier repair is
--- a/internal/coordination/consensus/replacedead_fuzz_test.go
+++ b/internal/coordination/consensus/replacedead_fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,15 +44,33 @@
 	var err error
 	var ops []porcupine.Operation
 	synctest.Test(t, func(*testing.T) { ops, err = runScript(s, faults{}) })
-	return errors.Join(err, checkLinearizable(ops))
+	if err != nil {
+		return err
+	}
+	if !porcupine.CheckOperations(registerModel, ops) {
+		return fmt.Errorf("%d calls are not linearizable", len(ops))
+	}
+	return nil
 }
 
-// emptyRemoved restarts the replicas that stopped because they were removed, with
-// empty disks, as a deployment does.
+// emptyRemoved empties the disks of the replicas that stopped because they were
+// removed, as a deployment does, and starts them again.
 func (r *scriptRun) emptyRemoved() {
 	for _, id := range r.ids {
-		if m := r.members[id]; m.node != nil && m.expelled.Load() == m.node {
+		m := r.members[id]
+		if m.removed.CompareAndSwap(true, false) {
+			r.crash(id)
+			m.fs.Wipe()
 			r.restart(id)
 		}
 	}
 }
+
+// tolerateRemoval reports whether err only says that the replica was removed.
+func (m *member) tolerateRemoval(err error) bool {
+	if errors.Is(err, ErrRemoved) {
+		m.removed.Store(true)
+		return true
+	}
+	return false
+}
