Test: a lost disk is repaired in time after a series of replacements

Cause: replicas that are gone stay learners for a minute. Five replacements within that minute fill the membership, so a replica that lost its disk was refused, and it then asked silent VMs for 1 s each before it asked the leader again. It was no member 4 s after its start. Change: TestNode_DiskLostAfterSeriesOfReplacements, found by TestFuzz_Replacements. Ruled out: the full membership alone.

--- a/internal/coordination/consensus/replacement_test.go
+++ b/internal/coordination/consensus/replacement_test.go
@@ -179,3 +179,30 @@
 		must.Len(t, 3, mustLead(t, c).node.Members().Members)
 	})
 }
+
+// TestNode_DiskLostAfterSeriesOfReplacements crashes and replaces replicas one
+// after the other. Those that are gone give no answer. Then all lose power and
+// one of them its disk; it must be a member again within catchUpTime.
+func TestNode_DiskLostAfterSeriesOfReplacements(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for count := range 7 {
+			t.Run(fmt.Sprintf("%d replacements, silent %v", count, silent), func(t *testing.T) {
+				runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
+					mustPut(t, c, 1, 5)
+					for i := range count {
+						old := c.ids[0]
+						c.crash(old)
+						c.net.gone[old] = silent
+						c.forget(old)
+						c.join(t, ident.NodeID(fmt.Sprintf("new%d", i)))
+						time.Sleep(catchUpTime)
+					}
+					lost := c.ids[1]
+					losePowerAndDisk(t, c, lost, 5)
+					time.Sleep(catchUpTime)
+					must.NotEq(t, RoleNone, mustLead(t, c).node.Members().Role(c.members[lost].node.Self()), must.Sprint(c.describe()))
+				})
+			})
+		}
+	}
+}
