--- a/internal/coordination/consensus/replacedead_fuzz_test.go
+++ b/internal/coordination/consensus/replacedead_fuzz_test.go
@@ -32,6 +32,7 @@
 // ReplaceDead, so that demotions, graceful leaves and returns happen amid the
 // faults. The oracles are the same.
 func TestFuzz_ReplaceDeadHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		s := replaceDeadScriptGen.Draw(rt, "script")
 		if err := checkReplaceDeadScript(t, s); err != nil {
--- a/internal/coordination/consensus/replacement_conditions_test.go
+++ b/internal/coordination/consensus/replacement_conditions_test.go
@@ -87,9 +87,11 @@
 // the other. All must vote again, and the votes may change only by one leave and
 // one return for each restart.
 func TestNode_RollingRestartKeepsVoters(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{3, 4, 5, 6} {
 		for _, pause := range []time.Duration{0, 300 * time.Millisecond, time.Second, catchUpTime} {
 			t.Run(fmt.Sprintf("%d replicas, %v", count, pause), func(t *testing.T) {
+				t.Parallel()
 				runCluster(t, count, replacementOptions, func(t *testing.T, c *cluster) {
 					mustPut(t, c, 1, 5)
 					before := c.selves()
@@ -115,9 +117,11 @@
 // TestNode_AllStopGracefully stops all replicas gracefully at the same time,
 // starts them and lets one lose its disk.
 func TestNode_AllStopGracefully(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{3, 4, 6} {
 		for _, lost := range []ident.NodeID{"a", "b", "c"} {
 			t.Run(fmt.Sprintf("%d replicas, disk of %s", count, lost), func(t *testing.T) {
+				t.Parallel()
 				runCluster(t, count, replacementOptions, func(t *testing.T, c *cluster) {
 					mustPut(t, c, 1, 5)
 					done := make(chan struct{})
@@ -137,9 +141,11 @@
 // TestNode_FrozenVotersReturn cuts off one replica after the other for 3 to 6 s.
 // No change may alternate: at most one loss and one return of a vote for each.
 func TestNode_FrozenVotersReturn(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{3, 4, 6} {
 		for _, cut := range []time.Duration{2900 * time.Millisecond, 3100 * time.Millisecond, 6 * time.Second} {
 			t.Run(fmt.Sprintf("%d replicas, %v", count, cut), func(t *testing.T) {
+				t.Parallel()
 				runCluster(t, count, replacementOptions, func(t *testing.T, c *cluster) {
 					mustPut(t, c, 1, 5)
 					before := c.selves()
@@ -165,6 +171,7 @@
 // TestNode_FaultyLinksKeepVoters disturbs links and disks for a minute. Votes may
 // change at most once per DeadVoterTimeout, and all replicas vote afterwards.
 func TestNode_FaultyLinksKeepVoters(t *testing.T) {
+	t.Parallel()
 	conditions := map[string]func(c *cluster){
 		"10% lost": func(c *cluster) { c.net.dropPercent, c.net.maxDelay = 10, 30*time.Millisecond },
 		"30% lost": func(c *cluster) { c.net.dropPercent, c.net.maxDelay = 30, 30*time.Millisecond },
@@ -184,6 +191,7 @@
 	for _, count := range []int{4, 6} {
 		for name, disturb := range conditions {
 			t.Run(fmt.Sprintf("%d replicas, %s", count, name), func(t *testing.T) {
+				t.Parallel()
 				runCluster(t, count, replacementOptions, func(t *testing.T, c *cluster) {
 					mustPut(t, c, 1, 5)
 					before := c.selves()
@@ -217,6 +225,7 @@
 // TestNode_AllCrashWhileJoining crashes all replicas at any moment while a fourth
 // one joins. With the disk of any one lost, they must elect a leader.
 func TestNode_AllCrashWhileJoining(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []ident.NodeID{"a", "b", "c"} {
 		for delay := time.Duration(0); delay < 200*time.Millisecond; delay += 5 * time.Millisecond {
 			runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
@@ -234,6 +243,7 @@
 // TestNode_AllCrashWhileVoteIsTaken crashes all replicas at any moment around the
 // time when one of four voters loses its vote because it is silent.
 func TestNode_AllCrashWhileVoteIsTaken(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []ident.NodeID{"a", "b", "c", "d"} {
 		for delay := 2980 * time.Millisecond; delay < 3120*time.Millisecond; delay += 4 * time.Millisecond {
 			runCluster(t, 4, replacementOptions, func(t *testing.T, c *cluster) {
@@ -250,6 +260,7 @@
 // TestNode_AllCrashWhileLeaving crashes all replicas at any moment while one of
 // four voters stops gracefully.
 func TestNode_AllCrashWhileLeaving(t *testing.T) {
+	t.Parallel()
 	for _, lost := range []ident.NodeID{"a", "b", "c", "d"} {
 		for delay := time.Duration(0); delay < 60*time.Millisecond; delay += 2 * time.Millisecond {
 			runCluster(t, 4, replacementOptions, func(t *testing.T, c *cluster) {
@@ -281,8 +292,10 @@
 // gone for long join just after an election. The new leader must not count the
 // follower as heard because its term has just begun.
 func TestNode_ReplacementJoinsAfterElection(t *testing.T) {
+	t.Parallel()
 	for _, gap := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
 		t.Run(gap.String(), func(t *testing.T) {
+			t.Parallel()
 			runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
 				mustPut(t, c, 1, 5)
 				leading := mustLead(t, c).id
@@ -310,6 +323,7 @@
 // TestNode_LeavesAtTheSameTime stops two of the voters, among them the leader,
 // gracefully at the same time, and starts them again. All must vote again.
 func TestNode_LeavesAtTheSameTime(t *testing.T) {
+	t.Parallel()
 	for _, count := range []int{4, 6} {
 		runCluster(t, count, replacementOptions, func(t *testing.T, c *cluster) {
 			mustPut(t, c, 1, 5)
@@ -339,6 +353,7 @@
 // four voters of which one answers once a second only. A fifth voter doesn't
 // raise the quorum, so it must be promoted.
 func TestNode_PromotionBesideFlakyVoterOfFour(t *testing.T) {
+	t.Parallel()
 	runCluster(t, 5, replacementOptions, func(t *testing.T, c *cluster) {
 		mustPut(t, c, 1, 5)
 		leading := mustLead(t, c)
--- a/internal/coordination/consensus/replacement_faults_test.go
+++ b/internal/coordination/consensus/replacement_faults_test.go
@@ -157,6 +157,7 @@
 // three. All return, the silent one with its disk, and a single disk is lost: an
 // overlap of losses, after which they must elect a leader.
 func TestNode_AllCrashWhileDeadVoterIsSwapped(t *testing.T) {
+	t.Parallel()
 	var failed []string
 	const from, to, step = 2980 * time.Millisecond, 3120 * time.Millisecond, 2 * time.Millisecond
 	for _, lost := range []ident.NodeID{"a", "b", "c", "d"} {
@@ -191,9 +192,11 @@
 // lets them catch up and stops the old ones. The three that remain must tolerate
 // the loss of a disk.
 func TestNode_SeveralPlannedReplacements(t *testing.T) {
+	t.Parallel()
 	for _, replaced := range []int{1, 2, 3} {
 		for _, graceful := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%d, graceful %t", replaced, graceful), func(t *testing.T) {
+				t.Parallel()
 				runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
 					mustPut(t, c, 1, 5)
 					old := c.ids[:replaced]
