Gateways log the limit that an upstream names in its answers

Cause: in the incident no line told whether a gateway had read the limit, so 'nobody reads it' and 'each gateway keeps to it by itself' could not be told apart. A gateway records a line when it learns something new, and a metric counts the upstreams that name a limit. Nothing acts on it yet. Spoiled values have one meaning: unreadable, which neither sets nor lifts a limit; 0 is raised to MinRateLimit, since only a request can tell that the limit has ended. Ruled out: a line per answer, as a server names its limit in all of them.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -225,6 +225,17 @@
 	return nil
 }
 
+// rateLimits returns the number of upstreams that name a limit to this gateway.
+func (n *Node) rateLimits() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	limits := 0
+	for _, c := range n.clients {
+		limits += c.RateLimits()
+	}
+	return limits
+}
+
 // Upstream implements gateway.Environment.
 func (n *Node) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
 	d, known := n.upstreams.Load().byName[name]
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -99,7 +99,7 @@
 	r := d.Request
 	sendCtx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), r.Deadline, errDeadline)
 	defer cancel()
-	answer := &answerRecorder{placer: placer, id: r.ID}
+	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, r, grant)}
 	sent := g.upstreams.Send(sendCtx, d, answer)
 	placer.Finish(r.ID, reportKind(sendCtx, sent, attemptSettled), 0)
 	if sent.Outcome == DispatchUnsent {
@@ -310,11 +310,15 @@
 type answerRecorder struct {
 	placer      Placer
 	id          ident.RequestID
+	onNotice    func(n scheduler.UpstreamNotice)
 	status      int
 	contentType string
 	body        []byte
 }
 
+// Notice implements AnswerSink.
+func (c *answerRecorder) Notice(n scheduler.UpstreamNotice) { c.onNotice(n) }
+
 func (c *answerRecorder) Begin(status int, contentType string) error {
 	c.status = status
 	c.contentType = contentType
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -35,12 +35,13 @@
 	r             *Request
 }
 
-func (e *faultyEnv) Fresh() bool                                       { return rapid.IntRange(0, 9).Draw(e.t, "fresh") > 0 }
-func (e *faultyEnv) Placer(ident.PoolName) Placer                      { return e }
-func (e *faultyEnv) Identity() (ident.NodeID, ident.Incarnation)       { return "n", 1 }
-func (e *faultyEnv) PoolUpstreams(ident.PoolName) []Target             { return []Target{{Name: "u"}} }
-func (e *faultyEnv) FirstToken(ident.RequestID, int)                   {}
-func (e *faultyEnv) Finish(ident.RequestID, scheduler.ReportKind, int) { e.begun = false }
+func (e *faultyEnv) Fresh() bool                                           { return rapid.IntRange(0, 9).Draw(e.t, "fresh") > 0 }
+func (e *faultyEnv) Placer(ident.PoolName) Placer                          { return e }
+func (e *faultyEnv) Identity() (ident.NodeID, ident.Incarnation)           { return "n", 1 }
+func (e *faultyEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
+func (e *faultyEnv) FirstToken(ident.RequestID, int)                       {}
+func (e *faultyEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
+func (e *faultyEnv) Finish(ident.RequestID, scheduler.ReportKind, int)     { e.begun = false }
 
 func (e *faultyEnv) Upstream(ident.UpstreamName) (config.Upstream, bool) {
 	return config.Upstream{}, rapid.IntRange(0, 9).Draw(e.t, "known upstream") > 0
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -236,6 +236,7 @@
 	defer cancel()
 	sendCtx, cancelSend := context.WithCancelCause(deadlineCtx)
 	defer cancelSend(nil)
+	relay.onNotice = g.noticeHandler(placer, r, grant)
 	relay.setGrant(grant, startSilenceTimer(silenceTimeout(r, grant, relay.begun), cancelSend))
 	sent := g.upstreams.Send(sendCtx, d, relay)
 	relay.silence.stop()
@@ -257,6 +258,16 @@
 	return Result{Answered: true}, attemptSettled
 }
 
+// noticeHandler returns a function that passes on what an answer to the request
+// says about its upstream, and records it if it is new to this gateway.
+func (g *Gateway) noticeHandler(placer Placer, r *Request, grant *scheduler.Grant) func(scheduler.UpstreamNotice) {
+	return func(n scheduler.UpstreamNotice) {
+		if placer.Notice(r.ID, n) {
+			g.record(r, timeline.KindUpstream, fmt.Sprintf("%s %s", grant.Upstream, n))
+		}
+	}
+}
+
 // describe returns the detail of the timeline event that records the acceptance
 // of the request.
 func (r *Request) describe() string {
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -28,6 +28,8 @@
 	buffered []byte
 	begun    bool
 	silence  *silenceTimer
+	// onNotice is called with what the header of an answer says about its upstream.
+	onNotice func(n scheduler.UpstreamNotice)
 	// complete is true when the latest dispatch returned its complete answer.
 	complete bool
 }
@@ -36,6 +38,9 @@
 	return &relay{sink: sink, placer: placer, r: r}
 }
 
+// Notice implements AnswerSink.
+func (rl *relay) Notice(n scheduler.UpstreamNotice) { rl.onNotice(n) }
+
 // setGrant sets the grant and the silence timer of the next dispatch.
 func (rl *relay) setGrant(grant *scheduler.Grant, silence *silenceTimer) {
 	rl.grant, rl.silence = grant, silence
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -213,6 +213,10 @@
 
 // AnswerSink receives an upstream's answer as it arrives.
 type AnswerSink interface {
+	// Notice receives what the header of an answer says about the upstream. It is
+	// called as soon as the header was read, for every answer of the upstream that
+	// the request was sent to, also one that declines the request.
+	Notice(n scheduler.UpstreamNotice)
 	// Begin receives the status and content type. It is called at most once,
 	// before any Write.
 	Begin(status int, contentType string) error
@@ -256,6 +260,9 @@
 	Place(ctx context.Context, t scheduler.Ticket, deadline time.Time) (scheduler.Decision, error)
 	// Begin reports whether a granted request may be sent now.
 	Begin(id ident.RequestID) bool
+	// Notice reports what the header of the answer says about the upstream, and
+	// returns whether this gateway learns something new from it.
+	Notice(id ident.RequestID, n scheduler.UpstreamNotice) (news bool)
 	// FirstToken reports that the answer began.
 	FirstToken(id ident.RequestID, cachedTokens int)
 	// Finish reports the end of a granted request.
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -20,13 +20,14 @@
 // releases.
 type unresponsiveEnv struct{ completed, released int }
 
-func (e *unresponsiveEnv) Fresh() bool                                       { return true }
-func (e *unresponsiveEnv) Placer(ident.PoolName) Placer                      { return e }
-func (e *unresponsiveEnv) Identity() (ident.NodeID, ident.Incarnation)       { return "n", 1 }
-func (e *unresponsiveEnv) PoolUpstreams(ident.PoolName) []Target             { return []Target{{Name: "u"}} }
-func (e *unresponsiveEnv) Begin(ident.RequestID) bool                        { return true }
-func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                   {}
-func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.ReportKind, int) {}
+func (e *unresponsiveEnv) Fresh() bool                                           { return true }
+func (e *unresponsiveEnv) Placer(ident.PoolName) Placer                          { return e }
+func (e *unresponsiveEnv) Identity() (ident.NodeID, ident.Incarnation)           { return "n", 1 }
+func (e *unresponsiveEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
+func (e *unresponsiveEnv) Begin(ident.RequestID) bool                            { return true }
+func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                       {}
+func (e *unresponsiveEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
+func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.ReportKind, int)     {}
 
 func (e *unresponsiveEnv) Upstream(ident.UpstreamName) (config.Upstream, bool) {
 	return config.Upstream{}, true
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -57,6 +57,8 @@
 	tickets    []ident.RequestID
 	cancels    []ident.RequestID
 	reports    []scheduler.Report
+	// notices holds what upstreams have said about themselves.
+	notices map[ident.UpstreamName]upstreamNotices
 }
 
 type waiter struct {
@@ -89,6 +91,7 @@
 		changed:     make(chan struct{}),
 		waiting:     make(map[ident.RequestID]*waiter),
 		running:     make(map[ident.RequestID]*runningRequest),
+		notices:     make(map[ident.UpstreamName]upstreamNotices),
 	}
 }
 
--- /dev/null
+++ b/internal/protocol/upstreamapi/notice_test.go
@@ -0,0 +1,46 @@
+package upstreamapi
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+)
+
+// TestParseRateLimit_SpoiledValues checks that a field which is no decimal number
+// is never taken for a limit, or for the end of one.
+func TestParseRateLimit_SpoiledValues(t *testing.T) {
+	for _, text := range []string{"", " ", "-1", "+2", "inf", "NaN", "1e3", "0x1p-2", "1_0", "2,5", "2.5.1", ".", "2 3", "2s", strings.Repeat("1", 33), "Fri, 04 Dec 2026 09:00:00 GMT", "\x00"} {
+		must.Eq(t, scheduler.RateLimitUnreadable, ParseRateLimit([]string{text}).RateLimit, must.Sprintf("%q", text))
+	}
+	must.Eq(t, scheduler.RateLimitUnreadable, ParseRateLimit([]string{"2", "2"}).RateLimit)
+	must.Eq(t, scheduler.RateLimitAbsent, ParseRateLimit(nil).RateLimit)
+	for text, want := range map[string]float64{"2.5": 2.5, " 7 ": 7, "0.25": 0.25, ".5": 0.5, "0": MinRateLimit, "0.0001": MinRateLimit, "99999999": MaxRateLimit} {
+		n := ParseRateLimit([]string{text})
+		must.Eq(t, scheduler.RateLimitNamed, n.RateLimit, must.Sprintf("%q", text))
+		must.Eq(t, want, n.PerSecond, must.Sprintf("%q", text))
+	}
+}
+
+// FuzzParseRateLimit checks that any values are decoded without a panic, and that
+// a limit is always within the bounds.
+func FuzzParseRateLimit(f *testing.F) {
+	for _, text := range []string{"2.5", "", "-1", "1e308", "inf", "0", "2\n3", ".", "00000000000000000000000000000001"} {
+		f.Add(text, text != "2\n3")
+	}
+	f.Fuzz(func(t *testing.T, text string, single bool) {
+		values := []string{text}
+		if !single {
+			values = strings.Split(text, "\n")
+		}
+		n := ParseRateLimit(values)
+		if n.RateLimit != scheduler.RateLimitNamed {
+			must.Zero(t, n.PerSecond)
+			return
+		}
+		must.Between(t, MinRateLimit, n.PerSecond, MaxRateLimit)
+		must.Len(t, 1, values)
+	})
+}
--- a/internal/protocol/upstreamapi/upstreamapi.go
+++ b/internal/protocol/upstreamapi/upstreamapi.go
@@ -33,6 +33,11 @@
 	HeaderRequestID = "X-Request-Id"
 	// HeaderIdempotencyKey carries the caller's key to plain services.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRateLimit on an answer names the requests a second, as a decimal
+	// number, that the upstream takes from all gateways together for as long as its
+	// answers say so. Completion calls, resumes and calls of plain services count;
+	// load reports, cache events, orders and cancellations don't.
+	HeaderRateLimit = "X-Rate-Limit"
 )
 
 // HeartbeatComment is the server-sent-event comment that an engine writes while
--- a/internal/transport/upstreamhttp/cancel_test.go
+++ b/internal/transport/upstreamhttp/cancel_test.go
@@ -12,15 +12,17 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 )
 
 type discardSink struct{}
 
-func (discardSink) Begin(int, string) error      { return nil }
-func (discardSink) Fields([]gateway.HeaderField) {}
-func (discardSink) FirstToken()                  {}
-func (discardSink) Write([]byte) error           { return nil }
+func (discardSink) Begin(int, string) error         { return nil }
+func (discardSink) Fields([]gateway.HeaderField)    {}
+func (discardSink) FirstToken()                     {}
+func (discardSink) Notice(scheduler.UpstreamNotice) {}
+func (discardSink) Write([]byte) error              { return nil }
 
 // TestSender_EngineStopsResponding checks that Send returns when its context ends,
 // even if the engine has accepted the request without answering it and does not
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
@@ -122,6 +123,7 @@
 		err := fmt.Errorf("answer carries request id %q", response.Header.Get(upstreamapi.HeaderRequestID))
 		return gateway.DispatchResult{Outcome: gateway.DispatchMismatched, Err: err}
 	}
+	sink.Notice(noticeOf(response))
 	if isStream(response) {
 		reader := &streamReader{sink: sink}
 		return s.resumeUntilDone(ctx, d, reader, reader.forwardResponse(response))
@@ -129,6 +131,11 @@
 	return forwardWhole(response, sink)
 }
 
+// noticeOf decodes what an answer says about its upstream.
+func noticeOf(response *http.Response) scheduler.UpstreamNotice {
+	return upstreamapi.ParseRateLimit(response.Header.Values(upstreamapi.HeaderRateLimit))
+}
+
 // roundTrip sends the request and returns the answer as soon as its header has been
 // read. An engine answers a streaming call immediately and then sends heartbeats.
 // If no header arrives within StreamIdleTimeout, the connection is considered
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -101,6 +101,7 @@
 	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
 		return errAnswerMismatch
 	}
+	reader.sink.Notice(noticeOf(response))
 	return reader.forwardResponse(response)
 }
 
