Schedulers keep upstreams to the rate limits that they name

What callers saw: nothing; an upstream in need got 32 requests in 4 s after it had named 2.5 a second, and served them late. Cause: nothing read the limit. An upstream's share of the load followed from its free slots alone, a bound on requests at once, which says nothing about requests a second. Change: a gateway passes on what the header of an answer says at once (ReportNotice), and the pool's scheduler grants from a token bucket for each upstream that names a limit. A scheduler tells all its gateways which limits are in force, and they register them with the next one, so it knows them before it grants. Admission and Retry-After count the slots that the permitted requests can occupy, not all slots. Answers under a limit are no samples of a version.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -193,6 +194,7 @@
 			RetryRatio: n.settings.RetryRatio,
 			RetryBurst: n.settings.RetryBurst,
 			Quotas:     n.quotas,
+			Phase:      float64(xxhash.Sum64String(string(n.settings.ID()))) / math.MaxUint64,
 
 			CutOffGrace: n.settings.MaxConfigAge,
 		},
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -38,6 +38,8 @@
 	route ident.RouteName
 	// onTarget is true if the request was granted on the rollout's target version.
 	onTarget bool
+	// limited is true if the upstream named a rate limit in its answer.
+	limited bool
 	// firstToken is the time from dispatch to the first token; 0 before it.
 	firstToken time.Duration
 }
@@ -78,6 +80,9 @@
 	switch r.Kind {
 	case scheduler.ReportDispatched:
 		return
+	case scheduler.ReportNotice:
+		o.limited = o.limited || r.Notice != nil && r.Notice.RateLimit == scheduler.RateLimitNamed
+		return
 	case scheduler.ReportFirstToken:
 		o.firstToken = r.Elapsed
 		return
@@ -89,6 +94,10 @@
 		return
 	}
 	delete(w.open, r.Ticket)
+	if o.limited {
+		// An upstream that asks for less load is no sample of its version.
+		return
+	}
 	w.evaluator.Observe(sample)
 }
 
@@ -97,6 +106,11 @@
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: r.String()})
 }
 
+// RateLimited implements pool.Observer.
+func (w *rolloutWatch) RateLimited(c scheduler.RateLimitChange) {
+	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
+}
+
 // shares returns the traffic shares of the given versions; nil if the pool has had
 // no rollout or no version is given.
 func (w *rolloutWatch) shares(versions []ident.VersionName, now time.Time) []scheduler.VersionShare {
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -36,6 +36,7 @@
 	// lastHeard is the time of each gateway's latest message.
 	lastHeard map[ident.NodeID]time.Time
 	observer  Observer
+	spread    limitSpread
 }
 
 // Observer is notified of what happens to granted requests and to upstreams. It
@@ -48,6 +49,8 @@
 	// Rotated is called for each upstream that is taken out of rotation or put
 	// back.
 	Rotated(r scheduler.Rotation)
+	// RateLimited is called for each change of an upstream's rate limit.
+	RateLimited(c scheduler.RateLimitChange)
 }
 
 type session struct {
@@ -59,6 +62,16 @@
 	// Advanced is closed and replaced when it changes.
 	nextSequence uint64
 	advanced     chan struct{}
+	// spread is the version of the rate limits that the gateway has.
+	spread uint64
+}
+
+// wake makes the gateway's poll return.
+func (s *session) wake() {
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
 }
 
 // NewMaster starts a scheduler. The caller must stop it when the lease ends.
@@ -72,6 +85,7 @@
 		sessions:  make(map[ident.NodeID]*session),
 		lastHeard: make(map[ident.NodeID]time.Time),
 		observer:  observer,
+		spread:    limitSpread{limits: make(map[ident.UpstreamName]spreadLimit)},
 	}
 	go m.run()
 	return m
@@ -168,6 +182,7 @@
 		m.endSession(gateway, now)
 	}
 	m.sched.Tick(now)
+	m.spreadLimits()
 }
 
 // endSession removes a gateway and its session. The caller holds the lock.
@@ -226,6 +241,12 @@
 			m.observer.Rotated(r)
 		}
 	}
+	for _, c := range m.sched.RateLimitChanges() {
+		m.spread.add(c, time.Now())
+		if m.observer != nil {
+			m.observer.RateLimited(c)
+		}
+	}
 	for _, d := range m.sched.Decisions() {
 		s := m.sessions[d.Gateway]
 		if s == nil {
@@ -233,10 +254,7 @@
 		}
 		m.trackDecision(s, d)
 		s.outbox = append(s.outbox, d)
-		select {
-		case s.ready <- struct{}{}:
-		default:
-		}
+		s.wake()
 	}
 }
 
@@ -307,7 +325,7 @@
 		m.sched.Submit(t, now)
 	}
 	m.distribute()
-	return Reply{Decisions: s.takeOutbox()}
+	return m.reply(s)
 }
 
 func (m *Master) report(s *session, r scheduler.Report, now time.Duration) {
@@ -397,8 +415,6 @@
 	if m.Stopped() || s == nil || s.id != args.Session {
 		return nil, Reply{Refused: true}, true
 	}
-	if out := s.takeOutbox(); len(out) > 0 {
-		return s, Reply{Decisions: out}, true
-	}
-	return s, Reply{}, false
+	reply := m.reply(s)
+	return s, reply, len(reply.Decisions)+len(reply.RateLimits) > 0
 }
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -67,6 +67,9 @@
 	// nothing of the message.
 	Refused   bool
 	Decisions []scheduler.Decision
+	// RateLimits are the rate limits that changed since the last reply to the
+	// session; PerSecond is 0 for one that has ended.
+	RateLimits []scheduler.RateLimitNotice
 	// Stamp is the receiver's timeline clock.
 	Stamp timeline.Stamp
 }
--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -46,6 +46,11 @@
 		}
 	}
 	c.setNotices(r.grant.Upstream, known)
+	if n.RateLimit == scheduler.RateLimitNamed || n.RateLimit == scheduler.RateLimitAbsent && (r.grant.Limited || former.perSecond != 0) {
+		c.queueReport(scheduler.Report{
+			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n,
+		})
+	}
 	return known.perSecond != former.perSecond || known.unreadable != former.unreadable
 }
 
@@ -69,6 +74,18 @@
 	c.notices[name] = n
 }
 
+// rateLimits returns the limits that upstreams have named to this gateway. The
+// caller holds the lock.
+func (c *Client) rateLimits(now time.Time) []scheduler.RateLimitNotice {
+	var limits []scheduler.RateLimitNotice
+	for name, n := range c.notices {
+		if n.perSecond > 0 {
+			limits = append(limits, scheduler.RateLimitNotice{Upstream: name, PerSecond: n.perSecond, Age: now.Sub(n.namedAt)})
+		}
+	}
+	return limits
+}
+
 // RateLimits returns the number of upstreams that name a limit to this gateway.
 func (c *Client) RateLimits() int {
 	c.mu.Lock()
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -253,6 +253,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// RateLimited implements Observer.
+func (r *Runner) RateLimited(change scheduler.RateLimitChange) {
+	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // Reported implements Observer. It is called with the master's lock held, so it
 // passes a changed share to the scheduler through the refresh channel.
 func (r *Runner) Reported(report scheduler.Report) {
--- a/internal/coordination/pool/sample.go
+++ b/internal/coordination/pool/sample.go
@@ -19,6 +19,8 @@
 }
 
 type openRequest struct {
+	// limited is true if the upstream named a rate limit in its answer.
+	limited    bool
 	sample     moves.Sample
 	firstToken time.Duration
 	gateway    ident.NodeID
@@ -70,9 +72,16 @@
 		return moves.Sample{}, false
 	case scheduler.ReportDispatched:
 		return moves.Sample{}, false
+	case scheduler.ReportNotice:
+		o.limited = o.limited || r.Notice != nil && r.Notice.RateLimit == scheduler.RateLimitNamed
+		return moves.Sample{}, false
 	}
 	delete(s.open, r.Ticket)
 	s.running[o.sample.Upstream]--
+	if o.limited {
+		// An upstream that asks for less load is no sample of its version.
+		return moves.Sample{}, false
+	}
 	return o.finish(r)
 }
 
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -97,6 +97,7 @@
 	c.clock.Observe(reply.Stamp)
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
+	c.learnLimits(reply.RateLimits, sent)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
@@ -184,7 +185,7 @@
 // are not sent again: the scheduler treats a running request that is not listed
 // as ended.
 func (c *Client) registration(now time.Time) *scheduler.Registration {
-	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation}
+	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation, RateLimits: c.rateLimits(now)}
 	if c.usage != nil {
 		r.Sent, r.Uptime = c.usage.Recent(now)
 	}
@@ -257,6 +258,7 @@
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
+	c.learnLimits(reply.RateLimits, sent)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -137,7 +137,10 @@
 // spareSlots estimates how many slots a tier may use over the coming time: those
 // that the work arriving for higher tiers leaves.
 func (p *Pool) spareSlots(tier *tierQueue, horizon, now time.Duration) float64 {
-	slots := float64(max(1, p.slots))
+	slots := p.usableSlots()
+	if len(p.limited) == 0 {
+		slots = max(1, slots)
+	}
 	higher := 0.0
 	for _, q := range p.tiers {
 		if q.tier.Rank > tier.tier.Rank {
@@ -160,7 +163,7 @@
 		}
 		lower += q.arrivals.short.value(shortWindow, now)
 	}
-	return lower < minSpareFraction*float64(p.slots)
+	return lower < minSpareFraction*p.usableSlots()
 }
 
 // expectedWait estimates the time until a new ticket gets a slot: the work ahead
@@ -174,7 +177,7 @@
 		}
 	}
 	ahead += workAheadInTier(tier, e)
-	return scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now))
+	return max(p.nextToken(now), scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now)))
 }
 
 // workAheadInTier returns the work of the ticket's tier that is served before it:
@@ -241,6 +244,7 @@
 // judged by the work ahead of each.
 func (p *Pool) sweep(now time.Duration) {
 	p.refreshAll(now)
+	p.updateUnusableSlots(now)
 	ahead := time.Duration(0)
 	for _, q := range p.tiers {
 		if q.waiting > 0 {
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -31,6 +31,8 @@
 	cache    cacheIndex
 	// slots is the engine's contribution to the pool's slots.
 	slots int
+	// rate bounds the requests that the upstream gets; nil if it names no limit.
+	rate *rateLimit
 	// readyIn is the ready set that holds the engine, nil if none, and readyIndex
 	// its index there.
 	readyIn    *readySet
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -224,7 +224,7 @@
 func (p *Pool) probeDue(g *engine, now time.Duration) bool {
 	h := &g.health
 	due := h.ejected && h.probe == nil && now >= h.nextProbe(p.noneInRotation())
-	return due && g.acceptsWork() && g.used() < g.upstream.MaxConcurrent
+	return due && g.acceptsWork() && g.used() < g.upstream.MaxConcurrent && p.refreshRate(g, now)
 }
 
 // noneInRotation reports whether no upstream is in rotation, so that only probes
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -115,6 +115,7 @@
 		g.health.probe = e
 	}
 	g.running[e] = struct{}{}
+	g.spendToken()
 	e.batchAtStart = g.used()
 	p.running++
 	p.tierOf(e).held++
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -47,6 +47,20 @@
 	outputs   outputs
 	shares    shareTracker
 
+	// limited holds the engines whose load a rate limit bounds, and unusableSlots is
+	// the number of their slots that stay free because of it.
+	limited       []*engine
+	unusableSlots float64
+	// meanService is the average service time of the latest tickets.
+	meanService time.Duration
+	// lastWaiting is when a ticket last left the queue.
+	lastWaiting time.Duration
+	// unlistedLimits holds the rate limits of upstreams that the view does not list.
+	unlistedLimits map[ident.UpstreamName]rateLimit
+	// rateChanges holds the changes of rate limits since the last call of
+	// RateLimitChanges.
+	rateChanges []RateLimitChange
+
 	tuning tuning
 	// fraction is the fraction of the pool's capacity that this scheduler may
 	// use, 0 to 1.
@@ -74,14 +88,16 @@
 		startedAt:  now,
 		registered: make(map[ident.NodeID]ident.Incarnation),
 		leftViewAt: make(map[ident.NodeID]time.Duration),
-		entries:    make(map[ident.RequestID]*entry),
-		engines:    make(map[ident.UpstreamName]*engine),
-		speed:      newSpeed(nil),
-		outputs:    make(outputs),
-		holders:    make(holders),
-		retries:    newRetryBudget(),
-		tuning:     tuningFor(v),
-		fraction:   1,
+
+		unlistedLimits: make(map[ident.UpstreamName]rateLimit),
+		entries:        make(map[ident.RequestID]*entry),
+		engines:        make(map[ident.UpstreamName]*engine),
+		speed:          newSpeed(nil),
+		outputs:        make(outputs),
+		holders:        make(holders),
+		retries:        newRetryBudget(),
+		tuning:         tuningFor(v),
+		fraction:       1,
 	}
 	p.SetView(v, now)
 	return p
@@ -94,6 +110,7 @@
 // SetView implements Scheduler.
 func (p *Pool) SetView(v View, now time.Duration) {
 	p.view = v
+	p.now = now
 	p.setGateways(v.Gateways, now)
 	p.updateCapacityFraction(now)
 	p.setUpstreams(v.Upstreams, now)
@@ -191,6 +208,7 @@
 		g = newEngine(u, &p.speed, p.holders, &p.tuning)
 		g.fraction = p.fraction
 		g.limitTrusted = p.view.Shared != nil
+		p.adoptLimit(g, p.now)
 		p.engines[u.Name] = g
 		p.orderedEngines = append(p.orderedEngines, g)
 	}
@@ -202,6 +220,7 @@
 	p.orderedEngines = slices.DeleteFunc(p.orderedEngines, func(g *engine) bool {
 		gone := !g.listed && g.used() == 0
 		if gone {
+			p.keepLimit(g)
 			p.removeEngine(g)
 			delete(p.engines, g.upstream.Name)
 		}
@@ -241,6 +260,7 @@
 		e.objective = now + t.Objective
 	}
 	p.entries[t.ID] = e
+	defer p.observeService(e)
 	if reason := p.admit(e, now); reason != "" {
 		p.refuse(e, reason, now)
 		return
@@ -258,6 +278,7 @@
 func (p *Pool) dequeue(e *entry) {
 	e.queue.remove(e)
 	p.waiting--
+	p.lastWaiting = p.now
 }
 
 // repeatDecision emits the decision on a known ticket again, if there is one.
@@ -275,7 +296,7 @@
 	d.Gateway = e.ticket.Gateway
 	d.Basis = Basis{
 		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
-		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected),
+		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited),
 		Percent: int(100 * p.fraction),
 	}
 	p.decisions = append(p.decisions, d)
@@ -291,6 +312,7 @@
 		Upstream: e.engine.upstream.Name,
 		Version:  e.version,
 		First:    e.expectedFirstToken,
+		Limited:  e.engine.rate != nil,
 		TTL:      e.grantExpires - now,
 	}})
 }
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -58,6 +58,13 @@
 	p.slots += slots - g.slots
 	g.slots = slots
 	p.updateEjected(g)
+	if g.rate != nil && !p.refreshRate(g, now) {
+		p.removeReady(g)
+		if g.free() > 0 {
+			p.scheduleRefresh(g, now+g.rate.untilToken(p.quotaFraction(now), now))
+		}
+		return
+	}
 	wait := g.prefillWait(now)
 	if g.free() == 0 || wait > maxBacklog && !g.limitTrusted {
 		p.removeReady(g)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -4,6 +4,11 @@
 
 // Report implements Scheduler.
 func (p *Pool) Report(r Report, now time.Duration) {
+	if r.Kind == ReportNotice {
+		p.recordNotice(r, now)
+		p.step(now)
+		return
+	}
 	e, known := p.entries[r.Ticket]
 	if known && e.lapsed && e.ticket.Gateway == r.Gateway && e.engine.upstream.Name == r.Upstream {
 		p.revive(e, r.Kind, now)
@@ -33,6 +38,7 @@
 		p.release(e, now)
 		p.end(e, now)
 	case ReportUnsent:
+		e.engine.refundToken()
 		p.recordFailure(e, now)
 		p.ejectUnreachable(e, now)
 		p.requeue(e, now, p.view.Shared == nil)
@@ -180,6 +186,7 @@
 		p.orphan(e, now)
 		return
 	}
+	e.engine.refundToken()
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
 	p.queueOf(e).charge(-e.tokenCost())
--- a/internal/coordination/scheduler/reserve.go
+++ b/internal/coordination/scheduler/reserve.go
@@ -59,7 +59,7 @@
 // claimReserve places the tier's most urgent tickets while it holds fewer
 // slots than its reserve.
 func (p *Pool) claimReserve(q *tierQueue, now time.Duration) {
-	for float64(q.held+1) <= q.tier.Reserve*float64(p.slots) {
+	for float64(q.held+1) <= q.tier.Reserve*p.usableSlots() {
 		e := q.mostUrgent()
 		if e == nil || e.deadline-e.longest > now+reserveSlack {
 			return
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -64,6 +64,9 @@
 		p.step(now)
 		return
 	}
+	for _, l := range r.RateLimits {
+		p.nameLimit(l.Upstream, l.PerSecond, now-l.Age, now)
+	}
 	listed := make(map[ident.RequestID]bool, len(r.Running)+len(r.Waiting))
 	for _, running := range r.Running {
 		listed[running.Ticket.ID] = true
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -61,6 +61,9 @@
 	// First is the expected time from dispatch until the answer begins; 0 if
 	// unknown.
 	First time.Duration
+	// Limited is true if the upstream names a rate limit, as far as the scheduler
+	// knows.
+	Limited bool
 	// TTL is how long the gateway may use the grant, counted from when it sent
 	// the call that the grant answers. After that it drops the grant.
 	TTL time.Duration
@@ -115,8 +118,8 @@
 	// Slots counts the slots of the upstreams in rotation, Running and Waiting
 	// the tickets.
 	Slots, Running, Waiting int
-	// Ejected counts the upstreams out of rotation.
-	Ejected int
+	// Ejected counts the upstreams out of rotation, Limited those under a rate limit.
+	Ejected, Limited int
 	// Percent is the percentage of the pool's capacity that this scheduler may
 	// use.
 	Percent int
@@ -124,8 +127,8 @@
 
 // String implements fmt.Stringer.
 func (b Basis) String() string {
-	return fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d%% of capacity",
-		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Percent)
+	return fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d%% of capacity",
+		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Limited, b.Percent)
 }
 
 // ReportKind is the kind of event that is reported about a granted request.
@@ -161,6 +164,9 @@
 	// ReportMisdirected means that another upstream answered at the address and
 	// did not run the request; the slot is free and the ticket waits again.
 	ReportMisdirected
+	// ReportNotice means that an answer says something about its upstream. It does
+	// not change the state of the request.
+	ReportNotice
 )
 
 // Report informs the scheduler of an event in the life of a granted request.
@@ -175,6 +181,9 @@
 	OutputTokens int
 	// CachedTokens counts prompt tokens that the engine took from its cache.
 	CachedTokens int
+	// Notice is what the answer says about its upstream; nil except with
+	// ReportNotice.
+	Notice *UpstreamNotice
 }
 
 // Running is a dispatched request that a gateway lists when it registers.
@@ -196,6 +205,8 @@
 	// has counted that. Both are used only where quotas are shared.
 	Sent   []TeamUsage
 	Uptime time.Duration
+	// RateLimits are the limits that upstreams have named to the gateway.
+	RateLimits []RateLimitNotice
 }
 
 // LoadReport is the load that an upstream itself reports, with a delay.
@@ -285,6 +296,9 @@
 	RetryBurst float64
 	// Quotas bounds what teams use. Several pools may share it.
 	Quotas *Quotas
+	// Phase is a number from 0 to 1 that differs between schedulers. Those that use
+	// a small fraction of a rate limit grant out of phase.
+	Phase float64
 	// CutOffGrace is how long a gateway goes on serving requests under quotas
 	// after it has lost the leader.
 	CutOffGrace time.Duration
@@ -320,6 +334,9 @@
 	Decisions() []Decision
 	// Rotations returns and clears the changes of rotation since the last call.
 	Rotations() []Rotation
+	// RateLimitChanges returns and clears the changes of rate limits since the last
+	// call.
+	RateLimitChanges() []RateLimitChange
 	// Stats returns counters for metrics and for choosing addresses.
 	Stats() Stats
 }
--- a/internal/protocol/upstreamapi/upstreamapi.go
+++ b/internal/protocol/upstreamapi/upstreamapi.go
@@ -35,8 +35,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderRateLimit on an answer names the requests a second, as a decimal
 	// number, that the upstream takes from all gateways together for as long as its
-	// answers say so. Completion calls, resumes and calls of plain services count;
-	// load reports, cache events, orders and cancellations don't.
+	// answers say so. Completion calls and calls of plain services count. Resumes of
+	// a stream at the same engine, status queries, load reports, cache events,
+	// orders and cancellations don't.
 	HeaderRateLimit = "X-Rate-Limit"
 )
 
