The line of an accepted request lists the parts of its prompt

Cause: in the incident one request at each end of an upstream had a status and no event yet, but no line showed what those requests had in common beyond their route. Change: prompt parts are decoded into one type that also identifies each shared part by itself, whatever stands before it; the request's own last part is left out. request_accepted lists them. The own interface takes the messages of a chat but the last as parts. Ruled out: the chained hashes that place requests by cached prefixes: the same part behind other parts has another hash.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -271,8 +271,8 @@
 // describe returns the detail of the timeline event that records the acceptance
 // of the request.
 func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
-		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens, r.Cost,
+	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
+		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
 		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds(), r.isRetry)
 }
 
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -50,6 +50,9 @@
 	Prefixes     []uint64
 	// PrefixTokens holds the prompt tokens up to the end of each prefix.
 	PrefixTokens []int
+	// Parts identifies the parts of the prompt that other requests may have too,
+	// wherever they stand in it. The request's own last part is not among them.
+	Parts []uint64
 
 	// Fields are the header fields to forward to the upstream unchanged.
 	Fields []HeaderField
--- a/internal/protocol/openai/prefix.go
+++ b/internal/protocol/openai/prefix.go
@@ -26,6 +26,23 @@
 	return chain.hashes
 }
 
+// MaxParts limits the parts of one request.
+const MaxParts = 64
+
+// Parts returns a hash of each message but the last, whose content other requests
+// may share at any position. A prompt that is no list of messages has none.
+func (r *Request) Parts() []uint64 {
+	var parts []uint64
+	for i := range min(len(r.Messages)-1, MaxParts) {
+		digest := xxhash.New()
+		_, _ = digest.WriteString(r.Messages[i].Role)
+		_, _ = digest.Write([]byte{0})
+		_, _ = digest.Write(r.Messages[i].Content)
+		parts = append(parts, digest.Sum64())
+	}
+	return parts
+}
+
 type prefixChain struct {
 	hashes  []uint64
 	pending []byte
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -83,6 +83,7 @@
 		parsed.PromptTokens = call.PromptTokens()
 		parsed.OutputTokens = call.OutputTokens()
 		parsed.Prefixes = call.Prefixes()
+		parsed.Parts = call.Parts()
 	}
 	match, err := table.Match(r.URL.Path, ident.RouteName(r.Header.Get(callerapi.HeaderRoute)), model)
 	switch {
