--- a/internal/command/agent/latency_bench_test.go
+++ b/internal/command/agent/latency_bench_test.go
@@ -151,5 +151,5 @@
 	}
 	time.Sleep(overloadServiceTime)
 	client.FirstToken(id, 0)
-	client.Finish(id, scheduler.ReportEnded, 0)
+	client.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded})
 }
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -82,6 +82,9 @@
 	gauge("flamingohaven_fleet_rate_limited_upstreams", "Upstreams that name a limit on requests in their answers to this gateway.", func() float64 {
 		return float64(n.rateLimits())
 	})
+	gauge("flamingohaven_fleet_refused_parts", "Prompt parts that are refused because upstreams end on them.", func() float64 {
+		return float64(n.refusedParts())
+	})
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -18,6 +18,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
@@ -73,6 +74,8 @@
 	masters  map[ident.PoolName]*pool.Master
 	suspects map[string]time.Time
 	watches  map[ident.PoolName]*rolloutWatch
+	// poison holds the records of refused prompt parts that this node knows.
+	poison poison.Set
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -116,6 +116,7 @@
 	}
 	c.SetFailureHandler(schedulerTimeout, n.suspect)
 	c.CountUsage(n.usage)
+	c.LearnPoison(n.poison.List())
 	n.clients[name] = c
 	n.loops.Go(func() { c.Run(ctx) })
 }
@@ -199,6 +200,7 @@
 			CutOffGrace: n.settings.MaxConfigAge,
 		},
 	}
+	view.Poison = n.poison.List()
 	for tier, t := range c.Tiers {
 		view.Tiers = append(view.Tiers, scheduler.Tier{Name: tier, Rank: t.Rank, Reserve: t.Reserve})
 	}
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -31,8 +32,23 @@
 	record    rollout.Record
 	evaluator *rollouts.Evaluator
 	open      map[ident.RequestID]*openRequest
+	// recentFailures holds the latest failed samples, and explained the upstreams
+	// whose ends a part of a prompt explains, since when.
+	recentFailures []failedSample
+	explained      map[ident.UpstreamName]time.Time
 }
 
+// failedSample is a failure that its upstream's end may explain later.
+type failedSample struct {
+	rollouts.Sample
+	upstream ident.UpstreamName
+	at       time.Time
+}
+
+// failureRetention is how long a failed sample may be explained, and an end stays
+// explained for reports that come late.
+const failureRetention = 30 * time.Second
+
 // openRequest is a granted request whose outcome is not known yet.
 type openRequest struct {
 	route ident.RouteName
@@ -55,6 +71,7 @@
 		elapsed := min(max(0, now.Sub(r.At)), r.Duration)
 		w.evaluator = rollouts.NewEvaluator(r.Order, now.Add(-elapsed))
 		w.open = make(map[ident.RequestID]*openRequest)
+		w.recentFailures = nil
 	}
 	w.record = r
 }
@@ -98,7 +115,35 @@
 		// An upstream that asks for less load is no sample of its version.
 		return
 	}
+	now := time.Now()
+	if sample.Failed && now.Sub(w.explained[r.Upstream]) < failureRetention {
+		return
+	}
 	w.evaluator.Observe(sample)
+	if sample.Failed {
+		w.recentFailures = slices.DeleteFunc(w.recentFailures, func(f failedSample) bool { return now.Sub(f.at) > failureRetention })
+		w.recentFailures = append(w.recentFailures, failedSample{Sample: sample, upstream: r.Upstream, at: now})
+	}
+}
+
+// PoisonChanged implements pool.Observer. What broke off at the end of an upstream
+// that a part of a prompt explains is no sample of the upstream's version.
+func (w *rolloutWatch) PoisonChanged(c scheduler.PoisonChange) {
+	w.events.Record(timeline.Event{Kind: timeline.KindPoison, Pool: w.pool, Detail: c.String()})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(w.explained, func(_ ident.UpstreamName, at time.Time) bool { return now.Sub(at) > failureRetention })
+	for _, upstream := range c.Explained {
+		w.explained[upstream] = now
+	}
+	w.recentFailures = slices.DeleteFunc(w.recentFailures, func(f failedSample) bool {
+		explained := slices.Contains(c.Explained, f.upstream)
+		if explained {
+			w.evaluator.Retract(f.Sample)
+		}
+		return explained
+	})
 }
 
 // Rotated implements pool.Observer.
@@ -171,7 +216,7 @@
 func (n *Node) watchOf(name ident.PoolName) *rolloutWatch {
 	w := n.watches[name]
 	if w == nil {
-		w = &rolloutWatch{pool: name, events: n.events}
+		w = &rolloutWatch{pool: name, events: n.events, explained: make(map[ident.UpstreamName]time.Time)}
 		n.watches[name] = w
 	}
 	return w
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -68,7 +68,7 @@
 const hotTeamInterval = 250 * time.Millisecond
 
 // hotTeamLoop reports to the leader at once when the set of teams near their quotas
-// changes.
+// or the refused prompt parts change.
 func (n *Node) hotTeamLoop() {
 	var reported []ident.TeamName
 	for n.ctx.Err() == nil {
@@ -76,6 +76,8 @@
 		if hot := n.quotas.Hot(time.Now()); !slices.Equal(hot, reported) {
 			reported = hot
 			n.triggerSync()
+		} else if len(n.follower.NewerPoison(n.poisonParts())) > 0 {
+			n.triggerSync()
 		}
 	}
 }
@@ -106,7 +108,7 @@
 		}
 	}()
 	sent := boottime.Now()
-	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), n.quotas.Hot(time.Now()), control.MaxSyncHold))
+	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), n.quotas.Hot(time.Now()), n.poisonParts(), control.MaxSyncHold))
 	if err != nil {
 		if n.ctx.Err() == nil && ctx.Err() == context.Canceled {
 			// triggerSync interrupted this sync; syncLoop sends the next one at
@@ -203,6 +205,7 @@
 	}
 	n.control.SetReplicas(replicas)
 	n.quotas.SetHot(spread.HotTeams)
+	n.learnPoison(spread.Poison)
 	if spread.Listed || len(spread.Upstreams) > 0 {
 		n.setUpstreams(spread.Upstreams, fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
 	}
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -78,6 +79,9 @@
 	changed           chan struct{}
 	committedRollouts []rollout.Record
 	committedHotTeams []ident.TeamName
+	committedPoison   []poison.Part
+	// poison holds the records of refused parts that nodes reported in this term.
+	poison poison.Set
 	// updates caches packed updates by the sequence number that they start from;
 	// 0 stands for a full update.
 	updates map[uint64]packedUpdate
@@ -127,7 +131,9 @@
 	for _, d := range inherited.Upstreams {
 		f.upstreams.put(d.Name, d, f.version.Sequence)
 	}
-	f.committedRollouts, f.committedHotTeams = inherited.Rollouts, inherited.HotTeams
+	f.committedRollouts, f.committedHotTeams, f.committedPoison = inherited.Rollouts, inherited.HotTeams, inherited.Poison
+	f.poison = poison.Set{}
+	f.poison.Merge(inherited.Poison, now)
 	f.listed = inherited.Listed
 	f.hotReportedAt = make(map[ident.TeamName]time.Time)
 	f.extendContacts(now)
@@ -283,14 +289,15 @@
 	}
 }
 
-// setCommitted sets the committed rollouts and hot teams.
-func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName) {
+// setCommitted sets the committed rollouts, hot teams and refused parts.
+func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName, parts []poison.Part) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.leading || slices.EqualFunc(f.committedRollouts, rollouts, sameRollout) && slices.Equal(f.committedHotTeams, hot) {
+	if !f.leading || slices.EqualFunc(f.committedRollouts, rollouts, sameRollout) && slices.Equal(f.committedHotTeams, hot) &&
+		poison.Equal(f.committedPoison, parts) {
 		return
 	}
-	f.committedRollouts, f.committedHotTeams = rollouts, hot
+	f.committedRollouts, f.committedHotTeams, f.committedPoison = rollouts, hot, parts
 	f.recordChange()
 }
 
@@ -352,7 +359,7 @@
 // updateSince returns all changes after a sequence number, and the full state for
 // 0. The caller holds the lock.
 func (f *fleet) updateSince(sequence uint64) *FleetUpdate {
-	u := &FleetUpdate{To: f.version, Listed: f.listed, Rollouts: f.committedRollouts, HotTeams: f.committedHotTeams}
+	u := &FleetUpdate{To: f.version, Listed: f.listed, Rollouts: f.committedRollouts, HotTeams: f.committedHotTeams, Poison: f.committedPoison}
 	u.Members, u.MembersGone = f.members.since(sequence)
 	u.Upstreams, u.UpstreamsGone = f.upstreams.since(sequence)
 	return u
--- a/internal/coordination/control/fleet_calls.go
+++ b/internal/coordination/control/fleet_calls.go
@@ -62,10 +62,10 @@
 	return nil
 }
 
-// publishCommitted updates the fleet state with the committed rollouts and hot
-// teams.
+// publishCommitted updates the fleet state with the committed rollouts, hot teams
+// and refused parts.
 func (s *Service) publishCommitted() {
-	s.fleet.setCommitted(s.machine.Rollouts(), s.machine.HotTeams())
+	s.fleet.setCommitted(s.machine.Rollouts(), s.machine.HotTeams(), s.machine.PoisonParts())
 }
 
 // ReadRollout returns a pool's latest rollout.
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 // FleetFollower is a node's side of the sync protocol: the configuration in
@@ -35,11 +36,12 @@
 	State  bool
 }
 
-// Args returns the arguments of the given node's next sync.
-func (f *FleetFollower) Args(m Member, hot []ident.TeamName, hold time.Duration) *SyncArgs {
+// Args returns the arguments of the given node's next sync. Parts are the refused
+// parts that the node knows; only those are sent that the leader does not know.
+func (f *FleetFollower) Args(m Member, hot []ident.TeamName, parts []poison.Part, hold time.Duration) *SyncArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.state.Version, HotTeams: hot, Hold: hold}
+	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.state.Version, HotTeams: hot, Poison: newerParts(f.state.Poison, parts), Hold: hold}
 	if f.needFullConfig {
 		args.HaveRevision = 0
 	}
@@ -49,6 +51,23 @@
 	return args
 }
 
+// NewerPoison returns the given records of refused parts that the leader does not
+// know, as far as this node can tell.
+func (f *FleetFollower) NewerPoison(parts []poison.Part) []poison.Part {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return newerParts(f.state.Poison, parts)
+}
+
+func newerParts(known, parts []poison.Part) []poison.Part {
+	if len(parts) == 0 {
+		return nil
+	}
+	var set poison.Set
+	set.Merge(known, time.Now())
+	return set.Newer(parts)
+}
+
 // HandleReply applies the reply to a sync that was sent at the given time since boot,
 // and returns what changed.
 func (f *FleetFollower) HandleReply(sent time.Duration, reply *SyncReply) (FleetChange, error) {
--- a/internal/coordination/control/fleet_state.go
+++ b/internal/coordination/control/fleet_state.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -21,6 +22,8 @@
 	Rollouts  []rollout.Record
 	// HotTeams are the teams that have used most of their quotas.
 	HotTeams []ident.TeamName
+	// Poison holds the records of refused prompt parts.
+	Poison []poison.Part
 }
 
 // FleetUpdate updates a node from one version of the fleet state to a later one.
@@ -35,9 +38,10 @@
 	Listed        bool
 	Upstreams     []Discovered
 	UpstreamsGone []ident.UpstreamName
-	// Rollouts and HotTeams are always complete, because there are few.
+	// Rollouts, HotTeams and Poison are always complete, because there are few.
 	Rollouts []rollout.Record
 	HotTeams []ident.TeamName
+	Poison   []poison.Part
 }
 
 // Full reports whether this is a full update, which applies to any version.
@@ -58,6 +62,7 @@
 		Upstreams: merge(s.Upstreams, u.Upstreams, u.UpstreamsGone, func(d Discovered) ident.UpstreamName { return d.Name }),
 		Rollouts:  u.Rollouts,
 		HotTeams:  u.HotTeams,
+		Poison:    u.Poison,
 	}, nil
 }
 
--- a/internal/coordination/control/fleet_sync.go
+++ b/internal/coordination/control/fleet_sync.go
@@ -26,6 +26,7 @@
 		return nil
 	}
 	s.fleet.reportHot(args.HotTeams, time.Now())
+	s.fleet.reportPoison(args.Poison, time.Now())
 	timer := time.NewTimer(min(args.Hold, s.fleet.syncHold()))
 	defer timer.Stop()
 	for !s.lacks(args) {
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -54,6 +55,9 @@
 	HaveSpread   FleetVersion
 	// HotTeams are the teams that the node's schedulers see near their quotas.
 	HotTeams []ident.TeamName
+	// Poison holds the records of refused parts that the leader does not know, as
+	// far as the node can tell.
+	Poison []poison.Part
 	// Hold is how long the call may wait for a change, limited to MaxSyncHold.
 	Hold time.Duration
 }
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -156,6 +156,7 @@
 	if s.fleet != nil {
 		s.fleet.expire(time.Now())
 		s.commitHotTeams(leadership.Term)
+		s.commitPoison(leadership.Term)
 		s.publishCommitted()
 		return
 	}
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -77,16 +77,16 @@
 	defer cancel()
 	claimed, err := g.ledger.Claim(claimCtx, g.claim(r))
 	if err != nil {
-		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return g.claimUncertain(ctx, r), attemptSettled
 	}
 	if claimed.Verdict != ledger.VerdictGranted {
-		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return g.claimRefused(claimCtx, r, claimed, sink), attemptSettled
 	}
 	g.record(r, timeline.KindClaimed, r.Key)
 	if !placer.Begin(r.ID) {
-		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return g.releaseUnsent(ctx, r, attemptLapsed)
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
@@ -101,7 +101,7 @@
 	defer cancel()
 	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, r, grant)}
 	sent := g.upstreams.Send(sendCtx, d, answer)
-	placer.Finish(r.ID, reportKind(sendCtx, sent, attemptSettled), 0)
+	placer.Finish(r.ID, scheduler.Ending{Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent)})
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, attemptUnsent)
 	}
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -41,7 +41,7 @@
 func (e *faultyEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
 func (e *faultyEnv) FirstToken(ident.RequestID, int)                       {}
 func (e *faultyEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
-func (e *faultyEnv) Finish(ident.RequestID, scheduler.ReportKind, int)     { e.begun = false }
+func (e *faultyEnv) Finish(ident.RequestID, scheduler.Ending)              { e.begun = false }
 
 func (e *faultyEnv) Upstream(ident.UpstreamName) (config.Upstream, bool) {
 	return config.Upstream{}, rapid.IntRange(0, 9).Draw(e.t, "known upstream") > 0
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -172,6 +172,7 @@
 		OutputTokens: r.OutputTokens,
 		Prefixes:     r.Prefixes,
 		PrefixTokens: r.PrefixTokens,
+		Parts:        r.Parts,
 		Objective:    r.objectiveLeft(),
 		Returned:     r.isRetry,
 		Patience:     r.patienceLeft(),
@@ -220,7 +221,7 @@
 func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, relay *relay) (Result, attemptOutcome) {
 	upstream, ok := g.env.Upstream(grant.Upstream)
 	if !ok {
-		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return Result{}, attemptLapsed
 	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
@@ -228,7 +229,7 @@
 		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
 	}
 	if !placer.Begin(r.ID) {
-		placer.Finish(r.ID, scheduler.ReportDropped, 0)
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return Result{}, attemptLapsed
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
@@ -242,7 +243,7 @@
 	relay.silence.stop()
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sent, end))
-	placer.Finish(r.ID, reportKind(sendCtx, sent, end), sent.OutputTokens)
+	placer.Finish(r.ID, scheduler.Ending{Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent)})
 	if sent.Resumed > 0 {
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
 	}
@@ -338,6 +339,19 @@
 	}
 }
 
+// brokenState returns how far an answer had come if its upstream broke it off. An
+// answer that this gateway canceled was not broken off.
+func brokenState(ctx context.Context, sent DispatchResult) scheduler.Broken {
+	switch {
+	case !sent.Broken || ctx.Err() != nil:
+		return scheduler.NotBroken
+	case sent.Status == 0:
+		return scheduler.BrokenUnbegun
+	default:
+		return scheduler.BrokenBegun
+	}
+}
+
 // firstServerError is the lowest HTTP status that counts as a failure of the
 // upstream.
 const firstServerError = 500
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -211,7 +211,10 @@
 	Events    int
 	// Resumed is the number of times that a broken stream was resumed.
 	Resumed int
-	Err     error
+	// Broken is true if the upstream broke off the connection before the answer was
+	// complete.
+	Broken bool
+	Err    error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
@@ -269,7 +272,7 @@
 	// FirstToken reports that the answer began.
 	FirstToken(id ident.RequestID, cachedTokens int)
 	// Finish reports the end of a granted request.
-	Finish(id ident.RequestID, kind scheduler.ReportKind, outputTokens int)
+	Finish(id ident.RequestID, end scheduler.Ending)
 }
 
 // Environment is the gateway's view of its node and of the configuration.
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -27,7 +27,7 @@
 func (e *unresponsiveEnv) Begin(ident.RequestID) bool                            { return true }
 func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                       {}
 func (e *unresponsiveEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
-func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.ReportKind, int)     {}
+func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.Ending)              {}
 
 func (e *unresponsiveEnv) Upstream(ident.UpstreamName) (config.Upstream, bool) {
 	return config.Upstream{}, true
--- a/internal/coordination/pool/capacity_messages_test.go
+++ b/internal/coordination/pool/capacity_messages_test.go
@@ -116,7 +116,7 @@
 	time.Sleep(pause)
 	client.FirstToken(id, 0)
 	time.Sleep(pause)
-	client.Finish(id, scheduler.ReportEnded, 200)
+	client.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: 200})
 	time.Sleep(pause)
 	return nil
 }
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -59,6 +59,7 @@
 	reports    []scheduler.Report
 	// notices holds what upstreams have said about themselves.
 	notices map[ident.UpstreamName]upstreamNotices
+	poison  poisonRecord
 }
 
 type waiter struct {
@@ -195,6 +196,9 @@
 	if r == nil || now.After(r.expires) || r.grant.Epoch < c.holder.Lease.Epoch {
 		return false
 	}
+	if _, refused := c.poison.refused.FindAny(c.pool, r.ticket.Parts); refused && !r.grant.Trial {
+		return false
+	}
 	r.since = now
 	if c.usage != nil {
 		c.usage.Record(r.ticket.Team, r.ticket.Cost, now)
@@ -220,8 +224,8 @@
 	})
 }
 
-// Finish reports the end of a granted request. Kind is one of the final kinds.
-func (c *Client) Finish(id ident.RequestID, kind scheduler.ReportKind, outputTokens int) {
+// Finish reports the end of a granted request.
+func (c *Client) Finish(id ident.RequestID, end scheduler.Ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.running[id]
@@ -229,12 +233,14 @@
 		return
 	}
 	delete(c.running, id)
+	c.poison.recordEnd(r, end, time.Now())
 	c.queueReport(scheduler.Report{
-		Kind:         kind,
+		Kind:         end.Kind,
 		Ticket:       id,
 		Upstream:     r.grant.Upstream,
 		Elapsed:      time.Since(r.since),
-		OutputTokens: outputTokens,
+		OutputTokens: end.OutputTokens,
+		Broken:       end.Broken,
 	})
 }
 
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -243,7 +243,7 @@
 			time.Sleep(s.jitter(3 * time.Second))
 		}
 		if !c.Begin(id) {
-			c.Finish(id, scheduler.ReportDropped, 0)
+			c.Finish(id, scheduler.Ending{Kind: scheduler.ReportDropped})
 			s.log.lapse(id)
 			continue
 		}
@@ -252,7 +252,7 @@
 		c.FirstToken(id, 0)
 		time.Sleep(s.jitter(300 * time.Millisecond))
 		s.log.end(d.Grant.Upstream)
-		c.Finish(id, scheduler.ReportEnded, 1)
+		c.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: 1})
 		return
 	}
 }
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -36,7 +36,7 @@
 	// lastHeard is the time of each gateway's latest message.
 	lastHeard map[ident.NodeID]time.Time
 	observer  Observer
-	spread    limitSpread
+	spread    spread
 }
 
 // Observer is notified of what happens to granted requests and to upstreams. It
@@ -51,6 +51,8 @@
 	Rotated(r scheduler.Rotation)
 	// RateLimited is called for each change of an upstream's rate limit.
 	RateLimited(c scheduler.RateLimitChange)
+	// PoisonChanged is called for each change of the refused parts.
+	PoisonChanged(c scheduler.PoisonChange)
 }
 
 type session struct {
@@ -62,8 +64,8 @@
 	// Advanced is closed and replaced when it changes.
 	nextSequence uint64
 	advanced     chan struct{}
-	// spread is the version of the rate limits that the gateway has.
-	spread uint64
+	// known is the version of the scheduler's spread that the gateway has.
+	known uint64
 }
 
 // wake makes the gateway's poll return.
@@ -85,7 +87,7 @@
 		sessions:  make(map[ident.NodeID]*session),
 		lastHeard: make(map[ident.NodeID]time.Time),
 		observer:  observer,
-		spread:    limitSpread{limits: make(map[ident.UpstreamName]spreadLimit)},
+		spread:    spread{limits: make(map[ident.UpstreamName]spreadLimit)},
 	}
 	go m.run()
 	return m
@@ -182,7 +184,7 @@
 		m.endSession(gateway, now)
 	}
 	m.sched.Tick(now)
-	m.spreadLimits()
+	m.spreadChanges()
 }
 
 // endSession removes a gateway and its session. The caller holds the lock.
@@ -242,11 +244,19 @@
 		}
 	}
 	for _, c := range m.sched.RateLimitChanges() {
-		m.spread.add(c, time.Now())
+		m.spread.addLimit(c, time.Now())
 		if m.observer != nil {
 			m.observer.RateLimited(c)
 		}
 	}
+	for _, c := range m.sched.PoisonChanges() {
+		if c.Part != nil {
+			m.spread.addPart(*c.Part)
+		}
+		if m.observer != nil {
+			m.observer.PoisonChanged(c)
+		}
+	}
 	for _, d := range m.sched.Decisions() {
 		s := m.sessions[d.Gateway]
 		if s == nil {
@@ -416,5 +426,5 @@
 		return nil, Reply{Refused: true}, true
 	}
 	reply := m.reply(s)
-	return s, reply, len(reply.Decisions)+len(reply.RateLimits) > 0
+	return s, reply, !reply.isEmpty()
 }
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
@@ -70,6 +71,9 @@
 	// RateLimits are the rate limits that changed since the last reply to the
 	// session; PerSecond is 0 for one that has ended.
 	RateLimits []scheduler.RateLimitNotice
+	// Poison holds the records of refused parts that changed since the last reply to
+	// the session.
+	Poison []poison.Part
 	// Stamp is the receiver's timeline clock.
 	Stamp timeline.Stamp
 }
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -93,7 +93,9 @@
 	}
 	r.set.Configure(cfg, recordsOf(r.view), time.Now())
 	build := func(now time.Duration) scheduler.Scheduler {
-		return scheduler.New(l.Epoch, d.View.SchedulerView(l.Pool, r.set.Shares()), now)
+		p := scheduler.New(l.Epoch, d.View.SchedulerView(l.Pool, r.set.Shares()), now)
+		p.SetOrigin(time.Now().Add(-now))
+		return p
 	}
 	r.master = NewMaster(l.Pool, l.Epoch, build, r)
 	r.done.Go(func() { r.run(ctx) })
@@ -258,6 +260,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// PoisonChanged implements Observer.
+func (r *Runner) PoisonChanged(change scheduler.PoisonChange) {
+	r.events.Record(timeline.Event{Kind: timeline.KindPoison, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // Reported implements Observer. It is called with the master's lock held, so it
 // passes a changed share to the scheduler through the refresh channel.
 func (r *Runner) Reported(report scheduler.Report) {
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -98,6 +98,7 @@
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
 	c.learnLimits(reply.RateLimits, sent)
+	c.LearnPoison(reply.Poison)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
@@ -186,6 +187,7 @@
 // as ended.
 func (c *Client) registration(now time.Time) *scheduler.Registration {
 	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation, RateLimits: c.rateLimits(now)}
+	r.Poison, r.Ends = c.poison.refused.List(), c.poison.endsAt(now)
 	if c.usage != nil {
 		r.Sent, r.Uptime = c.usage.Recent(now)
 	}
@@ -259,6 +261,7 @@
 	}
 	c.clock.Observe(reply.Stamp)
 	c.learnLimits(reply.RateLimits, sent)
+	c.LearnPoison(reply.Poison)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -1,39 +1,48 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 const (
 	// spreadInterval is the shortest time between two messages to a gateway that
-	// only carry changed rate limits.
+	// only carry changed knowledge.
 	spreadInterval = 200 * time.Millisecond
 	// endedLimitRetention is how long the end of a limit is kept for gateways that
 	// were out of touch.
 	endedLimitRetention = time.Minute
 )
 
-// limitSpread holds the rate limits that a scheduler applies, for the gateways that
-// it serves: any of them may have to schedule next.
-type limitSpread struct {
+// spread holds the rate limits and refused parts that a scheduler knows, for the
+// gateways that it serves: any of them may have to schedule next.
+type spread struct {
 	limits map[ident.UpstreamName]spreadLimit
+	// parts holds the changed records of refused parts, each with its version.
+	parts []spreadPart
 	// version counts the changes; signaled is the version at the last signal to the
 	// gateways.
 	version, signaled uint64
 	signaledAt        time.Time
 }
 
+type spreadPart struct {
+	record  poison.Part
+	version uint64
+}
+
 type spreadLimit struct {
 	perSecond float64
 	at        time.Time
 	version   uint64
 }
 
-// add records a change and drops the ends of limits that are old.
-func (s *limitSpread) add(c scheduler.RateLimitChange, now time.Time) {
+// addLimit records a change and drops the ends of limits that are old.
+func (s *spread) addLimit(c scheduler.RateLimitChange, now time.Time) {
 	s.version++
 	s.limits[c.Upstream] = spreadLimit{perSecond: c.PerSecond, at: now, version: s.version}
 	for name, l := range s.limits {
@@ -43,8 +52,32 @@
 	}
 }
 
-// since returns the limits that changed after a version.
-func (s *limitSpread) since(version uint64, now time.Time) []scheduler.RateLimitNotice {
+// addPart records a changed record of a refused part.
+func (s *spread) addPart(record poison.Part) {
+	s.version++
+	s.parts = slices.DeleteFunc(s.parts, func(p spreadPart) bool { return p.record.ID == record.ID })
+	s.parts = append(s.parts, spreadPart{record: record, version: s.version})
+	if len(s.parts) > poison.MaxParts {
+		s.parts = s.parts[1:]
+	}
+}
+
+// partsSince returns the records that changed after a version.
+func (s *spread) partsSince(version uint64) []poison.Part {
+	if version == s.version {
+		return nil
+	}
+	var changed []poison.Part
+	for _, p := range s.parts {
+		if p.version > version {
+			changed = append(changed, p.record)
+		}
+	}
+	return changed
+}
+
+// limitsSince returns the limits that changed after a version.
+func (s *spread) limitsSince(version uint64, now time.Time) []scheduler.RateLimitNotice {
 	if version == s.version {
 		return nil
 	}
@@ -57,8 +90,8 @@
 	return changed
 }
 
-// due reports whether the gateways should get changed limits now.
-func (s *limitSpread) due(now time.Time) bool {
+// due reports whether the gateways should be told of changes now.
+func (s *spread) due(now time.Time) bool {
 	if s.version == s.signaled || now.Sub(s.signaledAt) < spreadInterval {
 		return false
 	}
@@ -66,17 +99,20 @@
 	return true
 }
 
-// reply returns the pending decisions and changed limits for a gateway.
+// reply returns the pending decisions for a gateway and what it does not know yet.
 func (m *Master) reply(s *session) Reply {
-	now := time.Now()
-	changed := m.spread.since(s.spread, now)
-	s.spread = m.spread.version
-	return Reply{Decisions: s.takeOutbox(), RateLimits: changed}
+	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Poison: m.spread.partsSince(s.known)}
+	s.known = m.spread.version
+	r.Decisions = s.takeOutbox()
+	return r
 }
 
-// spreadLimits makes the gateways' polls return if limits have changed. The caller
-// holds the lock.
-func (m *Master) spreadLimits() {
+// isEmpty reports whether the reply tells the gateway nothing.
+func (r *Reply) isEmpty() bool { return len(r.Decisions)+len(r.RateLimits)+len(r.Poison) == 0 }
+
+// spreadChanges makes the gateways' polls return if there is news for them. The
+// caller holds the lock.
+func (m *Master) spreadChanges() {
 	if !m.spread.due(time.Now()) {
 		return
 	}
--- a/internal/coordination/rollouts/evaluator.go
+++ b/internal/coordination/rollouts/evaluator.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -114,14 +116,47 @@
 	}
 	e.all.add(s)
 	route.add(s)
-	if e.fault != "" || !s.Target {
+	if e.fault == "" && s.Target {
+		e.fault = e.findFault(s.Route)
+	}
+}
+
+// Retract takes back a failed outcome that the version did not cause. A fault that
+// was found with it is forgotten unless it holds without it.
+func (e *Evaluator) Retract(s Sample) {
+	route := e.routes[s.Route]
+	if route == nil || !s.Failed {
 		return
 	}
+	e.all.retractFailure(s.Target)
+	route.retractFailure(s.Target)
+	if e.fault == "" {
+		return
+	}
+	e.fault = ""
+	for _, name := range slices.Sorted(maps.Keys(e.routes)) {
+		if e.fault = e.findFault(name); e.fault != "" {
+			return
+		}
+	}
+}
+
+// findFault returns why the target is worse than the former versions, on all routes
+// together or on the given one; "" if it is not.
+func (e *Evaluator) findFault(route ident.RouteName) string {
 	if why := e.all.compare(); why != "" {
-		e.fault = why
-	} else if why := route.compare(); why != "" {
-		e.fault = fmt.Sprintf("on route %s %s", s.Route, why)
+		return why
+	}
+	if why := e.routes[route].compare(); why != "" {
+		return fmt.Sprintf("on route %s %s", route, why)
 	}
+	return ""
+}
+
+func (p *comparison) retractFailure(target bool) {
+	c := p.side(target)
+	c.answers--
+	c.failures--
 }
 
 func (p *comparison) side(target bool) *outcomeStats {
--- a/internal/coordination/rollouts/evaluator_test.go
+++ b/internal/coordination/rollouts/evaluator_test.go
@@ -172,3 +172,30 @@
 		}
 	}
 }
+
+// TestEvaluator_RetractedFailures checks that failures which the version did not
+// cause lead to no fault once they are taken back, and that others still do.
+func TestEvaluator_RetractedFailures(t *testing.T) {
+	j := NewEvaluator(testOrder, testBegan)
+	for range 100 {
+		j.Observe(Sample{Route: "a", First: 50 * time.Millisecond})
+	}
+	for range 20 {
+		j.Observe(Sample{Target: true, Route: "a", First: 50 * time.Millisecond})
+	}
+	failed := Sample{Target: true, Route: "a", Failed: true}
+	for range 10 {
+		j.Observe(failed)
+	}
+	must.NotEq(t, "", j.fault)
+	for range 10 {
+		j.Retract(failed)
+	}
+	must.Eq(t, "", j.fault)
+	must.Eq(t, canaryShare, j.Share(testBegan))
+	for range 10 {
+		j.Observe(failed)
+	}
+	j.Retract(failed)
+	must.NotEq(t, "", j.fault)
+}
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -10,6 +10,9 @@
 // wait.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
 	p.estimate(e)
+	if !p.admitPoison(e, now) {
+		return ReasonPoisonPart
+	}
 	if p.exhausted(e) {
 		return ReasonUnsent
 	}
@@ -195,6 +198,9 @@
 // been placed, when the quota allows the request, when an ejected upstream is
 // probed again, or when the next trial is due.
 func (p *Pool) retryAfter(e *entry, reason Reason, now time.Duration) time.Duration {
+	if reason == ReasonPoisonPart {
+		return 0
+	}
 	after := p.expectedWait(e, now)
 	switch {
 	case reason == ReasonQuota:
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -14,6 +14,9 @@
 // the versions that the version shares allow, or nil if there is none. Without
 // shares, all versions are treated alike.
 func (p *Pool) choose(e *entry, now time.Duration) *engine {
+	if p.mustRunApart(e, now) {
+		return nil
+	}
 	if g := p.probeEngine(e, now); g != nil {
 		return g
 	}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -100,6 +100,9 @@
 func (p *Pool) grant(e *entry, g *engine, now time.Duration) {
 	e.state = stateGranted
 	e.engine = g
+	if p.holdsSuspect(e) {
+		p.evidence.apart = e
+	}
 	e.version = g.upstream.Version
 	e.grantExpires = now + GrantTTL
 	e.startedAt = now
--- /dev/null
+++ b/internal/coordination/scheduler/poison_test.go
@@ -0,0 +1,388 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
+)
+
+const (
+	poisonID       = uint64(0xbad)
+	templateID     = uint64(0x7e)
+	poisonSlots    = 5
+	poisonAnswer   = 100 * time.Millisecond
+	poisonService  = 800 * time.Millisecond
+	poisonDown     = 3 * time.Second
+	poisonReaction = 3 * time.Second
+)
+
+// poisonModel drives a scheduler with upstreams that end when they begin to answer a
+// request with a poisoned part, and are back under another name after a while. Sound
+// requests share all other parts with the poisoned ones.
+type poisonModel struct {
+	random   *rand.Rand
+	now      time.Duration
+	view     View
+	pool     *Pool
+	poisoned []uint64
+	// transform, if set, changes the parts that the scheduler sees.
+	transform func(parts []uint64) []uint64
+	running   []poisonRequest
+	down      map[time.Duration]int
+	next      int
+	// ends and arrivals are the times at which upstreams ended under a poisoned part
+	// and at which requests with one reached an upstream.
+	ends, arrivals []time.Duration
+	// sent and begun count the sound requests by second.
+	sent, begun map[int]int
+	broken      []EndNotice
+	brokenAt    []time.Duration
+}
+
+type poisonRequest struct {
+	grant         Grant
+	ticket        Ticket
+	sent, first   time.Duration
+	begun         bool
+	holdsPoisoned bool
+}
+
+func newPoisonModel(upstreams int, poisoned ...uint64) *poisonModel {
+	m := &poisonModel{
+		random: rand.New(rand.NewPCG(3, 4)), view: sharedView(0), poisoned: poisoned,
+		down: make(map[time.Duration]int), sent: make(map[int]int), begun: make(map[int]int),
+	}
+	for range upstreams {
+		m.addUpstream()
+	}
+	m.start()
+	return m
+}
+
+func (m *poisonModel) addUpstream() {
+	m.next++
+	m.view.Upstreams = append(m.view.Upstreams, Upstream{Name: ident.UpstreamName(fmt.Sprintf("u%d", m.next)), Version: "v1", MaxConcurrent: poisonSlots})
+}
+
+// start replaces the scheduler. The gateway registers what it knows.
+func (m *poisonModel) start() {
+	former := m.pool
+	m.pool = New(0, m.view, m.now)
+	m.pool.SetOrigin(quotaStart)
+	for _, g := range m.view.Gateways {
+		r := Registration{Gateway: g, Incarnation: 1}
+		if g == "g1" && former != nil {
+			r.Poison = former.evidence.refused.List()
+			for i, n := range m.broken {
+				n.Age = m.now - m.brokenAt[i]
+				r.Ends = append(r.Ends, n)
+			}
+			for _, q := range m.running {
+				r.Running = append(r.Running, Running{Ticket: q.ticket, Upstream: q.grant.Upstream, Version: "v1", Elapsed: m.now - q.sent})
+			}
+		}
+		m.pool.Register(r, m.now)
+	}
+}
+
+// run sends sound and poisoned requests at the given rates a second.
+func (m *poisonModel) run(until time.Duration, sound, poisonedRate float64) {
+	for ; m.now < until; m.now += modelStep {
+		for range poisson(m.random, sound*modelStep.Seconds()) {
+			m.submit(m.soundParts())
+		}
+		for range poisson(m.random, poisonedRate*modelStep.Seconds()) {
+			parts := m.soundParts()
+			at := m.random.IntN(len(parts) + 1)
+			m.submit(slices.Insert(parts, at, m.poisoned[m.random.IntN(len(m.poisoned))]))
+		}
+		m.serve()
+		if n := m.down[m.now]; n > 0 {
+			for range n {
+				m.addUpstream()
+			}
+			m.pool.SetView(m.view, m.now)
+		}
+		m.pool.Tick(m.now)
+		m.collect()
+	}
+}
+
+// soundParts returns the template that all share, one of some teams' parts and one
+// of many sessions' parts.
+func (m *poisonModel) soundParts() []uint64 {
+	return []uint64{templateID, 0x100 + uint64(m.random.IntN(8)), 0x1000 + uint64(m.random.IntN(300))}
+}
+
+func (m *poisonModel) submit(parts []uint64) {
+	m.next++
+	t := sharedTicket(m.next, "low")
+	t.ID = ident.RequestID(fmt.Sprintf("r%07d", m.next))
+	t.Parts, t.PromptTokens, t.OutputTokens, t.Objective = parts, 1000, 40, 800*time.Millisecond
+	if m.transform != nil {
+		t.Parts = m.transform(parts)
+	}
+	if !m.holdsPoisoned(parts) {
+		m.sent[int(m.now/time.Second)]++
+	}
+	m.running = append(m.running, poisonRequest{ticket: t, holdsPoisoned: m.holdsPoisoned(parts), sent: -1})
+	m.pool.Submit(t, m.now)
+}
+
+func (m *poisonModel) holdsPoisoned(parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool { return slices.Contains(m.poisoned, part) })
+}
+
+func (m *poisonModel) collect() {
+	for _, d := range m.pool.Decisions() {
+		if d.Refusal != nil {
+			m.running = slices.DeleteFunc(m.running, func(q poisonRequest) bool { return q.ticket.ID == d.Refusal.Ticket })
+			continue
+		}
+		i := slices.IndexFunc(m.running, func(q poisonRequest) bool { return q.ticket.ID == d.Grant.Ticket })
+		if i < 0 {
+			continue
+		}
+		q := &m.running[i]
+		q.grant, q.sent = *d.Grant, m.now
+		if q.holdsPoisoned {
+			m.arrivals = append(m.arrivals, m.now)
+		}
+		m.pool.Report(Report{Kind: ReportDispatched, Ticket: q.ticket.ID, Gateway: "g1", Upstream: q.grant.Upstream}, m.now)
+	}
+}
+
+// serve lets answers begin and end, and upstreams end.
+func (m *poisonModel) serve() {
+	var ended []ident.UpstreamName
+	kept := m.running[:0]
+	var reports []Report
+	for _, q := range m.running {
+		r := Report{Ticket: q.ticket.ID, Gateway: "g1", Upstream: q.grant.Upstream, Elapsed: m.now - q.sent}
+		switch {
+		case q.sent < 0 || m.now-q.sent < poisonAnswer:
+		case q.holdsPoisoned:
+			if !slices.Contains(ended, q.grant.Upstream) {
+				ended = append(ended, q.grant.Upstream)
+				m.ends = append(m.ends, m.now)
+			}
+		case !q.begun:
+			q.begun, q.first = true, m.now
+			m.begun[int(m.now/time.Second)]++
+			r.Kind = ReportFirstToken
+			reports = append(reports, r)
+		case m.now-q.sent >= poisonService:
+			r.Kind, r.OutputTokens = ReportEnded, 40
+			reports = append(reports, r)
+			continue
+		}
+		kept = append(kept, q)
+	}
+	m.running = kept
+	for _, r := range reports {
+		m.pool.Report(r, m.now)
+	}
+	for _, name := range ended {
+		m.endUpstream(name)
+	}
+}
+
+// endUpstream breaks all requests at an upstream.
+func (m *poisonModel) endUpstream(name ident.UpstreamName) {
+	kept := m.running[:0]
+	for _, q := range m.running {
+		if q.sent < 0 || q.grant.Upstream != name {
+			kept = append(kept, q)
+			continue
+		}
+		r := Report{Kind: ReportUnknown, Ticket: q.ticket.ID, Gateway: "g1", Upstream: name, Elapsed: m.now - q.sent, Broken: BrokenUnbegun}
+		if q.begun {
+			r.Broken, r.OutputTokens = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond))
+		} else if m.now-q.sent >= poisonAnswer {
+			r.Broken = BrokenBegun
+		}
+		if r.OutputTokens < 2 {
+			m.broken = append(m.broken, EndNotice{Ticket: q.ticket.ID, Upstream: name, Parts: q.ticket.Parts, Broken: r.Broken})
+			m.brokenAt = append(m.brokenAt, m.now)
+		}
+		m.pool.Report(r, m.now)
+	}
+	m.running = kept
+	m.view.Upstreams = slices.DeleteFunc(slices.Clone(m.view.Upstreams), func(u Upstream) bool { return u.Name == name })
+	m.pool.SetView(m.view, m.now)
+	m.down[m.now+poisonDown]++
+}
+
+// late returns the requests with a poisoned part that reached upstreams after the
+// time to react to the fifth end.
+func (m *poisonModel) late() int {
+	if len(m.ends) < 5 {
+		return 0
+	}
+	n := 0
+	for _, at := range m.arrivals {
+		if at > m.ends[4]+poisonReaction {
+			n++
+		}
+	}
+	return n
+}
+
+// begunShare returns the share of the sound requests of some seconds that began.
+func (m *poisonModel) begunShare(from, to int) float64 {
+	sent, begun := 0, 0
+	for s := from; s < to; s++ {
+		sent, begun = sent+m.sent[s], begun+m.begun[s]
+	}
+	return float64(begun) / float64(sent)
+}
+
+// TestPoison_RefusedAfterAFewEnds sends requests with one or two poisoned parts at
+// different rates. Few upstreams may end, and sound requests with the same other
+// parts are served as before.
+func TestPoison_RefusedAfterAFewEnds(t *testing.T) {
+	for _, poisoned := range [][]uint64{{poisonID}, {poisonID, poisonID + 1}} {
+		for _, rate := range []float64{0.3, 1.5, 10, 40} {
+			m := newPoisonModel(20, poisoned...)
+			m.run(5*time.Second, 60, 0)
+			m.run(40*time.Second, 60, rate)
+			name := fmt.Sprintf("%d parts, %g a second, %d ends", len(poisoned), rate, len(m.ends))
+			must.LessEq(t, 3, m.late(), must.Sprint(name))
+			// Half a second after the fifth end of each part, it must be known.
+			must.LessEq(t, len(poisoned)*int(5+math.Ceil(rate/2)), len(m.ends), must.Sprint(name))
+			must.Greater(t, 0.97, m.begunShare(20, 38), must.Sprint(name))
+			for _, p := range m.pool.evidence.refused.List() {
+				must.True(t, slices.Contains(poisoned, p.ID), must.Sprintf("%s: %s", name, p))
+			}
+		}
+	}
+}
+
+// TestPoison_SchedulerChanges replaces the scheduler again and again while requests
+// with a poisoned part come.
+func TestPoison_SchedulerChanges(t *testing.T) {
+	m := newPoisonModel(20, poisonID)
+	m.run(5*time.Second, 60, 0)
+	for second := 6; second < 40; second++ {
+		m.run(time.Duration(second)*time.Second, 60, 2)
+		m.start()
+	}
+	must.LessEq(t, 3, m.late())
+	must.LessEq(t, 10, len(m.ends))
+	must.Len(t, 1, m.pool.evidence.refused.List())
+}
+
+// TestPoison_OracleFindsBlameByFirstPart checks that the model finds the error of
+// blaming the first part of the prompts.
+func TestPoison_OracleFindsBlameByFirstPart(t *testing.T) {
+	m := newPoisonModel(20, poisonID)
+	m.transform = func(parts []uint64) []uint64 { return parts[:1] }
+	m.run(5*time.Second, 60, 0)
+	m.run(40*time.Second, 60, 1.5)
+	must.True(t, m.late() > 3 || m.begunShare(20, 38) < 0.5)
+}
+
+// TestPoison_EndsOfOtherCauses ends upstreams again and again, one at a time and many
+// at once, under sound load with few sessions. No part may be refused.
+func TestPoison_EndsOfOtherCauses(t *testing.T) {
+	for seed := range uint64(40) {
+		m := newPoisonModel(20)
+		m.random = rand.New(rand.NewPCG(seed, 1))
+		for second := 2; second < 40; second++ {
+			m.run(time.Duration(second)*time.Second, []float64{3, 15, 60}[seed%3], 0)
+			for range []int{1, 1, 3, 10}[m.random.IntN(4)] {
+				if n := len(m.view.Upstreams); n > 2 {
+					m.endUpstream(m.view.Upstreams[m.random.IntN(n)].Name)
+				}
+			}
+		}
+		must.SliceEmpty(t, m.pool.evidence.refused.List(), must.Sprintf("seed %d: %v", seed, m.pool.evidence.refused.List()))
+	}
+}
+
+// TestPoison_LivingUpstreamIsNoEvidence breaks answers at upstreams that go on: the
+// next answer takes the evidence back.
+func TestPoison_LivingUpstreamIsNoEvidence(t *testing.T) {
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	now := start
+	for i := range 12 {
+		now += 500 * time.Millisecond
+		ticket := sharedTicket(2*i, "low")
+		ticket.Parts, ticket.Objective = []uint64{1, poisonID}, 0
+		p.Submit(ticket, now)
+		for _, g := range grants(p.Decisions()) {
+			p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
+			p.Report(Report{Kind: ReportUnknown, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Broken: BrokenBegun}, now)
+			for _, other := range p.orderedEngines {
+				p.retractEnd(&entry{engine: other, startedAt: now + 1})
+			}
+		}
+		p.Tick(now + 200*time.Millisecond)
+	}
+	must.SliceEmpty(t, p.evidence.refused.List())
+}
+
+// TestPoison_TrialAfterAWhile checks that a refused part gets single requests as
+// trials at growing intervals, and is sound again after one succeeds.
+func TestPoison_TrialAfterAWhile(t *testing.T) {
+	m := newPoisonModel(20, poisonID)
+	m.run(5*time.Second, 60, 0)
+	m.run(20*time.Second, 60, 3)
+	must.Len(t, 1, m.pool.evidence.refused.List())
+	before := len(m.arrivals)
+	// Time passes without load.
+	m.run(m.now+5*time.Second, 0, 0)
+	m.now += poison.TrialInterval
+	m.run(m.now+5*time.Second, 60, 3)
+	must.Eq(t, before+1, len(m.arrivals))
+	m.run(m.now+20*time.Second, 60, 3)
+	must.Eq(t, before+1, len(m.arrivals))
+	m.run(m.now+5*time.Second, 0, 0)
+	m.now += 2 * poison.TrialInterval
+	m.poisoned = []uint64{0xfeed}
+	m.transform = func(parts []uint64) []uint64 {
+		return slices.DeleteFunc(append(parts, poisonID), func(part uint64) bool { return part == 0xfeed })
+	}
+	m.run(m.now+5*time.Second, 20, 0)
+	records := m.pool.evidence.refused.List()
+	must.Len(t, 1, records)
+	must.True(t, records[0].Lifted, must.Sprint(records[0]))
+	must.Eq(t, 2, records[0].Trials)
+}
+
+// TestPoison_WaitingTicketsAreRefused checks that tickets that wait when a part
+// becomes known are refused without an invitation to come back, and that an operator
+// can lift the part.
+func TestPoison_WaitingTicketsAreRefused(t *testing.T) {
+	v := sharedView(1)
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	for i := range 6 {
+		ticket := sharedTicket(i, "low")
+		ticket.Parts, ticket.Objective = []uint64{1, poisonID}, 0
+		p.Submit(ticket, start)
+	}
+	must.Len(t, 2, grants(p.Decisions()))
+	v.Poison = []poison.Part{{Pool: v.Pool, ID: poisonID, Since: quotaStart, Updated: quotaStart, NextTrial: quotaStart.Add(time.Hour)}}
+	p.SetView(v, start)
+	refused := refusals(p.Decisions())
+	must.Len(t, 4, refused)
+	for _, r := range refused {
+		must.Eq(t, ReasonPoisonPart, r.Reason)
+		must.Zero(t, r.RetryAfter)
+	}
+	v.Poison = []poison.Part{v.Poison[0].Lift("an operator lifted it", quotaStart)}
+	p.SetView(v, start)
+	ticket := sharedTicket(9, "low")
+	ticket.Parts, ticket.Objective = []uint64{poisonID}, 0
+	p.Submit(ticket, start)
+	must.Len(t, 0, refusals(p.Decisions()))
+}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -57,6 +57,7 @@
 	lastWaiting time.Duration
 	// unlistedLimits holds the rate limits of upstreams that the view does not list.
 	unlistedLimits map[ident.UpstreamName]rateLimit
+	evidence       evidence
 	// rateChanges holds the changes of rate limits since the last call of
 	// RateLimitChanges.
 	rateChanges []RateLimitChange
@@ -89,6 +90,7 @@
 		registered: make(map[ident.NodeID]ident.Incarnation),
 		leftViewAt: make(map[ident.NodeID]time.Duration),
 
+		evidence:       newEvidence(),
 		unlistedLimits: make(map[ident.UpstreamName]rateLimit),
 		entries:        make(map[ident.RequestID]*entry),
 		engines:        make(map[ident.UpstreamName]*engine),
@@ -116,6 +118,7 @@
 	p.setUpstreams(v.Upstreams, now)
 	p.shares.set(v.Shares)
 	p.setTiers(v)
+	p.learnPoison(v.Poison, now)
 	p.step(now)
 }
 
@@ -313,6 +316,7 @@
 		Version:  e.version,
 		First:    e.expectedFirstToken,
 		Limited:  e.engine.rate != nil,
+		Trial:    p.isTrial(e),
 		TTL:      e.grantExpires - now,
 	}})
 }
@@ -324,6 +328,7 @@
 	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
 	e.state = stateRefused
+	p.endTrial(e, false, now)
 	p.releaseQuota(e)
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
@@ -348,6 +353,7 @@
 
 // end marks a ticket that holds no slot and is in no queue as ended.
 func (p *Pool) end(e *entry, now time.Duration) {
+	p.endTrial(e, false, now)
 	p.releaseQuota(e)
 	e.state = stateEnded
 	p.forgetLater(e, now)
@@ -369,6 +375,9 @@
 		p.nextSweep = now + sweepInterval
 		p.sweep(now)
 	}
+	if p.evidence.evaluateAt != 0 && now >= p.evidence.evaluateAt {
+		p.evaluateEnds(now)
+	}
 	if now >= p.nextCheck {
 		p.nextCheck = now + checkInterval
 		p.checkUpstreams(now)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -22,6 +22,9 @@
 }
 
 func (p *Pool) applyReport(e *entry, r Report, now time.Duration) {
+	if r.Kind != ReportDispatched && r.Kind != ReportFirstToken {
+		p.observeAnswer(e, r, now)
+	}
 	switch r.Kind {
 	case ReportDispatched:
 		p.recordStart(e, r, now)
@@ -30,6 +33,7 @@
 		p.recordFirstToken(e, r, now)
 	case ReportEnded:
 		e.engine.lastResponseAt = now
+		p.retractEnd(e)
 		p.observeEnd(e, r, now)
 		p.release(e, now)
 		p.end(e, now)
@@ -96,6 +100,7 @@
 		return
 	}
 	e.firstTokenAt = max(1, now)
+	p.retractEnd(e)
 	e.engine.lastResponseAt = now
 	e.engine.backlog.done(e.uncachedTokens, now)
 	if e.ticket.PromptTokens > 0 {
@@ -172,6 +177,10 @@
 	p.queueOf(e).charge(-e.tokenCost())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
+	if p.holdsRefused(e) {
+		p.refuse(e, ReasonPoisonPart, now)
+		return
+	}
 	if e.retries > maxRetries || p.exhausted(e) || budgeted && !p.retries.take() {
 		p.refuse(e, ReasonUnsent, now)
 		return
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -67,6 +67,10 @@
 	for _, l := range r.RateLimits {
 		p.nameLimit(l.Upstream, l.PerSecond, now-l.Age, now)
 	}
+	p.learnPoison(r.Poison, now)
+	for _, n := range r.Ends {
+		p.recordBroken(n, false, now)
+	}
 	listed := make(map[ident.RequestID]bool, len(r.Running)+len(r.Waiting))
 	for _, running := range r.Running {
 		listed[running.Ticket.ID] = true
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 // Ticket represents one request that waits at a gateway.
@@ -45,6 +46,8 @@
 	Cost float64
 	// Resumes is true for the remainder of a stream that broke off.
 	Resumes bool
+	// Parts identifies the parts of the prompt that other requests may have too.
+	Parts []uint64
 	// BodyBytes is the memory that the request occupies at its gateway.
 	BodyBytes int64
 	// Excluded lists upstreams that provably did not get the request. It is not
@@ -64,6 +67,9 @@
 	// Limited is true if the upstream names a rate limit, as far as the scheduler
 	// knows.
 	Limited bool
+	// Trial is true for a request that holds a refused part and runs to show whether
+	// the part is sound again.
+	Trial bool
 	// TTL is how long the gateway may use the grant, counted from when it sent
 	// the call that the grant answers. After that it drops the grant.
 	TTL time.Duration
@@ -90,6 +96,9 @@
 	ReasonUnsent Reason = "unsent"
 	// ReasonQuota means that the team has used up its quota.
 	ReasonQuota Reason = "quota"
+	// ReasonPoisonPart means that upstreams end when they answer a request with a
+	// part of this prompt.
+	ReasonPoisonPart Reason = "poison_part"
 )
 
 // Refusal ends one ticket whose request was not run.
@@ -181,11 +190,21 @@
 	OutputTokens int
 	// CachedTokens counts prompt tokens that the engine took from its cache.
 	CachedTokens int
+	// Broken states how far the answer had come if its upstream broke it off.
+	Broken Broken
 	// Notice is what the answer says about its upstream; nil except with
 	// ReportNotice.
 	Notice *UpstreamNotice
 }
 
+// Ending is how a granted request ended, as its gateway reports it.
+type Ending struct {
+	// Kind is one of the final kinds.
+	Kind         ReportKind
+	OutputTokens int
+	Broken       Broken
+}
+
 // Running is a dispatched request that a gateway lists when it registers.
 type Running struct {
 	Ticket   Ticket
@@ -207,6 +226,10 @@
 	Uptime time.Duration
 	// RateLimits are the limits that upstreams have named to the gateway.
 	RateLimits []RateLimitNotice
+	// Poison holds the refused parts that the gateway knows, and Ends its requests
+	// whose upstreams broke off at the beginning of their answers.
+	Poison []poison.Part
+	Ends   []EndNotice
 }
 
 // LoadReport is the load that an upstream itself reports, with a delay.
@@ -281,6 +304,8 @@
 	// Gateways lists the nodes that hold a lease. Slots used by other nodes stay
 	// counted until the upstream reports them free or a timeout passes.
 	Gateways []ident.NodeID
+	// Poison holds the parts that the leader knows to be refused, of all pools.
+	Poison []poison.Part
 	// Shared is set where no lease prevents other schedulers from serving the
 	// pool at the same time.
 	Shared *Shared
@@ -337,6 +362,9 @@
 	// RateLimitChanges returns and clears the changes of rate limits since the last
 	// call.
 	RateLimitChanges() []RateLimitChange
+	// PoisonChanges returns and clears the changes of refused parts since the last
+	// call.
+	PoisonChanges() []PoisonChange
 	// Stats returns counters for metrics and for choosing addresses.
 	Stats() Stats
 }
--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -71,6 +71,9 @@
 	// ReasonQuota is also a scheduler.Reason: the team has used up its quota.
 	ReasonQuota      Reason = "quota"
 	ReasonCallerLeft Reason = "caller_left"
+	// ReasonPoisonPart is also a scheduler.Reason: upstreams end when they answer a
+	// request with a part of this prompt.
+	ReasonPoisonPart Reason = "poison_part"
 )
 
 // Refusal is the JSON body of an answer to a request that was refused or failed.
@@ -106,7 +109,7 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonTooSlow:
 		return http.StatusRequestTimeout
-	case ReasonKeyMismatch:
+	case ReasonKeyMismatch, ReasonPoisonPart:
 		return http.StatusUnprocessableEntity
 	case ReasonKeyExpired:
 		return http.StatusGone
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -43,8 +44,12 @@
 	StartRollout  *rollout.Order    `cbor:",omitempty"`
 	EndRollout    *rollout.End      `cbor:",omitempty"`
 	SetHotTeams   *SetHotTeams      `cbor:",omitempty"`
+	SetPoison     *SetPoison        `cbor:",omitempty"`
 }
 
+// SetPoison replaces the records of prompt parts on which upstreams end.
+type SetPoison struct{ Parts []poison.Part }
+
 // SetHotTeams replaces the set of teams that have used up most of their quotas. If
 // all schedulers are lost, only these teams are assumed to have no quota left.
 type SetHotTeams struct {
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -9,6 +9,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -33,6 +34,8 @@
 	rolloutNumber uint64
 	// hotTeams are the teams that have used up most of their quotas, in order.
 	hotTeams []ident.TeamName
+	// poison holds the records of prompt parts on which upstreams end.
+	poison []poison.Part
 	// epoch is the highest scheduler epoch granted so far, over all pools, so that
 	// a pool that is removed and added again never gets an old epoch.
 	epoch   ident.Epoch
@@ -125,6 +128,9 @@
 	case c.SetHotTeams != nil:
 		m.hotTeams = c.SetHotTeams.Teams
 		return Result{}
+	case c.SetPoison != nil:
+		m.poison = c.SetPoison.Parts
+		return Result{}
 	case c.GrantNode != nil:
 		return m.grantNode(c.GrantNode.Node)
 	case c.RevokeNodes != nil:
@@ -209,6 +215,13 @@
 	return m.hotTeams
 }
 
+// PoisonParts returns the records of prompt parts on which upstreams end.
+func (m *Machine) PoisonParts() []poison.Part {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.poison
+}
+
 // Document returns the submitted text and the number of the latest accepted numbered
 // configuration. The number is 0 if there was none.
 func (m *Machine) Document() (document []byte, number uint64) {
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
@@ -37,6 +38,7 @@
 	Rollouts      []rollout.Record `cbor:",omitempty"`
 	RolloutNumber uint64           `cbor:",omitempty"`
 	HotTeams      []ident.TeamName `cbor:",omitempty"`
+	Poison        []poison.Part    `cbor:",omitempty"`
 }
 
 // Snapshot returns the encoded state after the last applied command. The state is
@@ -61,7 +63,7 @@
 		Config: &store, Ledger: m.ledger.State(),
 		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
 		Orders: slices.Clone(m.orders), Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
-		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber, HotTeams: m.hotTeams,
+		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber, HotTeams: m.hotTeams, Poison: m.poison,
 	}
 }
 
@@ -107,7 +109,7 @@
 	m.pools = indexBy(s.Pools, func(p lease.Pool) ident.PoolName { return p.Pool })
 	m.moves = indexBy(s.Moves, func(r move.Record) ident.MoveName { return r.Name })
 	m.rollouts = indexBy(s.Rollouts, func(r rollout.Record) ident.PoolName { return r.Pool })
-	m.rolloutNumber, m.hotTeams = s.RolloutNumber, s.HotTeams
+	m.rolloutNumber, m.hotTeams, m.poison = s.RolloutNumber, s.HotTeams, s.Poison
 	m.orders, m.epoch, m.fencing, m.changes = s.Orders, s.Epoch, s.Fencing, s.Changes
 	m.notifyChanged()
 	return nil
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -83,6 +83,7 @@
 	KindMove          Kind = "move"
 	KindDrain         Kind = "drain"
 	KindUpstream      Kind = "upstream"
+	KindPoison        Kind = "poison_part"
 	KindOrder         Kind = "order"
 	KindConnection    Kind = "connection"
 	KindProcess       Kind = "process"
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
@@ -163,7 +164,13 @@
 	if errors.As(err, &dialErr) {
 		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
 	}
-	return gateway.DispatchResult{Outcome: gateway.DispatchIncomplete, Err: err}
+	return gateway.DispatchResult{Outcome: gateway.DispatchIncomplete, Broken: isBrokenOff(err), Err: err}
+}
+
+// isBrokenOff reports whether an error means that the upstream ended the connection.
+func isBrokenOff(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 func newRequest(ctx context.Context, d gateway.Dispatch) (*http.Request, error) {
@@ -225,7 +232,7 @@
 			return result
 		}
 		if err != nil {
-			result.Err = fmt.Errorf("answer cut after %d bytes: %w", total, err)
+			result.Broken, result.Err = isBrokenOff(err), fmt.Errorf("answer cut after %d bytes: %w", total, err)
 			return result
 		}
 	}
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -54,6 +54,8 @@
 	// writeErr is the error of the last write to the sink. A stream is not
 	// resumed after a failed write, since the failure is on the caller's side.
 	writeErr error
+	// cutErr is the first error that cut the stream.
+	cutErr error
 }
 
 // resumeUntilDone resumes a stream that ended with err until it is complete, can't
@@ -68,6 +70,7 @@
 	result.Status = reader.status
 	result.OutputTokens = reader.tokens
 	result.Err = err
+	result.Broken = reader.writeErr == nil && isBrokenOff(reader.cutErr)
 	switch {
 	case err == nil:
 		result.Outcome = gateway.DispatchComplete
@@ -108,6 +111,9 @@
 // canResume reports whether the rest of the stream may be available over another
 // connection after err.
 func (r *streamReader) canResume(err error) bool {
+	if r.cutErr == nil {
+		r.cutErr = err
+	}
 	return err != nil && r.writeErr == nil && !errors.Is(err, errAnswerMismatch)
 }
 
