Model of a poison part at 100 gateways and 190 upstreams

Change: the model spreads requests over any number of gateways, which carry their evidence to the next scheduler; a benchmark plays it with the evidence used and ignored. Ruled out: nothing.

--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -45,6 +45,7 @@
 	sent, begun map[int]int
 	broken      []EndNotice
 	brokenAt    []time.Duration
+	brokenBy    []ident.NodeID
 }
 
 type poisonRequest struct {
@@ -79,20 +80,33 @@
 	m.pool.SetOrigin(quotaStart)
 	for _, g := range m.view.Gateways {
 		r := Registration{Gateway: g, Incarnation: 1}
-		if g == "g1" && former != nil {
-			r.Poison = former.evidence.refused.List()
-			for i, n := range m.broken {
-				n.Age = m.now - m.brokenAt[i]
-				r.Ends = append(r.Ends, n)
-			}
-			for _, q := range m.running {
-				r.Running = append(r.Running, Running{Ticket: q.ticket, Upstream: q.grant.Upstream, Version: "v1", Elapsed: m.now - q.sent})
-			}
+		if former != nil {
+			m.carryOver(&r, former)
 		}
 		m.pool.Register(r, m.now)
 	}
 }
 
+// carryOver adds to a gateway's registration what it knows.
+func (m *poisonModel) carryOver(r *Registration, former *Pool) {
+	r.Poison = former.evidence.refused.List()
+	for i, n := range m.broken {
+		if m.brokenBy[i] == r.Gateway {
+			n.Age = m.now - m.brokenAt[i]
+			r.Ends = append(r.Ends, n)
+		}
+	}
+	for _, q := range m.running {
+		switch {
+		case q.ticket.Gateway != r.Gateway:
+		case q.sent < 0:
+			r.Waiting = append(r.Waiting, q.ticket)
+		default:
+			r.Running = append(r.Running, Running{Ticket: q.ticket, Upstream: q.grant.Upstream, Version: "v1", Elapsed: m.now - q.sent})
+		}
+	}
+}
+
 // run sends sound and poisoned requests at the given rates a second.
 func (m *poisonModel) run(until time.Duration, sound, poisonedRate float64) {
 	for ; m.now < until; m.now += modelStep {
@@ -125,7 +139,7 @@
 func (m *poisonModel) submit(parts []uint64) {
 	m.next++
 	t := sharedTicket(m.next, "low")
-	t.ID = ident.RequestID(fmt.Sprintf("r%07d", m.next))
+	t.ID, t.Gateway = ident.RequestID(fmt.Sprintf("r%07d", m.next)), m.view.Gateways[m.random.IntN(len(m.view.Gateways))]
 	t.Parts, t.PromptTokens, t.OutputTokens, t.Objective = parts, 1000, 40, 800*time.Millisecond
 	if m.transform != nil {
 		t.Parts = m.transform(parts)
@@ -156,7 +170,7 @@
 		if q.holdsPoisoned {
 			m.arrivals = append(m.arrivals, m.now)
 		}
-		m.pool.Report(Report{Kind: ReportDispatched, Ticket: q.ticket.ID, Gateway: "g1", Upstream: q.grant.Upstream}, m.now)
+		m.pool.Report(Report{Kind: ReportDispatched, Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: q.grant.Upstream}, m.now)
 	}
 }
 
@@ -166,7 +180,7 @@
 	kept := m.running[:0]
 	var reports []Report
 	for _, q := range m.running {
-		r := Report{Ticket: q.ticket.ID, Gateway: "g1", Upstream: q.grant.Upstream, Elapsed: m.now - q.sent}
+		r := Report{Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: q.grant.Upstream, Elapsed: m.now - q.sent}
 		switch {
 		case q.sent < 0 || m.now-q.sent < poisonAnswer:
 		case q.holdsPoisoned:
@@ -203,7 +217,7 @@
 			kept = append(kept, q)
 			continue
 		}
-		r := Report{Kind: ReportUnknown, Ticket: q.ticket.ID, Gateway: "g1", Upstream: name, Elapsed: m.now - q.sent, Broken: BrokenUnbegun}
+		r := Report{Kind: ReportUnknown, Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: name, Elapsed: m.now - q.sent, Broken: BrokenUnbegun}
 		if q.begun {
 			r.Broken, r.OutputTokens = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond))
 		} else if m.now-q.sent >= poisonAnswer {
@@ -211,7 +225,7 @@
 		}
 		if r.OutputTokens < 2 {
 			m.broken = append(m.broken, EndNotice{Ticket: q.ticket.ID, Upstream: name, Parts: q.ticket.Parts, Broken: r.Broken})
-			m.brokenAt = append(m.brokenAt, m.now)
+			m.brokenAt, m.brokenBy = append(m.brokenAt, m.now), append(m.brokenBy, q.ticket.Gateway)
 		}
 		m.pool.Report(r, m.now)
 	}
@@ -386,3 +400,33 @@
 	p.Submit(ticket, start)
 	must.Len(t, 0, refusals(p.Decisions()))
 }
+
+// BenchmarkPoison_Model sends 900 sound requests a second and 5 with a poisoned
+// part through 100 gateways to 190 upstreams, with the evidence used and ignored. It
+// reports the ends, the requests with the part that reached upstreams after the time
+// to react, and the share of the sound requests that begin while the part is found
+// and afterwards.
+func BenchmarkPoison_Model(b *testing.B) {
+	for _, ignored := range []bool{true, false} {
+		b.Run(fmt.Sprintf("ignored=%t", ignored), func(b *testing.B) {
+			for b.Loop() {
+				m := newPoisonModel(190, poisonID)
+				m.view.Gateways = nil
+				for i := range 100 {
+					m.view.Gateways = append(m.view.Gateways, ident.NodeID(fmt.Sprintf("g%d", i)))
+				}
+				if ignored {
+					m.transform = func([]uint64) []uint64 { return nil }
+				}
+				m.start()
+				m.run(5*time.Second, 900, 0)
+				m.run(25*time.Second, 900, 5)
+				b.ReportMetric(float64(len(m.ends)), "ends")
+				b.ReportMetric(float64(m.late()), "late")
+				b.ReportMetric(100*m.begunShare(2, 5), "%-begun-before")
+				b.ReportMetric(100*m.begunShare(5, 8), "%-begun-while-found")
+				b.ReportMetric(100*m.begunShare(12, 24), "%-begun-after")
+			}
+		})
+	}
+}
