Answers without end are given up early, and never count as complete

A head without end took hundreds of MiB of a gateway with 256 MB until the deadline. Ruled out: a shorter deadline, since bytes come at 100 MiB and more a second.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -45,10 +45,19 @@
 	maxInlineWrite = 4 << 10
 	// maxMismatched limits how many answers to other requests one call skips.
 	maxMismatched = 2
+	// maxSkippedBytes limits the body of an answer to another request that is read to
+	// get at the next answer.
+	maxSkippedBytes = 64 << 10
+	// maxHeadBytes limits the headers that are read for one call, those of interim
+	// answers and of answers to other requests included.
+	maxHeadBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
 )
 
+// ErrHeadTooLarge means that the headers of the answers exceed maxHeadBytes.
+var ErrHeadTooLarge = fmt.Errorf("the header of the answer exceeds %d bytes", maxHeadBytes)
+
 // UnsentError means that provably no byte of the request reached the server.
 type UnsentError struct{ Err error }
 
@@ -99,10 +108,33 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// head bounds what reader may read while it reads headers.
+	head *headLimiter
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
 
+// headLimiter passes reads through until a limit is set and reached. The limit is
+// up to readBufferSize too generous, since the reader above it reads ahead.
+type headLimiter struct {
+	io.Reader
+	limited bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Answer is the answer to a call. The caller must close its body. The connection
 // is reused only if the body was read to the end.
 type Answer struct {
@@ -177,7 +209,8 @@
 		return nil, err
 	}
 	c.dialed.Add(1)
-	return &persistConn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	head := &headLimiter{Reader: raw}
+	return &persistConn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -234,6 +267,8 @@
 // answers (1xx) and a limited number of answers to other requests.
 func (pc *persistConn) receive(call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
+	pc.head.limited, pc.head.left = true, maxHeadBytes
+	defer func() { pc.head.limited = false }()
 	for mismatched := 0; mismatched <= maxMismatched; {
 		response, err := http.ReadResponse(pc.reader, request)
 		if err != nil {
@@ -246,13 +281,22 @@
 			return response, nil
 		}
 		mismatched++
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		if !pc.skipBody(response) {
 			return nil, ErrAnswerMismatch
 		}
 	}
 	return nil, ErrAnswerMismatch
 }
 
+// skipBody reads the body of an answer to another request. It reports whether the
+// next answer may follow.
+func (pc *persistConn) skipBody(response *http.Response) bool {
+	pc.head.limited = false
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes+1))
+	pc.head.limited = true
+	return err == nil && n <= maxSkippedBytes && !response.Close
+}
+
 // eofTrackingBody records whether the answer's body was read to the end.
 type eofTrackingBody struct {
 	io.ReadCloser
--- a/internal/transport/upstreamhttp/probe.go
+++ b/internal/transport/upstreamhttp/probe.go
@@ -85,8 +85,8 @@
 		return nil
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-	if err != nil || response.StatusCode != http.StatusOK {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes+1))
+	if err != nil || len(body) > maxReportBytes || response.StatusCode != http.StatusOK {
 		return nil
 	}
 	return &ledger.Answer{
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -32,6 +32,8 @@
 	CancelTimeout = 2 * time.Second
 	// MaxAnswerBytes limits the body of an answer that is not a stream.
 	MaxAnswerBytes = 64 << 20
+	// maxHeadBytes limits the header of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Sender sends requests to upstreams. It is safe for concurrent use.
@@ -59,6 +61,8 @@
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: MaxIdlePerUpstream,
 		IdleConnTimeout:     IdleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
