Messages between processes are bounded by 32 MiB

Cause: net/rpc collects a message of up to 1 GB, the length that its sender names; a process has 256 MB. Change: both ends of a connection follow the framing of the gob stream and fail at a longer message before it is collected.

--- a/internal/transport/rpcnet/client.go
+++ b/internal/transport/rpcnet/client.go
@@ -103,7 +103,7 @@
 			conn.err = err
 			return
 		}
-		conn.client = rpc.NewClient(raw)
+		conn.client = rpc.NewClient(&frameLimiter{Conn: raw})
 	})
 	if conn.err != nil {
 		c.drop(address, conn)
--- a/internal/transport/rpcnet/rpcnet_test.go
+++ b/internal/transport/rpcnet/rpcnet_test.go
@@ -127,3 +127,69 @@
 	go copyConn(conn, upstream)
 	<-done
 }
+
+// TestServer_MessageWithoutEnd checks that a message far longer than any of the
+// system's own is given up before its bytes are collected, by servers and clients.
+func TestServer_MessageWithoutEnd(t *testing.T) {
+	// The length is 1 GB less one byte, the most that the decoder accepts.
+	message := append([]byte{0xfc, 0x3f, 0xff, 0xff, 0xff}, make([]byte, 64<<10)...)
+	flood := func(conn net.Conn) (taken int) {
+		for {
+			n, err := conn.Write(message)
+			if taken += n; err != nil {
+				return taken
+			}
+		}
+	}
+	server, _ := startEcho(t)
+	conn, err := net.Dial("tcp", server.Address())
+	must.NoError(t, err)
+	defer conn.Close()
+	must.Less(t, MaxMessageBytes, flood(conn))
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	taken := make(chan int, 1)
+	go func() {
+		accepted, err := listener.Accept()
+		if err != nil {
+			taken <- 0
+			return
+		}
+		taken <- flood(accepted)
+	}()
+	client := NewClient()
+	defer client.Close()
+	began := time.Now()
+	must.Error(t, client.Call(t.Context(), listener.Addr().String(), "Echo.Say", &EchoArgs{}, &EchoReply{}))
+	must.Less(t, DefaultCallTimeout, time.Since(began))
+	must.Less(t, MaxMessageBytes, <-taken)
+}
+
+// FuzzFrameLimiter checks that the lengths of messages are followed in the same way
+// however a stream is split into reads.
+func FuzzFrameLimiter(f *testing.F) {
+	f.Add([]byte{3, 1, 2, 3, 0xfe, 1, 0, 9}, 2)
+	f.Add([]byte{0xf7, 1, 2}, 1)
+	f.Add([]byte{0xfc, 0x3f, 0xff, 0xff, 0xff}, 5)
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		if size < 1 {
+			return
+		}
+		left, right := net.Pipe()
+		defer left.Close()
+		defer right.Close()
+		whole, split := frameLimiter{Conn: left}, frameLimiter{Conn: right}
+		wholeErr := whole.follow(stream)
+		var splitErr error
+		for at := 0; at < len(stream) && splitErr == nil; at += size {
+			splitErr = split.follow(stream[at:min(len(stream), at+size)])
+		}
+		must.Eq(t, wholeErr == nil, splitErr == nil)
+		must.Eq(t, whole.payload, split.payload)
+		if wholeErr == nil {
+			must.LessEq(t, uint64(MaxMessageBytes), whole.payload)
+		}
+	})
+}
--- a/internal/transport/rpcnet/server.go
+++ b/internal/transport/rpcnet/server.go
@@ -66,7 +66,7 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.wg.Done()
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeConn(&frameLimiter{Conn: conn})
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
