Gateways hold less of an answer, and operators' clients bound theirs

Cause: 64 endless answers at once were held up to 1 MiB each before they were forwarded, a claimed one up to 64 MiB, and the operators' client read an answer of any length. Change: 256 KiB of an answer that is not a stream are held, 16 MiB of the answer to a claimed request, 64 MiB of one to an operator's call. Ruled out: a common budget for all answers of a gateway: with 256 KiB each, 64 at once take 16 MiB. Measured: gateway, opshttp and upstreamhttp tests pass.

--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
@@ -333,7 +334,17 @@
 	c.placer.FirstToken(c.id, 0)
 }
 
+// maxRecordedAnswer bounds the answer to a claimed request, which is held until its
+// outcome is committed, in bytes.
+const maxRecordedAnswer = 16 << 20
+
+var errAnswerTooLong = fmt.Errorf("the answer to a claimed request exceeds %d bytes", maxRecordedAnswer)
+
 func (c *answerRecorder) Write(part []byte) error {
+	if len(c.body)+len(part) > maxRecordedAnswer {
+		c.body = nil
+		return errAnswerTooLong
+	}
 	c.body = append(c.body, part...)
 	return nil
 }
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -8,7 +8,7 @@
 
 // MaxBufferedAnswer is the size up to which a non-streamed answer is buffered
 // until it is complete, in bytes. A longer answer is forwarded as it arrives.
-const MaxBufferedAnswer = 1 << 20
+const MaxBufferedAnswer = 256 << 10
 
 // errStatusChanged ends a stream that resumed with another HTTP status than it
 // began with.
--- a/internal/transport/opshttp/client.go
+++ b/internal/transport/opshttp/client.go
@@ -150,6 +150,9 @@
 	}
 }
 
+// maxAnswerBytes limits the body of an answer, in bytes.
+const maxAnswerBytes = 64 << 20
+
 func (c *Client) try(ctx context.Context, method, target string, body []byte, reply any) *opsapi.Error {
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
@@ -161,7 +164,10 @@
 		return transportError(method, err)
 	}
 	defer resp.Body.Close()
-	content, err := io.ReadAll(resp.Body)
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(content) > maxAnswerBytes {
+		err = fmt.Errorf("the answer exceeds %d bytes", maxAnswerBytes)
+	}
 	if err != nil {
 		return transportError(method, err)
 	}
