Limits of upstreams that are gone are forgotten

Cause: a limit of an instance that never came back stayed at the scheduler, in what it tells the gateways and in their registrations for as long as the processes ran. Change: a limit is kept for a minute after its upstream left the list, then its end is told to the gateways. Ruled out: dropping it with the upstream: a list may leave an upstream out for some moments (TestRateLimit_UnlistedForAMoment). Measured: TestRateLimit_UnlistedForAMoment, which now also checks the end.

--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -184,6 +184,7 @@
 // checkUpstreams ejects upstreams that hold silent requests, and records the own
 // counts for the estimates of external load.
 func (p *Pool) checkUpstreams(now time.Duration) {
+	p.dropUnlistedLimits(now)
 	for _, g := range p.orderedEngines {
 		g.external.record(g.used(), now)
 		for e := range g.running {
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -34,6 +34,9 @@
 	// maxUnlistedLimits bounds the limits that are kept for upstreams that the view
 	// does not list.
 	maxUnlistedLimits = 4096
+	// unlistedRetention is how long they are kept: a list may leave out an upstream
+	// for some moments.
+	unlistedRetention = time.Minute
 )
 
 // RateLimitNotice is a limit that an upstream has named to a gateway.
@@ -45,6 +48,14 @@
 	Age time.Duration
 }
 
+// String implements fmt.Stringer.
+func (n RateLimitNotice) String() string {
+	if n.PerSecond == 0 {
+		return fmt.Sprintf("%s none", n.Upstream)
+	}
+	return fmt.Sprintf("%s %g/s", n.Upstream, n.PerSecond)
+}
+
 // RateLimitChange reports that a scheduler began or stopped to apply a limit that
 // an upstream names.
 type RateLimitChange struct {
@@ -53,10 +64,15 @@
 	PerSecond float64
 	// Share is the fraction of the limit that this scheduler may use.
 	Share float64
+	// Gone is true if the limit is forgotten because the upstream is gone.
+	Gone bool
 }
 
 // String implements fmt.Stringer.
 func (c RateLimitChange) String() string {
+	if c.Gone {
+		return fmt.Sprintf("%s is gone, its limit is forgotten", c.Upstream)
+	}
 	if c.PerSecond == 0 {
 		return fmt.Sprintf("%s names no limit any more, its load returns gradually", c.Upstream)
 	}
@@ -279,6 +295,17 @@
 	p.dropLimit(g)
 }
 
+// dropUnlistedLimits forgets the limits of upstreams that have not been listed for
+// unlistedRetention.
+func (p *Pool) dropUnlistedLimits(now time.Duration) {
+	for name, l := range p.unlistedLimits {
+		if now-max(l.namedAt, l.filledAt) > unlistedRetention {
+			delete(p.unlistedLimits, name)
+			p.rateChanges = append(p.rateChanges, RateLimitChange{Upstream: name, Gone: true})
+		}
+	}
+}
+
 // RateLimitChanges implements Scheduler.
 func (p *Pool) RateLimitChanges() []RateLimitChange {
 	out := p.rateChanges
--- a/internal/coordination/scheduler/ratelimit_test.go
+++ b/internal/coordination/scheduler/ratelimit_test.go
@@ -129,6 +129,11 @@
 	p.SetView(v, 3*time.Second)
 	must.NotNil(t, p.engines["u0"].rate)
 	must.Len(t, 1, p.limited)
+	p.SetView(without, 4*time.Second)
+	p.Tick(5*time.Second + unlistedRetention)
+	must.MapEmpty(t, p.unlistedLimits)
+	changes := p.RateLimitChanges()
+	must.True(t, changes[len(changes)-1].Gone)
 }
 
 // TestRateLimit_LoadReturnsGradually checks that the load of an upstream whose limit
