Gateways log what their schedulers tell them

Cause: a gateway that learned a rate limit or a refused part from its scheduler wrote no line, though it believes something new. Change: one line for each reply that holds news. Ruled out: a line for each item, since a new session gets all that is known. Measured: pool and fleet tests pass.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -116,6 +116,9 @@
 	}
 	c.SetFailureHandler(schedulerTimeout, n.suspect)
 	c.CountUsage(n.usage)
+	c.SetNewsHandler(func(detail string) {
+		n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: name, Detail: detail})
+	})
 	c.LearnPoison(n.poison.List())
 	n.clients[name] = c
 	n.loops.Go(func() { c.Run(ctx) })
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -41,6 +41,10 @@
 	// answer.
 	onFailure func(address string)
 
+	// onNews, if set, is called with what the client learns from a scheduler about
+	// upstreams and prompt parts.
+	onNews func(detail string)
+
 	// unansweredCalls counts consecutive calls without an answer.
 	unansweredCalls atomic.Int32
 
@@ -103,6 +107,10 @@
 	c.onFailure = onFailure
 }
 
+// SetNewsHandler sets a function that is called with what the client learns from a
+// scheduler about upstreams and prompt parts. It must be called before Run.
+func (c *Client) SetNewsHandler(onNews func(detail string)) { c.onNews = onNews }
+
 // CountUsage sets a log, shared by all clients of the gateway, in which the
 // client counts the requests that it sends. It must be called before Run.
 func (c *Client) CountUsage(l *scheduler.UsageLog) { c.usage = l }
--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -54,14 +54,15 @@
 }
 
 // LearnPoison merges records of refused parts that a scheduler, the leader or an
-// operator knows. The next registration passes them on.
-func (c *Client) LearnPoison(parts []poison.Part) {
+// operator knows, and returns those that are new. The next registration passes them
+// on.
+func (c *Client) LearnPoison(parts []poison.Part) (learned []poison.Part) {
 	if len(parts) == 0 {
-		return
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.poison.refused.Merge(parts, time.Now())
+	return c.poison.refused.Merge(parts, time.Now())
 }
 
 // Poison returns all records of refused parts that this gateway knows.
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -97,8 +98,7 @@
 	c.clock.Observe(reply.Stamp)
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
-	c.learnLimits(reply.RateLimits, sent)
-	c.LearnPoison(reply.Poison)
+	c.learn(reply, sent)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
@@ -118,6 +118,14 @@
 	}
 }
 
+// learn records what a scheduler tells besides its decisions.
+func (c *Client) learn(reply *Reply, sent time.Time) {
+	limits, parts := c.learnLimits(reply.RateLimits, sent), c.LearnPoison(reply.Poison)
+	if len(limits)+len(parts) > 0 && c.onNews != nil {
+		c.onNews(fmt.Sprintf("the scheduler tells of rate limits %v and parts %v", limits, parts))
+	}
+}
+
 // markAccepted records that the scheduler knows the session, so that polls can
 // begin.
 func (c *Client) markAccepted(s Session) {
@@ -260,8 +268,7 @@
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
-	c.learnLimits(reply.RateLimits, sent)
-	c.LearnPoison(reply.Poison)
+	c.learn(reply, sent)
 	c.deliver(reply.Decisions, sent)
 	return true
 }
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -121,18 +121,25 @@
 	}
 }
 
-// learnLimits records limits that the scheduler knows from other gateways.
-func (c *Client) learnLimits(limits []scheduler.RateLimitNotice, now time.Time) {
+// learnLimits records limits that the scheduler knows from other gateways, and returns
+// those that this gateway did not know.
+func (c *Client) learnLimits(limits []scheduler.RateLimitNotice, now time.Time) (learned []scheduler.RateLimitNotice) {
 	if len(limits) == 0 {
-		return
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, l := range limits {
 		known := c.notices[l.Upstream]
-		if at := now.Add(-l.Age); at.After(known.namedAt) {
-			known.perSecond, known.namedAt = l.PerSecond, at
-			c.setNotices(l.Upstream, known)
+		at := now.Add(-l.Age)
+		if !at.After(known.namedAt) {
+			continue
+		}
+		if l.PerSecond != known.perSecond {
+			learned = append(learned, l)
 		}
+		known.perSecond, known.namedAt = l.PerSecond, at
+		c.setNotices(l.Upstream, known)
 	}
+	return learned
 }
