A new scheduler applies limits that were named before it started

Cause: found by reading. What gateways were told before a scheduler started has negative times there. A limit of an upstream that the scheduler did not know yet was taken for older than none, and forgotten. Change: it is recorded if none is known. Ruled out: shifting the scheduler's clock, which other state is bound to. Measured: TestRateLimit_NamedBeforeTheScheduler fails before and passes after.

--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -204,7 +204,8 @@
 func (p *Pool) nameLimit(name ident.UpstreamName, perSecond float64, at, now time.Duration) {
 	g, known := p.engines[name]
 	if !known {
-		if former := p.unlistedLimits[name]; at >= former.namedAt && len(p.unlistedLimits) < maxUnlistedLimits {
+		former, listed := p.unlistedLimits[name]
+		if !listed && len(p.unlistedLimits) < maxUnlistedLimits || listed && at >= former.namedAt {
 			p.unlistedLimits[name] = rateLimit{perSecond: perSecond, namedAt: at, filledAt: now}
 		}
 		return
--- a/internal/coordination/scheduler/ratelimit_test.go
+++ b/internal/coordination/scheduler/ratelimit_test.go
@@ -136,6 +136,21 @@
 	must.True(t, changes[len(changes)-1].Gone)
 }
 
+// TestRateLimit_NamedBeforeTheScheduler checks that a scheduler applies a limit that a
+// gateway was told before it started, also to an upstream that it learns of later.
+func TestRateLimit_NamedBeforeTheScheduler(t *testing.T) {
+	v := sharedView(2)
+	early := v
+	early.Upstreams = v.Upstreams[:1]
+	p := New(0, early, 0)
+	p.Register(Registration{Gateway: "g1", Incarnation: 1, RateLimits: []RateLimitNotice{
+		{Upstream: "u0", PerSecond: 2, Age: 5 * time.Second}, {Upstream: "u1", PerSecond: 3, Age: 5 * time.Second},
+	}}, 0)
+	p.SetView(v, time.Second)
+	must.Eq(t, 2.0, p.engines["u0"].rate.perSecond)
+	must.Eq(t, 3.0, p.engines["u1"].rate.perSecond)
+}
+
 // TestRateLimit_LoadReturnsGradually checks that the load of an upstream whose limit
 // has ended grows step by step, over several seconds.
 func TestRateLimit_LoadReturnsGradually(t *testing.T) {
