A new scheduler counts ends that came before it started

Cause: found by reading. Ends of upstreams before a scheduler started have negative times there, before the time at which a part counted as never cleared, so they were ignored. Besides, a late report on an end that a refused part explains opened that end again, against other parts; and the evidence was counted part by part, quadratic in what callers may send. Change: never cleared is before all times, explained ends are remembered for a minute, and all parts are counted in one pass. Ruled out: shifting the scheduler's clock, which other state is bound to.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -34,6 +36,9 @@
 	maxEnds      = 64
 	maxSuspects  = 16
 	endRetention = 30 * time.Minute
+	// explainedRetention is how long reports on an end that a refused part explains
+	// may come late.
+	explainedRetention = time.Minute
 )
 
 // Broken states how far an answer had come when its upstream broke it off.
@@ -93,11 +98,17 @@
 	// evaluateAt is when the latest ends are evaluated; 0 if they were.
 	evaluateAt time.Duration
 	refused    poison.Set
+	// explained holds the upstreams whose ends a refused part explains, since when.
+	explained map[ident.UpstreamName]time.Duration
 	// trials holds the requests that run as trials of refused parts.
 	trials  map[*entry]poison.Part
 	changes []PoisonChange
 }
 
+// neverCleared is the time at which a part was cleared that never was. It is before
+// all ends, also those that a former scheduler saw.
+const neverCleared = time.Duration(math.MinInt64)
+
 // upstreamEnd is the end of one upstream, or what looks like one.
 type upstreamEnd struct {
 	upstream ident.UpstreamName
@@ -114,6 +125,7 @@
 func newEvidence() evidence {
 	return evidence{
 		clearedAt: make(map[uint64]time.Duration), suspects: make(map[uint64]int), trials: make(map[*entry]poison.Part),
+		explained: make(map[ident.UpstreamName]time.Duration),
 	}
 }
 
@@ -124,6 +136,9 @@
 	v := &p.evidence
 	at := now - n.Age
 	v.dropOld(now)
+	if _, explained := v.explained[n.Upstream]; explained {
+		return
+	}
 	i := slices.IndexFunc(v.ends, func(e *upstreamEnd) bool { return e.upstream == n.Upstream })
 	if i < 0 {
 		i = len(v.ends)
@@ -138,7 +153,7 @@
 	slices.SortStableFunc(v.ends, func(a, b *upstreamEnd) int { return int(a.at - b.at) })
 	for _, part := range n.Parts {
 		if _, known := v.clearedAt[part]; !known {
-			v.clearedAt[part] = -1
+			v.clearedAt[part] = neverCleared
 		}
 	}
 	if evaluate && v.evaluateAt == 0 {
@@ -149,6 +164,7 @@
 // dropOld drops the ends that are old or too many, and the parts that stood only in
 // those.
 func (v *evidence) dropOld(now time.Duration) {
+	maps.DeleteFunc(v.explained, func(_ ident.UpstreamName, at time.Duration) bool { return now-at > explainedRetention })
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(e *upstreamEnd) bool { return now-e.at > endRetention })
 	if len(v.ends) >= maxEnds {
@@ -193,35 +209,44 @@
 	upstreams []ident.UpstreamName
 	// begun counts those at which the answer to a request with the part had begun.
 	begun int
-	// all is the number of all upstreams that ended from the first of them on.
-	all int
+	// all is the number of all upstreams that ended from the first of them on, and
+	// last is when the last of them did.
+	all  int
+	last time.Duration
 }
 
-// endsUnder returns the evidence against a part.
-func (v *evidence) endsUnder(part uint64) partEnds {
-	var under partEnds
-	last := time.Duration(0)
+// countEnds returns the evidence against each part.
+func (v *evidence) countEnds() map[uint64]*partEnds {
+	counts := make(map[uint64]*partEnds, len(v.clearedAt))
 	for _, e := range v.ends {
-		if e.at <= v.clearedAt[part] {
-			continue
-		}
-		if len(under.upstreams) > 0 {
+		for _, under := range counts {
 			under.all++
-			if e.at-last < endSeparation {
-				continue
-			}
 		}
-		suspects := e.suspectsOf()
-		if i := slices.IndexFunc(suspects, func(r endedRequest) bool { return slices.Contains(r.parts, part) }); i >= 0 {
-			under.all = max(1, under.all)
-			under.upstreams = append(under.upstreams, e.upstream)
-			if suspects[i].begun {
-				under.begun++
+		for _, r := range e.suspectsOf() {
+			for _, part := range r.parts {
+				if e.at > v.clearedAt[part] {
+					countEnd(counts, part, e, r.begun)
+				}
 			}
-			last = e.at
 		}
 	}
-	return under
+	return counts
+}
+
+// countEnd adds an end to the evidence against a part, unless it has been counted or
+// came at the same moment as the one before.
+func countEnd(counts map[uint64]*partEnds, part uint64, e *upstreamEnd, begun bool) {
+	under, known := counts[part]
+	if !known {
+		under = &partEnds{all: 1}
+		counts[part] = under
+	} else if e.at-under.last < endSeparation {
+		return
+	}
+	under.upstreams, under.last = append(under.upstreams, e.upstream), e.at
+	if begun {
+		under.begun++
+	}
 }
 
 // count returns the number of ends.
@@ -245,8 +270,8 @@
 	clear(v.suspects)
 	most := 0
 	var worst []uint64
-	for part := range v.clearedAt {
-		under := v.endsUnder(part)
+	counts := v.countEnds()
+	for part, under := range counts {
 		ends := under.count()
 		if ends >= endsToSuspect {
 			v.suspects[part] = ends
@@ -262,7 +287,7 @@
 	if len(worst) == 1 || most > endsToRefuse {
 		slices.Sort(worst)
 		for _, part := range worst {
-			p.refusePart(part, now)
+			p.refusePart(part, counts[part].upstreams, now)
 		}
 	}
 }
@@ -278,6 +303,7 @@
 		})
 		if found {
 			explained = append(explained, e.upstream)
+			v.explained[e.upstream] = now
 		}
 		return found
 	})
@@ -330,10 +356,10 @@
 	}
 }
 
-// refusePart refuses requests with a part from now on.
-func (p *Pool) refusePart(part uint64, now time.Duration) {
+// refusePart refuses requests with a part, under which the given upstreams have ended,
+// from now on.
+func (p *Pool) refusePart(part uint64, under []ident.UpstreamName, now time.Duration) {
 	v := &p.evidence
-	under := v.endsUnder(part).upstreams
 	at := p.wallTime(now)
 	record := poison.Part{
 		Pool: p.view.Pool, ID: part, Since: at, Updated: at, Ends: len(under),
@@ -425,7 +451,7 @@
 // request may still be at the beginning of its answer.
 func (p *Pool) mustRunApart(e *entry, now time.Duration) bool {
 	v := &p.evidence
-	if len(v.suspects) == 0 || !p.holdsSuspect(e) {
+	if !p.holdsSuspect(e) {
 		return false
 	}
 	a := v.apart
@@ -433,7 +459,7 @@
 }
 
 func (p *Pool) holdsSuspect(e *entry) bool {
-	return slices.ContainsFunc(e.ticket.Parts, func(part uint64) bool { return p.evidence.suspects[part] > 0 })
+	return len(p.evidence.suspects) > 0 && slices.ContainsFunc(e.ticket.Parts, func(part uint64) bool { return p.evidence.suspects[part] > 0 })
 }
 
 // observeAnswer learns from the final report on a granted request what it says about
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -294,6 +294,32 @@
 	must.Len(t, 1, m.pool.evidence.refused.List())
 }
 
+// TestPoison_EvidenceFromBeforeTheScheduler checks that a scheduler counts the ends
+// that gateways saw before it started, and that late reports on an end that a refused
+// part explains count against no other part.
+func TestPoison_EvidenceFromBeforeTheScheduler(t *testing.T) {
+	p := New(0, sharedView(8), 0)
+	p.SetOrigin(quotaStart)
+	for i, g := range p.view.Gateways {
+		r := Registration{Gateway: g, Incarnation: 1}
+		if i < 2 {
+			name := ident.UpstreamName(fmt.Sprintf("former%d", i))
+			r.Ends = []EndNotice{{Ticket: ident.RequestID(name), Upstream: name, Parts: []uint64{1, poisonID}, Broken: BrokenBegun, Age: time.Duration(9-i) * time.Second}}
+		}
+		p.Register(r, 0)
+	}
+	p.Tick(time.Second)
+	must.SliceEmpty(t, p.evidence.refused.List())
+	p.recordBroken(EndNotice{Ticket: "a", Upstream: "u0", Parts: []uint64{2, poisonID}, Broken: BrokenBegun}, true, time.Second)
+	p.Tick(time.Second + endSettle)
+	records := p.evidence.refused.List()
+	must.Len(t, 1, records)
+	must.Eq(t, poisonID, records[0].ID)
+	must.Eq(t, 3, records[0].Ends)
+	p.recordBroken(EndNotice{Ticket: "b", Upstream: "u0", Parts: []uint64{7}, Broken: BrokenBegun}, true, 1200*time.Millisecond)
+	must.SliceEmpty(t, p.evidence.ends)
+}
+
 // TestPoison_OracleFindsBlameByFirstPart checks that the model finds the error of
 // blaming the first part of the prompts.
 func TestPoison_OracleFindsBlameByFirstPart(t *testing.T) {
