--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 func newFleet() *fleet { return &fleet{changed: make(chan struct{})} }
@@ -155,6 +156,27 @@
 	must.SliceEmpty(t, f.hotTeams(nil, now.Add(time.Second+hotTeamTTL)))
 }
 
+// TestFleet_PoisonSurvivesLeaderChange checks that a refused part is known to the next
+// leader from the log and from the nodes, and that an older record does not replace
+// the one of a lifted part.
+func TestFleet_PoisonSurvivesLeaderChange(t *testing.T) {
+	f := newFleet()
+	now := time.Unix(1000, 0)
+	f.beginTerm(1, FleetState{}, now)
+	found := poison.Part{Pool: "p", ID: 7, Since: now, Updated: now}
+	lifted := found.Lift("an operator lifted it", now)
+	f.reportPoison([]poison.Part{found}, now)
+	committed := f.poisonParts(nil, now)
+	must.Len(t, 1, committed)
+
+	f.endTerm(false)
+	f.beginTerm(2, FleetState{}, now.Add(time.Second))
+	must.True(t, poison.Equal(committed, f.poisonParts(committed, now)))
+	f.reportPoison([]poison.Part{lifted}, now)
+	f.reportPoison([]poison.Part{found}, now)
+	must.True(t, f.poisonParts(committed, now)[0].Lifted)
+}
+
 // TestFleetFollower_IgnoresOlderVersion sends fleet states to a follower in the
 // wrong order.
 func TestFleetFollower_IgnoresOlderVersion(t *testing.T) {
--- a/internal/state/machine/machine_test.go
+++ b/internal/state/machine/machine_test.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 var startTime = time.UnixMilli(1_800_000_000_000).UTC()
@@ -61,7 +62,7 @@
 	k := ledgerKey(rapid.IntRange(1, 3).Draw(t, "key"))
 	pool, _ := l.Pool("p")
 	current, revision, _ := l.Config()
-	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	switch rapid.IntRange(0, 12).Draw(t, "kind") {
 	case 0:
 		c.Begin = &Begin{Leader: node, Term: c.Term}
 	case 1:
@@ -92,6 +93,9 @@
 		c.IssueOrder = &IssueOrder{ID: OrderID(request), Upstream: "u", Kind: OrderLoad}
 	case 11:
 		c.CompleteOrder = &CompleteOrder{Number: FencingNumber(rapid.IntRange(0, 3).Draw(t, "number"))}
+	case 12:
+		part := poison.Part{Pool: "p", ID: 7, Since: startTime, Updated: startTime.Add(time.Nanosecond), Upstreams: []ident.UpstreamName{"u"}}
+		c.SetPoison = &SetPoison{Parts: []poison.Part{part}}
 	}
 	return c
 }
@@ -131,6 +135,7 @@
 				b, err := replica.Snapshot()
 				must.NoError(t, err)
 				must.True(t, bytes.Equal(a, b))
+				must.Eq(t, l.PoisonParts(), replica.PoisonParts())
 				pool, _ := l.Pool("p")
 				must.LessEq(t, pool.Epoch, epoch)
 				epoch = max(epoch, pool.Epoch)
