--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -426,6 +426,7 @@
 	return true
 }
 
+// isTrial reports whether a ticket runs to show whether a refused part is sound again.
 func (p *Pool) isTrial(e *entry) bool {
 	_, trial := p.evidence.trials[e]
 	return trial
