The line of an accepted request shows its fingerprint

Neither bodies nor keys are logged. Ruled out: a fast hash without a key, whose collisions a caller could choose; the route in the hash, since a new manifest may rename or split it.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -54,6 +54,7 @@
 		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
 	}
 	r.isRetry = g.retries.Observe(r.Route, r.CallerTimeout, time.Now())
+	r.setFingerprint()
 	g.record(r, timeline.KindAccepted, r.describe())
 	reservation, failure := g.budget.Acquire(ctx, r)
 	if failure != nil {
@@ -272,8 +273,8 @@
 // describe returns the detail of the timeline event that records the acceptance
 // of the request.
 func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
-		r.Route, r.Tier, r.Team, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
+	return fmt.Sprintf("route %s, tier %s, team %s, fingerprint %016x, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
+		r.Route, r.Tier, r.Team, r.fingerprint, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
 		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds(), r.isRetry)
 }
 
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -30,6 +30,9 @@
 	// Deadline is the time by which the answer must be complete.
 	Deadline time.Time
 
+	// Host is the host that the caller named, without a port; empty where routes do
+	// not depend on it.
+	Host        string
 	Method      string
 	Path        string
 	ContentType string
@@ -86,6 +89,8 @@
 	// the beginning of a stream.
 	ResumeAfter string
 
+	// fingerprint identifies the content of the request, see setFingerprint.
+	fingerprint uint64
 	// isRetry is true when the caller has made an earlier attempt; see
 	// RetryDetector.
 	isRetry bool
--- a/internal/coordination/routing/hosts.go
+++ b/internal/coordination/routing/hosts.go
@@ -51,13 +51,18 @@
 	return t
 }
 
+// HostName returns the host of a Host field in lower case, without its port.
+func HostName(field string) string {
+	if at := strings.LastIndexByte(field, ':'); at >= 0 && !strings.HasSuffix(field, "]") {
+		field = field[:at]
+	}
+	return strings.ToLower(field)
+}
+
 // Match returns the route of a host with the longest prefix of path, or nil. The
 // case and the port of the host are ignored.
 func (t *HostTable) Match(host, path string) *HostRoute {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:at]
-	}
-	for _, route := range t.byHost[strings.ToLower(host)] {
+	for _, route := range t.byHost[HostName(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
