--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 // metrics holds the Prometheus metrics of a node. Label values come from the
@@ -83,7 +84,10 @@
 		return float64(n.rateLimits())
 	})
 	gauge("flamingohaven_fleet_refused_parts", "Prompt parts that are refused because upstreams end on them.", func() float64 {
-		return float64(n.refusedParts())
+		return float64(n.refused(poison.KindPart))
+	})
+	gauge("flamingohaven_fleet_refused_requests", "Requests that are refused because upstreams end when they run them.", func() float64 {
+		return float64(n.refused(poison.KindRequest))
 	})
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -67,8 +67,8 @@
 // hundredths of its quota for a window.
 const hotTeamInterval = 250 * time.Millisecond
 
-// hotTeamLoop reports to the leader at once when the set of teams near their quotas
-// or the refused prompt parts change.
+// hotTeamLoop reports to the leader at once when the set of teams near their quotas,
+// the refused prompt parts and requests or the ends of upstreams change.
 func (n *Node) hotTeamLoop() {
 	var reported []ident.TeamName
 	for n.ctx.Err() == nil {
@@ -76,7 +76,7 @@
 		if hot := n.quotas.Hot(time.Now()); !slices.Equal(hot, reported) {
 			reported = hot
 			n.triggerSync()
-		} else if len(n.follower.NewerPoison(n.poisonParts())) > 0 {
+		} else if n.follower.HasPoisonNews(n.known()) {
 			n.triggerSync()
 		}
 	}
@@ -108,7 +108,7 @@
 		}
 	}()
 	sent := boottime.Now()
-	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), n.quotas.Hot(time.Now()), n.poisonParts(), control.MaxSyncHold))
+	reply, err := control.Call[control.SyncReply](ctx, n.control, "Sync", n.follower.Args(n.member(), n.known(), control.MaxSyncHold))
 	if err != nil {
 		if n.ctx.Err() == nil && ctx.Err() == context.Canceled {
 			// triggerSync interrupted this sync; syncLoop sends the next one at
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -79,9 +79,13 @@
 	changed           chan struct{}
 	committedRollouts []rollout.Record
 	committedHotTeams []ident.TeamName
-	committedPoison   []poison.Part
+	committedPoison   []poison.Record
 	// poison holds the records of refused parts that nodes reported in this term.
 	poison poison.Set
+	// ends holds the ends of upstreams under requests that nodes reported, and
+	// endReportedAt when they did.
+	ends          versionedMap[string, poison.End]
+	endReportedAt map[string]time.Time
 	// updates caches packed updates by the sequence number that they start from;
 	// 0 stands for a full update.
 	updates map[uint64]packedUpdate
@@ -134,6 +138,12 @@
 	f.committedRollouts, f.committedHotTeams, f.committedPoison = inherited.Rollouts, inherited.HotTeams, inherited.Poison
 	f.poison = poison.Set{}
 	f.poison.Merge(inherited.Poison, now)
+	f.ends = newVersionedMap[string, poison.End]()
+	f.endReportedAt = make(map[string]time.Time, len(inherited.Ends))
+	for _, e := range inherited.Ends {
+		f.ends.put(e.Key(), e, f.version.Sequence)
+		f.endReportedAt[e.Key()] = now
+	}
 	f.listed = inherited.Listed
 	f.hotReportedAt = make(map[ident.TeamName]time.Time)
 	f.extendContacts(now)
@@ -187,9 +197,10 @@
 func (f *fleet) recordChange() {
 	f.version.Sequence++
 	maps.DeleteFunc(f.updates, func(_ uint64, u packedUpdate) bool { return time.Since(u.made) >= updateCacheTTL })
-	if len(f.members.removed)+len(f.upstreams.removed) > maxRemoved {
+	if len(f.members.removed)+len(f.upstreams.removed)+len(f.ends.removed) > maxRemoved {
 		f.members.forgetRemoved()
 		f.upstreams.forgetRemoved()
+		f.ends.forgetRemoved()
 		f.floor, f.base = f.version.Sequence, FleetVersion{}
 	}
 	f.wake()
@@ -290,7 +301,7 @@
 }
 
 // setCommitted sets the committed rollouts, hot teams and refused parts.
-func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName, parts []poison.Part) {
+func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName, parts []poison.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.leading || slices.EqualFunc(f.committedRollouts, rollouts, sameRollout) && slices.Equal(f.committedHotTeams, hot) &&
@@ -362,5 +373,6 @@
 	u := &FleetUpdate{To: f.version, Listed: f.listed, Rollouts: f.committedRollouts, HotTeams: f.committedHotTeams, Poison: f.committedPoison}
 	u.Members, u.MembersGone = f.members.since(sequence)
 	u.Upstreams, u.UpstreamsGone = f.upstreams.since(sequence)
+	u.Ends, u.EndsGone = f.ends.since(sequence)
 	return u
 }
--- a/internal/coordination/control/fleet_bench_test.go
+++ b/internal/coordination/control/fleet_bench_test.go
@@ -48,7 +48,7 @@
 				}
 				var reply SyncReply
 				var follower FleetFollower
-				args := follower.Args(Member{ID: "g1", Incarnation: 1}, nil, nil, time.Second)
+				args := follower.Args(Member{ID: "g1", Incarnation: 1}, Known{}, time.Second)
 				if err := client.Call(ServiceName+".Sync", args, &reply); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,12 +38,23 @@
 	State  bool
 }
 
-// Args returns the arguments of the given node's next sync. Parts are the refused
-// parts that the node knows; only those are sent that the leader does not know.
-func (f *FleetFollower) Args(m Member, hot []ident.TeamName, parts []poison.Part, hold time.Duration) *SyncArgs {
+// Known is what a node knows that the leader may not: teams near their quotas, records
+// of refused parts and requests, and ends of upstreams under requests.
+type Known struct {
+	HotTeams []ident.TeamName
+	Poison   []poison.Record
+	Ends     []poison.End
+}
+
+// Args returns the arguments of the given node's next sync. Of what the node knows, only
+// those records and ends are sent that the leader does not know.
+func (f *FleetFollower) Args(m Member, known Known, hold time.Duration) *SyncArgs {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	args := &SyncArgs{Member: m, HaveRevision: f.revision, HaveSpread: f.state.Version, HotTeams: hot, Poison: newerParts(f.state.Poison, parts), Hold: hold}
+	args := &SyncArgs{
+		Member: m, HaveRevision: f.revision, HaveSpread: f.state.Version, HotTeams: known.HotTeams,
+		Poison: newerRecords(f.state.Poison, known.Poison), Ends: f.newerEnds(known.Ends), Hold: hold,
+	}
 	if f.needFullConfig {
 		args.HaveRevision = 0
 	}
@@ -51,21 +64,31 @@
 	return args
 }
 
-// NewerPoison returns the given records of refused parts that the leader does not
-// know, as far as this node can tell.
-func (f *FleetFollower) NewerPoison(parts []poison.Part) []poison.Part {
+// HasPoisonNews reports whether the node knows records or ends that the leader does not
+// know, as far as the node can tell.
+func (f *FleetFollower) HasPoisonNews(known Known) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return newerParts(f.state.Poison, parts)
+	return len(newerRecords(f.state.Poison, known.Poison)) > 0 || len(f.newerEnds(known.Ends)) > 0
 }
 
-func newerParts(known, parts []poison.Part) []poison.Part {
-	if len(parts) == 0 {
+func newerRecords(known, records []poison.Record) []poison.Record {
+	if len(records) == 0 {
 		return nil
 	}
 	var set poison.Set
 	set.Merge(known, time.Now())
-	return set.Newer(parts)
+	return set.Newer(records)
+}
+
+// newerEnds returns the ends that the leader does not know. The caller holds the lock.
+func (f *FleetFollower) newerEnds(ends []poison.End) []poison.End {
+	return slices.DeleteFunc(slices.Clone(ends), func(e poison.End) bool {
+		_, known := slices.BinarySearchFunc(f.state.Ends, e.Key(), func(have poison.End, key string) int {
+			return cmp.Compare(have.Key(), key)
+		})
+		return known
+	})
 }
 
 // HandleReply applies the reply to a sync that was sent at the given time since boot,
--- a/internal/coordination/control/fleet_poison.go
+++ b/internal/coordination/control/fleet_poison.go
@@ -1,26 +1,71 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
-// reportPoison records refused parts that a node knows.
-func (f *fleet) reportPoison(parts []poison.Part, now time.Time) {
-	if len(parts) == 0 {
+const (
+	// maxEnds bounds the ends of upstreams under requests that are distributed, and
+	// endRetention is how long they are.
+	maxEnds      = 256
+	endRetention = 5 * time.Minute
+)
+
+// reportPoison records refused parts and requests that a node knows.
+func (f *fleet) reportPoison(records []poison.Record, now time.Time) {
+	if len(records) == 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.leading {
-		f.poison.Merge(parts, now)
+		f.poison.Merge(records, now)
+	}
+}
+
+// reportEnds records ends of upstreams under requests that a node saw, so that
+// schedulers which don't know of each other count them together.
+func (f *fleet) reportEnds(ends []poison.End, now time.Time) {
+	if len(ends) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leading {
+		return
+	}
+	changed := false
+	for _, e := range ends {
+		changed = f.ends.put(e.Key(), e, f.nextSequence()) || changed
+		f.endReportedAt[e.Key()] = now
+	}
+	if changed {
+		f.dropOldEnds(now)
+		f.recordChange()
+	}
+}
+
+// dropOldEnds drops the ends that are old or too many. The caller holds the lock.
+func (f *fleet) dropOldEnds(now time.Time) {
+	keys := slices.SortedFunc(maps.Keys(f.endReportedAt), func(a, b string) int {
+		return f.endReportedAt[b].Compare(f.endReportedAt[a])
+	})
+	for i, key := range keys {
+		if i >= maxEnds || now.Sub(f.endReportedAt[key]) > endRetention {
+			f.ends.remove(key, f.nextSequence())
+			delete(f.endReportedAt, key)
+		}
 	}
 }
 
-// poisonParts returns the committed and the reported records of refused parts.
-func (f *fleet) poisonParts(committed []poison.Part, now time.Time) []poison.Part {
+// poisonParts returns the committed and the reported records of refused parts and
+// requests.
+func (f *fleet) poisonParts(committed []poison.Record, now time.Time) []poison.Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.poison.Merge(committed, now)
--- a/internal/coordination/control/fleet_state.go
+++ b/internal/coordination/control/fleet_state.go
@@ -22,8 +22,10 @@
 	Rollouts  []rollout.Record
 	// HotTeams are the teams that have used most of their quotas.
 	HotTeams []ident.TeamName
-	// Poison holds the records of refused prompt parts.
-	Poison []poison.Part
+	// Poison holds the records of refused prompt parts and requests.
+	Poison []poison.Record
+	// Ends holds the latest ends of upstreams under requests.
+	Ends []poison.End
 }
 
 // FleetUpdate updates a node from one version of the fleet state to a later one.
@@ -41,7 +43,10 @@
 	// Rollouts, HotTeams and Poison are always complete, because there are few.
 	Rollouts []rollout.Record
 	HotTeams []ident.TeamName
-	Poison   []poison.Part
+	Poison   []poison.Record
+	// Ends holds new entries, and EndsGone the keys of those that were dropped.
+	Ends     []poison.End
+	EndsGone []string
 }
 
 // Full reports whether this is a full update, which applies to any version.
@@ -63,6 +68,7 @@
 		Rollouts:  u.Rollouts,
 		HotTeams:  u.HotTeams,
 		Poison:    u.Poison,
+		Ends:      merge(s.Ends, u.Ends, u.EndsGone, poison.End.Key),
 	}, nil
 }
 
--- a/internal/coordination/control/fleet_state_test.go
+++ b/internal/coordination/control/fleet_state_test.go
@@ -103,7 +103,7 @@
 				var follower FleetFollower
 				for ctx.Err() == nil {
 					var reply SyncReply
-					_ = service.Sync(follower.Args(Member{ID: ident.NodeID(fmt.Sprint(i)), Incarnation: 1}, nil, nil, MaxSyncHold), &reply)
+					_ = service.Sync(follower.Args(Member{ID: ident.NodeID(fmt.Sprint(i)), Incarnation: 1}, Known{}, MaxSyncHold), &reply)
 					change, err := follower.HandleReply(time.Second, &reply)
 					must.NoError(t, err)
 					if change.State {
@@ -157,7 +157,7 @@
 	update := packedUpdateFrom(t, FleetVersion{Term: 1, Sequence: 4}, FleetUpdate{To: FleetVersion{Term: 1, Sequence: 5}})
 	_, err := f.HandleReply(time.Second, &SyncReply{Spread: update})
 	must.Error(t, err)
-	must.Eq(t, FleetVersion{}, f.Args(Member{}, nil, nil, 0).HaveSpread)
+	must.Eq(t, FleetVersion{}, f.Args(Member{}, Known{}, 0).HaveSpread)
 	whole := FleetUpdate{To: FleetVersion{Term: 1, Sequence: 6}}
 	for i := range 64 {
 		whole.Members = append(whole.Members, Member{ID: ident.NodeID(fmt.Sprint(i))})
@@ -165,7 +165,7 @@
 	change, err := f.HandleReply(time.Second, &SyncReply{Spread: packedUpdateFrom(t, FleetVersion{}, whole)})
 	must.NoError(t, err)
 	must.True(t, change.State)
-	must.Eq(t, FleetVersion{Term: 1, Sequence: 6}, f.Args(Member{}, nil, nil, 0).HaveSpread)
+	must.Eq(t, FleetVersion{Term: 1, Sequence: 6}, f.Args(Member{}, Known{}, 0).HaveSpread)
 	must.Len(t, 64, f.State().Members)
 	damaged := packedUpdateFrom(t, FleetVersion{}, whole)
 	damaged.Packed = damaged.Packed[:len(damaged.Packed)/2]
--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -163,17 +163,17 @@
 	f := newFleet()
 	now := time.Unix(1000, 0)
 	f.beginTerm(1, FleetState{}, now)
-	found := poison.Part{Pool: "p", ID: 7, Since: now, Updated: now}
+	found := poison.Record{Pool: "p", ID: 7, Since: now, Updated: now}
 	lifted := found.Lift("an operator lifted it", now)
-	f.reportPoison([]poison.Part{found}, now)
+	f.reportPoison([]poison.Record{found}, now)
 	committed := f.poisonParts(nil, now)
 	must.Len(t, 1, committed)
 
 	f.endTerm(false)
 	f.beginTerm(2, FleetState{}, now.Add(time.Second))
 	must.True(t, poison.Equal(committed, f.poisonParts(committed, now)))
-	f.reportPoison([]poison.Part{lifted}, now)
-	f.reportPoison([]poison.Part{found}, now)
+	f.reportPoison([]poison.Record{lifted}, now)
+	f.reportPoison([]poison.Record{found}, now)
 	must.True(t, f.poisonParts(committed, now)[0].Lifted)
 }
 
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -55,9 +55,11 @@
 	HaveSpread   FleetVersion
 	// HotTeams are the teams that the node's schedulers see near their quotas.
 	HotTeams []ident.TeamName
-	// Poison holds the records of refused parts that the leader does not know, as
-	// far as the node can tell.
-	Poison []poison.Part
+	// Poison holds the records of refused parts and requests that the leader does not
+	// know, as far as the node can tell.
+	Poison []poison.Record
+	// Ends holds the ends of upstreams under requests that the leader does not know.
+	Ends []poison.End
 	// Hold is how long the call may wait for a change, limited to MaxSyncHold.
 	Hold time.Duration
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -174,6 +174,7 @@
 		Prefixes:     r.Prefixes,
 		PrefixTokens: r.PrefixTokens,
 		Parts:        r.Parts,
+		Fingerprint:  r.fingerprint,
 		Objective:    r.objectiveLeft(),
 		Returned:     r.isRetry,
 		Patience:     r.patienceLeft(),
@@ -340,10 +341,12 @@
 	}
 }
 
-// brokenState returns how far an answer had come if its upstream broke it off. An
-// answer that this gateway canceled was not broken off.
+// brokenState returns how far an answer had come if its upstream broke it off, and
+// Abandoned if this gateway canceled it.
 func brokenState(ctx context.Context, sent DispatchResult) scheduler.Broken {
 	switch {
+	case sent.Outcome == DispatchIncomplete && ctx.Err() != nil:
+		return scheduler.Abandoned
 	case !sent.Broken || ctx.Err() != nil:
 		return scheduler.NotBroken
 	case sent.Status == 0:
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -204,7 +204,7 @@
 	if r == nil || now.After(r.expires) || r.grant.Epoch < c.holder.Lease.Epoch {
 		return false
 	}
-	if _, refused := c.poison.refused.FindAny(c.pool, r.ticket.Parts); refused && !r.grant.Trial {
+	if !r.grant.Trial && c.poison.refuses(&r.ticket, c.pool) {
 		return false
 	}
 	r.since = now
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -250,8 +250,8 @@
 		}
 	}
 	for _, c := range m.sched.PoisonChanges() {
-		if c.Part != nil {
-			m.spread.addPart(*c.Part)
+		if c.Record != nil {
+			m.spread.addRecord(*c.Record)
 		}
 		if m.observer != nil {
 			m.observer.PoisonChanged(c)
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -73,7 +73,7 @@
 	RateLimits []scheduler.RateLimitNotice
 	// Poison holds the records of refused parts that changed since the last reply to
 	// the session.
-	Poison []poison.Part
+	Poison []poison.Record
 	// Stamp is the receiver's timeline clock.
 	Stamp timeline.Stamp
 }
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -18,20 +18,21 @@
 	endedLimitRetention = time.Minute
 )
 
-// spread holds the rate limits and refused parts that a scheduler knows, for the
-// gateways that it serves: any of them may have to schedule next.
+// spread holds the rate limits and refused parts and requests that a scheduler
+// knows, for the gateways that it serves: any of them may have to schedule next.
 type spread struct {
 	limits map[ident.UpstreamName]spreadLimit
-	// parts holds the changed records of refused parts, each with its version.
-	parts []spreadPart
+	// records holds the changed records of refused parts and requests, each with its
+	// version.
+	records []spreadRecord
 	// version counts the changes; signaled is the version at the last signal to the
 	// gateways.
 	version, signaled uint64
 	signaledAt        time.Time
 }
 
-type spreadPart struct {
-	record  poison.Part
+type spreadRecord struct {
+	record  poison.Record
 	version uint64
 }
 
@@ -52,23 +53,23 @@
 	}
 }
 
-// addPart records a changed record of a refused part.
-func (s *spread) addPart(record poison.Part) {
+// addRecord keeps a changed record for the gateways.
+func (s *spread) addRecord(record poison.Record) {
 	s.version++
-	s.parts = slices.DeleteFunc(s.parts, func(p spreadPart) bool { return p.record.ID == record.ID })
-	s.parts = append(s.parts, spreadPart{record: record, version: s.version})
-	if len(s.parts) > poison.MaxParts {
-		s.parts = s.parts[1:]
+	s.records = slices.DeleteFunc(s.records, func(p spreadRecord) bool { return p.record.Kind == record.Kind && p.record.ID == record.ID })
+	s.records = append(s.records, spreadRecord{record: record, version: s.version})
+	if len(s.records) > 2*poison.MaxRecords {
+		s.records = s.records[1:]
 	}
 }
 
-// partsSince returns the records that changed after a version.
-func (s *spread) partsSince(version uint64) []poison.Part {
+// recordsSince returns the records that changed after a version.
+func (s *spread) recordsSince(version uint64) []poison.Record {
 	if version == s.version {
 		return nil
 	}
-	var changed []poison.Part
-	for _, p := range s.parts {
+	var changed []poison.Record
+	for _, p := range s.records {
 		if p.version > version {
 			changed = append(changed, p.record)
 		}
@@ -101,7 +102,7 @@
 
 // reply returns the pending decisions for a gateway and what it does not know yet.
 func (m *Master) reply(s *session) Reply {
-	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Poison: m.spread.partsSince(s.known)}
+	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Poison: m.spread.recordsSince(s.known)}
 	s.known = m.spread.version
 	r.Decisions = s.takeOutbox()
 	return r
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -10,8 +10,8 @@
 // wait.
 func (p *Pool) admit(e *entry, now time.Duration) Reason {
 	p.estimate(e)
-	if !p.admitPoison(e, now) {
-		return ReasonPoisonPart
+	if reason := p.admitPoison(e, now); reason != "" {
+		return reason
 	}
 	if p.exhausted(e) {
 		return ReasonUnsent
@@ -198,7 +198,7 @@
 // been placed, when the quota allows the request, when an ejected upstream is
 // probed again, or when the next trial is due.
 func (p *Pool) retryAfter(e *entry, reason Reason, now time.Duration) time.Duration {
-	if reason == ReasonPoisonPart {
+	if reason == ReasonPoisonPart || reason == ReasonPoisonRequest {
 		return 0
 	}
 	after := p.expectedWait(e, now)
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -20,7 +20,7 @@
 	if g := p.probeEngine(e, now); g != nil {
 		return g
 	}
-	best := candidate{pool: p}
+	best := candidate{pool: p, apart: p.isSuspectRequest(e)}
 	if len(p.shares.shares) == 0 {
 		for _, r := range p.readySets {
 			p.chooseAmong(e, r, &best, now)
@@ -39,7 +39,10 @@
 
 // candidate is the best upstream found so far for a ticket.
 type candidate struct {
-	pool   *Pool
+	pool *Pool
+	// apart is true for a ticket that must not share an upstream with another suspected
+	// request.
+	apart  bool
 	engine *engine
 	cost   time.Duration
 	// feasible reports whether any upstream in rotation is expected to meet the
@@ -72,7 +75,7 @@
 // upstream that would miss the ticket's deadline is taken only if all others
 // would miss it too.
 func (c *candidate) consider(e *entry, g *engine, now time.Duration) {
-	if e.excludes(g.upstream.Name) {
+	if e.excludes(g.upstream.Name) || c.apart && c.pool.runsSuspect(g) {
 		return
 	}
 	cost := g.expectedCost(e, now)
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -33,11 +33,14 @@
 func (p *Pool) placeTier(q *tierQueue, passed []*entry, now time.Duration) []*entry {
 	var buffer [matchWindow]*entry
 	window := buffer[:0]
+	// Held tickets don't count towards the limit: many copies of a suspected request
+	// must not keep a tier from being served.
+	var held []*entry
 	limit := len(passed) + maxPassedOver
 	for p.canPlace(now) && len(passed) < limit {
-		window = p.fillWindow(q, window)
+		window, held = p.fillWindow(q, window, held, now)
 		if len(window) == 0 {
-			return passed
+			return append(passed, held...)
 		}
 		at, g := p.bestMatch(window, now)
 		if g == nil {
@@ -49,19 +52,25 @@
 		window = append(window[:at], window[at+1:]...)
 		p.grant(e, g, now)
 	}
-	return append(passed, window...)
+	return append(append(passed, window...), held...)
 }
 
-func (p *Pool) fillWindow(q *tierQueue, window []*entry) []*entry {
-	for len(window) < matchWindow {
+// fillWindow moves the next tickets of a tier to the window, and those that have to
+// wait for a suspected request to the held ones.
+func (p *Pool) fillWindow(q *tierQueue, window, held []*entry, now time.Duration) (filled, waiting []*entry) {
+	for len(window) < matchWindow && len(held) < maxHeld {
 		e := q.next()
 		if e == nil {
 			break
 		}
 		p.dequeue(e)
+		if p.mustRunApart(e, now) {
+			held = append(held, e)
+			continue
+		}
 		window = append(window, e)
 	}
-	return window
+	return window, held
 }
 
 // bestMatch returns the index of the ticket with the lowest regret and the free
@@ -103,6 +112,9 @@
 	if p.holdsSuspect(e) {
 		p.evidence.apart = e
 	}
+	if p.isSuspectRequest(e) {
+		p.evidence.byRequest.running = append(p.evidence.byRequest.running, e)
+	}
 	e.version = g.upstream.Version
 	e.grantExpires = now + GrantTTL
 	e.startedAt = now
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -33,12 +33,15 @@
 	beginSettle = 300 * time.Millisecond
 	// maxEnds bounds the ends that are kept, maxSuspects the requests that are kept
 	// of each, and endRetention is how long they are.
-	maxEnds      = 64
-	maxSuspects  = 16
+	maxEnds      = 256
+	maxSuspects  = 64
 	endRetention = 30 * time.Minute
-	// explainedRetention is how long reports on an end that a refused part explains
-	// may come late.
+	// explainedRetention is how long reports on an end that a refused part or request
+	// explains may come late.
 	explainedRetention = time.Minute
+	// maxRetraction is how soon after its end an answer shows that an upstream did not
+	// end. Later, it may be back under its name.
+	maxRetraction = time.Second
 )
 
 // Broken states how far an answer had come when its upstream broke it off.
@@ -51,34 +54,52 @@
 	BrokenUnbegun
 	// BrokenBegun means that the upstream broke off after the answer's header.
 	BrokenBegun
+	// Abandoned means that the gateway gave the request up before its answer was
+	// complete. The upstream may still run it.
+	Abandoned
 )
 
-// EndNotice is a request whose upstream broke off at the beginning of its answer,
-// as a gateway reports it to a new scheduler.
+// EndNotice is a request whose upstream broke off its answer, as a gateway reports it
+// to a new scheduler.
 type EndNotice struct {
 	Ticket   ident.RequestID
 	Upstream ident.UpstreamName
-	Parts    []uint64
-	Broken   Broken
-	Age      time.Duration
+	// Parts is empty for a request whose answer had gone on past its beginning.
+	Parts       []uint64
+	Fingerprint uint64
+	Route       ident.RouteName
+	Team        ident.TeamName
+	Broken      Broken
+	Age         time.Duration
 }
 
-// PoisonChange reports that a part is refused from now on, or no longer, and which
-// ends of upstreams it explains.
+// PoisonChange reports one of the following: a part or a request is refused from now
+// on, or no longer; a refused one explains ends of upstreams; an upstream ended.
 type PoisonChange struct {
-	// Part is the record; nil if only more ends are explained.
-	Part *poison.Part
+	Record *poison.Record
 	// Explained names upstreams whose ends are no evidence against them or their
 	// versions.
 	Explained []ident.UpstreamName
+	// Ended is an upstream that ended, and Suspects the ends in a row under each
+	// request that ran there.
+	Ended    ident.UpstreamName
+	Suspects map[uint64]int
 }
 
 // String implements fmt.Stringer.
 func (c PoisonChange) String() string {
-	if c.Part == nil {
-		return fmt.Sprintf("a refused part explains the end of %v", c.Explained)
+	switch {
+	case c.Record != nil:
+		return c.Record.String()
+	case c.Ended != "":
+		text := fmt.Sprintf("%s ended; ends in a row by request:", c.Ended)
+		for _, fingerprint := range slices.Sorted(maps.Keys(c.Suspects)) {
+			text += fmt.Sprintf(" %016x: %d", fingerprint, c.Suspects[fingerprint])
+		}
+		return text
+	default:
+		return fmt.Sprintf("a refused part or request explains the end of %v", c.Explained)
 	}
-	return c.Part.String()
 }
 
 // evidence holds what is known of the ends of upstreams and of the parts of prompts
@@ -98,10 +119,13 @@
 	// evaluateAt is when the latest ends are evaluated; 0 if they were.
 	evaluateAt time.Duration
 	refused    poison.Set
+	byRequest  requestEvidence
+	// learned holds when each end was recorded, also those that are no longer kept.
+	learned map[string]time.Duration
 	// explained holds the upstreams whose ends a refused part explains, since when.
 	explained map[ident.UpstreamName]time.Duration
-	// trials holds the requests that run as trials of refused parts.
-	trials  map[*entry]poison.Part
+	// trials holds the requests that run as trials of records.
+	trials  map[*entry]poison.Record
 	changes []PoisonChange
 }
 
@@ -114,87 +138,125 @@
 	upstream ident.UpstreamName
 	at       time.Duration
 	requests []endedRequest
+	// blamed is the fingerprint of the refused request that explains the end; 0 if
+	// there is none. Such an end is kept as evidence against the parts of that request.
+	blamed uint64
+	// reported is true once the end was reported as a change.
+	reported bool
 }
 
 type endedRequest struct {
-	ticket ident.RequestID
-	parts  []uint64
-	begun  bool
+	ticket      ident.RequestID
+	parts       []uint64
+	begun       bool
+	fingerprint uint64
+	route       ident.RouteName
+	team        ident.TeamName
 }
 
 func newEvidence() evidence {
 	return evidence{
-		clearedAt: make(map[uint64]time.Duration), suspects: make(map[uint64]int), trials: make(map[*entry]poison.Part),
-		explained: make(map[ident.UpstreamName]time.Duration),
+		clearedAt: make(map[uint64]time.Duration), suspects: make(map[uint64]int), trials: make(map[*entry]poison.Record),
+		explained: make(map[ident.UpstreamName]time.Duration), learned: make(map[string]time.Duration),
+		byRequest: requestEvidence{clearedAt: make(map[uint64]time.Duration), suspects: make(map[uint64]int)},
 	}
 }
 
-// recordBroken records a request whose upstream broke off at the beginning of its
-// answer, at the given time. Evaluate is false for what a former scheduler has
-// evaluated already.
+// recordBroken records a request whose upstream broke off its answer, at the given
+// time. Evaluate is false for what a former scheduler has evaluated already.
 func (p *Pool) recordBroken(n EndNotice, evaluate bool, now time.Duration) {
 	v := &p.evidence
 	at := now - n.Age
 	v.dropOld(now)
-	if _, explained := v.explained[n.Upstream]; explained {
+	v.learned[poison.End{Upstream: n.Upstream, Request: n.Ticket}.Key()] = now
+	if since, explained := v.explained[n.Upstream]; explained && !p.isBackSince(&upstreamEnd{upstream: n.Upstream, at: since}, at) {
 		return
 	}
-	i := slices.IndexFunc(v.ends, func(e *upstreamEnd) bool { return e.upstream == n.Upstream })
+	i := slices.IndexFunc(v.ends, func(e *upstreamEnd) bool { return e.upstream == n.Upstream && !p.isBackSince(e, at) })
 	if i < 0 {
 		i = len(v.ends)
-		v.ends = append(v.ends, &upstreamEnd{upstream: n.Upstream, at: at})
+		v.ends = append(v.ends, &upstreamEnd{upstream: n.Upstream, at: at, requests: v.byRequest.abandonedAt(n.Upstream, now)})
 	}
 	end := v.ends[i]
 	known := slices.ContainsFunc(end.requests, func(r endedRequest) bool { return r.ticket == n.Ticket })
 	if known || len(end.requests) >= maxSuspects {
 		return
 	}
-	end.requests = append(end.requests, endedRequest{ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun})
+	end.requests = append(end.requests, endedRequest{
+		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, route: n.Route, team: n.Team,
+	})
 	slices.SortStableFunc(v.ends, func(a, b *upstreamEnd) int { return int(a.at - b.at) })
 	for _, part := range n.Parts {
 		if _, known := v.clearedAt[part]; !known {
 			v.clearedAt[part] = neverCleared
 		}
 	}
+	for _, r := range end.requests {
+		if r.fingerprint != 0 {
+			p.suspectRequest(r.fingerprint, now)
+		}
+	}
 	if evaluate && v.evaluateAt == 0 {
 		v.evaluateAt = now + endSettle
 	}
 }
 
+// isBackSince reports whether an upstream had started again under its name, after the
+// given end, by the time at which it ended once more.
+func (p *Pool) isBackSince(e *upstreamEnd, at time.Duration) bool {
+	g, known := p.engines[e.upstream]
+	return known && at-e.at > maxRetraction && g.lastResponseAt > e.at+maxRetraction
+}
+
 // dropOld drops the ends that are old or too many, and the parts that stood only in
 // those.
 func (v *evidence) dropOld(now time.Duration) {
 	maps.DeleteFunc(v.explained, func(_ ident.UpstreamName, at time.Duration) bool { return now-at > explainedRetention })
+	maps.DeleteFunc(v.learned, func(_ string, at time.Duration) bool { return now-at > endRetention })
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(e *upstreamEnd) bool { return now-e.at > endRetention })
 	if len(v.ends) >= maxEnds {
 		v.ends = slices.Delete(v.ends, 0, len(v.ends)-maxEnds+1)
 	}
 	if len(v.ends) != before {
-		v.dropUnusedParts()
+		v.dropUnused()
 	}
 }
 
-func (v *evidence) dropUnusedParts() {
-	used := make(map[uint64]time.Duration)
+// dropUnused drops the parts and requests that no end has any more.
+func (v *evidence) dropUnused() {
+	parts, requests := make(map[uint64]time.Duration), make(map[uint64]time.Duration)
 	for _, e := range v.ends {
 		for _, r := range e.requests {
 			for _, part := range r.parts {
-				used[part] = v.clearedAt[part]
+				parts[part] = v.clearedAt[part]
+			}
+			if r.fingerprint != 0 {
+				requests[r.fingerprint] = v.byRequest.clearedAt[r.fingerprint]
 			}
 		}
 	}
-	v.clearedAt = used
-	for part := range v.suspects {
-		if _, known := used[part]; !known {
-			delete(v.suspects, part)
+	v.clearedAt, v.byRequest.clearedAt = parts, requests
+	maps.DeleteFunc(v.suspects, func(part uint64, _ int) bool {
+		_, used := parts[part]
+		return !used
+	})
+	for fingerprint := range v.byRequest.suspects {
+		if ends := len(v.endsUnder(fingerprint)); ends > 0 {
+			v.byRequest.suspects[fingerprint] = ends
+		} else {
+			delete(v.byRequest.suspects, fingerprint)
 		}
 	}
 }
 
-// suspectsOf returns the requests of an end that may have caused it: those whose
-// answers had begun or, if there is none, all.
+// suspectsOf returns the requests of an end that may have caused it: those with the
+// fingerprint that is blamed, else those whose answers had begun or, if there is none,
+// all.
 func (e *upstreamEnd) suspectsOf() []endedRequest {
+	if e.blamed != 0 {
+		return slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return r.fingerprint != e.blamed })
+	}
 	begun := slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return !r.begun })
 	if len(begun) > 0 {
 		return begun
@@ -213,6 +275,9 @@
 	// last is when the last of them did.
 	all  int
 	last time.Duration
+	// blamed holds the refused request that explains each of these ends; 0 if none
+	// does.
+	blamed []uint64
 }
 
 // countEnds returns the evidence against each part.
@@ -244,6 +309,7 @@
 		return
 	}
 	under.upstreams, under.last = append(under.upstreams, e.upstream), e.at
+	under.blamed = append(under.blamed, e.blamed)
 	if begun {
 		under.begun++
 	}
@@ -252,21 +318,28 @@
 // count returns the number of ends.
 func (u *partEnds) count() int { return len(u.upstreams) }
 
-// enough reports whether the evidence is enough to refuse the part.
+// enough reports whether the evidence is enough to refuse the part. Ends that a single
+// request explains are evidence against that request, not against its parts.
 func (u *partEnds) enough() bool {
+	if one := u.blamed[0]; one != 0 && !slices.ContainsFunc(u.blamed, func(b uint64) bool { return b != one }) {
+		return false
+	}
 	if u.begun >= endsToRefuse && float64(u.count()) >= minEndsShare*float64(u.all) {
 		return true
 	}
 	return u.count() >= endsToRefuseWeak
 }
 
-// evaluateEnds counts the ends by part, and refuses the part with the most if there
-// are enough. Ends that a refused part explains count against no other part.
+// evaluateEnds counts the ends by request and by part, and refuses the request and the
+// part with the most if there are enough. Ends that a refused part explains count
+// against no other part.
 func (p *Pool) evaluateEnds(now time.Duration) {
 	v := &p.evidence
 	v.evaluateAt = 0
 	p.explainEnds(now)
+	p.reportEnds()
 	p.clearRunning(now)
+	p.evaluateRequests(now)
 	clear(v.suspects)
 	most := 0
 	var worst []uint64
@@ -292,23 +365,53 @@
 	}
 }
 
-// explainEnds removes the ends at which a request with a refused part had begun.
+// reportEnds reports the ends that came since the last call as changes.
+func (p *Pool) reportEnds() {
+	v := &p.evidence
+	for _, e := range v.ends {
+		if e.reported {
+			continue
+		}
+		e.reported = true
+		suspects := make(map[uint64]int)
+		for _, r := range e.requests {
+			if r.fingerprint != 0 {
+				suspects[r.fingerprint] = len(v.endsUnder(r.fingerprint))
+			}
+		}
+		v.changes = append(v.changes, PoisonChange{Ended: e.upstream, Suspects: suspects})
+	}
+}
+
+// explainEnds removes the ends at which a request with a refused part had begun, and
+// marks those at which a refused request ran.
 func (p *Pool) explainEnds(now time.Duration) {
 	v := &p.evidence
 	var explained []ident.UpstreamName
+	for _, e := range v.ends {
+		i := slices.IndexFunc(e.requests, func(r endedRequest) bool {
+			_, refused := v.refused.FindRequest(r.fingerprint)
+			return refused
+		})
+		if i >= 0 && e.blamed == 0 {
+			e.blamed = e.requests[i].fingerprint
+			explained = append(explained, e.upstream)
+			v.explained[e.upstream] = now
+		}
+	}
 	v.ends = slices.DeleteFunc(v.ends, func(e *upstreamEnd) bool {
 		found := slices.ContainsFunc(e.suspectsOf(), func(r endedRequest) bool {
 			_, refused := v.refused.FindAny(p.view.Pool, r.parts)
 			return refused
 		})
-		if found {
+		if found && e.blamed == 0 {
 			explained = append(explained, e.upstream)
 			v.explained[e.upstream] = now
 		}
 		return found
 	})
 	if len(explained) > 0 {
-		v.dropUnusedParts()
+		v.dropUnused()
 		v.changes = append(v.changes, PoisonChange{Explained: explained})
 	}
 }
@@ -340,8 +443,9 @@
 	}
 }
 
-// retractEnd forgets the end of an upstream that has answered a request sent after
-// it: only connections had broken.
+// retractEnd forgets the end of an upstream that has answered a request sent shortly
+// after it: only connections had broken. A later answer may come from an upstream that
+// has started again under its name.
 func (p *Pool) retractEnd(e *entry) {
 	v := &p.evidence
 	if len(v.ends) == 0 {
@@ -349,10 +453,10 @@
 	}
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(end *upstreamEnd) bool {
-		return end.upstream == e.engine.upstream.Name && e.startedAt > end.at
+		return end.upstream == e.engine.upstream.Name && e.startedAt > end.at && e.startedAt-end.at < maxRetraction
 	})
 	if len(v.ends) != before {
-		v.dropUnusedParts()
+		v.dropUnused()
 	}
 }
 
@@ -360,81 +464,108 @@
 // from now on.
 func (p *Pool) refusePart(part uint64, under []ident.UpstreamName, now time.Duration) {
 	v := &p.evidence
-	at := p.wallTime(now)
-	record := poison.Part{
-		Pool: p.view.Pool, ID: part, Since: at, Updated: at, Ends: len(under),
-		Upstreams: slices.Clone(under[max(0, len(under)-poison.MaxUpstreams):]), NextTrial: at.Add(poison.TrialInterval),
-	}
-	if known := v.refused.Newer([]poison.Part{record}); len(known) == 0 {
+	record := p.newRecord(poison.KindPart, part, under, now)
+	if known := v.refused.Newer([]poison.Record{record}); len(known) == 0 {
 		return
 	}
-	p.learnPoison([]poison.Part{record}, now)
+	p.learnPoison([]poison.Record{record}, now)
 	delete(v.suspects, part)
 	p.explainEnds(now)
 }
 
-// learnPoison applies records of refused parts and refuses the waiting tickets that
-// hold one.
-func (p *Pool) learnPoison(parts []poison.Part, now time.Duration) {
+// newRecord returns the record of what is refused from now on.
+func (p *Pool) newRecord(kind poison.Kind, id uint64, under []ident.UpstreamName, now time.Duration) poison.Record {
+	at := p.wallTime(now)
+	return poison.Record{
+		Kind: kind, Pool: p.view.Pool, ID: id, Since: at, Updated: at, Ends: len(under),
+		Upstreams: slices.Clone(under[max(0, len(under)-poison.MaxUpstreams):]), NextTrial: at.Add(poison.TrialInterval),
+	}
+}
+
+// learnPoison applies records and refuses the waiting tickets that they concern.
+func (p *Pool) learnPoison(records []poison.Record, now time.Duration) {
 	v := &p.evidence
-	parts = slices.DeleteFunc(slices.Clone(parts), func(r poison.Part) bool { return r.Pool != p.view.Pool })
-	changed := v.refused.Merge(parts, p.wallTime(now))
+	records = slices.DeleteFunc(slices.Clone(records), func(r poison.Record) bool {
+		return r.Kind == poison.KindPart && r.Pool != p.view.Pool
+	})
+	changed := v.refused.Merge(records, p.wallTime(now))
 	if len(changed) == 0 {
 		return
 	}
 	for _, record := range changed {
-		v.changes = append(v.changes, PoisonChange{Part: &record})
+		v.changes = append(v.changes, PoisonChange{Record: &record})
 	}
-	for _, e := range p.matching(func(e *entry) bool { return e.state == stateWaiting && p.holdsRefused(e) }) {
+	for _, e := range p.matching(func(e *entry) bool { return e.state == stateWaiting && p.refusedReason(e) != "" }) {
 		p.dequeue(e)
-		p.refuse(e, ReasonPoisonPart, now)
+		p.refuse(e, p.refusedReason(e), now)
 	}
 }
 
-// holdsRefused reports whether a ticket holds a refused part that it is no trial
-// of.
-func (p *Pool) holdsRefused(e *entry) bool {
+// refusedBy returns the records that concern a ticket.
+func (p *Pool) refusedBy(e *entry) []poison.Record {
 	v := &p.evidence
-	if len(e.ticket.Parts) == 0 {
-		return false
+	var found []poison.Record
+	if record, refused := v.refused.FindRequest(e.ticket.Fingerprint); refused {
+		found = append(found, record)
+	}
+	if _, refused := v.refused.FindAny(p.view.Pool, e.ticket.Parts); refused {
+		for _, part := range e.ticket.Parts {
+			if record, refused := v.refused.Find(p.view.Pool, part); refused {
+				found = append(found, record)
+			}
+		}
 	}
-	record, refused := v.refused.FindAny(p.view.Pool, e.ticket.Parts)
-	if !refused {
-		return false
+	return found
+}
+
+// refusedReason returns the reason why a ticket is refused because of a record that it
+// is no trial of, or "".
+func (p *Pool) refusedReason(e *entry) Reason {
+	for _, record := range p.refusedBy(e) {
+		if trial, isTrial := p.evidence.trials[e]; isTrial && trial.Kind == record.Kind && trial.ID == record.ID {
+			continue
+		}
+		return reasonFor(record)
+	}
+	return ""
+}
+
+func reasonFor(record poison.Record) Reason {
+	if record.Kind == poison.KindRequest {
+		return ReasonPoisonRequest
 	}
-	trial, isTrial := v.trials[e]
-	return !isTrial || trial.ID != record.ID
+	return ReasonPoisonPart
 }
 
-// admitPoison reports whether a ticket holds no refused part, or may run as a trial
-// of its only one.
-func (p *Pool) admitPoison(e *entry, now time.Duration) bool {
+// admitPoison returns the reason to refuse a ticket that a record concerns, or "" if
+// there is none or the ticket may run as a trial of the only one.
+func (p *Pool) admitPoison(e *entry, now time.Duration) Reason {
 	v := &p.evidence
-	record, refused := v.refused.FindAny(p.view.Pool, e.ticket.Parts)
-	if !refused {
-		return true
+	records := p.refusedBy(e)
+	if len(records) == 0 {
+		return ""
 	}
 	at := p.wallTime(now)
-	others := slices.DeleteFunc(slices.Clone(e.ticket.Parts), func(part uint64) bool { return part == record.ID })
-	if _, more := v.refused.FindAny(p.view.Pool, others); more || at.Before(record.NextTrial) || len(v.trials) > 0 {
-		return false
-	}
-	v.trials[e] = record
-	begun := record.BeginTrial(at)
-	v.refused.Merge([]poison.Part{begun}, at)
-	v.changes = append(v.changes, PoisonChange{Part: &begun})
-	return true
+	if len(records) > 1 || !records[0].TrialDue(at) || len(v.trials) > 0 {
+		return reasonFor(records[0])
+	}
+	v.trials[e] = records[0]
+	begun := records[0].BeginTrial(at)
+	v.refused.Merge([]poison.Record{begun}, at)
+	v.changes = append(v.changes, PoisonChange{Record: &begun})
+	return ""
 }
 
-// isTrial reports whether a ticket runs to show whether a refused part is sound again.
+// isTrial reports whether a ticket runs to show whether what a record is about is sound
+// again.
 func (p *Pool) isTrial(e *entry) bool {
 	_, trial := p.evidence.trials[e]
 	return trial
 }
 
-// endTrial ends the trial that a ticket may be. Sound is true if its answer went on
-// past its beginning.
-func (p *Pool) endTrial(e *entry, sound bool, now time.Duration) {
+// endTrial ends the trial that a ticket may be. Begun is true if its answer went on
+// past its beginning, and complete if it is complete.
+func (p *Pool) endTrial(e *entry, begun, complete bool, now time.Duration) {
 	v := &p.evidence
 	record, isTrial := v.trials[e]
 	if !isTrial {
@@ -442,16 +573,25 @@
 	}
 	delete(v.trials, e)
 	current, refused := v.refused.Find(p.view.Pool, record.ID)
+	sound := begun
+	if record.Kind == poison.KindRequest {
+		current, refused = v.refused.FindRequest(record.ID)
+		sound = complete
+	}
 	if !sound || !refused {
 		return
 	}
-	p.learnPoison([]poison.Part{current.Lift("a trial succeeded", p.wallTime(now))}, now)
+	p.learnPoison([]poison.Record{current.Lift("a trial succeeded", p.wallTime(now))}, now)
 }
 
-// mustRunApart reports whether a ticket holds a suspected part while another such
-// request may still be at the beginning of its answer.
+// mustRunApart reports whether a ticket has to wait because another suspected request
+// runs: one with the same fingerprint or, if it holds a suspected part, one with such
+// a part that may still be at the beginning of its answer.
 func (p *Pool) mustRunApart(e *entry, now time.Duration) bool {
 	v := &p.evidence
+	if p.requestMustWait(e) {
+		return true
+	}
 	if !p.holdsSuspect(e) {
 		return false
 	}
@@ -464,19 +604,31 @@
 }
 
 // observeAnswer learns from the final report on a granted request what it says about
-// the parts of its prompt and about the end of its upstream.
+// the request, the parts of its prompt and the end of its upstream.
 func (p *Pool) observeAnswer(e *entry, r Report, now time.Duration) {
-	if len(e.ticket.Parts) == 0 {
-		return
-	}
+	complete := r.Kind == ReportEnded || r.Kind == ReportFailed
 	pastBeginning := r.Kind == ReportEnded || r.OutputTokens >= 2
-	switch {
-	case pastBeginning:
+	if pastBeginning {
 		p.clearParts(e, now)
-	case r.Broken != NotBroken:
-		p.recordBroken(EndNotice{Ticket: e.ticket.ID, Upstream: r.Upstream, Parts: e.ticket.Parts, Broken: r.Broken}, true, now)
 	}
-	p.endTrial(e, pastBeginning, now)
+	if complete {
+		p.answerRequest(e.ticket.Fingerprint, now)
+	}
+	switch r.Broken {
+	case Abandoned:
+		p.abandon(e, now)
+	case BrokenUnbegun, BrokenBegun:
+		n := EndNotice{
+			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
+		}
+		if !pastBeginning {
+			n.Parts = e.ticket.Parts
+		}
+		if n.Fingerprint != 0 || len(n.Parts) > 0 {
+			p.recordBroken(n, true, now)
+		}
+	}
+	p.endTrial(e, pastBeginning, complete, now)
 }
 
 // PoisonChanges implements Scheduler.
--- /dev/null
+++ b/internal/coordination/scheduler/poison_request.go
@@ -0,0 +1,251 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
+)
+
+const (
+	// endsToRefuseRequest is the number of ends of upstreams in a row under one request
+	// from which it is refused, and endsToRefuseAnswered that for a request which was
+	// answered within answeredRecently: of a request that makes up much of the load,
+	// some run at each upstream that ends for another reason.
+	endsToRefuseRequest  = 3
+	endsToRefuseAnswered = 6
+	answeredRecently     = 10 * time.Second
+	// answeredHistory is how long a new scheduler sees answers before it takes a
+	// request without any for one that was never answered.
+	answeredHistory = time.Second
+	// abandonedRetention is how long a request that its gateway gave up may still run
+	// at its upstream and end it.
+	abandonedRetention = 1500 * time.Millisecond
+	// maxAbandoned bounds the requests given up that are kept.
+	maxAbandoned = 64
+	// maxHeld bounds the suspected requests of a tier that are skipped in one placement
+	// round because they must run apart.
+	maxHeld = 256
+)
+
+// requestEvidence holds what is known of the requests that ran at upstreams when these
+// ended, by fingerprint.
+//
+// A request is suspected from the first end at which it ran until an answer to a
+// request with its fingerprint is complete. Suspected requests run apart: one with the
+// same fingerprint at a time, and no two at the same upstream, so that each further
+// end tells them apart.
+type requestEvidence struct {
+	answered answeredTable
+	// clearedAt is when a request was last answered, for the requests in the ends.
+	clearedAt map[uint64]time.Duration
+	// suspects holds the number of ends in a row, for the suspected requests.
+	suspects map[uint64]int
+	// running holds the suspected requests that were granted.
+	running []*entry
+	// abandoned holds the requests that their gateways gave up lately.
+	abandoned []abandonedRequest
+}
+
+type abandonedRequest struct {
+	endedRequest
+	upstream ident.UpstreamName
+	at       time.Duration
+}
+
+// answerRequest records a complete answer, which clears the request.
+func (p *Pool) answerRequest(fingerprint uint64, now time.Duration) {
+	if fingerprint == 0 {
+		return
+	}
+	v := &p.evidence.byRequest
+	v.answered.add(fingerprint, now)
+	if len(v.clearedAt) == 0 {
+		return
+	}
+	if _, known := v.clearedAt[fingerprint]; known {
+		v.clearedAt[fingerprint] = now
+		delete(v.suspects, fingerprint)
+	}
+}
+
+// abandon keeps a request that its gateway gave up before its answer was complete.
+func (p *Pool) abandon(e *entry, now time.Duration) {
+	if e.ticket.Fingerprint == 0 {
+		return
+	}
+	v := &p.evidence.byRequest
+	v.abandoned = slices.DeleteFunc(v.abandoned, func(a abandonedRequest) bool { return now-a.at > abandonedRetention })
+	if len(v.abandoned) >= maxAbandoned {
+		v.abandoned = slices.Delete(v.abandoned, 0, 1)
+	}
+	v.abandoned = append(v.abandoned, abandonedRequest{
+		endedRequest: endedRequest{ticket: e.ticket.ID, fingerprint: e.ticket.Fingerprint, route: e.ticket.Route, team: e.ticket.Team},
+		upstream:     e.engine.upstream.Name, at: now,
+	})
+}
+
+// abandonedAt returns the requests given up lately that may still run at an upstream.
+func (v *requestEvidence) abandonedAt(upstream ident.UpstreamName, now time.Duration) []endedRequest {
+	var found []endedRequest
+	for _, a := range v.abandoned {
+		if a.upstream == upstream && now-a.at <= abandonedRetention {
+			found = append(found, a.endedRequest)
+		}
+	}
+	return found
+}
+
+// recordUnreachable records the end of an upstream that accepts no connections
+// after requests to it were given up: no gateway sees the connections of those break.
+func (p *Pool) recordUnreachable(upstream ident.UpstreamName, now time.Duration) {
+	for _, r := range p.evidence.byRequest.abandonedAt(upstream, now) {
+		p.recordBroken(EndNotice{
+			Ticket: r.ticket, Upstream: upstream, Fingerprint: r.fingerprint, Route: r.route, Team: r.team, Broken: BrokenUnbegun,
+		}, true, now)
+	}
+}
+
+// suspectRequest counts the ends under a request anew, and has those of them that run
+// counted as suspected.
+func (p *Pool) suspectRequest(fingerprint uint64, now time.Duration) {
+	v := &p.evidence.byRequest
+	if _, known := v.clearedAt[fingerprint]; !known {
+		v.clearedAt[fingerprint] = neverCleared
+		if at, answered := v.answered.last(fingerprint); answered {
+			v.clearedAt[fingerprint] = at
+		}
+	}
+	ends := len(p.evidence.endsUnder(fingerprint))
+	if ends == 0 || ends < endsToRefuseRequest && p.answeredLately(fingerprint, now) {
+		delete(v.suspects, fingerprint)
+		return
+	}
+	if v.suspects[fingerprint] == 0 {
+		for _, g := range p.orderedEngines {
+			for e := range g.running {
+				if e.ticket.Fingerprint == fingerprint {
+					v.running = append(v.running, e)
+				}
+			}
+		}
+	}
+	v.suspects[fingerprint] = ends
+}
+
+// answeredLately reports whether a request was answered within answeredRecently.
+func (p *Pool) answeredLately(fingerprint uint64, now time.Duration) bool {
+	at, known := p.evidence.byRequest.clearedAt[fingerprint]
+	return known && at != neverCleared && now-at < answeredRecently
+}
+
+// endsUnder returns the upstreams that ended under a request since it was last
+// answered, oldest first, without those whose ends a refused request explains.
+func (v *evidence) endsUnder(fingerprint uint64) []ident.UpstreamName {
+	var under []ident.UpstreamName
+	cleared := v.byRequest.clearedAt[fingerprint]
+	for _, e := range v.ends {
+		if e.at > cleared && e.blamed == 0 && e.ran(fingerprint) {
+			under = append(under, e.upstream)
+		}
+	}
+	return under
+}
+
+func (e *upstreamEnd) ran(fingerprint uint64) bool {
+	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.fingerprint == fingerprint })
+}
+
+// evaluateRequests refuses the request with the most ends if there are enough. With
+// more than one at endsToRefuseRequest, the evidence waits for one end more.
+func (p *Pool) evaluateRequests(now time.Duration) {
+	v := &p.evidence
+	most := 0
+	var worst []uint64
+	for fingerprint, ends := range v.byRequest.suspects {
+		needed := endsToRefuseRequest
+		if p.answeredLately(fingerprint, now) || now-p.startedAt < answeredHistory {
+			needed = endsToRefuseAnswered
+		}
+		if ends < needed || ends < most {
+			continue
+		}
+		if ends > most {
+			most, worst = ends, nil
+		}
+		worst = append(worst, fingerprint)
+	}
+	if len(worst) > 1 && most <= endsToRefuseRequest {
+		return
+	}
+	slices.Sort(worst)
+	for _, fingerprint := range worst {
+		p.refuseRequest(fingerprint, now)
+	}
+}
+
+// refuseRequest refuses a request from now on.
+func (p *Pool) refuseRequest(fingerprint uint64, now time.Duration) {
+	v := &p.evidence
+	under := v.endsUnder(fingerprint)
+	record := p.newRecord(poison.KindRequest, fingerprint, under, now)
+	for _, e := range v.ends {
+		for _, r := range e.requests {
+			if r.fingerprint == fingerprint {
+				record.Route, record.Team = r.route, r.team
+			}
+		}
+	}
+	delete(v.byRequest.suspects, fingerprint)
+	p.learnPoison([]poison.Record{record}, now)
+	p.explainEnds(now)
+}
+
+// isSuspectRequest reports whether upstreams ended under the request and none has
+// answered it since.
+func (p *Pool) isSuspectRequest(e *entry) bool {
+	suspects := p.evidence.byRequest.suspects
+	return len(suspects) > 0 && suspects[e.ticket.Fingerprint] > 0
+}
+
+// requestMustWait reports whether a suspected request has to wait, because another one
+// with its fingerprint may run or enough upstreams have ended under it to refuse it.
+func (p *Pool) requestMustWait(e *entry) bool {
+	if !p.isSuspectRequest(e) {
+		return false
+	}
+	v := &p.evidence.byRequest
+	if p.evidence.evaluateAt != 0 && v.suspects[e.ticket.Fingerprint] >= endsToRefuseRequest {
+		return true
+	}
+	return slices.ContainsFunc(p.runningSuspects(), func(r *entry) bool { return r != e && r.ticket.Fingerprint == e.ticket.Fingerprint })
+}
+
+// runningSuspects returns the suspected requests that hold slots.
+func (p *Pool) runningSuspects() []*entry {
+	v := &p.evidence.byRequest
+	v.running = slices.DeleteFunc(v.running, func(r *entry) bool { return !r.holdsSlot() || !p.isSuspectRequest(r) })
+	return v.running
+}
+
+// runsSuspect reports whether an upstream runs a suspected request.
+func (p *Pool) runsSuspect(g *engine) bool {
+	return slices.ContainsFunc(p.runningSuspects(), func(r *entry) bool { return r.engine == g })
+}
+
+// learnEnds records ends that other schedulers know.
+func (p *Pool) learnEnds(ends []poison.End, now time.Duration) {
+	v := &p.evidence
+	for _, n := range ends {
+		if n.Pool != p.view.Pool {
+			continue
+		}
+		if _, known := v.learned[n.Key()]; known {
+			continue
+		}
+		p.recordBroken(EndNotice{
+			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Route: n.Route, Team: n.Team, Broken: BrokenUnbegun,
+		}, true, now)
+	}
+}
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -411,7 +411,7 @@
 		p.Submit(ticket, start)
 	}
 	must.Len(t, 2, grants(p.Decisions()))
-	v.Poison = []poison.Part{{Pool: v.Pool, ID: poisonID, Since: quotaStart, Updated: quotaStart, NextTrial: quotaStart.Add(time.Hour)}}
+	v.Poison = []poison.Record{{Pool: v.Pool, ID: poisonID, Since: quotaStart, Updated: quotaStart, NextTrial: quotaStart.Add(time.Hour)}}
 	p.SetView(v, start)
 	refused := refusals(p.Decisions())
 	must.Len(t, 4, refused)
@@ -419,7 +419,7 @@
 		must.Eq(t, ReasonPoisonPart, r.Reason)
 		must.Zero(t, r.RetryAfter)
 	}
-	v.Poison = []poison.Part{v.Poison[0].Lift("an operator lifted it", quotaStart)}
+	v.Poison = []poison.Record{v.Poison[0].Lift("an operator lifted it", quotaStart)}
 	p.SetView(v, start)
 	ticket := sharedTicket(9, "low")
 	ticket.Parts, ticket.Objective = []uint64{poisonID}, 0
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -119,6 +119,7 @@
 	p.shares.set(v.Shares)
 	p.setTiers(v)
 	p.learnPoison(v.Poison, now)
+	p.learnEnds(v.Ends, now)
 	p.step(now)
 }
 
@@ -328,7 +329,7 @@
 	tier.shedAt = now
 	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
 	e.state = stateRefused
-	p.endTrial(e, false, now)
+	p.endTrial(e, false, false, now)
 	p.releaseQuota(e)
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
@@ -353,7 +354,7 @@
 
 // end marks a ticket that holds no slot and is in no queue as ended.
 func (p *Pool) end(e *entry, now time.Duration) {
-	p.endTrial(e, false, now)
+	p.endTrial(e, false, false, now)
 	p.releaseQuota(e)
 	e.state = stateEnded
 	p.forgetLater(e, now)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -45,6 +45,7 @@
 		e.engine.refundToken()
 		p.recordFailure(e, now)
 		p.ejectUnreachable(e, now)
+		p.recordUnreachable(r.Upstream, now)
 		p.requeue(e, now, p.view.Shared == nil)
 	case ReportRetryable:
 		p.recordFailure(e, now)
@@ -177,8 +178,8 @@
 	p.queueOf(e).charge(-e.tokenCost())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
-	if p.holdsRefused(e) {
-		p.refuse(e, ReasonPoisonPart, now)
+	if reason := p.refusedReason(e); reason != "" {
+		p.refuse(e, reason, now)
 		return
 	}
 	if e.retries > maxRetries || p.exhausted(e) || budgeted && !p.retries.take() {
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -133,6 +133,9 @@
 	}
 	e.version = r.Version
 	p.occupy(e, g, now)
+	if p.isSuspectRequest(e) {
+		p.evidence.byRequest.running = append(p.evidence.byRequest.running, e)
+	}
 	e.startedAt = now - r.Elapsed
 	g.cache.store(r.Ticket.Prefixes, now)
 }
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -48,6 +48,8 @@
 	Resumes bool
 	// Parts identifies the parts of the prompt that other requests may have too.
 	Parts []uint64
+	// Fingerprint identifies the content of the request; 0 if unknown.
+	Fingerprint uint64
 	// BodyBytes is the memory that the request occupies at its gateway.
 	BodyBytes int64
 	// Excluded lists upstreams that provably did not get the request. It is not
@@ -67,8 +69,8 @@
 	// Limited is true if the upstream names a rate limit, as far as the scheduler
 	// knows.
 	Limited bool
-	// Trial is true for a request that holds a refused part and runs to show whether
-	// the part is sound again.
+	// Trial is true for a request that is refused, or holds a refused part, and runs to
+	// show whether that is sound again.
 	Trial bool
 	// TTL is how long the gateway may use the grant, counted from when it sent
 	// the call that the grant answers. After that it drops the grant.
@@ -99,6 +101,8 @@
 	// ReasonPoisonPart means that upstreams end when they answer a request with a
 	// part of this prompt.
 	ReasonPoisonPart Reason = "poison_part"
+	// ReasonPoisonRequest means that upstreams end when they run this request.
+	ReasonPoisonRequest Reason = "poison_request"
 )
 
 // Refusal ends one ticket whose request was not run.
@@ -226,9 +230,9 @@
 	Uptime time.Duration
 	// RateLimits are the limits that upstreams have named to the gateway.
 	RateLimits []RateLimitNotice
-	// Poison holds the refused parts that the gateway knows, and Ends its requests
-	// whose upstreams broke off at the beginning of their answers.
-	Poison []poison.Part
+	// Poison holds the records of refused parts and requests that the gateway knows, and
+	// Ends its requests whose upstreams broke off their answers.
+	Poison []poison.Record
 	Ends   []EndNotice
 }
 
@@ -304,8 +308,10 @@
 	// Gateways lists the nodes that hold a lease. Slots used by other nodes stay
 	// counted until the upstream reports them free or a timeout passes.
 	Gateways []ident.NodeID
-	// Poison holds the parts that the leader knows to be refused, of all pools.
-	Poison []poison.Part
+	// Poison holds the records of refused parts and requests that the leader knows, of
+	// all pools, and Ends the ends of upstreams under requests.
+	Poison []poison.Record
+	Ends   []poison.End
 	// Shared is set where no lease prevents other schedulers from serving the
 	// pool at the same time.
 	Shared *Shared
--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -74,6 +74,9 @@
 	// ReasonPoisonPart is also a scheduler.Reason: upstreams end when they answer a
 	// request with a part of this prompt.
 	ReasonPoisonPart Reason = "poison_part"
+	// ReasonPoisonRequest is also a scheduler.Reason: upstreams end when they run this
+	// request.
+	ReasonPoisonRequest Reason = "poison_request"
 )
 
 // Refusal is the JSON body of an answer to a request that was refused or failed.
@@ -109,7 +112,7 @@
 		return http.StatusRequestEntityTooLarge
 	case ReasonTooSlow:
 		return http.StatusRequestTimeout
-	case ReasonKeyMismatch, ReasonPoisonPart:
+	case ReasonKeyMismatch, ReasonPoisonPart, ReasonPoisonRequest:
 		return http.StatusUnprocessableEntity
 	case ReasonKeyExpired:
 		return http.StatusGone
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -48,7 +48,7 @@
 }
 
 // SetPoison replaces the records of prompt parts on which upstreams end.
-type SetPoison struct{ Parts []poison.Part }
+type SetPoison struct{ Parts []poison.Record }
 
 // SetHotTeams replaces the set of teams that have used up most of their quotas. If
 // all schedulers are lost, only these teams are assumed to have no quota left.
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -35,7 +35,7 @@
 	// hotTeams are the teams that have used up most of their quotas, in order.
 	hotTeams []ident.TeamName
 	// poison holds the records of prompt parts on which upstreams end.
-	poison []poison.Part
+	poison []poison.Record
 	// epoch is the highest scheduler epoch granted so far, over all pools, so that
 	// a pool that is removed and added again never gets an old epoch.
 	epoch   ident.Epoch
@@ -216,7 +216,7 @@
 }
 
 // PoisonParts returns the records of prompt parts on which upstreams end.
-func (m *Machine) PoisonParts() []poison.Part {
+func (m *Machine) PoisonParts() []poison.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.poison
--- a/internal/state/machine/machine_test.go
+++ b/internal/state/machine/machine_test.go
@@ -94,8 +94,8 @@
 	case 11:
 		c.CompleteOrder = &CompleteOrder{Number: FencingNumber(rapid.IntRange(0, 3).Draw(t, "number"))}
 	case 12:
-		part := poison.Part{Pool: "p", ID: 7, Since: startTime, Updated: startTime.Add(time.Nanosecond), Upstreams: []ident.UpstreamName{"u"}}
-		c.SetPoison = &SetPoison{Parts: []poison.Part{part}}
+		part := poison.Record{Pool: "p", ID: 7, Since: startTime, Updated: startTime.Add(time.Nanosecond), Upstreams: []ident.UpstreamName{"u"}}
+		c.SetPoison = &SetPoison{Parts: []poison.Record{part}}
 	}
 	return c
 }
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -38,7 +38,7 @@
 	Rollouts      []rollout.Record `cbor:",omitempty"`
 	RolloutNumber uint64           `cbor:",omitempty"`
 	HotTeams      []ident.TeamName `cbor:",omitempty"`
-	Poison        []poison.Part    `cbor:",omitempty"`
+	Poison        []poison.Record  `cbor:",omitempty"`
 }
 
 // Snapshot returns the encoded state after the last applied command. The state is
--- a/internal/state/poison/poison_test.go
+++ b/internal/state/poison/poison_test.go
@@ -10,8 +10,8 @@
 
 var began = time.Unix(9000, 0)
 
-func part(id uint64) Part {
-	return Part{Pool: "p", ID: id, Since: began, Updated: began, Ends: 3, NextTrial: began.Add(TrialInterval)}
+func part(id uint64) Record {
+	return Record{Pool: "p", ID: id, Since: began, Updated: began, Ends: 3, NextTrial: began.Add(TrialInterval)}
 }
 
 // TestSet_MergesInAnyOrder checks that nodes which learn the same records in different
@@ -22,11 +22,11 @@
 	lifted := trial.Lift("an operator lifted it", began)
 	must.True(t, lifted.Supersedes(trial))
 	for seed := range uint64(50) {
-		records := []Part{found, trial, lifted, part(2)}
+		records := []Record{found, trial, lifted, part(2)}
 		rand.New(rand.NewPCG(seed, 1)).Shuffle(len(records), func(i, j int) { records[i], records[j] = records[j], records[i] })
 		var s Set
 		for _, r := range records {
-			s.Merge([]Part{r}, began)
+			s.Merge([]Record{r}, began)
 		}
 		_, refused := s.Find("p", 1)
 		must.False(t, refused)
@@ -44,16 +44,16 @@
 func TestSet_IsBounded(t *testing.T) {
 	var s Set
 	old := part(1).Lift("a trial succeeded", began)
-	s.Merge([]Part{old}, began)
-	for id := range uint64(MaxParts) {
-		s.Merge([]Part{part(100 + id)}, began)
+	s.Merge([]Record{old}, began)
+	for id := range uint64(MaxRecords) {
+		s.Merge([]Record{part(100 + id)}, began)
 	}
-	must.Len(t, MaxParts, s.List())
-	must.False(t, s.List()[MaxParts-1].Lifted)
+	must.Len(t, MaxRecords, s.List())
+	must.False(t, s.List()[MaxRecords-1].Lifted)
 	var other Set
-	other.Merge([]Part{old}, began)
+	other.Merge([]Record{old}, began)
 	must.Len(t, 1, other.List())
-	other.Merge([]Part{old}, began.Add(2*liftedRetention))
+	other.Merge([]Record{old}, began.Add(2*liftedRetention))
 	must.Len(t, 0, other.List())
 }
 
