Gateways without links to upstreams send requests through others

Cause: a gateway's own connections were its only way to an upstream. It was granted upstreams that others reached, tried three of them and refused the request; where links hang, it learnt of that only after the deadline. Grants name the other gateway and when it had an answer. A provably unsent request is relayed at once; all are after failures at two upstreams. Single requests find out when the links are back. Failures of a path that is suspect are no evidence against the upstream. A stopping gateway lets its tunnels end. Ruled out: relaying after one failure (a server that is silent for a second would be relayed to); failures alone as the sign of a cut (a dead service looks the same; TestPaths_NotTheGatewaysPath); answers on old connections as the sign of the return.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -89,6 +89,17 @@
 	gauge("flamingohaven_fleet_refused_requests", "Requests that are refused because upstreams end when they run them.", func() float64 {
 		return float64(n.refused(poison.KindRequest))
 	})
+	gauge("flamingohaven_fleet_cut_paths", "Pools and single upstreams that this gateway can't reach and sends requests to through other gateways.", func() float64 {
+		return float64(n.gateway.CutPaths())
+	})
+	gauge("flamingohaven_fleet_relayed_connections", "Connections to upstreams that this gateway relays for other gateways.", func() float64 {
+		open, _ := n.relayed()
+		return open
+	})
+	gauge("flamingohaven_fleet_relayed_connections_total", "Connections to upstreams that this gateway has relayed for other gateways.", func() float64 {
+		_, total := n.relayed()
+		return total
+	})
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -21,6 +21,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+	"github.com/flamingohaven/flamingohaven/internal/transport/tunnel"
 )
 
 // Dependencies are the external services that a node uses.
@@ -53,9 +54,11 @@
 	replica  *replica
 	pools    *pool.Service
 	gateway  *gateway.Gateway
-	budget   *gateway.Budget
-	quotas   *scheduler.Quotas
-	usage    *scheduler.UsageLog
+	// relay accepts requests of other gateways; nil if this node relays none.
+	relay  *tunnel.Server
+	budget *gateway.Budget
+	quotas *scheduler.Quotas
+	usage  *scheduler.UsageLog
 
 	hosts     atomic.Pointer[routing.HostTable]
 	upstreams atomic.Pointer[upstreamTable]
@@ -150,6 +153,9 @@
 		return err
 	}
 	n.server = server
+	if err := n.listenRelay(); err != nil {
+		return err
+	}
 	if n.settings.Gateway() {
 		if err := server.Register(pool.ServiceName, n.pools); err != nil {
 			return err
@@ -169,6 +175,9 @@
 	klog.InfoS("node started", "node", n.settings.Name, "ip", n.settings.IP, "zone", n.settings.Zone,
 		"gateway", n.settings.Gateway(), "replica", n.settings.Replica(), "firstStart", n.settings.FirstStart)
 	n.loops.Go(n.server.Serve)
+	if n.relay != nil {
+		n.loops.Go(n.relay.Serve)
+	}
 	if n.replica != nil {
 		n.replica.start(n)
 		n.loops.Go(n.leaderListLoop)
@@ -209,6 +218,9 @@
 	if n.server != nil {
 		n.server.Close()
 	}
+	if n.relay != nil {
+		n.relay.Close()
+	}
 	n.calls.Close()
 	n.loops.Wait()
 }
--- /dev/null
+++ b/internal/command/fleet/relay.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/transport/tunnel"
+)
+
+// relayDialTimeout limits the time in which a relay connects to an upstream.
+const relayDialTimeout = 300 * time.Millisecond
+
+// listenRelay makes a gateway relay the requests of other gateways to upstreams.
+func (n *Node) listenRelay() (err error) {
+	if !n.settings.Gateway() || n.settings.RelayPort == 0 {
+		return nil
+	}
+	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.isUpstreamAddress)
+	if err == nil {
+		n.gateway.SetRelays(n)
+	}
+	return err
+}
+
+func (n *Node) relayAddress(node ident.NodeID) string {
+	return net.JoinHostPort(string(node), strconv.Itoa(n.settings.RelayPort))
+}
+
+// RelayAddress implements gateway.Relays. Only a live gateway that is not draining can be
+// used.
+func (n *Node) RelayAddress(peer ident.NodeID) string {
+	if peer == n.settings.ID() {
+		return ""
+	}
+	for _, m := range n.follower.State().Members {
+		if m.ID == peer && m.Gateway() && !m.Draining {
+			return n.relayAddress(peer)
+		}
+	}
+	return ""
+}
+
+// isUpstreamAddress reports whether an upstream has the address.
+func (n *Node) isUpstreamAddress(address string) bool {
+	return n.upstreams.Load().addresses[address]
+}
+
+// DrainRelay ends the relaying of requests of other gateways: it accepts no new ones, and
+// returns when those that it relays have ended or ctx is done.
+func (n *Node) DrainRelay(ctx context.Context) {
+	if n.relay != nil {
+		n.relay.Drain(ctx)
+	}
+}
+
+// relayed returns the numbers of the connections that this node relays now and has
+// relayed so far.
+func (n *Node) relayed() (open, total float64) {
+	if n.relay == nil {
+		return 0, 0
+	}
+	return float64(n.relay.Open()), float64(n.relay.Total())
+}
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -25,6 +25,9 @@
 	Zone ident.Zone
 	// InternalPort is the port for traffic between nodes, the same on all of them.
 	InternalPort int
+	// RelayPort is the port at which gateways relay requests of other gateways, the
+	// same on all of them; 0 if they don't.
+	RelayPort int
 	// CallerAddress is host:port for callers; empty if the node is no gateway.
 	CallerAddress string
 	// DataDir is the data directory of a replica; empty if the node is no replica.
@@ -91,6 +94,8 @@
 	}
 	add(net.ParseIP(s.IP) == nil, "node address %q is not an IP address", s.IP)
 	add(s.InternalPort < 1 || s.InternalPort > 65535, "internal port %d is not between 1 and 65535", s.InternalPort)
+	add(s.RelayPort < 0 || s.RelayPort > 65535 || s.RelayPort == s.InternalPort,
+		"relay port %d is not between 0 and 65535 or is the internal port", s.RelayPort)
 	add(len(s.Seeds) == 0, "no seeds are given")
 	for _, seed := range s.Seeds {
 		add(net.ParseIP(string(seed)) == nil, "seed %q is not an IP address", seed)
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -255,15 +255,20 @@
 type upstreamTable struct {
 	byName map[ident.UpstreamName]control.Discovered
 	byPool map[ident.PoolName][]control.Discovered
+	// addresses holds the addresses of all upstreams.
+	addresses map[string]bool
 }
 
 func newUpstreamTable(found []control.Discovered) *upstreamTable {
 	t := &upstreamTable{
 		byName: make(map[ident.UpstreamName]control.Discovered, len(found)),
 		byPool: make(map[ident.PoolName][]control.Discovered),
+
+		addresses: make(map[string]bool, len(found)),
 	}
 	for _, d := range found {
 		t.byName[d.Name] = d
+		t.addresses[d.Upstream.Address] = true
 		t.byPool[d.Upstream.Pool] = append(t.byPool[d.Upstream.Pool], d)
 	}
 	return t
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -100,9 +100,12 @@
 	r := d.Request
 	sendCtx, cancel := context.WithDeadlineCause(context.WithoutCancel(ctx), r.Deadline, errDeadline)
 	defer cancel()
-	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, r, grant)}
-	sent := g.upstreams.Send(sendCtx, d, answer)
-	placer.Finish(r.ID, scheduler.Ending{Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent)})
+	sending := g.newSending(r, grant)
+	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, sending)}
+	sent := sending.send(sendCtx, placer, d, answer)
+	placer.Finish(r.ID, scheduler.Ending{
+		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(),
+	})
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, attemptUnsent)
 	}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -23,7 +23,10 @@
 	upstreams Upstreams
 	budget    *Budget
 	retries   RetryDetector
-	events    *timeline.Recorder
+	paths     *Paths
+	// relays is nil if requests are only sent directly.
+	relays Relays
+	events *timeline.Recorder
 	// settling counts the commits of releases and outcomes that are under way,
 	// also those of requests that were already answered.
 	settling atomic.Int64
@@ -31,7 +34,7 @@
 
 // New returns a gateway. Events may be nil.
 func New(env Environment, l Ledger, u Upstreams, b *Budget, events *timeline.Recorder) *Gateway {
-	return &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events}
+	return &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events, paths: NewPaths()}
 }
 
 // Settling returns the number of requests whose release or outcome is still being
@@ -239,13 +242,17 @@
 	defer cancel()
 	sendCtx, cancelSend := context.WithCancelCause(deadlineCtx)
 	defer cancelSend(nil)
-	relay.onNotice = g.noticeHandler(placer, r, grant)
+	sending := g.newSending(r, grant)
+	relay.onNotice = g.noticeHandler(placer, sending)
 	relay.setGrant(grant, startSilenceTimer(silenceTimeout(r, grant, relay.begun), cancelSend))
-	sent := g.upstreams.Send(sendCtx, d, relay)
+	sent := sending.send(sendCtx, placer, d, relay)
 	relay.silence.stop()
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sent, end))
-	placer.Finish(r.ID, scheduler.Ending{Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent)})
+	placer.Finish(r.ID, scheduler.Ending{
+		Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent),
+		PathSuspect: sending.isSuspect(),
+	})
 	if sent.Resumed > 0 {
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
 	}
@@ -263,10 +270,11 @@
 
 // noticeHandler returns a function that passes on what an answer to the request
 // says about its upstream, and records it if it is new to this gateway.
-func (g *Gateway) noticeHandler(placer Placer, r *Request, grant *scheduler.Grant) func(scheduler.UpstreamNotice) {
+func (g *Gateway) noticeHandler(placer Placer, s *sending) func(scheduler.UpstreamNotice) {
 	return func(n scheduler.UpstreamNotice) {
-		if placer.Notice(r.ID, n) {
-			g.record(r, timeline.KindUpstream, fmt.Sprintf("%s %s", grant.Upstream, n))
+		s.answered()
+		if placer.Notice(s.request.ID, n) {
+			g.record(s.request, timeline.KindUpstream, fmt.Sprintf("%s %s", s.grant.Upstream, n))
 		}
 	}
 }
--- /dev/null
+++ b/internal/coordination/gateway/paths.go
@@ -0,0 +1,450 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+const (
+	// failuresToRelay is the number of direct attempts at an upstream that must fail in a
+	// row, and upstreamsToRelay that of different upstreams at which one must, before
+	// requests are sent through another gateway at once.
+	failuresToRelay  = 2
+	upstreamsToRelay = 2
+	// peerAdvantage is how much later than a direct attempt that failed another gateway
+	// must have had an answer. When a stall of a service ends, some gateways have answers
+	// a little earlier than others.
+	peerAdvantage = 100 * time.Millisecond
+	// peerFreshness is how long ago another gateway may have had an answer from an
+	// upstream to be used as a relay to it.
+	peerFreshness = 2 * time.Second
+	// failureRetention is how long a direct attempt that failed counts.
+	failureRetention = 3 * time.Second
+	// minTrialInterval is the time between two requests that are sent directly to find
+	// out whether an upstream can be reached again. It doubles with each that fails, up
+	// to maxTrialInterval. Before each, a connection must have been made within
+	// probeValidity; attempts to make one come at probeInterval.
+	minTrialInterval = 500 * time.Millisecond
+	maxTrialInterval = 2 * time.Second
+	probeInterval    = 250 * time.Millisecond
+	probeValidity    = time.Second
+	// unsafeTrialWait is how long trials wait for requests that can be sent again.
+	unsafeTrialWait = 5 * time.Second
+	// minHang and hangFactor state when an attempt without an answer counts as failed:
+	// after minHang and a multiple of the time that is expected, or after unknownHang
+	// if none is.
+	minHang     = 300 * time.Millisecond
+	hangFactor  = 4
+	unknownHang = time.Second
+	minSilence  = 200 * time.Millisecond
+)
+
+// Paths decides whether requests go to upstreams directly or through another gateway.
+//
+// A gateway that can't reach an upstream can't tell by itself whether its path or the
+// upstream is at fault. A grant says when another gateway last had an answer from the
+// upstream: if that is later than the gateway's own failures, the path is.
+type Paths struct {
+	mu    sync.Mutex
+	pools map[ident.PoolName]*poolPaths
+	// answeredAt is when an upstream of any pool last answered directly.
+	answeredAt time.Time
+}
+
+// poolPaths is what a gateway knows of its paths to the upstreams of a pool.
+type poolPaths struct {
+	upstreams map[ident.UpstreamName]*path
+	// answeredAt is when an upstream last answered directly.
+	answeredAt time.Time
+	// cut is true while all upstreams of the pool are taken for unreachable, since
+	// cutAt.
+	cut   bool
+	cutAt time.Time
+	// trialAt is when the latest trial was sent, trying true until its end, and
+	// trialInterval the time until the next one.
+	trialAt       time.Time
+	trying        bool
+	trialInterval time.Duration
+	// probeAt is when the latest connection was tried, and probedAt when one was made.
+	probeAt, probedAt time.Time
+}
+
+// path is what is known of direct attempts at one upstream that failed in a row.
+type path struct {
+	failures int
+	// failedAt is when the latest of them was sent, and relayed true once requests are
+	// sent through another gateway.
+	failedAt time.Time
+	relayed  bool
+}
+
+// Route is how a request is sent to its upstream.
+type Route struct {
+	// Relay is the gateway to send it through; empty for a direct sending.
+	Relay ident.NodeID
+	// Trial is true for a direct sending that shows whether the upstream can be reached
+	// again.
+	Trial bool
+	// Probe is true if a connection to the upstream should be tried, see Probed.
+	Probe bool
+}
+
+// NewPaths returns a Paths without knowledge.
+func NewPaths() *Paths { return &Paths{pools: make(map[ident.PoolName]*poolPaths)} }
+
+func (p *Paths) pool(name ident.PoolName) *poolPaths {
+	known := p.pools[name]
+	if known == nil {
+		known = &poolPaths{upstreams: make(map[ident.UpstreamName]*path)}
+		p.pools[name] = known
+	}
+	return known
+}
+
+// Choose returns the route of a request under a grant. Repeatable is true for a request
+// that may be sent again if its sending fails. News, if not empty, says what the gateway
+// believes from now on.
+func (p *Paths) Choose(pool ident.PoolName, grant *scheduler.Grant, repeatable bool, now time.Time) (r Route, news string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.pools) == 0 {
+		return r, ""
+	}
+	known := p.pool(pool)
+	known.dropOld(now)
+	if grant.Peer == "" || grant.PeerAge > peerFreshness {
+		return r, ""
+	}
+	answered := now.Add(-grant.PeerAge)
+	if !known.cut && (known.failedSince(known.answeredAt, answered) >= upstreamsToRelay || p.failedAnywhere(answered) >= upstreamsToRelay) {
+		known.cut, known.cutAt = true, now
+		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
+	}
+	u := known.upstreams[grant.Upstream]
+	if u != nil && !u.relayed && u.failures >= failuresToRelay && answered.Sub(u.failedAt) > peerAdvantage {
+		u.relayed = true
+		if !known.cut {
+			news = fmt.Sprintf("%s can't be reached from here, %s reaches it: requests go through other gateways", grant.Upstream, grant.Peer)
+		}
+	}
+	if !known.cut && (u == nil || !u.relayed) {
+		return r, news
+	}
+	if known.takeTrial(repeatable, now) {
+		return Route{Trial: true}, news
+	}
+	r = Route{Relay: grant.Peer, Probe: now.Sub(known.probeAt) >= probeInterval}
+	if r.Probe {
+		known.probeAt = now
+	}
+	return r, news
+}
+
+// Probed records that a connection to an upstream of the pool was made.
+func (p *Paths) Probed(pool ident.PoolName, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool(pool).probedAt = now
+}
+
+// takeTrial reports whether a request is sent directly as a trial.
+func (k *poolPaths) takeTrial(repeatable bool, now time.Time) bool {
+	since := k.trialAt
+	if k.cutAt.After(since) {
+		since = k.cutAt
+	}
+	switch {
+	case now.Sub(k.probedAt) > probeValidity || k.trying && now.Sub(k.trialAt) < unsafeTrialWait:
+		return false
+	case now.Sub(since) < max(minTrialInterval, k.trialInterval), !repeatable && now.Sub(since) < unsafeTrialWait:
+		return false
+	}
+	k.trialAt, k.trying = now, true
+	k.trialInterval = min(maxTrialInterval, max(minTrialInterval, 2*k.trialInterval))
+	return true
+}
+
+// failedSince returns the number of upstreams at which direct attempts failed that were
+// sent after a direct answer, and before another gateway had one.
+func (k *poolPaths) failedSince(direct, peer time.Time) int {
+	n := 0
+	for _, u := range k.upstreams {
+		if u.failures > 0 && u.failedAt.After(direct) && peer.Sub(u.failedAt) > peerAdvantage {
+			n++
+		}
+	}
+	return n
+}
+
+// failedAnywhere is failedSince for the upstreams of all pools.
+func (p *Paths) failedAnywhere(peer time.Time) int {
+	n := 0
+	for _, known := range p.pools {
+		n += known.failedSince(p.answeredAt, peer)
+	}
+	return n
+}
+
+// dropOld forgets failures that are old, unless requests are relayed because of them.
+func (k *poolPaths) dropOld(now time.Time) {
+	for name, u := range k.upstreams {
+		if !k.cut && !u.relayed && now.Sub(u.failedAt) > failureRetention {
+			delete(k.upstreams, name)
+		}
+	}
+}
+
+// Failed records a direct attempt that was sent at the given time and did not reach its
+// upstream, or had no answer.
+func (p *Paths) Failed(pool ident.PoolName, upstream ident.UpstreamName, sent time.Time, trial bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pool(pool)
+	u := known.upstreams[upstream]
+	if u == nil {
+		u = &path{}
+		known.upstreams[upstream] = u
+	}
+	u.failures++
+	u.failedAt = sent
+	known.trying = known.trying && !trial
+}
+
+// Answered records that an upstream answered a request that was sent directly. News, if
+// not empty, says what the gateway believes from now on.
+func (p *Paths) Answered(pool ident.PoolName, upstream ident.UpstreamName, trial bool, now time.Time) (news string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pools[pool]
+	if known == nil {
+		p.answeredAt = now
+		return ""
+	}
+	u := known.upstreams[upstream]
+	if (known.cut || u != nil && u.relayed) && !trial {
+		// Connections from before may live on while new ones fail.
+		return ""
+	}
+	known.answeredAt, p.answeredAt = now, now
+	delete(known.upstreams, upstream)
+	known.trying = known.trying && !trial
+	if trial {
+		known.trialInterval = 0
+	}
+	switch {
+	case known.cut:
+		known.cut = false
+		for _, other := range known.upstreams {
+			other.relayed, other.failures = false, 0
+		}
+		return fmt.Sprintf("%s answered directly: requests to the pool go directly again", upstream)
+	case u != nil && u.relayed:
+		return fmt.Sprintf("%s answered directly: requests go there directly again", upstream)
+	}
+	return ""
+}
+
+// EndTrial ends a trial that shows nothing.
+func (p *Paths) EndTrial(pool ident.PoolName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.pools[pool]; known != nil {
+		known.trying = false
+	}
+}
+
+// IsSuspect reports whether failures at an upstream may be those of the gateway's path.
+func (p *Paths) IsSuspect(pool ident.PoolName, upstream ident.UpstreamName) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pools[pool]
+	if known == nil {
+		return false
+	}
+	u := known.upstreams[upstream]
+	return known.cut || u != nil && u.relayed
+}
+
+// Cut returns the number of pools and single upstreams that are relayed to.
+func (p *Paths) Cut() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, known := range p.pools {
+		if known.cut {
+			n++
+			continue
+		}
+		for _, u := range known.upstreams {
+			if u.relayed {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// sending is one sending of a request under a grant.
+type sending struct {
+	gateway *Gateway
+	request *Request
+	grant   *scheduler.Grant
+	route   Route
+	sentAt  time.Time
+	hang    *time.Timer
+	failed  sync.Once
+}
+
+// newSending chooses the route of a request under a grant.
+func (g *Gateway) newSending(r *Request, grant *scheduler.Grant) *sending {
+	s := &sending{gateway: g, request: r, grant: grant, sentAt: time.Now()}
+	var news string
+	s.route, news = g.paths.Choose(r.Pool, grant, r.Repeatable || r.Resumable, s.sentAt)
+	g.recordPath(r, news)
+	return s
+}
+
+func (g *Gateway) recordPath(r *Request, news string) {
+	if news != "" {
+		g.record(r, timeline.KindPath, news)
+	}
+}
+
+// send sends the request. If it provably reached nothing directly, it is sent through
+// another gateway that reaches the upstream.
+func (s *sending) send(ctx context.Context, placer Placer, d Dispatch, sink AnswerSink) DispatchResult {
+	g := s.gateway
+	if s.route.Relay != "" {
+		if s.route.Probe {
+			go s.probe(d.Target)
+		}
+		return s.relay(ctx, placer, d, s.route.Relay, sink)
+	}
+	d.Fresh = s.route.Trial
+	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
+	defer s.hang.Stop()
+	sent := g.upstreams.Send(ctx, d, sink)
+	switch {
+	case ctx.Err() != nil:
+		if errors.Is(context.Cause(ctx), errSilent) {
+			s.failSilent(d.Target)
+		}
+	case sent.Outcome == DispatchUnsent:
+		s.fail()
+		age := s.grant.PeerAge + time.Since(s.sentAt)
+		if s.grant.Peer != "" && age < peerFreshness/2 && g.relayAddress(s.grant.Peer) != "" {
+			return s.relay(ctx, placer, d, s.grant.Peer, sink)
+		}
+	case sent.Outcome == DispatchIncomplete && sent.Broken:
+		s.fail()
+	}
+	if s.route.Trial {
+		g.paths.EndTrial(s.request.Pool)
+	}
+	return sent
+}
+
+// relay sends the request through another gateway.
+func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
+	d.Relay, d.Fresh = s.gateway.relayAddress(peer), true
+	if d.Relay != "" {
+		s.route.Relay = peer
+		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
+		placer.Relayed(s.request.ID, peer)
+	}
+	return s.gateway.upstreams.Send(ctx, d, sink)
+}
+
+// answered records that the header of the answer has arrived.
+func (s *sending) answered() {
+	if s.route.Relay != "" {
+		return
+	}
+	s.hang.Stop()
+	news := s.gateway.paths.Answered(s.request.Pool, s.grant.Upstream, s.route.Trial, time.Now())
+	s.gateway.recordPath(s.request, news)
+}
+
+// fail records that the direct sending failed or has no answer.
+func (s *sending) fail() {
+	s.failed.Do(func() { s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial) })
+}
+
+// failSilent records an attempt that was given up for silence. After less than
+// minSilence the upstream may only be slow, so that a connection decides.
+func (s *sending) failSilent(t Target) {
+	if time.Since(s.sentAt) >= minSilence {
+		s.fail()
+		return
+	}
+	go func() {
+		if !s.connects(t) {
+			s.fail()
+		}
+	}()
+}
+
+// isSuspect reports whether a failure of the sending may be that of the gateway's path.
+func (s *sending) isSuspect() bool {
+	return s.route.Relay == "" && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
+}
+
+// probe tries to connect to an upstream directly.
+func (s *sending) probe(t Target) {
+	if s.connects(t) {
+		s.gateway.paths.Probed(s.request.Pool, time.Now())
+	}
+}
+
+// connects reports whether a connection to an upstream can be made directly.
+func (s *sending) connects(t Target) bool {
+	prober, ok := s.gateway.upstreams.(Prober)
+	if !ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
+	defer cancel()
+	return prober.Probe(ctx, t) == nil
+}
+
+// Relays knows the addresses at which other gateways accept requests to relay.
+type Relays interface {
+	// RelayAddress returns the host:port of a gateway; empty if it can't be used.
+	RelayAddress(peer ident.NodeID) string
+}
+
+// Prober is implemented by Upstreams that can test whether an upstream can be reached.
+type Prober interface {
+	// Probe connects to an upstream and closes the connection.
+	Probe(ctx context.Context, t Target) error
+}
+
+// SetRelays makes the gateway send requests through other gateways when it can't reach
+// upstreams that they reach. It must be called before the gateway serves.
+func (g *Gateway) SetRelays(r Relays) { g.relays = r }
+
+// CutPaths returns the number of pools and single upstreams that the gateway sends
+// requests to through other gateways.
+func (g *Gateway) CutPaths() int { return g.paths.Cut() }
+
+func (g *Gateway) relayAddress(peer ident.NodeID) string {
+	if g.relays == nil {
+		return ""
+	}
+	return g.relays.RelayAddress(peer)
+}
+
+// hangTimeout returns after which time an attempt without an answer counts as failed.
+func hangTimeout(grant *scheduler.Grant) time.Duration {
+	if grant.First == 0 {
+		return unknownHang
+	}
+	return max(minHang, hangFactor*grant.First)
+}
--- /dev/null
+++ b/internal/coordination/gateway/paths_test.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+var pathsStart = time.Unix(100, 0)
+
+func pathGrant(upstream string, peerAge time.Duration) *scheduler.Grant {
+	return &scheduler.Grant{Upstream: ident.UpstreamName(upstream), Peer: "peer", PeerAge: peerAge}
+}
+
+// TestPaths_CutOffFromAll checks that failures at two upstreams which another gateway
+// reaches make requests to all go through it, that single trials follow a connection, and
+// that one answered trial ends it.
+func TestPaths_CutOffFromAll(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("b", "v1", now, false)
+	now = now.Add(200 * time.Millisecond)
+	r, news := p.Choose("a", pathGrant("u3", 10*time.Millisecond), true, now)
+	must.Eq(t, Route{Relay: "peer", Probe: true}, r)
+	must.StrContains(t, news, "go through other gateways")
+	must.True(t, p.IsSuspect("a", "u7"))
+	must.Eq(t, 1, p.Cut())
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		r, _ = p.Choose("a", pathGrant("u3", 10*time.Millisecond), true, now)
+		must.Eq(t, "peer", r.Relay)
+	}
+	trials := 0
+	for range 100 {
+		now = now.Add(20 * time.Millisecond)
+		p.Probed("a", now)
+		if r, _ = p.Choose("a", pathGrant("u3", 10*time.Millisecond), true, now); r.Trial {
+			trials++
+			p.Failed("a", "u3", now, true)
+		}
+	}
+	must.Between(t, 1, trials, 3)
+	// A connection from before the cut may live on.
+	must.Eq(t, "", p.Answered("a", "u1", false, now))
+	must.StrContains(t, p.Answered("a", "u3", true, now), "directly again")
+	r, _ = p.Choose("a", pathGrant("u1", 10*time.Millisecond), true, now)
+	must.Eq(t, Route{}, r)
+	must.Zero(t, p.Cut())
+}
+
+// TestPaths_NotTheGatewaysPath checks that requests go on directly where the upstreams,
+// the load or a moment of silence is at fault.
+func TestPaths_NotTheGatewaysPath(t *testing.T) {
+	direct := func(name string, grant *scheduler.Grant, p *Paths, now time.Time) {
+		t.Helper()
+		r, news := p.Choose("a", grant, true, now)
+		must.Eq(t, Route{}, r, must.Sprint(name))
+		must.Eq(t, "", news, must.Sprint(name))
+	}
+	now := pathsStart
+	p := NewPaths()
+	for i := range 8 {
+		p.Failed("a", ident.UpstreamName(fmt.Sprintf("u%d", i)), now, false)
+	}
+	now = now.Add(time.Second)
+	direct("all upstreams are dead", pathGrant("u1", 1100*time.Millisecond), p, now)
+	direct("no other gateway reaches one", &scheduler.Grant{Upstream: "u1"}, p, now)
+	direct("others had answers at the same moment", pathGrant("u1", 950*time.Millisecond), p, now)
+	p = NewPaths()
+	for range 5 {
+		p.Failed("a", "u1", now, false)
+	}
+	direct("one upstream was silent for a second", pathGrant("u2", 0), p, now.Add(time.Second))
+	p.Answered("a", "u1", false, now.Add(time.Second))
+	direct("and answers again", pathGrant("u1", 0), p, now.Add(time.Second))
+	p.Failed("a", "u1", now, false)
+	p.Answered("a", "u2", false, now.Add(10*time.Millisecond))
+	p.Failed("a", "u3", now.Add(20*time.Millisecond), false)
+	direct("upstreams answer in between", pathGrant("u4", 0), p, now.Add(time.Second))
+	direct("old failures", pathGrant("u3", 0), p, now.Add(time.Minute))
+}
+
+// TestPaths_OneUpstreamCutOff checks that a gateway which can't reach a single upstream
+// relays only the requests to that one.
+func TestPaths_OneUpstreamCutOff(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Answered("a", "u2", false, now)
+	p.Failed("a", "u1", now, false)
+	now = now.Add(time.Second)
+	r, _ := p.Choose("a", pathGrant("u1", 0), false, now)
+	must.Eq(t, ident.NodeID("peer"), r.Relay)
+	r, _ = p.Choose("a", pathGrant("u2", 0), false, now)
+	must.Eq(t, Route{}, r)
+	must.Eq(t, 1, p.Cut())
+}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -182,6 +182,10 @@
 	Target  Target
 	// Version is the version that the grant names.
 	Version ident.VersionName
+	// Relay is the host:port of the gateway to send the request through; empty for a
+	// direct sending. Fresh demands a new connection.
+	Relay string
+	Fresh bool
 }
 
 // DispatchOutcome is the outcome of a dispatch.
@@ -271,6 +275,8 @@
 	Place(ctx context.Context, t scheduler.Ticket, deadline time.Time) (scheduler.Decision, error)
 	// Begin reports whether a granted request may be sent now.
 	Begin(id ident.RequestID) bool
+	// Relayed records that a granted request is sent through another gateway.
+	Relayed(id ident.RequestID, peer ident.NodeID)
 	// Notice reports what the header of the answer says about the upstream, and
 	// returns whether this gateway learns something new from it.
 	Notice(id ident.RequestID, n scheduler.UpstreamNotice) (news bool)
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -25,6 +25,7 @@
 func (e *unresponsiveEnv) Identity() (ident.NodeID, ident.Incarnation)           { return "n", 1 }
 func (e *unresponsiveEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
 func (e *unresponsiveEnv) Begin(ident.RequestID) bool                            { return true }
+func (e *unresponsiveEnv) Relayed(ident.RequestID, ident.NodeID)                 {}
 func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                       {}
 func (e *unresponsiveEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
 func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.Ending)              {}
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -80,6 +80,8 @@
 	expires time.Time
 	// since is the time of the dispatch, or of the grant before the dispatch.
 	since time.Time
+	// via is the gateway through which it is sent; empty if it is sent directly.
+	via ident.NodeID
 }
 
 // NewClient returns a client without a scheduler. Run must be called. Its
@@ -215,6 +217,15 @@
 	return true
 }
 
+// Relayed records that a granted request is sent through another gateway.
+func (c *Client) Relayed(id ident.RequestID, peer ident.NodeID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.running[id]; r != nil {
+		r.via = peer
+	}
+}
+
 // FirstToken reports that the answer began.
 func (c *Client) FirstToken(id ident.RequestID, cachedTokens int) {
 	c.mu.Lock()
@@ -229,6 +240,7 @@
 		Upstream:     r.grant.Upstream,
 		Elapsed:      time.Since(r.since),
 		CachedTokens: cachedTokens,
+		Via:          r.via,
 	})
 }
 
@@ -249,6 +261,8 @@
 		Elapsed:      time.Since(r.since),
 		OutputTokens: end.OutputTokens,
 		Broken:       end.Broken,
+		Via:          r.via,
+		PathSuspect:  end.PathSuspect,
 	})
 }
 
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 // orphan is a slot whose request has an unknown outcome and may still run.
@@ -47,6 +49,9 @@
 	// fraction is the fraction of the upstream's slots that this scheduler may
 	// use.
 	fraction float64
+	// contacts are the two gateways that were the last to have an answer from the
+	// upstream, the latest first.
+	contacts [2]contact
 	// lastResponseAt is when the upstream last showed a sign of life.
 	lastResponseAt time.Duration
 	// countedEjected reports whether the engine is in the pool's list of ejected
@@ -54,6 +59,28 @@
 	countedEjected bool
 }
 
+// contact is an answer that a gateway had from an upstream.
+type contact struct {
+	gateway ident.NodeID
+	at      time.Duration
+}
+
+// recordContact records that a gateway had an answer.
+func (e *engine) recordContact(gateway ident.NodeID, now time.Duration) {
+	if e.contacts[0].gateway != gateway {
+		e.contacts[1] = e.contacts[0]
+	}
+	e.contacts[0] = contact{gateway: gateway, at: now}
+}
+
+// peerOf returns the latest answer that another gateway had.
+func (e *engine) peerOf(gateway ident.NodeID) contact {
+	if e.contacts[0].gateway == gateway {
+		return e.contacts[1]
+	}
+	return e.contacts[0]
+}
+
 func newEngine(u Upstream, pool *speed, h holders, t *tuning) *engine {
 	g := &engine{fraction: 1, upstream: u, listed: true, running: make(map[*entry]struct{}), speed: newSpeed(pool), limiter: newLimiter(), health: newHealth(t)}
 	g.cache = newCacheIndex(g, h)
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -100,10 +100,12 @@
 // recordFailure counts a request that its upstream failed or did not receive, and
 // ejects the upstream after too many failures. A shared scheduler keeps half of a
 // version in rotation: if a fault hits most upstreams, spreading the requests
-// over all of them does less harm than loading the few that remain.
-func (p *Pool) recordFailure(e *entry, now time.Duration) {
+// over all of them does less harm than loading the few that remain. A failure that the
+// gateway's own path may have caused is no evidence against the upstream.
+func (p *Pool) recordFailure(e *entry, r Report, now time.Duration) {
 	g := e.engine
 	switch {
+	case r.PathSuspect:
 	case !g.health.recordFailure(e, now):
 	case p.view.Shared != nil:
 		p.ejectUnlessHalfOut(g, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -310,6 +310,7 @@
 // gateway counts the TTL from when it sent the call that the grant answers. That
 // was before now, so the gateway stops using the grant in time.
 func (p *Pool) emitGrant(e *entry, now time.Duration) {
+	peer := e.engine.peerOf(e.ticket.Gateway)
 	p.emit(e, Decision{Grant: &Grant{
 		Ticket:   e.ticket.ID,
 		Epoch:    p.epoch,
@@ -318,6 +319,8 @@
 		First:    e.expectedFirstToken,
 		Limited:  e.engine.rate != nil,
 		Trial:    p.isTrial(e),
+		Peer:     peer.gateway,
+		PeerAge:  now - peer.at,
 		TTL:      e.grantExpires - now,
 	}})
 }
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Report implements Scheduler.
 func (p *Pool) Report(r Report, now time.Duration) {
@@ -26,6 +29,10 @@
 		p.observeAnswer(e, r, now)
 	}
 	switch r.Kind {
+	case ReportFirstToken, ReportEnded, ReportFailed, ReportRejected:
+		e.engine.recordContact(cmp.Or(r.Via, r.Gateway), now)
+	}
+	switch r.Kind {
 	case ReportDispatched:
 		p.recordStart(e, r, now)
 	case ReportFirstToken:
@@ -38,17 +45,17 @@
 		p.release(e, now)
 		p.end(e, now)
 	case ReportFailed:
-		p.recordFailure(e, now)
+		p.recordFailure(e, r, now)
 		p.release(e, now)
 		p.end(e, now)
 	case ReportUnsent:
 		e.engine.refundToken()
-		p.recordFailure(e, now)
-		p.ejectUnreachable(e, now)
+		p.recordFailure(e, r, now)
+		p.ejectUnreachable(e, r, now)
 		p.recordUnreachable(r.Upstream, now)
 		p.requeue(e, now, p.view.Shared == nil)
 	case ReportRetryable:
-		p.recordFailure(e, now)
+		p.recordFailure(e, r, now)
 		p.requeue(e, now, true)
 	case ReportRejected:
 		p.requeue(e, now, true)
@@ -58,7 +65,7 @@
 	case ReportDropped:
 		p.recordDropped(e, now)
 	case ReportUnknown:
-		p.recordFailure(e, now)
+		p.recordFailure(e, r, now)
 		p.orphan(e, now)
 	case ReportOverdue:
 		p.recordOverdue(e, r, now)
@@ -75,7 +82,7 @@
 	if e.ticket.PromptTokens == 0 {
 		g.limiter.observeOverdue(r.Elapsed, e.startedAt, now)
 	}
-	if g.health.recordFailure(e, now) {
+	if !r.PathSuspect && g.health.recordFailure(e, now) {
 		p.ejectUnlessHalfOut(g, now)
 	}
 }
@@ -163,8 +170,8 @@
 
 // ejectUnreachable ejects an upstream that accepts no connections. Only a shared
 // scheduler does so, since its probes follow soon.
-func (p *Pool) ejectUnreachable(e *entry, now time.Duration) {
-	if p.view.Shared != nil {
+func (p *Pool) ejectUnreachable(e *entry, r Report, now time.Duration) {
+	if p.view.Shared != nil && !r.PathSuspect {
 		p.ejectUnlessHalfOut(e.engine, now)
 	}
 }
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -72,6 +72,10 @@
 	// Trial is true for a request that is refused, or holds a refused part, and runs to
 	// show whether that is sound again.
 	Trial bool
+	// Peer is another gateway that had an answer from the upstream PeerAge ago; empty if
+	// there is none.
+	Peer    ident.NodeID
+	PeerAge time.Duration
 	// TTL is how long the gateway may use the grant, counted from when it sent
 	// the call that the grant answers. After that it drops the grant.
 	TTL time.Duration
@@ -196,6 +200,11 @@
 	CachedTokens int
 	// Broken states how far the answer had come if its upstream broke it off.
 	Broken Broken
+	// Via is the gateway through which the request was sent; empty if it was sent
+	// directly. PathSuspect is true for a failure that the gateway's own path to the
+	// upstream may have caused.
+	Via         ident.NodeID
+	PathSuspect bool
 	// Notice is what the answer says about its upstream; nil except with
 	// ReportNotice.
 	Notice *UpstreamNotice
@@ -207,6 +216,8 @@
 	Kind         ReportKind
 	OutputTokens int
 	Broken       Broken
+	// PathSuspect is as in Report.
+	PathSuspect bool
 }
 
 // Running is a dispatched request that a gateway lists when it registers.
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -84,6 +84,8 @@
 	KindDrain         Kind = "drain"
 	KindUpstream      Kind = "upstream"
 	KindPoison        Kind = "poison_part"
+	KindPath          Kind = "path"
+	KindRelayed       Kind = "request_relayed"
 	KindOrder         Kind = "order"
 	KindConnection    Kind = "connection"
 	KindProcess       Kind = "process"
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -83,6 +83,8 @@
 	Matches func(h http.Header) bool
 	// Fresh forces a new connection.
 	Fresh bool
+	// Dial, if set, makes the connection, which is not kept for other calls.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client sends requests over pooled connections. It is safe for concurrent use.
@@ -173,6 +175,13 @@
 
 // getConn returns a reusable idle connection or dials a new one.
 func (c *Client) getConn(ctx context.Context, call Call) (*persistConn, error) {
+	if call.Dial != nil {
+		raw, err := call.Dial(ctx, call.Address)
+		if err != nil {
+			return nil, err
+		}
+		return newPersistConn(raw, ""), nil
+	}
 	if !call.Fresh {
 		for pc := c.takeIdle(call.Address); pc != nil; pc = c.takeIdle(call.Address) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
@@ -197,6 +206,24 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*persistConn, error) {
+	raw, err := c.Connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.dialed.Add(1)
+	return newPersistConn(raw, address), nil
+}
+
+// newPersistConn returns a connection that is kept for other calls to the address;
+// empty if it is not.
+func newPersistConn(raw net.Conn, address string) *persistConn {
+	head := &headLimiter{Reader: raw}
+	return &persistConn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+}
+
+// Connect makes a connection with the client's timeouts, which does not belong to the
+// pool.
+func (c *Client) Connect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: c.dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -204,13 +231,7 @@
 		},
 		Control: setUserTimeout,
 	}
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return nil, err
-	}
-	c.dialed.Add(1)
-	head := &headLimiter{Reader: raw}
-	return &persistConn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -338,7 +359,7 @@
 func (c *Client) putIdle(pc *persistConn, timeout time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idleConns[pc.address]) >= maxIdlePerServer || timeout <= 0 {
+	if c.closed || pc.address == "" || len(c.idleConns[pc.address]) >= maxIdlePerServer || timeout <= 0 {
 		return false
 	}
 	pc.expires = time.Now().Add(timeout)
