Broken connections to living upstreams don't count against requests

Cause: an end was taken for one 100 ms after connections had broken, before an answer could show that the upstream lives; ends that an answer had cleared, or shown to be none, came back with the next scheduler, from the leader and the gateways; and a new scheduler did not know which requests are answered often. Change: an end counts after a second without an answer from its upstream, or once that is no longer listed; a request that would be refused waits until then. Schedulers report ends that stood, instead of gateways all that broke. Gateways drop what they saw answered and tell the leader, and say with each end when they last had an answer to the request. Ruled out: prompt parts in the fingerprint: a deadly request is the same by path, caller and body.

--- a/internal/command/fleet/poison.go
+++ b/internal/command/fleet/poison.go
@@ -13,17 +13,16 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
-// endReportTime is how long a node reports an end of an upstream that the leader does
-// not have.
-const endReportTime = 5 * time.Second
-
 // known returns what this node knows and the leader may not.
 func (n *Node) known() control.Known {
 	known := control.Known{HotTeams: n.quotas.Hot(time.Now()), Poison: n.poisonRecords()}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.clients {
-		known.Ends = append(known.Ends, c.RequestEnds(endReportTime)...)
+		known.Cleared = append(known.Cleared, c.Cleared()...)
+	}
+	for _, m := range n.masters {
+		known.Ends = append(known.Ends, m.RequestEnds()...)
 	}
 	return known
 }
@@ -49,6 +48,21 @@
 	}
 }
 
+// setEnded tells the clients of the schedulers under which requests upstreams have ended.
+func (n *Node) setEnded(ends []poison.End) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for pool, c := range n.clients {
+		ended := make(map[uint64]bool)
+		for _, e := range ends {
+			if e.Pool == pool {
+				ended[e.Fingerprint] = true
+			}
+		}
+		c.SetEnded(ended)
+	}
+}
+
 // refused returns the number of prompt parts or requests that are refused.
 func (n *Node) refused(kind poison.Kind) int {
 	refused := 0
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -44,6 +44,9 @@
 	HotTeams []ident.TeamName
 	Poison   []poison.Record
 	Ends     []poison.End
+	// Cleared holds requests under which upstreams had ended and that were answered
+	// since.
+	Cleared []uint64
 }
 
 // Args returns the arguments of the given node's next sync. Of what the node knows, only
@@ -53,7 +56,7 @@
 	defer f.mu.Unlock()
 	args := &SyncArgs{
 		Member: m, HaveRevision: f.revision, HaveSpread: f.state.Version, HotTeams: known.HotTeams,
-		Poison: newerRecords(f.state.Poison, known.Poison), Ends: f.newerEnds(known.Ends), Hold: hold,
+		Poison: newerRecords(f.state.Poison, known.Poison), Ends: f.newerEnds(known.Ends), Cleared: known.Cleared, Hold: hold,
 	}
 	if f.needFullConfig {
 		args.HaveRevision = 0
@@ -69,7 +72,7 @@
 func (f *FleetFollower) HasPoisonNews(known Known) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(newerRecords(f.state.Poison, known.Poison)) > 0 || len(f.newerEnds(known.Ends)) > 0
+	return len(newerRecords(f.state.Poison, known.Poison)) > 0 || len(f.newerEnds(known.Ends)) > 0 || len(known.Cleared) > 0
 }
 
 func newerRecords(known, records []poison.Record) []poison.Record {
--- a/internal/coordination/control/fleet_poison.go
+++ b/internal/coordination/control/fleet_poison.go
@@ -29,9 +29,10 @@
 }
 
 // reportEnds records ends of upstreams under requests that a node saw, so that
-// schedulers which don't know of each other count them together.
-func (f *fleet) reportEnds(ends []poison.End, now time.Time) {
-	if len(ends) == 0 {
+// schedulers which don't know of each other count them together. The ends under requests
+// that were answered since are dropped.
+func (f *fleet) reportEnds(ends []poison.End, cleared []uint64, now time.Time) {
+	if len(ends)+len(cleared) == 0 {
 		return
 	}
 	f.mu.Lock()
@@ -40,6 +41,12 @@
 		return
 	}
 	changed := false
+	for key, e := range f.ends.entries {
+		if slices.Contains(cleared, e.value.Fingerprint) {
+			changed = f.ends.remove(key, f.nextSequence()) || changed
+			delete(f.endReportedAt, key)
+		}
+	}
 	for _, e := range ends {
 		changed = f.ends.put(e.Key(), e, f.nextSequence()) || changed
 		f.endReportedAt[e.Key()] = now
--- a/internal/coordination/control/fleet_sync.go
+++ b/internal/coordination/control/fleet_sync.go
@@ -27,7 +27,7 @@
 	}
 	s.fleet.reportHot(args.HotTeams, time.Now())
 	s.fleet.reportPoison(args.Poison, time.Now())
-	s.fleet.reportEnds(args.Ends, time.Now())
+	s.fleet.reportEnds(args.Ends, args.Cleared, time.Now())
 	timer := time.NewTimer(min(args.Hold, s.fleet.syncHold()))
 	defer timer.Stop()
 	for !s.lacks(args) {
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -60,6 +60,9 @@
 	Poison []poison.Record
 	// Ends holds the ends of upstreams under requests that the leader does not know.
 	Ends []poison.End
+	// Cleared holds requests under which upstreams had ended and that were answered
+	// since.
+	Cleared []uint64
 	// Hold is how long the call may wait for a change, limited to MaxSyncHold.
 	Hold time.Duration
 }
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -99,6 +99,7 @@
 		waiting:     make(map[ident.RequestID]*waiter),
 		running:     make(map[ident.RequestID]*runningRequest),
 		notices:     make(map[ident.UpstreamName]upstreamNotices),
+		poison:      poisonRecord{start: time.Now(), cleared: make(map[uint64]bool)},
 	}
 }
 
@@ -262,7 +263,9 @@
 		OutputTokens: end.OutputTokens,
 		Broken:       end.Broken,
 		Via:          r.via,
-		PathSuspect:  end.PathSuspect,
+
+		AnsweredBefore: c.poison.answeredBefore(r.ticket.Fingerprint, time.Now()),
+		PathSuspect:    end.PathSuspect,
 	})
 }
 
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -6,6 +6,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
 
 // TickInterval is the interval between a scheduler's ticks while tickets wait.
@@ -144,6 +145,14 @@
 	return m.sched.Stats()
 }
 
+// RequestEnds returns the latest ends of upstreams under requests that the scheduler's
+// gateways saw.
+func (m *Master) RequestEnds() []poison.End {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sched.RequestEnds(time.Since(m.origin))
+}
+
 // LastHeardFromOthers returns the time of the latest message from a gateway other than
 // self, or the scheduler's start time if there is none. Every gateway polls
 // continuously, so an old time means that no other gateway reaches this
--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,13 @@
 	// broken holds the requests of this gateway whose upstreams broke off their
 	// answers, oldest first. Their ages count from at.
 	broken []brokenRequest
+	// answered holds the requests of this gateway that were answered lately, as times
+	// since start. ended holds the requests under which upstreams have ended, as the
+	// leader knows them, and cleared those of them that were answered since.
+	answered scheduler.AnsweredTable
+	start    time.Time
+	ended    map[uint64]bool
+	cleared  map[uint64]bool
 }
 
 type brokenRequest struct {
@@ -30,14 +38,46 @@
 	at time.Time
 }
 
+// recordAnswer records a complete answer: what ended before it is no evidence against
+// the request.
+func (p *poisonRecord) recordAnswer(fingerprint uint64, now time.Time) {
+	if fingerprint == 0 {
+		return
+	}
+	p.answered.Add(fingerprint, now.Sub(p.start))
+	if p.ended[fingerprint] {
+		p.cleared[fingerprint] = true
+	}
+	for i := range p.broken {
+		if p.broken[i].Fingerprint == fingerprint {
+			p.broken[i].Fingerprint = 0
+		}
+	}
+}
+
+// answeredBefore returns how long ago the request was last answered; 0 if that is
+// unknown.
+func (p *poisonRecord) answeredBefore(fingerprint uint64, now time.Time) time.Duration {
+	at, known := p.answered.Last(fingerprint)
+	if !known {
+		return 0
+	}
+	return max(1, now.Sub(p.start)-at)
+}
+
 // recordEnd keeps a request whose upstream broke off its answer.
 func (p *poisonRecord) recordEnd(r *runningRequest, end scheduler.Ending, now time.Time) {
+	if end.Kind == scheduler.ReportEnded || end.Kind == scheduler.ReportFailed {
+		p.recordAnswer(r.ticket.Fingerprint, now)
+		return
+	}
 	if end.Broken != scheduler.BrokenUnbegun && end.Broken != scheduler.BrokenBegun {
 		return
 	}
 	notice := scheduler.EndNotice{
 		Ticket: r.ticket.ID, Upstream: r.grant.Upstream, Fingerprint: r.ticket.Fingerprint,
 		Route: r.ticket.Route, Team: r.ticket.Team, Broken: end.Broken,
+		AnsweredBefore: p.answeredBefore(r.ticket.Fingerprint, now),
 	}
 	if end.OutputTokens < 2 {
 		notice.Parts = r.ticket.Parts
@@ -69,20 +109,20 @@
 	return request || part
 }
 
-// RequestEnds returns the requests of this gateway that ran at upstreams when these
-// ended, as far as they are younger than maxAge.
-func (c *Client) RequestEnds(maxAge time.Duration) []poison.End {
+// SetEnded sets the requests under which upstreams have ended, as the leader knows them.
+func (c *Client) SetEnded(ended map[uint64]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var ends []poison.End
-	for _, b := range c.poison.broken {
-		if b.Fingerprint != 0 && time.Since(b.at) < maxAge {
-			ends = append(ends, poison.End{
-				Pool: c.pool, Request: b.Ticket, Upstream: b.Upstream, Fingerprint: b.Fingerprint, Route: b.Route, Team: b.Team,
-			})
-		}
-	}
-	return ends
+	c.poison.ended = ended
+	maps.DeleteFunc(c.poison.cleared, func(fingerprint uint64, _ bool) bool { return !ended[fingerprint] })
+}
+
+// Cleared returns those of the requests set by SetEnded that were answered at this
+// gateway since.
+func (c *Client) Cleared() []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.poison.cleared))
 }
 
 // LearnPoison merges records that a scheduler, the leader or an operator knows, and
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -40,8 +40,10 @@
 	// explains may come late.
 	explainedRetention = time.Minute
 	// maxRetraction is how soon after its end an answer shows that an upstream did not
-	// end. Later, it may be back under its name.
-	maxRetraction = time.Second
+	// end. Later, it may be back under its name, until maxListLag after the end: by then
+	// the list gives another start another name, where names differ between starts.
+	maxRetraction = 2 * time.Second
+	maxListLag    = 6 * time.Second
 )
 
 // Broken states how far an answer had come when its upstream broke it off.
@@ -69,8 +71,11 @@
 	Fingerprint uint64
 	Route       ident.RouteName
 	Team        ident.TeamName
-	Broken      Broken
-	Age         time.Duration
+	// AnsweredBefore is how long before the end the gateway last had a complete answer
+	// to a request with the fingerprint; 0 if it knows of none.
+	AnsweredBefore time.Duration
+	Broken         Broken
+	Age            time.Duration
 }
 
 // PoisonChange reports one of the following: a part or a request is refused from now
@@ -141,8 +146,9 @@
 	// blamed is the fingerprint of the refused request that explains the end; 0 if
 	// there is none. Such an end is kept as evidence against the parts of that request.
 	blamed uint64
-	// reported is true once the end was reported as a change.
-	reported bool
+	// reported is true once the end was reported as a change. own is true for an end
+	// that a gateway of this scheduler saw.
+	reported, own bool
 }
 
 type endedRequest struct {
@@ -178,6 +184,7 @@
 		v.ends = append(v.ends, &upstreamEnd{upstream: n.Upstream, at: at, requests: v.byRequest.abandonedAt(n.Upstream, now)})
 	}
 	end := v.ends[i]
+	end.own = end.own || evaluate
 	known := slices.ContainsFunc(end.requests, func(r endedRequest) bool { return r.ticket == n.Ticket })
 	if known || len(end.requests) >= maxSuspects {
 		return
@@ -191,6 +198,9 @@
 			v.clearedAt[part] = neverCleared
 		}
 	}
+	if n.Fingerprint != 0 && n.AnsweredBefore > 0 {
+		v.byRequest.clearBefore(n.Fingerprint, at-n.AnsweredBefore)
+	}
 	for _, r := range end.requests {
 		if r.fingerprint != 0 {
 			p.suspectRequest(r.fingerprint, now)
@@ -202,10 +212,11 @@
 }
 
 // isBackSince reports whether an upstream had started again under its name, after the
-// given end, by the time at which it ended once more.
+// given end, by the time at which it ended once more. Where schedulers are shared, each
+// start has its own name.
 func (p *Pool) isBackSince(e *upstreamEnd, at time.Duration) bool {
 	g, known := p.engines[e.upstream]
-	return known && at-e.at > maxRetraction && g.lastResponseAt > e.at+maxRetraction
+	return known && p.view.Shared == nil && at-e.at > maxRetraction && g.lastResponseAt > e.at+maxRetraction
 }
 
 // dropOld drops the ends that are old or too many, and the parts that stood only in
@@ -443,9 +454,8 @@
 	}
 }
 
-// retractEnd forgets the end of an upstream that has answered a request sent shortly
-// after it: only connections had broken. A later answer may come from an upstream that
-// has started again under its name.
+// retractEnd forgets the end of an upstream that has answered a request sent after it:
+// only connections had broken.
 func (p *Pool) retractEnd(e *entry) {
 	v := &p.evidence
 	if len(v.ends) == 0 {
@@ -453,7 +463,8 @@
 	}
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(end *upstreamEnd) bool {
-		return end.upstream == e.engine.upstream.Name && e.startedAt > end.at && e.startedAt-end.at < maxRetraction
+		after := e.startedAt - end.at
+		return end.upstream == e.engine.upstream.Name && after > 0 && (after < maxRetraction || p.view.Shared != nil && after > maxListLag)
 	})
 	if len(v.ends) != before {
 		v.dropUnused()
@@ -589,7 +600,7 @@
 // a part that may still be at the beginning of its answer.
 func (p *Pool) mustRunApart(e *entry, now time.Duration) bool {
 	v := &p.evidence
-	if p.requestMustWait(e) {
+	if p.requestMustWait(e, now) {
 		return true
 	}
 	if !p.holdsSuspect(e) {
@@ -620,6 +631,7 @@
 	case BrokenUnbegun, BrokenBegun:
 		n := EndNotice{
 			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
+			AnsweredBefore: r.AnsweredBefore,
 		}
 		if !pastBeginning {
 			n.Parts = e.ticket.Parts
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -16,6 +16,11 @@
 	endsToRefuseRequest  = 3
 	endsToRefuseAnswered = 6
 	answeredRecently     = 10 * time.Second
+	// requestSettle is the time after an end until answers would have shown that the
+	// upstream did not end.
+	requestSettle = time.Second
+	// sharedEndAge is the age of an end up to which other schedulers are told of it.
+	sharedEndAge = 6 * time.Second
 	// answeredHistory is how long a new scheduler sees answers before it takes a
 	// request without any for one that was never answered.
 	answeredHistory = time.Second
@@ -37,7 +42,7 @@
 // same fingerprint at a time, and no two at the same upstream, so that each further
 // end tells them apart.
 type requestEvidence struct {
-	answered answeredTable
+	answered AnsweredTable
 	// clearedAt is when a request was last answered, for the requests in the ends.
 	clearedAt map[uint64]time.Duration
 	// suspects holds the number of ends in a row, for the suspected requests.
@@ -60,7 +65,7 @@
 		return
 	}
 	v := &p.evidence.byRequest
-	v.answered.add(fingerprint, now)
+	v.answered.Add(fingerprint, now)
 	if len(v.clearedAt) == 0 {
 		return
 	}
@@ -113,7 +118,7 @@
 	v := &p.evidence.byRequest
 	if _, known := v.clearedAt[fingerprint]; !known {
 		v.clearedAt[fingerprint] = neverCleared
-		if at, answered := v.answered.last(fingerprint); answered {
+		if at, answered := v.answered.Last(fingerprint); answered {
 			v.clearedAt[fingerprint] = at
 		}
 	}
@@ -157,6 +162,29 @@
 	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.fingerprint == fingerprint })
 }
 
+// endsNeeded returns the number of ends from which a request is refused.
+func (p *Pool) endsNeeded(fingerprint uint64, now time.Duration) int {
+	if p.answeredLately(fingerprint, now) || now-p.startedAt < answeredHistory {
+		return endsToRefuseAnswered
+	}
+	return endsToRefuseRequest
+}
+
+// settledEnds returns the number of ends under a request that have stood for
+// requestSettle, or whose upstreams are no longer listed.
+func (p *Pool) settledEnds(fingerprint uint64, now time.Duration) int {
+	n := 0
+	cleared := p.evidence.byRequest.clearedAt[fingerprint]
+	for _, e := range p.evidence.ends {
+		g, known := p.engines[e.upstream]
+		settled := now-e.at >= requestSettle || !known || !g.listed
+		if settled && e.at > cleared && e.blamed == 0 && e.ran(fingerprint) {
+			n++
+		}
+	}
+	return n
+}
+
 // evaluateRequests refuses the request with the most ends if there are enough. With
 // more than one at endsToRefuseRequest, the evidence waits for one end more.
 func (p *Pool) evaluateRequests(now time.Duration) {
@@ -164,15 +192,19 @@
 	most := 0
 	var worst []uint64
 	for fingerprint, ends := range v.byRequest.suspects {
-		needed := endsToRefuseRequest
-		if p.answeredLately(fingerprint, now) || now-p.startedAt < answeredHistory {
-			needed = endsToRefuseAnswered
+		needed := p.endsNeeded(fingerprint, now)
+		if ends < needed {
+			continue
+		}
+		settled := p.settledEnds(fingerprint, now)
+		if settled < ends {
+			v.evaluateAt = now + endSettle
 		}
-		if ends < needed || ends < most {
+		if settled < needed || settled < most {
 			continue
 		}
-		if ends > most {
-			most, worst = ends, nil
+		if settled > most {
+			most, worst = settled, nil
 		}
 		worst = append(worst, fingerprint)
 	}
@@ -210,13 +242,13 @@
 }
 
 // requestMustWait reports whether a suspected request has to wait, because another one
-// with its fingerprint may run or enough upstreams have ended under it to refuse it.
-func (p *Pool) requestMustWait(e *entry) bool {
+// with its fingerprint may run, or it is refused if the latest ends stand.
+func (p *Pool) requestMustWait(e *entry, now time.Duration) bool {
 	if !p.isSuspectRequest(e) {
 		return false
 	}
-	v := &p.evidence.byRequest
-	if p.evidence.evaluateAt != 0 && v.suspects[e.ticket.Fingerprint] >= endsToRefuseRequest {
+	ends := p.evidence.byRequest.suspects[e.ticket.Fingerprint]
+	if ends >= p.endsNeeded(e.ticket.Fingerprint, now) && p.settledEnds(e.ticket.Fingerprint, now) < ends {
 		return true
 	}
 	return slices.ContainsFunc(p.runningSuspects(), func(r *entry) bool { return r != e && r.ticket.Fingerprint == e.ticket.Fingerprint })
@@ -246,6 +278,36 @@
 		}
 		p.recordBroken(EndNotice{
 			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Route: n.Route, Team: n.Team, Broken: BrokenUnbegun,
-		}, true, now)
+			Age: requestSettle,
+		}, false, now)
+		if v.evaluateAt == 0 {
+			v.evaluateAt = now + endSettle
+		}
+	}
+}
+
+// RequestEnds implements Scheduler.
+func (p *Pool) RequestEnds(now time.Duration) []poison.End {
+	var ends []poison.End
+	for _, e := range p.evidence.ends {
+		if age := now - e.at; !e.own || age < requestSettle || age > sharedEndAge {
+			continue
+		}
+		for _, r := range e.requests {
+			if r.fingerprint != 0 && e.at > p.evidence.byRequest.clearedAt[r.fingerprint] {
+				ends = append(ends, poison.End{
+					Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Route: r.route, Team: r.team,
+				})
+			}
+		}
+	}
+	return ends
+}
+
+// clearBefore records that a gateway had a complete answer to a request at the given
+// time.
+func (v *requestEvidence) clearBefore(fingerprint uint64, at time.Duration) {
+	if cleared, known := v.clearedAt[fingerprint]; !known || at > cleared {
+		v.clearedAt[fingerprint] = at
 	}
 }
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -199,8 +199,10 @@
 	OutputTokens int
 	// CachedTokens counts prompt tokens that the engine took from its cache.
 	CachedTokens int
-	// Broken states how far the answer had come if its upstream broke it off.
-	Broken Broken
+	// Broken states how far the answer had come if its upstream broke it off, and
+	// AnsweredBefore is as in EndNotice.
+	Broken         Broken
+	AnsweredBefore time.Duration
 	// Via is the gateway through which the request was sent; empty if it was sent
 	// directly. PathSuspect is true for a failure that the gateway's own path to the
 	// upstream may have caused.
@@ -384,6 +386,9 @@
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
+	// RequestEnds returns the latest ends of upstreams under requests that the gateways of
+	// this scheduler saw, for schedulers that don't know of them.
+	RequestEnds(now time.Duration) []poison.End
 	// Stats returns counters for metrics and for choosing addresses.
 	Stats() Stats
 }
