The prompt belongs to a request's fingerprint

Cause: on engines the prompt's parts stand beside the body, so requests with the same body may differ; the fingerprint ignored that. Change: the fingerprint also covers the parts that other requests may share. What is left, the content, is refused only after six ends with different prompts, so that a deadly request whose repetitions differ in their prompts is still found within three ends more. Ruled out: the content alone with more ends (a deadly request without a prompt would get too many); the last part, which is each request's own.

--- a/internal/coordination/gateway/fingerprint.go
+++ b/internal/coordination/gateway/fingerprint.go
@@ -6,9 +6,10 @@
 	"fmt"
 )
 
-// setFingerprint computes the request's fingerprint: a hash of the team, the host,
-// the method, the path and the body. Requests with the same content have the same
-// fingerprint at all gateways, whatever their ids are.
+// setFingerprint computes the request's fingerprints. The content is a hash of the team,
+// the host, the method, the path and the body; the fingerprint also covers the parts of
+// the prompt that other requests may share, if there are any. Requests that are the same
+// have the same fingerprints at all gateways, whatever their ids are.
 //
 // The hash is cryptographic: a caller must not be able to send a request with the
 // fingerprint of another one's.
@@ -19,5 +20,11 @@
 	}
 	h.Write(r.Body)
 	var sum [sha256.Size]byte
-	r.fingerprint = max(1, binary.BigEndian.Uint64(h.Sum(sum[:0])))
+	r.content = max(1, binary.BigEndian.Uint64(h.Sum(sum[:0])))
+	r.fingerprint = r.content
+	if len(r.Parts) > 0 {
+		h.Reset()
+		_ = binary.Write(h, binary.BigEndian, append([]uint64{r.content}, r.Parts...))
+		r.fingerprint = max(1, binary.BigEndian.Uint64(h.Sum(sum[:0])))
+	}
 }
--- a/internal/coordination/gateway/fingerprint_test.go
+++ b/internal/coordination/gateway/fingerprint_test.go
@@ -17,6 +17,10 @@
 	}
 	same := fingerprint(func(*Request) {})
 	must.Eq(t, same, fingerprint(func(r *Request) { r.ID, r.Route, r.Pool = "b", "s", "p" }))
+	prompted := &Request{Team: "t", Host: "h", Method: "GET", Path: "/p?q", Body: []byte("b"), Parts: []uint64{1}}
+	prompted.setFingerprint()
+	must.Eq(t, same, prompted.content)
+	must.NotEq(t, same, prompted.fingerprint)
 	seen := map[uint64]bool{same: true}
 	for _, change := range []func(r *Request){
 		func(r *Request) { r.Team = "u" },
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -178,6 +178,7 @@
 		PrefixTokens: r.PrefixTokens,
 		Parts:        r.Parts,
 		Fingerprint:  r.fingerprint,
+		Content:      r.content,
 		Objective:    r.objectiveLeft(),
 		Returned:     r.isRetry,
 		Patience:     r.patienceLeft(),
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -89,8 +89,9 @@
 	// the beginning of a stream.
 	ResumeAfter string
 
-	// fingerprint identifies the content of the request, see setFingerprint.
-	fingerprint uint64
+	// fingerprint identifies the request, and content what it holds besides the parts of
+	// its prompt; see setFingerprint.
+	fingerprint, content uint64
 	// isRetry is true when the caller has made an earlier attempt; see
 	// RetryDetector.
 	isRetry bool
--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -75,7 +75,7 @@
 		return
 	}
 	notice := scheduler.EndNotice{
-		Ticket: r.ticket.ID, Upstream: r.grant.Upstream, Fingerprint: r.ticket.Fingerprint,
+		Ticket: r.ticket.ID, Upstream: r.grant.Upstream, Fingerprint: r.ticket.Fingerprint, Content: r.ticket.Content,
 		Route: r.ticket.Route, Team: r.ticket.Team, Broken: end.Broken,
 		AnsweredBefore: p.answeredBefore(r.ticket.Fingerprint, now),
 	}
@@ -104,9 +104,8 @@
 
 // refuses reports whether a record concerns a ticket.
 func (p *poisonRecord) refuses(t *scheduler.Ticket, pool ident.PoolName) bool {
-	_, request := p.refused.FindRequest(t.Fingerprint)
 	_, part := p.refused.FindAny(pool, t.Parts)
-	return request || part
+	return part || p.refused.RefusesRequest(t.Fingerprint, t.Content)
 }
 
 // SetEnded sets the requests under which upstreams have ended, as the leader knows them.
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -69,6 +69,7 @@
 	// Parts is empty for a request whose answer had gone on past its beginning.
 	Parts       []uint64
 	Fingerprint uint64
+	Content     uint64
 	Route       ident.RouteName
 	Team        ident.TeamName
 	// AnsweredBefore is how long before the end the gateway last had a complete answer
@@ -156,6 +157,7 @@
 	parts       []uint64
 	begun       bool
 	fingerprint uint64
+	content     uint64
 	route       ident.RouteName
 	team        ident.TeamName
 }
@@ -190,7 +192,8 @@
 		return
 	}
 	end.requests = append(end.requests, endedRequest{
-		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, route: n.Route, team: n.Team,
+		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, content: n.Content,
+		route: n.Route, team: n.Team,
 	})
 	slices.SortStableFunc(v.ends, func(a, b *upstreamEnd) int { return int(a.at - b.at) })
 	for _, part := range n.Parts {
@@ -203,6 +206,7 @@
 	}
 	for _, r := range end.requests {
 		if r.fingerprint != 0 {
+			v.byRequest.know(r.content)
 			p.suspectRequest(r.fingerprint, now)
 		}
 	}
@@ -242,8 +246,10 @@
 			for _, part := range r.parts {
 				parts[part] = v.clearedAt[part]
 			}
-			if r.fingerprint != 0 {
-				requests[r.fingerprint] = v.byRequest.clearedAt[r.fingerprint]
+			for _, id := range []uint64{r.fingerprint, r.content} {
+				if cleared, known := v.byRequest.clearedAt[id]; known {
+					requests[id] = cleared
+				}
 			}
 		}
 	}
@@ -401,8 +407,7 @@
 	var explained []ident.UpstreamName
 	for _, e := range v.ends {
 		i := slices.IndexFunc(e.requests, func(r endedRequest) bool {
-			_, refused := v.refused.FindRequest(r.fingerprint)
-			return refused
+			return v.refused.RefusesRequest(r.fingerprint, r.content)
 		})
 		if i >= 0 && e.blamed == 0 {
 			e.blamed = e.requests[i].fingerprint
@@ -519,6 +524,11 @@
 	if record, refused := v.refused.FindRequest(e.ticket.Fingerprint); refused {
 		found = append(found, record)
 	}
+	if e.ticket.Content != e.ticket.Fingerprint {
+		if record, refused := v.refused.FindRequest(e.ticket.Content); refused {
+			found = append(found, record)
+		}
+	}
 	if _, refused := v.refused.FindAny(p.view.Pool, e.ticket.Parts); refused {
 		for _, part := range e.ticket.Parts {
 			if record, refused := v.refused.Find(p.view.Pool, part); refused {
@@ -624,13 +634,17 @@
 	}
 	if complete {
 		p.answerRequest(e.ticket.Fingerprint, now)
+		if e.ticket.Content != e.ticket.Fingerprint {
+			p.answerRequest(e.ticket.Content, now)
+		}
 	}
 	switch r.Broken {
 	case Abandoned:
 		p.abandon(e, now)
 	case BrokenUnbegun, BrokenBegun:
 		n := EndNotice{
-			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
+			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Content: e.ticket.Content,
+			Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
 			AnsweredBefore: r.AnsweredBefore,
 		}
 		if !pastBeginning {
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -86,7 +86,7 @@
 		v.abandoned = slices.Delete(v.abandoned, 0, 1)
 	}
 	v.abandoned = append(v.abandoned, abandonedRequest{
-		endedRequest: endedRequest{ticket: e.ticket.ID, fingerprint: e.ticket.Fingerprint, route: e.ticket.Route, team: e.ticket.Team},
+		endedRequest: endedRequest{ticket: e.ticket.ID, fingerprint: e.ticket.Fingerprint, content: e.ticket.Content, route: e.ticket.Route, team: e.ticket.Team},
 		upstream:     e.engine.upstream.Name, at: now,
 	})
 }
@@ -107,7 +107,7 @@
 func (p *Pool) recordUnreachable(upstream ident.UpstreamName, now time.Duration) {
 	for _, r := range p.evidence.byRequest.abandonedAt(upstream, now) {
 		p.recordBroken(EndNotice{
-			Ticket: r.ticket, Upstream: upstream, Fingerprint: r.fingerprint, Route: r.route, Team: r.team, Broken: BrokenUnbegun,
+			Ticket: r.ticket, Upstream: upstream, Fingerprint: r.fingerprint, Content: r.content, Route: r.route, Team: r.team, Broken: BrokenUnbegun,
 		}, true, now)
 	}
 }
@@ -116,12 +116,7 @@
 // counted as suspected.
 func (p *Pool) suspectRequest(fingerprint uint64, now time.Duration) {
 	v := &p.evidence.byRequest
-	if _, known := v.clearedAt[fingerprint]; !known {
-		v.clearedAt[fingerprint] = neverCleared
-		if at, answered := v.answered.Last(fingerprint); answered {
-			v.clearedAt[fingerprint] = at
-		}
-	}
+	v.know(fingerprint)
 	ends := len(p.evidence.endsUnder(fingerprint))
 	if ends == 0 || ends < endsToRefuseRequest && p.answeredLately(fingerprint, now) {
 		delete(v.suspects, fingerprint)
@@ -139,6 +134,17 @@
 	v.suspects[fingerprint] = ends
 }
 
+// know adds a request to those in the ends.
+func (v *requestEvidence) know(fingerprint uint64) {
+	if _, known := v.clearedAt[fingerprint]; known {
+		return
+	}
+	v.clearedAt[fingerprint] = neverCleared
+	if at, answered := v.answered.Last(fingerprint); answered {
+		v.clearedAt[fingerprint] = at
+	}
+}
+
 // answeredLately reports whether a request was answered within answeredRecently.
 func (p *Pool) answeredLately(fingerprint uint64, now time.Duration) bool {
 	at, known := p.evidence.byRequest.clearedAt[fingerprint]
@@ -158,8 +164,9 @@
 	return under
 }
 
-func (e *upstreamEnd) ran(fingerprint uint64) bool {
-	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.fingerprint == fingerprint })
+// ran reports whether a request with the fingerprint or the content ran at the end.
+func (e *upstreamEnd) ran(id uint64) bool {
+	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.fingerprint == id || r.content == id })
 }
 
 // endsNeeded returns the number of ends from which a request is refused.
@@ -209,12 +216,35 @@
 		worst = append(worst, fingerprint)
 	}
 	if len(worst) > 1 && most <= endsToRefuseRequest {
-		return
+		worst = nil
 	}
 	slices.Sort(worst)
 	for _, fingerprint := range worst {
 		p.refuseRequest(fingerprint, now)
 	}
+	p.evaluateContents(now)
+}
+
+// evaluateContents refuses a content under which many upstreams ended in a row while the
+// parts of its prompts differed, so that no fingerprint explains the ends.
+func (p *Pool) evaluateContents(now time.Duration) {
+	prompts := make(map[uint64]map[uint64]bool)
+	for _, e := range p.evidence.ends {
+		for _, r := range e.requests {
+			if r.content == 0 || r.content == r.fingerprint {
+				continue
+			}
+			if prompts[r.content] == nil {
+				prompts[r.content] = make(map[uint64]bool)
+			}
+			prompts[r.content][r.fingerprint] = true
+		}
+	}
+	for content, differing := range prompts {
+		if len(differing) > 1 && p.settledEnds(content, now) >= endsToRefuseAnswered {
+			p.refuseRequest(content, now)
+		}
+	}
 }
 
 // refuseRequest refuses a request from now on.
@@ -224,7 +254,7 @@
 	record := p.newRecord(poison.KindRequest, fingerprint, under, now)
 	for _, e := range v.ends {
 		for _, r := range e.requests {
-			if r.fingerprint == fingerprint {
+			if r.fingerprint == fingerprint || r.content == fingerprint {
 				record.Route, record.Team = r.route, r.team
 			}
 		}
@@ -277,8 +307,8 @@
 			continue
 		}
 		p.recordBroken(EndNotice{
-			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Route: n.Route, Team: n.Team, Broken: BrokenUnbegun,
-			Age: requestSettle,
+			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Content: n.Content, Route: n.Route, Team: n.Team,
+			Broken: BrokenUnbegun, Age: requestSettle,
 		}, false, now)
 		if v.evaluateAt == 0 {
 			v.evaluateAt = now + endSettle
@@ -296,7 +326,8 @@
 		for _, r := range e.requests {
 			if r.fingerprint != 0 && e.at > p.evidence.byRequest.clearedAt[r.fingerprint] {
 				ends = append(ends, poison.End{
-					Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Route: r.route, Team: r.team,
+					Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Content: r.content,
+					Route: r.route, Team: r.team,
 				})
 			}
 		}
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -179,6 +179,7 @@
 	t.ID, t.Gateway = ident.RequestID(fmt.Sprintf("r%07d", m.next)), m.view.Gateways[g]
 	t.PromptTokens, t.OutputTokens, t.Remaining, t.Objective = 0, 0, 600*time.Millisecond, 0
 	t.Idempotent, t.Fingerprint = true, m.fingerprint(content)
+	t.Content = t.Fingerprint
 	q := &crashRequest{ticket: t, content: content, pool: g % len(m.pools), first: first}
 	if !m.isDeadly(content) && first {
 		m.sent[int(m.now/time.Second)]++
@@ -515,6 +516,31 @@
 	must.Eq(t, uint64(0xbad), records[0].ID)
 }
 
+// TestPoisonRequest_PromptsDiffer checks that a deadly request whose repetitions have
+// different prompts is refused by its content, within three ends more, and that one of
+// which the prompt is at fault is refused by itself.
+func TestPoisonRequest_PromptsDiffer(t *testing.T) {
+	for _, prompts := range []int{1, 2, 100} {
+		p := New(0, sharedView(8), 0)
+		p.SetOrigin(quotaStart)
+		now, ends := 2*time.Second, 0
+		for ; len(p.evidence.refused.List()) == 0; ends++ {
+			now += 3 * time.Second
+			name := ident.UpstreamName(fmt.Sprintf("x%d", ends))
+			p.recordBroken(EndNotice{
+				Ticket: ident.RequestID(name), Upstream: name, Fingerprint: uint64(0x100 + ends%prompts), Content: 0xbad, Broken: BrokenUnbegun,
+			}, true, now)
+			p.Tick(now + 2*requestSettle)
+			must.LessEq(t, 6, ends)
+		}
+		if prompts > 2 {
+			must.Eq(t, uint64(0xbad), p.evidence.refused.List()[0].ID)
+		} else {
+			must.NotEq(t, uint64(0xbad), p.evidence.refused.List()[0].ID)
+		}
+	}
+}
+
 // TestPoisonRequest_FewTrials checks that a refused request gets two trials at most,
 // and that a successful one lifts it.
 func TestPoisonRequest_FewTrials(t *testing.T) {
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -48,8 +48,9 @@
 	Resumes bool
 	// Parts identifies the parts of the prompt that other requests may have too.
 	Parts []uint64
-	// Fingerprint identifies the content of the request; 0 if unknown.
-	Fingerprint uint64
+	// Fingerprint identifies the request, and Content what it holds besides the parts of
+	// its prompt; 0 if unknown. Both are the same without such parts.
+	Fingerprint, Content uint64
 	// BodyBytes is the memory that the request occupies at its gateway.
 	BodyBytes int64
 	// Excluded lists upstreams that provably did not get the request. It is not
--- a/internal/state/poison/poison.go
+++ b/internal/state/poison/poison.go
@@ -225,6 +225,16 @@
 	return p, known && !p.Lifted
 }
 
+// RefusesRequest reports whether the request with a fingerprint or with a content is
+// refused.
+func (s *Set) RefusesRequest(fingerprint, content uint64) bool {
+	_, refused := s.FindRequest(fingerprint)
+	if !refused && content != fingerprint {
+		_, refused = s.FindRequest(content)
+	}
+	return refused
+}
+
 // FindAny returns the record of the first of the parts that is refused.
 func (s *Set) FindAny(pool ident.PoolName, ids []uint64) (p Record, refused bool) {
 	if len(s.records) == s.requests {
@@ -278,6 +288,7 @@
 	Request     ident.RequestID
 	Upstream    ident.UpstreamName
 	Fingerprint uint64
+	Content     uint64
 	Route       ident.RouteName
 	Team        ident.TeamName
 }
