Few of many ends weigh less against a request

Cause: three ends in a row were enough however many others there were; and a scheduler that learns of a refused part from another one could not tell which ends it explains, since the ends that schedulers exchange name no parts. Change: a request that ran at less than 0.6 of the ends since its first needs five. A record's upstreams, now up to eight, are taken for explained by every scheduler that learns it. Ruled out: waiting for a sole suspect: a part makes many requests deadly, so that a sound one may meet another one each time.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -510,6 +510,9 @@
 	}
 	for _, record := range changed {
 		v.changes = append(v.changes, PoisonChange{Record: &record})
+		if !record.Lifted {
+			p.dropExplained(record, now)
+		}
 	}
 	for _, e := range p.matching(func(e *entry) bool { return e.state == stateWaiting && p.refusedReason(e) != "" }) {
 		p.dequeue(e)
@@ -517,6 +520,26 @@
 	}
 }
 
+// dropExplained removes the ends that a record names, unless its own request ran there:
+// another scheduler may have known more of them.
+func (p *Pool) dropExplained(record poison.Record, now time.Duration) {
+	v := &p.evidence
+	var explained []ident.UpstreamName
+	v.ends = slices.DeleteFunc(v.ends, func(e *upstreamEnd) bool {
+		ownRequest := record.Kind == poison.KindRequest && e.ran(record.ID)
+		if e.blamed != 0 || ownRequest || !slices.Contains(record.Upstreams, e.upstream) {
+			return false
+		}
+		explained = append(explained, e.upstream)
+		v.explained[e.upstream] = now
+		return true
+	})
+	if len(explained) > 0 {
+		v.dropUnused()
+		v.changes = append(v.changes, PoisonChange{Explained: explained})
+	}
+}
+
 // refusedBy returns the records that concern a ticket.
 func (p *Pool) refusedBy(e *entry) []poison.Record {
 	v := &p.evidence
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -10,12 +10,15 @@
 
 const (
 	// endsToRefuseRequest is the number of ends of upstreams in a row under one request
-	// from which it is refused, and endsToRefuseAnswered that for a request which was
-	// answered within answeredRecently: of a request that makes up much of the load,
-	// some run at each upstream that ends for another reason.
-	endsToRefuseRequest  = 3
-	endsToRefuseAnswered = 6
-	answeredRecently     = 10 * time.Second
+	// from which it is refused. It is endsToRefuseOneOfMany for one that ran at less than
+	// minRequestShare of all ends, so that most have another cause, and
+	// endsToRefuseAnswered for one that was answered within answeredRecently: of a request
+	// that makes up much of the load, some run at each upstream that ends.
+	endsToRefuseRequest   = 3
+	endsToRefuseOneOfMany = 5
+	endsToRefuseAnswered  = 6
+	minRequestShare       = 0.6
+	answeredRecently      = 10 * time.Second
 	// requestSettle is the time after an end until answers would have shown that the
 	// upstream did not end.
 	requestSettle = time.Second
@@ -174,9 +177,30 @@
 	if p.answeredLately(fingerprint, now) || now-p.startedAt < answeredHistory {
 		return endsToRefuseAnswered
 	}
+	if p.evidence.endsShare(fingerprint) < minRequestShare {
+		return endsToRefuseOneOfMany
+	}
 	return endsToRefuseRequest
 }
 
+// endsShare returns the share of the ends, from the first one under a request on, at
+// which it ran.
+func (v *evidence) endsShare(fingerprint uint64) float64 {
+	under, all := 0, 0
+	cleared := v.byRequest.clearedAt[fingerprint]
+	for _, e := range v.ends {
+		ran := e.at > cleared && e.ran(fingerprint)
+		if e.blamed != 0 || !ran && under == 0 {
+			continue
+		}
+		all++
+		if ran {
+			under++
+		}
+	}
+	return float64(under) / float64(max(1, all))
+}
+
 // settledEnds returns the number of ends under a request that have stood for
 // requestSettle, or whose upstreams are no longer listed.
 func (p *Pool) settledEnds(fingerprint uint64, now time.Duration) int {
--- a/internal/coordination/scheduler/shared_bench_test.go
+++ b/internal/coordination/scheduler/shared_bench_test.go
@@ -34,7 +34,7 @@
 				next++
 				t := longTicket(next, 20+random.IntN(400))
 				t.ID, t.Gateway = ident.RequestID(fmt.Sprintf("r%09d", next)), v.Gateways[next%len(v.Gateways)]
-				t.Objective, t.Remaining, t.Cost = 0, time.Hour, 1000
+				t.Objective, t.Remaining, t.Cost, t.Fingerprint = 0, time.Hour, 1000, uint64(next)
 				tickets[t.ID] = t
 				p.Submit(t, now)
 				for _, g := range grants(p.Decisions()) {
--- a/internal/state/poison/poison.go
+++ b/internal/state/poison/poison.go
@@ -18,7 +18,7 @@
 	// that sends many different deadly requests does not push out others' records.
 	MaxRecords = 64
 	// MaxUpstreams bounds the upstreams that a record names as evidence.
-	MaxUpstreams = 5
+	MaxUpstreams = 8
 	// TrialInterval is the time after which a single request may show whether the
 	// part or the request is sound again. It doubles with each failed trial, up to
 	// maxTrialInterval.
