Counting ends anew takes one pass

Cause: when an end is taken back, the ends under every suspected request were counted one after the other, and for each broken request those under all requests of its end: quadratic in what broke, when a gateway is cut off from hundreds of upstreams. Change: one pass over the ends; only what a broken request changes is counted. Ruled out: fewer ends kept: a flood by one team would push out others.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -181,7 +181,8 @@
 		return
 	}
 	i := slices.IndexFunc(v.ends, func(e *upstreamEnd) bool { return e.upstream == n.Upstream && !p.isBackSince(e, at) })
-	if i < 0 {
+	first := i < 0
+	if first {
 		i = len(v.ends)
 		v.ends = append(v.ends, &upstreamEnd{upstream: n.Upstream, at: at, requests: v.byRequest.abandonedAt(n.Upstream, now)})
 	}
@@ -204,7 +205,11 @@
 	if n.Fingerprint != 0 && n.AnsweredBefore > 0 {
 		v.byRequest.clearBefore(n.Fingerprint, at-n.AnsweredBefore)
 	}
-	for _, r := range end.requests {
+	changed := end.requests[len(end.requests)-1:]
+	if first {
+		changed = end.requests
+	}
+	for _, r := range changed {
 		if r.fingerprint != 0 {
 			v.byRequest.know(r.content)
 			p.suspectRequest(r.fingerprint, now)
@@ -258,13 +263,7 @@
 		_, used := parts[part]
 		return !used
 	})
-	for fingerprint := range v.byRequest.suspects {
-		if ends := len(v.endsUnder(fingerprint)); ends > 0 {
-			v.byRequest.suspects[fingerprint] = ends
-		} else {
-			delete(v.byRequest.suspects, fingerprint)
-		}
-	}
+	v.recountRequests()
 }
 
 // suspectsOf returns the requests of an end that may have caused it: those with the
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -137,6 +137,31 @@
 	v.suspects[fingerprint] = ends
 }
 
+// recountRequests counts the ends under all suspected requests anew, after ends were
+// removed or explained.
+func (v *evidence) recountRequests() {
+	counts := make(map[uint64]int, len(v.byRequest.suspects))
+	for _, e := range v.ends {
+		if e.blamed != 0 {
+			continue
+		}
+		ran := make(map[uint64]bool, len(e.requests))
+		for _, r := range e.requests {
+			if !ran[r.fingerprint] && e.at > v.byRequest.clearedAt[r.fingerprint] {
+				ran[r.fingerprint] = true
+				counts[r.fingerprint]++
+			}
+		}
+	}
+	for fingerprint := range v.byRequest.suspects {
+		if counts[fingerprint] > 0 {
+			v.byRequest.suspects[fingerprint] = counts[fingerprint]
+		} else {
+			delete(v.byRequest.suspects, fingerprint)
+		}
+	}
+}
+
 // know adds a request to those in the ends.
 func (v *requestEvidence) know(fingerprint uint64) {
 	if _, known := v.clearedAt[fingerprint]; known {
@@ -223,6 +248,9 @@
 	most := 0
 	var worst []uint64
 	for fingerprint, ends := range v.byRequest.suspects {
+		if ends < endsToRefuseRequest {
+			continue
+		}
 		needed := p.endsNeeded(fingerprint, now)
 		if ends < needed {
 			continue
@@ -302,7 +330,7 @@
 		return false
 	}
 	ends := p.evidence.byRequest.suspects[e.ticket.Fingerprint]
-	if ends >= p.endsNeeded(e.ticket.Fingerprint, now) && p.settledEnds(e.ticket.Fingerprint, now) < ends {
+	if ends >= endsToRefuseRequest && ends >= p.endsNeeded(e.ticket.Fingerprint, now) && p.settledEnds(e.ticket.Fingerprint, now) < ends {
 		return true
 	}
 	return slices.ContainsFunc(p.runningSuspects(), func(r *entry) bool { return r != e && r.ticket.Fingerprint == e.ticket.Fingerprint })
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -621,3 +621,25 @@
 		}
 	}
 }
+
+// BenchmarkPoisonRequest_ManyEnds breaks five requests at each of 256 upstreams at once,
+// all of which then answer again, as when a gateway is cut off for a moment.
+func BenchmarkPoisonRequest_ManyEnds(b *testing.B) {
+	for b.Loop() {
+		p := New(0, sharedView(maxEnds), 0)
+		p.SetOrigin(quotaStart)
+		now := 10 * time.Second
+		for i := range maxEnds {
+			for k := range 5 {
+				name := ident.UpstreamName(fmt.Sprintf("u%d", i))
+				id := uint64(5*i + k + 1)
+				p.recordBroken(EndNotice{Ticket: ident.RequestID(fmt.Sprint(id)), Upstream: name, Fingerprint: id, Content: id, Broken: BrokenUnbegun}, true, now)
+			}
+		}
+		p.Tick(now + endSettle)
+		for _, g := range p.orderedEngines {
+			p.retractEnd(&entry{engine: g, startedAt: now + endSettle})
+		}
+		must.SliceEmpty(b, p.evidence.ends)
+	}
+}
