Schedulers learn which requests were answered elsewhere

Cause: the leader drops the ends of a request that was answered, but a scheduler that had them kept them; and a gateway's own scheduler did not hear of answers while the gateway used another one. Change: a node tells its schedulers which requests its gateway saw answered, and whose ends the leader dropped within its term. Ruled out: dropping with a new leader: it may never have had the ends.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -79,6 +79,10 @@
 	watches  map[ident.PoolName]*rolloutWatch
 	// poison holds the records of refused prompt parts that this node knows.
 	poison poison.Set
+	// ends holds the ends of upstreams under requests as the leader of endsTerm last
+	// reported them.
+	ends     []poison.End
+	endsTerm uint64
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/command/fleet/poison.go
+++ b/internal/command/fleet/poison.go
@@ -18,8 +18,12 @@
 	known := control.Known{HotTeams: n.quotas.Hot(time.Now()), Poison: n.poisonRecords()}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, c := range n.clients {
-		known.Cleared = append(known.Cleared, c.Cleared()...)
+	for pool, c := range n.clients {
+		cleared := c.Cleared()
+		known.Cleared = append(known.Cleared, cleared...)
+		if m := n.masters[pool]; m != nil {
+			m.ClearRequests(cleared)
+		}
 	}
 	for _, m := range n.masters {
 		known.Ends = append(known.Ends, m.RequestEnds()...)
@@ -48,10 +52,19 @@
 	}
 }
 
-// setEnded tells the clients of the schedulers under which requests upstreams have ended.
-func (n *Node) setEnded(ends []poison.End) {
+// setEnded tells the clients of the schedulers under which requests upstreams have ended,
+// and this node's schedulers which of those before were answered since: the leader has
+// dropped their ends. Another leader may never have had them.
+func (n *Node) setEnded(ends []poison.End, term uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if term == n.endsTerm {
+		cleared := control.ClearedSince(n.ends, ends)
+		for pool, m := range n.masters {
+			m.ClearRequests(cleared[pool])
+		}
+	}
+	n.ends, n.endsTerm = ends, term
 	for pool, c := range n.clients {
 		ended := make(map[uint64]bool)
 		for _, e := range ends {
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -206,7 +206,7 @@
 	n.control.SetReplicas(replicas)
 	n.quotas.SetHot(spread.HotTeams)
 	n.learnPoison(spread.Poison)
-	n.setEnded(spread.Ends)
+	n.setEnded(spread.Ends, spread.Version.Term)
 	if spread.Listed || len(spread.Upstreams) > 0 {
 		n.setUpstreams(spread.Upstreams, fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
 	}
--- a/internal/coordination/control/fleet_poison.go
+++ b/internal/coordination/control/fleet_poison.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
@@ -57,6 +58,26 @@
 	}
 }
 
+// ClearedSince returns the requests, by pool, whose ends a leader has dropped between two
+// reports because they were answered. A full report says nothing: old ends give way to
+// new ones.
+func ClearedSince(before, after []poison.End) map[ident.PoolName][]uint64 {
+	if len(before) >= maxEnds {
+		return nil
+	}
+	kept := make(map[string]bool, len(after))
+	for _, e := range after {
+		kept[e.Key()] = true
+	}
+	cleared := make(map[ident.PoolName][]uint64)
+	for _, e := range before {
+		if !kept[e.Key()] && !slices.Contains(cleared[e.Pool], e.Fingerprint) {
+			cleared[e.Pool] = append(cleared[e.Pool], e.Fingerprint)
+		}
+	}
+	return cleared
+}
+
 // dropOldEnds drops the ends that are old or too many. The caller holds the lock.
 func (f *fleet) dropOldEnds(now time.Time) {
 	keys := slices.SortedFunc(maps.Keys(f.endReportedAt), func(a, b string) int {
--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -206,3 +207,38 @@
 	must.True(t, known)
 	must.Eq(t, 3*time.Second, age)
 }
+
+// TestFleet_EndsUnderRequests checks that the ends which nodes report reach all, are
+// bounded, survive a change of the leader, and are dropped once a request was answered.
+func TestFleet_EndsUnderRequests(t *testing.T) {
+	now := time.Now()
+	f := &fleet{changed: make(chan struct{})}
+	f.beginTerm(1, FleetState{}, now)
+	end := func(i int) poison.End {
+		return poison.End{Pool: "p", Request: ident.RequestID(fmt.Sprint(i)), Upstream: "u", Fingerprint: uint64(i % 2)}
+	}
+	f.reportEnds([]poison.End{end(1), end(2), end(1)}, nil, now)
+	state, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.SliceLen(t, 2, state.Ends)
+	f.beginTerm(2, state, now)
+	inherited, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.Eq(t, state.Ends, inherited.Ends)
+	f.reportEnds(nil, []uint64{1}, now)
+	cleared, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.Eq(t, []poison.End{end(2)}, cleared.Ends)
+	must.Eq(t, map[ident.PoolName][]uint64{"p": {1}}, ClearedSince(inherited.Ends, cleared.Ends))
+	for i := range 2 * maxEnds {
+		f.reportEnds([]poison.End{end(10 + i)}, nil, now.Add(time.Duration(i)))
+	}
+	full, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.SliceLen(t, maxEnds, full.Ends)
+	must.MapEmpty(t, ClearedSince(full.Ends, nil))
+	f.reportEnds([]poison.End{end(1)}, nil, now.Add(2*endRetention))
+	old, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.SliceLen(t, 1, old.Ends)
+}
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -153,6 +153,13 @@
 	return m.sched.RequestEnds(time.Since(m.origin))
 }
 
+// ClearRequests passes on which requests under which upstreams had ended were answered.
+func (m *Master) ClearRequests(fingerprints []uint64) {
+	if len(fingerprints) > 0 {
+		m.do(func(now time.Duration) { m.sched.ClearRequests(fingerprints, now) })
+	}
+}
+
 // LastHeardFromOthers returns the time of the latest message from a gateway other than
 // self, or the scheduler's start time if there is none. Every gateway polls
 // continuously, so an old time means that no other gateway reaches this
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// ClearRequests implements Scheduler.
+func (p *Pool) ClearRequests(fingerprints []uint64, now time.Duration) {
+	for _, fingerprint := range fingerprints {
+		p.answerRequest(fingerprint, now)
+	}
+	p.step(now)
+}
+
 // abandon keeps a request that its gateway gave up before its answer was complete.
 func (p *Pool) abandon(e *entry, now time.Duration) {
 	if e.ticket.Fingerprint == 0 {
