A scheduler that no gateway uses refuses nothing

Cause, found by reading: every gateway runs a scheduler, which learned of ends from the leader although only the one in use sees answers. Without these it would refuse a request that is answered all the time, and do so once it is used. A gateway also kept the path to an upstream that no longer exists. Change: ends count only at a scheduler that gateways use, and a request without an answer only after a second of use. Spread ends say when the request was last answered. The keys of ends that are known are swept once a minute. Paths are forgotten after a minute without a direct attempt. Ruled out: not spreading ends: schedulers that don't know of each other would each need three. Measured: TestPoisonRequest_UnusedSchedulerDecidesNothing and the packages' tests pass.

--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -27,6 +27,9 @@
 	peerFreshness = 2 * time.Second
 	// failureRetention is how long a direct attempt that failed counts.
 	failureRetention = 3 * time.Second
+	// relayedRetention is how long an upstream is relayed to without a direct attempt: it
+	// may no longer exist.
+	relayedRetention = time.Minute
 	// minTrialInterval is the time between two requests that are sent directly to find
 	// out whether an upstream can be reached again. It doubles with each that fails, up
 	// to maxTrialInterval. Before each, a connection must have been made within
@@ -192,10 +195,11 @@
 	return n
 }
 
-// dropOld forgets failures that are old, unless requests are relayed because of them.
+// dropOld forgets failures that are old; later if requests are relayed because of them.
 func (k *poolPaths) dropOld(now time.Time) {
 	for name, u := range k.upstreams {
-		if !k.cut && !u.relayed && now.Sub(u.failedAt) > failureRetention {
+		age := now.Sub(u.failedAt)
+		if !k.cut && !u.relayed && age > failureRetention || age > relayedRetention {
 			delete(k.upstreams, name)
 		}
 	}
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -39,6 +39,10 @@
 	// explainedRetention is how long reports on an end that a refused part or request
 	// explains may come late.
 	explainedRetention = time.Minute
+	// learnedRetention is how long an end is known that is no longer kept: longer than the
+	// leader spreads it.
+	learnedRetention     = 10 * time.Minute
+	learnedSweepInterval = time.Minute
 	// maxRetraction is how soon after its end an answer shows that an upstream did not
 	// end. Later, it may be back under its name, until maxListLag after the end: by then
 	// the list gives another start another name, where names differ between starts.
@@ -126,9 +130,12 @@
 	evaluateAt time.Duration
 	refused    poison.Set
 	byRequest  requestEvidence
-	// learned holds when each end was recorded, also those that are no longer kept.
-	learned map[string]time.Duration
-	// explained holds the upstreams whose ends a refused part explains, since when.
+	// learned holds when each end was recorded, also those that are no longer kept, and
+	// learnedSweptAt is when old ones were last dropped.
+	learned        map[string]time.Duration
+	learnedSweptAt time.Duration
+	// explained holds the upstreams whose ends a refused part or request explains, since
+	// when.
 	explained map[ident.UpstreamName]time.Duration
 	// trials holds the requests that run as trials of records.
 	trials  map[*entry]poison.Record
@@ -232,7 +239,10 @@
 // those.
 func (v *evidence) dropOld(now time.Duration) {
 	maps.DeleteFunc(v.explained, func(_ ident.UpstreamName, at time.Duration) bool { return now-at > explainedRetention })
-	maps.DeleteFunc(v.learned, func(_ string, at time.Duration) bool { return now-at > endRetention })
+	if now-v.learnedSweptAt > learnedSweepInterval {
+		v.learnedSweptAt = now
+		maps.DeleteFunc(v.learned, func(_ string, at time.Duration) bool { return now-at > learnedRetention })
+	}
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(e *upstreamEnd) bool { return now-e.at > endRetention })
 	if len(v.ends) >= maxEnds {
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -24,8 +24,8 @@
 	requestSettle = time.Second
 	// sharedEndAge is the age of an end up to which other schedulers are told of it.
 	sharedEndAge = 6 * time.Second
-	// answeredHistory is how long a new scheduler sees answers before it takes a
-	// request without any for one that was never answered.
+	// answeredHistory is how long a scheduler that gateways have begun to use sees answers
+	// before it takes a request without any for one that was never answered.
 	answeredHistory = time.Second
 	// abandonedRetention is how long a request that its gateway gave up may still run
 	// at its upstream and end it.
@@ -46,6 +46,9 @@
 // end tells them apart.
 type requestEvidence struct {
 	answered AnsweredTable
+	// since is when gateways began to use the scheduler. Before, it sees no answers and
+	// decides nothing.
+	since time.Duration
 	// clearedAt is when a request was last answered, for the requests in the ends.
 	clearedAt map[uint64]time.Duration
 	// suspects holds the number of ends in a row, for the suspected requests.
@@ -207,7 +210,7 @@
 
 // endsNeeded returns the number of ends from which a request is refused.
 func (p *Pool) endsNeeded(fingerprint uint64, now time.Duration) int {
-	if p.answeredLately(fingerprint, now) || now-p.startedAt < answeredHistory {
+	if p.answeredLately(fingerprint, now) || now-p.evidence.byRequest.since < answeredHistory {
 		return endsToRefuseAnswered
 	}
 	if p.evidence.endsShare(fingerprint) < minRequestShare {
@@ -259,6 +262,9 @@
 		if ends < endsToRefuseRequest {
 			continue
 		}
+		if known := v.byRequest.since + answeredHistory; now < known {
+			v.evaluateAt = known
+		}
 		needed := p.endsNeeded(fingerprint, now)
 		if ends < needed {
 			continue
@@ -359,6 +365,9 @@
 // learnEnds records ends that other schedulers know.
 func (p *Pool) learnEnds(ends []poison.End, now time.Duration) {
 	v := &p.evidence
+	if len(p.registered) == 0 {
+		return
+	}
 	for _, n := range ends {
 		if n.Pool != p.view.Pool {
 			continue
@@ -368,7 +377,7 @@
 		}
 		p.recordBroken(EndNotice{
 			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Content: n.Content, Route: n.Route, Team: n.Team,
-			Broken: BrokenUnbegun, Age: requestSettle,
+			Broken: BrokenUnbegun, Age: requestSettle, AnsweredBefore: n.AnsweredBefore,
 		}, false, now)
 		if v.evaluateAt == 0 {
 			v.evaluateAt = now + endSettle
@@ -384,12 +393,18 @@
 			continue
 		}
 		for _, r := range e.requests {
-			if r.fingerprint != 0 && e.at > p.evidence.byRequest.clearedAt[r.fingerprint] {
-				ends = append(ends, poison.End{
-					Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Content: r.content,
-					Route: r.route, Team: r.team,
-				})
+			cleared := p.evidence.byRequest.clearedAt[r.fingerprint]
+			if r.fingerprint == 0 || e.at <= cleared {
+				continue
+			}
+			end := poison.End{
+				Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Content: r.content,
+				Route: r.route, Team: r.team,
+			}
+			if cleared != neverCleared {
+				end.AnsweredBefore = e.at - cleared
 			}
+			ends = append(ends, end)
 		}
 	}
 	return ends
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -541,6 +541,35 @@
 	}
 }
 
+// TestPoisonRequest_UnusedSchedulerDecidesNothing checks that a scheduler which no gateway
+// uses, and which therefore sees no answers, refuses nothing because of the ends that the
+// leader spreads, and that they count once a gateway uses it.
+func TestPoisonRequest_UnusedSchedulerDecidesNothing(t *testing.T) {
+	v := sharedView(8)
+	p := New(0, v, 0)
+	p.SetOrigin(quotaStart)
+	for i := range 4 {
+		name := fmt.Sprintf("x%d", i)
+		v.Ends = append(v.Ends, poison.End{Pool: v.Pool, Request: ident.RequestID(name), Upstream: ident.UpstreamName(name), Fingerprint: 0xbad, Content: 0xbad})
+		v.Ends = append(v.Ends, poison.End{
+			Pool: v.Pool, Request: ident.RequestID("h" + name), Upstream: ident.UpstreamName(name), Fingerprint: hotContent, Content: hotContent,
+			AnsweredBefore: 10 * time.Millisecond,
+		})
+	}
+	p.SetView(v, 5*time.Second)
+	p.Tick(10 * time.Second)
+	must.SliceEmpty(t, p.evidence.refused.List())
+	for _, g := range v.Gateways {
+		p.Register(Registration{Gateway: g, Incarnation: 1}, 10*time.Second)
+	}
+	p.Tick(10*time.Second + endSettle)
+	must.SliceEmpty(t, p.evidence.refused.List())
+	p.Tick(11*time.Second + 2*endSettle)
+	records := p.evidence.refused.List()
+	must.Len(t, 1, records)
+	must.Eq(t, uint64(0xbad), records[0].ID)
+}
+
 // TestPoisonRequest_FewTrials checks that a refused request gets two trials at most,
 // and that a successful one lifts it.
 func TestPoisonRequest_FewTrials(t *testing.T) {
--- a/internal/state/poison/poison.go
+++ b/internal/state/poison/poison.go
@@ -291,6 +291,9 @@
 	Content     uint64
 	Route       ident.RouteName
 	Team        ident.TeamName
+	// AnsweredBefore is how long before the end a request with the fingerprint was last
+	// answered; 0 if unknown.
+	AnsweredBefore time.Duration
 }
 
 // Key identifies an end among all. One request may run at several upstreams that end.
