Ends known only from the leader name no parts

Cause: the leader's record of a request under which an upstream ended carries its fingerprint and content, not its parts. A scheduler that knew the deadly request only from there and the others from their gateways counted every part of the others as the one part that all had, so that the system text of a template could be refused for requests of a whole team.

Change: an end of which a request with hidden parts is known stays out of the count against parts; it counts again once the request's gateway names them. The count against requests is as before.

Ruled out: carrying the parts in the leader's record (up to 32 more words for each request of each end); counting such ends with the known parts only when all gateways were heard, which a partition makes impossible for as long as it lasts.

Measured: TestPoisonRequest_SpreadEndsNameNoParts failed before and passes.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -81,6 +81,8 @@
 	AnsweredBefore time.Duration
 	Broken         Broken
 	Age            time.Duration
+	// Spread is true for a request known from the leader, which doesn't name its parts.
+	Spread bool
 }
 
 // PoisonChange reports one of the following: a part or a request is refused from now
@@ -167,6 +169,9 @@
 	content     uint64
 	route       ident.RouteName
 	team        ident.TeamName
+	// spread is true for a request known only from the leader, which doesn't name its
+	// parts and how far its answer had come.
+	spread bool
 }
 
 func newEvidence() evidence {
@@ -195,14 +200,18 @@
 	}
 	end := v.ends[i]
 	end.own = end.own || evaluate
-	known := slices.ContainsFunc(end.requests, func(r endedRequest) bool { return r.ticket == n.Ticket })
-	if known || len(end.requests) >= maxSuspects {
+	r := endedRequest{
+		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, content: n.Content,
+		route: n.Route, team: n.Team, spread: n.Spread,
+	}
+	known := slices.IndexFunc(end.requests, func(other endedRequest) bool { return other.ticket == n.Ticket })
+	switch {
+	case known >= 0 && end.requests[known].spread && !n.Spread:
+		end.requests = slices.Delete(end.requests, known, known+1)
+	case known >= 0 || len(end.requests) >= maxSuspects:
 		return
 	}
-	end.requests = append(end.requests, endedRequest{
-		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, content: n.Content,
-		route: n.Route, team: n.Team,
-	})
+	end.requests = append(end.requests, r)
 	slices.SortStableFunc(v.ends, func(a, b *upstreamEnd) int { return int(a.at - b.at) })
 	for _, part := range n.Parts {
 		if _, known := v.clearedAt[part]; !known {
@@ -290,6 +299,12 @@
 	return e.requests
 }
 
+// hidesParts reports whether a request may have had parts that are not known here. Others
+// that ran there would be blamed in its place.
+func (e *upstreamEnd) hidesParts() bool {
+	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.spread && r.content != r.fingerprint })
+}
+
 // partEnds is the evidence against one part.
 type partEnds struct {
 	// upstreams ended under the part since it was last cleared, oldest first. Of
@@ -310,6 +325,9 @@
 func (v *evidence) countEnds() map[uint64]*partEnds {
 	counts := make(map[uint64]*partEnds, len(v.clearedAt))
 	for _, e := range v.ends {
+		if e.hidesParts() {
+			continue
+		}
 		for _, under := range counts {
 			under.all++
 		}
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -377,7 +377,7 @@
 		}
 		p.recordBroken(EndNotice{
 			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Content: n.Content, Route: n.Route, Team: n.Team,
-			Broken: BrokenUnbegun, Age: requestSettle, AnsweredBefore: n.AnsweredBefore,
+			Broken: BrokenUnbegun, Age: requestSettle, AnsweredBefore: n.AnsweredBefore, Spread: true,
 		}, false, now)
 		if v.evaluateAt == 0 {
 			v.evaluateAt = now + endSettle
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -570,6 +570,35 @@
 	must.Eq(t, uint64(0xbad), records[0].ID)
 }
 
+// TestPoisonRequest_SpreadEndsNameNoParts checks that a part is not blamed for ends of which
+// the leader names a request without its parts, and that these count once its gateway
+// names them.
+func TestPoisonRequest_SpreadEndsNameNoParts(t *testing.T) {
+	v := sharedView(8)
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	now := start
+	for i := range 3 {
+		now += 3 * time.Second
+		name := ident.UpstreamName(fmt.Sprintf("x%d", i))
+		deadly := EndNotice{
+			Ticket: ident.RequestID("d" + name), Upstream: name, Parts: []uint64{templateID, poisonID}, Fingerprint: uint64(10 + i), Content: uint64(20 + i), Broken: BrokenBegun,
+		}
+		v.Ends = append(v.Ends, poison.End{Pool: v.Pool, Request: deadly.Ticket, Upstream: name, Fingerprint: deadly.Fingerprint, Content: deadly.Content})
+		p.SetView(v, now)
+		p.recordBroken(EndNotice{
+			Ticket: ident.RequestID("s" + name), Upstream: name, Parts: []uint64{templateID}, Fingerprint: uint64(30 + i), Content: uint64(40 + i), Broken: BrokenBegun,
+		}, true, now)
+		p.Tick(now + 2*requestSettle)
+		must.SliceEmpty(t, p.evidence.refused.List())
+		if i == 2 {
+			continue
+		}
+		p.recordBroken(deadly, true, now)
+	}
+	must.Len(t, 2, p.evidence.countEnds()[templateID].upstreams)
+}
+
 // TestPoisonRequest_FewTrials checks that a refused request gets two trials at most,
 // and that a successful one lifts it.
 func TestPoisonRequest_FewTrials(t *testing.T) {
