Log lines name the pause that an upstream asks for

Cause: the record of requests during a pause can't tell a gateway that never reads the pause from one that loses it afterwards: attempt_ended shows the status of a rejection only.

Change: Retry-After on status 503 is decoded once, for the platform and for the own interface, with a bound (MaxPause) and a defined meaning of values that are no decimal number. Nothing acts on it yet.

--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -22,9 +22,9 @@
 	brittle   bool
 	turnAway  float64
 	brittleAt time.Time
-	// unreadable describes the latest limit, and unreadableBrittle the latest brittleness,
-	// that could not be read.
-	unreadable, unreadableBrittle string
+	// unreadable describes the latest limit, unreadableBrittle the latest brittleness and
+	// unreadablePause the latest pause that could not be read.
+	unreadable, unreadableBrittle, unreadablePause string
 }
 
 // latest returns when the upstream last named a limit or said that it is brittle.
@@ -76,6 +76,9 @@
 			known.brittle, known.turnAway = false, 0
 		}
 	}
+	if n.Pause == scheduler.NoticeUnreadable {
+		known.unreadablePause = n.PauseText
+	}
 	c.setNotices(r.grant.Upstream, known)
 	named := n.RateLimit == scheduler.NoticeNamed || n.Brittle == scheduler.NoticeNamed
 	if named || r.grant.Limited || former.perSecond != 0 || former.brittle {
@@ -83,14 +86,14 @@
 			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n,
 		})
 	}
-	return !known.sameAs(former)
+	return !known.sameAs(former) || n.Pause == scheduler.NoticeNamed
 }
 
 // setNotices keeps the notices of an upstream. If there are too many, it forgets
 // the upstream that said something the longest time ago. The caller holds the
 // lock.
 func (c *Client) setNotices(name ident.UpstreamName, n upstreamNotices) {
-	if n.perSecond == 0 && n.unreadable == "" && !n.brittle && n.unreadableBrittle == "" {
+	if n.perSecond == 0 && n.unreadable == "" && !n.brittle && n.unreadableBrittle == "" && n.unreadablePause == "" {
 		delete(c.notices, name)
 		return
 	}
--- a/internal/coordination/scheduler/notice.go
+++ b/internal/coordination/scheduler/notice.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // NoticeState states what an answer says about one matter.
 type NoticeState uint8
@@ -29,6 +32,11 @@
 	Brittle     NoticeState
 	TurnAway    float64
 	BrittleText string
+	// Pause states whether the upstream asks the gateway that it answered for no requests
+	// during PauseFor. PauseText is as Text.
+	Pause     NoticeState
+	PauseFor  time.Duration
+	PauseText string
 }
 
 // String implements fmt.Stringer.
@@ -46,5 +54,11 @@
 	case NoticeUnreadable:
 		text += "; says that it is brittle, which can't be read, ignored: " + n.BrittleText
 	}
+	switch n.Pause {
+	case NoticeNamed:
+		text += fmt.Sprintf("; asks this gateway for no requests for %s (%q)", n.PauseFor, n.PauseText)
+	case NoticeUnreadable:
+		text += "; asks for a pause that can't be read, ignored: " + n.PauseText
+	}
 	return text
 }
--- a/internal/protocol/upstreamapi/notice.go
+++ b/internal/protocol/upstreamapi/notice.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 )
@@ -15,6 +16,9 @@
 	MinRateLimit = 0.1
 	// MaxRateLimit is the highest limit that is applied, in requests a second.
 	MaxRateLimit = 10_000
+	// MaxPause is the longest pause that is kept to when an upstream asks for no
+	// requests. After it, one request shows whether the upstream still asks for it.
+	MaxPause = 5 * time.Minute
 	// maxNumberText bounds the length of a number's text, in bytes.
 	maxNumberText = 32
 )
@@ -40,6 +44,16 @@
 	return n
 }
 
+// WithPause returns the notice with what the values of the header field Retry-After on
+// status 503 ask for: a pause in seconds, up to MaxPause. A date, as RFC 9110 also permits,
+// and anything else that is no decimal number is unreadable.
+func WithPause(n scheduler.UpstreamNotice, retryAfter []string) scheduler.UpstreamNotice {
+	state, seconds, text := parseNumber(retryAfter)
+	n.Pause, n.PauseText = state, text
+	n.PauseFor = time.Duration(min(MaxPause.Seconds(), seconds) * float64(time.Second))
+	return n
+}
+
 // parseNumber decodes the values of a field. Text is the number as it was sent or, if it
 // is unreadable, why.
 func parseNumber(values []string) (state scheduler.NoticeState, number float64, text string) {
--- a/internal/protocol/upstreamapi/notice_test.go
+++ b/internal/protocol/upstreamapi/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -43,6 +44,39 @@
 	}
 }
 
+// TestWithPause_SpoiledValues checks that a field which is no decimal number of seconds is
+// never taken for a pause, and that no pause is longer than the bound.
+func TestWithPause_SpoiledValues(t *testing.T) {
+	for _, text := range []string{"", " ", "-5", "soon", "NaN", "Inf", "1,2", "3s", "1e9", strings.Repeat("1", 33), "Fri, 04 Dec 2026 09:00:00 GMT"} {
+		n := WithPause(scheduler.UpstreamNotice{}, []string{text})
+		must.Eq(t, scheduler.NoticeUnreadable, n.Pause, must.Sprintf("%q", text))
+		must.Zero(t, n.PauseFor)
+	}
+	must.Eq(t, scheduler.NoticeUnreadable, WithPause(scheduler.UpstreamNotice{}, []string{"3", "3"}).Pause)
+	must.Eq(t, scheduler.UpstreamNotice{}, WithPause(scheduler.UpstreamNotice{}, nil))
+	for text, want := range map[string]time.Duration{"3": 3 * time.Second, " 1.5 ": 1500 * time.Millisecond, "0": 0, "99999999999": MaxPause} {
+		n := WithPause(scheduler.UpstreamNotice{PerSecond: 2}, []string{text})
+		must.Eq(t, scheduler.NoticeNamed, n.Pause, must.Sprintf("%q", text))
+		must.Eq(t, want, n.PauseFor, must.Sprintf("%q", text))
+		must.Eq(t, 2, n.PerSecond)
+	}
+}
+
+// FuzzWithPause checks that any values are decoded without a panic, and that a pause is
+// always within its bound.
+func FuzzWithPause(f *testing.F) {
+	for _, text := range []string{"3", "", "-1", "1e308", "inf", "0", "2\n3", ".", "00000000000000000000000000000001"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		n := WithPause(scheduler.UpstreamNotice{}, strings.Split(text, "\n"))
+		must.Between(t, 0, n.PauseFor, MaxPause)
+		if n.Pause != scheduler.NoticeNamed {
+			must.Zero(t, n.PauseFor)
+		}
+	})
+}
+
 // FuzzParseRateLimit checks that any values are decoded without a panic, and that
 // a limit is always within the bounds.
 func FuzzParseRateLimit(f *testing.F) {
--- a/internal/protocol/upstreamapi/upstreamapi.go
+++ b/internal/protocol/upstreamapi/upstreamapi.go
@@ -42,6 +42,9 @@
 	// HeaderBrittle on an answer says that the upstream ends if it has to turn away
 	// more than this many requests of all gateways in a second, as a decimal number.
 	HeaderBrittle = "X-Brittle"
+	// HeaderPause on an answer with status 503 asks the gateway for no requests for so
+	// many seconds, as a decimal number of at most MaxPause.
+	HeaderPause = "Retry-After"
 )
 
 // HeartbeatComment is the server-sent-event comment that an engine writes while
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -138,7 +138,11 @@
 
 // noticeOf decodes what an answer says about its upstream.
 func noticeOf(response *http.Response) scheduler.UpstreamNotice {
-	return upstreamapi.ParseNotice(response.Header.Values(upstreamapi.HeaderRateLimit), response.Header.Values(upstreamapi.HeaderBrittle))
+	n := upstreamapi.ParseNotice(response.Header.Values(upstreamapi.HeaderRateLimit), response.Header.Values(upstreamapi.HeaderBrittle))
+	if response.StatusCode == http.StatusServiceUnavailable {
+		n = upstreamapi.WithPause(n, response.Header.Values(upstreamapi.HeaderPause))
+	}
+	return n
 }
 
 // roundTrip sends the request and returns the answer as soon as its header has been
