Upstreams get no requests during the pause that they ask a gateway for

Retry-After in a rejection was read nowhere, so neither the gateway nor its scheduler knew of the pause. The class is that of the named limits: what an upstream says of itself had no way into the decisions.

Change: a pause binds the gateway that the upstream saw. The gateway keeps it and uses no grant, standing or on its way, for that upstream; its scheduler places none of its requests there, probes included, and goes on with other gateways; the next scheduler learns it from the registration. If all upstreams pause, a request waits or is refused with the time that is left; the tickets of such a gateway keep no others from being placed. For a relayed request the relay is the gateway that is asked: it is told, opens no tunnel there, and is no longer named as a relay. An answer that asks for a pause is no sample of its version.

TestPool_NoRequestInPauseUnderFailover (lost calls, schedulers that replace each other) fails with the gateway's own check taken out. Tests of the packages and of real gateways (TestPartition_, TestEndToEnd_) are green.

--- a/internal/command/agent/latency_bench_test.go
+++ b/internal/command/agent/latency_bench_test.go
@@ -146,7 +146,7 @@
 	ticket := scheduler.Ticket{ID: id, Gateway: "node-0", Tier: "urgent", Team: "alpha", Route: "lookup", Idempotent: true}
 	decision, err := client.Place(context.Background(), ticket, began.Add(testTimeout))
 	waits.add(time.Since(began))
-	if err != nil || decision.Grant == nil || !client.Begin(id) {
+	if err != nil || decision.Grant == nil || client.Begin(id) != scheduler.BeginSend {
 		return
 	}
 	time.Sleep(overloadServiceTime)
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -274,6 +274,18 @@
 	return limits, brittle
 }
 
+// pausedUpstreams returns the number of upstreams that asked this gateway for a pause that
+// is in force.
+func (n *Node) pausedUpstreams() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	paused := 0
+	for _, c := range n.clients {
+		paused += c.Paused()
+	}
+	return paused
+}
+
 // Upstream implements gateway.Environment.
 func (n *Node) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
 	d, known := n.upstreams.Load().byName[name]
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"time"
@@ -18,7 +19,7 @@
 	if !n.settings.Gateway() || n.settings.RelayPort == 0 {
 		return nil
 	}
-	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.isUpstreamAddress)
+	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.permitRelay)
 	if err == nil {
 		n.gateway.SetRelays(n)
 	}
@@ -43,9 +44,25 @@
 	return ""
 }
 
-// isUpstreamAddress reports whether an upstream has the address.
-func (n *Node) isUpstreamAddress(address string) bool {
-	return n.upstreams.Load().addresses[address]
+// permitRelay returns why this node relays nothing to an address: no upstream has it, or
+// the upstream asked this node for a pause.
+func (n *Node) permitRelay(address string) error {
+	found := n.upstreams.Load().byAddress[address]
+	if len(found) == 0 {
+		return fmt.Errorf("%s is no upstream", address)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range found {
+		c := n.clients[d.Upstream.Pool]
+		if c == nil {
+			continue
+		}
+		if left := c.PauseLeft(d.Name); left > 0 {
+			return fmt.Errorf("%s asked this node for no requests for %s", d.Name, left)
+		}
+	}
+	return nil
 }
 
 // DrainRelay ends the relaying of requests of other gateways: it accepts no new ones, and
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -98,7 +98,8 @@
 	case scheduler.ReportDispatched:
 		return
 	case scheduler.ReportNotice:
-		o.limited = o.limited || r.Notice != nil && (r.Notice.RateLimit == scheduler.NoticeNamed || r.Notice.Brittle == scheduler.NoticeNamed)
+		o.limited = o.limited || r.Notice != nil && (r.Notice.RateLimit == scheduler.NoticeNamed ||
+			r.Notice.Brittle == scheduler.NoticeNamed || r.Notice.Pause == scheduler.NoticeNamed)
 		return
 	case scheduler.ReportFirstToken:
 		o.firstToken = r.Elapsed
@@ -156,6 +157,11 @@
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
 }
 
+// Paused implements pool.Observer.
+func (w *rolloutWatch) Paused(c scheduler.PauseChange) {
+	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
+}
+
 // shares returns the traffic shares of the given versions; nil if the pool has had
 // no rollout or no version is given.
 func (w *rolloutWatch) shares(versions []ident.VersionName, now time.Time) []scheduler.VersionShare {
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -256,8 +256,8 @@
 type upstreamTable struct {
 	byName map[ident.UpstreamName]control.Discovered
 	byPool map[ident.PoolName][]control.Discovered
-	// addresses holds the addresses of all upstreams.
-	addresses map[string]bool
+	// byAddress holds the upstreams by host:port; one may follow another at its address.
+	byAddress map[string][]control.Discovered
 }
 
 func newUpstreamTable(found []control.Discovered) *upstreamTable {
@@ -265,11 +265,11 @@
 		byName: make(map[ident.UpstreamName]control.Discovered, len(found)),
 		byPool: make(map[ident.PoolName][]control.Discovered),
 
-		addresses: make(map[string]bool, len(found)),
+		byAddress: make(map[string][]control.Discovered, len(found)),
 	}
 	for _, d := range found {
 		t.byName[d.Name] = d
-		t.addresses[d.Upstream.Address] = true
+		t.byAddress[d.Upstream.Address] = append(t.byAddress[d.Upstream.Address], d)
 		t.byPool[d.Upstream.Pool] = append(t.byPool[d.Upstream.Pool], d)
 	}
 	return t
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -86,9 +86,8 @@
 		return g.claimRefused(claimCtx, r, claimed, sink), attemptSettled
 	}
 	g.record(r, timeline.KindClaimed, r.Key)
-	if !placer.Begin(r.ID) {
-		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
-		return g.releaseUnsent(ctx, r, attemptLapsed)
+	if end := g.begin(placer, r, grant); end != attemptSettled {
+		return g.releaseUnsent(ctx, r, end)
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
 	return g.dispatchClaimed(ctx, placer, d, grant, sink)
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -60,9 +60,12 @@
 	}
 }
 
-func (e *faultyEnv) Begin(ident.RequestID) bool {
-	e.begun = rapid.IntRange(0, 5).Draw(e.t, "begin") > 0
-	return e.begun
+func (e *faultyEnv) Begin(ident.RequestID) scheduler.BeginResult {
+	result := rapid.SampledFrom([]scheduler.BeginResult{
+		scheduler.BeginSend, scheduler.BeginSend, scheduler.BeginSend, scheduler.BeginSend, scheduler.BeginLapsed, scheduler.BeginPaused,
+	}).Draw(e.t, "begin")
+	e.begun = result == scheduler.BeginSend
+	return result
 }
 
 func (e *faultyEnv) Send(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -91,6 +91,9 @@
 	// attemptUnlisted means the same because this gateway knows that the upstream is
 	// leaving, or does not know the upstream, and the scheduler's list is older or newer.
 	attemptUnlisted
+	// attemptPaused means the same because the upstream asked this gateway for a pause that
+	// the scheduler does not know of.
+	attemptPaused
 )
 
 // run places and dispatches the request until an attempt settles it. WaitCtx also
@@ -117,7 +120,7 @@
 		}
 		switch end {
 		case attemptLapsed:
-		case attemptUnlisted:
+		case attemptUnlisted, attemptPaused:
 			unlisted = append(unlisted, grant.Upstream)
 		default:
 			excluded = append(excluded, grant.Upstream)
@@ -242,9 +245,8 @@
 	if !r.Idempotent && !r.SkipClaim {
 		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
 	}
-	if !placer.Begin(r.ID) {
-		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
-		return Result{}, attemptLapsed
+	if end := g.begin(placer, r, grant); end != attemptSettled {
+		return Result{}, end
 	}
 	g.record(r, timeline.KindDispatched, string(grant.Upstream))
 	deadlineCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
@@ -277,6 +279,22 @@
 	return Result{Answered: true}, attemptSettled
 }
 
+// begin takes up a grant just before the request is sent. If the grant can't be used, it
+// reports that and returns why; otherwise attemptSettled.
+func (g *Gateway) begin(placer Placer, r *Request, grant *scheduler.Grant) attemptOutcome {
+	switch placer.Begin(r.ID) {
+	case scheduler.BeginSend:
+		return attemptSettled
+	case scheduler.BeginPaused:
+		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s asked this gateway for a pause; goes on elsewhere", grant.Upstream))
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+		return attemptPaused
+	default:
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+		return attemptLapsed
+	}
+}
+
 // noticeHandler returns a function that passes on what an answer to the request
 // says about its upstream, and records it if it is new to this gateway.
 func (g *Gateway) noticeHandler(placer Placer, s *sending) func(scheduler.UpstreamNotice) {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -275,7 +275,7 @@
 	// Place waits for the scheduler's decision or the end of ctx.
 	Place(ctx context.Context, t scheduler.Ticket, deadline time.Time) (scheduler.Decision, error)
 	// Begin reports whether a granted request may be sent now.
-	Begin(id ident.RequestID) bool
+	Begin(id ident.RequestID) scheduler.BeginResult
 	// Relayed records that a granted request is sent through another gateway.
 	Relayed(id ident.RequestID, peer ident.NodeID)
 	// Notice reports what the header of the answer says about the upstream, and
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -22,11 +22,12 @@
 // releases.
 type unresponsiveEnv struct{ completed, released int }
 
-func (e *unresponsiveEnv) Fresh() bool                                           { return true }
-func (e *unresponsiveEnv) Placer(ident.PoolName) Placer                          { return e }
-func (e *unresponsiveEnv) Identity() (ident.NodeID, ident.Incarnation)           { return "n", 1 }
-func (e *unresponsiveEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
-func (e *unresponsiveEnv) Begin(ident.RequestID) bool                            { return true }
+func (e *unresponsiveEnv) Fresh() bool                                 { return true }
+func (e *unresponsiveEnv) Placer(ident.PoolName) Placer                { return e }
+func (e *unresponsiveEnv) Identity() (ident.NodeID, ident.Incarnation) { return "n", 1 }
+func (e *unresponsiveEnv) PoolUpstreams(ident.PoolName) []Target       { return []Target{{Name: "u"}} }
+
+func (e *unresponsiveEnv) Begin(ident.RequestID) scheduler.BeginResult           { return scheduler.BeginSend }
 func (e *unresponsiveEnv) Relayed(ident.RequestID, ident.NodeID)                 {}
 func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                       {}
 func (e *unresponsiveEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
--- a/internal/coordination/pool/capacity_messages_test.go
+++ b/internal/coordination/pool/capacity_messages_test.go
@@ -110,7 +110,7 @@
 	if decision.Grant == nil {
 		return fmt.Errorf("refused: %s", decision.Refusal.Reason)
 	}
-	if !client.Begin(id) {
+	if client.Begin(id) != scheduler.BeginSend {
 		return fmt.Errorf("grant of %s lapsed", id)
 	}
 	time.Sleep(pause)
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -63,7 +63,9 @@
 	reports    []scheduler.Report
 	// notices holds what upstreams have said about themselves.
 	notices map[ident.UpstreamName]upstreamNotices
-	poison  poisonRecord
+	// pauses holds until when upstreams asked this gateway to send them nothing.
+	pauses map[ident.UpstreamName]time.Time
+	poison poisonRecord
 }
 
 type waiter struct {
@@ -99,6 +101,7 @@
 		waiting:     make(map[ident.RequestID]*waiter),
 		running:     make(map[ident.RequestID]*runningRequest),
 		notices:     make(map[ident.UpstreamName]upstreamNotices),
+		pauses:      make(map[ident.UpstreamName]time.Time),
 		poison:      poisonRecord{start: time.Now(), cleared: make(map[uint64]bool)},
 	}
 }
@@ -196,26 +199,28 @@
 	return scheduler.Decision{}, cause
 }
 
-// Begin reports whether a granted request may be sent now. It returns false for a
-// grant that has expired or that belongs to an older epoch; the caller must then
-// report the request as dropped and place it again.
-func (c *Client) Begin(id ident.RequestID) bool {
+// Begin reports whether a granted request may be sent now. If not, the caller must report
+// the request as dropped and place it again.
+func (c *Client) Begin(id ident.RequestID) scheduler.BeginResult {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.running[id]
 	now := time.Now()
 	if r == nil || now.After(r.expires) || r.grant.Epoch < c.holder.Lease.Epoch {
-		return false
+		return scheduler.BeginLapsed
 	}
 	if !r.grant.Trial && c.poison.refuses(&r.ticket, c.pool) {
-		return false
+		return scheduler.BeginLapsed
+	}
+	if c.pauseLeft(r.grant.Upstream, now) > 0 {
+		return scheduler.BeginPaused
 	}
 	r.since = now
 	if c.usage != nil {
 		c.usage.Record(r.ticket.Team, r.ticket.Cost, now)
 	}
 	c.queueReport(scheduler.Report{Kind: scheduler.ReportDispatched, Ticket: id, Upstream: r.grant.Upstream})
-	return true
+	return scheduler.BeginSend
 }
 
 // Relayed records that a granted request is sent through another gateway.
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -100,6 +100,15 @@
 	refused    map[ident.RequestID]scheduler.Reason
 	// lapsed counts the grants that expired before the gateway used them.
 	lapsed map[ident.RequestID]int
+	// pausedUntil holds until when an upstream asked a gateway for a pause, and inPause
+	// counts the requests that began in one.
+	pausedUntil map[gatewayUpstream]time.Time
+	inPause     int
+}
+
+type gatewayUpstream struct {
+	gateway  ident.NodeID
+	upstream ident.UpstreamName
 }
 
 func newRequestLog() *requestLog {
@@ -110,6 +119,8 @@
 		ended:      make(map[ident.RequestID]int),
 		refused:    make(map[ident.RequestID]scheduler.Reason),
 		lapsed:     make(map[ident.RequestID]int),
+
+		pausedUntil: make(map[gatewayUpstream]time.Time),
 	}
 }
 
@@ -121,6 +132,26 @@
 	log.maxRunning[u] = max(log.maxRunning[u], log.running[u])
 }
 
+// beginAt records that a request of a gateway began, and whether the upstream had asked
+// for a pause.
+func (log *requestLog) beginAt(gateway ident.NodeID, id ident.RequestID, u ident.UpstreamName) {
+	log.begin(id, u)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if time.Now().Before(log.pausedUntil[gatewayUpstream{gateway, u}]) {
+		log.inPause++
+	}
+}
+
+func (log *requestLog) pause(gateway ident.NodeID, u ident.UpstreamName, d time.Duration) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	key, until := gatewayUpstream{gateway, u}, time.Now().Add(d)
+	if until.After(log.pausedUntil[key]) {
+		log.pausedUntil[key] = until
+	}
+}
+
 func (log *requestLog) end(u ident.UpstreamName) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
@@ -166,6 +197,8 @@
 	masters []*Master
 	random  *rand.Rand
 	mu      sync.Mutex
+	// pauses makes upstreams ask for a pause in some answers.
+	pauses bool
 }
 
 func testView() scheduler.View {
@@ -242,13 +275,18 @@
 		if s.jitter(10) == 0 {
 			time.Sleep(s.jitter(3 * time.Second))
 		}
-		if !c.Begin(id) {
+		if c.Begin(id) != scheduler.BeginSend {
 			c.Finish(id, scheduler.Ending{Kind: scheduler.ReportDropped})
 			s.log.lapse(id)
 			continue
 		}
-		s.log.begin(id, d.Grant.Upstream)
+		s.log.beginAt(c.gateway, id, d.Grant.Upstream)
 		time.Sleep(s.jitter(60 * time.Millisecond))
+		if s.pauses && s.jitter(6) == 0 {
+			pause := s.jitter(2 * time.Second)
+			c.Notice(id, scheduler.UpstreamNotice{Pause: scheduler.NoticeNamed, PauseFor: pause})
+			s.log.pause(c.gateway, d.Grant.Upstream, pause)
+		}
 		c.FirstToken(id, 0)
 		time.Sleep(s.jitter(300 * time.Millisecond))
 		s.log.end(d.Grant.Upstream)
@@ -269,7 +307,7 @@
 		requests := rapid.IntRange(1, 240).Draw(rt, "requests")
 		log := newRequestLog()
 		synctest.Test(t, func(t *testing.T) {
-			runScenario(log, seed, loss, elections, stopFormer, requests)
+			runScenario(log, seed, loss, elections, stopFormer, requests, false)
 		})
 		must.MapLen(rt, requests, log.ended)
 		for id, n := range log.begun {
@@ -291,12 +329,35 @@
 	})
 }
 
-func runScenario(log *requestLog, seed uint64, loss float64, elections int, stopFormer bool, requests int) {
+// TestPool_NoRequestInPauseUnderFailover runs gateways against schedulers that replace each
+// other over lossy connections, while upstreams ask gateways for pauses. No request may
+// begin at an upstream in a pause that it asked the gateway for.
+func TestPool_NoRequestInPauseUnderFailover(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		loss := rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(rt, "loss")
+		elections := rapid.IntRange(0, 3).Draw(rt, "elections")
+		stopFormer := rapid.Bool().Draw(rt, "former stops")
+		requests := rapid.IntRange(1, 120).Draw(rt, "requests")
+		log := newRequestLog()
+		synctest.Test(t, func(t *testing.T) {
+			runScenario(log, seed, loss, elections, stopFormer, requests, true)
+		})
+		must.MapLen(rt, requests, log.ended)
+		must.Zero(rt, log.inPause)
+		for id, n := range log.begun {
+			must.Eq(rt, 1, n, must.Sprintf("%s began %d times", id, n))
+		}
+	})
+}
+
+func runScenario(log *requestLog, seed uint64, loss float64, elections int, stopFormer bool, requests int, pauses bool) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := &scenario{
 		network: &fakeNetwork{random: rand.New(rand.NewPCG(seed, 2)), services: make(map[string]*Service), loss: loss, partitioned: make(map[ident.NodeID]bool)},
 		log:     log,
 		random:  rand.New(rand.NewPCG(seed, 3)),
+		pauses:  pauses,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops, group sync.WaitGroup
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -52,6 +52,8 @@
 	Rotated(r scheduler.Rotation)
 	// RateLimited is called for each change of an upstream's rate limit.
 	RateLimited(c scheduler.RateLimitChange)
+	// Paused is called for each pause that an upstream asks a gateway for.
+	Paused(c scheduler.PauseChange)
 	// PoisonChanged is called for each change of the refused parts.
 	PoisonChanged(c scheduler.PoisonChange)
 }
@@ -60,7 +62,9 @@
 	id      Session
 	tickets map[ident.RequestID]scheduler.Ticket
 	outbox  []scheduler.Decision
-	ready   chan struct{}
+	// pauses holds those that the gateway does not know of.
+	pauses []scheduler.PauseNotice
+	ready  chan struct{}
 	// nextSequence is the sequence number of the message that is applied next.
 	// Advanced is closed and replaced when it changes.
 	nextSequence uint64
@@ -272,6 +276,15 @@
 			m.observer.RateLimited(c)
 		}
 	}
+	for _, c := range m.sched.PauseChanges() {
+		if s := m.sessions[c.Gateway]; s != nil && c.Relayed {
+			s.pauses = append(s.pauses, c.PauseNotice)
+			s.wake()
+		}
+		if m.observer != nil {
+			m.observer.Paused(c)
+		}
+	}
 	for _, c := range m.sched.PoisonChanges() {
 		if c.Record != nil {
 			m.spread.addRecord(*c.Record)
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -71,6 +71,9 @@
 	// RateLimits are the rate limits that changed since the last reply to the
 	// session; PerSecond is 0 for one that has ended.
 	RateLimits []scheduler.RateLimitNotice
+	// Pauses are those that upstreams asked the gateway for while it relayed requests of
+	// others.
+	Pauses []scheduler.PauseNotice
 	// Poison holds the records of refused parts that changed since the last reply to
 	// the session.
 	Poison []poison.Record
--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -76,14 +76,19 @@
 			known.brittle, known.turnAway = false, 0
 		}
 	}
-	if n.Pause == scheduler.NoticeUnreadable {
+	switch n.Pause {
+	case scheduler.NoticeNamed:
+		if now := time.Now(); r.via == "" {
+			c.pauseUntil(r.grant.Upstream, now.Add(n.PauseFor), now)
+		}
+	case scheduler.NoticeUnreadable:
 		known.unreadablePause = n.PauseText
 	}
 	c.setNotices(r.grant.Upstream, known)
-	named := n.RateLimit == scheduler.NoticeNamed || n.Brittle == scheduler.NoticeNamed
+	named := n.RateLimit == scheduler.NoticeNamed || n.Brittle == scheduler.NoticeNamed || n.Pause == scheduler.NoticeNamed
 	if named || r.grant.Limited || former.perSecond != 0 || former.brittle {
 		c.queueReport(scheduler.Report{
-			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n,
+			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n, Via: r.via,
 		})
 	}
 	return !known.sameAs(former) || n.Pause == scheduler.NoticeNamed
--- /dev/null
+++ b/internal/coordination/pool/pauses_test.go
@@ -0,0 +1,56 @@
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+// TestClient_RelayLearnsOfItsPause checks that a gateway which relayed a request learns of
+// the pause that the upstream asked it for, and that the gateway which got the answer is
+// not paused itself.
+func TestClient_RelayLearnsOfItsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scenario{
+			network: &fakeNetwork{random: rand.New(rand.NewPCG(1, 2)), services: make(map[string]*Service), partitioned: make(map[ident.NodeID]bool)},
+			log:     newRequestLog(),
+			random:  rand.New(rand.NewPCG(1, 3)),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var loops sync.WaitGroup
+		for i := range testGateways {
+			c := NewClient(testPool, testGateway(i), 1, &fakeCaller{network: s.network, gateway: testGateway(i)}, nil)
+			s.clients = append(s.clients, c)
+			loops.Go(func() { c.Run(ctx) })
+		}
+		s.startScheduler(true)
+		time.Sleep(time.Second)
+
+		sender, relay := s.clients[0], s.clients[1]
+		d, err := sender.Place(ctx, scheduler.Ticket{ID: "r1", Gateway: sender.gateway, Tier: "low", Team: "a", Route: "r", Idempotent: true}, time.Now().Add(time.Minute))
+		must.NoError(t, err)
+		must.Eq(t, scheduler.BeginSend, sender.Begin("r1"))
+		sender.Relayed("r1", relay.gateway)
+		sender.Notice("r1", scheduler.UpstreamNotice{Pause: scheduler.NoticeNamed, PauseFor: 3 * time.Second})
+		time.Sleep(300 * time.Millisecond)
+		must.Zero(t, sender.PauseLeft(d.Grant.Upstream))
+		left := relay.PauseLeft(d.Grant.Upstream)
+		must.Between(t, 2600*time.Millisecond, left, 3*time.Second)
+		must.Eq(t, 1, relay.Paused())
+		time.Sleep(left)
+		must.Zero(t, relay.PauseLeft(d.Grant.Upstream))
+		cancel()
+		loops.Wait()
+		for _, m := range s.masters {
+			m.Stop()
+		}
+	})
+}
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -260,6 +260,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// Paused implements Observer.
+func (r *Runner) Paused(change scheduler.PauseChange) {
+	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // PoisonChanged implements Observer.
 func (r *Runner) PoisonChanged(change scheduler.PoisonChange) {
 	r.events.Record(timeline.Event{Kind: timeline.KindPoison, Pool: r.master.Pool(), Detail: change.String()})
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -109,11 +109,14 @@
 	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Poison: m.spread.recordsSince(s.known)}
 	s.known = m.spread.version
 	r.Decisions = s.takeOutbox()
+	r.Pauses, s.pauses = s.pauses, nil
 	return r
 }
 
 // isEmpty reports whether the reply tells the gateway nothing.
-func (r *Reply) isEmpty() bool { return len(r.Decisions)+len(r.RateLimits)+len(r.Poison) == 0 }
+func (r *Reply) isEmpty() bool {
+	return len(r.Decisions)+len(r.RateLimits)+len(r.Pauses)+len(r.Poison) == 0
+}
 
 // spreadChanges makes the gateways' polls return if there is news for them. The
 // caller holds the lock.
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -184,7 +184,7 @@
 		}
 	}
 	ahead += workAheadInTier(tier, e)
-	return max(p.nextToken(now), scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now)))
+	return max(p.nextToken(now), p.pauseWait(e, now), scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now)))
 }
 
 // workAheadInTier returns the work of the ticket's tier that is served before it:
@@ -279,7 +279,7 @@
 	for _, e := range order {
 		own := scaleBy(teamWork[e.queue], q.totalWeight/e.queue.weight)
 		spare := p.spareSlots(q, e.deadline-now, now)
-		wait := scaleBy(ahead+min(tierWork, own), 1/spare)
+		wait := max(p.pauseWait(e, now), scaleBy(ahead+min(tierWork, own), 1/spare))
 		if e.missesDeadline(wait, contended, now) && p.keepLate(e, wait, now) {
 			p.dequeue(e)
 			p.enqueue(e)
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -75,7 +75,7 @@
 // upstream that would miss the ticket's deadline is taken only if all others
 // would miss it too.
 func (c *candidate) consider(e *entry, g *engine, now time.Duration) {
-	if e.excludes(g.upstream.Name) || c.apart && c.pool.runsSuspect(g) {
+	if e.excludes(g.upstream.Name) || g.isPausedFor(e.ticket.Gateway, now) || c.apart && c.pool.runsSuspect(g) {
 		return
 	}
 	cost := g.expectedCost(e, now)
@@ -92,7 +92,7 @@
 	if !c.feasibleKnown {
 		c.feasibleKnown = true
 		for _, g := range c.pool.orderedEngines {
-			if g.acceptsWork() && !g.health.ejected && !e.excludes(g.upstream.Name) && g.meetsDeadline(e, now) {
+			if g.acceptsWork() && !g.health.ejected && !e.excludes(g.upstream.Name) && !g.isPausedFor(e.ticket.Gateway, now) && g.meetsDeadline(e, now) {
 				c.feasible = true
 				break
 			}
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -37,6 +37,9 @@
 	rate *rateLimit
 	// brittle bounds the requests in flight; nil if the upstream is not brittle.
 	brittle *brittleRoom
+	// pauses holds until when gateways send the upstream nothing because it asked them for
+	// that.
+	pauses map[ident.NodeID]time.Duration
 	// readyIn is the ready set that holds the engine, nil if none, and readyIndex
 	// its index there.
 	readyIn    *readySet
@@ -89,12 +92,15 @@
 	e.unheard = false
 }
 
-// peerOf returns the latest answer that another gateway had.
-func (e *engine) peerOf(gateway ident.NodeID) contact {
-	if e.contacts[0].gateway == gateway {
-		return e.contacts[1]
+// peerOf returns the latest answer that another gateway had, unless the upstream asked
+// that gateway for a pause.
+func (e *engine) peerOf(gateway ident.NodeID, now time.Duration) contact {
+	for _, c := range e.contacts {
+		if c.gateway != gateway && !e.isPausedFor(c.gateway, now) {
+			return c
+		}
 	}
-	return e.contacts[0]
+	return contact{}
 }
 
 func newEngine(u Upstream, pool *speed, h holders, t *tuning) *engine {
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -206,6 +206,7 @@
 func (p *Pool) checkUpstreams(now time.Duration) {
 	p.dropUnlistedLimits(now)
 	p.checkBrittle(now)
+	p.dropPauses(now)
 	for _, g := range p.orderedEngines {
 		g.external.record(g.used(), now)
 		for e := range g.running {
@@ -296,7 +297,7 @@
 // probeEngine returns an ejected upstream that the ticket may probe, or nil.
 func (p *Pool) probeEngine(e *entry, now time.Duration) *engine {
 	for _, g := range p.ejected {
-		if !p.probeDue(g, now) || e.excludes(g.upstream.Name) {
+		if !p.probeDue(g, now) || e.excludes(g.upstream.Name) || g.isPausedFor(e.ticket.Gateway, now) {
 			continue
 		}
 		waited := now - g.health.probeAt
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -33,8 +33,9 @@
 func (p *Pool) placeTier(q *tierQueue, passed []*entry, now time.Duration) []*entry {
 	var buffer [matchWindow]*entry
 	window := buffer[:0]
-	// Held tickets don't count towards the limit: many copies of a suspected request
-	// must not keep a tier from being served.
+	// Held tickets don't count towards the limit: many copies of a suspected request, or
+	// the tickets of a gateway that all upstreams asked for a pause, must not keep a tier
+	// from being served.
 	var held []*entry
 	limit := len(passed) + maxPassedOver
 	for p.canPlace(now) && len(passed) < limit {
@@ -56,7 +57,7 @@
 }
 
 // fillWindow moves the next tickets of a tier to the window, and those that have to
-// wait for a suspected request to the held ones.
+// wait for a suspected request or for the end of a pause to the held ones.
 func (p *Pool) fillWindow(q *tierQueue, window, held []*entry, now time.Duration) (filled, waiting []*entry) {
 	for len(window) < matchWindow && len(held) < maxHeld {
 		e := q.next()
@@ -64,7 +65,7 @@
 			break
 		}
 		p.dequeue(e)
-		if p.mustRunApart(e, now) {
+		if p.mustRunApart(e, now) || p.pauseWait(e, now) > 0 {
 			held = append(held, e)
 			continue
 		}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -54,6 +54,10 @@
 	// brittle counts the engines whose requests in flight are bounded because they are
 	// brittle.
 	brittle int
+	// pausedUntil is when the last pause that upstreams asked gateways for ends, and
+	// pauseChanges holds those since the last call of PauseChanges.
+	pausedUntil  time.Duration
+	pauseChanges []PauseChange
 	// meanService is the average service time of the latest tickets.
 	meanService time.Duration
 	// lastWaiting is when a ticket last left the queue.
@@ -330,7 +334,7 @@
 // gateway counts the TTL from when it sent the call that the grant answers. That
 // was before now, so the gateway stops using the grant in time.
 func (p *Pool) emitGrant(e *entry, now time.Duration) {
-	peer := e.engine.peerOf(e.ticket.Gateway)
+	peer := e.engine.peerOf(e.ticket.Gateway, now)
 	p.emit(e, Decision{Grant: &Grant{
 		Ticket:   e.ticket.ID,
 		Epoch:    p.epoch,
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -280,6 +280,7 @@
 	case NoticeAbsent:
 		p.liftLimit(r.Upstream, now-r.Elapsed, now)
 	}
+	p.recordPause(r, now)
 	switch r.Notice.Brittle {
 	case NoticeNamed:
 		p.nameBrittle(r.Upstream, r.Notice.TurnAway, now, now)
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -73,6 +73,9 @@
 			p.nameBrittle(l.Upstream, l.TurnAway, now-l.Age, now)
 		}
 	}
+	for _, n := range r.Pauses {
+		p.pause(r.Gateway, n, now)
+	}
 	p.learnPoison(r.Poison, now)
 	for _, n := range r.Ends {
 		p.recordBroken(n, false, now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -82,6 +82,18 @@
 	TTL time.Duration
 }
 
+// BeginResult states whether a granted request may be sent.
+type BeginResult uint8
+
+const (
+	// BeginSend means that the request is to be sent now.
+	BeginSend BeginResult = iota + 1
+	// BeginLapsed means that the grant has expired or belongs to an older epoch.
+	BeginLapsed
+	// BeginPaused means that the upstream asked this gateway for a pause.
+	BeginPaused
+)
+
 // Reason states why a request was refused.
 type Reason string
 
@@ -246,6 +258,8 @@
 	// RateLimits are the limits that upstreams have named to the gateway, and which of
 	// them are brittle.
 	RateLimits []RateLimitNotice
+	// Pauses are those that upstreams have asked the gateway for.
+	Pauses []PauseNotice
 	// Poison holds the records of refused parts and requests that the gateway knows, and
 	// Ends its requests whose upstreams broke off their answers.
 	Poison []poison.Record
@@ -386,6 +400,9 @@
 	// RateLimitChanges returns and clears the changes of rate limits since the last
 	// call.
 	RateLimitChanges() []RateLimitChange
+	// PauseChanges returns and clears the pauses that upstreams have asked gateways for
+	// since the last call.
+	PauseChanges() []PauseChange
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -34,8 +34,8 @@
 
 // Server accepts tunnels.
 type Server struct {
-	// allowed reports whether a host:port address is that of an upstream.
-	allowed     func(address string) bool
+	// permit returns why no tunnel is opened to a host:port address; nil if one may be.
+	permit      func(address string) error
 	dialTimeout time.Duration
 	server      *http.Server
 	listener    net.Listener
@@ -46,12 +46,12 @@
 }
 
 // Listen returns a server at an address. Serve must be called.
-func Listen(address string, dialTimeout time.Duration, allowed func(address string) bool) (*Server, error) {
+func Listen(address string, dialTimeout time.Duration, permit func(address string) error) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("tunnel: %w", err)
 	}
-	s := &Server{allowed: allowed, dialTimeout: dialTimeout, listener: listener}
+	s := &Server{permit: permit, dialTimeout: dialTimeout, listener: listener}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, ErrorLog: klog.NewStandardLogger("WARNING")}
 	return s, nil
 }
@@ -91,8 +91,9 @@
 	case s.draining.Load():
 		http.Error(w, "this node is stopping", http.StatusServiceUnavailable)
 		return
-	case !s.allowed(r.Host):
-		http.Error(w, fmt.Sprintf("%s is no upstream", r.Host), http.StatusForbidden)
+	}
+	if err := s.permit(r.Host); err != nil {
+		http.Error(w, err.Error(), http.StatusForbidden)
 		return
 	}
 	s.tunnels.Add(1)
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -19,7 +19,12 @@
 // startRelay returns the address of a relay to one target.
 func startRelay(t *testing.T, target string) (*Server, string) {
 	t.Helper()
-	s, err := Listen("127.0.0.1:0", 100*time.Millisecond, func(address string) bool { return address == target })
+	s, err := Listen("127.0.0.1:0", 100*time.Millisecond, func(address string) error {
+		if address != target {
+			return errors.New("no upstream")
+		}
+		return nil
+	})
 	must.NoError(t, err)
 	go s.Serve()
 	t.Cleanup(s.Close)
