--- /dev/null
+++ b/internal/coordination/scheduler/rejection_test.go
@@ -0,0 +1,168 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+const (
+	rejectionStep    = time.Millisecond
+	rejectionService = 60 * time.Millisecond
+	rejectionDelay   = 2 * time.Millisecond
+)
+
+// rejectionModel drives a scheduler with upstreams that reject some requests at once.
+type rejectionModel struct {
+	random    *rand.Rand
+	now       time.Duration
+	pool      *Pool
+	upstreams map[ident.UpstreamName]*rejectingUpstream
+	gateways  []ident.NodeID
+	// answers holds the answers on their way by the time at which they arrive.
+	answers map[time.Duration][]modelAnswer
+	next    int
+
+	sent, served, refused int
+}
+
+type rejectingUpstream struct {
+	// above is the number of requests that it takes at once, and share that of the
+	// requests that it rejects besides.
+	above int
+	share float64
+	// pause is the pause that its rejections ask for; 0 if they ask for none.
+	pause time.Duration
+
+	running            int
+	arrivals, rejected int
+}
+
+type modelAnswer struct {
+	grant    Grant
+	gateway  ident.NodeID
+	elapsed  time.Duration
+	rejected bool
+}
+
+// newRejectionModel returns a model of sound upstreams with six slots each and three
+// gateways.
+func newRejectionModel(upstreams int) *rejectionModel {
+	v := sharedView(upstreams)
+	v.Gateways = []ident.NodeID{"g1", "g2", "g3"}
+	m := &rejectionModel{
+		random: rand.New(rand.NewPCG(3, 4)), upstreams: make(map[ident.UpstreamName]*rejectingUpstream),
+		gateways: v.Gateways, answers: make(map[time.Duration][]modelAnswer),
+	}
+	for i := range v.Upstreams {
+		v.Upstreams[i].MaxConcurrent = 6
+		m.upstreams[v.Upstreams[i].Name] = &rejectingUpstream{above: 6}
+	}
+	m.pool = sharedPool(v, v.Gateways...)
+	m.now = start
+	return m
+}
+
+// run sends so many requests a second for a time.
+func (m *rejectionModel) run(d time.Duration, perSecond float64) {
+	m.sent, m.served, m.refused = 0, 0, 0
+	for _, u := range m.upstreams {
+		u.arrivals, u.rejected = 0, 0
+	}
+	for end := m.now + d; m.now < end; m.now += rejectionStep {
+		for _, a := range m.answers[m.now] {
+			m.deliver(a)
+		}
+		delete(m.answers, m.now)
+		for range poisson(m.random, perSecond*rejectionStep.Seconds()) {
+			m.submit()
+		}
+		m.pool.Tick(m.now)
+		m.collect()
+	}
+}
+
+func (m *rejectionModel) submit() {
+	m.next++
+	m.sent++
+	t := sharedTicket(0, "high")
+	t.ID, t.Gateway = ident.RequestID(fmt.Sprintf("r%07d", m.next)), m.gateways[m.random.IntN(len(m.gateways))]
+	t.Remaining, t.Objective = 600*time.Millisecond, 150*time.Millisecond
+	m.pool.Submit(t, m.now)
+}
+
+// collect sends the granted requests to their upstreams.
+func (m *rejectionModel) collect() {
+	for _, d := range m.pool.Decisions() {
+		if d.Refusal != nil {
+			m.refused++
+			continue
+		}
+		g := *d.Grant
+		u := m.upstreams[g.Upstream]
+		u.arrivals++
+		a := modelAnswer{grant: g, gateway: d.Gateway, elapsed: rejectionDelay + m.serviceTime()}
+		if u.running >= u.above || m.random.Float64() < u.share {
+			u.rejected++
+			a.rejected, a.elapsed = true, rejectionDelay
+		} else {
+			u.running++
+		}
+		m.pool.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: d.Gateway, Upstream: g.Upstream}, m.now)
+		m.answers[m.now+a.elapsed] = append(m.answers[m.now+a.elapsed], a)
+	}
+}
+
+// serviceTime returns the time of one request, which varies a little.
+func (m *rejectionModel) serviceTime() time.Duration {
+	return scaleBy(rejectionService, 0.9+0.2*m.random.Float64()).Truncate(rejectionStep)
+}
+
+func (m *rejectionModel) deliver(a modelAnswer) {
+	u := m.upstreams[a.grant.Upstream]
+	report := Report{Kind: ReportEnded, Ticket: a.grant.Ticket, Gateway: a.gateway, Upstream: a.grant.Upstream, Elapsed: a.elapsed}
+	if !a.rejected {
+		u.running--
+		m.served++
+		m.pool.Report(report, m.now)
+		return
+	}
+	if u.pause > 0 {
+		notice := report
+		notice.Kind, notice.Notice = ReportNotice, &UpstreamNotice{Pause: NoticeNamed, PauseFor: u.pause}
+		m.pool.Report(notice, m.now)
+	}
+	report.Kind = ReportRejected
+	m.pool.Report(report, m.now)
+}
+
+// busiest returns the upstream that got the most requests.
+func (m *rejectionModel) busiest() *rejectingUpstream {
+	var most *rejectingUpstream
+	for _, u := range m.upstreams {
+		if most == nil || u.arrivals > most.arrivals {
+			most = u
+		}
+	}
+	return most
+}
+
+// TestPool_RejectingUpstreamAttractsRequests replays one of four upstreams that rejects
+// all requests at once, while the others have room for twice the load.
+func TestPool_RejectingUpstreamAttractsRequests(t *testing.T) {
+	for _, pause := range []time.Duration{0, 3 * time.Second} {
+		m := newRejectionModel(4)
+		m.run(2*time.Second, 90)
+		u := m.busiest()
+		u.above, u.pause = 0, pause
+		m.run(10*time.Second, 90)
+		t.Logf("pause %s: %d of %d requests served, %d refused, %d rejected", pause, m.served, m.sent, m.refused, u.rejected)
+		must.GreaterEq(t, 0.98, float64(m.served)/float64(m.sent))
+		must.LessEq(t, 0.02, float64(u.rejected)/float64(m.sent))
+	}
+}
