An upstream that rejects requests gets few until it takes them

The class is that of a failure which looks like speed.

Change: a rejection bounds what an upstream gets. Nothing for 20 ms, doubled with each further one in a row up to a second; then what it had besides when it rejected, or one request if it had none. Answers raise that bound to where it last rejected, and time beyond it, slower where rejections ask for pauses. Admission counts what is permitted, probes keep to it, and a line tells each bound.

--- a/internal/coordination/scheduler/brittle.go
+++ b/internal/coordination/scheduler/brittle.go
@@ -231,11 +231,6 @@
 	}
 }
 
-// isPaused reports whether the upstream gets no new request because it turned one away.
-func (e *engine) isPaused(now time.Duration) bool {
-	return e.brittle != nil && now < e.brittle.pausedUntil
-}
-
 // brittleOrphanTimeout returns how long a request that was given up counts as running at a
 // brittle upstream.
 func brittleOrphanTimeout(e *entry) time.Duration {
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -37,6 +37,8 @@
 	rate *rateLimit
 	// brittle bounds the requests in flight; nil if the upstream is not brittle.
 	brittle *brittleRoom
+	// rejections bounds what the upstream gets after it has rejected requests.
+	rejections rejections
 	// pauses holds until when gateways send the upstream nothing because it asked them for
 	// that.
 	pauses map[ident.NodeID]time.Duration
@@ -90,6 +92,7 @@
 	e.health.observeResponse(max(e.lastResponseAt, sentAt), now)
 	e.lastResponseAt = now
 	e.unheard = false
+	e.rejections.recordTaken(sentAt)
 }
 
 // peerOf returns the latest answer that another gateway had, unless the upstream asked
@@ -117,10 +120,14 @@
 // limit returns the current bound on requests in flight. Probes are allowed
 // beyond it.
 func (e *engine) limit() int {
+	limit := e.scaledLimit()
 	if e.unheard {
-		return min(1, e.scaledLimit())
+		limit = min(1, limit)
 	}
-	return e.scaledLimit()
+	if e.rejections.limit > 0 {
+		limit = min(e.rejections.limit, limit)
+	}
+	return limit
 }
 
 // scaledLimit returns this scheduler's part of the limit.
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -206,6 +206,7 @@
 func (p *Pool) checkUpstreams(now time.Duration) {
 	p.dropUnlistedLimits(now)
 	p.checkBrittle(now)
+	p.checkRejections(now)
 	p.dropPauses(now)
 	for _, g := range p.orderedEngines {
 		g.external.record(g.used(), now)
@@ -247,7 +248,7 @@
 func (p *Pool) probeDue(g *engine, now time.Duration) bool {
 	h := &g.health
 	due := h.ejected && h.probe == nil && now >= h.nextProbe(p.noneInRotation())
-	return due && !g.isPaused(now) && g.acceptsWork() && g.used() < g.upstream.MaxConcurrent && p.refreshRate(g, now)
+	return due && !g.isHeld(now) && g.acceptsWork() && g.used() < g.upstream.MaxConcurrent && p.refreshRate(g, now)
 }
 
 // noneInRotation reports whether no upstream is in rotation, so that only probes
--- a/internal/coordination/scheduler/pause.go
+++ b/internal/coordination/scheduler/pause.go
@@ -19,10 +19,13 @@
 // String implements fmt.Stringer.
 func (n PauseNotice) String() string { return fmt.Sprintf("%s for %s", n.Upstream, n.Left) }
 
-// PauseChange reports that an upstream asked a gateway for a pause.
+// PauseChange reports that an upstream asked a gateway for a pause, or rejected a request.
 type PauseChange struct {
 	PauseNotice
 	Gateway ident.NodeID
+	// Room, if not 0, says that the upstream rejected a request: no gateway sends it any
+	// for the time left, and then so many at once.
+	Room int
 	// Relayed is true if the gateway does not know of the pause: it relayed a request of
 	// another gateway, which got the answer.
 	Relayed bool
@@ -30,6 +33,9 @@
 
 // String implements fmt.Stringer.
 func (c PauseChange) String() string {
+	if c.Room > 0 {
+		return fmt.Sprintf("%s rejected a request: gets none for %s, then at most %d at once from this scheduler", c.Upstream, c.Left, c.Room)
+	}
 	return fmt.Sprintf("%s asks %s for no requests for %s", c.Upstream, c.Gateway, c.Left)
 }
 
@@ -54,6 +60,9 @@
 func (p *Pool) recordPause(r Report, now time.Duration) {
 	n := PauseNotice{Upstream: r.Upstream, Left: r.Notice.PauseFor}
 	gateway := cmp.Or(r.Via, r.Gateway)
+	if g, known := p.engines[r.Upstream]; known {
+		g.rejections.pause = n.Left
+	}
 	if p.pause(gateway, n, now) {
 		p.pauseChanges = append(p.pauseChanges, PauseChange{PauseNotice: n, Gateway: gateway, Relayed: r.Via != ""})
 	}
@@ -64,8 +73,8 @@
 	return now < e.pauses[gateway]
 }
 
-// pauseWait returns the time until the first upstream that could take the ticket ends a
-// pause for its gateway; 0 if one is not paused, or if none could take it.
+// pauseWait returns the time until the first upstream that could take the ticket may get a
+// request of its gateway, if only pauses and rejections prevent that now; otherwise 0.
 func (p *Pool) pauseWait(e *entry, now time.Duration) time.Duration {
 	if now >= p.pausedUntil {
 		return 0
@@ -75,7 +84,7 @@
 		if !g.acceptsWork() || g.health.ejected || e.excludes(g.upstream.Name) {
 			continue
 		}
-		left := g.pauses[e.ticket.Gateway] - now
+		left := max(g.pauses[e.ticket.Gateway], g.heldUntil()) - now
 		if left <= 0 {
 			return 0
 		}
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -58,9 +58,9 @@
 	p.slots += slots - g.slots
 	g.slots = slots
 	p.updateEjected(g)
-	if g.isPaused(now) {
+	if g.isHeld(now) {
 		p.removeReady(g)
-		p.scheduleRefresh(g, g.brittle.pausedUntil)
+		p.scheduleRefresh(g, g.heldUntil())
 		return
 	}
 	if g.rate != nil && !p.refreshRate(g, now) {
--- a/internal/coordination/scheduler/rejection_test.go
+++ b/internal/coordination/scheduler/rejection_test.go
@@ -166,3 +166,51 @@
 		must.LessEq(t, 0.02, float64(u.rejected)/float64(m.sent))
 	}
 }
+
+// TestPool_UpstreamsTakeLessThanListed replays that all upstreams take half of what the
+// list says and reject what comes beyond, while half as much again is asked as they can do.
+// What they can do must be used, also if each rejection asks for a pause.
+func TestPool_UpstreamsTakeLessThanListed(t *testing.T) {
+	for _, pause := range []time.Duration{0, 2 * time.Second} {
+		m := newRejectionModel(4)
+		for _, u := range m.upstreams {
+			u.above, u.pause = 3, pause
+		}
+		const capacity = 4 * 3 / 0.060
+		m.run(2*time.Second, 1.5*capacity)
+		m.run(10*time.Second, 1.5*capacity)
+		rejected := 0
+		for _, u := range m.upstreams {
+			rejected += u.rejected
+		}
+		t.Logf("pause %s: %d of %d requests served, %d refused, %d rejected", pause, m.served, m.sent, m.refused, rejected)
+		must.GreaterEq(t, 0.85*capacity*10, float64(m.served))
+	}
+}
+
+// TestPool_RejectedShareIsNoSpeed replays an upstream that rejects half of the requests
+// that it gets. The others have room, so that nothing may be refused.
+func TestPool_RejectedShareIsNoSpeed(t *testing.T) {
+	m := newRejectionModel(4)
+	m.run(2*time.Second, 90)
+	u := m.busiest()
+	u.share = 0.5
+	m.run(10*time.Second, 90)
+	t.Logf("%d of %d requests served, %d refused, %d of %d rejected", m.served, m.sent, m.refused, u.rejected, u.arrivals)
+	must.GreaterEq(t, 0.98, float64(m.served)/float64(m.sent))
+}
+
+// TestPool_RejectingUpstreamReturns checks that an upstream which no longer rejects
+// requests has its whole room back within five seconds, when it is needed.
+func TestPool_RejectingUpstreamReturns(t *testing.T) {
+	for _, above := range []int{0, 1, 3} {
+		m := newRejectionModel(4)
+		m.upstreams["u1"].above = above
+		m.run(10*time.Second, 250)
+		m.upstreams["u1"].above = 6
+		m.run(5*time.Second, 250)
+		m.run(5*time.Second, 380)
+		t.Logf("above %d: %d of %d requests served", above, m.served, m.sent)
+		must.GreaterEq(t, 0.95, float64(m.served)/float64(m.sent))
+	}
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -62,6 +62,9 @@
 		p.requeue(e, now, true)
 	case ReportRejected:
 		g := e.engine
+		// What bounds the upstream must be known before the ticket is placed again.
+		inFlight := g.used() - 1
+		p.recordRejection(e, g, inFlight, now)
 		p.requeue(e, now, true)
 		p.turnedAway(g, g.used(), now)
 	case ReportMisdirected:
