Upstreams that say in an answer that they leave get no more requests

What callers saw: none of it; operators saw requests reach a server that had said in its answers for seconds that it leaves (DRAIN).

Cause: only the platform's list, which lags, told that an upstream leaves. What the upstream says of itself was read nowhere: the class of the pauses, of which this is another header and another rule.

Change: the mark is decoded for the platform and for the own interface; anything but a single 0 or 1 changes nothing and is logged once. The gateway uses no grant for that upstream any more, with or without a scheduler and replicas, and relays nothing there; the scheduler gives it no work, counts capacity without it and tells the other gateways; the next scheduler learns it from the registrations. What runs there goes on.

The test of schedulers that replace each other over lossy connections now has leaving upstreams too.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -91,6 +91,9 @@
 	gauge("flamingohaven_fleet_paused_upstreams", "Upstreams that this gateway sends nothing because they asked it for a pause.", func() float64 {
 		return float64(n.pausedUpstreams())
 	})
+	gauge("flamingohaven_fleet_leaving_upstreams", "Upstreams that have said in an answer that they leave, as this gateway knows.", func() float64 {
+		return float64(n.leavingUpstreams())
+	})
 	gauge("flamingohaven_fleet_refused_parts", "Prompt parts that are refused because upstreams end on them.", func() float64 {
 		return float64(n.refused(poison.KindPart))
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -286,6 +286,17 @@
 	return paused
 }
 
+// leavingUpstreams returns the number of upstreams that have said that they leave.
+func (n *Node) leavingUpstreams() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	leaving := 0
+	for _, c := range n.clients {
+		leaving += c.LeavingCount()
+	}
+	return leaving
+}
+
 // Upstream implements gateway.Environment.
 func (n *Node) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
 	d, known := n.upstreams.Load().byName[name]
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -45,7 +45,7 @@
 }
 
 // permitRelay returns why this node relays nothing to an address: no upstream has it, or
-// the upstream asked this node for a pause.
+// the upstream leaves or asked this node for a pause.
 func (n *Node) permitRelay(address string) error {
 	found := n.upstreams.Load().byAddress[address]
 	if len(found) == 0 {
@@ -58,6 +58,9 @@
 		if c == nil {
 			continue
 		}
+		if c.Leaving(d.Name) {
+			return fmt.Errorf("%s leaves", d.Name)
+		}
 		if left := c.PauseLeft(d.Name); left > 0 {
 			return fmt.Errorf("%s asked this node for no requests for %s", d.Name, left)
 		}
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -157,6 +157,11 @@
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
 }
 
+// Leaving implements pool.Observer.
+func (w *rolloutWatch) Leaving(name ident.UpstreamName) {
+	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: string(name) + " says that it leaves, gets no new work"})
+}
+
 // Paused implements pool.Observer.
 func (w *rolloutWatch) Paused(c scheduler.PauseChange) {
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -285,6 +285,10 @@
 	switch placer.Begin(r.ID) {
 	case scheduler.BeginSend:
 		return attemptSettled
+	case scheduler.BeginLeaving:
+		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s has said that it leaves; goes on elsewhere", grant.Upstream))
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+		return attemptUnlisted
 	case scheduler.BeginPaused:
 		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s asked this gateway for a pause; goes on elsewhere", grant.Upstream))
 		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -65,7 +65,9 @@
 	notices map[ident.UpstreamName]upstreamNotices
 	// pauses holds until when upstreams asked this gateway to send them nothing.
 	pauses map[ident.UpstreamName]time.Time
-	poison poisonRecord
+	// leaving holds when upstreams that said in an answer that they leave became known.
+	leaving map[ident.UpstreamName]time.Time
+	poison  poisonRecord
 }
 
 type waiter struct {
@@ -102,6 +104,7 @@
 		running:     make(map[ident.RequestID]*runningRequest),
 		notices:     make(map[ident.UpstreamName]upstreamNotices),
 		pauses:      make(map[ident.UpstreamName]time.Time),
+		leaving:     make(map[ident.UpstreamName]time.Time),
 		poison:      poisonRecord{start: time.Now(), cleared: make(map[uint64]bool)},
 	}
 }
@@ -212,6 +215,9 @@
 	if !r.grant.Trial && c.poison.refuses(&r.ticket, c.pool) {
 		return scheduler.BeginLapsed
 	}
+	if c.isLeaving(r.grant.Upstream, now) {
+		return scheduler.BeginLeaving
+	}
 	if c.pauseLeft(r.grant.Upstream, now) > 0 {
 		return scheduler.BeginPaused
 	}
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -197,7 +197,8 @@
 	masters []*Master
 	random  *rand.Rand
 	mu      sync.Mutex
-	// pauses makes upstreams ask for a pause in some answers.
+	// pauses makes upstreams ask for a pause in some answers, and say in a few that they
+	// leave.
 	pauses bool
 }
 
@@ -287,6 +288,10 @@
 			c.Notice(id, scheduler.UpstreamNotice{Pause: scheduler.NoticeNamed, PauseFor: pause})
 			s.log.pause(c.gateway, d.Grant.Upstream, pause)
 		}
+		if s.pauses && s.jitter(60) == 0 {
+			c.Notice(id, scheduler.UpstreamNotice{Leaving: scheduler.NoticeNamed})
+			s.log.pause(c.gateway, d.Grant.Upstream, scheduler.LeavingRetention)
+		}
 		c.FirstToken(id, 0)
 		time.Sleep(s.jitter(300 * time.Millisecond))
 		s.log.end(d.Grant.Upstream)
@@ -330,8 +335,9 @@
 }
 
 // TestPool_NoRequestInPauseUnderFailover runs gateways against schedulers that replace each
-// other over lossy connections, while upstreams ask gateways for pauses. No request may
-// begin at an upstream in a pause that it asked the gateway for.
+// other over lossy connections, while upstreams ask gateways for pauses or tell them that
+// they leave. No request may begin at an upstream in a pause that it asked the gateway for,
+// or after it has told the gateway that it leaves.
 func TestPool_NoRequestInPauseUnderFailover(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -52,6 +52,8 @@
 	Rotated(r scheduler.Rotation)
 	// RateLimited is called for each change of an upstream's rate limit.
 	RateLimited(c scheduler.RateLimitChange)
+	// Leaving is called for each upstream that is learnt to leave from an answer.
+	Leaving(name ident.UpstreamName)
 	// Paused is called for each pause that an upstream asks a gateway for.
 	Paused(c scheduler.PauseChange)
 	// PoisonChanged is called for each change of the refused parts.
@@ -276,6 +278,12 @@
 			m.observer.RateLimited(c)
 		}
 	}
+	for _, name := range m.sched.LeavingChanges() {
+		m.spread.addLeaving(name)
+		if m.observer != nil {
+			m.observer.Leaving(name)
+		}
+	}
 	for _, c := range m.sched.PauseChanges() {
 		if s := m.sessions[c.Gateway]; s != nil && c.Relayed {
 			s.pauses = append(s.pauses, c.PauseNotice)
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -71,6 +71,9 @@
 	// RateLimits are the rate limits that changed since the last reply to the
 	// session; PerSecond is 0 for one that has ended.
 	RateLimits []scheduler.RateLimitNotice
+	// Leaving are the upstreams that have said in an answer that they leave, of which the
+	// session has not been told.
+	Leaving []ident.UpstreamName
 	// Pauses are those that upstreams asked the gateway for while it relayed requests of
 	// others.
 	Pauses []scheduler.PauseNotice
--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -22,9 +22,9 @@
 	brittle   bool
 	turnAway  float64
 	brittleAt time.Time
-	// unreadable describes the latest limit, unreadableBrittle the latest brittleness and
-	// unreadablePause the latest pause that could not be read.
-	unreadable, unreadableBrittle, unreadablePause string
+	// unreadable describes the latest limit, and the others the latest brittleness, pause
+	// and leaving, that could not be read.
+	unreadable, unreadableBrittle, unreadablePause, unreadableLeaving string
 }
 
 // latest returns when the upstream last named a limit or said that it is brittle.
@@ -84,21 +84,25 @@
 	case scheduler.NoticeUnreadable:
 		known.unreadablePause = n.PauseText
 	}
+	leaves := n.Leaving == scheduler.NoticeNamed && c.markLeaving(r.grant.Upstream, time.Now())
+	if n.Leaving == scheduler.NoticeUnreadable {
+		known.unreadableLeaving = n.LeavingText
+	}
 	c.setNotices(r.grant.Upstream, known)
 	named := n.RateLimit == scheduler.NoticeNamed || n.Brittle == scheduler.NoticeNamed || n.Pause == scheduler.NoticeNamed
-	if named || r.grant.Limited || former.perSecond != 0 || former.brittle {
+	if named || leaves || r.grant.Limited || former.perSecond != 0 || former.brittle {
 		c.queueReport(scheduler.Report{
 			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n, Via: r.via,
 		})
 	}
-	return !known.sameAs(former) || n.Pause == scheduler.NoticeNamed
+	return !known.sameAs(former) || leaves || n.Pause == scheduler.NoticeNamed
 }
 
 // setNotices keeps the notices of an upstream. If there are too many, it forgets
 // the upstream that said something the longest time ago. The caller holds the
 // lock.
 func (c *Client) setNotices(name ident.UpstreamName, n upstreamNotices) {
-	if n.perSecond == 0 && n.unreadable == "" && !n.brittle && n.unreadableBrittle == "" && n.unreadablePause == "" {
+	if n.perSecond == 0 && !n.brittle && n.unreadable+n.unreadableBrittle+n.unreadablePause+n.unreadableLeaving == "" {
 		delete(c.notices, name)
 		return
 	}
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -260,6 +260,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// Leaving implements Observer.
+func (r *Runner) Leaving(name ident.UpstreamName) {
+	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: string(name) + " says that it leaves, gets no new work"})
+}
+
 // Paused implements Observer.
 func (r *Runner) Paused(change scheduler.PauseChange) {
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -121,9 +121,9 @@
 // learn records what a scheduler tells besides its decisions.
 func (c *Client) learn(reply *Reply, sent time.Time) {
 	limits, parts := c.learnLimits(reply.RateLimits, sent), c.LearnPoison(reply.Poison)
-	pauses := c.learnPauses(reply.Pauses, time.Now())
-	if len(limits)+len(parts)+len(pauses) > 0 && c.onNews != nil {
-		c.onNews(fmt.Sprintf("the scheduler tells of rate limits %v, parts %v and pauses %v", limits, parts, pauses))
+	pauses, leaving := c.learnPauses(reply.Pauses, time.Now()), c.learnLeaving(reply.Leaving, time.Now())
+	if len(limits)+len(parts)+len(pauses)+len(leaving) > 0 && c.onNews != nil {
+		c.onNews(fmt.Sprintf("the scheduler tells of rate limits %v, parts %v, pauses %v and leaving upstreams %v", limits, parts, pauses, leaving))
 	}
 }
 
@@ -196,7 +196,7 @@
 // as ended.
 func (c *Client) registration(now time.Time) *scheduler.Registration {
 	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation, RateLimits: c.rateLimits(now)}
-	r.Pauses = c.pauseNotices(now)
+	r.Pauses, r.Leaving = c.pauseNotices(now), c.leavingNames(now)
 	r.Poison, r.Ends = c.poison.refused.List(), c.poison.endsAt(now)
 	if c.usage != nil {
 		r.Sent, r.Uptime = c.usage.Recent(now)
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -25,12 +25,19 @@
 	// records holds the changed records of refused parts and requests, each with its
 	// version.
 	records []spreadRecord
+	// leaving holds the upstreams that have said that they leave, each with its version.
+	leaving []spreadLeaving
 	// version counts the changes; signaled is the version at the last signal to the
 	// gateways.
 	version, signaled uint64
 	signaledAt        time.Time
 }
 
+type spreadLeaving struct {
+	name    ident.UpstreamName
+	version uint64
+}
+
 type spreadRecord struct {
 	record  poison.Record
 	version uint64
@@ -65,6 +72,29 @@
 	}
 }
 
+// addLeaving keeps an upstream that leaves for the gateways.
+func (s *spread) addLeaving(name ident.UpstreamName) {
+	s.version++
+	s.leaving = append(s.leaving, spreadLeaving{name: name, version: s.version})
+	if len(s.leaving) > scheduler.MaxLeaving {
+		s.leaving = s.leaving[1:]
+	}
+}
+
+// leavingSince returns the upstreams that became known to leave after a version.
+func (s *spread) leavingSince(version uint64) []ident.UpstreamName {
+	if version == s.version {
+		return nil
+	}
+	var names []ident.UpstreamName
+	for _, l := range s.leaving {
+		if l.version > version {
+			names = append(names, l.name)
+		}
+	}
+	return names
+}
+
 // recordsSince returns the records that changed after a version.
 func (s *spread) recordsSince(version uint64) []poison.Record {
 	if version == s.version {
@@ -106,7 +136,7 @@
 
 // reply returns the pending decisions for a gateway and what it does not know yet.
 func (m *Master) reply(s *session) Reply {
-	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Poison: m.spread.recordsSince(s.known)}
+	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Leaving: m.spread.leavingSince(s.known), Poison: m.spread.recordsSince(s.known)}
 	s.known = m.spread.version
 	r.Decisions = s.takeOutbox()
 	r.Pauses, s.pauses = s.pauses, nil
@@ -115,7 +145,7 @@
 
 // isEmpty reports whether the reply tells the gateway nothing.
 func (r *Reply) isEmpty() bool {
-	return len(r.Decisions)+len(r.RateLimits)+len(r.Pauses)+len(r.Poison) == 0
+	return len(r.Decisions)+len(r.RateLimits)+len(r.Leaving)+len(r.Pauses)+len(r.Poison) == 0
 }
 
 // spreadChanges makes the gateways' polls return if there is news for them. The
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -19,6 +19,8 @@
 	upstream Upstream
 	// listed is false once the view no longer lists the upstream.
 	listed bool
+	// saysLeaving is true once the upstream has said in an answer that it leaves.
+	saysLeaving bool
 	// versionNotLoaded is true while the upstream reports that its version is not
 	// loaded.
 	versionNotLoaded bool
@@ -156,7 +158,7 @@
 
 // acceptsWork reports whether the upstream may get new work at all.
 func (e *engine) acceptsWork() bool {
-	return e.listed && !e.versionNotLoaded && !e.upstream.Leaving
+	return e.listed && !e.versionNotLoaded && !e.upstream.Leaving && !e.saysLeaving
 }
 
 // free returns the number of slots that new requests may take.
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -208,6 +208,7 @@
 	p.checkBrittle(now)
 	p.checkRejections(now)
 	p.dropPauses(now)
+	p.dropLeaving(now)
 	for _, g := range p.orderedEngines {
 		g.external.record(g.used(), now)
 		for e := range g.running {
--- a/internal/coordination/scheduler/notice.go
+++ b/internal/coordination/scheduler/notice.go
@@ -37,6 +37,9 @@
 	Pause     NoticeState
 	PauseFor  time.Duration
 	PauseText string
+	// Leaving is NoticeNamed if the upstream says that it leaves. LeavingText is as Text.
+	Leaving     NoticeState
+	LeavingText string
 }
 
 // String implements fmt.Stringer.
@@ -60,5 +63,11 @@
 	case NoticeUnreadable:
 		text += "; asks for a pause that can't be read, ignored: " + n.PauseText
 	}
+	switch n.Leaving {
+	case NoticeNamed:
+		text += "; says that it leaves"
+	case NoticeUnreadable:
+		text += "; says that it leaves or not, which can't be read, ignored: " + n.LeavingText
+	}
 	return text
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -58,6 +58,11 @@
 	// pauseChanges holds those since the last call of PauseChanges.
 	pausedUntil  time.Duration
 	pauseChanges []PauseChange
+	// leaving holds the upstreams that have said in an answer that they leave, with the
+	// time at which the pool learnt it, and leavingChanges those since the last call of
+	// LeavingChanges.
+	leaving        map[ident.UpstreamName]time.Duration
+	leavingChanges []ident.UpstreamName
 	// meanService is the average service time of the latest tickets.
 	meanService time.Duration
 	// lastWaiting is when a ticket last left the queue.
@@ -232,6 +237,7 @@
 		g.fraction = p.fraction
 		g.limitTrusted = p.view.Shared != nil
 		g.unheard = p.isUninformed(p.now)
+		_, g.saysLeaving = p.leaving[u.Name]
 		p.adoptLimit(g, p.now)
 		p.adoptBrittle(g, p.now)
 		p.engines[u.Name] = g
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -281,6 +281,9 @@
 		p.liftLimit(r.Upstream, now-r.Elapsed, now)
 	}
 	p.recordPause(r, now)
+	if r.Notice.Leaving == NoticeNamed {
+		p.markLeaving(r.Upstream, now)
+	}
 	switch r.Notice.Brittle {
 	case NoticeNamed:
 		p.nameBrittle(r.Upstream, r.Notice.TurnAway, now, now)
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -76,6 +76,9 @@
 	for _, n := range r.Pauses {
 		p.pause(r.Gateway, n, now)
 	}
+	for _, name := range r.Leaving {
+		p.markLeaving(name, now)
+	}
 	p.learnPoison(r.Poison, now)
 	for _, n := range r.Ends {
 		p.recordBroken(n, false, now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -90,6 +90,8 @@
 	BeginSend BeginResult = iota + 1
 	// BeginLapsed means that the grant has expired or belongs to an older epoch.
 	BeginLapsed
+	// BeginLeaving means that the upstream has said that it leaves.
+	BeginLeaving
 	// BeginPaused means that the upstream asked this gateway for a pause.
 	BeginPaused
 )
@@ -258,8 +260,10 @@
 	// RateLimits are the limits that upstreams have named to the gateway, and which of
 	// them are brittle.
 	RateLimits []RateLimitNotice
-	// Pauses are those that upstreams have asked the gateway for.
-	Pauses []PauseNotice
+	// Pauses are those that upstreams have asked the gateway for, and Leaving the upstreams
+	// that it knows to leave because they said so in an answer.
+	Pauses  []PauseNotice
+	Leaving []ident.UpstreamName
 	// Poison holds the records of refused parts and requests that the gateway knows, and
 	// Ends its requests whose upstreams broke off their answers.
 	Poison []poison.Record
@@ -403,6 +407,9 @@
 	// PauseChanges returns and clears the pauses that upstreams have asked gateways for
 	// since the last call.
 	PauseChanges() []PauseChange
+	// LeavingChanges returns and clears the upstreams that the scheduler has learnt to leave
+	// since the last call, because they said so in an answer.
+	LeavingChanges() []ident.UpstreamName
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
--- a/internal/protocol/upstreamapi/notice.go
+++ b/internal/protocol/upstreamapi/notice.go
@@ -54,6 +54,21 @@
 	return n
 }
 
+// WithLeaving returns the notice with what the values of the header field that says whether
+// an upstream leaves mean: one "1" that it does, one "0" that it doesn't. Anything else is
+// unreadable.
+func WithLeaving(n scheduler.UpstreamNotice, values []string) scheduler.UpstreamNotice {
+	state, number, text := parseNumber(values)
+	switch {
+	case state == scheduler.NoticeNamed && number == 0:
+		state = scheduler.NoticeAbsent
+	case state == scheduler.NoticeNamed && number != 1:
+		state, text = scheduler.NoticeUnreadable, fmt.Sprintf("%q is neither 0 nor 1", text)
+	}
+	n.Leaving, n.LeavingText = state, text
+	return n
+}
+
 // parseNumber decodes the values of a field. Text is the number as it was sent or, if it
 // is unreadable, why.
 func parseNumber(values []string) (state scheduler.NoticeState, number float64, text string) {
--- a/internal/protocol/upstreamapi/notice_test.go
+++ b/internal/protocol/upstreamapi/notice_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// TestWithLeaving_SpoiledValues checks that only a single 1 says that an upstream leaves.
+func TestWithLeaving_SpoiledValues(t *testing.T) {
+	for text, want := range map[string]scheduler.NoticeState{
+		"1": scheduler.NoticeNamed, " 1 ": scheduler.NoticeNamed, "0": scheduler.NoticeAbsent,
+		"": scheduler.NoticeUnreadable, "true": scheduler.NoticeUnreadable, "2": scheduler.NoticeUnreadable,
+		"-1": scheduler.NoticeUnreadable, "1,1": scheduler.NoticeUnreadable, strings.Repeat("1", 33): scheduler.NoticeUnreadable,
+	} {
+		must.Eq(t, want, WithLeaving(scheduler.UpstreamNotice{}, []string{text}).Leaving, must.Sprintf("%q", text))
+	}
+	must.Eq(t, scheduler.NoticeUnreadable, WithLeaving(scheduler.UpstreamNotice{}, []string{"1", "1"}).Leaving)
+	must.Eq(t, scheduler.UpstreamNotice{}, WithLeaving(scheduler.UpstreamNotice{}, nil))
+}
+
 // FuzzWithPause checks that any values are decoded without a panic, and that a pause is
 // always within its bound.
 func FuzzWithPause(f *testing.F) {
--- a/internal/protocol/upstreamapi/upstreamapi.go
+++ b/internal/protocol/upstreamapi/upstreamapi.go
@@ -45,6 +45,9 @@
 	// HeaderPause on an answer with status 503 asks the gateway for no requests for so
 	// many seconds, as a decimal number of at most MaxPause.
 	HeaderPause = "Retry-After"
+	// HeaderLeaving on any answer says, with the value 1, that the upstream leaves and
+	// wants no new requests. Under its name it gets none for scheduler.LeavingRetention.
+	HeaderLeaving = "X-Leaving"
 )
 
 // HeartbeatComment is the server-sent-event comment that an engine writes while
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -139,6 +139,7 @@
 // noticeOf decodes what an answer says about its upstream.
 func noticeOf(response *http.Response) scheduler.UpstreamNotice {
 	n := upstreamapi.ParseNotice(response.Header.Values(upstreamapi.HeaderRateLimit), response.Header.Values(upstreamapi.HeaderBrittle))
+	n = upstreamapi.WithLeaving(n, response.Header.Values(upstreamapi.HeaderLeaving))
 	if response.StatusCode == http.StatusServiceUnavailable {
 		n = upstreamapi.WithPause(n, response.Header.Values(upstreamapi.HeaderPause))
 	}
