--- a/internal/coordination/scheduler/rejection_test.go
+++ b/internal/coordination/scheduler/rejection_test.go
@@ -27,8 +27,17 @@
 	// answers holds the answers on their way by the time at which they arrive.
 	answers map[time.Duration][]modelAnswer
 	next    int
+	// service is the time of a request at an upstream, and lowShare the share of the
+	// requests that are of the lower tier.
+	service  time.Duration
+	lowShare float64
 
 	sent, served, refused int
+	// sentOf and servedOf count by tier. servedIn counts by second.
+	sentOf, servedOf map[ident.TierName]int
+	servedIn         map[int]int
+	// retryAfter holds the times that refusals named.
+	retryAfter []time.Duration
 }
 
 type rejectingUpstream struct {
@@ -41,27 +50,34 @@
 
 	running            int
 	arrivals, rejected int
+	// pausedUntil holds until when it asked gateways for a pause, and inPause counts what
+	// reached it in one.
+	pausedUntil map[ident.NodeID]time.Duration
+	inPause     int
 }
 
 type modelAnswer struct {
 	grant    Grant
 	gateway  ident.NodeID
+	tier     ident.TierName
 	elapsed  time.Duration
 	rejected bool
 }
 
-// newRejectionModel returns a model of sound upstreams with six slots each and three
-// gateways.
-func newRejectionModel(upstreams int) *rejectionModel {
+// newRejectionModel returns a model of sound upstreams with six slots each.
+func newRejectionModel(upstreams, gateways int) *rejectionModel {
 	v := sharedView(upstreams)
-	v.Gateways = []ident.NodeID{"g1", "g2", "g3"}
+	v.Gateways = nil
+	for i := range gateways {
+		v.Gateways = append(v.Gateways, ident.NodeID(fmt.Sprintf("g%d", i)))
+	}
 	m := &rejectionModel{
 		random: rand.New(rand.NewPCG(3, 4)), upstreams: make(map[ident.UpstreamName]*rejectingUpstream),
-		gateways: v.Gateways, answers: make(map[time.Duration][]modelAnswer),
+		gateways: v.Gateways, answers: make(map[time.Duration][]modelAnswer), service: rejectionService,
 	}
 	for i := range v.Upstreams {
 		v.Upstreams[i].MaxConcurrent = 6
-		m.upstreams[v.Upstreams[i].Name] = &rejectingUpstream{above: 6}
+		m.upstreams[v.Upstreams[i].Name] = &rejectingUpstream{above: 6, pausedUntil: make(map[ident.NodeID]time.Duration)}
 	}
 	m.pool = sharedPool(v, v.Gateways...)
 	m.now = start
@@ -70,7 +86,8 @@
 
 // run sends so many requests a second for a time.
 func (m *rejectionModel) run(d time.Duration, perSecond float64) {
-	m.sent, m.served, m.refused = 0, 0, 0
+	m.sent, m.served, m.refused, m.retryAfter = 0, 0, 0, nil
+	m.sentOf, m.servedOf, m.servedIn = make(map[ident.TierName]int), make(map[ident.TierName]int), make(map[int]int)
 	for _, u := range m.upstreams {
 		u.arrivals, u.rejected = 0, 0
 	}
@@ -90,7 +107,12 @@
 func (m *rejectionModel) submit() {
 	m.next++
 	m.sent++
-	t := sharedTicket(0, "high")
+	tier := ident.TierName("high")
+	if m.random.Float64() < m.lowShare {
+		tier = "low"
+	}
+	m.sentOf[tier]++
+	t := sharedTicket(0, tier)
 	t.ID, t.Gateway = ident.RequestID(fmt.Sprintf("r%07d", m.next)), m.gateways[m.random.IntN(len(m.gateways))]
 	t.Remaining, t.Objective = 600*time.Millisecond, 150*time.Millisecond
 	m.pool.Submit(t, m.now)
@@ -101,12 +123,16 @@
 	for _, d := range m.pool.Decisions() {
 		if d.Refusal != nil {
 			m.refused++
+			m.retryAfter = append(m.retryAfter, d.Refusal.RetryAfter)
 			continue
 		}
 		g := *d.Grant
 		u := m.upstreams[g.Upstream]
 		u.arrivals++
-		a := modelAnswer{grant: g, gateway: d.Gateway, elapsed: rejectionDelay + m.serviceTime()}
+		if m.now < u.pausedUntil[d.Gateway] {
+			u.inPause++
+		}
+		a := modelAnswer{grant: g, gateway: d.Gateway, tier: m.pool.entries[g.Ticket].ticket.Tier, elapsed: rejectionDelay + m.serviceTime()}
 		if u.running >= u.above || m.random.Float64() < u.share {
 			u.rejected++
 			a.rejected, a.elapsed = true, rejectionDelay
@@ -120,7 +146,7 @@
 
 // serviceTime returns the time of one request, which varies a little.
 func (m *rejectionModel) serviceTime() time.Duration {
-	return scaleBy(rejectionService, 0.9+0.2*m.random.Float64()).Truncate(rejectionStep)
+	return scaleBy(m.service, 0.9+0.2*m.random.Float64()).Truncate(rejectionStep)
 }
 
 func (m *rejectionModel) deliver(a modelAnswer) {
@@ -129,10 +155,13 @@
 	if !a.rejected {
 		u.running--
 		m.served++
+		m.servedOf[a.tier]++
+		m.servedIn[int((m.now-start)/time.Second)]++
 		m.pool.Report(report, m.now)
 		return
 	}
 	if u.pause > 0 {
+		u.pausedUntil[a.gateway] = max(u.pausedUntil[a.gateway], m.now+u.pause)
 		notice := report
 		notice.Kind, notice.Notice = ReportNotice, &UpstreamNotice{Pause: NoticeNamed, PauseFor: u.pause}
 		m.pool.Report(notice, m.now)
@@ -156,7 +185,7 @@
 // all requests at once, while the others have room for twice the load.
 func TestPool_RejectingUpstreamAttractsRequests(t *testing.T) {
 	for _, pause := range []time.Duration{0, 3 * time.Second} {
-		m := newRejectionModel(4)
+		m := newRejectionModel(4, 3)
 		m.run(2*time.Second, 90)
 		u := m.busiest()
 		u.above, u.pause = 0, pause
@@ -172,7 +201,7 @@
 // What they can do must be used, also if each rejection asks for a pause.
 func TestPool_UpstreamsTakeLessThanListed(t *testing.T) {
 	for _, pause := range []time.Duration{0, 2 * time.Second} {
-		m := newRejectionModel(4)
+		m := newRejectionModel(4, 3)
 		for _, u := range m.upstreams {
 			u.above, u.pause = 3, pause
 		}
@@ -191,7 +220,7 @@
 // TestPool_RejectedShareIsNoSpeed replays an upstream that rejects half of the requests
 // that it gets. The others have room, so that nothing may be refused.
 func TestPool_RejectedShareIsNoSpeed(t *testing.T) {
-	m := newRejectionModel(4)
+	m := newRejectionModel(4, 3)
 	m.run(2*time.Second, 90)
 	u := m.busiest()
 	u.share = 0.5
@@ -204,7 +233,7 @@
 // requests has its whole room back within five seconds, when it is needed.
 func TestPool_RejectingUpstreamReturns(t *testing.T) {
 	for _, above := range []int{0, 1, 3} {
-		m := newRejectionModel(4)
+		m := newRejectionModel(4, 3)
 		m.upstreams["u1"].above = above
 		m.run(10*time.Second, 250)
 		m.upstreams["u1"].above = 6
@@ -214,3 +243,45 @@
 		must.GreaterEq(t, 0.95, float64(m.served)/float64(m.sent))
 	}
 }
+
+// TestPool_AllUpstreamsPauseWithinASecond replays 190 upstreams that all reject what 100
+// gateways send for a second and ask for pauses. No request may reach an upstream in a
+// pause, callers must learn when it ends, and the load must return without oscillation
+// and the higher tier first.
+func TestPool_AllUpstreamsPauseWithinASecond(t *testing.T) {
+	m := newRejectionModel(190, 100)
+	m.service, m.lowShare = 300*time.Millisecond, 0.7
+	const load = 0.6 * 190 * 6 / 0.3
+	const pause = 2 * time.Second
+	m.run(3*time.Second, load)
+	for _, u := range m.upstreams {
+		u.above, u.pause = 0, pause
+	}
+	m.run(time.Second, load)
+	for _, u := range m.upstreams {
+		u.above = 6
+	}
+	arrivals := 0
+	for _, u := range m.upstreams {
+		arrivals += u.arrivals
+	}
+	must.SliceNotEmpty(t, m.retryAfter)
+	for _, after := range m.retryAfter {
+		must.LessEq(t, pause, after)
+	}
+	t.Logf("while they reject: %d of %d sent, %d arrivals, %d refused", m.servedOf["high"]+m.servedOf["low"], m.sent, arrivals, m.refused)
+	must.LessEq(t, m.sent, arrivals)
+
+	m.run(4*time.Second, load)
+	t.Logf("4 s after: high %d of %d, low %d of %d served, by second %v", m.servedOf["high"], m.sentOf["high"], m.servedOf["low"], m.sentOf["low"], m.servedIn)
+	must.GreaterEq(t, float64(m.servedOf["low"])/float64(m.sentOf["low"]), float64(m.servedOf["high"])/float64(m.sentOf["high"]))
+	m.run(6*time.Second, load)
+	t.Logf("later: %d of %d served, by second %v", m.served, m.sent, m.servedIn)
+	must.GreaterEq(t, 0.98, float64(m.served)/float64(m.sent))
+	for second, n := range m.servedIn {
+		must.Between(t, 0.9*load, float64(n), 1.1*load, must.Sprintf("second %d", second))
+	}
+	for name, u := range m.upstreams {
+		must.Zero(t, u.inPause, must.Sprint(name))
+	}
+}
