A scheduler that sees no answers needs more ends before it refuses a request

Cause: with three ends in a row a request is refused unless answers to it are known. For the first second after its first gateway registered a scheduler knows of none and needs six. The one that decided was older than a second, but its only gateway was cut off from all upstreams and the others had just been killed, so it still had not seen a single answer. The time since a gateway came says nothing; what counts is how long answers have come.

Change: the second runs from the first complete answer that the scheduler sees. Until then six ends are needed, as for a request that was answered lately.

Tests: TestPoisonRequest_GatewayWithoutAnswers failed before (refused after three ends). Five tests of ends had pools in which nothing at all was ever answered; each of them now begins with one answer, and its bounds are unchanged.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -700,6 +700,7 @@
 		p.clearParts(e, now)
 	}
 	if complete {
+		p.seeAnswer(now)
 		p.answerRequest(e.ticket.Fingerprint, now)
 		if e.ticket.Content != e.ticket.Fingerprint {
 			p.answerRequest(e.ticket.Content, now)
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -24,8 +24,8 @@
 	requestSettle = time.Second
 	// sharedEndAge is the age of an end up to which other schedulers are told of it.
 	sharedEndAge = 6 * time.Second
-	// answeredHistory is how long a scheduler that gateways have begun to use sees answers
-	// before it takes a request without any for one that was never answered.
+	// answeredHistory is how long a scheduler sees answers before it takes a request
+	// without any for one that was never answered.
 	answeredHistory = time.Second
 	// abandonedRetention is how long a request that its gateway gave up may still run
 	// at its upstream and end it.
@@ -46,9 +46,10 @@
 // end tells them apart.
 type requestEvidence struct {
 	answered AnsweredTable
-	// since is when gateways began to use the scheduler. Before, it sees no answers and
-	// decides nothing.
+	// since is when the first answer came, once there is one. Before, nothing tells a
+	// request that ends upstreams from one that runs beside it.
 	since time.Duration
+	sees  bool
 	// clearedAt is when a request was last answered, for the requests in the ends.
 	clearedAt map[uint64]time.Duration
 	// suspects holds the number of ends in a row, for the suspected requests.
@@ -184,6 +185,22 @@
 	}
 }
 
+// seeAnswer records that an answer to any request is complete.
+func (p *Pool) seeAnswer(now time.Duration) {
+	if v := &p.evidence.byRequest; !v.sees {
+		v.sees, v.since = true, now
+		if len(v.suspects) > 0 {
+			p.evidence.evaluateAt = now + answeredHistory
+		}
+	}
+}
+
+// knowsAnswers reports whether answers have come for long enough to tell which requests
+// are never answered.
+func (v *requestEvidence) knowsAnswers(now time.Duration) bool {
+	return v.sees && now-v.since >= answeredHistory
+}
+
 // answeredLately reports whether a request was answered within answeredRecently.
 func (p *Pool) answeredLately(fingerprint uint64, now time.Duration) bool {
 	at, known := p.evidence.byRequest.clearedAt[fingerprint]
@@ -210,7 +227,7 @@
 
 // endsNeeded returns the number of ends from which a request is refused.
 func (p *Pool) endsNeeded(fingerprint uint64, now time.Duration) int {
-	if p.answeredLately(fingerprint, now) || now-p.evidence.byRequest.since < answeredHistory {
+	if p.answeredLately(fingerprint, now) || !p.evidence.byRequest.knowsAnswers(now) {
 		return endsToRefuseAnswered
 	}
 	if p.evidence.fellBrittle(fingerprint) {
@@ -274,7 +291,7 @@
 		if ends < endsToRefuseRequest {
 			continue
 		}
-		if known := v.byRequest.since + answeredHistory; now < known {
+		if known := v.byRequest.since + answeredHistory; v.byRequest.sees && now < known {
 			v.evaluateAt = known
 		}
 		needed := p.endsNeeded(fingerprint, now)
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -474,6 +474,7 @@
 		now += requestSettle
 		p.Tick(now + endSettle)
 	}
+	p.seeAnswer(now)
 	now = 2 * time.Second
 	crash(0xaaa, "other")
 	for i := range uint64(300) {
@@ -492,6 +493,7 @@
 func TestPoisonRequest_EndUnseenAfterGivingUp(t *testing.T) {
 	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
 	now := start
+	p.seeAnswer(now)
 	var ended []ident.UpstreamName
 	for i := range 3 {
 		now += 2 * time.Second
@@ -523,6 +525,7 @@
 	for _, prompts := range []int{1, 2, 100} {
 		p := New(0, sharedView(8), 0)
 		p.SetOrigin(quotaStart)
+		p.seeAnswer(0)
 		now, ends := 2*time.Second, 0
 		for ; len(p.evidence.refused.List()) == 0; ends++ {
 			now += 3 * time.Second
@@ -563,6 +566,7 @@
 		p.Register(Registration{Gateway: g, Incarnation: 1}, 10*time.Second)
 	}
 	p.Tick(10*time.Second + endSettle)
+	answerSound(p, 1, 10*time.Second+endSettle)
 	must.SliceEmpty(t, p.evidence.refused.List())
 	p.Tick(11*time.Second + 2*endSettle)
 	records := p.evidence.refused.List()
@@ -570,6 +574,46 @@
 	must.Eq(t, uint64(0xbad), records[0].ID)
 }
 
+// TestPoisonRequest_GatewayWithoutAnswers replays a gateway that has just started and is
+// cut off from the upstreams, so that its scheduler sees no answers, while engines end
+// under a poison part and the same stream, which all callers send, runs beside it. The
+// stream must not be refused, also if answers come later.
+func TestPoisonRequest_GatewayWithoutAnswers(t *testing.T) {
+	const stream = uint64(0x57)
+	v := sharedView(8)
+	v.Gateways = []ident.NodeID{"g1"}
+	p := New(0, v, 0)
+	p.SetOrigin(quotaStart)
+	p.Register(Registration{Gateway: "g1", Incarnation: 1}, 0)
+	now := 1300 * time.Millisecond
+	for i := range 3 {
+		p.recordBroken(EndNotice{
+			Ticket: ident.RequestID(fmt.Sprintf("s%d", i)), Upstream: ident.UpstreamName(fmt.Sprintf("u%d", i)),
+			Fingerprint: stream, Content: stream, Broken: BrokenBegun,
+		}, true, now)
+		now += 2 * time.Second
+		p.Tick(now)
+	}
+	must.SliceEmpty(t, p.evidence.refused.List())
+	answerSound(p, 1, now)
+	p.Tick(now + answeredHistory/2)
+	must.SliceEmpty(t, p.evidence.refused.List())
+	answerSound(p, 2, now+answeredHistory/2)
+	p.answerRequest(stream, now+answeredHistory/2)
+	p.Tick(now + 2*answeredHistory + endSettle)
+	must.SliceEmpty(t, p.evidence.refused.List())
+}
+
+// answerSound lets a request with a fingerprint of its own be answered.
+func answerSound(p *Pool, id int, now time.Duration) {
+	t := sharedTicket(1000+id, "low")
+	t.Fingerprint, t.Content = uint64(1000+id), uint64(1000+id)
+	p.Submit(t, now)
+	for _, g := range grants(p.Decisions()) {
+		serveRequest(p, g, ReportEnded, now, time.Millisecond)
+	}
+}
+
 // TestPoisonRequest_SpreadEndsNameNoParts checks that a part is not blamed for ends of which
 // the leader names a request without its parts, and that these count once its gateway
 // names them.
@@ -646,6 +690,7 @@
 	p := sharedPool(sharedView(1), "g1", "g2", "g3", "g4")
 	p.view.Shared = nil
 	now := start
+	p.seeAnswer(now)
 	for i := range 3 {
 		now += 10 * time.Second
 		id := ident.RequestID(fmt.Sprintf("r%d", i))
