Requests keep to older connections while new ones to an upstream break

The failed requests were all sent on a connection that had just been made and was reset; most might not be repeated. Each needed a new connection because none from before was idle. Answers on older connections deleted the record of such failures, so that the gateway never took the path for cut and relayed nothing: no path line was written in nine seconds.

Change: a request that breaks on a new connection counts by itself, until one on a new connection is answered. Meanwhile requests reuse connections or, if there is none, go through another gateway that had an answer since; twice a second a repeatable one tries a new connection. The client of upstreams tells which kind of connection it used.

Ruled out: overload (16 slots, 4 to 14 running, none waiting) and late relays (nothing was relayed).

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -25,6 +25,8 @@
 	budget    *Budget
 	retries   RetryDetector
 	paths     *Paths
+	// freshConns knows to which upstreams new connections break.
+	freshConns freshConns
 	// relays is nil if requests are only sent directly.
 	relays Relays
 	events *timeline.Recorder
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -332,16 +332,20 @@
 		return s.relay(ctx, placer, d, s.route.Relay, sink)
 	}
 	d.Fresh = s.route.Trial
+	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
 	sent := g.upstreams.Send(ctx, d, sink)
+	s.observeFresh(sent)
 	switch {
 	case ctx.Err() != nil:
 		if errors.Is(context.Cause(ctx), errSilent) {
 			s.failSilent(d.Target)
 		}
 	case sent.Outcome == DispatchUnsent:
-		s.fail()
+		if !d.ReuseOnly {
+			s.fail()
+		}
 		age := s.grant.PeerAge + time.Since(s.sentAt)
 		if s.grant.Peer != "" && age < peerFreshness/2 && g.relayAddress(s.grant.Peer) != "" {
 			return s.relay(ctx, placer, d, s.grant.Peer, sink)
@@ -355,9 +359,24 @@
 	return sent
 }
 
+// observeFresh records what a direct sending says about new connections to the upstream.
+func (s *sending) observeFresh(sent DispatchResult) {
+	switch {
+	case !sent.FreshConn:
+	case sent.Outcome == DispatchIncomplete && sent.Broken && sent.Status == 0:
+		if s.gateway.freshConns.failed(s.grant.Upstream, s.sentAt) {
+			s.gateway.recordPath(s.request, fmt.Sprintf("a new connection to %s broke: others are used, or other gateways", s.grant.Upstream))
+		}
+	case sent.Status != 0:
+		if s.gateway.freshConns.answered(s.grant.Upstream) {
+			s.gateway.recordPath(s.request, fmt.Sprintf("%s answered on a new connection", s.grant.Upstream))
+		}
+	}
+}
+
 // relay sends the request through another gateway.
 func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
-	d.Relay, d.Fresh = s.gateway.relayAddress(peer), true
+	d.Relay, d.Fresh, d.ReuseOnly = s.gateway.relayAddress(peer), true, false
 	if d.Relay != "" {
 		s.route.Relay = peer
 		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -184,9 +184,10 @@
 	// Version is the version that the grant names.
 	Version ident.VersionName
 	// Relay is the host:port of the gateway to send the request through; empty for a
-	// direct sending. Fresh demands a new connection.
-	Relay string
-	Fresh bool
+	// direct sending. Fresh demands a new connection, and ReuseOnly one from before: without
+	// one the request is unsent.
+	Relay            string
+	Fresh, ReuseOnly bool
 }
 
 // DispatchOutcome is the outcome of a dispatch.
@@ -221,6 +222,8 @@
 	Events    int
 	// Resumed is the number of times that a broken stream was resumed.
 	Resumed int
+	// FreshConn is true if the request was sent on a new connection.
+	FreshConn bool
 	// Broken is true if the upstream broke off the connection before the answer was
 	// complete.
 	Broken bool
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -70,6 +70,9 @@
 // ErrAnswerMismatch means that the server sent only answers to other requests.
 var ErrAnswerMismatch = errors.New("the answers belong to other requests")
 
+// ErrNoIdleConn means that a call which may only reuse a connection found none.
+var ErrNoIdleConn = errors.New("no connection from before can be reused")
+
 // Call describes a request.
 type Call struct {
 	// Address is host:port, where host is an IPv4 address.
@@ -81,8 +84,10 @@
 	// Matches reports whether an answer with header h belongs to the request.
 	// If it is nil, every answer does.
 	Matches func(h http.Header) bool
-	// Fresh forces a new connection.
-	Fresh bool
+	// Fresh forces a new connection, and ReuseOnly one from before.
+	Fresh, ReuseOnly bool
+	// OnConn, if set, is called with the kind of connection before the call is sent.
+	OnConn func(fresh bool)
 	// Dial, if set, makes the connection, which is not kept for other calls.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -112,6 +117,8 @@
 	reader  *bufio.Reader
 	// head bounds what reader may read while it reads headers.
 	head *headLimiter
+	// reused is true once the connection has served a call before the current one.
+	reused bool
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
@@ -157,6 +164,9 @@
 	if err != nil {
 		return nil, &UnsentError{Err: err}
 	}
+	if call.OnConn != nil {
+		call.OnConn(!pc.reused)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
 	response, err := pc.receive(call)
@@ -185,11 +195,15 @@
 	if !call.Fresh {
 		for pc := c.takeIdle(call.Address); pc != nil; pc = c.takeIdle(call.Address) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
+				pc.reused = true
 				return pc, nil
 			}
 			_ = pc.Close()
 		}
 	}
+	if call.ReuseOnly {
+		return nil, ErrNoIdleConn
+	}
 	return c.dial(ctx, call.Address)
 }
 
