scheduler: a part that is answered needs more ends to be refused

Cause: a request that was answered lately is refused after six ends in a row, one that wasn't after three, but parts had no such evidence. An answer to a part counted only once an end under it was known, so that the scheduler of a gateway that is cut off, whose streams run beside the deadly ones of another scheduler, blamed the common part after three ends. One that had seen no answers at all did the same.

Change: schedulers remember which parts were answered, as they do for requests. A part answered within ten seconds, or judged by a scheduler that has seen answers for less than a second, needs six ends. Ends are evaluated once more when the scheduler knows answers; an evaluation that is due is not put off by a later one.

Ruled out: six ends for all parts. A deadly part is never answered past its beginning, and is still refused after three ends (five without a begun answer).

Measured: both new tests fail before (refused at the third end). TestPoison_EvidenceFromBeforeTheScheduler begins with an answer a second before; its bounds are as they were.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -127,8 +127,10 @@
 type evidence struct {
 	ends []*upstreamEnd
 	// clearedAt is when an answer to a request with the part last went on past its
-	// beginning, for the parts in ends.
-	clearedAt map[uint64]time.Duration
+	// beginning, for the parts in ends. answeredParts holds the same for parts of late,
+	// so that a part is known to be answered when its first end comes.
+	clearedAt     map[uint64]time.Duration
+	answeredParts AnsweredTable
 	// suspects holds the number of ends by part, for the suspected parts.
 	suspects map[uint64]int
 	// apart is the latest request with a suspected part that was granted.
@@ -223,9 +225,7 @@
 	end.requests = append(end.requests, r)
 	slices.SortStableFunc(v.ends, func(a, b *upstreamEnd) int { return int(a.at - b.at) })
 	for _, part := range n.Parts {
-		if _, known := v.clearedAt[part]; !known {
-			v.clearedAt[part] = neverCleared
-		}
+		v.knowPart(part)
 	}
 	if n.Fingerprint != 0 && n.AnsweredBefore > 0 {
 		v.byRequest.clearBefore(n.Fingerprint, at-n.AnsweredBefore)
@@ -240,8 +240,26 @@
 			p.suspectRequest(r.fingerprint, now)
 		}
 	}
-	if evaluate && v.evaluateAt == 0 {
-		v.evaluateAt = now + endSettle
+	if evaluate {
+		v.evaluateBy(now + endSettle)
+	}
+}
+
+// evaluateBy has the ends evaluated at the given time at the latest.
+func (v *evidence) evaluateBy(at time.Duration) {
+	if v.evaluateAt == 0 || at < v.evaluateAt {
+		v.evaluateAt = at
+	}
+}
+
+// knowPart adds a part to those in the ends.
+func (v *evidence) knowPart(part uint64) {
+	if _, known := v.clearedAt[part]; known {
+		return
+	}
+	v.clearedAt[part] = neverCleared
+	if at, answered := v.answeredParts.Last(part); answered {
+		v.clearedAt[part] = at
 	}
 }
 
@@ -376,12 +394,16 @@
 // count returns the number of ends.
 func (u *partEnds) count() int { return len(u.upstreams) }
 
-// enough reports whether the evidence is enough to refuse the part. Ends that a single
-// request explains are evidence against that request, not against its parts.
-func (u *partEnds) enough() bool {
+// enough reports whether the evidence is enough to refuse the part, of which answers may
+// have been seen lately. Ends that a single request explains are evidence against that
+// request, not against its parts.
+func (u *partEnds) enough(answeredLately bool) bool {
 	if one := u.blamed[0]; one != 0 && !slices.ContainsFunc(u.blamed, func(b uint64) bool { return b != one }) {
 		return false
 	}
+	if answeredLately {
+		return u.count() >= endsToRefuseAnswered
+	}
 	if u.brittle > 0 {
 		return u.count() >= endsToRefuseBrittle
 	}
@@ -397,6 +419,9 @@
 func (p *Pool) evaluateEnds(now time.Duration) {
 	v := &p.evidence
 	v.evaluateAt = 0
+	if known := v.byRequest.since + answeredHistory; v.byRequest.sees && now < known && len(v.ends) > 0 {
+		v.evaluateBy(known)
+	}
 	p.explainEnds(now)
 	p.reportEnds()
 	p.clearRunning(now)
@@ -410,7 +435,8 @@
 		if ends >= endsToSuspect {
 			v.suspects[part] = ends
 		}
-		if ends < most || !under.enough() {
+		answeredLately := !v.byRequest.knowsAnswers(now) || wasAnsweredLately(v.clearedAt, part, now)
+		if ends < most || !under.enough(answeredLately) {
 			continue
 		}
 		if ends > most {
@@ -492,10 +518,10 @@
 // given time.
 func (p *Pool) clearParts(e *entry, at time.Duration) {
 	v := &p.evidence
-	if len(v.clearedAt) == 0 {
-		return
-	}
 	for _, part := range e.ticket.Parts {
+		if last, known := v.answeredParts.Last(part); !known || at > last {
+			v.answeredParts.Add(part, at)
+		}
 		if cleared, known := v.clearedAt[part]; known && at > cleared {
 			v.clearedAt[part] = at
 			delete(v.suspects, part)
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -12,8 +12,9 @@
 	// endsToRefuseRequest is the number of ends of upstreams in a row under one request
 	// from which it is refused. It is endsToRefuseOneOfMany for one that ran at less than
 	// minRequestShare of all ends, so that most have another cause, and
-	// endsToRefuseAnswered for one that was answered within answeredRecently: of a request
-	// that makes up much of the load, some run at each upstream that ends.
+	// endsToRefuseAnswered for a request or part that was answered within
+	// answeredRecently: of one that makes up much of the load, some run at each upstream
+	// that ends.
 	endsToRefuseRequest   = 3
 	endsToRefuseOneOfMany = 5
 	endsToRefuseAnswered  = 6
@@ -189,8 +190,8 @@
 func (p *Pool) seeAnswer(now time.Duration) {
 	if v := &p.evidence.byRequest; !v.sees {
 		v.sees, v.since = true, now
-		if len(v.suspects) > 0 {
-			p.evidence.evaluateAt = now + answeredHistory
+		if len(p.evidence.ends) > 0 {
+			p.evidence.evaluateBy(now + answeredHistory)
 		}
 	}
 }
@@ -203,7 +204,13 @@
 
 // answeredLately reports whether a request was answered within answeredRecently.
 func (p *Pool) answeredLately(fingerprint uint64, now time.Duration) bool {
-	at, known := p.evidence.byRequest.clearedAt[fingerprint]
+	return wasAnsweredLately(p.evidence.byRequest.clearedAt, fingerprint, now)
+}
+
+// wasAnsweredLately reports whether a request or part was last answered within
+// answeredRecently.
+func wasAnsweredLately(clearedAt map[uint64]time.Duration, id uint64, now time.Duration) bool {
+	at, known := clearedAt[id]
 	return known && at != neverCleared && now-at < answeredRecently
 }
 
@@ -291,16 +298,13 @@
 		if ends < endsToRefuseRequest {
 			continue
 		}
-		if known := v.byRequest.since + answeredHistory; v.byRequest.sees && now < known {
-			v.evaluateAt = known
-		}
 		needed := p.endsNeeded(fingerprint, now)
 		if ends < needed {
 			continue
 		}
 		settled := p.settledEnds(fingerprint, now)
 		if settled < ends {
-			v.evaluateAt = now + endSettle
+			v.evaluateBy(now + endSettle)
 		}
 		if settled < needed || settled < most {
 			continue
@@ -408,9 +412,7 @@
 			Ticket: n.Request, Upstream: n.Upstream, Fingerprint: n.Fingerprint, Content: n.Content, Route: n.Route, Team: n.Team,
 			Broken: BrokenUnbegun, Age: requestSettle, AnsweredBefore: n.AnsweredBefore, Spread: true, Brittle: n.Brittle,
 		}, false, now)
-		if v.evaluateAt == 0 {
-			v.evaluateAt = now + endSettle
-		}
+		v.evaluateBy(now + endSettle)
 	}
 }
 
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -308,6 +308,7 @@
 		}
 		p.Register(r, 0)
 	}
+	answerSound(p, 1, 0)
 	p.Tick(time.Second)
 	must.SliceEmpty(t, p.evidence.refused.List())
 	p.recordBroken(EndNotice{Ticket: "a", Upstream: "u0", Parts: []uint64{2, poisonID}, Broken: BrokenBegun}, true, time.Second)
@@ -456,3 +457,56 @@
 		})
 	}
 }
+
+// TestPoison_PartOfAllStreams replays a scheduler whose streams run beside those with a
+// deadly part, which another one that it isn't in touch with grants. Their common part was
+// answered until the first upstream ended, and must not be refused after as few ends as one
+// without any answer.
+func TestPoison_PartOfAllStreams(t *testing.T) {
+	const common = uint64(0xab)
+	for _, answered := range []bool{true, false} {
+		p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+		p.SetOrigin(quotaStart)
+		answerSound(p, 1, start)
+		now := start + 2*answeredHistory
+		if answered {
+			stream := sharedTicket(1, "low")
+			stream.Parts, stream.Objective = []uint64{common}, 0
+			p.Submit(stream, now)
+			for _, g := range grants(p.Decisions()) {
+				serveRequest(p, g, ReportEnded, now, time.Millisecond)
+			}
+		}
+		needed := endsToRefuse
+		if answered {
+			needed = endsToRefuseAnswered
+		}
+		for i := range needed {
+			must.SliceEmpty(t, p.evidence.refused.List(), must.Sprintf("answered: %v, ends: %d", answered, i))
+			now += time.Second
+			p.recordBroken(EndNotice{
+				Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("u", i)),
+				Parts: []uint64{common}, Broken: BrokenBegun,
+			}, true, now)
+			p.Tick(now + endSettle)
+		}
+		must.SliceLen(t, 1, p.evidence.refused.List(), must.Sprint("answered: ", answered))
+	}
+}
+
+// TestPoison_SchedulerWithoutAnswers checks that a scheduler that has seen no answers yet
+// doesn't blame a part of all streams for a few ends.
+func TestPoison_SchedulerWithoutAnswers(t *testing.T) {
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	now := start
+	for i := range endsToRefuse {
+		now += time.Second
+		p.recordBroken(EndNotice{
+			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("u", i)),
+			Parts: []uint64{0xab}, Broken: BrokenBegun,
+		}, true, now)
+		p.Tick(now + endSettle)
+	}
+	must.SliceEmpty(t, p.evidence.refused.List())
+}
