scheduler: a content that is answered elsewhere isn't blamed for ends

Cause: nodes tell the leader which requests were answered after upstreams had ended under them, but not which contents. A scheduler that gets the ends from the leader, and whose own streams aren't complete yet, takes the content for one that nobody has had an answer to. It did so even when it had seen no answers at all.

Change: gateways report contents that were answered as well. The leader takes such a content out of the ends under its requests, which stay, and tells the schedulers; a scheduler that reports an end does the same. Contents are judged only by schedulers that have seen answers for a second.

Ruled out: leaving contents out of the spread ends altogether. A deadly body that comes with ever new prompts at several schedulers would never be refused.

Measured: the three new tests fail before: refused at the sixth end by the reporting scheduler, by one without answers, and the leader keeps the content.

--- a/internal/command/fleet/poison.go
+++ b/internal/command/fleet/poison.go
@@ -73,6 +73,9 @@
 		for _, e := range ends {
 			if e.Pool == pool {
 				ended[e.Fingerprint] = true
+				if e.Content != 0 {
+					ended[e.Content] = true
+				}
 			}
 		}
 		c.SetEnded(ended)
--- a/internal/coordination/control/fleet_poison.go
+++ b/internal/coordination/control/fleet_poison.go
@@ -43,9 +43,13 @@
 	}
 	changed := false
 	for key, e := range f.ends.entries {
-		if slices.Contains(cleared, e.value.Fingerprint) {
+		switch {
+		case slices.Contains(cleared, e.value.Fingerprint):
 			changed = f.ends.remove(key, f.nextSequence()) || changed
 			delete(f.endReportedAt, key)
+		case e.value.Content != 0 && slices.Contains(cleared, e.value.Content):
+			e.value.Content = 0
+			changed = f.ends.put(key, e.value, f.nextSequence()) || changed
 		}
 	}
 	for _, e := range ends {
@@ -58,21 +62,30 @@
 	}
 }
 
-// ClearedSince returns the requests, by pool, whose ends a leader has dropped between two
-// reports because they were answered. A full report says nothing: old ends give way to
+// ClearedSince returns the requests and contents, by pool, that a leader has dropped from
+// the ends between two reports because they were answered. A full report says nothing: old ends give way to
 // new ones.
 func ClearedSince(before, after []poison.End) map[ident.PoolName][]uint64 {
 	if len(before) >= maxEnds {
 		return nil
 	}
-	kept := make(map[string]bool, len(after))
+	kept := make(map[string]poison.End, len(after))
 	for _, e := range after {
-		kept[e.Key()] = true
+		kept[e.Key()] = e
 	}
 	cleared := make(map[ident.PoolName][]uint64)
+	add := func(pool ident.PoolName, id uint64) {
+		if !slices.Contains(cleared[pool], id) {
+			cleared[pool] = append(cleared[pool], id)
+		}
+	}
 	for _, e := range before {
-		if !kept[e.Key()] && !slices.Contains(cleared[e.Pool], e.Fingerprint) {
-			cleared[e.Pool] = append(cleared[e.Pool], e.Fingerprint)
+		now, known := kept[e.Key()]
+		switch {
+		case !known:
+			add(e.Pool, e.Fingerprint)
+		case e.Content != 0 && now.Content == 0:
+			add(e.Pool, e.Content)
 		}
 	}
 	return cleared
--- a/internal/coordination/control/fleet_test.go
+++ b/internal/coordination/control/fleet_test.go
@@ -269,3 +269,28 @@
 	must.NoError(t, err)
 	must.SliceLen(t, 1, old.Ends)
 }
+
+// TestFleet_AnsweredContent checks that a content which was answered, with any prompt, is
+// taken out of the ends under its requests, which stay, and that schedulers hear of it.
+func TestFleet_AnsweredContent(t *testing.T) {
+	now := time.Now()
+	f := &fleet{changed: make(chan struct{})}
+	f.beginTerm(1, FleetState{}, now)
+	var ends []poison.End
+	for i := range 3 {
+		ends = append(ends, poison.End{Pool: "p", Request: ident.RequestID(fmt.Sprint(i)), Upstream: "u", Fingerprint: uint64(10 + i), Content: 7})
+	}
+	f.reportEnds(ends, nil, now)
+	before, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	f.reportEnds(nil, []uint64{7}, now)
+	after, err := f.updateSince(0).Apply(FleetState{})
+	must.NoError(t, err)
+	must.SliceLen(t, 3, after.Ends)
+	for i, e := range after.Ends {
+		must.Eq(t, uint64(10+i), e.Fingerprint)
+		must.Zero(t, e.Content)
+	}
+	must.Eq(t, map[ident.PoolName][]uint64{"p": {7}}, ClearedSince(before.Ends, after.Ends))
+	must.MapEmpty(t, ClearedSince(after.Ends, after.Ends))
+}
--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -25,8 +25,8 @@
 	// answers, oldest first. Their ages count from at.
 	broken []brokenRequest
 	// answered holds the requests of this gateway that were answered lately, as times
-	// since start. ended holds the requests under which upstreams have ended, as the
-	// leader knows them, and cleared those of them that were answered since.
+	// since start. ended holds the requests and contents under which upstreams have ended,
+	// as the leader knows them, and cleared those of them that were answered since.
 	answered scheduler.AnsweredTable
 	start    time.Time
 	ended    map[uint64]bool
@@ -70,6 +70,9 @@
 func (p *poisonRecord) recordEnd(r *runningRequest, end scheduler.Ending, brittle bool, now time.Time) {
 	if end.Kind == scheduler.ReportEnded || end.Kind == scheduler.ReportFailed {
 		p.recordAnswer(r.ticket.Fingerprint, now)
+		if p.ended[r.ticket.Content] {
+			p.cleared[r.ticket.Content] = true
+		}
 		return
 	}
 	if end.Broken != scheduler.BrokenUnbegun && end.Broken != scheduler.BrokenBegun {
@@ -109,7 +112,8 @@
 	return part || p.refused.RefusesRequest(t.Fingerprint, t.Content)
 }
 
-// SetEnded sets the requests under which upstreams have ended, as the leader knows them.
+// SetEnded sets the requests and contents under which upstreams have ended, as the leader
+// knows them.
 func (c *Client) SetEnded(ended map[uint64]bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -117,8 +121,8 @@
 	maps.DeleteFunc(c.poison.cleared, func(fingerprint uint64, _ bool) bool { return !ended[fingerprint] })
 }
 
-// Cleared returns those of the requests set by SetEnded that were answered at this
-// gateway since.
+// Cleared returns those of the requests and contents set by SetEnded that were answered at
+// this gateway since.
 func (c *Client) Cleared() []uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -327,6 +327,9 @@
 // evaluateContents refuses a content under which many upstreams ended in a row while the
 // parts of its prompts differed, so that no fingerprint explains the ends.
 func (p *Pool) evaluateContents(now time.Duration) {
+	if !p.evidence.byRequest.knowsAnswers(now) {
+		return
+	}
 	prompts := make(map[uint64]map[uint64]bool)
 	for _, e := range p.evidence.ends {
 		for _, r := range e.requests {
@@ -432,6 +435,9 @@
 				Pool: p.view.Pool, Request: r.ticket, Upstream: e.upstream, Fingerprint: r.fingerprint, Content: r.content,
 				Route: r.route, Team: r.team, Brittle: e.brittle,
 			}
+			if p.evidence.byRequest.clearedAt[r.content] >= e.at {
+				end.Content = 0
+			}
 			if cleared != neverCleared {
 				end.AnsweredBefore = e.at - cleared
 			}
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -544,6 +544,57 @@
 	}
 }
 
+// TestPoisonRequest_ContentOfAllStreams replays streams with one content and different
+// prompts, some of which are deadly, at two schedulers. While answers come to others of
+// them, at either scheduler, the content is not refused.
+func TestPoisonRequest_ContentOfAllStreams(t *testing.T) {
+	const content = uint64(0x57)
+	own := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	answerSound(own, 1, start)
+	v := sharedView(8)
+	other := sharedPool(v, "g1", "g2", "g3", "g4")
+	other.SetOrigin(quotaStart)
+	now := start + 2*answeredHistory
+	for i := range 2 * endsToRefuseAnswered {
+		now += 3 * time.Second
+		own.recordBroken(EndNotice{
+			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
+			Fingerprint: uint64(0x100 + i), Content: content, Broken: BrokenBegun,
+		}, true, now)
+		own.answerRequest(content, now+requestSettle/2)
+		v.Ends = append(v.Ends, own.RequestEnds(now+requestSettle)...)
+		other.SetView(v, now+requestSettle)
+		for _, p := range []*Pool{own, other} {
+			p.Tick(now + 2*requestSettle)
+			must.SliceEmpty(t, p.evidence.refused.List(), must.Sprint("ends: ", i+1))
+		}
+		if i == 0 {
+			answerSound(other, 2, now+requestSettle)
+		}
+	}
+	must.SliceLen(t, 2*endsToRefuseAnswered, other.evidence.ends)
+}
+
+// TestPoisonRequest_ContentWithoutAnswers checks that a scheduler that has seen no answers
+// blames no content for the ends of which the leader tells it.
+func TestPoisonRequest_ContentWithoutAnswers(t *testing.T) {
+	v := sharedView(8)
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	for i := range endsToRefuseAnswered {
+		v.Ends = append(v.Ends, poison.End{
+			Pool: v.Pool, Request: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
+			Fingerprint: uint64(0x100 + i), Content: 0x57,
+		})
+	}
+	p.SetView(v, start)
+	p.Tick(start + 2*requestSettle)
+	must.SliceEmpty(t, p.evidence.refused.List())
+	answerSound(p, 1, start+2*requestSettle)
+	p.Tick(start + 2*requestSettle + answeredHistory + endSettle)
+	must.SliceLen(t, 1, p.evidence.refused.List())
+}
+
 // TestPoisonRequest_UnusedSchedulerDecidesNothing checks that a scheduler which no gateway
 // uses, and which therefore sees no answers, refuses nothing because of the ends that the
 // leader spreads, and that they count once a gateway uses it.
--- a/internal/state/poison/poison.go
+++ b/internal/state/poison/poison.go
@@ -288,9 +288,10 @@
 	Request     ident.RequestID
 	Upstream    ident.UpstreamName
 	Fingerprint uint64
-	Content     uint64
-	Route       ident.RouteName
-	Team        ident.TeamName
+	// Content is 0 if it was answered since, with any prompt.
+	Content uint64
+	Route   ident.RouteName
+	Team    ident.TeamName
 	// AnsweredBefore is how long before the end a request with the fingerprint was last
 	// answered; 0 if unknown.
 	AnsweredBefore time.Duration
