scheduler: an answered request isn't blamed where others may have been deadly

Cause: a request that was answered lately is refused after six ends in a row, whatever else ran there. Two pairs of these ends came at one moment each, and at others a request with a prompt ran that the leader had named without its parts. Parts have left both out of their account all along; requests had not.

Change: where six ends are needed, they are counted by moment, and only those at which no request of unknown parts ran.

Ruled out: the same for requests that were never answered. Copies of a deadly lookup end several upstreams at one moment, and three must do.

Measured: the new test fails before, both with ends in pairs and with hidden parts.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -328,8 +328,13 @@
 
 // hidesParts reports whether a request may have had parts that are not known here. Others
 // that ran there would be blamed in its place.
-func (e *upstreamEnd) hidesParts() bool {
-	return slices.ContainsFunc(e.requests, func(r endedRequest) bool { return r.spread && r.content != r.fingerprint })
+func (e *upstreamEnd) hidesParts() bool { return e.hidesPartsOfOthers(0) }
+
+// hidesPartsOfOthers is hidesParts but for the requests with a fingerprint.
+func (e *upstreamEnd) hidesPartsOfOthers(fingerprint uint64) bool {
+	return slices.ContainsFunc(e.requests, func(r endedRequest) bool {
+		return r.spread && r.content != r.fingerprint && (fingerprint == 0 || r.fingerprint != fingerprint)
+	})
 }
 
 // partEnds is the evidence against one part.
--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -288,6 +288,24 @@
 	return n
 }
 
+// endsOfItsOwn returns the number of moments at which upstreams ended under a request
+// while no other request ran there that may hold a part which is not known here. A request
+// that makes up much of the load also runs where others end upstreams, and at several
+// that end together.
+func (v *evidence) endsOfItsOwn(fingerprint uint64) int {
+	moments, last := 0, neverCleared
+	cleared := v.byRequest.clearedAt[fingerprint]
+	for _, e := range v.ends {
+		if e.at <= cleared || e.blamed != 0 || !e.ran(fingerprint) || e.hidesPartsOfOthers(fingerprint) {
+			continue
+		}
+		if last == neverCleared || e.at-last >= endSeparation {
+			moments, last = moments+1, e.at
+		}
+	}
+	return moments
+}
+
 // evaluateRequests refuses the request with the most ends if there are enough. With
 // more than one at endsToRefuseRequest, the evidence waits for one end more.
 func (p *Pool) evaluateRequests(now time.Duration) {
@@ -309,6 +327,9 @@
 		if settled < needed || settled < most {
 			continue
 		}
+		if needed >= endsToRefuseAnswered && p.evidence.endsOfItsOwn(fingerprint) < needed {
+			continue
+		}
 		if settled > most {
 			most, worst = settled, nil
 		}
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -595,6 +595,47 @@
 	must.SliceLen(t, 1, p.evidence.refused.List())
 }
 
+// TestPoisonRequest_AnsweredBesideHiddenParts replays a stream that all callers send and
+// that was answered lately, at a scheduler that learns from the leader of another request
+// with a prompt which ran at the upstreams that ended. The stream is not refused for these
+// ends, nor for pairs of ends at one moment, but for six of its own.
+func TestPoisonRequest_AnsweredBesideHiddenParts(t *testing.T) {
+	const stream = uint64(0x57)
+	for _, c := range []struct {
+		name           string
+		hidden, paired bool
+	}{{"paired", false, true}, {"hidden", true, false}, {"own", false, false}} {
+		v := sharedView(8)
+		p := sharedPool(v, "g1", "g2", "g3", "g4")
+		p.SetOrigin(quotaStart)
+		answerSound(p, 1, start)
+		now := start + 2*answeredHistory
+		p.answerRequest(stream, now)
+		now += requestSettle
+		for i := range endsToRefuseAnswered {
+			must.SliceEmpty(t, p.evidence.refused.List(), must.Sprintf("%s: %d ends", c.name, i))
+			if !c.paired || i%2 == 0 {
+				now += time.Second
+			}
+			name := ident.UpstreamName(fmt.Sprint("x", i))
+			if c.hidden && i%2 == 0 {
+				v.Ends = append(v.Ends, poison.End{Pool: v.Pool, Request: ident.RequestID("d" + name), Upstream: name, Fingerprint: uint64(0x100 + i), Content: 7})
+				p.SetView(v, now)
+			}
+			p.recordBroken(EndNotice{
+				Ticket: ident.RequestID("s" + name), Upstream: name, Fingerprint: stream, Content: 8, Broken: BrokenBegun,
+			}, true, now)
+			p.Tick(now + endSettle)
+		}
+		p.Tick(now + 2*requestSettle)
+		if c.hidden || c.paired {
+			must.SliceEmpty(t, p.evidence.refused.List(), must.Sprint(c.name))
+		} else {
+			must.SliceLen(t, 1, p.evidence.refused.List(), must.Sprint(c.name))
+		}
+	}
+}
+
 // TestPoisonRequest_UnusedSchedulerDecidesNothing checks that a scheduler which no gateway
 // uses, and which therefore sees no answers, refuses nothing because of the ends that the
 // leader spreads, and that they count once a gateway uses it.
