scheduler: of parts that explain the same ends, the common one isn't refused

Cause: parts with equally many ends are refused together from four ends on. Without answers nothing told them apart.

Change: of parts under which the same upstreams ended, the ones that were answered give way to one that never was, and those that more of the known requests hold to one that fewer do. If that is the wrong one, the ends go on under the other, which is refused after them.

Ruled out: waiting until answers come. While a part that most requests hold is deadly, there may be none.

Measured: the new test fails before (two parts refused). Models of one and two deadly parts at once are green as before.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -450,13 +450,42 @@
 		worst = append(worst, part)
 	}
 	if len(worst) == 1 || most > endsToRefuse {
-		slices.Sort(worst)
-		for _, part := range worst {
+		for _, part := range p.specificParts(worst, counts) {
 			p.refusePart(part, counts[part].upstreams, now)
 		}
 	}
 }
 
+// specificParts returns the given parts, sorted, without those whose ends another of them
+// explains as well that fewer of the known requests hold, or that was never answered while
+// they were.
+func (p *Pool) specificParts(parts []uint64, counts map[uint64]*partEnds) []uint64 {
+	slices.Sort(parts)
+	if len(parts) < 2 {
+		return parts
+	}
+	holders := make(map[uint64]int, len(parts))
+	for _, e := range p.entries {
+		for _, part := range parts {
+			if slices.Contains(e.ticket.Parts, part) {
+				holders[part]++
+			}
+		}
+	}
+	neverAnswered := func(part uint64) bool { return p.evidence.clearedAt[part] == neverCleared }
+	moreSpecific := func(a, b uint64) bool {
+		if neverAnswered(a) != neverAnswered(b) {
+			return neverAnswered(a)
+		}
+		return holders[a] < holders[b]
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool {
+		return slices.ContainsFunc(parts, func(other uint64) bool {
+			return other != part && slices.Equal(counts[other].upstreams, counts[part].upstreams) && moreSpecific(other, part)
+		})
+	})
+}
+
 // reportEnds reports the ends that came since the last call as changes.
 func (p *Pool) reportEnds() {
 	v := &p.evidence
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -510,3 +510,33 @@
 	}
 	must.SliceEmpty(t, p.evidence.refused.List())
 }
+
+// TestPoison_PartsOfTheSameEnds replays a scheduler that has seen no answers while six
+// streams with a deadly part end upstreams. Of the parts that all of them have, the one
+// that other requests hold as well is not refused.
+func TestPoison_PartsOfTheSameEnds(t *testing.T) {
+	const common = uint64(0xab)
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	now := start
+	for i := range 20 {
+		stream := sharedTicket(i, "low")
+		stream.Parts, stream.Objective = []uint64{common}, 0
+		if i == 0 {
+			stream.Parts = []uint64{common, poisonID}
+		}
+		p.Submit(stream, now)
+	}
+	for i := range endsToRefuseAnswered {
+		must.SliceEmpty(t, p.evidence.refused.List())
+		now += time.Second
+		p.recordBroken(EndNotice{
+			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
+			Parts: []uint64{common, poisonID}, Broken: BrokenBegun,
+		}, true, now)
+		p.Tick(now + endSettle)
+	}
+	records := p.evidence.refused.List()
+	must.SliceLen(t, 1, records)
+	must.Eq(t, poisonID, records[0].ID)
+}
