scheduler: the pace of a quota is split among the shards like its window

Cause: of a team's window each scheduler uses the fraction that its gateways make up, but the burst and the rate at which it is refilled were those of the whole fleet in each. Less urgent requests could take nine tenths of a shard's window at once, and urgent ones then waited for the window to slide. Together, four shards could also send four bursts.

Change: burst and refill are scaled by the fraction, for the gateways that the scheduler serves. What former gateways used counts against the whole burst, as it does for the window. One request that exceeds a small fraction of the burst is admitted when nothing is in excess.

Ruled out: shards that lend each other quota. The window was not unevenly used; no shard's urgent requests exceeded its part.

--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -200,14 +200,35 @@
 	return here, t.total.sum
 }
 
+// usageHere returns the usage of the gateways that this process serves, slid to now like
+// the total. The caller holds the lock.
+func (q *Quotas) usageHere(t *teamQuota, now time.Time) *usage {
+	step := now.UnixNano() / t.limit.stepLength()
+	t.total.slide(step)
+	if q.departed == 0 {
+		return &t.total
+	}
+	here := &usage{step: step}
+	for gateway, u := range t.gateways {
+		if g := q.gateways[gateway]; g != nil && g.isServed() {
+			u.slide(step)
+			here.sum += u.sum
+			for i, tokens := range u.steps {
+				here.steps[i] += tokens
+			}
+		}
+	}
+	return here
+}
+
 // Admit lets a request wait if its team's quota, of which the given fraction
 // applies here, allows it in addition to the requests that already wait. Urgency
 // runs from 0, for the team's least urgent requests, to 1. If the request is
 // refused, Admit returns how long to wait before a retry may be admitted.
 //
-// Invariant: requests admitted here stay within the given fraction for the
-// gateways that this process serves and, together with the last known usage of
-// former gateways, within the whole quota.
+// Invariant: requests admitted here stay within the given fraction, of the window and of
+// the burst and its refill, for the gateways that this process serves and, together with
+// the last known usage of former gateways, within the whole quota.
 func (q *Quotas) Admit(team ident.TeamName, tokens, fraction, urgency float64, now time.Time) (ok bool, wait time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -221,15 +242,19 @@
 	if fraction < 1 && q.hot[team] && now.Before(q.overlapUntil) {
 		allowed = min(allowed, max(t.baseline, allowed*(1-q.overlapFraction(now))))
 	}
-	here, all := q.used(t, now)
+	here, all := q.usageHere(t, now), &t.total
 	waiting := t.pending + q.unknownUsage(team, limit, t.limit.Window, now)
 	burst, refill := t.limit.burst()
 	deficit := max(
-		here+waiting+tokens-allowed,
-		all+waiting+tokens-allowedTokens(t.limit.Tokens, tokens, urgency),
-		t.excess(refill, now)+t.pending+tokens-allowedBurst(burst, t.limit.Tokens, tokens, urgency),
+		here.sum+waiting+tokens-allowed,
+		all.sum+waiting+tokens-allowedTokens(t.limit.Tokens, tokens, urgency),
+		// One request may exceed a small fraction of the burst, or it could never be sent.
+		here.excess(fraction*refill, t.limit.Window)+t.pending+tokens-max(tokens, allowedBurst(fraction*burst, limit, tokens, urgency)),
 	)
-	if deficit <= 0 || all+waiting <= 0 {
+	if here != all {
+		deficit = max(deficit, all.excess(refill, t.limit.Window)+t.pending+tokens-allowedBurst(burst, t.limit.Tokens, tokens, urgency))
+	}
+	if deficit <= 0 || all.sum+waiting <= 0 {
 		t.pending += tokens
 		return true, 0
 	}
@@ -254,20 +279,18 @@
 	return burst * (lowUrgencyBurstFraction + (1-lowUrgencyBurstFraction)*urgency)
 }
 
-// excess returns the most that a team has used beyond the refill since any moment
-// of the window that ends now. Bounding it gives a team that sends many times its
-// quota a steady rate, not all of a window's tokens at once and then none.
-func (t *teamQuota) excess(refill float64, now time.Time) float64 {
-	step := now.UnixNano() / t.limit.stepLength()
-	t.total.slide(step)
-	perStep := refill * t.limit.Window.Seconds() / quotaSteps
+// excess returns the most that was used beyond the refill, in tokens per second, since any
+// moment of the window that ends with the current step. Bounding it gives a team that sends
+// many times its quota a steady rate, not all of a window's tokens at once and then none.
+func (u *usage) excess(refill float64, window time.Duration) float64 {
+	perStep := refill * window.Seconds() / quotaSteps
 	most, sum := 0.0, 0.0
-	for ago := range min(quotaSteps, step+1) {
+	for ago := range min(quotaSteps, u.step+1) {
 		if ago > 0 {
 			// The current step may have just begun, so no refill is certain.
 			sum -= perStep
 		}
-		sum += t.total.steps[(step-ago)%quotaSteps]
+		sum += u.steps[(u.step-ago)%quotaSteps]
 		most = max(most, sum)
 	}
 	return most
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -309,6 +309,43 @@
 	}
 }
 
+// TestQuotas_PacedInEachShard lets one of four schedulers serve a team that sends many times
+// its quota in less urgent requests and 0.8 of a quarter of it in urgent ones. No urgent one
+// is refused at any time, and no more than a quarter of the burst passes at once. A request
+// larger than that passes when nothing was sent before it.
+func TestQuotas_PacedInEachShard(t *testing.T) {
+	const perSecond, burst, shards = 4000.0, 6000.0, 4
+	limit := perSecond*testWindow.Seconds() + burst
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: limit, Window: testWindow, PerSecond: perSecond, AtOnce: burst}})
+	q.Register("p", "g1", nil, testWindow, quotaStart)
+	send := func(tokens, urgency float64, now time.Time) bool {
+		ok, _ := q.Admit("a", tokens, 1.0/shards, urgency, now)
+		if ok {
+			q.Release("a", tokens)
+			q.Spend("a", "g1", tokens, now)
+		}
+		return ok
+	}
+	must.True(t, send(1.2*burst/shards, 1, quotaStart))
+	sent := 0.0
+	for i := range 3000 {
+		now := quotaStart.Add(testWindow + time.Duration(i)*10*time.Millisecond)
+		for range 20 {
+			if send(20, 0, now) {
+				sent += 20
+			}
+		}
+		if i%5 == 0 {
+			must.True(t, send(40, 1, now), must.Sprintf("after %v", now.Sub(quotaStart)))
+			sent += 40
+		}
+		if i == 0 {
+			must.LessEq(t, burst/shards, sent)
+		}
+	}
+}
+
 // TestQuotas_NoBurstConfigured checks that a team whose quota allows no burst may
 // still use some tokens at once, since requests arrive one by one, and that its
 // window still does not hold too much.
