scheduler: a rare part doesn't shield the deadly one beside it

A part on which engines end is sent again and again, so that many of the waiting requests hold it.

Change: where the scheduler knows answers, only a part that was answered gives way to one that never was. Where it knows none, only a part that most of the known requests hold gives way to one that fewer hold.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -450,40 +450,56 @@
 		worst = append(worst, part)
 	}
 	if len(worst) == 1 || most > endsToRefuse {
-		for _, part := range p.specificParts(worst, counts) {
+		for _, part := range p.specificParts(worst, counts, now) {
 			p.refusePart(part, counts[part].upstreams, now)
 		}
 	}
 }
 
 // specificParts returns the given parts, sorted, without those whose ends another of them
-// explains as well that fewer of the known requests hold, or that was never answered while
-// they were.
-func (p *Pool) specificParts(parts []uint64, counts map[uint64]*partEnds) []uint64 {
+// explains as well and that are more likely to be sound: they were answered while the other
+// never was, or, where no answers tell, most of the known requests hold them while fewer
+// hold the other.
+func (p *Pool) specificParts(parts []uint64, counts map[uint64]*partEnds, now time.Duration) []uint64 {
 	slices.Sort(parts)
 	if len(parts) < 2 {
 		return parts
 	}
-	holders := make(map[uint64]int, len(parts))
+	isCommon := p.commonParts(parts)
+	knowsAnswers := p.evidence.byRequest.knowsAnswers(now)
+	likelySound := func(part uint64) bool {
+		if knowsAnswers {
+			return p.evidence.clearedAt[part] != neverCleared
+		}
+		return isCommon[part]
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool {
+		return likelySound(part) && slices.ContainsFunc(parts, func(other uint64) bool {
+			return !likelySound(other) && slices.Equal(counts[other].upstreams, counts[part].upstreams)
+		})
+	})
+}
+
+// commonParts returns those of the given parts that most of the known requests with parts
+// hold.
+func (p *Pool) commonParts(parts []uint64) map[uint64]bool {
+	all, holders := 0, make(map[uint64]int, len(parts))
 	for _, e := range p.entries {
+		if len(e.ticket.Parts) == 0 {
+			continue
+		}
+		all++
 		for _, part := range parts {
 			if slices.Contains(e.ticket.Parts, part) {
 				holders[part]++
 			}
 		}
 	}
-	neverAnswered := func(part uint64) bool { return p.evidence.clearedAt[part] == neverCleared }
-	moreSpecific := func(a, b uint64) bool {
-		if neverAnswered(a) != neverAnswered(b) {
-			return neverAnswered(a)
-		}
-		return holders[a] < holders[b]
+	common := make(map[uint64]bool)
+	for part, n := range holders {
+		common[part] = 2*n > all
 	}
-	return slices.DeleteFunc(slices.Clone(parts), func(part uint64) bool {
-		return slices.ContainsFunc(parts, func(other uint64) bool {
-			return other != part && slices.Equal(counts[other].upstreams, counts[part].upstreams) && moreSpecific(other, part)
-		})
-	})
+	return common
 }
 
 // reportEnds reports the ends that came since the last call as changes.
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -540,3 +540,27 @@
 	must.SliceLen(t, 1, records)
 	must.Eq(t, poisonID, records[0].ID)
 }
+
+// TestPoison_RarePartBesideADeadlyOne replays requests that repeat with a deadly part and
+// one of their own, while more of the known requests hold the deadly part: both are
+// refused, since sparing the wrong one would let the ends go on.
+func TestPoison_RarePartBesideADeadlyOne(t *testing.T) {
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	answerSound(p, 1, start)
+	now := start + 2*answeredHistory
+	for i := range 8 {
+		waiting := sharedTicket(i, "low")
+		waiting.Parts, waiting.Objective = []uint64{poisonID, uint64(0x100 + i)}, 0
+		p.Submit(waiting, now)
+	}
+	for i := range endsToRefuse + 1 {
+		now += time.Second
+		p.recordBroken(EndNotice{
+			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
+			Parts: []uint64{poisonID, 0x100}, Broken: BrokenBegun,
+		}, true, now)
+		p.Tick(now + endSettle)
+	}
+	must.SliceLen(t, 2, p.evidence.refused.List())
+}
