scheduler: a grant says why the upstream was chosen

Operators could not tell from the logs why a request went to an upstream: the line of a grant named it and the load of the pool.

Change: a grant carries the expected cost, its standard error, the age of the upstream's latest answer, the number of upstreams that count as equally fast, and the cheapest of the others; request_granted shows them. A metric counts the grants of upstreams whose speed was no longer known. The load of a node's schedulers is a struct instead of three results.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -117,16 +117,16 @@
 		return float64(n.shards)
 	})
 	gauge("flamingohaven_fleet_scheduled_gateways", "Gateways that the schedulers of this node serve.", func() float64 {
-		gateways, _, _ := n.schedulerLoad()
-		return float64(gateways)
+		return float64(n.schedulerLoad().gateways)
+	})
+	gauge("flamingohaven_fleet_stale_estimate_grants_total", "Grants by the schedulers of this node of upstreams whose speed was no longer known.", func() float64 {
+		return float64(n.schedulerLoad().stale)
 	})
 	gauge("flamingohaven_fleet_scheduled_waiting", "Requests that wait at the schedulers of this node.", func() float64 {
-		_, waiting, _ := n.schedulerLoad()
-		return float64(waiting)
+		return float64(n.schedulerLoad().waiting)
 	})
 	gauge("flamingohaven_fleet_scheduled_running", "Requests that run under grants of the schedulers of this node.", func() float64 {
-		_, _, running := n.schedulerLoad()
-		return float64(running)
+		return float64(n.schedulerLoad().running)
 	})
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -238,18 +238,25 @@
 	return view
 }
 
-// schedulerLoad returns the gateways that this node's schedulers serve, and the requests
-// that wait there and that run under their grants.
-func (n *Node) schedulerLoad() (gateways, waiting, running int) {
+// schedulerLoad is what this node's schedulers do.
+type schedulerLoad struct {
+	// gateways are served by them, and requests wait there or run under their grants.
+	gateways, waiting, running int
+	// stale counts the grants so far of upstreams whose speed was no longer known.
+	stale int
+}
+
+func (n *Node) schedulerLoad() schedulerLoad {
 	n.mu.Lock()
 	masters := slices.Collect(maps.Values(n.masters))
 	n.mu.Unlock()
+	var load schedulerLoad
 	for _, m := range masters {
 		stats := m.Stats()
-		gateways = max(gateways, m.Sessions())
-		waiting, running = waiting+stats.Waiting, running+stats.Running
+		load.gateways = max(load.gateways, m.Sessions())
+		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
 	}
-	return gateways, waiting, running
+	return load
 }
 
 // Placer implements gateway.Environment.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -172,7 +172,7 @@
 			Message:    "the pool's scheduler refused the request: " + decision.Basis.String(),
 		}
 	}
-	g.record(r, timeline.KindGranted, fmt.Sprintf("%s: %s", decision.Grant.Upstream, decision.Basis))
+	g.record(r, timeline.KindGranted, fmt.Sprintf("%s: %s; %s", decision.Grant.Upstream, decision.Grant.Choice, decision.Basis))
 	return decision.Grant, nil
 }
 
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -102,9 +103,10 @@
 				cheapest = i
 			}
 		}
-		pick := c.leastLoaded(e, c.options[cheapest], now)
+		pick, alike := c.leastLoaded(e, c.options[cheapest], now)
 		g := c.options[pick].engine
 		if g.meetsDeadline(e, now) || !c.anyMeetsDeadline(e, now) {
+			e.choice = c.explain(pick, alike, now)
 			return g
 		}
 		c.options[pick] = c.options[len(c.options)-1]
@@ -113,20 +115,37 @@
 	return nil
 }
 
+// explain returns the figures behind the choice of a candidate.
+func (c *candidates) explain(pick, alike int, now time.Duration) Choice {
+	chosen := c.options[pick]
+	choice := Choice{Expected: chosen.cost.time, Error: seconds(math.Sqrt(chosen.cost.variance)), Alike: alike}
+	if at := chosen.engine.speed.latest.at; at > 0 {
+		choice.Age = now - at
+	}
+	for i, o := range c.options {
+		if i != pick && (choice.Next == "" || o.cost.time < choice.NextExpected) {
+			choice.Next, choice.NextExpected = o.engine.upstream.Name, o.cost.time
+		}
+	}
+	return choice
+}
+
 // leastLoaded returns the index of the candidate that costs least if all that may be as
-// fast as the cheapest one are.
-func (c *candidates) leastLoaded(e *entry, cheapest option, now time.Duration) int {
-	pick, least := -1, time.Duration(0)
+// fast as the cheapest one are, and how many may be.
+func (c *candidates) leastLoaded(e *entry, cheapest option, now time.Duration) (pick, alike int) {
+	least := time.Duration(0)
+	pick = -1
 	for i, o := range c.options {
 		if !o.cost.mayEqual(cheapest.cost) {
 			continue
 		}
+		alike++
 		cost := o.engine.costAt(&cheapest.engine.speed, e, o.missed, now)
 		if pick < 0 || cost < least || cost == least && lessLoaded(o.engine, c.options[pick].engine) {
 			pick, least = i, cost
 		}
 	}
-	return pick
+	return pick, alike
 }
 
 const (
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -54,7 +54,9 @@
 	queue       *teamQueue
 	index       int
 
-	engine          *engine
+	engine *engine
+	// choice is why choose took its latest upstream for the ticket.
+	choice          Choice
 	version         ident.VersionName
 	shareGeneration int
 	// trial is true for a ticket that is admitted against the estimate, to renew
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -130,6 +130,9 @@
 	if g.health.ejected {
 		g.health.probe = e
 	}
+	if g.used() == 0 && g.speed.isStale(now) {
+		p.staleGrants++
+	}
 	g.running[e], g.grantedAt = struct{}{}, now
 	g.spendToken()
 	p.spaceOut(g, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -46,6 +46,8 @@
 	speed     speed
 	// highestTier is the most urgent tier; empty if there is none.
 	highestTier ident.TierName
+	// staleGrants counts the grants of upstreams with stale samples.
+	staleGrants int
 	// options is reused by choose.
 	options []option
 	outputs outputs
@@ -358,6 +360,7 @@
 		First:    e.expectedFirstToken,
 		Limited:  e.engine.rate != nil || e.engine.brittle != nil,
 		Trial:    p.isTrial(e),
+		Choice:   e.choice,
 		Peer:     peer.gateway,
 		PeerAge:  now - peer.at,
 		TTL:      e.grantExpires - now,
@@ -489,7 +492,7 @@
 
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
-	s := Stats{Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers))}
+	s := Stats{Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants}
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
 	}
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -212,6 +212,11 @@
 	return min(float64(now-since.at)/float64(minFading), rounds/fadingRounds)
 }
 
+// isStale reports whether an upstream has samples that say little of its speed now.
+func (s *speed) isStale(now time.Duration) bool {
+	return s.pool != nil && s.prefill.known() && 1-s.staleness(s.latest, now) < staleWeight
+}
+
 // refresh ages the samples by the time since the latest one, before an answer adds one.
 // They stay known.
 func (s *speed) refresh(now time.Duration) {
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -77,11 +77,35 @@
 	// there is none.
 	Peer    ident.NodeID
 	PeerAge time.Duration
+	// Choice says why the upstream was chosen.
+	Choice Choice
 	// TTL is how long the gateway may use the grant, counted from when it sent
 	// the call that the grant answers. After that it drops the grant.
 	TTL time.Duration
 }
 
+// Choice holds the figures behind the choice of an upstream, for logs.
+type Choice struct {
+	// Expected is the expected cost of the request there, Error its standard error, and Age
+	// that of the upstream's latest answer; 0 for one that has none.
+	Expected, Error, Age time.Duration
+	// Alike counts the candidates that count as equally fast, the chosen one included.
+	Alike int
+	// Next is the cheapest one of the other candidates, which would cost NextExpected; empty
+	// if there is none.
+	Next         ident.UpstreamName
+	NextExpected time.Duration
+}
+
+// String implements fmt.Stringer.
+func (c Choice) String() string {
+	text := fmt.Sprintf("expected %d ms, error %d ms, last answer %d ms ago, %d alike", c.Expected.Milliseconds(), c.Error.Milliseconds(), c.Age.Milliseconds(), c.Alike)
+	if c.Next == "" {
+		return text
+	}
+	return text + fmt.Sprintf(", next %s at %d ms", c.Next, c.NextExpected.Milliseconds())
+}
+
 // BeginResult states whether a granted request may be sent.
 type BeginResult uint8
 
@@ -454,4 +478,7 @@
 	Capacity int
 	// WaitingByTier counts queued tickets per tier.
 	WaitingByTier map[ident.TierName]int
+	// Stale counts the grants so far of upstreams whose speed was no longer known, because
+	// they had got no requests for a while.
+	Stale int
 }
