scheduler: the stricter count of ends is for answered requests only

Two services end at one moment under two copies, and count once.

Change: the stricter count applies to requests that were answered lately, which a deadly one never was.

--- a/internal/coordination/scheduler/poison_request.go
+++ b/internal/coordination/scheduler/poison_request.go
@@ -327,7 +327,7 @@
 		if settled < needed || settled < most {
 			continue
 		}
-		if needed >= endsToRefuseAnswered && p.evidence.endsOfItsOwn(fingerprint) < needed {
+		if p.answeredLately(fingerprint, now) && p.evidence.endsOfItsOwn(fingerprint) < needed {
 			continue
 		}
 		if settled > most {
