scheduler: a fast upstream's answer renews what is known of it

Found while reading the diff; no caller saw it. An upstream that is faster than its pool and got nothing for a while stayed unknown for good: each of its answers was nearer to the pool's time than half-way, which was taken as a sign that it had become faster, so that its samples stayed stale and the pool's estimate stood for it whenever it was idle.

Cause: the comparison held for slower upstreams only.

Change: only the samples of an upstream that is slower than its pool may stay stale.

Measured: the new test fails before for an upstream of 20 ms in a pool of 60.

--- a/internal/coordination/scheduler/choose_test.go
+++ b/internal/coordination/scheduler/choose_test.go
@@ -78,6 +78,20 @@
 	must.GreaterEq(t, 0.5, float64(m.named(3).arrivals)/float64(m.sent)*4, must.Sprint(m.arrivals()))
 }
 
+// TestPool_FastUpstreamAfterIdleTime lets a pool be idle until nothing is known of its
+// upstreams any more. The fastest one then gets nine tenths of a low load again.
+func TestPool_FastUpstreamAfterIdleTime(t *testing.T) {
+	m := newRejectionModel(3, 5)
+	fast := m.named(1)
+	fast.service = 20 * time.Millisecond
+	m.run(10*time.Second, 30)
+	m.run(10*time.Second, 0)
+	m.run(5*time.Second, 30)
+	m.run(10*time.Second, 30)
+	t.Logf("%v of %d", m.arrivals(), m.sent)
+	must.GreaterEq(t, 0.9, float64(fast.arrivals)/float64(m.sent), must.Sprint(m.arrivals()))
+}
+
 // TestPool_UpstreamBackFromTrouble lets one of four equal upstreams be slow, reject or
 // fail all for a while. Within 5 s of its recovery it gets half of its part again.
 func TestPool_UpstreamBackFromTrouble(t *testing.T) {
@@ -103,3 +117,26 @@
 		must.GreaterEq(t, 0.5, float64(m.named(1).arrivals)/float64(m.sent)*4, must.Sprintf("%s: %v", trouble.name, m.arrivals()))
 	}
 }
+
+// TestSpeed_AnswerRenewsEvidence checks that an answer after a while without any renews the
+// samples of an upstream that is as fast or slow as before, whether it is faster or slower
+// than its pool, and leaves those of one that has become faster stale.
+func TestSpeed_AnswerRenewsEvidence(t *testing.T) {
+	for _, c := range []struct {
+		own, now time.Duration
+		fresh    bool
+	}{{20, 20, true}, {20, 21, true}, {200, 210, true}, {200, 60, false}} {
+		pool := newSpeed(nil)
+		pool.upstreams = 2
+		own, other := newSpeed(&pool), newSpeed(&pool)
+		for range 5 {
+			own.observeFirstToken(0, c.own*time.Millisecond, time.Second)
+		}
+		for range 200 {
+			other.observeFirstToken(0, 60*time.Millisecond, 9*time.Second)
+		}
+		must.True(t, own.isStale(10*time.Second))
+		own.observeFirstToken(0, c.now*time.Millisecond, 10*time.Second)
+		must.Eq(t, c.fresh, !own.isStale(10*time.Second), must.Sprint(c))
+	}
+}
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -238,7 +238,10 @@
 // checkFaster lets the samples stay stale if a new one is closer to what the pool's let
 // expect than to what the upstream's own do: the next request is to show it as well.
 func (s *speed) checkFaster(own, pool *fit, x, y float64) {
-	if s.before != nil && own.known() && pool.known() && y < (own.at(x)+pool.at(x))/2 {
+	if s.before == nil || !own.known() || !pool.known() {
+		return
+	}
+	if slow, usual := own.at(x), pool.at(x); usual < slow && y < (slow+usual)/2 {
 		s.latest = *s.before
 	}
 }
