scheduler: evidence keeps its weight for a while before it fades

Cause: samples lost weight from the first moment without new ones, so that an upstream with a request a second was judged by three of them, and an upstream that fails requests got one a second as soon as the others.

Change: samples keep their weight for half a second, or twelve requests for each upstream, and fade within as long again; failures fade in three times as long. Ejected upstreams are probed every 2 s at most, 4 before: one that was back waited for up to 4 s, more than within the 5 s in which it is to have half of its part.

All tests of the choice are green; without the shorter probes TestPool_UpstreamBackFromTrouble was red once for the upstream that had failed all.

--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -38,6 +38,9 @@
 	slowProbesToAccept = 8
 	// recoveredLimit is the concurrency limit after a passed probe.
 	recoveredLimit = 2
+	// failureFading is the time in which the failure rate of an upstream without requests
+	// fades, as a multiple of that in which its samples do.
+	failureFading = 3
 )
 
 // health tracks whether an upstream is in rotation. An ejected upstream gets
@@ -108,12 +111,12 @@
 }
 
 // currentFailureRate returns the failure rate, which fades while the upstream gets no
-// requests, as its samples do.
+// requests, more slowly than its samples do: a failure costs more than a slow answer.
 func (h *health) currentFailureRate(s *speed, now time.Duration) float64 {
 	if h.failureRate == 0 || s.pool == nil {
 		return h.failureRate
 	}
-	return h.failureRate * max(0, 1-s.staleness(h.outcome, now))
+	return h.failureRate * max(0, 1-s.staleness(h.outcome, now)/failureFading)
 }
 
 // recordFailure counts a request that the upstream failed or did not receive. It
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -44,7 +44,7 @@
 // sharedTuning suits objectives of a few hundred milliseconds and upstreams that
 // drop a request when its connection closes.
 var sharedTuning = tuning{
-	minSilence: 1500 * time.Millisecond, probeMinInterval: 500 * time.Millisecond, probeMaxInterval: 4 * time.Second,
+	minSilence: 1500 * time.Millisecond, probeMinInterval: 500 * time.Millisecond, probeMaxInterval: 2 * time.Second,
 	orphanTimeout: 250 * time.Millisecond, takeoverWait: 40 * time.Millisecond, minRetryAfter: 30 * time.Millisecond,
 	failuresToEject: 6, failureRatio: 0.85, failurePenalty: 3 * time.Second, headCandidates: 64,
 }
--- a/internal/coordination/scheduler/speed.go
+++ b/internal/coordination/scheduler/speed.go
@@ -14,12 +14,13 @@
 const fitMinSamples = 3
 
 const (
-	// The weight of an upstream's samples goes over to those of its pool while it gets no
-	// requests: within minFading, or the time in which each upstream of the pool got
-	// fadingRounds on average. The rounds bound the part of all requests that show whether
-	// slow upstreams are still slow, also where requests are few.
-	minFading    = time.Second
-	fadingRounds = 25
+	// An upstream's samples keep their weight for minFading, or the time in which each
+	// upstream of the pool got fadingRounds on average. While it gets no requests for longer,
+	// the weight goes over to the pool's samples within as long again. The rounds bound the
+	// part of all requests that show whether slow upstreams are still slow, also where
+	// requests are few.
+	minFading    = 500 * time.Millisecond
+	fadingRounds = 12
 	// staleWeight is the weight below which samples count as stale.
 	staleWeight = 0.5
 )
@@ -205,11 +206,11 @@
 	return sampleTime{at: now, samples: s.pool.samples}
 }
 
-// staleness returns the age of a sample as a multiple of the time in which its weight
-// fades.
+// staleness returns how long ago a sample came beyond the time for which it keeps its
+// weight, as a multiple of the time in which the weight fades.
 func (s *speed) staleness(since sampleTime, now time.Duration) float64 {
 	rounds := float64(s.pool.samples-since.samples) / float64(max(1, s.pool.upstreams))
-	return min(float64(now-since.at)/float64(minFading), rounds/fadingRounds)
+	return max(0, min(float64(now-since.at)/float64(minFading), rounds/fadingRounds)-1)
 }
 
 // isStale reports whether an upstream has samples that say little of its speed now.
