--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -458,6 +458,16 @@
 	}
 }
 
+// endUnderStream ends the upstream with a number under a stream with the parts, whose answer
+// has begun, and lets the scheduler evaluate the end.
+func endUnderStream(p *Pool, number int, parts []uint64, now time.Duration) {
+	p.recordBroken(EndNotice{
+		Ticket: ident.RequestID(fmt.Sprint("s", number)), Upstream: ident.UpstreamName(fmt.Sprint("x", number)),
+		Parts: parts, Broken: BrokenBegun,
+	}, true, now)
+	p.Tick(now + endSettle)
+}
+
 // TestPoison_PartOfAllStreams replays a scheduler whose streams run beside those with a
 // deadly part, which another one that it isn't in touch with grants. Their common part was
 // answered until the first upstream ended, and must not be refused after as few ends as one
@@ -484,11 +494,7 @@
 		for i := range needed {
 			must.SliceEmpty(t, p.evidence.refused.List(), must.Sprintf("answered: %v, ends: %d", answered, i))
 			now += time.Second
-			p.recordBroken(EndNotice{
-				Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("u", i)),
-				Parts: []uint64{common}, Broken: BrokenBegun,
-			}, true, now)
-			p.Tick(now + endSettle)
+			endUnderStream(p, i, []uint64{common}, now)
 		}
 		must.SliceLen(t, 1, p.evidence.refused.List(), must.Sprint("answered: ", answered))
 	}
@@ -502,11 +508,7 @@
 	now := start
 	for i := range endsToRefuse {
 		now += time.Second
-		p.recordBroken(EndNotice{
-			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("u", i)),
-			Parts: []uint64{0xab}, Broken: BrokenBegun,
-		}, true, now)
-		p.Tick(now + endSettle)
+		endUnderStream(p, i, []uint64{0xab}, now)
 	}
 	must.SliceEmpty(t, p.evidence.refused.List())
 }
@@ -530,11 +532,7 @@
 	for i := range endsToRefuseAnswered {
 		must.SliceEmpty(t, p.evidence.refused.List())
 		now += time.Second
-		p.recordBroken(EndNotice{
-			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
-			Parts: []uint64{common, poisonID}, Broken: BrokenBegun,
-		}, true, now)
-		p.Tick(now + endSettle)
+		endUnderStream(p, i, []uint64{common, poisonID}, now)
 	}
 	records := p.evidence.refused.List()
 	must.SliceLen(t, 1, records)
@@ -556,11 +554,7 @@
 	}
 	for i := range endsToRefuse + 1 {
 		now += time.Second
-		p.recordBroken(EndNotice{
-			Ticket: ident.RequestID(fmt.Sprint("s", i)), Upstream: ident.UpstreamName(fmt.Sprint("x", i)),
-			Parts: []uint64{poisonID, 0x100}, Broken: BrokenBegun,
-		}, true, now)
-		p.Tick(now + endSettle)
+		endUnderStream(p, i, []uint64{poisonID, 0x100}, now)
 	}
 	must.SliceLen(t, 2, p.evidence.refused.List())
 }
