--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -101,10 +101,28 @@
 		klog.ErrorS(err, "reading the platform's list failed, keeping the known upstreams", "node", n.settings.Name)
 		return false
 	}
+	n.noteSkipped(scan.skipped)
 	apply(scan.complete(), true)
 	return true
 }
 
+// noteSkipped records the entries that a complete pass over the list has skipped, if they
+// aren't those of the last one.
+func (n *Node) noteSkipped(skipped SkippedEntries) {
+	if last := n.skippedEntries.Swap(&skipped); last == nil && skipped.Count == 0 || last != nil && *last == skipped {
+		return
+	}
+	klog.InfoS("entries of the platform's list are skipped, since they can't be used", "node", n.settings.Name, "entries", skipped.Count, "first", skipped.Reasons)
+}
+
+// skippedCount returns the number of entries that the last complete pass has skipped.
+func (n *Node) skippedCount() int {
+	if skipped := n.skippedEntries.Load(); skipped != nil {
+		return skipped.Count
+	}
+	return 0
+}
+
 // readPages calls visit for each page of the list.
 func (n *Node) readPages(limit *rate.Limiter, visit func(ListPage)) error {
 	token := ""
--- a/internal/command/fleet/lists_test.go
+++ b/internal/command/fleet/lists_test.go
@@ -133,3 +133,32 @@
 	n := newListReader(t, &pagedList{}, 40)
 	must.InDelta(t, 40*listRateShare, 84*float64(n.listLimiter(84).Limit()), 1e-9)
 }
+
+// TestLists_SkippedEntries checks that entries which can't be used keep no upstream alive
+// and don't make a pass incomplete, and that the node counts those of the last pass.
+func TestLists_SkippedEntries(t *testing.T) {
+	l := &pagedList{perSecond: 1000, pages: [][]control.Discovered{{discovered("a", false)}, {discovered("b", false)}}}
+	n := newListReader(t, l, 0)
+	unusable := 4
+	n.deps.ListPage = func(ctx context.Context, token string) (ListPage, error) {
+		page, err := l.page(ctx, token)
+		for range unusable {
+			page.Skipped.Add("no JSON")
+		}
+		return page, err
+	}
+	n.upstreams.Store(newUpstreamTable([]control.Discovered{discovered("a", false), discovered("gone", false)}))
+	var found []control.Discovered
+	take := func(now []control.Discovered, complete bool) {
+		if complete {
+			found = now
+		}
+	}
+	must.True(t, n.readList(true, n.listLimiter(1), take))
+	must.SliceContainsAll(t, found, []control.Discovered{discovered("a", false), discovered("b", false)})
+	must.Eq(t, 8, n.skippedCount())
+	must.Eq(t, [maxSkipReasons]string{"no JSON", "no JSON", "no JSON"}, n.skippedEntries.Load().Reasons)
+	unusable = 0
+	must.True(t, n.readList(true, n.listLimiter(1), take))
+	must.Zero(t, n.skippedCount())
+}
--- a/internal/command/fleet/listscan.go
+++ b/internal/command/fleet/listscan.go
@@ -12,6 +12,38 @@
 	Found []control.Discovered
 	// Next is the token of the following page; empty on the last page.
 	Next string
+	// Skipped are the entries that can't be used.
+	Skipped SkippedEntries
+}
+
+// maxSkipReasons bounds the reasons that are kept of the entries that were skipped, and
+// maxSkipReason the length of each, in bytes.
+const (
+	maxSkipReasons = 3
+	maxSkipReason  = 256
+)
+
+// SkippedEntries describes the entries of the platform's list that can't be used.
+type SkippedEntries struct {
+	Count int
+	// Reasons says of the first ones why.
+	Reasons [maxSkipReasons]string
+}
+
+// Add adds an entry that was skipped.
+func (s *SkippedEntries) Add(reason string) {
+	if s.Count < maxSkipReasons {
+		s.Reasons[s.Count] = reason[:min(len(reason), maxSkipReason)]
+	}
+	s.Count++
+}
+
+// merge adds the entries of a page.
+func (s *SkippedEntries) merge(page SkippedEntries) {
+	for i := range min(page.Count, maxSkipReasons) {
+		s.Add(page.Reasons[i])
+	}
+	s.Count += max(0, page.Count-maxSkipReasons)
 }
 
 // ErrListRateLimited means that the platform rejected a call to its list because
@@ -22,8 +54,9 @@
 // effect page by page; an upstream counts as removed only once the pass is
 // complete.
 type listScan struct {
-	known map[ident.UpstreamName]control.Discovered
-	seen  map[ident.UpstreamName]control.Discovered
+	known   map[ident.UpstreamName]control.Discovered
+	seen    map[ident.UpstreamName]control.Discovered
+	skipped SkippedEntries
 	// changed is set when a page holds a new or changed upstream. partial resets
 	// it.
 	changed bool
@@ -43,6 +76,7 @@
 
 // add records the upstreams of a page.
 func (l *listScan) add(page ListPage) {
+	l.skipped.merge(page.Skipped)
 	for _, d := range page.Found {
 		l.seen[d.Name] = d
 		if known, ok := l.known[d.Name]; !ok || known != d {
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -94,6 +94,9 @@
 	gauge("flamingohaven_fleet_leaving_upstreams", "Upstreams that have said in an answer that they leave, as this gateway knows.", func() float64 {
 		return float64(n.leavingUpstreams())
 	})
+	gauge("flamingohaven_fleet_unusable_list_entries", "Entries of the platform's list that the last complete pass of this node over it has skipped, since they can't be used.", func() float64 {
+		return float64(n.skippedCount())
+	})
 	gauge("flamingohaven_fleet_refused_parts", "Prompt parts that are refused because upstreams end on them.", func() float64 {
 		return float64(n.refused(poison.KindPart))
 	})
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -62,6 +62,8 @@
 
 	hosts     atomic.Pointer[routing.HostTable]
 	upstreams atomic.Pointer[upstreamTable]
+	// skippedEntries are those of the last complete pass over the platform's list.
+	skippedEntries atomic.Pointer[SkippedEntries]
 	// drainStart is the time of the first call to Drain; nil before it.
 	drainStart atomic.Pointer[time.Time]
 	seeds      atomic.Pointer[[]ident.NodeID]
