h1conn: a huge Keep-Alive timeout keeps the connection

What callers saw: each request to a server that states a timeout above 3 billion seconds went over a new connection.

Cause: the seconds were multiplied as a duration, which overflowed to a negative one.

Change: the seconds are bounded before.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -381,6 +381,9 @@
 	return true
 }
 
+// maxKeepAliveSeconds bounds the timeout that a server states.
+const maxKeepAliveSeconds = 3600
+
 // idleTimeoutFor returns how long a connection may stay idle after an answer with
 // header h: three quarters of the server's own timeout, because the server starts
 // to count earlier, and IdleTimeout at most.
@@ -391,6 +394,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
+			seconds = max(0, min(seconds, maxKeepAliveSeconds))
 			return min(IdleTimeout, time.Duration(seconds)*time.Second*3/4)
 		}
 	}
