fleet: settings that are no numbers are refused

What callers saw: ".nan" as a ratio of retries, an overage or a rate passed the check, as no comparison with it holds. Comparisons in the retry budget and the quotas then fail too. A memory limit of more than 2^43 MiB became a small or negative one.

A node that runs keeps its settings, as with any other error.

--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 	"time"
@@ -105,6 +106,13 @@
 	add(s.MaxConfigAge <= 0, "maximum configuration age is %s, must be positive", s.MaxConfigAge)
 	add(s.Grace <= 0, "grace period is %s, must be positive", s.Grace)
 	add(s.QuotaWindow <= 0, "quota window is %s, must be positive", s.QuotaWindow)
+	for name, value := range map[string]float64{
+		"limit on list calls": s.ListCallsPerSecond, "retry ratio": s.RetryRatio, "retry burst": s.RetryBurst,
+		"quota overage": s.QuotaOverage, "quota slack": s.QuotaSlack,
+	} {
+		add(math.IsNaN(value) || math.IsInf(value, 0), "%s is %v, must be finite", name, value)
+	}
+	add(s.MemoryBytes < 0, "memory limit is %d bytes, must not be negative", s.MemoryBytes)
 	add(s.ListCallsPerSecond < 0, "limit on list calls is %v per second, must not be negative", s.ListCallsPerSecond)
 	add(s.RetryRatio < 0, "retry ratio is %v, must not be negative", s.RetryRatio)
 	return errors.Join(errs...)
