platform: an answer without an id is trusted only on a new connection

What callers saw: "not run" (503, 429) for requests that an upstream ran, and requests that it ran twice, when upstreams write a refusal once more before the answer to the next request on the connection.

Cause: an answer without an id counted as that of whichever request was in flight, and one that says that the request didn't run, or has status 421, was believed before the id was looked at.

Change: an answer is a request's if it has its id, or if it has none and is the first on a new connection, where nothing can precede it. Any other one is skipped and the request's own is waited for, within its time. If none comes, or the connection ends, nothing is promised: the request is repeated elsewhere if it may be, and fails with 502 or 504 otherwise. Nothing is learnt from a skipped answer about limits, pauses or leaving. attempt_ended tells how many were skipped, and how many had no id.

Ruled out: closing the connection behind each rejection would cost sound upstreams theirs, and a copy that is late still comes before the next answer otherwise. A copy with the request's own id could only meet it if it were sent to the same upstream again, which it is not: upstreams that it was sent to are excluded, whatever became of it there. The product's own daemon (upstreamhttp) takes no answer without the request's id, rejections included.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -331,6 +331,9 @@
 	if sent.Err != nil {
 		text += ": " + sent.Err.Error()
 	}
+	if sent.Skipped > 0 {
+		text += fmt.Sprintf("; %d answers skipped as no answers to it, %d of them without an id", sent.Skipped, sent.SkippedNameless)
+	}
 	if end == attemptRetryElsewhere {
 		text += "; goes on elsewhere"
 	}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -224,6 +224,9 @@
 	Resumed int
 	// FreshConn is true if the request was sent on a new connection.
 	FreshConn bool
+	// Skipped is the number of answers before the request's, or in its place, that belong
+	// to other requests or to none, and SkippedNameless of those without a request id.
+	Skipped, SkippedNameless int
 	// Broken is true if the upstream broke off the connection before the answer was
 	// complete.
 	Broken bool
