pool: a grant repeated after its upstream rejected the request isn't used again

What callers saw: now and then a request reached an upstream again that had just rejected it, without a retry of the budget. Where the upstream writes rejections once more, the copy has the request's own id and comes before its second answer: "not run" is taken for true, and the request runs elsewhere too.

Cause: the scheduler places a rejected request again as soon as it reads the report, and repeats that grant when the gateway's own ticket arrives. If the request was sent under the first of the two and rejected as well, the second was taken for the decision on the ticket after it.

Change: the gateway passes over a grant of an upstream that its ticket excludes. The report of the request's end is on its way, and the scheduler decides again when it reads it.

Measured: TestClient_GrantRepeatedAfterRejection on the old code: "a grant of u1 was taken again".

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -326,6 +327,11 @@
 		c.queueReport(scheduler.Report{Kind: scheduler.ReportDropped, Ticket: id, Upstream: d.Grant.Upstream})
 		return
 	}
+	if slices.Contains(w.ticket.Excluded, d.Grant.Upstream) {
+		// The scheduler has repeated a grant under which the request was sent, and has not
+		// read the report of its end yet. It decides again when it does.
+		return
+	}
 	delete(c.waiting, id)
 	c.running[id] = &runningRequest{
 		ticket:  w.ticket,
