h1conn: up to 16 answers of earlier requests are skipped before a request's own

What callers saw: 502 for a request that was answered, if three or more late copies of answers came before it. Several rejections in a row on one connection, each with a copy that is late, are enough.

Cause: the third answer to another request ended the connection.

Change: 16 are skipped.

Measured: TestUpstreams_SeveralCopies on the old code: outcome 4 (crossed) with 3 answers skipped. TestUpstreams_AnswersWithoutEnd, which sends such answers without end, still ends within its 2 s.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -44,7 +44,7 @@
 	// answer is read. It fits into any socket buffer, so the write does not block.
 	maxInlineWrite = 4 << 10
 	// maxMismatched limits how many answers to other requests one call skips.
-	maxMismatched = 2
+	maxMismatched = 16
 	// maxSkippedBytes limits the body of an answer to another request that is read to
 	// get at the next answer.
 	maxSkippedBytes = 64 << 10
