--- a/internal/transport/rpcnet/rpcnet_test.go
+++ b/internal/transport/rpcnet/rpcnet_test.go
@@ -1,9 +1,13 @@
 package rpcnet
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
+	"io"
 	"net"
+	"net/rpc"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -193,3 +197,43 @@
 		}
 	})
 }
+
+// FuzzServer_AnyBytes checks that bytes which are no messages, also types and values that
+// refer to themselves, end only their connection: the server goes on.
+func FuzzServer_AnyBytes(f *testing.F) {
+	var good bytes.Buffer
+	encoder := gob.NewEncoder(&good)
+	must.NoError(f, encoder.Encode(&rpc.Request{ServiceMethod: "Echo.Say", Seq: 1}))
+	must.NoError(f, encoder.Encode(&EchoArgs{Text: "a"}))
+	f.Add(good.Bytes())
+	type nested struct{ Next *nested }
+	deep := &nested{}
+	for range 20_000 {
+		deep = &nested{Next: deep}
+	}
+	var chain bytes.Buffer
+	encoder = gob.NewEncoder(&chain)
+	must.NoError(f, encoder.Encode(&rpc.Request{ServiceMethod: "Echo.Say", Seq: 1}))
+	must.NoError(f, encoder.Encode(deep))
+	f.Add(chain.Bytes())
+	f.Add([]byte{0xf8, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	server, err := Listen("127.0.0.1:0")
+	must.NoError(f, err)
+	must.NoError(f, server.Register("Echo", &Echo{}))
+	go server.Serve()
+	defer server.Close()
+	client := NewClient()
+	defer client.Close()
+	f.Fuzz(func(t *testing.T, message []byte) {
+		conn, err := net.Dial("tcp", server.Address())
+		must.NoError(t, err)
+		_, _ = conn.Write(message)
+		_ = conn.(*net.TCPConn).CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, _ = io.Copy(io.Discard, conn)
+		_ = conn.Close()
+		var reply EchoReply
+		must.NoError(t, client.Call(t.Context(), server.Address(), "Echo.Say", &EchoArgs{Text: "b"}, &reply))
+		must.Eq(t, "b", reply.Text)
+	})
+}
