gateway: an attempt's line names how its answer was framed and ended

Three causes of a stream that ends too early looked the same in the logs: an answer without length whose connection was closed, a resumed stream whose rest held nothing, and a relay that ended. attempt_ended now names the relay, the event that the answer had to follow, the last one that it brought, how the upstream framed it and how its bytes ended.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -258,10 +258,11 @@
 	sending := g.newSending(r, grant)
 	relay.onNotice = g.noticeHandler(placer, sending)
 	relay.setGrant(grant, startSilenceTimer(silenceTimeout(r, grant, relay.begun), cancelSend))
+	after := r.ResumeAfter
 	sent := sending.send(sendCtx, placer, d, relay)
 	relay.silence.stop()
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
-	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sent, end))
+	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sending.route.Relay, after, sent, end))
 	placer.Finish(r.ID, scheduler.Ending{
 		Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent),
 		PathSuspect: sending.isSuspect(),
@@ -321,13 +322,30 @@
 }
 
 // describeAttempt returns the detail of the timeline event that records the end
-// of a dispatch.
-func describeAttempt(d Dispatch, sent DispatchResult, end attemptOutcome) string {
+// of a dispatch, which went through the gateway via unless that is empty. After is the
+// last event that the caller had when it began.
+func describeAttempt(d Dispatch, via ident.NodeID, after string, sent DispatchResult, end attemptOutcome) string {
 	outcomes := map[DispatchOutcome]string{
 		DispatchComplete: "whole", DispatchUnsent: "unsent", DispatchIncomplete: "broken",
 		DispatchMismatched: "crossed", DispatchRejected: "rejected", DispatchMisdirected: "misdirected",
 	}
-	text := fmt.Sprintf("%s at %s, status %d, %d events", outcomes[sent.Outcome], d.Target.Name, sent.Status, sent.Events)
+	text := fmt.Sprintf("%s at %s", outcomes[sent.Outcome], d.Target.Name)
+	if via != "" {
+		text += fmt.Sprintf(" through %s", via)
+	}
+	text += fmt.Sprintf(", status %d, %d events", sent.Status, sent.Events)
+	if after != "" {
+		text += fmt.Sprintf(" after %q", after)
+	}
+	if sent.LastEvent != "" {
+		text += fmt.Sprintf(", the last one %q", sent.LastEvent)
+	}
+	if sent.Framing != 0 {
+		text += fmt.Sprintf(", %s, %s", sent.Framing, sent.BytesEnd.describe(sent.Framing))
+	}
+	if sent.WithinEvent {
+		text += " within an event"
+	}
 	if sent.Err != nil {
 		text += ": " + sent.Err.Error()
 	}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -227,7 +227,13 @@
 	// Broken is true if the upstream broke off the connection before the answer was
 	// complete.
 	Broken bool
-	Err    error
+	// Framing and BytesEnd say how the upstream marked the end of the answer's body and
+	// how its bytes ended; zero if no body was read.
+	Framing  Framing
+	BytesEnd BytesEnd
+	// WithinEvent is true if a stream ended within an event.
+	WithinEvent bool
+	Err         error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -154,6 +154,14 @@
 	stopAfterFunc func() bool
 	releaseOnce   sync.Once
 	sawEOF        bool
+	// hasBody is false for an answer that never has one, such as that to HEAD.
+	hasBody bool
+}
+
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that
+// it ends where the connection does.
+func (a *Answer) EndsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.hasBody
 }
 
 // Do sends the call and returns its answer as soon as the header has been read. The
@@ -178,7 +186,7 @@
 		}
 		return nil, err
 	}
-	a := &Answer{Response: response, client: c, conn: pc, writeDone: writeDone, stopAfterFunc: stop}
+	a := &Answer{Response: response, client: c, conn: pc, writeDone: writeDone, stopAfterFunc: stop, hasBody: response.Body != http.NoBody}
 	a.Body = &eofTrackingBody{answer: a, ReadCloser: response.Body}
 	return a, nil
 }
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -220,7 +220,10 @@
 
 // forwardWhole forwards an answer that is not an event stream.
 func forwardWhole(response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
-	result := gateway.DispatchResult{Outcome: gateway.DispatchIncomplete, Status: response.StatusCode}
+	result := gateway.DispatchResult{
+		Outcome: gateway.DispatchIncomplete, Status: response.StatusCode,
+		Framing: framingOf(response), BytesEnd: gateway.EndOther,
+	}
 	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
 		return result
 	}
@@ -237,16 +240,29 @@
 			}
 		}
 		if err == io.EOF && total <= MaxAnswerBytes {
-			result.Outcome = gateway.DispatchComplete
+			result.Outcome, result.BytesEnd = gateway.DispatchComplete, gateway.EndOf(err, result.Framing)
 			return result
 		}
 		if err != nil {
+			result.BytesEnd = gateway.EndOf(err, result.Framing)
 			result.Broken, result.Err = isBrokenOff(err), fmt.Errorf("answer cut after %d bytes: %w", total, err)
 			return result
 		}
 	}
 }
 
+// framingOf returns how the end of an answer's body is marked.
+func framingOf(response *http.Response) gateway.Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return gateway.FramedInChunks
+	case response.ContentLength < 0 && response.Body != http.NoBody:
+		return gateway.FramedByConnection
+	default:
+		return gateway.FramedByLength
+	}
+}
+
 // copyBufferSize is the size of the buffer for reading an answer, in bytes.
 const copyBufferSize = 16 << 10
 
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -49,6 +49,8 @@
 	// after them.
 	events int
 	tokens int
+	// framing is that of the latest response.
+	framing gateway.Framing
 	// answerID is the id that all chunks of the answer have.
 	answerID string
 	// writeErr is the error of the last write to the sink. A stream is not
@@ -68,7 +70,8 @@
 		err = s.resume(ctx, d, reader)
 	}
 	result.Status = reader.status
-	result.OutputTokens = reader.tokens
+	result.OutputTokens, result.Events = reader.tokens, reader.events
+	result.Framing, result.BytesEnd = reader.framing, reader.end(err)
 	result.Err = err
 	result.Broken = reader.writeErr == nil && isBrokenOff(reader.cutErr)
 	switch {
@@ -108,6 +111,18 @@
 	return reader.forwardResponse(response)
 }
 
+// end returns how the bytes of the answer ended; zero if none came.
+func (r *streamReader) end(err error) gateway.BytesEnd {
+	switch {
+	case r.framing == 0:
+		return 0
+	case err == nil:
+		return gateway.EndMarked
+	default:
+		return gateway.EndOf(err, gateway.FramedByConnection)
+	}
+}
+
 // canResume reports whether the rest of the stream may be available over another
 // connection after err.
 func (r *streamReader) canResume(err error) bool {
@@ -120,6 +135,7 @@
 // forwardResponse forwards the header, if it is that of the first response, and the
 // events of a response.
 func (r *streamReader) forwardResponse(response *http.Response) error {
+	r.framing = framingOf(response)
 	if r.status == 0 {
 		r.status = response.StatusCode
 		r.writeErr = r.sink.Begin(response.StatusCode, response.Header.Get("Content-Type"))
