gateway: only what goes on with a stream is passed on as its rest

Callers saw streams that were complete, in chunks, after three of eight events, the text of an error or its whole head within a stream, and events twice or left out. A stream had broken off and the next upstream was asked for the rest. Its answer was compared by its status only: an answer without length whose connection ended at once counted as an end, text/plain was passed on, and ids were not looked at.

A refused answer is a failed attempt: the next upstream is asked within maxAttempts, else the caller's connection is broken off. A stream whose latest event had no id, and an answer that is no event stream, are no longer asked for elsewhere. Text that is no event ends an attempt also within the first answer, once an event was passed on.

Ruled out as before: 500, 503, 400, 204, half a head.

--- a/internal/coordination/gateway/answerend.go
+++ b/internal/coordination/gateway/answerend.go
@@ -72,3 +72,15 @@
 		return "given up"
 	}
 }
+
+// streamFault returns why the end of a stream's bytes is not the end of the stream; nil
+// if it may be.
+func streamFault(sent DispatchResult) error {
+	switch {
+	case sent.WithinEvent:
+		return errors.New("the stream ended within an event")
+	case sent.BytesEnd == EndClosed && sent.Events == 0:
+		return errors.New("the connection ended before the first event")
+	}
+	return nil
+}
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -322,9 +322,9 @@
 // Notice implements AnswerSink.
 func (c *answerRecorder) Notice(n scheduler.UpstreamNotice) { c.onNotice(n) }
 
-func (c *answerRecorder) Begin(status int, contentType string) error {
-	c.status = status
-	c.contentType = contentType
+func (c *answerRecorder) Begin(head AnswerHead) error {
+	c.status = head.Status
+	c.contentType = head.ContentType
 	return nil
 }
 
@@ -351,6 +351,17 @@
 	return nil
 }
 
+// Events implements AnswerSink.
+func (c *answerRecorder) Events(events []StreamEvent) (int, error) {
+	c.FirstToken()
+	for i, e := range events {
+		if err := c.Write(e.Bytes); err != nil {
+			return i, err
+		}
+	}
+	return len(events), nil
+}
+
 func (c *answerRecorder) completeAnswer(sent DispatchResult) *ledger.Answer {
 	if sent.Outcome != DispatchComplete {
 		return nil
--- /dev/null
+++ b/internal/coordination/gateway/continuation_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func positionAfter(ids ...string) streamPosition {
+	var p streamPosition
+	for _, id := range ids {
+		p.advance(StreamEvent{Kind: EventData, ID: id})
+	}
+	return p
+}
+
+// TestContinuation_EventsThatDoNotFollow checks which events are refused as the next one
+// of a stream, and that ids which show nothing are not.
+func TestContinuation_EventsThatDoNotFollow(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		had     []string
+		next    StreamEvent
+		refused string
+	}{
+		{"the next one", []string{"1", "2", "3"}, StreamEvent{Kind: EventData, ID: "4"}, ""},
+		{"the first again", []string{"1", "2", "3"}, StreamEvent{Kind: EventData, ID: "1"}, `event "1" comes twice`},
+		{"the last again", []string{"1", "2", "3"}, StreamEvent{Kind: EventData, ID: "3"}, `event "3" comes twice`},
+		{"one left out", []string{"1", "2", "3"}, StreamEvent{Kind: EventData, ID: "5"}, `event "5" follows, ids went up by 1 before`},
+		{"wide steps", []string{"3", "6", "9"}, StreamEvent{Kind: EventData, ID: "12"}, ""},
+		{"a shorter last step", []string{"3", "6", "9"}, StreamEvent{Kind: EventData, ID: "10"}, ""},
+		{"one left out of wide steps", []string{"3", "6", "9"}, StreamEvent{Kind: EventData, ID: "15"}, `event "15" follows, ids went up by 3 before`},
+		{"steps that varied", []string{"1", "4", "5"}, StreamEvent{Kind: EventData, ID: "20"}, ""},
+		{"no step seen", []string{"7"}, StreamEvent{Kind: EventData, ID: "20"}, ""},
+		{"larger numbers of fewer digits in text order", []string{"9"}, StreamEvent{Kind: EventData, ID: "10"}, ""},
+		{"ids that are no numbers", []string{"a", "b"}, StreamEvent{Kind: EventData, ID: "f"}, ""},
+		{"one of them again", []string{"a", "b"}, StreamEvent{Kind: EventData, ID: "b"}, `event "b" comes twice`},
+		{"no id", []string{"1", "2"}, StreamEvent{Kind: EventData}, "an event without an id"},
+		{"no event", []string{"1", "2"}, StreamEvent{Kind: EventForeign}, "text that is no event"},
+	} {
+		p := positionAfter(c.had...)
+		err := p.checkNext(c.next)
+		if c.refused == "" {
+			must.NoError(t, err, must.Sprint(c.name))
+			continue
+		}
+		must.Error(t, err, must.Sprint(c.name))
+		must.StrContains(t, err.Error(), c.refused)
+	}
+}
+
+// TestContinuation_HeadsThatDoNotFollow checks that only an event stream of the same
+// status and type can go on with a stream.
+func TestContinuation_HeadsThatDoNotFollow(t *testing.T) {
+	begun := AnswerHead{Status: 200, ContentType: "text/event-stream", EventStream: true}
+	p := positionAfter("1", "2")
+	must.NoError(t, p.checkHead(begun, AnswerHead{Status: 200, ContentType: "text/event-stream; charset=utf-8", EventStream: true}))
+	must.NoError(t, p.checkHead(begun, AnswerHead{Status: 200, ContentType: "Text/Event-Stream", EventStream: true, Framing: FramedByConnection}))
+	for _, next := range []AnswerHead{
+		{Status: 500, ContentType: "text/event-stream", EventStream: true},
+		{Status: 204, ContentType: "text/event-stream", EventStream: true},
+		{Status: 200, ContentType: "text/plain"},
+		{Status: 200},
+	} {
+		must.Error(t, p.checkHead(begun, next), must.Sprintf("%+v", next))
+	}
+}
+
+// TestContinuation_StreamWithoutIDs checks that a stream whose latest event had no id is
+// not asked for elsewhere: the answer would begin anew, or repeat events.
+func TestContinuation_StreamWithoutIDs(t *testing.T) {
+	for _, c := range []struct {
+		ids []string
+		can bool
+	}{{nil, true}, {[]string{"1"}, true}, {[]string{""}, false}, {[]string{"1", ""}, false}, {[]string{"", "1"}, true}} {
+		p := positionAfter(c.ids...)
+		must.Eq(t, c.can, p.canContinue(), must.Sprintf("%q", c.ids))
+	}
+}
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -84,7 +84,7 @@
 	if outcome == DispatchMismatched {
 		return DispatchResult{Outcome: outcome}
 	}
-	_ = sink.Begin(200, "text/plain")
+	_ = sink.Begin(AnswerHead{Status: 200, ContentType: "text/plain"})
 	_ = sink.Write([]byte("answer to "))
 	if outcome == DispatchIncomplete {
 		return DispatchResult{Outcome: outcome, Status: 200, Err: errors.New("cut")}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -263,6 +263,10 @@
 	relay.silence.stop()
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sending.route.Relay, after, sent, end))
+	var refused *ContinuationError
+	if errors.As(sent.Err, &refused) {
+		g.record(r, timeline.KindContinuation, fmt.Sprintf("%s: %s", d.Target.Name, refused))
+	}
 	placer.Finish(r.ID, scheduler.Ending{
 		Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent),
 		PathSuspect: sending.isSuspect(),
@@ -363,12 +367,10 @@
 		return attemptUnsent
 	}
 	r.sends++
-	if sent.LastEvent != "" {
-		r.ResumeAfter = sent.LastEvent
-	}
+	r.ResumeAfter = relay.position.last
 	relay.complete = sent.Outcome == DispatchComplete
 	failed := sent.Outcome != DispatchComplete || sent.Status >= firstServerError
-	mayRetry := r.Repeatable && !relay.begun || r.Resumable
+	mayRetry := r.Repeatable && !relay.begun || r.Resumable && relay.canResume()
 	if failed && mayRetry && r.sends < r.MaxAttempts && ctx.Err() == nil {
 		return attemptRetryElsewhere
 	}
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -335,7 +335,7 @@
 	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
-	sent := g.upstreams.Send(ctx, d, sink)
+	sent := s.dispatch(ctx, d, sink)
 	s.observeFresh(sent)
 	switch {
 	case ctx.Err() != nil:
@@ -382,7 +382,19 @@
 		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
 		placer.Relayed(s.request.ID, peer)
 	}
-	return s.gateway.upstreams.Send(ctx, d, sink)
+	return s.dispatch(ctx, d, sink)
+}
+
+// dispatch sends the request and judges the end of its answer.
+func (s *sending) dispatch(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
+	sent := s.gateway.upstreams.Send(ctx, d, sink)
+	if sent.Outcome != DispatchComplete || !sent.EventStream {
+		return sent
+	}
+	if err := streamFault(sent); err != nil {
+		sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
+	}
+	return sent
 }
 
 // answered records that the header of the answer has arrived.
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 )
 
@@ -10,10 +8,6 @@
 // until it is complete, in bytes. A longer answer is forwarded as it arrives.
 const MaxBufferedAnswer = 256 << 10
 
-// errStatusChanged ends a stream that resumed with another HTTP status than it
-// began with.
-var errStatusChanged = errors.New("the rest of the stream came with another status")
-
 // relay forwards an upstream's answer to the caller. An answer that is not
 // streamed is buffered until it is complete, so that a broken one becomes a
 // failure without a partial answer.
@@ -30,12 +24,21 @@
 	silence  *silenceTimer
 	// onNotice is called with what the header of an answer says about its upstream.
 	onNotice func(n scheduler.UpstreamNotice)
+	// head is that of the answer that began, and position how far its stream has come.
+	head     AnswerHead
+	position streamPosition
+	// continues is true while an answer has to go on after the position, joined if what
+	// it goes on with is part of the same answer to the caller, and recognized once its
+	// first event did.
+	continues, joined, recognized bool
+	// part holds the events that are passed on together.
+	part []byte
 	// complete is true when the latest dispatch returned its complete answer.
 	complete bool
 }
 
 func newRelay(sink Sink, placer Placer, r *Request) *relay {
-	return &relay{sink: sink, placer: placer, r: r}
+	return &relay{sink: sink, placer: placer, r: r, position: streamPosition{last: r.ResumeAfter}}
 }
 
 // Notice implements AnswerSink.
@@ -50,22 +53,22 @@
 func (rl *relay) hasBufferedAnswer() bool { return !rl.begun && rl.header.Status != 0 && rl.complete }
 
 // Begin implements AnswerSink.
-func (rl *relay) Begin(status int, contentType string) error {
-	if rl.begun && status != rl.header.Status {
-		return errStatusChanged
-	}
+func (rl *relay) Begin(head AnswerHead) error {
+	rl.continues = rl.r.Resumable && head.EventStream && rl.position.last != ""
+	rl.joined, rl.recognized = rl.begun && rl.position.events > 0, false
 	if rl.begun {
-		return nil
+		return rl.position.checkHead(rl.head, head)
 	}
 	rl.buffered, rl.complete = nil, false
+	rl.head = head
 	rl.header = AnswerHeader{
 		Fields:      rl.fields,
-		Status:      status,
-		ContentType: contentType,
+		Status:      head.Status,
+		ContentType: head.ContentType,
 		Upstream:    rl.grant.Upstream,
 		Version:     rl.grant.Version,
 	}
-	if rl.r.Stream && status < firstServerError {
+	if rl.r.Stream && head.Status < firstServerError {
 		return rl.start()
 	}
 	return nil
@@ -85,6 +88,53 @@
 	rl.placer.FirstToken(rl.r.ID, 0)
 }
 
+// canResume reports whether another upstream may go on with the answer.
+func (rl *relay) canResume() bool {
+	return !rl.begun || rl.head.EventStream && rl.position.canContinue()
+}
+
+// Events implements AnswerSink. Nothing of an answer that goes on with a stream is passed
+// on before its first event has shown that it does.
+func (rl *relay) Events(events []StreamEvent) (int, error) {
+	first := rl.position.events
+	passed := 0
+	rl.part = rl.part[:0]
+	var refused error
+	for _, e := range events {
+		if refused = rl.check(e); refused != nil {
+			break
+		}
+		passed++
+		if rl.joined && !rl.recognized && e.Kind != EventData {
+			continue
+		}
+		rl.recognized = rl.recognized || e.Kind == EventData
+		rl.position.advance(e)
+		rl.part = append(rl.part, e.Bytes...)
+	}
+	if rl.position.events > first {
+		rl.FirstToken()
+	}
+	if len(rl.part) > 0 {
+		if err := rl.Write(rl.part); err != nil {
+			return passed, err
+		}
+	}
+	return passed, refused
+}
+
+// check returns why an event may not be passed on; nil if it may.
+func (rl *relay) check(e StreamEvent) error {
+	switch {
+	case e.Kind == EventForeign && rl.head.EventStream && (rl.continues || rl.position.events > 0):
+		return rl.position.refuse("text that is no event")
+	case !rl.continues || e.Kind == EventControl || rl.recognized && e.ID == "":
+		return nil
+	default:
+		return rl.position.checkNext(e)
+	}
+}
+
 // Write implements AnswerSink.
 func (rl *relay) Write(part []byte) error {
 	if rl.begun {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -231,9 +231,10 @@
 	// how its bytes ended; zero if no body was read.
 	Framing  Framing
 	BytesEnd BytesEnd
-	// WithinEvent is true if a stream ended within an event.
-	WithinEvent bool
-	Err         error
+	// EventStream is true if the answer was passed on as events, and WithinEvent if it
+	// ended within one.
+	EventStream, WithinEvent bool
+	Err                      error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
@@ -242,13 +243,17 @@
 	// called as soon as the header was read, for every answer of the upstream that
 	// the request was sent to, also one that declines the request.
 	Notice(n scheduler.UpstreamNotice)
-	// Begin receives the status and content type. It is called at most once,
-	// before any Write.
-	Begin(status int, contentType string) error
+	// Begin receives what the header says. It is called at most once, before any Write
+	// or Events. An answer that it returns an error for must not be read.
+	Begin(head AnswerHead) error
 	// Fields receives the header fields to forward. It is called before Begin.
 	Fields(fields []HeaderField)
-	// FirstToken is called when the content of the answer begins.
+	// FirstToken is called when the content of an answer begins that is passed on with
+	// Write.
 	FirstToken()
+	// Events receives events of a stream in order and returns how many of them are passed
+	// on. After an error the answer must not be read further.
+	Events(events []StreamEvent) (passed int, err error)
 	// Write receives a part of the body. The memory of part is reused after the
 	// call.
 	Write(part []byte) error
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -100,7 +100,7 @@
 type outcomeUnrecordedEnv struct{ unresponsiveEnv }
 
 func (e *outcomeUnrecordedEnv) Send(_ context.Context, _ Dispatch, sink AnswerSink) DispatchResult {
-	_ = sink.Begin(200, "text/plain")
+	_ = sink.Begin(AnswerHead{Status: 200, ContentType: "text/plain"})
 	_ = sink.Write([]byte("answer"))
 	return DispatchResult{Outcome: DispatchComplete, Status: 200}
 }
@@ -173,7 +173,7 @@
 }
 
 func (e *leavingEnv) Send(_ context.Context, _ Dispatch, sink AnswerSink) DispatchResult {
-	_ = sink.Begin(200, "text/plain")
+	_ = sink.Begin(AnswerHead{Status: 200, ContentType: "text/plain"})
 	return DispatchResult{Outcome: DispatchComplete, Status: 200}
 }
 
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -76,6 +76,7 @@
 	KindEnded         Kind = "request_ended"
 	KindRefused       Kind = "request_refused"
 	KindResumed       Kind = "stream_resumed"
+	KindContinuation  Kind = "continuation_refused"
 	KindConfig        Kind = "config_in_force"
 	KindLeadership    Kind = "leadership"
 	KindPoolLease     Kind = "pool_lease"
--- a/internal/transport/upstreamhttp/cancel_test.go
+++ b/internal/transport/upstreamhttp/cancel_test.go
@@ -18,12 +18,14 @@
 
 type discardSink struct{}
 
-func (discardSink) Begin(int, string) error         { return nil }
+func (discardSink) Begin(gateway.AnswerHead) error  { return nil }
 func (discardSink) Fields([]gateway.HeaderField)    {}
 func (discardSink) FirstToken()                     {}
 func (discardSink) Notice(scheduler.UpstreamNotice) {}
 func (discardSink) Write([]byte) error              { return nil }
 
+func (discardSink) Events(events []gateway.StreamEvent) (int, error) { return len(events), nil }
+
 // TestSender_EngineStopsResponding checks that Send returns when its context ends,
 // even if the engine has accepted the request without answering it and does not
 // answer the call that cancels it either.
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -224,7 +224,7 @@
 		Outcome: gateway.DispatchIncomplete, Status: response.StatusCode,
 		Framing: framingOf(response), BytesEnd: gateway.EndOther,
 	}
-	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
+	if result.Err = sink.Begin(headOf(response)); result.Err != nil {
 		return result
 	}
 	sink.FirstToken()
@@ -251,6 +251,13 @@
 	}
 }
 
+func headOf(response *http.Response) gateway.AnswerHead {
+	return gateway.AnswerHead{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"),
+		Framing: framingOf(response), EventStream: isStream(response),
+	}
+}
+
 // framingOf returns how the end of an answer's body is marked.
 func framingOf(response *http.Response) gateway.Framing {
 	switch {
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -138,7 +138,7 @@
 	r.framing = framingOf(response)
 	if r.status == 0 {
 		r.status = response.StatusCode
-		r.writeErr = r.sink.Begin(response.StatusCode, response.Header.Get("Content-Type"))
+		r.writeErr = r.sink.Begin(headOf(response))
 		if r.writeErr != nil {
 			return r.writeErr
 		}
