gateway: an answer without length ends by its connection for the caller too

Callers saw a last chunk after three of eight events. The upstream had sent neither a length nor chunks and its connection had ended properly between two events, as the kernel ends those of a killed process. The gateway handed the answer on in chunks (or with a length, if it was held), so that a doubtful end became a promise.

Such an answer is now ended by the caller's connection, streams and held answers alike (net/http does so for Transfer-Encoding: identity). Where the caller's answer began with a mark of its end and a resumed part comes without length, its end counts as broken: the next upstream is asked for what follows, else the connection is broken off.

--- a/internal/coordination/gateway/answerend.go
+++ b/internal/coordination/gateway/answerend.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// errUnvouched ends an answer that began with a length or in chunks and whose rest came in
+// one that is ended by its connection.
+var errUnvouched = errors.New("the rest ended with its connection, and nothing vouches for that end")
+
+// judgeFraming returns the result of a dispatch whose end may not stand for that of the
+// caller's answer: vouches is true if that has a mark of its end.
+func judgeFraming(sent DispatchResult, vouches bool) DispatchResult {
+	if sent.Outcome == DispatchComplete && sent.Framing == FramedByConnection && sent.BytesEnd == EndClosed && vouches {
+		sent.Outcome, sent.Err = DispatchIncomplete, errUnvouched
+	}
+	return sent
+}
+
 // streamFault returns why the end of a stream's bytes is not the end of the stream; nil
 // if it may be.
 func streamFault(sent DispatchResult) error {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -261,6 +261,7 @@
 	after := r.ResumeAfter
 	sent := sending.send(sendCtx, placer, d, relay)
 	relay.silence.stop()
+	sent = judgeFraming(sent, relay.vouches())
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sending.route.Relay, after, sent, end))
 	var refused *ContinuationError
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -65,6 +65,7 @@
 		Fields:      rl.fields,
 		Status:      head.Status,
 		ContentType: head.ContentType,
+		Framing:     head.Framing,
 		Upstream:    rl.grant.Upstream,
 		Version:     rl.grant.Version,
 	}
@@ -88,6 +89,10 @@
 	rl.placer.FirstToken(rl.r.ID, 0)
 }
 
+// vouches reports whether the answer to the caller has begun with a mark of its end that
+// the end of a connection can't stand for.
+func (rl *relay) vouches() bool { return rl.begun && rl.head.Framing != FramedByConnection }
+
 // canResume reports whether another upstream may go on with the answer.
 func (rl *relay) canResume() bool {
 	return !rl.begun || rl.head.EventStream && rl.position.canContinue()
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -111,6 +111,9 @@
 type AnswerHeader struct {
 	Status      int
 	ContentType string
+	// Framing is that of the upstream's answer. One that is FramedByConnection must end
+	// by its connection for the caller too: nothing else may vouch for its end.
+	Framing Framing
 	// Fields are the upstream's other header fields, if they are forwarded to the
 	// caller.
 	Fields   []HeaderField
