gateway: the end of an answer without length is checked at its upstream

The caller got a complete answer, or a stream that ended after three of eight events, when an upstream was killed in the middle of an answer without length: its kernel closed the connection properly. No other upstream was asked.

After such an end the gateway now makes a connection to the upstream, through the same relay if there was one. The line of the attempt says what was found; two metrics count the checks and the doubted ends.

Only answers of this framing pay for it. An upstream that goes on but lost one answer can't be told from one that has finished it.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -111,6 +111,14 @@
 		_, total := n.relayed()
 		return total
 	})
+	gauge("flamingohaven_fleet_end_checks_total", "Connections made to check whether an upstream is still there whose answer has ended with its connection.", func() float64 {
+		checks, _ := n.gateway.EndChecks()
+		return float64(checks)
+	})
+	gauge("flamingohaven_fleet_ends_doubted_total", "Answers that ended with their connection and were not taken for complete.", func() float64 {
+		_, doubted := n.gateway.EndChecks()
+		return float64(doubted)
+	})
 	gauge("flamingohaven_fleet_scheduler_shards", "Shards of the gateways, each with a scheduler of its own, as this gateway knows them.", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -84,3 +84,7 @@
 	}
 	return float64(n.relay.Open()), float64(n.relay.Total())
 }
+
+// EndChecks returns how many connections this gateway made to check the end of an answer,
+// and how many of these ends were not taken for that of the answer.
+func (n *Node) EndChecks() (checks, doubted uint64) { return n.gateway.EndChecks() }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -27,6 +27,11 @@
 	paths     *Paths
 	// freshConns knows to which upstreams new connections break.
 	freshConns freshConns
+	// breaks knows which upstreams broke off answers just now. endChecks counts the
+	// connections made to check the end of an answer, endsDoubted the ends that weren't
+	// taken for one.
+	breaks                 answerBreaks
+	endChecks, endsDoubted atomic.Uint64
 	// relays is nil if requests are only sent directly.
 	relays Relays
 	events *timeline.Recorder
@@ -351,6 +356,9 @@
 	if sent.WithinEvent {
 		text += " within an event"
 	}
+	if sent.EndChecked && sent.Outcome == DispatchComplete {
+		text += ", the upstream is still there"
+	}
 	if sent.Err != nil {
 		text += ": " + sent.Err.Error()
 	}
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -388,13 +388,16 @@
 // dispatch sends the request and judges the end of its answer.
 func (s *sending) dispatch(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
 	sent := s.gateway.upstreams.Send(ctx, d, sink)
-	if sent.Outcome != DispatchComplete || !sent.EventStream {
-		return sent
+	if sent.Outcome == DispatchComplete && sent.EventStream {
+		if err := streamFault(sent); err != nil {
+			sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
+		}
 	}
-	if err := streamFault(sent); err != nil {
-		sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
+	// A new connection that breaks before an answer may only be one too many.
+	if sent.Broken && (sent.Status != 0 || !sent.FreshConn) {
+		s.gateway.breaks.add(d.Target.Name, time.Now())
 	}
-	return sent
+	return s.checkEnd(ctx, d, sent)
 }
 
 // answered records that the header of the answer has arrived.
@@ -446,7 +449,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
 	defer cancel()
-	return prober.Probe(ctx, t) == nil
+	return prober.Probe(ctx, t, "") == nil
 }
 
 // Relays knows the addresses at which other gateways accept requests to relay.
@@ -457,8 +460,9 @@
 
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
 type Prober interface {
-	// Probe connects to an upstream and closes the connection.
-	Probe(ctx context.Context, t Target) error
+	// Probe connects to an upstream, through the gateway at the address relay unless that
+	// is empty, and closes the connection.
+	Probe(ctx context.Context, t Target, relay string) error
 }
 
 // SetRelays makes the gateway send requests through other gateways when it can't reach
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -237,7 +237,10 @@
 	// EventStream is true if the answer was passed on as events, and WithinEvent if it
 	// ended within one.
 	EventStream, WithinEvent bool
-	Err                      error
+	// EndChecked is true if the upstream was asked for a connection after the answer had
+	// ended with its own.
+	EndChecked bool
+	Err        error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
