upstreamhttp: the rest of a stream must be an event stream

Callers found the text of an error within a stream: an engine broke off, and the answer to the call for the rest was text/plain, or text without data in an event stream. Its status and request id were checked, its type was not, and parts without data were passed on as if they were heartbeats.

A rest that is no event stream is now an error, and so are parts of a begun stream that have other lines than comments and the fields of an event. The engine is then asked again, as after any other break, at most MaxResumes times.

Chunks carry no numbers, so that an engine which begins anew can't be told from one that goes on.

--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -32,6 +32,8 @@
 var (
 	errStreamIdle     = errors.New("no data from the stream within the idle timeout")
 	errAnswerMismatch = errors.New("the stream continues with another answer")
+	errNoStream       = errors.New("the rest of the stream is no event stream")
+	errForeignText    = errors.New("text that is no event within the stream")
 )
 
 func isStream(response *http.Response) bool {
@@ -107,6 +109,9 @@
 	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
 		return errAnswerMismatch
 	}
+	if !isStream(response) {
+		return fmt.Errorf("%w: content type %q", errNoStream, response.Header.Get("Content-Type"))
+	}
 	reader.sink.Notice(noticeOf(response))
 	return reader.forwardResponse(response)
 }
@@ -183,6 +188,9 @@
 // forwardEvent forwards one complete event and reports whether it was the end marker.
 func (r *streamReader) forwardEvent(event []byte) (bool, error) {
 	data, ok := eventData(event)
+	if !ok && r.events > 0 && isForeign(event) {
+		return false, errForeignText
+	}
 	if !ok {
 		return false, r.writeToSink(event)
 	}
@@ -223,6 +231,20 @@
 	return chunk.ID == r.answerID
 }
 
+// isForeign reports whether a part of a stream without data is text that is no event: it
+// has lines other than comments and the fields of an event.
+func isForeign(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "", "event", "id", "retry":
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // eventData returns the data of an event's first data line. It reports false if
 // there is none, as in a comment.
 func eventData(event []byte) ([]byte, bool) {
