callerhttp: an answer without length ends by its connection for the caller too

The daemon had the fault of the platform's edge: an answer of a service that is ended by its connection was handed on with a length or in chunks, and one that broke off reached a caller of HTTP/1.0 with a proper end of the connection.

The sink now ends such answers by the caller's connection, resets it unless all bytes were handed to the kernel, and an answer to a claimed request keeps its framing at its first delivery. A stream of an engine has an end marker that vouches for it, whatever its framing (FramedByMarker).

--- a/internal/coordination/gateway/answerend.go
+++ b/internal/coordination/gateway/answerend.go
@@ -19,10 +19,13 @@
 	// vouches for such an end: the kernel of an upstream that was killed closes its
 	// connections like one that has finished.
 	FramedByConnection
+	// FramedByMarker means that a marker within the body ends it.
+	FramedByMarker
 )
 
 var framingNames = map[Framing]string{
 	FramedByLength: "with a length", FramedInChunks: "in chunks", FramedByConnection: "ended by its connection",
+	FramedByMarker: "with an end marker",
 }
 
 // String implements fmt.Stringer.
@@ -60,8 +63,11 @@
 func (e BytesEnd) describe(f Framing) string {
 	switch e {
 	case EndMarked:
-		if f == FramedInChunks {
+		switch f {
+		case FramedInChunks:
 			return "last chunk came"
+		case FramedByMarker:
+			return "marker came"
 		}
 		return "all bytes came"
 	case EndClosed:
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -126,6 +126,9 @@
 		return incompleteResult(sendCtx, sent, false), attemptSettled
 	}
 	header := AnswerHeader{Status: recorded.Status, ContentType: recorded.ContentType, Upstream: d.Target.Name, Version: grant.Version}
+	if recorded == complete {
+		header.Framing = sent.Framing
+	}
 	return deliver(sink, header, recorded.Body), attemptSettled
 }
 
--- a/internal/transport/callerconn/callerconn.go
+++ b/internal/transport/callerconn/callerconn.go
@@ -8,6 +8,10 @@
 	"net"
 )
 
+// MaxLengthAdded is the size up to which net/http may add a length to an answer that was
+// not flushed, in bytes. Such an answer isn't ended by its connection.
+const MaxLengthAdded = 2 << 10
+
 type contextKey struct{}
 
 // Context returns a context that holds the connection of a server, for
--- a/internal/transport/callerhttp/answer.go
+++ b/internal/transport/callerhttp/answer.go
@@ -12,6 +12,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/transport/callerconn"
 )
 
 func (s *Server) serveAddresses(w http.ResponseWriter, r *http.Request) {
@@ -32,9 +33,10 @@
 		s.observer.Finished(FinishedRequest{Request: parsed, Refusal: refusal, Elapsed: time.Since(start)})
 		return
 	}
-	sink := &sink{writer: w, control: control, stream: parsed.Stream}
+	sink := &sink{writer: w, control: control, request: r, stream: parsed.Stream}
 	result := s.handler.Serve(r.Context(), parsed, sink)
 	if result.Failure == nil {
+		sink.end()
 		s.observer.Finished(FinishedRequest{Request: parsed, Answer: sink.header, Elapsed: time.Since(start)})
 		return
 	}
@@ -98,8 +100,13 @@
 type sink struct {
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	request *http.Request
 	stream  bool
 	header  gateway.AnswerHeader
+	// written is the size of the body so far. ended, if set, allows a proper end of the
+	// connection.
+	written int
+	ended   func()
 }
 
 // Begin implements gateway.Sink.
@@ -114,6 +121,14 @@
 	if h.Replayed {
 		header.Set(callerapi.HeaderReplayed, "true")
 	}
+	if h.Framing == gateway.FramedByConnection {
+		// net/http ends such an answer by its connection, without chunks.
+		header.Set("Transfer-Encoding", "identity")
+	}
+	// A stream has a marker of its own that vouches for its end.
+	if !s.stream && (h.Framing == gateway.FramedByConnection || !s.request.ProtoAtLeast(1, 1)) {
+		s.ended = callerconn.ResetUnlessEnded(s.request.Context())
+	}
 	s.writer.WriteHeader(h.Status)
 	return s.flush()
 }
@@ -121,7 +136,9 @@
 // Write implements gateway.Sink.
 func (s *sink) Write(part []byte) error {
 	_ = s.control.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	if _, err := s.writer.Write(part); err != nil {
+	n, err := s.writer.Write(part)
+	s.written += n
+	if err != nil {
 		return fmt.Errorf("caller: %w", err)
 	}
 	return s.flush()
@@ -136,6 +153,18 @@
 	return s.control.Flush()
 }
 
+// end allows the connection of an answer that was ended by it to end properly, after all
+// bytes were handed to the kernel.
+func (s *sink) end() {
+	if s.ended == nil {
+		return
+	}
+	small := s.written <= callerconn.MaxLengthAdded && s.header.Framing != gateway.FramedByConnection
+	if small || s.control.Flush() == nil {
+		s.ended()
+	}
+}
+
 // abort ends an incomplete answer. It writes an error event if the answer is a
 // stream, then breaks the connection, so that no caller mistakes it for a
 // complete one.
--- a/internal/transport/callerhttp/listener.go
+++ b/internal/transport/callerhttp/listener.go
@@ -61,6 +61,9 @@
 	open *atomic.Int64
 }
 
+// NetConn returns the connection that c wraps.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	c.once.Do(func() { c.open.Add(-1) })
--- a/internal/transport/callerhttp/server.go
+++ b/internal/transport/callerhttp/server.go
@@ -17,6 +17,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/transport/callerconn"
 )
 
 // Limits are the limits on the resources that callers can use.
@@ -104,6 +105,7 @@
 		ReadHeaderTimeout: limits.ReadHeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(limits.MaxHeaderBytes),
+		ConnContext:       callerconn.Context,
 	}
 	return s
 }
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -261,6 +261,8 @@
 // framingOf returns how the end of an answer's body is marked.
 func framingOf(response *http.Response) gateway.Framing {
 	switch {
+	case isStream(response):
+		return gateway.FramedByMarker
 	case len(response.TransferEncoding) > 0:
 		return gateway.FramedInChunks
 	case response.ContentLength < 0 && response.Body != http.NoBody:
