upstreamhttp: an outcome without length is checked at its service

A service that was killed in the middle of an answer without length left a part of it as the recorded outcome of a claimed request, and every resend got that part. The answer to a status query had the same fault.

The daemon's sender can now be asked whether a service is still there, which makes the gateway check such ends here as on the platform; an answer to a status query of this framing counts only if the service is still there.

TestGateway_ClaimedEndOfConnection holds the claimed path. Open: a replay of a recorded answer has a length, whatever its framing was.

--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 )
 
 // TestEndEvidence_Doubt checks what speaks against the end of an answer that has ended
@@ -51,6 +52,7 @@
 	others   func()
 	probes   int
 	listed   bool
+	recorded *ledger.Answer
 }
 
 const probeTime = 5 * time.Millisecond
@@ -117,3 +119,31 @@
 		})
 	}
 }
+
+func (e *unvouchedEnv) Complete(_ context.Context, c ledger.Complete) error {
+	e.recorded = c.Answer
+	return nil
+}
+
+// TestGateway_ClaimedEndOfConnection has the answer to a claimed request end with its
+// connection while its upstream is killed. It must not be recorded as the outcome.
+func TestGateway_ClaimedEndOfConnection(t *testing.T) {
+	for name, killed := range map[string]bool{"killed": true, "still there": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &unvouchedEnv{listed: true}
+				if killed {
+					e.probeErr = errors.New("connection refused")
+				}
+				g := New(e, e, e, NewBudget(1<<20), nil)
+				sink := &memorySink{}
+				result := g.Serve(t.Context(), &Request{ID: "r1", Key: "k1", Deadline: time.Now().Add(time.Second)}, sink)
+				awaitSettled(g)
+				must.Eq(t, !killed, result.Answered)
+				must.Eq(t, !killed, string(sink.body) == "answer")
+				must.Eq(t, killed, e.recorded == nil)
+				must.Eq(t, killed, sink.framing == 0)
+			})
+		})
+	}
+}
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -194,11 +194,16 @@
 }
 
 type memorySink struct {
-	begun int
-	body  []byte
+	begun   int
+	framing Framing
+	body    []byte
 }
 
-func (m *memorySink) Begin(AnswerHeader) error { m.begun++; return nil }
+func (m *memorySink) Begin(h AnswerHeader) error {
+	m.begun++
+	m.framing = h.Framing
+	return nil
+}
 
 func (m *memorySink) Write(part []byte) error { m.body = append(m.body, part...); return nil }
 
--- a/internal/transport/upstreamhttp/probe.go
+++ b/internal/transport/upstreamhttp/probe.go
@@ -89,6 +89,10 @@
 	if err != nil || len(body) > maxReportBytes || response.StatusCode != http.StatusOK {
 		return nil
 	}
+	if framingOf(response) == gateway.FramedByConnection && s.Probe(ctx, d.Target, "") != nil {
+		// The body may be a part of the answer of a service that was killed.
+		return nil
+	}
 	return &ledger.Answer{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
@@ -96,6 +100,15 @@
 	}
 }
 
+// Probe implements gateway.Prober. The daemon has no relays.
+func (s *Sender) Probe(ctx context.Context, t gateway.Target, _ string) error {
+	conn, err := dial(ctx, "tcp", t.Upstream.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func (s *Sender) getJSON(ctx context.Context, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/transport/upstreamhttp/stream_test.go
+++ b/internal/transport/upstreamhttp/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -74,3 +75,34 @@
 		})
 	}
 }
+
+// TestSender_StatusOfKilledService has a service be killed in the middle of the answer to a
+// status query that has no length. The part must not count as the outcome.
+func TestSender_StatusOfKilledService(t *testing.T) {
+	for name, killed := range map[string]bool{"killed": true, "still there": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\na part of ")
+				if killed {
+					_ = listener.Close()
+				}
+			}()
+			sender := NewSender()
+			defer sender.Close()
+			answer := sender.Status(t.Context(), gateway.Dispatch{
+				Request: &gateway.Request{ID: "r1", Key: "k1", StatusPath: "/status"},
+				Target:  gateway.Target{Name: "u", Upstream: config.Upstream{Address: listener.Addr().String()}},
+			})
+			must.Eq(t, killed, answer == nil)
+		})
+	}
+}
