Merge the ends of streams at the edges

An end that nobody can vouch for is no promise any more, and only what goes on with a stream is passed on as its rest.

--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -84,7 +84,7 @@
 	if outcome == DispatchMismatched {
 		return DispatchResult{Outcome: outcome}
 	}
-	_ = sink.Begin(200, "text/plain")
+	_ = sink.Begin(AnswerHead{Status: 200, ContentType: "text/plain"})
 	_ = sink.Write([]byte("answer to "))
 	if outcome == DispatchIncomplete {
 		return DispatchResult{Outcome: outcome, Status: 200, Err: errors.New("cut")}
@@ -194,11 +194,16 @@
 }
 
 type memorySink struct {
-	begun int
-	body  []byte
+	begun   int
+	framing Framing
+	body    []byte
 }
 
-func (m *memorySink) Begin(AnswerHeader) error { m.begun++; return nil }
+func (m *memorySink) Begin(h AnswerHeader) error {
+	m.begun++
+	m.framing = h.Framing
+	return nil
+}
 
 func (m *memorySink) Write(part []byte) error { m.body = append(m.body, part...); return nil }
 
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -335,7 +335,7 @@
 	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
-	sent := g.upstreams.Send(ctx, d, sink)
+	sent := s.dispatch(ctx, d, sink)
 	s.observeFresh(sent)
 	switch {
 	case ctx.Err() != nil:
@@ -382,7 +382,22 @@
 		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
 		placer.Relayed(s.request.ID, peer)
 	}
-	return s.gateway.upstreams.Send(ctx, d, sink)
+	return s.dispatch(ctx, d, sink)
+}
+
+// dispatch sends the request and judges the end of its answer.
+func (s *sending) dispatch(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
+	sent := s.gateway.upstreams.Send(ctx, d, sink)
+	if sent.Outcome == DispatchComplete && sent.EventStream {
+		if err := streamFault(sent); err != nil {
+			sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
+		}
+	}
+	// A new connection that breaks before an answer may only be one too many.
+	if sent.Broken && (sent.Status != 0 || !sent.FreshConn) {
+		s.gateway.breaks.add(d.Target.Name, time.Now())
+	}
+	return s.checkEnd(ctx, d, sent)
 }
 
 // answered records that the header of the answer has arrived.
@@ -434,7 +449,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
 	defer cancel()
-	return prober.Probe(ctx, t) == nil
+	return prober.Probe(ctx, t, "") == nil
 }
 
 // Relays knows the addresses at which other gateways accept requests to relay.
@@ -445,8 +460,9 @@
 
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
 type Prober interface {
-	// Probe connects to an upstream and closes the connection.
-	Probe(ctx context.Context, t Target) error
+	// Probe connects to an upstream, through the gateway at the address relay unless that
+	// is empty, and closes the connection.
+	Probe(ctx context.Context, t Target, relay string) error
 }
 
 // SetRelays makes the gateway send requests through other gateways when it can't reach
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -111,6 +111,9 @@
 type AnswerHeader struct {
 	Status      int
 	ContentType string
+	// Framing is that of the upstream's answer. One that is FramedByConnection must end
+	// by its connection for the caller too: nothing else may vouch for its end.
+	Framing Framing
 	// Fields are the upstream's other header fields, if they are forwarded to the
 	// caller.
 	Fields   []HeaderField
@@ -230,7 +233,17 @@
 	// Broken is true if the upstream broke off the connection before the answer was
 	// complete.
 	Broken bool
-	Err    error
+	// Framing and BytesEnd say how the upstream marked the end of the answer's body and
+	// how its bytes ended; zero if no body was read.
+	Framing  Framing
+	BytesEnd BytesEnd
+	// EventStream is true if the answer was passed on as events, and WithinEvent if it
+	// ended within one.
+	EventStream, WithinEvent bool
+	// EndChecked is true if the upstream was asked for a connection after the answer had
+	// ended with its own.
+	EndChecked bool
+	Err        error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
@@ -239,13 +252,17 @@
 	// called as soon as the header was read, for every answer of the upstream that
 	// the request was sent to, also one that declines the request.
 	Notice(n scheduler.UpstreamNotice)
-	// Begin receives the status and content type. It is called at most once,
-	// before any Write.
-	Begin(status int, contentType string) error
+	// Begin receives what the header says. It is called at most once, before any Write
+	// or Events. An answer that it returns an error for must not be read.
+	Begin(head AnswerHead) error
 	// Fields receives the header fields to forward. It is called before Begin.
 	Fields(fields []HeaderField)
-	// FirstToken is called when the content of the answer begins.
+	// FirstToken is called when the content of an answer begins that is passed on with
+	// Write.
 	FirstToken()
+	// Events receives events of a stream in order and returns how many of them are passed
+	// on. After an error the answer must not be read further.
+	Events(events []StreamEvent) (passed int, err error)
 	// Write receives a part of the body. The memory of part is reused after the
 	// call.
 	Write(part []byte) error
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -220,8 +220,11 @@
 
 // forwardWhole forwards an answer that is not an event stream.
 func forwardWhole(response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
-	result := gateway.DispatchResult{Outcome: gateway.DispatchIncomplete, Status: response.StatusCode}
-	if result.Err = sink.Begin(response.StatusCode, response.Header.Get("Content-Type")); result.Err != nil {
+	result := gateway.DispatchResult{
+		Outcome: gateway.DispatchIncomplete, Status: response.StatusCode,
+		Framing: framingOf(response), BytesEnd: gateway.EndOther,
+	}
+	if result.Err = sink.Begin(headOf(response)); result.Err != nil {
 		return result
 	}
 	sink.FirstToken()
@@ -237,16 +240,38 @@
 			}
 		}
 		if err == io.EOF && total <= MaxAnswerBytes {
-			result.Outcome = gateway.DispatchComplete
+			result.Outcome, result.BytesEnd = gateway.DispatchComplete, gateway.EndOf(err, result.Framing)
 			return result
 		}
 		if err != nil {
+			result.BytesEnd = gateway.EndOf(err, result.Framing)
 			result.Broken, result.Err = isBrokenOff(err), fmt.Errorf("answer cut after %d bytes: %w", total, err)
 			return result
 		}
 	}
 }
 
+func headOf(response *http.Response) gateway.AnswerHead {
+	return gateway.AnswerHead{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"),
+		Framing: framingOf(response), EventStream: isStream(response),
+	}
+}
+
+// framingOf returns how the end of an answer's body is marked.
+func framingOf(response *http.Response) gateway.Framing {
+	switch {
+	case isStream(response):
+		return gateway.FramedByMarker
+	case len(response.TransferEncoding) > 0:
+		return gateway.FramedInChunks
+	case response.ContentLength < 0 && response.Body != http.NoBody:
+		return gateway.FramedByConnection
+	default:
+		return gateway.FramedByLength
+	}
+}
+
 // copyBufferSize is the size of the buffer for reading an answer, in bytes.
 const copyBufferSize = 16 << 10
 
--- a/internal/transport/upstreamhttp/stream.go
+++ b/internal/transport/upstreamhttp/stream.go
@@ -32,6 +32,8 @@
 var (
 	errStreamIdle     = errors.New("no data from the stream within the idle timeout")
 	errAnswerMismatch = errors.New("the stream continues with another answer")
+	errNoStream       = errors.New("the rest of the stream is no event stream")
+	errForeignText    = errors.New("text that is no event within the stream")
 )
 
 func isStream(response *http.Response) bool {
@@ -49,6 +51,8 @@
 	// after them.
 	events int
 	tokens int
+	// framing is that of the latest response.
+	framing gateway.Framing
 	// answerID is the id that all chunks of the answer have.
 	answerID string
 	// writeErr is the error of the last write to the sink. A stream is not
@@ -68,7 +72,8 @@
 		err = s.resume(ctx, d, reader)
 	}
 	result.Status = reader.status
-	result.OutputTokens = reader.tokens
+	result.OutputTokens, result.Events = reader.tokens, reader.events
+	result.Framing, result.BytesEnd = reader.framing, reader.end(err)
 	result.Err = err
 	result.Broken = reader.writeErr == nil && isBrokenOff(reader.cutErr)
 	switch {
@@ -104,10 +109,25 @@
 	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
 		return errAnswerMismatch
 	}
+	if !isStream(response) {
+		return fmt.Errorf("%w: content type %q", errNoStream, response.Header.Get("Content-Type"))
+	}
 	reader.sink.Notice(noticeOf(response))
 	return reader.forwardResponse(response)
 }
 
+// end returns how the bytes of the answer ended; zero if none came.
+func (r *streamReader) end(err error) gateway.BytesEnd {
+	switch {
+	case r.framing == 0:
+		return 0
+	case err == nil:
+		return gateway.EndMarked
+	default:
+		return gateway.EndOf(err, gateway.FramedByConnection)
+	}
+}
+
 // canResume reports whether the rest of the stream may be available over another
 // connection after err.
 func (r *streamReader) canResume(err error) bool {
@@ -120,9 +140,10 @@
 // forwardResponse forwards the header, if it is that of the first response, and the
 // events of a response.
 func (r *streamReader) forwardResponse(response *http.Response) error {
+	r.framing = framingOf(response)
 	if r.status == 0 {
 		r.status = response.StatusCode
-		r.writeErr = r.sink.Begin(response.StatusCode, response.Header.Get("Content-Type"))
+		r.writeErr = r.sink.Begin(headOf(response))
 		if r.writeErr != nil {
 			return r.writeErr
 		}
@@ -167,6 +188,9 @@
 // forwardEvent forwards one complete event and reports whether it was the end marker.
 func (r *streamReader) forwardEvent(event []byte) (bool, error) {
 	data, ok := eventData(event)
+	if !ok && r.events > 0 && isForeign(event) {
+		return false, errForeignText
+	}
 	if !ok {
 		return false, r.writeToSink(event)
 	}
@@ -207,6 +231,20 @@
 	return chunk.ID == r.answerID
 }
 
+// isForeign reports whether a part of a stream without data is text that is no event: it
+// has lines other than comments and the fields of an event.
+func isForeign(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "", "event", "id", "retry":
+		default:
+			return true
+		}
+	}
+	return false
+}
+
 // eventData returns the data of an event's first data line. It reports false if
 // there is none, as in a comment.
 func eventData(event []byte) ([]byte, bool) {
