control: a sync is answered soon after its hold also while its node waits for its turn

Replies with an update are spread to 500 a second. A sync waited for its turn after the time for which it may wait for a change (1 s from 200 nodes on), so that a reply could take 1 s + 2 ms for each node and more on a busy leader; nodes give a sync up after 1.6 s, drop the connection, and ask from the next replica on again. In a simulated fleet of 400 nodes (virtual time, no processor cost) four changes cost 170 connections.

The leader now answers "the node's turn to get an update has not come" at the end of the hold, 200 ms after the sync at the earliest. The node keeps its turn and asks again; older nodes take the reply for an uncertain outcome with the leader's name and do the same. Cost: one more call of a node that waits longer than its hold.

TestSync_LastOfManyNodesIsAnswered failed before with "expected 1.76s <= 1.2s".

--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -40,6 +40,9 @@
 	// up.
 	updatesPerSecond = 500
 	updateBurst      = 10
+	// minTurnWait is how long a sync at least waits for its node's turn to get an update, also
+	// after the time for which it may wait for a change. It limits the calls of nodes that wait.
+	minTurnWait = 200 * time.Millisecond
 	// maxLeaderWait is how long a sync waits for a leader or for the renewal of
 	// the leader's lease. It is about the longest time without a leader after
 	// which a replica campaigns.
@@ -259,9 +262,20 @@
 	return contact.superseded
 }
 
-// awaitTurn waits until a node may get an update, at the limiter's rate for all nodes. It
-// returns false if the node has sent another sync meanwhile.
-func (f *fleet) awaitTurn(m Member, limiter *rate.Limiter, superseded <-chan struct{}) bool {
+// turn is the outcome of waiting for the turn to get an update.
+type turn int
+
+const (
+	turnCame turn = iota
+	// turnSuperseded means that the node has sent another sync meanwhile.
+	turnSuperseded
+	// turnLater means that the turn comes after the end of the call.
+	turnLater
+)
+
+// awaitTurn waits until a node may get an update, at the limiter's rate for all nodes, for at
+// most patience. A node whose turn has not come keeps it for its next sync.
+func (f *fleet) awaitTurn(m Member, limiter *rate.Limiter, superseded <-chan struct{}, patience time.Duration) turn {
 	f.mu.Lock()
 	var due time.Time
 	contact := f.contacts[m.ID]
@@ -275,24 +289,28 @@
 		contact.updateDue = due
 	}
 	f.mu.Unlock()
-	timer := time.NewTimer(time.Until(due))
+	wait := time.Until(due)
+	timer := time.NewTimer(min(wait, patience))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-superseded:
-		return false
+		return turnSuperseded
 	}
 	select {
 	case <-superseded:
-		return false
+		return turnSuperseded
 	default:
 	}
+	if contact != nil && wait > patience {
+		return turnLater
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if contact != nil {
 		contact.updateDue = time.Time{}
 	}
-	return true
+	return turnCame
 }
 
 // endSync records that a node's sync call has ended.
--- a/internal/coordination/control/fleet_sync.go
+++ b/internal/coordination/control/fleet_sync.go
@@ -5,12 +5,18 @@
 	"time"
 )
 
+// SyncHold returns how long a sync waits for a change in a fleet of the given number of
+// members. A leader replies soon after it in any case.
+func SyncHold(members int) time.Duration {
+	return min(MaxSyncHold, max(minSyncHold, time.Duration(members)*syncHoldPerMember))
+}
+
 // syncHold returns how long a sync waits for a change at the current number of
 // members.
 func (f *fleet) syncHold() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return min(MaxSyncHold, max(minSyncHold, time.Duration(len(f.contacts))*syncHoldPerMember))
+	return SyncHold(len(f.contacts))
 }
 
 // Sync records that a node is live, waits for a change and returns what the node
@@ -30,7 +36,9 @@
 	s.fleet.reportUse(args.Member.ID, args.TeamUse, time.Now())
 	s.fleet.reportPoison(args.Poison, time.Now())
 	s.fleet.reportEnds(args.Ends, args.Cleared, time.Now())
-	timer := time.NewTimer(min(args.Hold, s.fleet.syncHold()))
+	hold := min(args.Hold, s.fleet.syncHold())
+	holdEnd := time.Now().Add(hold)
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for !s.lacks(args) {
 		if !s.awaitSync(args, timer.C, superseded) {
@@ -44,10 +52,18 @@
 		if args.HaveRevision == 0 {
 			limiter = s.firstSyncLimiter
 		}
-		if !s.fleet.awaitTurn(args.Member, limiter, superseded) {
+		switch s.fleet.awaitTurn(args.Member, limiter, superseded, max(minTurnWait, time.Until(holdEnd))) {
+		case turnCame:
+		case turnSuperseded:
 			s.fleet.endSync(args.Member, time.Now())
 			reply.Status = Status{Uncertain: true, Detail: "the node has sent another sync"}
 			return nil
+		case turnLater:
+			// A sign of life: a node can't tell a long wait from a connection that has
+			// gone silent.
+			s.fleet.endSync(args.Member, time.Now())
+			reply.Status = Status{Uncertain: true, Redirect: s.self, Detail: "the node's turn to get an update has not come"}
+			return nil
 		}
 		var errs [2]error
 		reply.Config, errs[0] = s.configDelivery(args.HaveRevision)
--- a/internal/coordination/control/fleet_sync_test.go
+++ b/internal/coordination/control/fleet_sync_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -9,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
@@ -79,3 +82,42 @@
 		must.Eq(t, uint64(3), follower.State().Version.Term)
 	})
 }
+
+// TestSync_LastOfManyNodesIsAnswered covers a change in a fleet of 400 nodes: those whose turn came
+// last got no reply for so long that they dropped the connection to the leader and began anew.
+func TestSync_LastOfManyNodesIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 400
+		service, _ := newLocalService()
+		service.EnableFleet(func() FleetState { return FleetState{} })
+		service.Tick()
+		end := time.Now().Add(8 * time.Second)
+		var loops sync.WaitGroup
+		slowest, followers := make([]time.Duration, nodes), make([]FleetFollower, nodes)
+		for i := range nodes {
+			loops.Go(func() {
+				for time.Now().Before(end) {
+					var reply SyncReply
+					sent := time.Now()
+					_ = service.Sync(followers[i].Args(Member{ID: ident.NodeID(fmt.Sprint("g", i)), Incarnation: 1}, Known{}, MaxSyncHold), &reply)
+					slowest[i] = max(slowest[i], time.Since(sent))
+					_, err := followers[i].HandleReply(time.Second, &reply)
+					must.NoError(t, err)
+				}
+			})
+			time.Sleep(7 * time.Millisecond)
+		}
+		for i := range 4 {
+			var reply ApplyNumberedReply
+			numbered := config.Numbered{Number: uint64(i + 1), Config: manyRoutes(i + 1), Document: []byte("{}")}
+			must.NoError(t, service.ApplyNumbered(&ApplyNumberedArgs{Numbered: numbered}, &reply))
+			time.Sleep(1100 * time.Millisecond)
+			for n := range followers {
+				_, revision := followers[n].Config()
+				must.Eq(t, ident.Revision(i+1), revision)
+			}
+		}
+		loops.Wait()
+		must.LessEq(t, MaxSyncHold+minTurnWait, slices.Max(slowest))
+	})
+}
