fleet: a sync on a silent connection is given up before a version has to be in force

A connection can stop delivering while new ones work. A node with news for the leader (ends of upstreams, teams near their quotas) interrupts its sync every 250 ms: then no sync ever reached its timeout, the connection was never dropped, and each interruption made the node forget the leader and ask another replica.

The time of interrupted syncs counts. An interruption says nothing about the replica, and the sync after one isn't held, so that it renews the proof.

Ruled out: a leader that is cut from the other replicas keeps no node, it steps down after 400 ms without a quorum (by reading).

Tests in virtual time with the real client, RPC and leader, run with the former behaviour put back: TestSync_SilentConnectionBesidePausedReplica "expected 2.855s < 2s", TestSync_InterruptedOnSilentConnection "expected 10s < 2s" (its limit), TestSync_InterruptionsLeaveProof: the leader was forgotten. That this is what the users saw is not shown.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -50,6 +50,7 @@
 	calls    *rpcnet.Client
 	server   *rpcnet.Server
 	control  *control.Client
+	replicas *replicaCaller
 	follower *control.FleetFollower
 	replica  *replica
 	pools    *pool.Service
@@ -124,7 +125,8 @@
 	n.logLines = timeline.NewLineWriter(os.Stdout)
 	n.events.SetLineWriter(n.logLines)
 	n.loops.Go(func() { n.logLines.Run(n.ctx.Done()) })
-	n.control = control.NewClient(&replicaCaller{node: n}, n.initialReplicas())
+	n.replicas = &replicaCaller{node: n}
+	n.control = control.NewClient(n.replicas, n.initialReplicas())
 	n.control.SetMaxBackoff(maxRetryDelay)
 	n.pools = pool.NewService(n.clock)
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryShare))
--- /dev/null
+++ b/internal/command/fleet/sync_test.go
@@ -0,0 +1,296 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
+)
+
+// syncFleet is a leader, a replica that is paused, one that follows, and nodes that sync, in
+// virtual time. Connections are pipes.
+type syncFleet struct {
+	t      *testing.T
+	leader *control.Service
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+	number uint64
+
+	servers   []*rpcnet.Server
+	listeners map[string]*pipeListener
+
+	mu    sync.Mutex
+	conns []*pipe
+}
+
+// Addresses of the replicas.
+const (
+	leaderIP, pausedIP, followerIP = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+)
+
+// pipe is the node's end of a connection. A silent one takes all bytes and delivers none.
+type pipe struct {
+	net.Conn
+	mu     sync.Mutex
+	silent bool
+}
+
+func (p *pipe) isSilent() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent
+}
+
+// Write implements net.Conn.
+func (p *pipe) Write(b []byte) (int, error) {
+	if p.isSilent() {
+		return len(b), nil
+	}
+	return p.Conn.Write(b)
+}
+
+// Read implements net.Conn.
+func (p *pipe) Read(b []byte) (int, error) {
+	for {
+		n, err := p.Conn.Read(b)
+		if err != nil || !p.isSilent() {
+			return n, err
+		}
+	}
+}
+
+// pipeListener hands out the servers' ends of pipes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// followerProposer is the proposer of a replica that follows the leader.
+type followerProposer struct {
+	*control.LocalProposer
+}
+
+// Leadership implements consensus.Proposer.
+func (followerProposer) Leadership() consensus.Leadership {
+	return consensus.Leadership{Term: 1, Leader: leaderIP}
+}
+
+func newSyncFleet(t *testing.T) *syncFleet {
+	f := &syncFleet{t: t, listeners: make(map[string]*pipeListener)}
+	f.ctx, f.cancel = context.WithCancel(t.Context())
+	m := machine.New(ledger.DefaultLimits())
+	f.leader = control.NewService(leaderIP, control.NewLocalProposer(leaderIP, m), m)
+	other := machine.New(ledger.DefaultLimits())
+	follower := control.NewService(followerIP, followerProposer{control.NewLocalProposer(followerIP, other)}, other)
+	for _, s := range []*control.Service{f.leader, follower} {
+		s.EnableFleet(func() control.FleetState { return control.FleetState{} })
+		f.loops.Go(func() { s.Run(f.ctx) })
+	}
+	time.Sleep(time.Second)
+	f.serve(leaderIP, f.leader)
+	f.serve(followerIP, follower)
+	f.leader.SetUpstreams(nil, true)
+	f.apply(1)
+	return f
+}
+
+func (f *syncFleet) serve(ip string, s *control.Service) {
+	listener := &pipeListener{conns: make(chan net.Conn, 1000), closed: make(chan struct{})}
+	server := rpcnet.NewServer(listener)
+	must.NoError(f.t, server.Register(control.ServiceName, s))
+	f.loops.Go(server.Serve)
+	f.servers, f.listeners[ip+":7600"] = append(f.servers, server), listener
+}
+
+// dial connects to a replica. The paused one's kernel accepts and nothing reads.
+func (f *syncFleet) dial(_ context.Context, address string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p := &pipe{Conn: near}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns = append(f.conns, p)
+	if listener := f.listeners[address]; listener != nil {
+		listener.conns <- far
+	} else {
+		p.silent = true
+	}
+	return p, nil
+}
+
+// silence makes all open connections silent; new ones work.
+func (f *syncFleet) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.conns {
+		p.mu.Lock()
+		p.silent = true
+		p.mu.Unlock()
+	}
+}
+
+// apply commits a configuration with the given number of routes under the next number.
+func (f *syncFleet) apply(routes int) {
+	f.number++
+	c := config.Config{
+		Pools:  map[ident.PoolName]config.Pool{"p": {Kind: config.KindEngine}},
+		Routes: make(map[ident.RouteName]config.Route),
+	}
+	for i := range routes {
+		c.Routes[ident.RouteName(fmt.Sprint("r", i))] = config.Route{Host: "a.example", Prefix: fmt.Sprintf("/%d/", i), Pool: "p"}
+	}
+	var reply control.ApplyNumberedReply
+	must.NoError(f.t, f.leader.ApplyNumbered(&control.ApplyNumberedArgs{
+		Numbered: config.Numbered{Number: f.number, Config: c, Document: []byte("{}")},
+	}, &reply))
+	must.True(f.t, reply.OK())
+}
+
+// node starts the syncs of a node.
+func (f *syncFleet) node(i int) *Node {
+	ip := fmt.Sprintf("10.0.%d.%d", 1+i/200, 1+i%200)
+	clock := &timeline.Clock{}
+	n := &Node{
+		settings: Settings{Name: ip, IP: ip, InternalPort: 7600}, incarnation: 1, clock: clock,
+		calls: rpcnet.NewClientWithDialer(f.dial), follower: &control.FleetFollower{},
+		quotas: scheduler.NewQuotas(), resync: make(chan struct{}, 1), configured: make(chan struct{}),
+		events: timeline.NewRecorder(ident.NodeID(ip), clock, 16),
+	}
+	n.ctx, n.cancel = context.WithCancel(f.ctx)
+	n.upstreams.Store(&upstreamTable{})
+	n.settings.Seeds = []ident.NodeID{leaderIP, pausedIP, followerIP}
+	n.seeds.Store(&n.settings.Seeds)
+	n.replicas = &replicaCaller{node: n}
+	n.control = control.NewClient(n.replicas, n.initialReplicas())
+	n.control.SetMaxBackoff(maxRetryDelay)
+	f.loops.Go(n.syncLoop)
+	return n
+}
+
+// lag returns how long after now the node has the leader's version, at most limit.
+func (f *syncFleet) lag(n *Node, limit time.Duration) time.Duration {
+	_, have := n.follower.Config()
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		if _, revision := n.follower.Config(); revision > have || time.Since(began) >= limit {
+			return time.Since(began)
+		}
+	}
+}
+
+func (f *syncFleet) stop(nodes ...*Node) {
+	f.cancel()
+	for _, n := range nodes {
+		n.calls.Close()
+	}
+	for _, p := range f.conns {
+		_ = p.Conn.Close()
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+	f.loops.Wait()
+}
+
+// configApply is the time within which an acknowledged version has to be in force on a small
+// deployment.
+const configApply = 2 * time.Second
+
+// TestSync_SilentConnectionBesidePausedReplica covers a connection to the leader that goes silent as
+// a version is acknowledged, while the next replica that the node asks is paused.
+func TestSync_SilentConnectionBesidePausedReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		var nodes []*Node
+		for i := range 9 {
+			nodes = append(nodes, f.node(i))
+		}
+		defer f.stop(nodes...)
+		time.Sleep(3 * time.Second)
+		for range 5 {
+			f.silence()
+			f.apply(2)
+			must.Less(t, configApply, f.lag(nodes[0], 10*time.Second))
+			time.Sleep(3100 * time.Millisecond)
+		}
+	})
+}
+
+// TestSync_InterruptedOnSilentConnection covers a node with news for the leader, which interrupts
+// its sync again and again: the connection was never given up.
+func TestSync_InterruptedOnSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		n := f.node(0)
+		defer f.stop(n)
+		time.Sleep(3 * time.Second)
+		f.loops.Go(func() {
+			for f.ctx.Err() == nil {
+				sleep(f.ctx, hotTeamInterval)
+				n.triggerSync()
+			}
+		})
+		time.Sleep(time.Second)
+		f.silence()
+		f.apply(2)
+		must.Less(t, configApply, f.lag(n, 10*time.Second))
+	})
+}
+
+// TestSync_InterruptionsLeaveProof covers a node that has news all the time: its proof must not
+// age while its syncs are interrupted, and it must stay with its leader.
+func TestSync_InterruptionsLeaveProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		var nodes []*Node
+		for i := range 100 {
+			nodes = append(nodes, f.node(i))
+		}
+		defer f.stop(nodes...)
+		time.Sleep(3 * time.Second)
+		_, before := nodes[0].follower.Config()
+		for range 12 {
+			time.Sleep(hotTeamInterval)
+			nodes[0].triggerSync()
+			must.Eq(t, ident.NodeID(leaderIP), nodes[0].control.Leader())
+			must.LessEq(t, time.Second, nodes[0].replicas.syncs.waiting(time.Now()))
+		}
+		must.Eq(t, 0, nodes[0].calls.Reconnects())
+		_, after := nodes[0].follower.Config()
+		must.Eq(t, before, after)
+	})
+}
--- a/internal/coordination/control/client.go
+++ b/internal/coordination/control/client.go
@@ -107,6 +107,10 @@
 			c.redirect(target, status)
 		} else {
 			uncertain = uncertain || !errors.Is(err, ErrNotSent)
+			if errors.Is(ctx.Err(), context.Canceled) {
+				// The caller gave the call up, which says nothing about the replica.
+				break
+			}
 			c.redirect(target, Status{NotLeader: true})
 		}
 		if !sleep(ctx, backoff) {
