fleet, platform: a request is denied by a confirmed version only

A gateway answered 404 and 401 from whatever version it had, however old its proof of contact was: cut off, behind a silent connection, after a pause, late in the order of updates. Only keyed requests that were allowed asked for a proof (4.7 s).

The proof is taken after the routes were put in force; before, it could be seen just before them. A line (at most 5 a second) and a histogram tell how old the proof was, a gauge for how long the sync in progress is unanswered.

What is allowed by an old version and not by the newest (a dropped route, another service) is still served by a gateway that hears no leader. It isn't in touch then; refusing it would end service in each outage of the replicas.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -21,6 +21,8 @@
 	requests *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	// denialAges holds the ages of the proofs by which requests were denied.
+	denialAges prometheus.Histogram
 }
 
 func newMetrics(n *Node) *metrics {
@@ -39,6 +41,11 @@
 			Help:    "Time from a request's header to the end of its answer, in seconds, by route.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}, []string{"route"}),
+		denialAges: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "flamingohaven_fleet_denial_proof_age_seconds",
+			Help:    "Time since the configuration was certainly the newest, in seconds, for each request that it does not allow.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
+		}),
 	}
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -48,12 +55,15 @@
 		return float64(revision)
 	})
 	gauge("flamingohaven_fleet_proof_age_seconds", "Time since the configuration was certainly the newest; -1 if it never was.", func() float64 {
-		age, known := n.follower.Age(boottime.Now())
+		age, known, _ := n.proof.age(boottime.Now())
 		if !known {
 			return -1
 		}
 		return age.Seconds()
 	})
+	gauge("flamingohaven_fleet_sync_unanswered_seconds", "Time for which a replica has left the node's syncs unanswered, the one in progress included.", func() float64 {
+		return n.replicas.syncs.waiting(time.Now()).Seconds()
+	})
 	gauge("flamingohaven_fleet_members", "Live nodes as last told by a leader.", func() float64 {
 		return float64(len(n.Members()))
 	})
@@ -131,7 +141,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges)
 	return m
 }
 
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
@@ -52,9 +53,12 @@
 	control  *control.Client
 	replicas *replicaCaller
 	follower *control.FleetFollower
-	replica  *replica
-	pools    *pool.Service
-	gateway  *gateway.Gateway
+	// proof says since when the routes and keys in force may be outdated.
+	proof       *proof
+	denialLines *rate.Limiter
+	replica     *replica
+	pools       *pool.Service
+	gateway     *gateway.Gateway
 	// relay accepts requests of other gateways; nil if this node relays none.
 	relay  *tunnel.Server
 	budget *gateway.Budget
@@ -108,6 +112,8 @@
 		clock:       &timeline.Clock{},
 		calls:       rpcnet.NewClientWithDialer(rpcnet.DialWithTimeout(dialTimeout)),
 		follower:    &control.FleetFollower{},
+		proof:       newProof(),
+		denialLines: rate.NewLimiter(denialLinesPerSecond, denialLinesPerSecond),
 		quotas:      scheduler.NewQuotas(),
 		usage:       scheduler.NewUsageLog(time.Now()),
 		resync:      make(chan struct{}, 1),
@@ -256,6 +262,12 @@
 	configWaitShare = 0.4
 )
 
+// configWait returns how long a request with the given remaining time may be held for the
+// configuration.
+func configWait(remaining time.Duration) time.Duration {
+	return min(maxConfigWait, time.Duration(float64(remaining)*configWaitShare))
+}
+
 // AwaitHosts returns the current routes. A node that is not configured yet waits
 // for them first, since a start takes about a second; the wait is bounded by
 // maxConfigWait and configWaitShare. It returns nil if there are still no routes.
@@ -265,8 +277,7 @@
 		return n.hosts.Load()
 	default:
 	}
-	wait := min(maxConfigWait, time.Duration(float64(remaining)*configWaitShare))
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(configWait(remaining))
 	defer timer.Stop()
 	select {
 	case <-n.configured:
@@ -296,7 +307,7 @@
 // Fresh implements gateway.Environment. It reports whether the configuration was
 // confirmed as the newest less than MaxConfigAge ago.
 func (n *Node) Fresh() bool {
-	age, known := n.follower.Age(boottime.Now())
+	age, known, _ := n.proof.age(boottime.Now())
 	return known && age < n.settings.MaxConfigAge
 }
 
--- /dev/null
+++ b/internal/command/fleet/proof.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+// proof is when the routes and keys in force at a node were last known to be the newest. It is
+// renewed only after they were put in force, so that a reader who sees a new proof also sees
+// what it holds for. It is safe for concurrent use.
+type proof struct {
+	mu     sync.Mutex
+	known  bool
+	sentAt time.Duration
+	// renewed is closed and replaced at each renewal.
+	renewed chan struct{}
+}
+
+func newProof() *proof { return &proof{renewed: make(chan struct{})} }
+
+// renew records that a sync sent at the given time since boot was served.
+func (p *proof) renew(sentAt time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.known && sentAt <= p.sentAt {
+		return
+	}
+	p.known, p.sentAt = true, sentAt
+	close(p.renewed)
+	p.renewed = make(chan struct{})
+}
+
+// age returns how long before now, the time since boot, the routes and keys were the newest;
+// known is false if they never were. renewed is closed at the next renewal.
+func (p *proof) age(now time.Duration) (age time.Duration, known bool, renewed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now - p.sentAt, p.known, p.renewed
+}
+
+// await waits until the proof is younger than maxAge, for at most wait. It returns the age
+// of the proof and whether it is that young.
+func (p *proof) await(ctx context.Context, maxAge, wait time.Duration) (age time.Duration, young bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		age, known, renewed := p.age(boottime.Now())
+		if known && age < maxAge {
+			return age, true
+		}
+		select {
+		case <-renewed:
+		case <-timer.C:
+			return age, false
+		case <-ctx.Done():
+			return age, false
+		}
+	}
+}
+
+// denialLinesPerSecond limits the lines about requests that a node denies by an old proof.
+const denialLinesPerSecond = 5
+
+// ConfirmDenial reports whether the routes that Hosts returns after this call were the newest
+// so recently that a request may be denied for what they lack. It waits for the leader's next
+// confirmation if they were not, as AwaitHosts does for the first routes. If it returns false, a version
+// that allows the request may be in force, and the request has to be refused as not run.
+func (n *Node) ConfirmDenial(ctx context.Context, id ident.RequestID, remaining time.Duration) bool {
+	began := time.Now()
+	age, young := n.proof.await(ctx, n.settings.MaxDenialAge, configWait(remaining))
+	waited := time.Since(began)
+	n.metrics.denialAges.Observe(age.Seconds())
+	if (!young || age > n.settings.MaxDenialAge/2 || waited > syncRetryDelay) && n.denialLines.Allow() {
+		_, revision := n.follower.Config()
+		n.events.Record(timeline.Event{Kind: timeline.KindRefused, Request: id, Revision: revision, Detail: fmt.Sprintf(
+			"not allowed by the configuration, which was last confirmed %d ms ago; confirmed for a denial: %t, after %d ms; the sync is unanswered for %d ms",
+			age.Milliseconds(), young, waited.Milliseconds(), n.replicas.syncs.waiting(time.Now()).Milliseconds())})
+	}
+	return young
+}
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -45,6 +45,10 @@
 	// MaxConfigAge is the maximum time since the configuration was last confirmed
 	// as the newest. When it is exceeded, requests with an API key are refused.
 	MaxConfigAge time.Duration
+	// MaxDenialAge is the maximum time since the configuration was last confirmed as the
+	// newest at which a request is denied for what it lacks. Older ones make the request
+	// wait, and then refuse it as not run.
+	MaxDenialAge time.Duration
 	// Grace is the grace period of a stopping process.
 	Grace time.Duration
 	// RetryRatio and RetryBurst bound retries over all nodes: the ratio of retries
@@ -103,6 +107,7 @@
 	add(!s.Gateway() && !s.Replica(), "the node has neither a caller address nor a data directory")
 	add(s.ToleratedLosses < 0, "tolerated losses are %d, must not be negative", s.ToleratedLosses)
 	add(s.MaxConfigAge <= 0, "maximum configuration age is %s, must be positive", s.MaxConfigAge)
+	add(s.MaxDenialAge <= 0, "maximum age of the configuration for a denial is %s, must be positive", s.MaxDenialAge)
 	add(s.Grace <= 0, "grace period is %s, must be positive", s.Grace)
 	add(s.QuotaWindow <= 0, "quota window is %s, must be positive", s.QuotaWindow)
 	add(s.ListCallsPerSecond < 0, "limit on list calls is %v per second, must not be negative", s.ListCallsPerSecond)
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -124,6 +124,9 @@
 	if change.Config {
 		n.applyConfig()
 	}
+	if err == nil {
+		n.proof.renew(sent)
+	}
 	if change.State {
 		n.applyFleetState()
 	}
--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/time/rate"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
@@ -37,6 +39,8 @@
 
 	mu    sync.Mutex
 	conns []*pipe
+	// unreachable makes new connections fail.
+	unreachable bool
 }
 
 // Addresses of the replicas.
@@ -140,10 +144,13 @@
 
 // dial connects to a replica. The paused one's kernel accepts and nothing reads.
 func (f *syncFleet) dial(_ context.Context, address string) (net.Conn, error) {
-	near, far := net.Pipe()
-	p := &pipe{Conn: near}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unreachable {
+		return nil, errors.New("unreachable")
+	}
+	near, far := net.Pipe()
+	p := &pipe{Conn: near}
 	f.conns = append(f.conns, p)
 	if listener := f.listeners[address]; listener != nil {
 		listener.conns <- far
@@ -189,7 +196,7 @@
 		settings: Settings{Name: ip, IP: ip, InternalPort: 7600}, incarnation: 1, clock: clock,
 		calls: rpcnet.NewClientWithDialer(f.dial), follower: &control.FleetFollower{},
 		quotas: scheduler.NewQuotas(), resync: make(chan struct{}, 1), configured: make(chan struct{}),
-		events: timeline.NewRecorder(ident.NodeID(ip), clock, 16),
+		events: timeline.NewRecorder(ident.NodeID(ip), clock, 16), proof: newProof(), denialLines: rate.NewLimiter(1, 1),
 	}
 	n.ctx, n.cancel = context.WithCancel(f.ctx)
 	n.upstreams.Store(&upstreamTable{})
@@ -198,6 +205,8 @@
 	n.replicas = &replicaCaller{node: n}
 	n.control = control.NewClient(n.replicas, n.initialReplicas())
 	n.control.SetMaxBackoff(maxRetryDelay)
+	n.metrics = newMetrics(n)
+	n.settings.MaxDenialAge = configApply - 300*time.Millisecond
 	f.loops.Go(n.syncLoop)
 	return n
 }
@@ -294,3 +303,51 @@
 		must.Eq(t, before, after)
 	})
 }
+
+// cut makes all connections silent and new ones fail, or new ones work again.
+func (f *syncFleet) cut(unreachable bool) {
+	f.silence()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable = unreachable
+}
+
+// TestDenial_NotByOlderVersion covers a gateway that is cut off as a version is acknowledged: it
+// denied requests that only the new version allows for as long as the cut lasted, and until its next sync.
+func TestDenial_NotByOlderVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		n := f.node(0)
+		defer f.stop(n)
+		time.Sleep(3 * time.Second)
+		_, before := n.follower.Config()
+		must.True(t, n.ConfirmDenial(f.ctx, "a", time.Second))
+		f.cut(true)
+		f.apply(2)
+		applied := time.Now()
+		f.loops.Go(func() {
+			sleep(f.ctx, 4*time.Second)
+			f.cut(false)
+		})
+		denied, held := 0, 0
+		for time.Since(applied) < 8*time.Second {
+			sent := time.Now()
+			confirmed := n.ConfirmDenial(f.ctx, "a", time.Second)
+			must.LessEq(t, configWait(time.Second), time.Since(sent))
+			_, revision := n.follower.Config()
+			switch {
+			case confirmed && revision == before:
+				denied++
+				must.Less(t, configApply, sent.Sub(applied))
+			case !confirmed:
+				held++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, after := n.follower.Config()
+		must.Eq(t, before+1, after)
+		must.Positive(t, denied)
+		must.Positive(t, held)
+		must.True(t, n.ConfirmDenial(f.ctx, "a", time.Second))
+	})
+}
