consensus: a write to the log that takes long is reported

A write of 0.5 s or longer, sync included, leaves a line with its duration when it has ended; the status and two metrics show the write in progress and the number of slow ones.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -80,6 +80,18 @@
 			}
 			return float64(n.replica.voters())
 		})
+		gauge("flamingohaven_fleet_log_write_seconds", "Time that the write to this replica's log in progress has taken, its sync included; 0 if there is none.", func() float64 {
+			if n.replica == nil {
+				return 0
+			}
+			return n.replica.node.Status().Writing.Seconds()
+		})
+		gauge("flamingohaven_fleet_slow_log_writes_total", "Writes to this replica's log that took 0.5 s or longer.", func() float64 {
+			if n.replica == nil {
+				return 0
+			}
+			return float64(n.replica.node.Status().SlowWrites)
+		})
 		gauge("flamingohaven_fleet_silent_voters", "Voters that this replica, as the leader, hears nothing from; 0 on the others.", func() float64 {
 			if n.replica == nil {
 				return 0
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -136,6 +136,10 @@
 	// SilentVoters is the number of other voters that a leader has not heard
 	// from for SilentVoterTimeout; 0 if this replica doesn't lead.
 	SilentVoters int
+	// Writing is for how long the write to the log in progress has taken; 0 if there is none.
+	// SlowWrites is the number of those that took SlowWrite or longer.
+	Writing    time.Duration
+	SlowWrites uint64
 	// FailedCampaign describes the votes of this replica's last campaign if no
 	// leader is known since, with the reasons of refusals.
 	FailedCampaign string
@@ -145,10 +149,11 @@
 func (n *Node[R]) Status() Status {
 	status := n.replica.view.Load().status
 	status.Applied = n.replica.applier.applied.Load()
+	status.Writing, status.SlowWrites = n.replica.writer.writingFor(), n.replica.writer.slowWrites.Load()
 	return status
 }
 
-// status returns the status without Applied. Only the loop may call it.
+// status returns the status without Applied, Writing and SlowWrites. Only the loop may call it.
 func (r *replica) status(now time.Time) Status {
 	c := r.core
 	return Status{
--- a/internal/coordination/consensus/writer.go
+++ b/internal/coordination/consensus/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -19,8 +20,17 @@
 	// diskFull is true while writes fail for lack of space. It keeps the
 	// failure from being logged at every retry.
 	diskFull bool
+	// writeBegan is when the write in progress began, in nanoseconds since the writer was made; 0
+	// if there is none. slowWrites counts those longer than SlowWrite.
+	made       time.Time
+	writeBegan atomic.Int64
+	slowWrites atomic.Uint64
 }
 
+// SlowWrite is the duration from which a write to the log, sync included, is reported. It is many
+// times a disk's usual sync, and half of what operators wait for an acknowledgement.
+const SlowWrite = 500 * time.Millisecond
+
 // job is one output of the loop to persist.
 type job struct {
 	// number is 0 if there is nothing to persist.
@@ -39,6 +49,7 @@
 
 func (w *writer) init(r *replica) {
 	w.r = r
+	w.made = time.Now()
 	w.queue.init()
 }
 
@@ -140,7 +151,7 @@
 	if len(batches) == 0 {
 		return nil
 	}
-	if err := w.r.log.Append(batches...); err != nil {
+	if err := w.timed(len(batches), func() error { return w.r.log.Append(batches...) }); err != nil {
 		return err
 	}
 	// post fails only when the replica stops.
@@ -150,6 +161,28 @@
 	return nil
 }
 
+// timed runs a write and reports a slow one when it has ended.
+func (w *writer) timed(batches int, write func() error) error {
+	began := time.Now()
+	w.writeBegan.Store(int64(began.Sub(w.made)) + 1)
+	err := write()
+	w.writeBegan.Store(0)
+	if took := time.Since(began); took >= SlowWrite {
+		w.slowWrites.Add(1)
+		klog.InfoS("a slow write to the log has ended", "replica", w.r.opts.ID, "batches", batches, "tookMs", took.Milliseconds(), "err", err)
+	}
+	return err
+}
+
+// writingFor returns for how long the write in progress has taken; 0 if there is none.
+func (w *writer) writingFor() time.Duration {
+	began := w.writeBegan.Load()
+	if began == 0 {
+		return 0
+	}
+	return time.Since(w.made) - time.Duration(began)
+}
+
 func (w *writer) compactGroup(group []job) error {
 	for _, j := range group {
 		if j.compact == 0 {
