fleet: a process that did not run for a while says so and syncs at once

Ten times a second the process compares the time since boot with what it expects. From 0.5 s on it records an event and a line with the age of its proof, and interrupts its sync, so that the next one goes out at once and with it the confirmation of its configuration. What it denies meanwhile waits for that proof. On a replica the same loop writes one line about a write to the log that has not ended after 0.5 s.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -201,6 +201,7 @@
 		n.loops.Go(n.fallbackListLoop)
 	}
 	n.loops.Go(n.syncLoop)
+	n.loops.Go(n.pauseLoop)
 	if n.settings.Gateway() {
 		n.loops.Go(n.hotTeamLoop)
 		n.loops.Go(n.rolloutLoop)
