control: the leader tells which nodes confirm a configuration late

The leader knows when it first had a revision, when it replied with it, and when the node's next sync reports it.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -80,6 +80,12 @@
 			}
 			return float64(n.replica.voters())
 		})
+		gauge("flamingohaven_fleet_slowest_confirmation_seconds", "At the leader: longest time from the commit of the latest configuration to its confirmation by a node.", func() float64 {
+			if n.replica == nil || !n.replica.leading() {
+				return 0
+			}
+			return n.replica.service.SlowestConfirmation().Seconds()
+		})
 		gauge("flamingohaven_fleet_log_write_seconds", "Time that the write to this replica's log in progress has taken, its sync included; 0 if there is none.", func() float64 {
 			if n.replica == nil {
 				return 0
--- a/internal/coordination/control/fleet_sync.go
+++ b/internal/coordination/control/fleet_sync.go
@@ -31,6 +31,7 @@
 		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: "the term is beginning"}
 		return nil
 	}
+	s.noteConfirmation(args.Member.ID, args.HaveRevision)
 	superseded := s.fleet.supersede(args.Member)
 	s.fleet.reportHot(args.HotTeams, time.Now())
 	s.fleet.reportUse(args.Member.ID, args.TeamUse, time.Now())
@@ -72,6 +73,9 @@
 			s.fleet.endSync(args.Member, time.Now())
 			return err
 		}
+		if reply.Config.Packed != nil && args.HaveRevision != 0 {
+			s.confirmations.sent(args.Member.ID, time.Now())
+		}
 	}
 	s.fleet.endSync(args.Member, time.Now())
 	current, status := s.awaitServing()
@@ -114,6 +118,7 @@
 // lacksConfig reports whether a node is behind the current configuration.
 func (s *Service) lacksConfig(args *SyncArgs) bool {
 	_, revision, _ := s.machine.Config()
+	s.confirmations.committed(revision, time.Now())
 	return revision > args.HaveRevision
 }
 
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -56,6 +56,7 @@
 	updateLimiter    *rate.Limiter
 	firstSyncLimiter *rate.Limiter
 	deliveries       configDeliveries
+	confirmations    *confirmations
 
 	// leadership is what the latest Tick saw. leadershipChanged is closed and
 	// replaced when it changes.
@@ -115,7 +116,7 @@
 // NewService returns the service of the replica self. The caller either calls
 // Run, or Tick every TickInterval.
 func NewService(self ident.NodeID, p consensus.Proposer[machine.Result], m *machine.Machine) *Service {
-	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin, leadershipChanged: make(chan struct{})}
+	return &Service{self: self, proposer: p, machine: m, margin: expiryMargin, leadershipChanged: make(chan struct{}), confirmations: newConfirmations()}
 }
 
 // SetClock makes heartbeats carry timestamps of the timeline's clock. It must be
