fleet: large fleets and starting nodes leave a replica more time to answer

A sync to a replica that did not serve the last one was given up after 450 ms at any size. Where 300 nodes lose their leader or start at once, the next one has an update to encode and send for each, on a part of a core; nodes that drop their connections meanwhile add to that. By reading; not measured.

A node that knows no members yet waits for 1.6 s as before, others 2 ms longer for each member (468 ms at 9, 1.05 s at 300).

--- a/internal/command/fleet/calls.go
+++ b/internal/command/fleet/calls.go
@@ -15,9 +15,14 @@
 	// callTimeout bounds one attempt to call a replica. Operators give up on a node
 	// after 1 s, which must leave time for an attempt at another replica.
 	callTimeout = 600 * time.Millisecond
-	// probeTimeout bounds one Sync call to a replica that did not serve the one before. A replica
-	// that knows no leader waits for up to 400 ms before it says so.
-	probeTimeout = 450 * time.Millisecond
+	// firstSyncTimeout bounds one Sync call of a node that doesn't know the other nodes yet: all
+	// may have started with it, and the leader has much to send to each.
+	firstSyncTimeout = control.MaxSyncHold + callTimeout
+	// probeTimeout and probeTimePerMember bound one Sync call to a replica that did not serve the
+	// one before. A replica that knows no leader waits for up to 400 ms before it says so, and the
+	// leader of a large fleet, which may have lost all its nodes at once, is slower to reply.
+	probeTimeout       = 450 * time.Millisecond
+	probeTimePerMember = 2 * time.Millisecond
 	// dialTimeout bounds dialing another node. It is many times the round-trip time
 	// between regions.
 	dialTimeout = 200 * time.Millisecond
--- a/internal/command/fleet/syncwatch.go
+++ b/internal/command/fleet/syncwatch.go
@@ -17,8 +17,10 @@
 func syncTimes(members int, b syncBegin) (hold, timeout time.Duration) {
 	hold = control.SyncHold(members)
 	switch {
+	case members == 0:
+		return 0, firstSyncTimeout
 	case !b.settled:
-		return 0, probeTimeout
+		return 0, probeTimeout + time.Duration(members)*probeTimePerMember
 	case b.interrupted:
 		return 0, hold + callTimeout
 	default:
