--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
@@ -50,10 +51,14 @@
 	calls    *rpcnet.Client
 	server   *rpcnet.Server
 	control  *control.Client
+	replicas *replicaCaller
 	follower *control.FleetFollower
-	replica  *replica
-	pools    *pool.Service
-	gateway  *gateway.Gateway
+	// proof says since when the routes and keys in force may be outdated.
+	proof       *proof
+	denialLines *rate.Limiter
+	replica     *replica
+	pools       *pool.Service
+	gateway     *gateway.Gateway
 	// relay accepts requests of other gateways; nil if this node relays none.
 	relay  *tunnel.Server
 	budget *gateway.Budget
@@ -109,6 +114,8 @@
 		clock:       &timeline.Clock{},
 		calls:       rpcnet.NewClientWithDialer(rpcnet.DialWithTimeout(dialTimeout)),
 		follower:    &control.FleetFollower{},
+		proof:       newProof(),
+		denialLines: rate.NewLimiter(denialLinesPerSecond, denialLinesPerSecond),
 		quotas:      scheduler.NewQuotas(),
 		usage:       scheduler.NewUsageLog(time.Now()),
 		resync:      make(chan struct{}, 1),
@@ -126,7 +133,8 @@
 	n.logLines = timeline.NewLineWriter(os.Stdout)
 	n.events.SetLineWriter(n.logLines)
 	n.loops.Go(func() { n.logLines.Run(n.ctx.Done()) })
-	n.control = control.NewClient(&replicaCaller{node: n}, n.initialReplicas())
+	n.replicas = &replicaCaller{node: n}
+	n.control = control.NewClient(n.replicas, n.initialReplicas())
 	n.control.SetMaxBackoff(maxRetryDelay)
 	n.pools = pool.NewService(n.clock)
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryShare))
@@ -195,6 +203,7 @@
 		n.loops.Go(n.fallbackListLoop)
 	}
 	n.loops.Go(n.syncLoop)
+	n.loops.Go(n.pauseLoop)
 	if n.settings.Gateway() {
 		n.loops.Go(n.hotTeamLoop)
 		n.loops.Go(n.rolloutLoop)
@@ -256,6 +265,12 @@
 	configWaitShare = 0.4
 )
 
+// configWait returns how long a request with the given remaining time may be held for the
+// configuration.
+func configWait(remaining time.Duration) time.Duration {
+	return min(maxConfigWait, time.Duration(float64(remaining)*configWaitShare))
+}
+
 // AwaitHosts returns the current routes. A node that is not configured yet waits
 // for them first, since a start takes about a second; the wait is bounded by
 // maxConfigWait and configWaitShare. It returns nil if there are still no routes.
@@ -265,8 +280,7 @@
 		return n.hosts.Load()
 	default:
 	}
-	wait := min(maxConfigWait, time.Duration(float64(remaining)*configWaitShare))
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(configWait(remaining))
 	defer timer.Stop()
 	select {
 	case <-n.configured:
@@ -296,7 +310,7 @@
 // Fresh implements gateway.Environment. It reports whether the configuration was
 // confirmed as the newest less than MaxConfigAge ago.
 func (n *Node) Fresh() bool {
-	age, known := n.follower.Age(boottime.Now())
+	age, known, _ := n.proof.age(boottime.Now())
 	return known && age < n.settings.MaxConfigAge
 }
 
