tunnel: both ends of a relayed connection tell how it ended

A relay logged nothing of the connections that it carries, and a gateway only through whom a request went, so that the record of streams that ended too early could not show whether a relay was part of it.

The CONNECT request now names the gateway and the request's id (own header fields, which older relays ignore). The gateway writes one `tunnel_ended` line for each relayed sending: upstream, relay, how the upstream's side ended, bytes each way, time. The relay writes one, with the request's id, for each tunnel of which a side broke off, timed out or was open at its stop, and counts them in flamingohaven_fleet_relayed_connections_broken_total. A stopping relay says how many tunnels are open.

To tell their ends, Close now ends the tunnels that are still open, as broken off, within 200 ms; before, they ended with the process. The relay is closed before the line writer ends, or its last lines would be lost.

TestTunnel_TellsHowItEnded covers a proper end, a reset and a stop.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -104,13 +104,17 @@
 		return float64(n.gateway.CutPaths())
 	})
 	gauge("flamingohaven_fleet_relayed_connections", "Connections to upstreams that this gateway relays for other gateways.", func() float64 {
-		open, _ := n.relayed()
+		open, _, _ := n.relayed()
 		return open
 	})
 	gauge("flamingohaven_fleet_relayed_connections_total", "Connections to upstreams that this gateway has relayed for other gateways.", func() float64 {
-		_, total := n.relayed()
+		_, total, _ := n.relayed()
 		return total
 	})
+	gauge("flamingohaven_fleet_relayed_connections_broken_total", "Connections relayed for other gateways that did not end properly.", func() float64 {
+		_, _, broken := n.relayed()
+		return broken
+	})
 	gauge("flamingohaven_fleet_scheduler_shards", "Shards of the gateways, each with a scheduler of its own, as this gateway knows them.", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -216,6 +216,8 @@
 	if n.replica != nil {
 		n.replica.stop()
 	}
+	// Before cancel, after which no line is written.
+	n.closeRelay()
 	n.cancel()
 	n.mu.Lock()
 	for name, m := range n.masters {
@@ -226,9 +228,6 @@
 	if n.server != nil {
 		n.server.Close()
 	}
-	if n.relay != nil {
-		n.relay.Close()
-	}
 	n.calls.Close()
 	n.loops.Wait()
 }
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/tunnel"
 )
 
@@ -19,7 +20,7 @@
 	if !n.settings.Gateway() || n.settings.RelayPort == 0 {
 		return nil
 	}
-	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.permitRelay)
+	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.permitRelay, n.recordBrokenTunnel)
 	if err == nil {
 		n.gateway.SetRelays(n)
 	}
@@ -76,11 +77,30 @@
 	}
 }
 
-// relayed returns the numbers of the connections that this node relays now and has
-// relayed so far.
-func (n *Node) relayed() (open, total float64) {
+// recordBrokenTunnel records a connection that this node relayed and that did not end
+// properly.
+func (n *Node) recordBrokenTunnel(e tunnel.Ending) {
+	n.events.Record(timeline.Event{
+		Kind: timeline.KindTunnelEnded, Request: ident.RequestID(e.Origin.Request), Detail: fmt.Sprintf("for %s to %s", e.Origin.Gateway, e),
+	})
+}
+
+// closeRelay ends the connections that this node still relays, and the relaying.
+func (n *Node) closeRelay() {
+	if n.relay == nil {
+		return
+	}
+	if open := n.relay.Open(); open > 0 {
+		n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: fmt.Sprintf("stops with %d relayed connections open", open)})
+	}
+	n.relay.Close()
+}
+
+// relayed returns the numbers of the connections that this node relays now, has relayed
+// so far, and of those that did not end properly.
+func (n *Node) relayed() (open, total, broken float64) {
 	if n.relay == nil {
-		return 0, 0
+		return 0, 0, 0
 	}
-	return float64(n.relay.Open()), float64(n.relay.Total())
+	return float64(n.relay.Open()), float64(n.relay.Total()), float64(n.relay.Broken())
 }
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -381,6 +381,10 @@
 		s.route.Relay = peer
 		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
 		placer.Relayed(s.request.ID, peer)
+		d.Gateway, _ = s.gateway.env.Identity()
+		d.TunnelEnded = func(how string) {
+			s.gateway.record(s.request, timeline.KindTunnelEnded, fmt.Sprintf("%s through %s: %s", d.Target.Name, peer, how))
+		}
 	}
 	return s.gateway.upstreams.Send(ctx, d, sink)
 }
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -188,6 +188,10 @@
 	// one the request is unsent.
 	Relay            string
 	Fresh, ReuseOnly bool
+	// Gateway is the node that sends the request, and TunnelEnded, if set, is told how the
+	// connection through Relay ended.
+	Gateway     ident.NodeID
+	TunnelEnded func(how string)
 }
 
 // DispatchOutcome is the outcome of a dispatch.
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -86,6 +86,7 @@
 	KindPoison        Kind = "poison_part"
 	KindPath          Kind = "path"
 	KindRelayed       Kind = "request_relayed"
+	KindTunnelEnded   Kind = "tunnel_ended"
 	KindOrder         Kind = "order"
 	KindConnection    Kind = "connection"
 	KindProcess       Kind = "process"
--- /dev/null
+++ b/internal/transport/tunnel/dial.go
@@ -0,0 +1,127 @@
+package tunnel
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// RefusedError is the answer of a relay that opened no tunnel.
+type RefusedError struct {
+	Relay, Target string
+	Status        int
+	Reason        string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("relay %s opened no tunnel to %s: %d %s", e.Relay, e.Target, e.Status, e.Reason)
+}
+
+// Options are those of Dial.
+type Options struct {
+	// Dial connects to the relay.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Origin Origin
+	// Ended, if set, is called when the connection is closed.
+	Ended func(Ending)
+}
+
+// Dial opens a tunnel to target through the relay at an address. If it fails, nothing has
+// reached the target.
+func Dial(ctx context.Context, relay, target string, o Options) (net.Conn, error) {
+	conn, err := o.Dial(ctx, relay)
+	if err != nil {
+		return nil, fmt.Errorf("relay %s: %w", relay, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	fail := func(err error) (net.Conn, error) {
+		_ = conn.Close()
+		return nil, err
+	}
+	if _, err := io.WriteString(conn, connectHead(target, o.Origin)); err != nil {
+		return fail(fmt.Errorf("relay %s: %w", relay, err))
+	}
+	reader := bufio.NewReader(conn)
+	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return fail(fmt.Errorf("relay %s: %w", relay, err))
+	}
+	if answer.StatusCode != http.StatusOK || reader.Buffered() > 0 {
+		reason, _ := io.ReadAll(io.LimitReader(answer.Body, 256))
+		return fail(&RefusedError{Relay: relay, Target: target, Status: answer.StatusCode, Reason: string(reason)})
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return &tunneled{Conn: conn, began: time.Now(), ended: o.Ended, ending: Ending{Origin: o.Origin, Target: target}}, nil
+}
+
+// connectHead returns the request that asks a relay for a tunnel.
+func connectHead(target string, o Origin) string {
+	var head strings.Builder
+	field := func(name, value string) {
+		if value != "" && !strings.ContainsAny(value, "\r\n") {
+			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+		}
+	}
+	fmt.Fprintf(&head, "CONNECT %s HTTP/1.1\r\n", target)
+	field("Host", target)
+	field(headerGateway, o.Gateway)
+	field(headerRequest, o.Request)
+	head.WriteString("\r\n")
+	return head.String()
+}
+
+// tunneled is the gateway's end of a tunnel.
+type tunneled struct {
+	net.Conn
+	began          time.Time
+	ended          func(Ending)
+	sent, received atomic.Int64
+	// end is how the upstream's side ended, as far as it was read.
+	end  atomic.Uint32
+	once sync.Once
+	// ending is complete once the connection is closed.
+	ending Ending
+}
+
+// Read implements io.Reader.
+func (t *tunneled) Read(p []byte) (int, error) {
+	n, err := t.Conn.Read(p)
+	t.received.Add(int64(n))
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		t.end.Store(uint32(endOf(err)))
+	}
+	return n, err
+}
+
+// Write implements io.Writer.
+func (t *tunneled) Write(p []byte) (int, error) {
+	n, err := t.Conn.Write(p)
+	t.sent.Add(int64(n))
+	return n, err
+}
+
+// Close implements io.Closer.
+func (t *tunneled) Close() error {
+	err := t.Conn.Close()
+	t.once.Do(func() {
+		t.ending.Sent, t.ending.Received, t.ending.Lasted = t.sent.Load(), t.received.Load(), time.Since(t.began)
+		t.ending.Upstream = End(t.end.Load())
+		if t.ended != nil {
+			t.ended(t.ending)
+		}
+	})
+	return err
+}
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -4,7 +4,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -28,30 +27,55 @@
 	keepAliveCount    = 3
 	// copyBufferSize is the size of the buffer for one direction, in bytes.
 	copyBufferSize = 4 << 10
+	// closeTimeout bounds the time in which open tunnels end at Close.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// Header fields of a CONNECT request that say whom the tunnel is for.
+const (
+	headerGateway = "Tunnel-Gateway"
+	headerRequest = "Tunnel-Request"
+	// maxOriginBytes bounds what is kept of each.
+	maxOriginBytes = 128
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 
+// Origin says whom a tunnel is for.
+type Origin struct {
+	// Gateway is the node that opens the tunnel, and Request the id of the request that is
+	// sent through it.
+	Gateway, Request string
+}
+
 // Server accepts tunnels.
 type Server struct {
 	// permit returns why no tunnel is opened to a host:port address; nil if one may be.
-	permit      func(address string) error
+	permit func(address string) error
+	// broke is called with each tunnel that has not ended properly.
+	broke       func(Ending)
 	dialTimeout time.Duration
 	server      *http.Server
 	listener    net.Listener
 	open        atomic.Int64
 	total       atomic.Uint64
+	broken      atomic.Uint64
 	draining    atomic.Bool
 	tunnels     sync.WaitGroup
+
+	mu      sync.Mutex
+	running map[*tunnel]bool
+	closed  bool
 }
 
-// Listen returns a server at an address. Serve must be called.
-func Listen(address string, dialTimeout time.Duration, permit func(address string) error) (*Server, error) {
+// Listen returns a server at an address, which calls broke with each tunnel that has not
+// ended properly. Serve must be called.
+func Listen(address string, dialTimeout time.Duration, permit func(address string) error, broke func(Ending)) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("tunnel: %w", err)
 	}
-	s := &Server{permit: permit, dialTimeout: dialTimeout, listener: listener}
+	s := &Server{permit: permit, broke: broke, dialTimeout: dialTimeout, listener: listener, running: make(map[*tunnel]bool)}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, ErrorLog: klog.NewStandardLogger("WARNING")}
 	return s, nil
 }
@@ -59,15 +83,23 @@
 // Serve accepts connections until Close.
 func (s *Server) Serve() { _ = s.server.Serve(s.listener) }
 
-// Open returns the number of open tunnels, and Total that of all so far.
+// Open returns the number of open tunnels, Total that of all so far, and Broken that of
+// those that have not ended properly.
 func (s *Server) Open() int64 { return s.open.Load() }
 
 // Total returns the number of tunnels so far.
 func (s *Server) Total() uint64 { return s.total.Load() }
 
+// Broken returns the number of tunnels so far that did not end properly.
+func (s *Server) Broken() uint64 { return s.broken.Load() }
+
 // Drain refuses new tunnels and waits until the open ones have ended or ctx is done.
 func (s *Server) Drain(ctx context.Context) {
 	s.draining.Store(true)
+	s.wait(ctx)
+}
+
+func (s *Server) wait(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		s.tunnels.Wait()
@@ -79,8 +111,19 @@
 	}
 }
 
-// Close stops accepting connections.
-func (s *Server) Close() { _ = s.server.Close() }
+// Close stops accepting connections and ends the open tunnels as broken off.
+func (s *Server) Close() {
+	_ = s.server.Close()
+	s.mu.Lock()
+	s.closed = true
+	for t := range s.running {
+		t.stop()
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	s.wait(ctx)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -117,77 +160,117 @@
 	}
 	defer conn.Close()
 	s.total.Add(1)
+	t := &tunnel{
+		conn: conn, fromConn: buffered.Reader, upstream: upstream, began: time.Now(),
+		ending: Ending{Origin: originOf(r.Header), Target: r.Host},
+	}
+	if !s.add(t) {
+		return
+	}
+	defer s.remove(t)
 	if _, err := io.WriteString(conn, "HTTP/1.1 200 Connected\r\n\r\n"); err != nil {
 		return
 	}
-	splice(conn, buffered.Reader, upstream)
+	ending := t.run()
+	if !ending.Proper() {
+		s.broken.Add(1)
+		s.broke(ending)
+	}
 }
 
-// splice copies both ways until either side has ended. An upstream that broke off is
-// passed on as a reset: an answer that ends with its connection must not look complete.
-func splice(conn net.Conn, fromConn io.Reader, upstream net.Conn) {
-	sent := make(chan struct{})
-	go func() {
-		defer close(sent)
-		copyAll(upstream, fromConn)
-		_ = upstream.Close()
-	}()
-	if err := copyAll(conn, upstream); err != nil {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+// add registers a tunnel, so that Close ends it. It reports false after Close.
+func (s *Server) add(t *tunnel) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.running[t] = true
 	}
-	_ = conn.Close()
-	<-sent
+	return !s.closed
 }
 
-// copyAll copies until the end of the source, which is no error.
-func copyAll(to io.Writer, from io.Reader) error {
-	// The wrappers hide the methods by which io.Copy would allocate larger buffers.
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBufferSize))
-	return err
+func (s *Server) remove(t *tunnel) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, t)
 }
 
-// RefusedError is the answer of a relay that opened no tunnel.
-type RefusedError struct {
-	Relay, Target string
-	Status        int
-	Reason        string
+func originOf(h http.Header) Origin {
+	bounded := func(name string) string {
+		value := h.Get(name)
+		return value[:min(len(value), maxOriginBytes)]
+	}
+	return Origin{Gateway: bounded(headerGateway), Request: bounded(headerRequest)}
 }
 
-// Error implements error.
-func (e *RefusedError) Error() string {
-	return fmt.Sprintf("relay %s opened no tunnel to %s: %d %s", e.Relay, e.Target, e.Status, e.Reason)
+// tunnel is a tunnel at the node that relays.
+type tunnel struct {
+	conn     net.Conn
+	fromConn io.Reader
+	upstream net.Conn
+	began    time.Time
+	stopped  atomic.Bool
+	sent     atomic.Int64
+	// ending is complete when the tunnel has ended.
+	ending Ending
 }
 
-// Dial opens a tunnel to target through the relay at an address. If it fails, nothing has
-// reached the target.
-func Dial(ctx context.Context, dial func(ctx context.Context, address string) (net.Conn, error), relay, target string) (net.Conn, error) {
-	conn, err := dial(ctx, relay)
-	if err != nil {
-		return nil, fmt.Errorf("relay %s: %w", relay, err)
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = conn.SetDeadline(deadline)
-	}
-	fail := func(err error) (net.Conn, error) {
-		_ = conn.Close()
-		return nil, err
+// stop makes run end the tunnel.
+func (t *tunnel) stop() {
+	t.stopped.Store(true)
+	_ = t.upstream.SetReadDeadline(time.Now())
+	_ = t.conn.SetWriteDeadline(time.Now().Add(closeTimeout / 2))
+}
+
+// run copies both ways until either side has ended. An upstream that broke off is
+// passed on as a reset: an answer that ends with its connection must not look complete.
+func (t *tunnel) run() Ending {
+	sent := make(chan End, 1)
+	go func() {
+		readErr, writeErr := t.pass(t.upstream, t.fromConn, &t.sent)
+		_ = t.upstream.Close()
+		if writeErr != nil {
+			sent <- EndOpen
+			return
+		}
+		sent <- endOf(readErr)
+	}()
+	var received atomic.Int64
+	readErr, writeErr := t.pass(t.conn, t.upstream, &received)
+	end := endOf(readErr)
+	if t.stopped.Load() && end == EndTimeout {
+		end = EndStopped
 	}
-	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, target); err != nil {
-		return fail(fmt.Errorf("relay %s: %w", relay, err))
+	if writeErr != nil {
+		end = EndOpen
 	}
-	reader := bufio.NewReader(conn)
-	answer, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
-	if err != nil {
-		return fail(fmt.Errorf("relay %s: %w", relay, err))
+	if end > EndProper {
+		if tcp, ok := t.conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
 	}
-	if answer.StatusCode != http.StatusOK || reader.Buffered() > 0 {
-		reason, _ := io.ReadAll(io.LimitReader(answer.Body, 256))
-		return fail(&RefusedError{Relay: relay, Target: target, Status: answer.StatusCode, Reason: string(reason)})
+	_ = t.conn.Close()
+	gateway := <-sent
+	t.ending.Upstream, t.ending.Gateway = end, gateway
+	t.ending.Sent, t.ending.Received, t.ending.Lasted = t.sent.Load(), received.Load(), time.Since(t.began)
+	return t.ending
+}
+
+// pass copies until the end of the source, which is no error.
+func (t *tunnel) pass(to io.Writer, from io.Reader, count *atomic.Int64) (readErr, writeErr error) {
+	buffer := make([]byte, copyBufferSize)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return nil, writeErr
+			}
+			count.Add(int64(n))
+		}
+		if err == io.EOF {
+			return nil, nil
+		}
+		if err != nil {
+			return err, nil
+		}
 	}
-	_ = conn.SetDeadline(time.Time{})
-	return conn, nil
 }
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -16,19 +16,31 @@
 	return d.DialContext(ctx, "tcp4", address)
 }
 
-// startRelay returns the address of a relay to one target.
-func startRelay(t *testing.T, target string) (*Server, string) {
+// startRelay returns a relay to one target, its address, and the tunnels that break.
+func startRelay(t *testing.T, target string) (*Server, string, <-chan Ending) {
 	t.Helper()
+	broke := make(chan Ending, 10)
 	s, err := Listen("127.0.0.1:0", 100*time.Millisecond, func(address string) error {
 		if address != target {
 			return errors.New("no upstream")
 		}
 		return nil
-	})
+	}, func(e Ending) { broke <- e })
 	must.NoError(t, err)
 	go s.Serve()
 	t.Cleanup(s.Close)
-	return s, s.listener.Addr().String()
+	return s, s.listener.Addr().String(), broke
+}
+
+// dial returns a connection through a relay, and how that ends.
+func dial(t *testing.T, relay, target string) (net.Conn, <-chan Ending) {
+	t.Helper()
+	ended := make(chan Ending, 1)
+	conn, err := Dial(t.Context(), relay, target, Options{
+		Dial: connect, Origin: Origin{Gateway: "g1", Request: "r1"}, Ended: func(e Ending) { ended <- e },
+	})
+	must.NoError(t, err)
+	return conn, ended
 }
 
 func listen(t *testing.T, serve func(net.Conn)) net.Listener {
@@ -62,11 +74,10 @@
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
 	})
-	s, relay := startRelay(t, upstream.Addr().String())
+	s, relay, _ := startRelay(t, upstream.Addr().String())
 	for _, word := range []string{"hello", "reset"} {
-		conn, err := Dial(t.Context(), connect, relay, upstream.Addr().String())
-		must.NoError(t, err)
-		_, err = conn.Write([]byte(word))
+		conn, _ := dial(t, relay, upstream.Addr().String())
+		_, err := conn.Write([]byte(word))
 		must.NoError(t, err)
 		got, err := io.ReadAll(conn)
 		if word == "reset" {
@@ -87,9 +98,8 @@
 		_, _ = io.ReadAll(conn)
 		left <- time.Now()
 	})
-	_, relay := startRelay(t, upstream.Addr().String())
-	conn, err := Dial(t.Context(), connect, relay, upstream.Addr().String())
-	must.NoError(t, err)
+	_, relay, _ := startRelay(t, upstream.Addr().String())
+	conn, _ := dial(t, relay, upstream.Addr().String())
 	closed := time.Now()
 	_ = conn.Close()
 	must.Less(t, 500*time.Millisecond, (<-left).Sub(closed))
@@ -100,28 +110,27 @@
 func TestTunnel_Refuses(t *testing.T) {
 	gone := listen(t, func(net.Conn) {})
 	_ = gone.Close()
-	s, relay := startRelay(t, gone.Addr().String())
+	s, relay, _ := startRelay(t, gone.Addr().String())
 	var refused *RefusedError
-	_, err := Dial(t.Context(), connect, relay, gone.Addr().String())
+	_, err := Dial(t.Context(), relay, gone.Addr().String(), Options{Dial: connect})
 	must.True(t, errors.As(err, &refused))
 	must.Eq(t, 502, refused.Status)
-	_, err = Dial(t.Context(), connect, relay, relay)
+	_, err = Dial(t.Context(), relay, relay, Options{Dial: connect})
 	must.True(t, errors.As(err, &refused))
 	must.Eq(t, 403, refused.Status)
 	s.Drain(t.Context())
-	_, err = Dial(t.Context(), connect, relay, gone.Addr().String())
+	_, err = Dial(t.Context(), relay, gone.Addr().String(), Options{Dial: connect})
 	must.True(t, errors.As(err, &refused))
 	must.Eq(t, 503, refused.Status)
-	_, err = Dial(t.Context(), connect, gone.Addr().String(), relay)
+	_, err = Dial(t.Context(), gone.Addr().String(), relay, Options{Dial: connect})
 	must.Error(t, err)
 }
 
 // TestTunnel_DrainWaits checks that a relay which stops lets open tunnels end.
 func TestTunnel_DrainWaits(t *testing.T) {
 	upstream := listen(t, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
-	s, relay := startRelay(t, upstream.Addr().String())
-	conn, err := Dial(t.Context(), connect, relay, upstream.Addr().String())
-	must.NoError(t, err)
+	s, relay, _ := startRelay(t, upstream.Addr().String())
+	conn, _ := dial(t, relay, upstream.Addr().String())
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	s.Drain(ctx)
@@ -131,3 +140,54 @@
 	s.Drain(t.Context())
 	must.Zero(t, s.Open())
 }
+
+// TestTunnel_TellsHowItEnded checks that both ends of a tunnel tell how its sides ended, and
+// that the relay tells of the broken ones only, with the request that it was for.
+func TestTunnel_TellsHowItEnded(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		word := make([]byte, 5)
+		_, _ = io.ReadFull(conn, word)
+		_, _ = conn.Write([]byte("answer"))
+		switch string(word) {
+		case "reset":
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		case "stays":
+			_, _ = io.ReadAll(conn)
+		}
+	})
+	target := upstream.Addr().String()
+	s, relay, broke := startRelay(t, target)
+	ask := func(word string) (net.Conn, <-chan Ending) {
+		conn, ended := dial(t, relay, target)
+		_, err := conn.Write([]byte(word))
+		must.NoError(t, err)
+		return conn, ended
+	}
+	conn, ended := ask("hello")
+	_, _ = io.ReadAll(conn)
+	_ = conn.Close()
+	e := <-ended
+	must.True(t, e.Proper())
+	must.Eq(t, EndProper, e.Upstream)
+
+	conn, ended = ask("reset")
+	_, _ = io.ReadAll(conn)
+	_ = conn.Close()
+	must.Eq(t, EndReset, (<-ended).Upstream)
+	e = <-broke
+	must.Eq(t, EndReset, e.Upstream)
+	must.Eq(t, Origin{Gateway: "g1", Request: "r1"}, e.Origin)
+	must.Eq(t, target, e.Target)
+	must.Eq(t, int64(5), e.Sent)
+
+	conn, _ = ask("stays")
+	_, err := io.ReadFull(conn, make([]byte, 6))
+	must.NoError(t, err)
+	s.Close()
+	e = <-broke
+	must.Eq(t, EndStopped, e.Upstream)
+	must.Eq(t, int64(6), e.Received)
+	must.Eq(t, uint64(2), s.Broken())
+	_ = conn.Close()
+}
