h1conn: an answer without length is broken if the request's write broke

A server resets a connection while it is still sent the request, after a part of an answer that ends with its connection. The kernel reports the reset once. If the goroutine that writes a request of more than 4 KiB gets it, the read gets the end of the stream, and the answer looks whole after a part of it.

At the end of such an answer the write's result is now asked for, for 100 ms at most; an answer whose request was not sent whole ends as io.ErrUnexpectedEOF. Answers with a length or in chunks are not concerned: they have their own end.

Cost: a server that answers a large request early, without length, and closes, now counts as broken. Its answer could not be told from a part of one.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -43,6 +43,8 @@
 	// maxInlineWrite is the largest request, in bytes, that is written before the
 	// answer is read. It fits into any socket buffer, so the write does not block.
 	maxInlineWrite = 4 << 10
+	// writeEndTimeout bounds the rest of a write whose connection the server has ended.
+	writeEndTimeout = 100 * time.Millisecond
 	// maxMismatched limits how many answers to other requests one call skips.
 	maxMismatched = 2
 	// maxSkippedBytes limits the body of an answer to another request that is read to
@@ -148,9 +150,12 @@
 // is reused only if the body was read to the end.
 type Answer struct {
 	*http.Response
-	client        *Client
-	conn          *persistConn
-	writeDone     <-chan error
+	client    *Client
+	conn      *persistConn
+	writeDone <-chan error
+	// writeErr is the result of writeDone once wrote is true.
+	writeErr      error
+	wrote         bool
 	stopAfterFunc func() bool
 	releaseOnce   sync.Once
 	sawEOF        bool
@@ -341,12 +346,29 @@
 // Read implements io.Reader.
 func (b *eofTrackingBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.answer.endsWithConn() && !b.answer.sentWhole() {
+		// The kernel reports a reset once: the write has it, and the read gets an end.
+		err = fmt.Errorf("the connection ended while the request was sent: %w", io.ErrUnexpectedEOF)
+	}
 	if err == io.EOF {
 		b.answer.sawEOF = true
 	}
 	return n, err
 }
 
+// endsWithConn reports whether only the end of the connection ends the answer.
+func (a *Answer) endsWithConn() bool { return a.ContentLength < 0 && len(a.TransferEncoding) == 0 }
+
+// sentWhole reports whether the request was sent whole. It waits for writeEndTimeout if
+// that isn't known.
+func (a *Answer) sentWhole() bool {
+	if !a.wrote {
+		_ = a.conn.SetWriteDeadline(time.Now().Add(writeEndTimeout))
+		a.wrote, a.writeErr = true, <-a.writeDone
+	}
+	return a.writeErr == nil
+}
+
 // Close implements io.Closer. It puts the connection back into the pool if the
 // answer was read completely.
 func (b *eofTrackingBody) Close() error {
@@ -358,11 +380,11 @@
 	notCanceled := a.stopAfterFunc()
 	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0
 	select {
-	case err := <-a.writeDone:
-		keep = keep && err == nil
+	case a.writeErr = <-a.writeDone:
+		a.wrote = true
 	default:
-		keep = false
 	}
+	keep = keep && a.wrote && a.writeErr == nil
 	if !keep || !a.client.putIdle(a.conn, idleTimeoutFor(a.Header)) {
 		_ = a.conn.Close()
 	}
