tunnel: a relay that is killed or stopped resets the connections it carries

What callers saw: an answer without length that ran through another gateway was complete (200, last chunk) after a part of it when that gateway was killed, or stopped with the tunnel open. The kernel closes the connections of a process that has ended properly, so that the end of the relay looked like the end of the answer.

Both connections of a tunnel now have SO_LINGER 0 from the beginning. It is taken back on the connection to the gateway once the upstream has ended its side properly and all bytes were written, and on the one to the upstream once the gateway has. Whatever else ends the tunnel, also the kernel, sends a reset. A relay that stops ends what is open at the end of its grace period in the same way. An error of the upstream's connection that a write notices is kept: the kernel reports it once, and the next read would see a proper end.

TestTunnel_ServerClosesWithTunnelsOpen covers the closed server, with and without a drain before.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -153,12 +153,14 @@
 		return
 	}
 	defer upstream.Close()
+	setReset(upstream, true)
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	defer conn.Close()
+	setReset(conn, true)
 	s.total.Add(1)
 	t := &tunnel{
 		conn: conn, fromConn: buffered.Reader, upstream: upstream, began: time.Now(),
@@ -221,32 +223,42 @@
 	_ = t.conn.SetWriteDeadline(time.Now().Add(closeTimeout / 2))
 }
 
-// run copies both ways until either side has ended. An upstream that broke off is
-// passed on as a reset: an answer that ends with its connection must not look complete.
+// run copies both ways until either side has ended. Both connections end with a reset, also
+// if the kernel ends them for this process, until the other side has ended properly and all
+// of its bytes were passed on: an answer that ends with its connection must not look
+// complete after a part of it.
 func (t *tunnel) run() Ending {
 	sent := make(chan End, 1)
+	var upstreamBroke atomic.Bool
 	go func() {
 		readErr, writeErr := t.pass(t.upstream, t.fromConn, &t.sent)
-		_ = t.upstream.Close()
+		end := endOf(readErr)
 		if writeErr != nil {
-			sent <- EndOpen
-			return
+			// The error of a connection is reported once: the next read may return its end.
+			upstreamBroke.Store(true)
+			end = EndOpen
 		}
-		sent <- endOf(readErr)
+		if end == EndProper {
+			setReset(t.upstream, false)
+		}
+		if writeErr == nil {
+			_ = t.upstream.Close()
+		}
+		sent <- end
 	}()
 	var received atomic.Int64
 	readErr, writeErr := t.pass(t.conn, t.upstream, &received)
 	end := endOf(readErr)
-	if t.stopped.Load() && end == EndTimeout {
+	switch {
+	case t.stopped.Load() && (writeErr != nil || end == EndTimeout):
 		end = EndStopped
-	}
-	if writeErr != nil {
+	case writeErr != nil:
 		end = EndOpen
+	case upstreamBroke.Load() && end == EndProper:
+		end = EndReset
 	}
-	if end > EndProper {
-		if tcp, ok := t.conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+	if end == EndProper {
+		setReset(t.conn, false)
 	}
 	_ = t.conn.Close()
 	gateway := <-sent
@@ -255,6 +267,17 @@
 	return t.ending
 }
 
+// setReset makes a connection end with a reset, or properly.
+func setReset(conn net.Conn, reset bool) {
+	linger := -1
+	if reset {
+		linger = 0
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger)
+	}
+}
+
 // pass copies until the end of the source, which is no error.
 func (t *tunnel) pass(to io.Writer, from io.Reader, count *atomic.Int64) (readErr, writeErr error) {
 	buffer := make([]byte, copyBufferSize)
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -191,3 +191,32 @@
 	must.Eq(t, uint64(2), s.Broken())
 	_ = conn.Close()
 }
+
+// TestTunnel_ServerClosesWithTunnelsOpen checks that a relay's end doesn't look like the end
+// of an answer.
+func TestTunnel_ServerClosesWithTunnelsOpen(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = conn.Write([]byte("a part"))
+		_, _ = io.ReadAll(conn)
+		_ = conn.Close()
+	})
+	for _, drain := range []bool{false, true} {
+		s, relay, _ := startRelay(t, upstream.Addr().String())
+		conn, _ := dial(t, relay, upstream.Addr().String())
+		_, err := conn.Write([]byte("?"))
+		must.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 6))
+		must.NoError(t, err)
+		if drain {
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			s.Drain(ctx)
+			cancel()
+		}
+		s.Close()
+		_, err = io.ReadAll(conn)
+		must.Error(t, err)
+		must.Zero(t, s.Open())
+		_ = conn.Close()
+	}
+}
