tunnel: the relay says in a last frame how the upstream ended

A reset alone does not settle how a tunnel ended. The kernel reports it once, and if a write of the gateway gets it, the gateway's read sees a proper end: an answer without length looks whole after a part of it. A reset also drops what is on its way.

A gateway now asks for frames (header field of its CONNECT request) and a relay that sends them confirms: a length and as many bytes for each read of the relay, written at once, and a last frame that says how the upstream's side ended (properly, reset, timeout, relay stopped). A tunnel without it is io.ErrUnexpectedEOF, however its connection ended. Without the confirmation bytes pass as before, so older and newer builds work together (TestTunnel_OlderNodes).

The relay has the same race towards the upstream: the end of its side counts as proper only if no write of the request has failed; one that still runs gets 100 ms.

TestTunnel_EndsWithoutItsLastFrame cuts a tunnel after each byte.

--- a/internal/transport/tunnel/dial.go
+++ b/internal/transport/tunnel/dial.go
@@ -59,12 +59,17 @@
 	if err != nil {
 		return fail(fmt.Errorf("relay %s: %w", relay, err))
 	}
-	if answer.StatusCode != http.StatusOK || reader.Buffered() > 0 {
+	framed := answer.Header.Get(headerFrames) == framesV1
+	if answer.StatusCode != http.StatusOK || !framed && reader.Buffered() > 0 {
 		reason, _ := io.ReadAll(io.LimitReader(answer.Body, 256))
 		return fail(&RefusedError{Relay: relay, Target: target, Status: answer.StatusCode, Reason: string(reason)})
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return &tunneled{Conn: conn, began: time.Now(), ended: o.Ended, ending: Ending{Origin: o.Origin, Target: target}}, nil
+	t := &tunneled{Conn: conn, from: conn, began: time.Now(), ended: o.Ended, ending: Ending{Origin: o.Origin, Target: target}}
+	if framed {
+		t.from = &frameReader{from: reader}
+	}
+	return t, nil
 }
 
 // connectHead returns the request that asks a relay for a tunnel.
@@ -77,6 +82,7 @@
 	}
 	fmt.Fprintf(&head, "CONNECT %s HTTP/1.1\r\n", target)
 	field("Host", target)
+	field(headerFrames, framesV1)
 	field(headerGateway, o.Gateway)
 	field(headerRequest, o.Request)
 	head.WriteString("\r\n")
@@ -86,6 +92,7 @@
 // tunneled is the gateway's end of a tunnel.
 type tunneled struct {
 	net.Conn
+	from           io.Reader
 	began          time.Time
 	ended          func(Ending)
 	sent, received atomic.Int64
@@ -98,10 +105,14 @@
 
 // Read implements io.Reader.
 func (t *tunneled) Read(p []byte) (int, error) {
-	n, err := t.Conn.Read(p)
+	n, err := t.from.Read(p)
 	t.received.Add(int64(n))
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		t.end.Store(uint32(endOf(err)))
+		end := endOf(err)
+		if frames, ok := t.from.(*frameReader); ok && frames.ended && end != EndTimeout {
+			end = frames.end
+		}
+		t.end.Store(uint32(end))
 	}
 	return n, err
 }
--- a/internal/transport/tunnel/ending.go
+++ b/internal/transport/tunnel/ending.go
@@ -23,6 +23,8 @@
 	EndTimeout
 	// EndStopped means that the relay stopped first.
 	EndStopped
+	// EndUntold means that the tunnel ended without its last frame.
+	EndUntold
 )
 
 // String implements fmt.Stringer.
@@ -38,6 +40,8 @@
 		return "timed out"
 	case EndStopped:
 		return "was open when the relay stopped"
+	case EndUntold:
+		return "ended in an unknown way, as the relay broke off"
 	default:
 		return fmt.Sprintf("ended in way %d", uint8(e))
 	}
@@ -58,6 +62,20 @@
 	}
 }
 
+// err returns what the reader of a tunnel gets if the upstream's side ended so.
+func (e End) err() error {
+	switch e {
+	case EndProper:
+		return io.EOF
+	case EndReset:
+		return fmt.Errorf("through a relay: the upstream %s: %w", e, syscall.ECONNRESET)
+	case EndTimeout:
+		return fmt.Errorf("through a relay: the upstream %s: %w", e, syscall.ETIMEDOUT)
+	default:
+		return fmt.Errorf("through a relay: the upstream's side %s: %w", e, io.ErrUnexpectedEOF)
+	}
+}
+
 // Ending describes a tunnel that has ended.
 type Ending struct {
 	Origin Origin
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -29,6 +30,10 @@
 	copyBufferSize = 4 << 10
 	// closeTimeout bounds the time in which open tunnels end at Close.
 	closeTimeout = 200 * time.Millisecond
+	// writeEndTimeout bounds the rest of a write to an upstream that has ended.
+	writeEndTimeout = 100 * time.Millisecond
+	// lastFrameTimeout bounds the time to write the last frame of a tunnel.
+	lastFrameTimeout = closeTimeout / 2
 )
 
 // Header fields of a CONNECT request that say whom the tunnel is for.
@@ -170,7 +175,11 @@
 		return
 	}
 	defer s.remove(t)
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 Connected\r\n\r\n"); err != nil {
+	answer := "HTTP/1.1 200 Connected\r\n\r\n"
+	if t.framed = r.Header.Get(headerFrames) == framesV1; t.framed {
+		answer = "HTTP/1.1 200 Connected\r\n" + headerFrames + ": " + framesV1 + "\r\n\r\n"
+	}
+	if _, err := io.WriteString(conn, answer); err != nil {
 		return
 	}
 	ending := t.run()
@@ -210,8 +219,10 @@
 	fromConn io.Reader
 	upstream net.Conn
 	began    time.Time
-	stopped  atomic.Bool
-	sent     atomic.Int64
+	// framed is true if the gateway gets frames.
+	framed  bool
+	stopped atomic.Bool
+	sent    atomic.Int64
 	// ending is complete when the tunnel has ended.
 	ending Ending
 }
@@ -223,19 +234,18 @@
 	_ = t.conn.SetWriteDeadline(time.Now().Add(closeTimeout / 2))
 }
 
-// run copies both ways until either side has ended. Both connections end with a reset, also
+// run copies both ways until either side has ended. A framed tunnel says at its end how the
+// upstream's side ended. Both connections end with a reset, also
 // if the kernel ends them for this process, until the other side has ended properly and all
 // of its bytes were passed on: an answer that ends with its connection must not look
 // complete after a part of it.
 func (t *tunnel) run() Ending {
 	sent := make(chan End, 1)
-	var upstreamBroke atomic.Bool
+	toUpstream := &watchedWriter{conn: t.upstream}
 	go func() {
-		readErr, writeErr := t.pass(t.upstream, t.fromConn, &t.sent)
+		readErr, writeErr := pass(toUpstream, t.fromConn, false, &t.sent)
 		end := endOf(readErr)
 		if writeErr != nil {
-			// The error of a connection is reported once: the next read may return its end.
-			upstreamBroke.Store(true)
 			end = EndOpen
 		}
 		if end == EndProper {
@@ -247,17 +257,23 @@
 		sent <- end
 	}()
 	var received atomic.Int64
-	readErr, writeErr := t.pass(t.conn, t.upstream, &received)
+	readErr, writeErr := pass(t.conn, t.upstream, t.framed, &received)
 	end := endOf(readErr)
 	switch {
 	case t.stopped.Load() && (writeErr != nil || end == EndTimeout):
 		end = EndStopped
 	case writeErr != nil:
 		end = EndOpen
-	case upstreamBroke.Load() && end == EndProper:
+	case end == EndProper && toUpstream.broke():
 		end = EndReset
 	}
-	if end == EndProper {
+	told := end == EndProper
+	if t.framed && writeErr == nil {
+		_ = t.conn.SetWriteDeadline(time.Now().Add(lastFrameTimeout))
+		_, err := t.conn.Write(appendLastFrame(nil, end))
+		told = err == nil
+	}
+	if told {
 		setReset(t.conn, false)
 	}
 	_ = t.conn.Close()
@@ -267,6 +283,31 @@
 	return t.ending
 }
 
+// watchedWriter knows whether a write has failed. The kernel reports the reset of a
+// connection once: if a write gets it, the next read returns a proper end.
+type watchedWriter struct {
+	conn   net.Conn
+	mu     sync.Mutex
+	failed bool
+}
+
+// Write implements io.Writer.
+func (w *watchedWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.conn.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
+// broke reports whether a write has failed. One that runs is given writeEndTimeout.
+func (w *watchedWriter) broke() bool {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeEndTimeout))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed
+}
+
 // setReset makes a connection end with a reset, or properly.
 func setReset(conn net.Conn, reset bool) {
 	linger := -1
@@ -278,13 +319,19 @@
 	}
 }
 
-// pass copies until the end of the source, which is no error.
-func (t *tunnel) pass(to io.Writer, from io.Reader, count *atomic.Int64) (readErr, writeErr error) {
-	buffer := make([]byte, copyBufferSize)
+// pass copies until the end of the source, which is no error, each read as a frame if
+// framed is set.
+func pass(to io.Writer, from io.Reader, framed bool, count *atomic.Int64) (readErr, writeErr error) {
+	buffer := make([]byte, frameHead+copyBufferSize)
 	for {
-		n, err := from.Read(buffer)
+		n, err := from.Read(buffer[frameHead:])
 		if n > 0 {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+			part := buffer[frameHead : frameHead+n]
+			if framed {
+				binary.BigEndian.PutUint16(buffer, uint16(n))
+				part = buffer[:frameHead+n]
+			}
+			if _, writeErr := to.Write(part); writeErr != nil {
 				return nil, writeErr
 			}
 			count.Add(int64(n))
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -1,10 +1,15 @@
 package tunnel
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -220,3 +225,169 @@
 		_ = conn.Close()
 	}
 }
+
+// TestTunnel_UpstreamResetsWhileItIsSentTo checks that a reset is passed on that the write
+// of the request notices before the read of the answer does: the kernel reports it once.
+func TestTunnel_UpstreamResetsWhileItIsSentTo(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = conn.Write([]byte("a part"))
+		time.Sleep(5 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	_, relay, _ := startRelay(t, upstream.Addr().String())
+	whole := 0
+	for range 300 {
+		conn, _ := dial(t, relay, upstream.Addr().String())
+		go func() {
+			block := make([]byte, 64<<10)
+			for {
+				if _, err := conn.Write(block); err != nil {
+					return
+				}
+			}
+		}()
+		if _, err := io.ReadAll(conn); err == nil {
+			whole++
+		}
+		_ = conn.Close()
+	}
+	must.Zero(t, whole)
+}
+
+// TestTunnel_EndsWithoutItsLastFrame checks that a tunnel which ends anywhere before its last
+// frame breaks the answer off, also if its connection ends properly.
+func TestTunnel_EndsWithoutItsLastFrame(t *testing.T) {
+	whole := append([]byte{0, 3, 'o', 'n', 'e', 0, 4, 'm', 'o', 'r', 'e'}, appendLastFrame(nil, EndProper)...)
+	for n := range len(whole) + 1 {
+		relay := listen(t, func(conn net.Conn) {
+			defer conn.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 Connected\r\nTunnel-Frames: 1\r\n\r\n")
+			_, _ = conn.Write(whole[:n])
+		})
+		conn, ended := dial(t, relay.Addr().String(), "10.0.0.1:80")
+		got, err := io.ReadAll(conn)
+		_ = conn.Close()
+		if n == len(whole) {
+			must.NoError(t, err)
+			must.Eq(t, "onemore", string(got))
+			must.Eq(t, EndProper, (<-ended).Upstream)
+			continue
+		}
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF, must.Sprint(n))
+		must.Eq(t, EndUntold, (<-ended).Upstream)
+	}
+}
+
+// TestTunnel_LastFrameSaysHowTheUpstreamEnded checks that a reset and a timeout stay what
+// they are, and that a way of a later version is no proper end.
+func TestTunnel_LastFrameSaysHowTheUpstreamEnded(t *testing.T) {
+	for end, want := range map[End]error{
+		EndReset: syscall.ECONNRESET, EndTimeout: syscall.ETIMEDOUT, EndStopped: io.ErrUnexpectedEOF,
+		EndOpen: io.ErrUnexpectedEOF, 200: io.ErrUnexpectedEOF,
+	} {
+		r := &frameReader{from: bufio.NewReader(bytes.NewReader(appendLastFrame([]byte{0, 1, 'x'}, end)))}
+		got, err := io.ReadAll(r)
+		must.Eq(t, "x", string(got))
+		must.ErrorIs(t, err, want)
+		_, err = r.Read(make([]byte, 1))
+		must.ErrorIs(t, err, want)
+	}
+}
+
+// TestTunnel_OlderNodes checks that nodes without frames and those with them work together.
+func TestTunnel_OlderNodes(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		word := make([]byte, 5)
+		_, _ = io.ReadFull(conn, word)
+		_, _ = conn.Write(word)
+		if string(word) == "reset" {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	target := upstream.Addr().String()
+	oldRelay := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 Connected\r\n\r\n")
+		_, _ = io.Copy(conn, io.LimitReader(conn, 5))
+	})
+	conn, _ := dial(t, oldRelay.Addr().String(), target)
+	_, err := conn.Write([]byte("hello"))
+	must.NoError(t, err)
+	got, err := io.ReadAll(conn)
+	must.NoError(t, err)
+	must.Eq(t, "hello", string(got))
+
+	_, relay, _ := startRelay(t, target)
+	for _, word := range []string{"hello", "reset"} {
+		conn, err := connect(t.Context(), relay)
+		must.NoError(t, err)
+		_, err = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n%s", target, target, word)
+		must.NoError(t, err)
+		got, err := io.ReadAll(conn)
+		if word == "reset" {
+			must.Error(t, err)
+			continue
+		}
+		must.NoError(t, err)
+		must.Eq(t, "HTTP/1.1 200 Connected\r\n\r\nhello", string(got))
+	}
+}
+
+// BenchmarkTunnel sends answers of 1 MiB and of one short event, in frames and raw.
+func BenchmarkTunnel(b *testing.B) {
+	for _, size := range []int{64, 1 << 20} {
+		block := make([]byte, size)
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		must.NoError(b, err)
+		defer l.Close()
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					ask := make([]byte, 1)
+					for {
+						if _, err := conn.Read(ask); err != nil {
+							return
+						}
+						_, _ = conn.Write(block)
+					}
+				}()
+			}
+		}()
+		for _, framed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("size=%d/framed=%t", size, framed), func(b *testing.B) {
+				s, err := Listen("127.0.0.1:0", time.Second, func(string) error { return nil }, func(Ending) {})
+				must.NoError(b, err)
+				go s.Serve()
+				defer s.Close()
+				var conn net.Conn
+				if framed {
+					conn, err = Dial(b.Context(), s.listener.Addr().String(), l.Addr().String(), Options{Dial: connect})
+					must.NoError(b, err)
+				} else {
+					conn, err = connect(b.Context(), s.listener.Addr().String())
+					must.NoError(b, err)
+					_, _ = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: a\r\n\r\n", l.Addr())
+					_, err = io.ReadFull(conn, make([]byte, len("HTTP/1.1 200 Connected\r\n\r\n")))
+					must.NoError(b, err)
+				}
+				defer conn.Close()
+				got := make([]byte, size)
+				b.SetBytes(int64(size))
+				for b.Loop() {
+					_, _ = conn.Write(got[:1])
+					_, err := io.ReadFull(conn, got)
+					must.NoError(b, err)
+				}
+			})
+		}
+	}
+}
