soak: the proxy passes a reset on as a reset

The soak's proxy ended the other side properly when a read failed, so that a node that broke off looked like one that ended: the soak could not find answers that are taken as whole after a part of them. A failed read now resets the other side; an end is passed on as an end. TestProxy_PassesEndsOn failed before ("expected non-nil error; got nil" for the reset).

--- a/internal/command/soak/proxy.go
+++ b/internal/command/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -142,8 +143,9 @@
 	both.Wait()
 }
 
-// copy forwards the data of one direction. When reading fails or reaches the end,
-// it closes the destination; when writing fails, it resets the source.
+// copy forwards the data of one direction. When reading reaches the end, it closes the
+// destination, and when reading fails, it resets it, since a part of an answer must not
+// look whole; when writing fails, it resets the source.
 func (p *proxy) copy(to, from net.Conn, d direction) {
 	buffer := make([]byte, proxyBufferBytes)
 	for {
@@ -157,6 +159,9 @@
 		}
 		if err != nil {
 			p.waitUntilOpen(d)
+			if err != io.EOF {
+				abort(to)
+			}
 			_ = to.Close()
 			return
 		}
--- a/internal/command/soak/proxy_test.go
+++ b/internal/command/soak/proxy_test.go
@@ -90,3 +90,41 @@
 	_, err = roundTrip(conn2, "four")
 	must.Error(t, err)
 }
+
+// TestProxy_PassesEndsOn checks that a proxy passes the reset of its target on as a reset:
+// as a proper end, a part of an answer without length would look whole.
+func TestProxy_PassesEndsOn(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		defer listener.Close()
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "a part")
+			_, _ = conn.Read(make([]byte, 1))
+			if reset {
+				abort(conn)
+			}
+			_ = conn.Close()
+		}()
+		p, err := startProxy(listener.Addr().String())
+		must.NoError(t, err)
+		defer p.close()
+		conn, err := net.Dial("tcp", p.address())
+		must.NoError(t, err)
+		defer conn.Close()
+		_, err = io.ReadFull(conn, make([]byte, len("a part")))
+		must.NoError(t, err)
+		_, err = conn.Write([]byte("?"))
+		must.NoError(t, err)
+		_, err = io.ReadAll(conn)
+		if reset {
+			must.ErrorIs(t, err, syscall.ECONNRESET)
+		} else {
+			must.NoError(t, err)
+		}
+	}
+}
