--- a/internal/transport/h1conn/reset_test.go
+++ b/internal/transport/h1conn/reset_test.go
@@ -37,7 +37,7 @@
 	body := make([]byte, 16<<20)
 	head := []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 16777216\r\n\r\n")
 	whole := 0
-	for range 300 {
+	for range 100 {
 		answer, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodPost, Head: head, Body: body, Fresh: true})
 		if err != nil {
 			continue
