gateway: a gateway that is cut off finds out by one request, not by several

Of the few that were granted, those at cut gateways failed: each gateway lost two or more for each pool before it knew that its path was at fault. A request on a connection that hung held its slot for 3 s, and as an overloaded upstream was expected to take 1.7 s, the attempt counted as failed only after 7 s. In a pool known to be cut off, requests to an upstream that had just started went directly, since no gateway had had an answer from it.

Three mechanisms: after the first direct failure connections to three upstreams are tried; bytes that a kernel does not acknowledge within 0.5 s are told from a slow upstream (SIOCOUTQ); a cut pool's upstream without an answer yet is relayed to as well.

--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,13 +42,21 @@
 	probeValidity    = time.Second
 	// unsafeTrialWait is how long trials wait for requests that can be sent again.
 	unsafeTrialWait = 5 * time.Second
+	// comparedUpstreams is the number of upstreams of the pool to which connections are
+	// tried after a direct attempt failed that another gateway's path would have served, and
+	// compareInterval the time between two such rounds.
+	comparedUpstreams = 3
+	compareInterval   = 250 * time.Millisecond
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
 	minHang     = 300 * time.Millisecond
 	hangFactor  = 4
 	unknownHang = time.Second
-	minSilence  = 200 * time.Millisecond
+	// stallTimeout is how long sent bytes may stay unacknowledged: several times the
+	// kernel's own retransmission timeout.
+	stallTimeout = 500 * time.Millisecond
+	minSilence   = 200 * time.Millisecond
 )
 
 // Paths decides whether requests go to upstreams directly or through another gateway.
@@ -77,6 +87,12 @@
 	trialInterval time.Duration
 	// probeAt is when the latest connection was tried, and probedAt when one was made.
 	probeAt, probedAt time.Time
+	// comparedAt is when connections to several upstreams were last tried.
+	comparedAt time.Time
+	// peer is the gateway that a grant last named as one with an answer from an upstream of
+	// the pool, and peerAnsweredAt when it had that.
+	peer           ident.NodeID
+	peerAnsweredAt time.Time
 }
 
 // path is what is known of direct attempts at one upstream that failed in a row.
@@ -123,9 +139,14 @@
 	known := p.pool(pool)
 	known.dropOld(now)
 	if grant.Peer == "" || grant.PeerAge > peerFreshness {
+		// An upstream that has just started has answered nobody yet.
+		if known.cut && now.Sub(known.peerAnsweredAt) <= peerFreshness {
+			return Route{Relay: known.peer}, ""
+		}
 		return r, ""
 	}
 	answered := now.Add(-grant.PeerAge)
+	known.peer, known.peerAnsweredAt = grant.Peer, answered
 	if !known.cut && (known.failedSince(known.answeredAt, answered) >= upstreamsToRelay || p.failedAnywhere(answered) >= upstreamsToRelay) {
 		known.cut, known.cutAt = true, now
 		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
@@ -157,6 +178,21 @@
 	p.pool(pool).probedAt = now
 }
 
+// takeComparison reports whether connections to upstreams of the pool should be tried now,
+// because a direct attempt under the grant failed. A gateway with few requests would
+// otherwise lose several of them, one after the other, before it knows that its path is at
+// fault.
+func (p *Paths) takeComparison(pool ident.PoolName, grant *scheduler.Grant, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pool(pool)
+	if known.cut || grant.Peer == "" || grant.PeerAge > peerFreshness || now.Sub(known.comparedAt) < compareInterval {
+		return false
+	}
+	known.comparedAt = now
+	return true
+}
+
 // takeTrial reports whether a request is sent directly as a trial.
 func (k *poolPaths) takeTrial(repeatable bool, now time.Time) bool {
 	since := k.trialAt
@@ -333,6 +369,7 @@
 	}
 	d.Fresh = s.route.Trial
 	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
+	d.OnStall, d.StallAfter = s.stall, stallTimeout
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
 	sent := g.upstreams.Send(ctx, d, sink)
@@ -376,7 +413,7 @@
 
 // relay sends the request through another gateway.
 func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
-	d.Relay, d.Fresh, d.ReuseOnly = s.gateway.relayAddress(peer), true, false
+	d.Relay, d.Fresh, d.ReuseOnly, d.OnStall = s.gateway.relayAddress(peer), true, false, nil
 	if d.Relay != "" {
 		s.route.Relay = peer
 		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
@@ -397,7 +434,44 @@
 
 // fail records that the direct sending failed or has no answer.
 func (s *sending) fail() {
-	s.failed.Do(func() { s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial) })
+	s.failed.Do(func() {
+		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
+		if s.gateway.paths.takeComparison(s.request.Pool, s.grant, time.Now()) {
+			go s.compare()
+		}
+	})
+}
+
+// stall records that the bytes of the direct sending are not acknowledged. Unlike a missing
+// answer, that can't be the load of the upstream, so it counts as much as is needed to relay.
+func (s *sending) stall() {
+	for range failuresToRelay - 1 {
+		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
+	}
+	s.fail()
+	s.gateway.recordPath(s.request, fmt.Sprintf("bytes sent to %s are not acknowledged after %s", s.grant.Upstream, stallTimeout))
+}
+
+// compare tries connections to some upstreams of the pool, the one that failed among them,
+// and records those that can't be reached.
+func (s *sending) compare() {
+	targets := s.gateway.env.PoolUpstreams(s.request.Pool)
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	if at := slices.IndexFunc(targets, func(t Target) bool { return t.Name == s.grant.Upstream }); at > 0 {
+		targets[0], targets[at] = targets[at], targets[0]
+	}
+	for _, t := range targets[:min(len(targets), comparedUpstreams)] {
+		go func() {
+			began := time.Now()
+			if s.connects(t) {
+				return
+			}
+			s.gateway.paths.Failed(s.request.Pool, t.Name, began, false)
+			if s.gateway.freshConns.failed(t.Name, began) {
+				s.gateway.recordPath(s.request, fmt.Sprintf("no connection to %s could be made: others are used, or other gateways", t.Name))
+			}
+		}()
+	}
 }
 
 // failSilent records an attempt that was given up for silence. After less than
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -99,3 +99,33 @@
 	must.Eq(t, Route{}, r)
 	must.Eq(t, 1, p.Cut())
 }
+
+// TestPaths_CutOffFromUpstreamThatHasJustStarted checks that requests to an upstream that
+// has answered no gateway yet go through one that reaches others of the pool.
+func TestPaths_CutOffFromUpstreamThatHasJustStarted(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	now = now.Add(200 * time.Millisecond)
+	_, _ = p.Choose("a", pathGrant("u1", 10*time.Millisecond), true, now)
+	r, _ := p.Choose("a", &scheduler.Grant{Upstream: "new"}, true, now.Add(time.Second))
+	must.Eq(t, Route{Relay: "peer"}, r)
+	r, _ = p.Choose("a", &scheduler.Grant{Upstream: "new"}, true, now.Add(5*time.Second))
+	must.Eq(t, Route{}, r, must.Sprint("nobody has had an answer for long"))
+	r, _ = p.Choose("b", &scheduler.Grant{Upstream: "other"}, true, now.Add(time.Second))
+	must.Eq(t, Route{}, r, must.Sprint("another pool is not cut off"))
+}
+
+// TestPaths_ComparisonAfterFailure checks when connections to other upstreams are tried.
+func TestPaths_ComparisonAfterFailure(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	grant := pathGrant("u1", 10*time.Millisecond)
+	must.False(t, p.takeComparison("a", &scheduler.Grant{Upstream: "u1"}, now), must.Sprint("no other gateway has an answer"))
+	must.True(t, p.takeComparison("a", grant, now))
+	must.False(t, p.takeComparison("a", grant, now.Add(compareInterval/2)))
+	must.True(t, p.takeComparison("a", grant, now.Add(compareInterval)))
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	_, _ = p.Choose("a", grant, true, now.Add(time.Second))
+	must.False(t, p.takeComparison("a", grant, now.Add(2*time.Second)), must.Sprint("the path is known to be cut"))
+}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -188,6 +188,10 @@
 	// one the request is unsent.
 	Relay            string
 	Fresh, ReuseOnly bool
+	// OnStall, if set, is called if the bytes of the request are not acknowledged StallAfter
+	// after they were sent. It is optional for Upstreams to detect that.
+	OnStall    func()
+	StallAfter time.Duration
 }
 
 // DispatchOutcome is the outcome of a dispatch.
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -88,10 +88,18 @@
 	Fresh, ReuseOnly bool
 	// OnConn, if set, is called with the kind of connection before the call is sent.
 	OnConn func(fresh bool)
+	// OnStall, if set, is called if the call's bytes are not acknowledged StallAfter after
+	// they were sent and no answer has begun. Larger calls than maxInlineWrite are left out:
+	// the server may not have read them yet.
+	OnStall    func()
+	StallAfter time.Duration
 	// Dial, if set, makes the connection, which is not kept for other calls.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// isInline reports whether the call is written before its answer is read.
+func (c *Call) isInline() bool { return len(c.Head)+len(c.Body) <= maxInlineWrite }
+
 // Client sends requests over pooled connections. It is safe for concurrent use.
 type Client struct {
 	dialTimeout time.Duration
@@ -169,6 +177,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
+	if call.OnStall != nil && call.isInline() {
+		timer := time.AfterFunc(call.StallAfter, func() {
+			if pc.hasUnacknowledged() {
+				call.OnStall()
+			}
+		})
+		defer timer.Stop()
+	}
 	response, err := pc.receive(call)
 	if err != nil {
 		stop()
@@ -285,7 +301,7 @@
 // because a server may answer before it has read the whole request.
 func (pc *persistConn) send(call Call) <-chan error {
 	writeDone := make(chan error, 1)
-	if len(call.Head)+len(call.Body) <= maxInlineWrite {
+	if call.isInline() {
 		_, err := pc.Write(append(call.Head[:len(call.Head):len(call.Head)], call.Body...))
 		writeDone <- err
 		return writeDone
