gateway: a pool that can't be reached is never sent to directly, but as a trial

A request to such a pool now goes through the gateway that was last named, or through any live one that is not draining, also if the named one is draining. The way back is as before: a connection, then single trials.

Measured: TestPaths_CutOffAndNoGatewayNamed fails on the old code (a direct route).

--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -44,6 +45,20 @@
 	return ""
 }
 
+// AnyRelay implements gateway.Relays.
+func (n *Node) AnyRelay() ident.NodeID {
+	var usable []ident.NodeID
+	for _, m := range n.follower.State().Members {
+		if m.ID != n.settings.ID() && m.Gateway() && !m.Draining {
+			usable = append(usable, m.ID)
+		}
+	}
+	if len(usable) == 0 {
+		return ""
+	}
+	return usable[rand.IntN(len(usable))]
+}
+
 // permitRelay returns why this node relays nothing to an address: no upstream has it, or
 // the upstream leaves or asked this node for a pause.
 func (n *Node) permitRelay(address string) error {
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -106,8 +106,10 @@
 
 // Route is how a request is sent to its upstream.
 type Route struct {
-	// Relay is the gateway to send it through; empty for a direct sending.
-	Relay ident.NodeID
+	// Relay is the gateway to send it through. AnyRelay is true if it is any that can be
+	// used. The request is sent directly if neither is set.
+	Relay    ident.NodeID
+	AnyRelay bool
 	// Trial is true for a direct sending that shows whether the upstream can be reached
 	// again.
 	Trial bool
@@ -115,6 +117,8 @@
 	Probe bool
 }
 
+func (r Route) isRelayed() bool { return r.Relay != "" || r.AnyRelay }
+
 // NewPaths returns a Paths without knowledge.
 func NewPaths() *Paths { return &Paths{pools: make(map[ident.PoolName]*poolPaths)} }
 
@@ -139,11 +143,10 @@
 	known := p.pool(pool)
 	known.dropOld(now)
 	if grant.Peer == "" || grant.PeerAge > peerFreshness {
-		// An upstream that has just started has answered nobody yet.
-		if known.cut && now.Sub(known.peerAnsweredAt) <= peerFreshness {
-			return Route{Relay: known.peer}, ""
+		if !known.cut {
+			return r, ""
 		}
-		return r, ""
+		return known.route(repeatable, now), ""
 	}
 	answered := now.Add(-grant.PeerAge)
 	known.peer, known.peerAnsweredAt = grant.Peer, answered
@@ -161,14 +164,24 @@
 	if !known.cut && (u == nil || !u.relayed) {
 		return r, news
 	}
-	if known.takeTrial(repeatable, now) {
-		return Route{Trial: true}, news
+	return known.route(repeatable, now), news
+}
+
+// route returns the route of a request that is not sent directly unless as a trial. It
+// names the gateway that last had an answer from an upstream of the pool, or none if that
+// was too long ago: the upstream has just started, or the scheduler or other gateways have.
+func (k *poolPaths) route(repeatable bool, now time.Time) Route {
+	if k.takeTrial(repeatable, now) {
+		return Route{Trial: true}
+	}
+	r := Route{Relay: k.peer, AnyRelay: now.Sub(k.peerAnsweredAt) > peerFreshness, Probe: now.Sub(k.probeAt) >= probeInterval}
+	if r.AnyRelay {
+		r.Relay = ""
 	}
-	r = Route{Relay: grant.Peer, Probe: now.Sub(known.probeAt) >= probeInterval}
 	if r.Probe {
-		known.probeAt = now
+		k.probeAt = now
 	}
-	return r, news
+	return r
 }
 
 // Probed records that a connection to an upstream of the pool was made.
@@ -361,7 +374,7 @@
 // another gateway that reaches the upstream.
 func (s *sending) send(ctx context.Context, placer Placer, d Dispatch, sink AnswerSink) DispatchResult {
 	g := s.gateway
-	if s.route.Relay != "" {
+	if s.route.isRelayed() {
 		if s.route.Probe {
 			go s.probe(d.Target)
 		}
@@ -411,8 +424,12 @@
 	}
 }
 
-// relay sends the request through another gateway.
+// relay sends the request through another gateway: the given one, or any if that can't be
+// used. If none can, it is sent directly.
 func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
+	if s.gateway.relayAddress(peer) == "" && s.gateway.relays != nil {
+		peer = s.gateway.relays.AnyRelay()
+	}
 	d.Relay, d.Fresh, d.ReuseOnly, d.OnStall = s.gateway.relayAddress(peer), true, false, nil
 	if d.Relay != "" {
 		s.route.Relay = peer
@@ -424,7 +441,7 @@
 
 // answered records that the header of the answer has arrived.
 func (s *sending) answered() {
-	if s.route.Relay != "" {
+	if s.route.isRelayed() {
 		return
 	}
 	s.hang.Stop()
@@ -490,7 +507,7 @@
 
 // isSuspect reports whether a failure of the sending may be that of the gateway's path.
 func (s *sending) isSuspect() bool {
-	return s.route.Relay == "" && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
+	return !s.route.isRelayed() && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
 }
 
 // probe tries to connect to an upstream directly.
@@ -515,6 +532,8 @@
 type Relays interface {
 	// RelayAddress returns the host:port of a gateway; empty if it can't be used.
 	RelayAddress(peer ident.NodeID) string
+	// AnyRelay returns a gateway that can be used, drawn at random; empty if there is none.
+	AnyRelay() ident.NodeID
 }
 
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -100,19 +100,24 @@
 	must.Eq(t, 1, p.Cut())
 }
 
-// TestPaths_CutOffFromUpstreamThatHasJustStarted checks that requests to an upstream that
-// has answered no gateway yet go through one that reaches others of the pool.
-func TestPaths_CutOffFromUpstreamThatHasJustStarted(t *testing.T) {
+// TestPaths_CutOffAndNoGatewayNamed checks that requests of a pool that is cut off are not
+// sent directly where a grant names no gateway with an answer: the upstream or the scheduler
+// has just started, or the other gateways have.
+func TestPaths_CutOffAndNoGatewayNamed(t *testing.T) {
 	p, now := NewPaths(), pathsStart
 	p.Failed("a", "u1", now, false)
 	p.Failed("a", "u2", now, false)
 	now = now.Add(200 * time.Millisecond)
 	_, _ = p.Choose("a", pathGrant("u1", 10*time.Millisecond), true, now)
-	r, _ := p.Choose("a", &scheduler.Grant{Upstream: "new"}, true, now.Add(time.Second))
-	must.Eq(t, Route{Relay: "peer"}, r)
-	r, _ = p.Choose("a", &scheduler.Grant{Upstream: "new"}, true, now.Add(5*time.Second))
-	must.Eq(t, Route{}, r, must.Sprint("nobody has had an answer for long"))
-	r, _ = p.Choose("b", &scheduler.Grant{Upstream: "other"}, true, now.Add(time.Second))
+	unnamed := &scheduler.Grant{Upstream: "new"}
+	r, _ := p.Choose("a", unnamed, true, now.Add(time.Second))
+	must.Eq(t, Route{Relay: "peer", Probe: true}, r)
+	r, _ = p.Choose("a", unnamed, true, now.Add(5*time.Second))
+	must.Eq(t, Route{AnyRelay: true, Probe: true}, r)
+	p.Probed("a", now.Add(5*time.Second))
+	r, _ = p.Choose("a", unnamed, true, now.Add(5100*time.Millisecond))
+	must.Eq(t, Route{Trial: true}, r)
+	r, _ = p.Choose("b", unnamed, true, now.Add(time.Second))
 	must.Eq(t, Route{}, r, must.Sprint("another pool is not cut off"))
 }
 
