gateway: of gateways that are cut off, none relays for another

A request that might have been sent is not tried again unless its route permits it, so it was lost.

A gateway opens no tunnel to an upstream that it can't reach itself. That refusal proves that nothing was sent, and the request is tried through up to two other gateways under the same grant, before it is placed again.

--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,10 +47,10 @@
 }
 
 // AnyRelay implements gateway.Relays.
-func (n *Node) AnyRelay() ident.NodeID {
+func (n *Node) AnyRelay(except []ident.NodeID) ident.NodeID {
 	var usable []ident.NodeID
 	for _, m := range n.follower.State().Members {
-		if m.ID != n.settings.ID() && m.Gateway() && !m.Draining {
+		if m.ID != n.settings.ID() && m.Gateway() && !m.Draining && !slices.Contains(except, m.ID) {
 			usable = append(usable, m.ID)
 		}
 	}
@@ -59,8 +60,8 @@
 	return usable[rand.IntN(len(usable))]
 }
 
-// permitRelay returns why this node relays nothing to an address: no upstream has it, or
-// the upstream leaves or asked this node for a pause.
+// permitRelay returns why this node relays nothing to an address: no upstream has it, the
+// node can't reach it itself, or the upstream leaves or asked this node for a pause.
 func (n *Node) permitRelay(address string) error {
 	found := n.upstreams.Load().byAddress[address]
 	if len(found) == 0 {
@@ -73,6 +74,9 @@
 		if c == nil {
 			continue
 		}
+		if n.gateway.IsCutOff(d.Upstream.Pool, d.Name) {
+			return fmt.Errorf("%s can't be reached from this node either", d.Name)
+		}
 		if c.Leaving(d.Name) {
 			return fmt.Errorf("%s leaves", d.Name)
 		}
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -57,6 +57,8 @@
 	// kernel's own retransmission timeout.
 	stallTimeout = 500 * time.Millisecond
 	minSilence   = 200 * time.Millisecond
+	// maxRelaysTried bounds the gateways through which a request is tried under one grant.
+	maxRelaysTried = 3
 )
 
 // Paths decides whether requests go to upstreams directly or through another gateway.
@@ -424,19 +426,30 @@
 	}
 }
 
-// relay sends the request through another gateway: the given one, or any if that can't be
-// used. If none can, it is sent directly.
+// relay sends the request through another gateway: the given one or, if that can't be used
+// or has provably sent nothing, others that are tried in turn. If none can be used, it is
+// sent directly.
 func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
-	if s.gateway.relayAddress(peer) == "" && s.gateway.relays != nil {
-		peer = s.gateway.relays.AnyRelay()
-	}
-	d.Relay, d.Fresh, d.ReuseOnly, d.OnStall = s.gateway.relayAddress(peer), true, false, nil
-	if d.Relay != "" {
-		s.route.Relay = peer
-		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
-		placer.Relayed(s.request.ID, peer)
+	d.Fresh, d.ReuseOnly, d.OnStall = true, false, nil
+	var tried []ident.NodeID
+	for {
+		if d.Relay = s.gateway.relayAddress(peer); d.Relay == "" {
+			peer = s.gateway.anyRelay(tried)
+			d.Relay = s.gateway.relayAddress(peer)
+		}
+		if d.Relay != "" {
+			s.route.Relay = peer
+			s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
+			placer.Relayed(s.request.ID, peer)
+		}
+		sent := s.gateway.upstreams.Send(ctx, d, sink)
+		tried = append(tried, peer)
+		peer = s.gateway.anyRelay(tried)
+		if sent.Outcome != DispatchUnsent || d.Relay == "" || peer == "" || len(tried) == maxRelaysTried || ctx.Err() != nil {
+			return sent
+		}
+		s.gateway.recordPath(s.request, fmt.Sprintf("nothing was sent to %s: %v; tries %s", d.Target.Name, sent.Err, peer))
 	}
-	return s.gateway.upstreams.Send(ctx, d, sink)
 }
 
 // answered records that the header of the answer has arrived.
@@ -532,8 +545,9 @@
 type Relays interface {
 	// RelayAddress returns the host:port of a gateway; empty if it can't be used.
 	RelayAddress(peer ident.NodeID) string
-	// AnyRelay returns a gateway that can be used, drawn at random; empty if there is none.
-	AnyRelay() ident.NodeID
+	// AnyRelay returns a gateway that can be used, drawn at random; empty if there is none
+	// but the excepted ones.
+	AnyRelay(except []ident.NodeID) ident.NodeID
 }
 
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
@@ -550,6 +564,18 @@
 // requests to through other gateways.
 func (g *Gateway) CutPaths() int { return g.paths.Cut() }
 
+// IsCutOff reports whether the gateway sends requests to an upstream through other gateways.
+func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
+	return g.paths.IsSuspect(pool, upstream)
+}
+
+func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
+	if g.relays == nil {
+		return ""
+	}
+	return g.relays.AnyRelay(except)
+}
+
 func (g *Gateway) relayAddress(peer ident.NodeID) string {
 	if g.relays == nil {
 		return ""
