--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,13 +42,23 @@
 	probeValidity    = time.Second
 	// unsafeTrialWait is how long trials wait for requests that can be sent again.
 	unsafeTrialWait = 5 * time.Second
+	// comparedUpstreams is the number of upstreams of the pool to which connections are
+	// tried after a direct attempt failed that another gateway's path would have served, and
+	// compareInterval the time between two such rounds.
+	comparedUpstreams = 3
+	compareInterval   = 250 * time.Millisecond
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
 	minHang     = 300 * time.Millisecond
 	hangFactor  = 4
 	unknownHang = time.Second
-	minSilence  = 200 * time.Millisecond
+	// stallTimeout is how long sent bytes may stay unacknowledged: several times the
+	// kernel's own retransmission timeout.
+	stallTimeout = 500 * time.Millisecond
+	minSilence   = 200 * time.Millisecond
+	// maxRelaysTried bounds the gateways through which a request is tried under one grant.
+	maxRelaysTried = 3
 )
 
 // Paths decides whether requests go to upstreams directly or through another gateway.
@@ -77,6 +89,12 @@
 	trialInterval time.Duration
 	// probeAt is when the latest connection was tried, and probedAt when one was made.
 	probeAt, probedAt time.Time
+	// comparedAt is when connections to several upstreams were last tried.
+	comparedAt time.Time
+	// peer is the gateway that a grant last named as one with an answer from an upstream of
+	// the pool, and peerAnsweredAt when it had that.
+	peer           ident.NodeID
+	peerAnsweredAt time.Time
 }
 
 // path is what is known of direct attempts at one upstream that failed in a row.
@@ -90,8 +108,10 @@
 
 // Route is how a request is sent to its upstream.
 type Route struct {
-	// Relay is the gateway to send it through; empty for a direct sending.
-	Relay ident.NodeID
+	// Relay is the gateway to send it through. AnyRelay is true if it is any that can be
+	// used. The request is sent directly if neither is set.
+	Relay    ident.NodeID
+	AnyRelay bool
 	// Trial is true for a direct sending that shows whether the upstream can be reached
 	// again.
 	Trial bool
@@ -99,6 +119,8 @@
 	Probe bool
 }
 
+func (r Route) isRelayed() bool { return r.Relay != "" || r.AnyRelay }
+
 // NewPaths returns a Paths without knowledge.
 func NewPaths() *Paths { return &Paths{pools: make(map[ident.PoolName]*poolPaths)} }
 
@@ -123,9 +145,13 @@
 	known := p.pool(pool)
 	known.dropOld(now)
 	if grant.Peer == "" || grant.PeerAge > peerFreshness {
-		return r, ""
+		if !known.cut {
+			return r, ""
+		}
+		return known.route(repeatable, now), ""
 	}
 	answered := now.Add(-grant.PeerAge)
+	known.peer, known.peerAnsweredAt = grant.Peer, answered
 	if !known.cut && (known.failedSince(known.answeredAt, answered) >= upstreamsToRelay || p.failedAnywhere(answered) >= upstreamsToRelay) {
 		known.cut, known.cutAt = true, now
 		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
@@ -140,14 +166,24 @@
 	if !known.cut && (u == nil || !u.relayed) {
 		return r, news
 	}
-	if known.takeTrial(repeatable, now) {
-		return Route{Trial: true}, news
+	return known.route(repeatable, now), news
+}
+
+// route returns the route of a request that is not sent directly unless as a trial. It
+// names the gateway that last had an answer from an upstream of the pool, or none if that
+// was too long ago: the upstream has just started, or the scheduler or other gateways have.
+func (k *poolPaths) route(repeatable bool, now time.Time) Route {
+	if k.takeTrial(repeatable, now) {
+		return Route{Trial: true}
+	}
+	r := Route{Relay: k.peer, AnyRelay: now.Sub(k.peerAnsweredAt) > peerFreshness, Probe: now.Sub(k.probeAt) >= probeInterval}
+	if r.AnyRelay {
+		r.Relay = ""
 	}
-	r = Route{Relay: grant.Peer, Probe: now.Sub(known.probeAt) >= probeInterval}
 	if r.Probe {
-		known.probeAt = now
+		k.probeAt = now
 	}
-	return r, news
+	return r
 }
 
 // Probed records that a connection to an upstream of the pool was made.
@@ -157,6 +193,21 @@
 	p.pool(pool).probedAt = now
 }
 
+// takeComparison reports whether connections to upstreams of the pool should be tried now,
+// because a direct attempt under the grant failed. A gateway with few requests would
+// otherwise lose several of them, one after the other, before it knows that its path is at
+// fault.
+func (p *Paths) takeComparison(pool ident.PoolName, grant *scheduler.Grant, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pool(pool)
+	if known.cut || grant.Peer == "" || grant.PeerAge > peerFreshness || now.Sub(known.comparedAt) < compareInterval {
+		return false
+	}
+	known.comparedAt = now
+	return true
+}
+
 // takeTrial reports whether a request is sent directly as a trial.
 func (k *poolPaths) takeTrial(repeatable bool, now time.Time) bool {
 	since := k.trialAt
@@ -325,7 +376,7 @@
 // another gateway that reaches the upstream.
 func (s *sending) send(ctx context.Context, placer Placer, d Dispatch, sink AnswerSink) DispatchResult {
 	g := s.gateway
-	if s.route.Relay != "" {
+	if s.route.isRelayed() {
 		if s.route.Probe {
 			go s.probe(d.Target)
 		}
@@ -333,6 +384,7 @@
 	}
 	d.Fresh = s.route.Trial
 	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
+	d.OnStall, d.StallAfter = s.stall, stallTimeout
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
 	sent := s.dispatch(ctx, d, sink)
@@ -374,19 +426,35 @@
 	}
 }
 
-// relay sends the request through another gateway.
+// relay sends the request through another gateway: the given one or, if that can't be used
+// or has provably sent nothing, others that are tried in turn. If none can be used, it is
+// sent directly.
 func (s *sending) relay(ctx context.Context, placer Placer, d Dispatch, peer ident.NodeID, sink AnswerSink) DispatchResult {
-	d.Relay, d.Fresh, d.ReuseOnly = s.gateway.relayAddress(peer), true, false
-	if d.Relay != "" {
-		s.route.Relay = peer
-		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
-		placer.Relayed(s.request.ID, peer)
-		d.Gateway, _ = s.gateway.env.Identity()
-		d.TunnelEnded = func(how string) {
-			s.gateway.record(s.request, timeline.KindTunnelEnded, fmt.Sprintf("%s through %s: %s", d.Target.Name, peer, how))
+	d.Fresh, d.ReuseOnly, d.OnStall = true, false, nil
+	var tried []ident.NodeID
+	for {
+		if d.Relay = s.gateway.relayAddress(peer); d.Relay == "" {
+			peer = s.gateway.anyRelay(tried)
+			d.Relay = s.gateway.relayAddress(peer)
+		}
+		if d.Relay != "" {
+			s.route.Relay = peer
+			s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
+			placer.Relayed(s.request.ID, peer)
+			through := peer
+			d.Gateway, _ = s.gateway.env.Identity()
+			d.TunnelEnded = func(how string) {
+				s.gateway.record(s.request, timeline.KindTunnelEnded, fmt.Sprintf("%s through %s: %s", d.Target.Name, through, how))
+			}
+		}
+		sent := s.dispatch(ctx, d, sink)
+		tried = append(tried, peer)
+		peer = s.gateway.anyRelay(tried)
+		if sent.Outcome != DispatchUnsent || d.Relay == "" || peer == "" || len(tried) == maxRelaysTried || ctx.Err() != nil {
+			return sent
 		}
+		s.gateway.recordPath(s.request, fmt.Sprintf("nothing was sent to %s: %v; tries %s", d.Target.Name, sent.Err, peer))
 	}
-	return s.dispatch(ctx, d, sink)
 }
 
 // dispatch sends the request and judges the end of its answer.
@@ -406,7 +474,7 @@
 
 // answered records that the header of the answer has arrived.
 func (s *sending) answered() {
-	if s.route.Relay != "" {
+	if s.route.isRelayed() {
 		return
 	}
 	s.hang.Stop()
@@ -416,7 +484,44 @@
 
 // fail records that the direct sending failed or has no answer.
 func (s *sending) fail() {
-	s.failed.Do(func() { s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial) })
+	s.failed.Do(func() {
+		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
+		if s.gateway.paths.takeComparison(s.request.Pool, s.grant, time.Now()) {
+			go s.compare()
+		}
+	})
+}
+
+// stall records that the bytes of the direct sending are not acknowledged. Unlike a missing
+// answer, that can't be the load of the upstream, so it counts as much as is needed to relay.
+func (s *sending) stall() {
+	for range failuresToRelay - 1 {
+		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
+	}
+	s.fail()
+	s.gateway.recordPath(s.request, fmt.Sprintf("bytes sent to %s are not acknowledged after %s", s.grant.Upstream, stallTimeout))
+}
+
+// compare tries connections to some upstreams of the pool, the one that failed among them,
+// and records those that can't be reached.
+func (s *sending) compare() {
+	targets := s.gateway.env.PoolUpstreams(s.request.Pool)
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	if at := slices.IndexFunc(targets, func(t Target) bool { return t.Name == s.grant.Upstream }); at > 0 {
+		targets[0], targets[at] = targets[at], targets[0]
+	}
+	for _, t := range targets[:min(len(targets), comparedUpstreams)] {
+		go func() {
+			began := time.Now()
+			if s.connects(t) {
+				return
+			}
+			s.gateway.paths.Failed(s.request.Pool, t.Name, began, false)
+			if s.gateway.freshConns.failed(t.Name, began) {
+				s.gateway.recordPath(s.request, fmt.Sprintf("no connection to %s could be made: others are used, or other gateways", t.Name))
+			}
+		}()
+	}
 }
 
 // failSilent records an attempt that was given up for silence. After less than
@@ -435,7 +540,7 @@
 
 // isSuspect reports whether a failure of the sending may be that of the gateway's path.
 func (s *sending) isSuspect() bool {
-	return s.route.Relay == "" && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
+	return !s.route.isRelayed() && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
 }
 
 // probe tries to connect to an upstream directly.
@@ -460,6 +565,9 @@
 type Relays interface {
 	// RelayAddress returns the host:port of a gateway; empty if it can't be used.
 	RelayAddress(peer ident.NodeID) string
+	// AnyRelay returns a gateway that can be used, drawn at random; empty if there is none
+	// but the excepted ones.
+	AnyRelay(except []ident.NodeID) ident.NodeID
 }
 
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
@@ -477,6 +585,18 @@
 // requests to through other gateways.
 func (g *Gateway) CutPaths() int { return g.paths.Cut() }
 
+// IsCutOff reports whether the gateway sends requests to an upstream through other gateways.
+func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
+	return g.paths.IsSuspect(pool, upstream)
+}
+
+func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
+	if g.relays == nil {
+		return ""
+	}
+	return g.relays.AnyRelay(except)
+}
+
 func (g *Gateway) relayAddress(peer ident.NodeID) string {
 	if g.relays == nil {
 		return ""
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -195,6 +195,10 @@
 	// connection through Relay ended.
 	Gateway     ident.NodeID
 	TunnelEnded func(how string)
+	// OnStall, if set, is called if the bytes of the request are not acknowledged StallAfter
+	// after they were sent. It is optional for Upstreams to detect that.
+	OnStall    func()
+	StallAfter time.Duration
 }
 
 // DispatchOutcome is the outcome of a dispatch.
