scheduler: a line for each retry that takes from the budget or is refused for want of it

The record of the repeats beyond the budget could not be explained: no line said that a sending takes from the retry budget, what is left of it, or with what a new scheduler begins, and the reason unsent stood both for a used-up budget and for too many tries.

The scheduler reports each retry with what is left and why, and the budget with which it begins, as retry_budget lines at its node. A refusal for want of the budget has the reason retry_budget; unsent remains for too many tries. A failure after a sending names the reason for which the scheduler refused to go on. Metrics count retries and refused ones and show what is left.

The lines are written by the time line, which is bounded and drops lines rather than wait. No decision changes.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -122,6 +122,15 @@
 	gauge("flamingohaven_fleet_stale_estimate_grants_total", "Grants by the schedulers of this node of upstreams whose speed was no longer known.", func() float64 {
 		return float64(n.schedulerLoad().stale)
 	})
+	gauge("flamingohaven_fleet_retries_total", "Retries that took from the retry budgets of the schedulers of this node.", func() float64 {
+		return float64(n.schedulerLoad().retries)
+	})
+	gauge("flamingohaven_fleet_retries_refused_total", "Retries that the retry budgets of the schedulers of this node did not allow.", func() float64 {
+		return float64(n.schedulerLoad().refused)
+	})
+	gauge("flamingohaven_fleet_retry_budget_left", "Retries left in the retry budget of the pool that has the least left, of those that this node schedules.", func() float64 {
+		return n.schedulerLoad().left
+	})
 	gauge("flamingohaven_fleet_scheduled_waiting", "Requests that wait at the schedulers of this node.", func() float64 {
 		return float64(n.schedulerLoad().waiting)
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -244,18 +244,29 @@
 	gateways, waiting, running int
 	// stale counts the grants so far of upstreams whose speed was no longer known.
 	stale int
+	// retries took from the retry budgets so far and refused were not allowed by them. The
+	// budget that has the least left has left.
+	retries, refused int
+	left             float64
 }
 
 func (n *Node) schedulerLoad() schedulerLoad {
 	n.mu.Lock()
 	masters := slices.Collect(maps.Values(n.masters))
 	n.mu.Unlock()
-	var load schedulerLoad
+	load := schedulerLoad{left: math.Inf(1)}
 	for _, m := range masters {
 		stats := m.Stats()
+		load.retries, load.refused = load.retries+stats.Retries, load.refused+stats.RetriesRefused
+		if m.Sessions() > 0 {
+			load.left = min(load.left, stats.RetriesLeft)
+		}
 		load.gateways = max(load.gateways, m.Sessions())
 		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
 	}
+	if math.IsInf(load.left, 1) {
+		load.left = 0
+	}
 	return load
 }
 
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -167,6 +167,11 @@
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
 }
 
+// RetryChanged implements pool.Observer.
+func (w *rolloutWatch) RetryChanged(c scheduler.RetryChange) {
+	w.events.Record(timeline.Event{Kind: timeline.KindRetryBudget, Request: c.Ticket, Pool: w.pool, Detail: c.String()})
+}
+
 // shares returns the traffic shares of the given versions; nil if the pool has had
 // no rollout or no version is given.
 func (w *rolloutWatch) shares(versions []ident.VersionName, now time.Time) []scheduler.VersionShare {
--- a/internal/command/load/caller.go
+++ b/internal/command/load/caller.go
@@ -135,7 +135,7 @@
 // retriable reports whether a resend can succeed after a refusal with this reason.
 func retriable(reason callerapi.Reason) bool {
 	switch reason {
-	case "overload", "no_upstream", "memory", "draining", "cut_off", "unsent", "deadline",
+	case "overload", "no_upstream", "memory", "draining", "cut_off", "unsent", "retry_budget", "deadline",
 		callerapi.ReasonNoQuorum, callerapi.ReasonLedgerFull:
 		return true
 	default:
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -155,7 +155,7 @@
 	if failure.NotRun && reason != Reason(scheduler.ReasonDeadline) && reason != ReasonCallerLeft {
 		reason = ReasonUpstreamFailed
 	}
-	return Result{Failure: &Failure{Reason: reason, Begun: relay.begun, Message: "an upstream failed the request, then: " + failure.Message}}
+	return Result{Failure: &Failure{Reason: reason, Begun: relay.begun, Message: fmt.Sprintf("an upstream failed the request, then %s: %s", failure.Reason, failure.Message)}}
 }
 
 // place queues the request and waits for the scheduler's decision.
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -58,6 +58,8 @@
 	Paused(c scheduler.PauseChange)
 	// PoisonChanged is called for each change of the refused parts.
 	PoisonChanged(c scheduler.PoisonChange)
+	// RetryChanged is called for each change of the retry budget.
+	RetryChanged(c scheduler.RetryChange)
 }
 
 type session struct {
@@ -301,6 +303,11 @@
 			m.observer.PoisonChanged(c)
 		}
 	}
+	for _, c := range m.sched.RetryChanges() {
+		if m.observer != nil {
+			m.observer.RetryChanged(c)
+		}
+	}
 	for _, d := range m.sched.Decisions() {
 		s := m.sessions[d.Gateway]
 		if s == nil {
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -270,6 +270,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// RetryChanged implements Observer.
+func (r *Runner) RetryChanged(change scheduler.RetryChange) {
+	r.events.Record(timeline.Event{Kind: timeline.KindRetryBudget, Request: change.Ticket, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // PoisonChanged implements Observer.
 func (r *Runner) PoisonChanged(change scheduler.PoisonChange) {
 	r.events.Record(timeline.Event{Kind: timeline.KindPoison, Pool: r.master.Pool(), Detail: change.String()})
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -103,6 +103,12 @@
 	nextSweep time.Duration
 	retries   retryBudget
 	decisions []Decision
+	// retryChanges holds the changes of the retry budget since the last call of
+	// RetryChanges; retriesTaken and retriesRefused count the retries.
+	retryChanges                 []RetryChange
+	retriesTaken, retriesRefused int
+	// budgetLogAt is when the budget that the scheduler begins with is reported; 0 if it was.
+	budgetLogAt time.Duration
 }
 
 var _ Scheduler = (*Pool)(nil)
@@ -417,6 +423,7 @@
 	p.now = now
 	p.runTimers(now)
 	p.openAfterTakeover(now)
+	p.reportBudget(now)
 	p.endUnheard(now)
 	if now >= p.nextSweep {
 		p.nextSweep = now + sweepInterval
@@ -492,7 +499,10 @@
 
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
-	s := Stats{Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants}
+	s := Stats{
+		Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
+		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.tokens,
+	}
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
 	}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -208,10 +208,14 @@
 		p.refuse(e, reason, now)
 		return
 	}
-	if e.retries > maxRetries || p.exhausted(e) || budgeted && !p.retries.take() {
+	if e.retries > maxRetries || p.exhausted(e) {
 		p.refuse(e, ReasonUnsent, now)
 		return
 	}
+	if budgeted && !p.takeRetry(e) {
+		p.refuse(e, ReasonRetryBudget, now)
+		return
+	}
 	p.enqueue(e)
 }
 
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -95,6 +95,9 @@
 		s.Quotas.Register(p.view.Pool, r.Gateway, r.Sent, r.Uptime, p.wallTime(now))
 	}
 	p.reconcile(r, known && r.Incarnation == former, listed, now)
+	if len(p.registered) == 0 {
+		p.budgetLogAt = now + p.tuning.takeoverWait
+	}
 	p.registered[r.Gateway] = r.Incarnation
 	p.learnFrom(r, now)
 	p.learnEnds(p.view.Ends, now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -139,6 +139,9 @@
 	ReasonCutOff Reason = "cut_off"
 	// ReasonUnsent means that no connection to an upstream could be made.
 	ReasonUnsent Reason = "unsent"
+	// ReasonRetryBudget means that the request would have to be sent once more and the
+	// retry budget does not allow it.
+	ReasonRetryBudget Reason = "retry_budget"
 	// ReasonQuota means that the team has used up its quota.
 	ReasonQuota Reason = "quota"
 	// ReasonPoisonPart means that upstreams end when they answer a request with a
@@ -437,6 +440,8 @@
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
+	// RetryChanges returns and clears the changes of the retry budget since the last call.
+	RetryChanges() []RetryChange
 	// RequestEnds returns the latest ends of upstreams under requests that the gateways of
 	// this scheduler saw, for schedulers that don't know of them.
 	RequestEnds(now time.Duration) []poison.End
@@ -481,4 +486,8 @@
 	// Stale counts the grants so far of upstreams whose speed was no longer known, because
 	// they had got no requests for a while.
 	Stale int
+	// Retries counts the retries so far that took from the retry budget, RetriesRefused those
+	// that it did not allow, and RetriesLeft is what is left of it.
+	Retries, RetriesRefused int
+	RetriesLeft             float64
 }
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -90,6 +90,7 @@
 	KindConnection    Kind = "connection"
 	KindProcess       Kind = "process"
 	KindScheduler     Kind = "scheduler"
+	KindRetryBudget   Kind = "retry_budget"
 	KindContact       Kind = "contact"
 	KindAttemptEnded  Kind = "attempt_ended"
 	KindReplicaChange Kind = "replica_change"
