scheduler: retries earn no retries

Every grant added to the retry budget, also that of a retry, so that the ratio held for all sendings and not for the callers' requests, which the rule counts: 0.15 of all grants is 0.18 of the requests, and a share of 0.5 doubles.

--- a/internal/coordination/scheduler/retry.go
+++ b/internal/coordination/scheduler/retry.go
@@ -28,6 +28,7 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// dispatched adds what the first sending of a request earns.
 func (b *retryBudget) dispatched() {
 	b.tokens = min(b.burst, b.tokens+b.ratio)
 }
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -332,6 +332,27 @@
 	must.Between(t, 1, attempts, 9)
 }
 
+// TestShared_RetriesEarnNoRetries guards against a retry budget that grows with the retries
+// themselves: each request is rejected wherever it is sent.
+func TestShared_RetriesEarnNoRetries(t *testing.T) {
+	v := sharedView(8)
+	v.Shared.RetryRatio, v.Shared.RetryBurst = 0.5, 1
+	p := sharedPool(v, "g1", "g2", "g3", "g4")
+	now, retries := start, 0
+	for i := range 40 {
+		now += 50 * time.Millisecond
+		p.Submit(sharedTicket(i, "low"), now)
+		sent := 0
+		for decisions := grants(p.Decisions()); len(decisions) > 0; decisions = grants(p.Decisions()) {
+			sent++
+			now += 60 * time.Millisecond
+			serveRequest(p, decisions[0], ReportRejected, now, 0)
+		}
+		retries += max(0, sent-1)
+	}
+	must.Between(t, 10, retries, 0.5*40+1)
+}
+
 // TestShared_ReusedAddress gives the address of one upstream of four to another
 // service while the upstream is still listed. All requests must be served by the
 // others, and the address must get probes only.
