scheduler: a retry that waits at a takeover takes from the budget

In the record, services got more repeats than the rule allows. A request that failed or was rejected takes from the retry budget when its gateway reports that. If the scheduler is lost before the retry is granted, the request is part of the gateway's registration with the next scheduler, which took it for a new one: no retry was counted. The same holds for a retry that is placed again because its grant was dropped or had expired.

A ticket now says whether its request was sent before and may have arrived, also where the upstream rejected it; a scheduler that gets such a ticket as a new one takes a retry from the budget or refuses it. Older gateways don't send the fields; of them, requests that failed still count, since those resume.

Found by reading.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -197,6 +197,8 @@
 		Patience:     r.patienceLeft(),
 		Cost:         r.Cost,
 		Resumes:      r.sends > 0,
+		Sent:         r.begun,
+		Arrived:      r.arrived,
 		BodyBytes:    int64(len(r.Body)),
 		Excluded:     excluded,
 	}
@@ -286,6 +288,7 @@
 func (g *Gateway) begin(placer Placer, r *Request, grant *scheduler.Grant) attemptOutcome {
 	switch placer.Begin(r.ID) {
 	case scheduler.BeginSend:
+		r.begun = true
 		return attemptSettled
 	case scheduler.BeginLeaving:
 		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s has said that it leaves; goes on elsewhere", grant.Upstream))
@@ -340,6 +343,7 @@
 // evaluateAttempt decides whether a dispatch settles the request, and updates the
 // request's send count and resume position.
 func (g *Gateway) evaluateAttempt(ctx context.Context, r *Request, sent DispatchResult, relay *relay) attemptOutcome {
+	r.arrived = r.arrived || sent.Outcome != DispatchUnsent
 	switch sent.Outcome {
 	case DispatchUnsent, DispatchRejected, DispatchMisdirected:
 		return attemptUnsent
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -97,6 +97,9 @@
 	isRetry bool
 	// sends counts the dispatches that may have reached an upstream.
 	sends int
+	// begun is true once the gateway has begun to send the request, and arrived once an
+	// upstream may have got it, also if that rejected it.
+	begun, arrived bool
 	// attempt is the number of the latest claim of the request.
 	attempt uint32
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -312,6 +312,10 @@
 	}
 	p.entries[t.ID] = e
 	defer p.observeService(e)
+	if p.isRetry(e) && !p.takeRetry(e) {
+		p.refuse(e, ReasonRetryBudget, now)
+		return
+	}
 	if reason := p.admit(e, now); reason != "" {
 		p.refuse(e, reason, now)
 		return
--- a/internal/coordination/scheduler/retry_changes.go
+++ b/internal/coordination/scheduler/retry_changes.go
@@ -38,6 +38,11 @@
 	return out
 }
 
+// isRetry reports whether a ticket that is new here was sent before and may have arrived.
+func (p *Pool) isRetry(e *entry) bool {
+	return e.ticket.Arrived || e.ticket.Resumes
+}
+
 // takeRetry lets a ticket be sent once more if the retry budget allows that.
 func (p *Pool) takeRetry(e *entry) bool {
 	taken := p.retries.take()
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -353,6 +353,31 @@
 	must.Between(t, 10, retries, 0.5*40+1)
 }
 
+// TestShared_RetryWaitsAtTakeover guards against retries that take nothing from the budget
+// because they wait when another scheduler takes over, or are placed again.
+func TestShared_RetryWaitsAtTakeover(t *testing.T) {
+	v := sharedView(4)
+	v.Shared.RetryRatio, v.Shared.RetryBurst = 0, 0
+	p := New(0, v, 0)
+	for i, g := range v.Gateways {
+		failed, rejected, first := sharedTicket(10*i, "low"), sharedTicket(10*i+1, "low"), sharedTicket(10*i+2, "low")
+		failed.Sent, failed.Resumes = true, true
+		rejected.Sent, rejected.Arrived = true, true
+		p.Register(Registration{Gateway: g, Incarnation: 1, Uptime: time.Minute, Waiting: []Ticket{failed, rejected, first}}, 0)
+	}
+	again := sharedTicket(99, "low")
+	again.Sent, again.Arrived = true, true
+	p.Submit(again, start)
+	p.Tick(time.Second)
+	decisions := p.Decisions()
+	must.Len(t, len(v.Gateways), grants(decisions))
+	refused := refusals(decisions)
+	must.Len(t, 2*len(v.Gateways)+1, refused)
+	for _, r := range refused {
+		must.Eq(t, ReasonRetryBudget, r.Reason)
+	}
+}
+
 // TestShared_ReusedAddress gives the address of one upstream of four to another
 // service while the upstream is still listed. All requests must be served by the
 // others, and the address must get probes only.
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -46,6 +46,9 @@
 	Cost float64
 	// Resumes is true for the remainder of a stream that broke off.
 	Resumes bool
+	// Sent is true if the gateway has begun to send the request before, and Arrived if an
+	// upstream may have got it, also if that rejected it.
+	Sent, Arrived bool
 	// Parts identifies the parts of the prompt that other requests may have too.
 	Parts []uint64
 	// Fingerprint identifies the request, and Content what it holds besides the parts of
