scheduler: a successor's retry budget begins with what is certain

In the record, services got more repeats than 0.2 of the requests for them and a fixed number, in windows of 10 s. The retry budget was a token bucket in the memory of each scheduler. A scheduler that took over knew nothing of what its predecessor had granted in the same window, and began with a share of the burst of its own. (By reading, it was thought to begin with the whole burst; it begins with the share of the first gateway that registers, which is a third of it with three gateways.) A scheduler that gateways leave and come back to did the same.

The budget is now an account of the window by gateway. Gateways log what they send and tell it when they register, so that a successor goes on with what its gateways have sent. Each gateway brings its share of the burst; shares that may have been used where the scheduler can't know (gateways that died with their logs, are elsewhere, or run an older version) are withheld for a window. What the unknown ones can have used is bounded, since one gateway gets two shares at most.

Older builds: a gateway without a log is unknown for a window; an older scheduler ignores it.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -118,6 +118,9 @@
 	}
 	c.SetFailureHandler(schedulerTimeout, n.suspect)
 	c.CountUsage(n.usage)
+	if n.settings.FirstStart {
+		c.SetFirstStart()
+	}
 	c.SetNewsHandler(func(detail string) {
 		n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: name, Detail: detail})
 	})
@@ -215,6 +218,8 @@
 			Quotas:     n.quotas,
 			Phase:      float64(xxhash.Sum64String(string(n.settings.ID()))) / math.MaxUint64,
 
+			RetryWindow: n.settings.RetryWindow,
+			FirstStart:  n.settings.FirstStart,
 			CutOffGrace: n.settings.MaxConfigAge,
 		},
 	}
@@ -228,6 +233,9 @@
 	}
 	for _, m := range n.gateways() {
 		view.Gateways = append(view.Gateways, m.ID)
+		if shard.Of(m.ID, max(1, n.shards)) == shard.Of(n.settings.ID(), max(1, n.shards)) {
+			view.Shared.Neighbours = append(view.Shared.Neighbours, m.ID)
+		}
 	}
 	for _, d := range n.upstreams.Load().byPool[name] {
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -47,10 +47,11 @@
 	MaxConfigAge time.Duration
 	// Grace is the grace period of a stopping process.
 	Grace time.Duration
-	// RetryRatio and RetryBurst bound retries over all nodes: the ratio of retries
-	// to dispatches, and the number of retries that may be saved up.
-	RetryRatio float64
-	RetryBurst float64
+	// RetryRatio and RetryBurst bound retries over all nodes in any RetryWindow: the ratio
+	// of retries to requests, and the number of retries beyond it.
+	RetryRatio  float64
+	RetryBurst  float64
+	RetryWindow time.Duration
 	// QuotaWindow is the time window over which quotas are counted. Teams may
 	// exceed their quota by QuotaOverage, a share of the quota, and by QuotaSlack
 	// tokens.
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -37,6 +37,8 @@
 	callTimeout time.Duration
 	// usage, if set, counts the requests that this gateway sends.
 	usage *scheduler.UsageLog
+	// retries counts what this gateway sends to the pool.
+	retries *scheduler.RetryLog
 	// onFailure, if set, is called with the address of a scheduler that did not
 	// answer.
 	onFailure func(address string)
@@ -84,6 +86,7 @@
 	expires time.Time
 	// since is the time of the dispatch, or of the grant before the dispatch.
 	since time.Time
+	begun bool
 	// via is the gateway through which it is sent; empty if it is sent directly.
 	via ident.NodeID
 }
@@ -98,6 +101,7 @@
 		caller:      caller,
 		clock:       clock,
 		wake:        make(chan struct{}, 1),
+		retries:     scheduler.NewRetryLog(false, time.Now()),
 		callTimeout: CallTimeout,
 		changed:     make(chan struct{}),
 		waiting:     make(map[ident.RequestID]*waiter),
@@ -124,6 +128,10 @@
 // client counts the requests that it sends. It must be called before Run.
 func (c *Client) CountUsage(l *scheduler.UsageLog) { c.usage = l }
 
+// SetFirstStart tells the client that the whole system starts for the first time, so that
+// this gateway cannot have sent anything before. It must be called before Run.
+func (c *Client) SetFirstStart() { c.retries = scheduler.NewRetryLog(true, time.Now()) }
+
 // SetHolder sets the scheduler of the pool. It ignores a holder whose epoch is
 // lower than the current one.
 func (c *Client) SetHolder(h Holder) {
@@ -221,7 +229,10 @@
 	if c.pauseLeft(r.grant.Upstream, now) > 0 {
 		return scheduler.BeginPaused
 	}
-	r.since = now
+	r.since, r.begun = now, true
+	if retry := isRetry(&r.ticket); retry || !r.ticket.Sent {
+		c.retries.Record(retry, now)
+	}
 	if c.usage != nil {
 		c.usage.Record(r.ticket.Team, r.ticket.Cost, now)
 	}
@@ -229,6 +240,9 @@
 	return scheduler.BeginSend
 }
 
+// isRetry reports whether an upstream may have got the request before.
+func isRetry(t *scheduler.Ticket) bool { return t.Arrived || t.Resumes }
+
 // Relayed records that a granted request is sent through another gateway.
 func (c *Client) Relayed(id ident.RequestID, peer ident.NodeID) {
 	c.mu.Lock()
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -204,7 +204,11 @@
 	for _, w := range c.waiting {
 		r.Waiting = append(r.Waiting, w.ticketAt(now))
 	}
+	granted := 0
 	for _, run := range c.running {
+		if !run.begun && isRetry(&run.ticket) {
+			granted++
+		}
 		r.Running = append(r.Running, scheduler.Running{
 			Ticket:   run.ticket,
 			Upstream: run.grant.Upstream,
@@ -212,6 +216,7 @@
 			Elapsed:  now.Sub(run.since),
 		})
 	}
+	r.Retries = c.retries.Usage(granted, now)
 	return r
 }
 
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -15,6 +15,8 @@
 	stateRunning
 	stateRefused
 	stateEnded
+	// stateUndecided means that a retry waits for the budget of a scheduler that begins.
+	stateUndecided
 )
 
 // entry is the scheduler's record of one ticket.
@@ -78,7 +80,13 @@
 	expectedFirstToken time.Duration
 	prefillAhead       float64
 	retries            int
-	refusal            Refusal
+	// admitted is true once the ticket was admitted or adopted here.
+	admitted bool
+	// retry is what the ticket has of the retry budget, counted the step in which a retry was
+	// counted and countedFirst that of the first grant, 0 before.
+	retry                 retryState
+	counted, countedFirst int64
+	refusal               Refusal
 }
 
 // latestStart returns the last moment at which a dispatch still meets the
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -141,9 +141,7 @@
 	p.tierOf(e).held++
 	e.shareGeneration = p.shares.spend(e.shareKey(), e.version)
 	p.queueOf(e).charge(e.tokenCost())
-	if e.retries == 0 {
-		p.retries.dispatched()
-	}
+	p.countGrant(e, now)
 	p.refresh(g, now)
 	p.timers.add(timer{at: e.grantExpires + confirmMargin, kind: timerGrant, entry: e})
 	p.emitGrant(e, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -107,8 +107,12 @@
 	// RetryChanges; retriesTaken and retriesRefused count the retries.
 	retryChanges                 []RetryChange
 	retriesTaken, retriesRefused int
-	// budgetLogAt is when the budget that the scheduler begins with is reported; 0 if it was.
-	budgetLogAt time.Duration
+	// settledAt is when the gateways have had time to register with a scheduler that begins;
+	// 0 once its budget was reported. Undecided holds the retries that wait for that.
+	settledAt time.Duration
+	undecided []*entry
+	// newUsage is true after a registration until these are looked at again.
+	newUsage bool
 }
 
 var _ Scheduler = (*Pool)(nil)
@@ -129,7 +133,7 @@
 		speed:          newSpeed(nil),
 		outputs:        make(outputs),
 		holders:        make(holders),
-		retries:        newRetryBudget(),
+		retries:        newRetryBudget(now),
 		tuning:         tuningFor(v),
 		fraction:       1,
 	}
@@ -145,6 +149,7 @@
 func (p *Pool) SetView(v View, now time.Duration) {
 	p.view = v
 	p.now = now
+	p.retries.configure(v, now)
 	p.setGateways(v.Gateways, now)
 	p.updateCapacityFraction(now)
 	p.setUpstreams(v.Upstreams, now)
@@ -311,11 +316,16 @@
 		e.objective = now + t.Objective
 	}
 	p.entries[t.ID] = e
-	defer p.observeService(e)
-	if p.isRetry(e) && !p.takeRetry(e) {
-		p.refuse(e, ReasonRetryBudget, now)
+	if p.isRetry(e) && !p.reserveRetry(e, now) {
 		return
 	}
+	p.admitNew(e, now)
+}
+
+// admitNew queues or refuses a ticket that is new here.
+func (p *Pool) admitNew(e *entry, now time.Duration) {
+	defer p.observeService(e)
+	e.admitted = true
 	if reason := p.admit(e, now); reason != "" {
 		p.refuse(e, reason, now)
 		return
@@ -386,6 +396,7 @@
 	e.state = stateRefused
 	p.endTrial(e, false, false, now)
 	p.releaseQuota(e)
+	p.releaseRetry(e)
 	refusal := e.refusal
 	p.emit(e, Decision{Refusal: &refusal})
 	p.forgetLater(e, now)
@@ -403,6 +414,8 @@
 	if e, known := p.entries[id]; known && e.state == stateWaiting {
 		p.dequeue(e)
 		p.end(e, now)
+	} else if known && e.state == stateUndecided {
+		p.end(e, now)
 	}
 	p.step(now)
 }
@@ -411,6 +424,7 @@
 func (p *Pool) end(e *entry, now time.Duration) {
 	p.endTrial(e, false, false, now)
 	p.releaseQuota(e)
+	p.releaseRetry(e)
 	e.state = stateEnded
 	p.forgetLater(e, now)
 }
@@ -427,7 +441,7 @@
 	p.now = now
 	p.runTimers(now)
 	p.openAfterTakeover(now)
-	p.reportBudget(now)
+	p.decideRetries(now)
 	p.endUnheard(now)
 	if now >= p.nextSweep {
 		p.nextSweep = now + sweepInterval
@@ -504,8 +518,8 @@
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
 	s := Stats{
-		Waiting: p.waiting, Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
-		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.tokens,
+		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
+		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
 	}
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -53,14 +53,17 @@
 		p.recordFailure(e, r, now)
 		p.ejectUnreachable(e, r, now)
 		p.recordUnreachable(r.Upstream, now)
+		p.uncountRetry(e)
 		p.requeue(e, now, p.view.Shared == nil)
 	case ReportRetryable:
+		p.keepCounted(e)
 		p.recordFailure(e, r, now)
 		if r.Broken == Abandoned && e.engine.brittle != nil {
 			p.addOrphan(e.engine, now, brittleOrphanTimeout(e))
 		}
 		p.requeue(e, now, true)
 	case ReportRejected:
+		p.keepCounted(e)
 		g := e.engine
 		// What bounds the upstream must be known before the ticket is placed again.
 		inFlight := g.used() - 1
@@ -68,6 +71,7 @@
 		p.requeue(e, now, true)
 		p.turnedAway(g, g.used(), now)
 	case ReportMisdirected:
+		p.keepCounted(e)
 		e.engine.health.recordMisdirected(e, now)
 		p.requeue(e, now, true)
 	case ReportDropped:
@@ -204,6 +208,7 @@
 	p.queueOf(e).charge(-e.tokenCost())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
+	e.admitted = true
 	if reason := p.refusedReason(e); reason != "" {
 		p.refuse(e, reason, now)
 		return
@@ -212,8 +217,7 @@
 		p.refuse(e, ReasonUnsent, now)
 		return
 	}
-	if budgeted && !p.takeRetry(e) {
-		p.refuse(e, ReasonRetryBudget, now)
+	if budgeted && e.retry != retryReserved && !p.reserveRetry(e, now) {
 		return
 	}
 	p.enqueue(e)
@@ -227,6 +231,7 @@
 		return
 	}
 	e.engine.refundToken()
+	p.uncountGrant(e)
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
 	p.queueOf(e).charge(-e.tokenCost())
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -123,8 +123,7 @@
 	maps.DeleteFunc(p.leftViewAt, func(_ ident.NodeID, at time.Duration) bool { return now-at >= p.view.Shared.CutOffGrace })
 }
 
-// updateCapacityFraction applies a changed fraction to the upstreams and to the
-// retry budget.
+// updateCapacityFraction applies a changed fraction to the upstreams.
 func (p *Pool) updateCapacityFraction(now time.Duration) {
 	fraction := p.capacityFraction()
 	if fraction == p.fraction {
@@ -143,9 +142,6 @@
 	if p.assignSlots() {
 		p.refreshAll(now)
 	}
-	if s := p.view.Shared; s != nil {
-		p.retries.configure(s.RetryRatio, s.RetryBurst*fraction)
-	}
 }
 
 // roundDownBelow is the part of a request up to which a scaled limit is rounded down.
@@ -184,6 +180,7 @@
 		return
 	}
 	delete(p.registered, gateway)
+	p.retries.depart(gateway, now)
 	if q := p.view.Shared.Quotas; q != nil {
 		q.Depart(p.view.Pool, gateway, p.wallTime(now))
 	}
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -27,6 +27,7 @@
 	for id := range p.registered {
 		if !p.gateways[id] {
 			delete(p.registered, id)
+			p.retries.depart(id, now)
 		}
 	}
 	p.dropRequests(now, func(e *entry) bool { return !p.gateways[e.ticket.Gateway] })
@@ -39,6 +40,8 @@
 		if e.state == stateWaiting {
 			p.dequeue(e)
 			p.end(e, now)
+		} else if e.state == stateUndecided {
+			p.end(e, now)
 		} else if e.holdsSlot() {
 			p.orphan(e, now)
 		}
@@ -96,8 +99,9 @@
 	}
 	p.reconcile(r, known && r.Incarnation == former, listed, now)
 	if len(p.registered) == 0 {
-		p.budgetLogAt = now + p.tuning.takeoverWait
+		p.settledAt = now + settleTime
 	}
+	p.registerRetries(r, known && r.Incarnation != former, now)
 	p.registered[r.Gateway] = r.Incarnation
 	p.learnFrom(r, now)
 	p.learnEnds(p.view.Ends, now)
@@ -184,6 +188,9 @@
 	if known && e.state == stateGranted {
 		p.release(e, now)
 	}
+	if known {
+		p.releaseRetry(e)
+	}
 	if !known {
 		e = &entry{ticket: r.Ticket, deadline: now + r.Ticket.Remaining}
 		p.entries[r.Ticket.ID] = e
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -287,6 +287,8 @@
 	// has counted that. Both are used only where quotas are shared.
 	Sent   []TeamUsage
 	Uptime time.Duration
+	// Retries is what the gateway has sent to the pool; nil if it does not count that.
+	Retries *RetryUsage
 	// RateLimits are the limits that upstreams have named to the gateway, and which of
 	// them are brittle.
 	RateLimits []RateLimitNotice
@@ -387,10 +389,16 @@
 // of the same pool. Of the upstreams' slots, the quotas and the retry budget it
 // uses only the fraction that its registered gateways make up of all gateways.
 type Shared struct {
-	// RetryRatio is the fraction of dispatches that may be retried, and
-	// RetryBurst the number of retries that may accumulate.
-	RetryRatio float64
-	RetryBurst float64
+	// In any RetryWindow, RetryRatio retries for each request and RetryBurst more may be
+	// sent; a window of 0 selects 10 s.
+	RetryRatio  float64
+	RetryBurst  float64
+	RetryWindow time.Duration
+	// Neighbours are the gateways that have the same scheduler if all is well; nil means all.
+	Neighbours []ident.NodeID
+	// FirstStart is true if the whole system started for the first time when this process
+	// did, so that no scheduler was there before.
+	FirstStart bool
 	// Quotas bounds what teams use. Several pools may share it.
 	Quotas *Quotas
 	// Phase is a number from 0 to 1 that differs between schedulers. Those that use
