pool: a late grant of a former scheduler is not used for a retry

A request that two schedulers had granted could be sent once more without a retry from the budget: while it waited for its retry at the second one, a reply of the first one, which had been on its way when the gateway turned to the other, brought the first one's grant. The first scheduler counted it as a first sending, and the second one's retry was returned as dropped.

Decisions of a session that is no longer the current one are ignored. Their tickets are part of the next session's registration; the same scheduler repeats its decision there, another one makes its own.

TestClient_LateGrantOfFormerScheduler failed before: the retry was granted by the first scheduler.

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -307,11 +307,15 @@
 	return len(c.waiting), len(c.running)
 }
 
-// deliver passes decisions to their waiters. A grant without a waiter is reported
-// as dropped.
-func (c *Client) deliver(decisions []scheduler.Decision, sent time.Time) {
+// deliver passes decisions of a session to their waiters. A grant without a waiter is
+// reported as dropped. Decisions of a former session are ignored: the tickets wait in the
+// next one, and the former scheduler may not know what became of them since.
+func (c *Client) deliver(s Session, decisions []scheduler.Decision, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.registered || s != c.session() {
+		return
+	}
 	for _, d := range decisions {
 		if d.Refusal != nil {
 			c.deliverRefusal(d)
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -99,7 +99,7 @@
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
 	c.learn(reply, sent)
-	c.deliver(reply.Decisions, sent)
+	c.deliver(args.Session, reply.Decisions, sent)
 	return true
 }
 
@@ -276,7 +276,7 @@
 	}
 	c.clock.Observe(reply.Stamp)
 	c.learn(reply, sent)
-	c.deliver(reply.Decisions, sent)
+	c.deliver(s, reply.Decisions, sent)
 	return true
 }
 
