--- a/internal/coordination/scheduler/retry_model_test.go
+++ b/internal/coordination/scheduler/retry_model_test.go
@@ -386,8 +386,8 @@
 }
 
 // check fails the test if the servers got more repeats in some window than a share of what the
-// rule allows. The product uses usedRetryShare: parts of a fleet whose requests vary at
-// different times can exceed that by some.
+// rule allows. The product uses usedRetryShare, counted by first sendings: after a queue the
+// retries of a window can exceed that share of the callers' requests by some.
 func (m *retryModel) check(t *testing.T, share float64, name string) {
 	t.Helper()
 	at, repeats, allowed := m.worst(share)
