--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -118,6 +118,9 @@
 	}
 	c.SetFailureHandler(schedulerTimeout, n.suspect)
 	c.CountUsage(n.usage)
+	if n.settings.FirstStart {
+		c.SetFirstStart()
+	}
 	c.SetNewsHandler(func(detail string) {
 		n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: name, Detail: detail})
 	})
@@ -215,6 +218,8 @@
 			Quotas:     n.quotas,
 			Phase:      float64(xxhash.Sum64String(string(n.settings.ID()))) / math.MaxUint64,
 
+			RetryWindow: n.settings.RetryWindow,
+			FirstStart:  n.settings.FirstStart,
 			CutOffGrace: n.settings.MaxConfigAge,
 		},
 	}
@@ -228,6 +233,9 @@
 	}
 	for _, m := range n.gateways() {
 		view.Gateways = append(view.Gateways, m.ID)
+		if shard.Of(m.ID, max(1, n.shards)) == shard.Of(n.settings.ID(), max(1, n.shards)) {
+			view.Shared.Neighbours = append(view.Shared.Neighbours, m.ID)
+		}
 	}
 	for _, d := range n.upstreams.Load().byPool[name] {
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
@@ -244,18 +252,29 @@
 	gateways, waiting, running int
 	// stale counts the grants so far of upstreams whose speed was no longer known.
 	stale int
+	// retries took from the retry budgets so far and refused were not allowed by them. The
+	// budget that has the least left has left.
+	retries, refused int
+	left             float64
 }
 
 func (n *Node) schedulerLoad() schedulerLoad {
 	n.mu.Lock()
 	masters := slices.Collect(maps.Values(n.masters))
 	n.mu.Unlock()
-	var load schedulerLoad
+	load := schedulerLoad{left: math.Inf(1)}
 	for _, m := range masters {
 		stats := m.Stats()
+		load.retries, load.refused = load.retries+stats.Retries, load.refused+stats.RetriesRefused
+		if m.Sessions() > 0 {
+			load.left = min(load.left, stats.RetriesLeft)
+		}
 		load.gateways = max(load.gateways, m.Sessions())
 		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
 	}
+	if math.IsInf(load.left, 1) {
+		load.left = 0
+	}
 	return load
 }
 
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -38,6 +38,8 @@
 	callTimeout time.Duration
 	// usage, if set, counts the requests that this gateway sends.
 	usage *scheduler.UsageLog
+	// retries counts what this gateway sends to the pool.
+	retries *scheduler.RetryLog
 	// onFailure, if set, is called with the address of a scheduler that did not
 	// answer.
 	onFailure func(address string)
@@ -85,6 +87,7 @@
 	expires time.Time
 	// since is the time of the dispatch, or of the grant before the dispatch.
 	since time.Time
+	begun bool
 	// via is the gateway through which it is sent; empty if it is sent directly.
 	via ident.NodeID
 }
@@ -99,6 +102,7 @@
 		caller:      caller,
 		clock:       clock,
 		wake:        make(chan struct{}, 1),
+		retries:     scheduler.NewRetryLog(false, time.Now()),
 		callTimeout: CallTimeout,
 		changed:     make(chan struct{}),
 		waiting:     make(map[ident.RequestID]*waiter),
@@ -125,6 +129,10 @@
 // client counts the requests that it sends. It must be called before Run.
 func (c *Client) CountUsage(l *scheduler.UsageLog) { c.usage = l }
 
+// SetFirstStart tells the client that the whole system starts for the first time, so that
+// this gateway cannot have sent anything before. It must be called before Run.
+func (c *Client) SetFirstStart() { c.retries = scheduler.NewRetryLog(true, time.Now()) }
+
 // SetHolder sets the scheduler of the pool. It ignores a holder whose epoch is
 // lower than the current one.
 func (c *Client) SetHolder(h Holder) {
@@ -222,7 +230,10 @@
 	if c.pauseLeft(r.grant.Upstream, now) > 0 {
 		return scheduler.BeginPaused
 	}
-	r.since = now
+	r.since, r.begun = now, true
+	if retry := isRetry(&r.ticket); retry || !r.ticket.Sent {
+		c.retries.Record(retry, now)
+	}
 	if c.usage != nil {
 		c.usage.Record(r.ticket.Team, r.ticket.Cost, now)
 	}
@@ -230,6 +241,9 @@
 	return scheduler.BeginSend
 }
 
+// isRetry reports whether an upstream may have got the request before.
+func isRetry(t *scheduler.Ticket) bool { return t.Arrived || t.Resumes }
+
 // Relayed records that a granted request is sent through another gateway.
 func (c *Client) Relayed(id ident.RequestID, peer ident.NodeID) {
 	c.mu.Lock()
@@ -294,11 +308,15 @@
 	return len(c.waiting), len(c.running)
 }
 
-// deliver passes decisions to their waiters. A grant without a waiter is reported
-// as dropped.
-func (c *Client) deliver(decisions []scheduler.Decision, sent time.Time) {
+// deliver passes decisions of a session to their waiters. A grant without a waiter is
+// reported as dropped. Decisions of a former session are ignored: the tickets wait in the
+// next one, and the former scheduler may not know what became of them since.
+func (c *Client) deliver(s Session, decisions []scheduler.Decision, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.registered || s != c.session() {
+		return
+	}
 	for _, d := range decisions {
 		if d.Refusal != nil {
 			c.deliverRefusal(d)
--- a/internal/coordination/pool/repeated_test.go
+++ b/internal/coordination/pool/repeated_test.go
@@ -18,6 +18,7 @@
 func TestClient_GrantRepeatedAfterRejection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := NewClient("app", "g1", 1, nil, nil)
+		c.registered = true
 		grant := func(upstream ident.UpstreamName) []scheduler.Decision {
 			return []scheduler.Decision{{Grant: &scheduler.Grant{Ticket: "r", Upstream: upstream, TTL: time.Second}}}
 		}
@@ -31,13 +32,13 @@
 			return placed
 		}
 		first := place()
-		c.deliver(grant("u1"), time.Now())
+		c.deliver(c.session(), grant("u1"), time.Now())
 		must.Eq(t, "u1", (<-first).Grant.Upstream)
 		must.Eq(t, scheduler.BeginSend, c.Begin("r"))
 		c.Finish("r", scheduler.Ending{Kind: scheduler.ReportRejected})
 		second := place("u1")
 		reports := len(c.reports)
-		c.deliver(grant("u1"), time.Now())
+		c.deliver(c.session(), grant("u1"), time.Now())
 		synctest.Wait()
 		select {
 		case d := <-second:
@@ -45,7 +46,7 @@
 		default:
 		}
 		must.Len(t, reports, c.reports, must.Sprint("the rejection is reported already"))
-		c.deliver(grant("u2"), time.Now())
+		c.deliver(c.session(), grant("u2"), time.Now())
 		must.Eq(t, "u2", (<-second).Grant.Upstream)
 	})
 }
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -99,7 +99,7 @@
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
 	c.learn(reply, sent)
-	c.deliver(reply.Decisions, sent)
+	c.deliver(args.Session, reply.Decisions, sent)
 	return true
 }
 
@@ -204,7 +204,11 @@
 	for _, w := range c.waiting {
 		r.Waiting = append(r.Waiting, w.ticketAt(now))
 	}
+	granted := 0
 	for _, run := range c.running {
+		if !run.begun && isRetry(&run.ticket) {
+			granted++
+		}
 		r.Running = append(r.Running, scheduler.Running{
 			Ticket:   run.ticket,
 			Upstream: run.grant.Upstream,
@@ -212,6 +216,7 @@
 			Elapsed:  now.Sub(run.since),
 		})
 	}
+	r.Retries = c.retries.Usage(granted, now)
 	return r
 }
 
@@ -271,7 +276,7 @@
 	}
 	c.clock.Observe(reply.Stamp)
 	c.learn(reply, sent)
-	c.deliver(reply.Decisions, sent)
+	c.deliver(s, reply.Decisions, sent)
 	return true
 }
 
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -46,6 +46,9 @@
 	Cost float64
 	// Resumes is true for the remainder of a stream that broke off.
 	Resumes bool
+	// Sent is true if the gateway has begun to send the request before, and Arrived if an
+	// upstream may have got it, also if that rejected it.
+	Sent, Arrived bool
 	// Parts identifies the parts of the prompt that other requests may have too.
 	Parts []uint64
 	// Fingerprint identifies the request, and Content what it holds besides the parts of
@@ -139,6 +142,9 @@
 	ReasonCutOff Reason = "cut_off"
 	// ReasonUnsent means that no connection to an upstream could be made.
 	ReasonUnsent Reason = "unsent"
+	// ReasonRetryBudget means that the request would have to be sent once more and the
+	// retry budget does not allow it.
+	ReasonRetryBudget Reason = "retry_budget"
 	// ReasonQuota means that the team has used up its quota.
 	ReasonQuota Reason = "quota"
 	// ReasonPoisonPart means that upstreams end when they answer a request with a
@@ -281,6 +287,8 @@
 	// has counted that. Both are used only where quotas are shared.
 	Sent   []TeamUsage
 	Uptime time.Duration
+	// Retries is what the gateway has sent to the pool; nil if it does not count that.
+	Retries *RetryUsage
 	// RateLimits are the limits that upstreams have named to the gateway, and which of
 	// them are brittle.
 	RateLimits []RateLimitNotice
@@ -381,10 +389,16 @@
 // of the same pool. Of the upstreams' slots, the quotas and the retry budget it
 // uses only the fraction that its registered gateways make up of all gateways.
 type Shared struct {
-	// RetryRatio is the fraction of dispatches that may be retried, and
-	// RetryBurst the number of retries that may accumulate.
-	RetryRatio float64
-	RetryBurst float64
+	// In any RetryWindow, RetryRatio retries for each request and RetryBurst more may be
+	// sent; a window of 0 selects 10 s.
+	RetryRatio  float64
+	RetryBurst  float64
+	RetryWindow time.Duration
+	// Neighbours are the gateways that have the same scheduler if all is well; nil means all.
+	Neighbours []ident.NodeID
+	// FirstStart is true if the whole system started for the first time when this process
+	// did, so that no scheduler was there before.
+	FirstStart bool
 	// Quotas bounds what teams use. Several pools may share it.
 	Quotas *Quotas
 	// Phase is a number from 0 to 1 that differs between schedulers. Those that use
@@ -437,6 +451,8 @@
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
+	// RetryChanges returns and clears the changes of the retry budget since the last call.
+	RetryChanges() []RetryChange
 	// RequestEnds returns the latest ends of upstreams under requests that the gateways of
 	// this scheduler saw, for schedulers that don't know of them.
 	RequestEnds(now time.Duration) []poison.End
@@ -481,4 +497,8 @@
 	// Stale counts the grants so far of upstreams whose speed was no longer known, because
 	// they had got no requests for a while.
 	Stale int
+	// Retries counts the retries so far that took from the retry budget, RetriesRefused those
+	// that it did not allow, and RetriesLeft is what is left of it.
+	Retries, RetriesRefused int
+	RetriesLeft             float64
 }
