gateway: the end of an answer is checked after its upstream had time to end

The check of an end at its upstream dialed as soon as an answer without length had ended. The kernel of a killed process closes its listener after its connections, so that the dial still succeeded, and the caller got three of eight events as an answer that ended properly.

The check now waits for 50 ms, half of the window in which other breaks count. The status query of the daemon waits alike.

--- a/internal/coordination/gateway/endcheck.go
+++ b/internal/coordination/gateway/endcheck.go
@@ -15,6 +15,10 @@
 	// breakWindow is how long before the check of an answer's end another answer of the
 	// upstream may have broken off to count as broken off with it.
 	breakWindow = 100 * time.Millisecond
+	// EndCheckDelay is the time from the end of an answer to its check. The kernel may
+	// close the listener of a killed upstream after its connections, the later the more it
+	// has; until then, connections can be made.
+	EndCheckDelay = breakWindow / 2
 	// endCheckTimeout limits the connection that is made to check whether an upstream is
 	// still there, through another gateway too.
 	endCheckTimeout = 500 * time.Millisecond
@@ -60,7 +64,7 @@
 	if b.at == nil {
 		b.at = make(map[ident.UpstreamName][]time.Time)
 	}
-	old := now.Add(-breakWindow - endCheckTimeout)
+	old := now.Add(-breakWindow - EndCheckDelay - endCheckTimeout)
 	for name, times := range b.at {
 		if times = slices.DeleteFunc(times, old.After); len(times) == 0 {
 			delete(b.at, name)
@@ -104,8 +108,9 @@
 		return sent
 	}
 	ended := time.Now()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndCheckDelay+endCheckTimeout)
 	defer cancel()
+	sleep(ctx, EndCheckDelay)
 	g.endChecks.Add(1)
 	evidence := endEvidence{ConnectErr: prober.Probe(ctx, d.Target, d.Relay)}
 	evidence.Listed = slices.ContainsFunc(g.env.PoolUpstreams(s.request.Pool), func(t Target) bool { return t.Name == d.Target.Name })
--- a/internal/transport/upstreamhttp/probe.go
+++ b/internal/transport/upstreamhttp/probe.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
@@ -89,7 +90,7 @@
 	if err != nil || len(body) > maxReportBytes || response.StatusCode != http.StatusOK {
 		return nil
 	}
-	if framingOf(response) == gateway.FramedByConnection && s.Probe(ctx, d.Target, "") != nil {
+	if framingOf(response) == gateway.FramedByConnection && !s.stillThere(ctx, d.Target) {
 		// The body may be a part of the answer of a service that was killed.
 		return nil
 	}
@@ -100,6 +101,17 @@
 	}
 }
 
+// stillThere reports whether a service can be reached after its answer has ended with its
+// connection.
+func (s *Sender) stillThere(ctx context.Context, t gateway.Target) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(gateway.EndCheckDelay):
+		return s.Probe(ctx, t, "") == nil
+	}
+}
+
 // Probe implements gateway.Prober. The daemon has no relays.
 func (s *Sender) Probe(ctx context.Context, t gateway.Target, _ string) error {
 	conn, err := dial(ctx, "tcp", t.Upstream.Address)
