tunnel: an upstream that ended properly gets a proper end in return

It got a reset, since only the gateway's end took the reset back. Nothing depended on it; servers that log resets would have logged one for each relayed answer that ends with its connection.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -268,6 +268,9 @@
 		end = EndReset
 	}
 	told := end == EndProper
+	if told {
+		setReset(t.upstream, false)
+	}
 	if t.framed && writeErr == nil {
 		_ = t.conn.SetWriteDeadline(time.Now().Add(lastFrameTimeout))
 		_, err := t.conn.Write(appendLastFrame(nil, end))
