gateway: a sound end is not doubted for what others do

Whole answers without length were broken off.

The end counts as broken only if no connection to the upstream can be made afterwards. That is what a killed process shows; other answers that break off say nothing about an upstream that is reached. A relay's refusal shows nothing. The probe that listens is one of its own.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -27,10 +27,9 @@
 	paths     *Paths
 	// freshConns knows to which upstreams new connections break.
 	freshConns freshConns
-	// breaks knows which upstreams broke off answers just now. endChecks counts the
+	// endChecks counts the
 	// connections made to check the end of an answer, endsDoubted the ends that weren't
 	// taken for one.
-	breaks                 answerBreaks
 	endChecks, endsDoubted atomic.Uint64
 	// relays is nil if requests are only sent directly.
 	relays Relays
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -437,26 +437,37 @@
 			peer = s.gateway.anyRelay(tried)
 			d.Relay = s.gateway.relayAddress(peer)
 		}
-		if d.Relay != "" {
-			s.route.Relay = peer
-			s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
-			placer.Relayed(s.request.ID, peer)
-			through := peer
-			d.Gateway, _ = s.gateway.env.Identity()
-			d.TunnelEnded = func(how string) {
-				s.gateway.record(s.request, timeline.KindTunnelEnded, fmt.Sprintf("%s through %s: %s", d.Target.Name, through, how))
-			}
+		if d.Relay == "" {
+			return s.sendAnyway(ctx, d, sink)
+		}
+		s.route.Relay = peer
+		s.gateway.record(s.request, timeline.KindRelayed, fmt.Sprintf("%s through %s", d.Target.Name, peer))
+		placer.Relayed(s.request.ID, peer)
+		through := peer
+		d.Gateway, _ = s.gateway.env.Identity()
+		d.TunnelEnded = func(how string) {
+			s.gateway.record(s.request, timeline.KindTunnelEnded, fmt.Sprintf("%s through %s: %s", d.Target.Name, through, how))
 		}
 		sent := s.dispatch(ctx, d, sink)
 		tried = append(tried, peer)
 		peer = s.gateway.anyRelay(tried)
-		if sent.Outcome != DispatchUnsent || d.Relay == "" || peer == "" || len(tried) == maxRelaysTried || ctx.Err() != nil {
+		if sent.Outcome != DispatchUnsent || peer == "" || len(tried) == maxRelaysTried || ctx.Err() != nil {
 			return sent
 		}
 		s.gateway.recordPath(s.request, fmt.Sprintf("nothing was sent to %s: %v; tries %s", d.Target.Name, sent.Err, peer))
 	}
 }
 
+// sendAnyway sends a request directly that no gateway can relay.
+func (s *sending) sendAnyway(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
+	s.route.Relay, s.route.AnyRelay = "", false
+	if s.hang == nil {
+		s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
+		defer s.hang.Stop()
+	}
+	return s.dispatch(ctx, d, sink)
+}
+
 // dispatch sends the request and judges the end of its answer.
 func (s *sending) dispatch(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
 	sent := s.gateway.upstreams.Send(ctx, d, sink)
@@ -465,10 +476,6 @@
 			sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
 		}
 	}
-	// A new connection that breaks before an answer may only be one too many.
-	if sent.Broken && (sent.Status != 0 || !sent.FreshConn) {
-		s.gateway.breaks.add(d.Target.Name, time.Now())
-	}
 	return s.checkEnd(ctx, d, sent)
 }
 
@@ -499,7 +506,6 @@
 		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
 	}
 	s.fail()
-	s.gateway.recordPath(s.request, fmt.Sprintf("bytes sent to %s are not acknowledged after %s", s.grant.Upstream, stallTimeout))
 }
 
 // compare tries connections to some upstreams of the pool, the one that failed among them,
@@ -558,7 +564,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
 	defer cancel()
-	return prober.Probe(ctx, t, "") == nil
+	return prober.ProbePath(ctx, t) == nil
 }
 
 // Relays knows the addresses at which other gateways accept requests to relay.
@@ -574,7 +580,11 @@
 type Prober interface {
 	// Probe connects to an upstream, through the gateway at the address relay unless that
 	// is empty, and closes the connection.
+	// It fails with ErrInconclusive if that shows nothing of the upstream.
 	Probe(ctx context.Context, t Target, relay string) error
+	// ProbePath connects to an upstream directly, and fails also if the connection is broken
+	// off at once: a path may accept connections that the upstream never sees.
+	ProbePath(ctx context.Context, t Target) error
 }
 
 // SetRelays makes the gateway send requests through other gateways when it can't reach
