fleet: at most 256 requests wait for a denial's confirmation

What callers saw: nothing yet. A gateway that hears no leader holds each request that its routes and keys do not allow for up to 40% of its time or 1 s, however many there are. Whoever sends many such requests, which needs no key, makes it hold as many goroutines and connections.

Cause: the wait of each request was bounded, their number was not.

Change: proof.await takes a place before it waits, of which there are 256 (maxWaitingDenials), and gives it back after. Without a place it returns at once, and the answer is the 503 with Retry-After that an unconfirmed denial gets after the wait. A fresh proof needs no place, so that a gateway in touch denies as before. The counter flamingohaven_fleet_denials_not_awaited_total and `too many waited` in the line of the denial (at most 5 lines per second) show it.

Ruled out: to answer 404 at once beyond the bound. An older version may lack what an acknowledged one allows.

Failed before, TestDenial_WaitersUnbounded (306 requests, 50 of them beyond the bound, refused at once): sync_test.go:392: expected equality: - 50, + 0 Now passes with -race, 3 times in a row.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -23,6 +23,9 @@
 	seconds  *prometheus.HistogramVec
 	// denialAges holds the ages of the proofs by which requests were denied.
 	denialAges prometheus.Histogram
+	// denialsNotAwaited counts the requests that were refused at once since
+	// maxWaitingDenials others waited.
+	denialsNotAwaited prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -46,6 +49,10 @@
 			Help:    "Time since the configuration was certainly the newest, in seconds, for each request that it does not allow.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
 		}),
+		denialsNotAwaited: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingohaven_fleet_denials_not_awaited_total",
+			Help: "Requests that the configuration does not allow, refused at once since too many others waited for its confirmation.",
+		}),
 	}
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -183,7 +190,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited)
 	return m
 }
 
--- a/internal/command/fleet/proof.go
+++ b/internal/command/fleet/proof.go
@@ -20,6 +20,8 @@
 	sentAt time.Duration
 	// renewed is closed and replaced at each renewal.
 	renewed chan struct{}
+	// waiting is the number of requests that wait for a renewal.
+	waiting int
 }
 
 func newProof() *proof { return &proof{renewed: make(chan struct{})} }
@@ -45,42 +47,75 @@
 }
 
 // await waits until the proof is younger than maxAge, for at most wait. It returns the age
-// of the proof and whether it is that young.
-func (p *proof) await(ctx context.Context, maxAge, wait time.Duration) (age time.Duration, young bool) {
+// of the proof and whether it is that young. It does not wait, and full is true, if
+// maxWaitingDenials requests do so already.
+func (p *proof) await(ctx context.Context, maxAge, wait time.Duration) (age time.Duration, young, full bool) {
+	age, known, renewed := p.age(boottime.Now())
+	if known && age < maxAge {
+		return age, true, false
+	}
+	if !p.enter() {
+		return age, false, true
+	}
+	defer p.leave()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		age, known, renewed := p.age(boottime.Now())
-		if known && age < maxAge {
-			return age, true
-		}
 		select {
 		case <-renewed:
 		case <-timer.C:
-			return age, false
+			return age, false, false
 		case <-ctx.Done():
-			return age, false
+			return age, false, false
+		}
+		if age, known, renewed = p.age(boottime.Now()); known && age < maxAge {
+			return age, true, false
 		}
 	}
 }
 
+// enter reports whether one more request may wait for a renewal. If so, leave has to be
+// called after the wait.
+func (p *proof) enter() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting >= maxWaitingDenials {
+		return false
+	}
+	p.waiting++
+	return true
+}
+
+func (p *proof) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting--
+}
+
 // denialLinesPerSecond limits the lines about requests that a node denies by an old proof.
 const denialLinesPerSecond = 5
 
+// maxWaitingDenials bounds the requests that a node holds until its proof is renewed.
+const maxWaitingDenials = 256
+
 // ConfirmDenial reports whether the routes that Hosts returns after this call were the newest
 // so recently that a request may be denied for what they lack. It waits for the leader's next
 // confirmation if they were not, as AwaitHosts does for the first routes. If it returns false, a version
-// that allows the request may be in force, and the request has to be refused as not run.
+// that allows the request may be in force, and the request has to be refused as not run. It
+// returns false without waiting if maxWaitingDenials requests wait already.
 func (n *Node) ConfirmDenial(ctx context.Context, id ident.RequestID, remaining time.Duration) bool {
 	began := time.Now()
-	age, young := n.proof.await(ctx, n.settings.MaxDenialAge, configWait(remaining))
+	age, young, full := n.proof.await(ctx, n.settings.MaxDenialAge, configWait(remaining))
 	waited := time.Since(began)
 	n.metrics.denialAges.Observe(age.Seconds())
+	if full {
+		n.metrics.denialsNotAwaited.Inc()
+	}
 	if (!young || age > n.settings.MaxDenialAge/2 || waited > syncRetryDelay) && n.denialLines.Allow() {
 		_, revision := n.follower.Config()
 		n.events.Record(timeline.Event{Kind: timeline.KindRefused, Request: id, Revision: revision, Detail: fmt.Sprintf(
-			"not allowed by the configuration, which was last confirmed %d ms ago; confirmed for a denial: %t, after %d ms; the sync is unanswered for %d ms",
-			age.Milliseconds(), young, waited.Milliseconds(), n.replicas.syncs.waiting(time.Now()).Milliseconds())})
+			"not allowed by the configuration, which was last confirmed %d ms ago; confirmed for a denial: %t, after %d ms; too many waited: %t; the sync is unanswered for %d ms",
+			age.Milliseconds(), young, waited.Milliseconds(), full, n.replicas.syncs.waiting(time.Now()).Milliseconds())})
 	}
 	return young
 }
--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -5,11 +5,15 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/shoenig/test/must"
 	"golang.org/x/time/rate"
 
@@ -351,3 +355,55 @@
 		must.True(t, n.ConfirmDenial(f.ctx, "a", time.Second))
 	})
 }
+
+// TestDenial_WaitersUnbounded covers a gateway that hears no leader while many requests come that
+// it would deny: each of them was held, however many there were.
+func TestDenial_WaitersUnbounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		n := f.node(0)
+		defer f.stop(n)
+		time.Sleep(3 * time.Second)
+		f.cut(true)
+		time.Sleep(2 * configApply)
+		const beyond = 50
+		ask := func(count int) (atOnce, held, confirmed int) {
+			var mu sync.Mutex
+			var asked sync.WaitGroup
+			for range count {
+				asked.Go(func() {
+					sent := time.Now()
+					young := n.ConfirmDenial(f.ctx, "a", time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case young:
+						confirmed++
+					case time.Since(sent) == 0:
+						atOnce++
+					case time.Since(sent) == configWait(time.Second):
+						held++
+					}
+				})
+			}
+			asked.Wait()
+			return atOnce, held, confirmed
+		}
+		for range 2 {
+			atOnce, held, confirmed := ask(maxWaitingDenials + beyond)
+			must.Eq(t, beyond, atOnce)
+			must.Eq(t, maxWaitingDenials, held)
+			must.Zero(t, confirmed)
+		}
+		registry := prometheus.NewRegistry()
+		registry.MustRegister(n.metrics.denialsNotAwaited)
+		w := httptest.NewRecorder()
+		promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		must.StrContains(t, w.Body.String(), "\nflamingohaven_fleet_denials_not_awaited_total 100\n")
+
+		f.cut(false)
+		time.Sleep(3 * time.Second)
+		_, _, confirmed := ask(maxWaitingDenials + beyond)
+		must.Eq(t, maxWaitingDenials+beyond, confirmed, must.Sprint("a fresh proof needs no wait"))
+	})
+}
