fleet: a comment and a name say what is meant

ConfirmDenial speaks of AwaitHosts, which its caller uses and the interface names. syncBegin.settled is servedLast: the replica served the latest sync. No behaviour changes.

--- a/internal/command/fleet/proof.go
+++ b/internal/command/fleet/proof.go
@@ -98,11 +98,11 @@
 // maxWaitingDenials bounds the requests that a node holds until its proof is renewed.
 const maxWaitingDenials = 256
 
-// ConfirmDenial reports whether the routes that Hosts returns after this call were the newest
-// so recently that a request may be denied for what they lack. It waits for the leader's next
-// confirmation if they were not, as AwaitHosts does for the first routes. If it returns false, a version
-// that allows the request may be in force, and the request has to be refused as not run. It
-// returns false without waiting if maxWaitingDenials requests wait already.
+// ConfirmDenial reports whether the routes that AwaitHosts returns after this call were the
+// newest so recently that a request may be denied for what they lack. It waits for the leader's
+// next confirmation if they were not, as AwaitHosts does for the first routes. If it returns
+// false, a version that allows the request may be in force, and the request has to be refused as
+// not run. It returns false without waiting if maxWaitingDenials requests wait already.
 func (n *Node) ConfirmDenial(ctx context.Context, id ident.RequestID, remaining time.Duration) bool {
 	began := time.Now()
 	age, young, full := n.proof.await(ctx, n.settings.MaxDenialAge, configWait(remaining))
--- a/internal/command/fleet/syncwatch.go
+++ b/internal/command/fleet/syncwatch.go
@@ -19,7 +19,7 @@
 	switch {
 	case members == 0:
 		return 0, firstSyncTimeout
-	case !b.settled:
+	case !b.servedLast:
 		return 0, probeTimeout + time.Duration(members)*probeTimePerMember
 	case b.interrupted:
 		return 0, hold + callTimeout
@@ -44,9 +44,9 @@
 
 // syncBegin describes a sync that is sent.
 type syncBegin struct {
-	// settled is true if the replica served the latest sync, and interrupted if the node
+	// servedLast is true if the replica served the latest sync, and interrupted if the node
 	// has interrupted one since.
-	settled, interrupted bool
+	servedLast, interrupted bool
 	// unanswered is when the first of the syncs was sent that the replica has not answered.
 	unanswered time.Time
 }
@@ -59,7 +59,7 @@
 	if !interrupted {
 		w.asked, w.unanswered = to, now
 	}
-	return syncBegin{settled: w.served == to, interrupted: interrupted, unanswered: w.unanswered}
+	return syncBegin{servedLast: w.served == to, interrupted: interrupted, unanswered: w.unanswered}
 }
 
 // end records how a sync ended: served, interrupted by the node itself, or otherwise.
