gateway: no events follow a foreign text before the first event

A caller could get "error: no such run" followed by the events of another upstream, complete in chunks. The text of the first upstream was passed on as it came, and as no event had been passed on, the stream counted as one that another upstream may begin anew.

Text that is no event and comes before the first event is now held back (up to 4 KiB, with what follows it) until an event or the end of the answer comes; it is dropped if the attempt fails before, and attempt_ended says how much. Once such text was passed on, no other upstream is asked to go on: the answer is broken off.

Ruled out: to refuse such text at once. An answer that consists of it, whole in chunks, is the upstream's own and is passed on as before.

--- a/internal/coordination/gateway/continuation.go
+++ b/internal/coordination/gateway/continuation.go
@@ -62,6 +62,9 @@
 	// unnumbered is true if an event without an id was passed on after the last id: the
 	// stream can't go on after it elsewhere.
 	unnumbered bool
+	// foreign is true if text that is no event was passed on: no other answer can be known
+	// to go on with it.
+	foreign bool
 	// stride is the step between the ids of all events passed on; 0 if none was seen or
 	// steps varied.
 	stride  uint64
@@ -70,7 +73,7 @@
 
 // canContinue reports whether another answer can go on after the position.
 func (p *streamPosition) canContinue() bool {
-	return p.events == 0 || p.last != "" && !p.unnumbered
+	return !p.foreign && (p.events == 0 || p.last != "" && !p.unnumbered)
 }
 
 // checkHead returns why an answer can't go on with a stream that began with another
@@ -125,6 +128,7 @@
 // advance records that an event is passed on.
 func (p *streamPosition) advance(e StreamEvent) {
 	if e.Kind != EventData {
+		p.foreign = p.foreign || e.Kind == EventForeign
 		return
 	}
 	p.events++
--- a/internal/coordination/gateway/continuation_test.go
+++ b/internal/coordination/gateway/continuation_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"strconv"
 	"strings"
@@ -133,3 +134,35 @@
 		must.Eq(rt, 1, sink.begun)
 	})
 }
+
+// TestRelay_TextBeforeFirstEventIsNotJoined has a stream begin with drawn text that is no
+// event and go on over other answers. Whatever was passed on of the text, no event of
+// another answer may follow it.
+func TestRelay_TextBeforeFirstEventIsNotJoined(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sink := &memorySink{}
+		rl := newRelay(sink, &unresponsiveEnv{}, &Request{ID: "r1", Stream: true, Resumable: true})
+		rl.setGrant(&scheduler.Grant{}, nil)
+		for answer := 0; answer < 4 && rl.canResume(); answer++ {
+			must.NoError(rt, rl.Begin(AnswerHead{Status: 200, ContentType: "text/event-stream", EventStream: true}))
+			foreign := []byte(fmt.Sprintf("foreign%d ", answer))
+			for range rapid.IntRange(0, 4).Draw(rt, "parts") {
+				e := StreamEvent{Kind: EventForeign, Bytes: bytes.Repeat(foreign, rapid.SampledFrom([]int{1, 1, 1, 1 << 10}).Draw(rt, "size"))}
+				if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+					id := rl.position.events + 1
+					e = StreamEvent{Kind: EventData, ID: fmt.Sprint(id), Bytes: fmt.Appendf(nil, "event%d ", answer)}
+				}
+				if _, err := rl.Events([]StreamEvent{e}); err != nil {
+					break
+				}
+			}
+		}
+		answers := map[byte]bool{}
+		for _, word := range strings.Fields(string(sink.body)) {
+			answers[word[len(word)-1]] = true
+		}
+		if strings.Contains(string(sink.body), "foreign") {
+			must.MapLen(rt, 1, answers, must.Sprintf("%.200s", sink.body))
+		}
+	})
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -269,6 +269,9 @@
 	relay.silence.stop()
 	sent = judgeFraming(sent, relay.vouches())
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
+	if sent.Outcome != DispatchComplete {
+		sent.HeldBack = relay.heldBack()
+	}
 	g.record(r, timeline.KindAttemptEnded, describeAttempt(d, sending.route.Relay, after, sent, end))
 	var refused *ContinuationError
 	if errors.As(sent.Err, &refused) {
@@ -358,6 +361,9 @@
 	if sent.WithinEvent {
 		text += " within an event"
 	}
+	if sent.HeldBack > 0 {
+		text += fmt.Sprintf(", %d bytes of text before the first event held back", sent.HeldBack)
+	}
 	if sent.EndChecked && sent.Outcome == DispatchComplete {
 		text += ", the upstream is still there"
 	}
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -8,6 +8,10 @@
 // until it is complete, in bytes. A longer answer is forwarded as it arrives.
 const MaxBufferedAnswer = 256 << 10
 
+// maxHeldText is the size up to which text that comes before the first event of a stream
+// is held back, in bytes.
+const maxHeldText = 4 << 10
+
 // relay forwards an upstream's answer to the caller. An answer that is not
 // streamed is buffered until it is complete, so that a broken one becomes a
 // failure without a partial answer.
@@ -33,6 +37,9 @@
 	continues, joined, recognized bool
 	// part holds the events that are passed on together.
 	part []byte
+	// held begins with text that is no event. It is passed on once an event or the end of
+	// the answer follows, and dropped if the answer fails before.
+	held []byte
 	// complete is true when the latest dispatch returned its complete answer.
 	complete bool
 }
@@ -56,6 +63,7 @@
 func (rl *relay) Begin(head AnswerHead) error {
 	rl.continues = rl.r.Resumable && head.EventStream && rl.position.last != ""
 	rl.joined, rl.recognized = rl.begun && rl.position.events > 0, false
+	rl.held = nil
 	if rl.begun {
 		return rl.position.checkHead(rl.head, head)
 	}
@@ -113,7 +121,12 @@
 		if rl.joined && !rl.recognized && e.Kind != EventData {
 			continue
 		}
+		if rl.holds(e) {
+			rl.held = append(rl.held, e.Bytes...)
+			continue
+		}
 		rl.recognized = rl.recognized || e.Kind == EventData
+		rl.part = append(rl.part, rl.releaseHeld()...)
 		rl.position.advance(e)
 		rl.part = append(rl.part, e.Bytes...)
 	}
@@ -128,6 +141,25 @@
 	return passed, refused
 }
 
+// holds reports whether a part that comes before the first event of a stream is held back.
+func (rl *relay) holds(e StreamEvent) bool {
+	if !rl.begun || !rl.head.EventStream || rl.position.events > 0 || rl.position.foreign || e.Kind == EventData {
+		return false
+	}
+	return (e.Kind == EventForeign || len(rl.held) > 0) && len(rl.held)+len(e.Bytes) <= maxHeldText
+}
+
+// releaseHeld returns the text that was held back, to be passed on.
+func (rl *relay) releaseHeld() []byte {
+	held := rl.held
+	rl.held = nil
+	rl.position.foreign = rl.position.foreign || len(held) > 0
+	return held
+}
+
+// heldBack returns the size of the text that was held back, in bytes.
+func (rl *relay) heldBack() int { return len(rl.held) }
+
 // check returns why an event may not be passed on; nil if it may.
 func (rl *relay) check(e StreamEvent) error {
 	switch {
@@ -152,9 +184,12 @@
 	return rl.Flush()
 }
 
-// Flush sends the buffered answer.
+// Flush sends what is buffered of the answer or was held back.
 func (rl *relay) Flush() error {
 	if rl.begun {
+		if held := rl.releaseHeld(); len(held) > 0 {
+			return rl.sink.Write(held)
+		}
 		return nil
 	}
 	if err := rl.start(); err != nil {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -254,7 +254,10 @@
 	// EndChecked is true if the upstream was asked for a connection after the answer had
 	// ended with its own.
 	EndChecked bool
-	Err        error
+	// HeldBack is the size of the text before the first event that the caller did not get
+	// because the attempt failed, in bytes.
+	HeldBack int
+	Err      error
 }
 
 // AnswerSink receives an upstream's answer as it arrives.
