gateway: a refusal under a key says "not run" only of a key that has not run

Callers saw `not_run` for a resend although an earlier send of the key had run through another gateway: when the lookup of the key failed, when the node refused before it asked the ledger (cut off, stopping, memory), and when the request was refused from the queue after another send had run meanwhile. A caller that believes it sends the request under a new key, and it runs twice. refusals.md promised `may_have_run` there; daemon.md said that `not_run` is about one send only.

The cause is that each refusal carries its own flag, which speaks for its send. The outcome now follows in one place, OutcomeOf, from that flag and from what the ledger last proved about the key (no claim found, own claim released, no room, key of another request). A refusal without such proof says `not_sent`: this send reached no upstream, resend under the same key.

Ruled out: `may_have_run` for all of these, since a caller could not tell it from a send that may run; a second lookup for each refusal from the queue, a read at the leader for each request that is refused in overload.

Two tests that ask for the outcome of a refusal (TestReport_Refusals, the overload bench) know the third one.

--- a/internal/command/agent/overload_bench_test.go
+++ b/internal/command/agent/overload_bench_test.go
@@ -243,7 +243,7 @@
 		}
 		echoed = echoed || strings.Contains(line, o.job.echo)
 		done = done || strings.Contains(line, openai.DoneData)
-		for _, refusal := range []callerapi.Outcome{callerapi.NotRun, callerapi.MayHaveRun} {
+		for _, refusal := range []callerapi.Outcome{callerapi.NotRun, callerapi.NotSent, callerapi.MayHaveRun} {
 			if strings.Contains(line, `"`+string(refusal)+`"`) {
 				o.refusal = refusal
 			}
--- a/internal/command/fleet/stopping.go
+++ b/internal/command/fleet/stopping.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
@@ -36,6 +37,6 @@
 		return nil
 	}
 	failure := &gateway.Failure{Reason: reasonStopping, NotRun: true, Message: "the node stops before the request's deadline"}
-	n.events.Record(timeline.Event{Kind: timeline.KindRefused, Request: r.ID, Pool: r.Pool, Detail: failure.Error()})
+	n.events.Record(timeline.Event{Kind: timeline.KindRefused, Request: r.ID, Pool: r.Pool, Detail: fmt.Sprintf("%s (%s)", failure, gateway.OutcomeOf(r, failure))})
 	return failure
 }
--- a/internal/command/load/caller.go
+++ b/internal/command/load/caller.go
@@ -34,6 +34,7 @@
 
 const (
 	attemptAnswered attemptKind = iota
+	// attemptNotRun means that this send was refused as not run or not sent.
 	attemptNotRun
 	attemptMayHaveRun
 	// attemptBroken means that the connection ended before a complete answer.
@@ -50,6 +51,7 @@
 	address    string
 	request    ident.RequestID
 	reason     callerapi.Reason
+	refused    callerapi.Outcome
 	retryAfter time.Duration
 	replayed   bool
 	// firstAt is when the first part of the answer arrived.
@@ -228,9 +230,10 @@
 
 func (a *attempt) setRefusal(e callerapi.RefusalError) {
 	a.kind = attemptMayHaveRun
-	if e.Outcome == callerapi.NotRun {
+	if e.Outcome == callerapi.NotRun || e.Outcome == callerapi.NotSent {
 		a.kind = attemptNotRun
 	}
+	a.refused = e.Outcome
 	a.reason = e.Reason
 	a.retryAfter = time.Duration(e.RetryAfterSeconds * float64(time.Second))
 }
--- a/internal/command/load/count.go
+++ b/internal/command/load/count.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 )
 
 // count classifies one outcome. u may be nil.
@@ -72,7 +74,7 @@
 	if c.RefusedNotRun > 0 {
 		c.FalseNotRun++
 	}
-	if c.MayHaveRun > 0 && o.attempts[len(o.attempts)-1].kind == attemptNotRun {
+	if c.MayHaveRun > 0 && o.attempts[len(o.attempts)-1].refused == callerapi.NotRun {
 		c.NotRunAfterRun = 1
 	}
 }
--- a/internal/command/load/load_test.go
+++ b/internal/command/load/load_test.go
@@ -136,10 +136,10 @@
 }
 
 func TestReport_Refusals(t *testing.T) {
-	for _, outcome := range []callerapi.Outcome{callerapi.NotRun, callerapi.MayHaveRun} {
+	for _, outcome := range []callerapi.Outcome{callerapi.NotRun, callerapi.NotSent, callerapi.MayHaveRun} {
 		address := strings.TrimPrefix(startRefusingServer(t, outcome, nil).URL, "http://")
 		report := run(t, address, writes).Report(NewUpstreams())
-		must.Eq(t, outcome == callerapi.NotRun, report.RefusedNotRun == report.Sent)
+		must.Eq(t, outcome != callerapi.MayHaveRun, report.RefusedNotRun == report.Sent)
 		must.Eq(t, outcome == callerapi.MayHaveRun, report.MayHaveRun == report.Sent)
 		must.False(t, report.Failed())
 	}
--- a/internal/command/load/report.go
+++ b/internal/command/load/report.go
@@ -27,11 +27,11 @@
 type Counts struct {
 	Sent     int `json:"sent"`
 	Answered int `json:"answered"`
-	// RefusedNotRun counts requests that were refused as not run and of which no
-	// send may have run.
+	// RefusedNotRun counts requests whose last send was refused as not run or not sent
+	// and of which no send may have run.
 	RefusedNotRun int `json:"refused_not_run"`
 	// MayHaveRun counts requests whose last send was refused as may have run, or
-	// as not run after an earlier send that may have run.
+	// as not run or not sent after an earlier send that may have run.
 	MayHaveRun int `json:"may_have_run"`
 	// Lost counts requests that may have run and ended without an answer or a
 	// refusal, and answered non-idempotent requests that no upstream received.
@@ -47,12 +47,13 @@
 	// Doubled counts non-idempotent requests that upstreams received more than
 	// once, over all sends.
 	Doubled int `json:"doubled"`
-	// FalseNotRun counts refusals as not run although an upstream had received
-	// the request.
+	// FalseNotRun counts refusals as not run or not sent although an upstream had
+	// received that send, and requests of which all sends were refused so although one
+	// had been received.
 	FalseNotRun int `json:"false_not_run"`
 	// NotRunAfterRun counts requests whose last send was refused as not run while
-	// an upstream had received an earlier send with the same key. Such a refusal
-	// is correct: it is about the last send only.
+	// an upstream received an earlier send with the same key. Such a refusal is
+	// correct only if the earlier send was still under way and ran after it.
 	NotRunAfterRun int `json:"not_run_after_earlier_run"`
 	// Replayed counts answers replayed from the stored answer to an earlier send.
 	Replayed int `json:"replayed"`
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -31,7 +31,7 @@
 // a resend does not wait in the queue. It returns false if the request must be
 // queued.
 func (g *Gateway) answerFromLedger(ctx context.Context, r *Request, sink Sink) (Result, bool) {
-	_, found, err := g.ledger.Lookup(ctx, r.ledgerKey(), 0)
+	_, found, err := g.lookup(ctx, r, 0)
 	if err != nil {
 		return refusal(ReasonNoQuorum, "the request ledger can't be reached: "+err.Error(), time.Second), true
 	}
@@ -41,8 +41,7 @@
 	// Claim compares the digests. It is granted only if the earlier claim has
 	// been released since the lookup; this claim is then released and the request
 	// is queued like a new one.
-	r.attempt++
-	claimed, err := g.ledger.Claim(ctx, g.claim(r))
+	claimed, err := g.claim(ctx, r)
 	if err != nil {
 		return g.claimUncertain(ctx, r), true
 	}
@@ -53,16 +52,27 @@
 	return g.claimRefused(ctx, r, claimed, sink), true
 }
 
-func (g *Gateway) claim(r *Request) ledger.Claim {
+// lookup returns the state of the request's key.
+func (g *Gateway) lookup(ctx context.Context, r *Request, wait time.Duration) (ledger.ClaimResult, bool, error) {
+	result, found, err := g.ledger.Lookup(ctx, r.ledgerKey(), wait)
+	r.observeLookup(result, found, err)
+	return result, found, err
+}
+
+// claim claims the request's key with the next attempt number.
+func (g *Gateway) claim(ctx context.Context, r *Request) (ledger.ClaimResult, error) {
+	r.attempt++
 	node, incarnation := g.env.Identity()
-	return ledger.Claim{
+	claimed, err := g.ledger.Claim(ctx, ledger.Claim{
 		Key:         r.ledgerKey(),
 		Digest:      r.Digest,
 		Gateway:     node,
 		Incarnation: incarnation,
 		Request:     r.ID,
 		Attempt:     r.attempt,
-	}
+	})
+	r.observeClaim(claimed, err)
+	return claimed, err
 }
 
 func (r *Request) ledgerKey() ledger.Key {
@@ -73,10 +83,9 @@
 // before the claim is committed.
 func (g *Gateway) attemptClaimed(ctx context.Context, placer Placer, d Dispatch, grant *scheduler.Grant, sink Sink) (Result, attemptOutcome) {
 	r := d.Request
-	r.attempt++
 	claimCtx, cancel := context.WithDeadlineCause(ctx, r.Deadline, errDeadline)
 	defer cancel()
-	claimed, err := g.ledger.Claim(claimCtx, g.claim(r))
+	claimed, err := g.claim(claimCtx, r)
 	if err != nil {
 		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return g.claimUncertain(ctx, r), attemptSettled
@@ -170,6 +179,7 @@
 	released, _ := settleByDeadline(ctx, g, r, func(ctx context.Context) bool {
 		return retryCommit(ctx, func(ctx context.Context) error { return g.ledger.Release(ctx, release) })
 	})
+	r.observeRelease(released)
 	return released
 }
 
@@ -245,7 +255,7 @@
 // awaitOutcome waits until the claim's holder has recorded an outcome.
 func (g *Gateway) awaitOutcome(ctx context.Context, r *Request, sink Sink) Result {
 	for ctx.Err() == nil {
-		known, found, err := g.ledger.Lookup(ctx, r.ledgerKey(), OutcomeWait)
+		known, found, err := g.lookup(ctx, r, OutcomeWait)
 		switch {
 		case err != nil || found && known.Verdict == ledger.VerdictRunning:
 			sleep(ctx, CommitRetryInterval)
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -69,11 +69,12 @@
 }
 
 func (e *faultyEnv) Send(ctx context.Context, d Dispatch, sink AnswerSink) DispatchResult {
-	if !e.begun || !d.Request.Idempotent && !e.ledger.holds(d.Request) {
+	if !e.begun || d.Request.needsClaim() && !e.ledger.holds(d.Request) {
 		e.sentUnclaimed++
 	}
-	outcome := rapid.SampledFrom([]DispatchOutcome{DispatchComplete, DispatchUnsent, DispatchIncomplete, DispatchMismatched}).Draw(e.t, "dispatch")
-	if outcome == DispatchUnsent {
+	outcome := rapid.SampledFrom([]DispatchOutcome{DispatchComplete, DispatchUnsent, DispatchIncomplete, DispatchMismatched, DispatchRejected, DispatchMisdirected}).Draw(e.t, "dispatch")
+	switch outcome {
+	case DispatchUnsent, DispatchRejected, DispatchMisdirected:
 		return DispatchResult{Outcome: outcome, Err: errors.New("refused")}
 	}
 	e.sent++
@@ -216,6 +217,7 @@
 		r := &Request{
 			ID:         "r1",
 			Idempotent: rapid.Bool().Draw(rt, "idempotent"),
+			SkipClaim:  rapid.Bool().Draw(rt, "not claimed"),
 			Stream:     rapid.Bool().Draw(rt, "stream"),
 			Key:        "k1",
 			StatusPath: rapid.SampledFrom([]string{"", "/status"}).Draw(rt, "status path"),
@@ -261,7 +263,7 @@
 	}
 	must.Zero(t, e.sent, must.Sprint("failure says not run after a dispatch"))
 	must.Zero(t, sink.begun)
-	if !r.Idempotent {
+	if r.needsClaim() {
 		must.NotEq(t, r.ID, e.ledger.holder, must.Sprint("failure says not run while the claim remains"))
 	}
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -74,7 +74,7 @@
 	defer reservation.Release()
 	waitCtx, cancel := context.WithDeadlineCause(reservation.Context(), r.Deadline, errDeadline)
 	defer cancel()
-	if !r.Idempotent && !r.SkipClaim {
+	if r.needsClaim() {
 		if result, done := g.answerFromLedger(waitCtx, r, sink); done {
 			return result
 		}
@@ -165,6 +165,7 @@
 
 // place queues the request and waits for the scheduler's decision.
 func (g *Gateway) place(ctx context.Context, placer Placer, r *Request, excluded []ident.UpstreamName) (*scheduler.Grant, *Failure) {
+	r.observeWait()
 	decision, err := placer.Place(ctx, g.ticket(r, excluded), r.Deadline)
 	if err != nil {
 		return nil, waitFailure(ctx)
@@ -251,7 +252,7 @@
 		return Result{}, attemptUnlisted
 	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
-	if !r.Idempotent && !r.SkipClaim {
+	if r.needsClaim() {
 		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
 	}
 	if end := g.begin(placer, r, grant); end != attemptSettled {
@@ -465,7 +466,7 @@
 		g.record(r, timeline.KindEnded, "")
 		return
 	}
-	g.record(r, timeline.KindRefused, result.Failure.Error())
+	g.record(r, timeline.KindRefused, fmt.Sprintf("%s (%s)", result.Failure, OutcomeOf(r, result.Failure)))
 }
 
 func (g *Gateway) record(r *Request, kind timeline.Kind, detail string) {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -100,6 +100,9 @@
 	// begun is true once the gateway has begun to send the request, and arrived once an
 	// upstream may have got it, also if that rejected it.
 	begun, arrived bool
+	// provenUnrun is true if the ledger's last answer proves that no send of the request
+	// under its key had run.
+	provenUnrun bool
 	// attempt is the number of the latest claim of the request.
 	attempt uint32
 }
@@ -144,8 +147,8 @@
 // Failure describes a request that ended without a complete answer.
 type Failure struct {
 	Reason Reason
-	// NotRun is true when no byte of the request reached an upstream and no
-	// claim is left that a resend could find.
+	// NotRun is true when no byte of this send reached an upstream and no claim of
+	// it is left that a resend could find. OutcomeOf also considers other sends.
 	NotRun     bool
 	RetryAfter time.Duration
 	Message    string
--- a/internal/protocol/callerapi/callerapi.go
+++ b/internal/protocol/callerapi/callerapi.go
@@ -38,8 +38,12 @@
 type Outcome string
 
 const (
-	// NotRun means that no byte of the request reached an upstream.
+	// NotRun means that no byte of this send reached an upstream and, for a request
+	// with an idempotency key, that no other send of it had run.
 	NotRun Outcome = "not_run"
+	// NotSent means that no byte of this send reached an upstream, and that it is not
+	// known whether another send under its idempotency key did.
+	NotSent Outcome = "not_sent"
 	// MayHaveRun means that the request may have run or may still run.
 	MayHaveRun Outcome = "may_have_run"
 )
--- a/internal/transport/callerhttp/answer.go
+++ b/internal/transport/callerhttp/answer.go
@@ -29,6 +29,7 @@
 	_ = control.SetWriteDeadline(time.Time{})
 	parsed, refusal := s.parse(w, r, id, start)
 	if refusal != nil {
+		refusal.Outcome = outcomeOfUnparsed(r, refusal.Reason)
 		s.writeRefusal(w, id, refusal)
 		s.observer.Finished(FinishedRequest{Request: parsed, Refusal: refusal, Elapsed: time.Since(start)})
 		return
@@ -49,18 +50,24 @@
 	sink.abort(id, refusal)
 }
 
+// outcomeOfUnparsed returns the outcome of a request that parse refused. No request runs
+// under a malformed key.
+func outcomeOfUnparsed(r *http.Request, reason callerapi.Reason) callerapi.Outcome {
+	if reason == callerapi.ReasonKeyMalformed {
+		return callerapi.NotRun
+	}
+	return callerapi.Outcome(gateway.OutcomeBeforeParsing(r.Header.Get(callerapi.HeaderIdempotencyKey)))
+}
+
 // refusalFrom converts a failure of the gateway to the refusal that the caller gets.
 func (s *Server) refusalFrom(r *http.Request, parsed *gateway.Request, f *gateway.Failure) *callerapi.RefusalError {
 	refusal := &callerapi.RefusalError{
 		Reason:            callerapi.Reason(f.Reason),
 		Message:           f.Message,
-		Outcome:           callerapi.MayHaveRun,
+		Outcome:           callerapi.Outcome(gateway.OutcomeOf(parsed, f)),
 		Tier:              parsed.Tier,
 		RetryAfterSeconds: f.RetryAfter.Seconds(),
 	}
-	if f.NotRun {
-		refusal.Outcome = callerapi.NotRun
-	}
 	if scheduler.Reason(f.Reason) == scheduler.ReasonCutOff || scheduler.Reason(f.Reason) == scheduler.ReasonDraining {
 		refusal.Addresses = s.otherAddresses(r.RemoteAddr)
 	}
--- a/internal/transport/callerhttp/request.go
+++ b/internal/transport/callerhttp/request.go
@@ -25,8 +25,8 @@
 	return ident.RequestID(uuid.Must(uuid.NewV7()).String())
 }
 
-// parse validates a caller's request and reads its body. A request that it refuses
-// has not run.
+// parse validates a caller's request and reads its body. The refusal has no outcome yet;
+// a send that is refused here reaches no upstream.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, id ident.RequestID, now time.Time) (*gateway.Request, *callerapi.RefusalError) {
 	table := s.directory.Routes()
 	if table == nil {
@@ -173,5 +173,5 @@
 }
 
 func refuse(reason callerapi.Reason, message string) *callerapi.RefusalError {
-	return &callerapi.RefusalError{Reason: reason, Message: message, Outcome: callerapi.NotRun}
+	return &callerapi.RefusalError{Reason: reason, Message: message}
 }
