scheduler: a gateway can depart from a scheduler that is not shared

A gateway that departs from a scheduler under a lease ended the scheduler's process: Depart read the quotas of Shared, which is nil there. Depart now checks for it, as admission and registration do.

TestDepart_ViewNotShared failed before: "invalid memory address or nil pointer dereference" in (*Pool).Depart.

--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -181,8 +181,8 @@
 	}
 	delete(p.registered, gateway)
 	p.retries.depart(gateway, now)
-	if q := p.view.Shared.Quotas; q != nil {
-		q.Depart(p.view.Pool, gateway, p.wallTime(now))
+	if s := p.view.Shared; s != nil && s.Quotas != nil {
+		s.Quotas.Depart(p.view.Pool, gateway, p.wallTime(now))
 	}
 	p.dropRequests(now, func(e *entry) bool { return e.ticket.Gateway == gateway })
 	p.updateCapacityFraction(now)
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -674,3 +674,17 @@
 	p.Submit(serviceTicket(9), start)
 	must.Eq(t, ReasonNoUpstream, refusals(p.Decisions())[0].Reason)
 }
+
+// TestDepart_ViewNotShared checks that a gateway can depart from a scheduler that is not
+// shared: its waiting tickets are dropped, and the process goes on.
+func TestDepart_ViewNotShared(t *testing.T) {
+	v := sharedView(1)
+	v.Shared = nil
+	p := sharedPool(v, "g1", "g2")
+	for i := range 20 {
+		p.Submit(sharedTicket(i, "low"), start)
+	}
+	must.Positive(t, p.waiting)
+	p.Depart("g1", start)
+	must.Zero(t, p.waiting)
+}
