pool: an answered poll between two failed calls ends the row of failures

A scheduler counts as failed after two calls in a row without an answer. Only an answered submit reset the count, so a poll that was answered between two submits on broken connections did not count, and the gateway turned away from a scheduler that had just answered. A poll resets the count too. It can't hide a scheduler that fails: after a failed call nothing is polled before a submit was answered, except by the poll that is already open.

TestClient_AnsweredPollBetweenFailures failed before: 1 failure reported where 0 is expected.

--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -275,6 +275,7 @@
 		return false
 	}
 	c.clock.Observe(reply.Stamp)
+	c.unansweredCalls.Store(0)
 	c.learn(reply, sent)
 	c.deliver(s, reply.Decisions, sent)
 	return true
