scheduler: drop the time of an ejection, which nothing reads

health.since was written when an upstream is ejected and never read: the probes' times follow from probeAt and backoff. No behaviour changes, so no test can fail first; the package's tests pass.

--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -49,7 +49,6 @@
 type health struct {
 	tuning  *tuning
 	ejected bool
-	since   time.Duration
 	probeAt time.Duration
 	// earliestProbeAt is when the next probe may start if no upstream is in
 	// rotation.
@@ -103,7 +102,6 @@
 		return
 	}
 	h.ejected = true
-	h.since = now
 	h.backoff = h.tuning.probeMinInterval
 	h.probeAt = now + h.backoff
 	h.earliestProbeAt = h.probeAt
