wal: a hard state whose append failed does not become durable later

When a disk was full, the batch was truncated, but the log kept the batch's hard state, and the segment that begins next starts with it: a term and a vote that the replica was told are not durable. The consensus writer repeats a batch until it fits and so does not show it; a caller that gives up does. The log now takes the hard state over after the sync. A batch that fails for another reason ends the log, as before.

TestWAL_HardStateOfAFailedAppendIsNotKept failed before: term 2 and the vote for r2 after a restart, 1 and none expected.

--- a/internal/state/wal/disk_full_test.go
+++ b/internal/state/wal/disk_full_test.go
@@ -32,3 +32,21 @@
 	must.Len(t, 3, recovered.Entries)
 	must.Zero(t, recovered.TornBytes)
 }
+
+// TestWAL_HardStateOfAFailedAppendIsNotKept checks that a hard state whose append failed for
+// a full disk does not become durable with the segment that begins next: the replica has
+// not acted on it, and a later one may be older.
+func TestWAL_HardStateOfAFailedAppendIsNotKept(t *testing.T) {
+	fsys := disk.NewFake(7)
+	log, _ := open(t, fsys)
+	must.NoError(t, log.Append(Batch{Hard: &HardState{Term: 1}}))
+	fsys.Inject(disk.Faults{Full: true})
+	must.ErrorIs(t, log.Append(Batch{Hard: &HardState{Term: 2, VoteID: "r2"}}), disk.ErrFull)
+	fsys.Inject(disk.Faults{})
+	for i := range uint64(2) {
+		must.NoError(t, log.Append(Batch{Entries: []Entry{{Index: i + 1, Term: 1, Data: make([]byte, 512)}}}))
+	}
+	fsys.Crash()
+	_, recovered := open(t, fsys)
+	must.Eq(t, HardState{Term: 1}, recovered.Hard)
+}
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -143,7 +143,7 @@
 			return err
 		}
 	}
-	buf := l.encode(batches)
+	buf, hard := l.encode(batches)
 	if len(buf) == 0 {
 		return nil
 	}
@@ -151,13 +151,18 @@
 		return err
 	}
 	l.current().size += len(buf)
-	return l.file.Sync()
+	if err := l.file.Sync(); err != nil {
+		return err
+	}
+	l.hardState = hard
+	return nil
 }
 
-// encode encodes the batches as a single on-disk batch.
-func (l *Log) encode(batches []Batch) []byte {
+// encode encodes the batches as a single on-disk batch. It also returns the hard state
+// that holds once that is durable.
+func (l *Log) encode(batches []Batch) (buf []byte, hard HardState) {
 	start := uint32(l.current().size)
-	var buf []byte
+	hard = l.hardState
 	for _, batch := range batches {
 		if batch.Mark != nil {
 			buf = appendRecord(buf, start, markBody(*batch.Mark))
@@ -165,14 +170,14 @@
 		}
 		if batch.Hard != nil {
 			buf = appendRecord(buf, start, hardStateBody(*batch.Hard))
-			l.hardState = *batch.Hard
+			hard = *batch.Hard
 		}
 		for _, entry := range batch.Entries {
 			buf = appendRecord(buf, start, entryBody(entry))
 			l.raiseMaxIndex(entry.Index)
 		}
 	}
-	return buf
+	return buf, hard
 }
 
 // current returns the segment that is written to.
