command: moves wait ends at once when its call is refused

`moves wait` with a wrong token waited for its whole -timeout, an hour unless set, and then said that the move "is still " without a state (exit code 6). Every failed call was taken for one that may succeed later. A wait now goes on only while the system is unavailable or gave no answer; any other code ends it with the advice and the exit code that the other commands have for it.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// TestMovesWait_RefusedToken checks that a wait ends at once if the call can't succeed later:
+// its token is refused, or the call is not known.
+func TestMovesWait_RefusedToken(t *testing.T) {
+	for code, exit := range map[opsapi.Code]int{opsapi.CodeUnauthorized: int(ExitUnauthorized), opsapi.CodeNotFound: int(ExitFailed)} {
+		env := operatorEnv(t, map[string]any{"GET " + opsapi.PathMoves: &opsapi.Error{Code: code, Message: "refused"}})
+		r := execute(t, env, "moves", "wait", "m", "-timeout", "2s")
+		must.Eq(t, exit, r.exit, must.Sprint(code, r))
+		must.StrContains(t, r.err, "refused")
+	}
+}
+
 func TestStatus_UnreachableSystem(t *testing.T) {
 	env := operatorEnv(t, nil)
 	r := execute(t, env, "status", "-operator", "127.0.0.1:1")
--- a/internal/command/moves_wait.go
+++ b/internal/command/moves_wait.go
@@ -66,6 +66,9 @@
 			fmt.Fprintf(u.err, "moves wait: %s is still %s\nnext: wait again, or see flamingohaven timeline -move %s\n", name, last.State, name)
 			return ExitTimeout
 		}
+		if isFinal(err) {
+			return u.failed("moves wait", err)
+		}
 		if err == nil {
 			i := slices.IndexFunc(reply.Moves, func(m opsapi.Move) bool { return m.Name == name })
 			if i < 0 {
@@ -90,6 +93,13 @@
 	}
 }
 
+// isFinal reports whether a failed call would fail again: the system answered it and did
+// not say that it is unavailable.
+func isFinal(err error) bool {
+	var known *opsapi.Error
+	return errors.As(err, &known) && known.Code != opsapi.CodeUnavailable && known.Code != opsapi.CodeUncertain
+}
+
 func printMoveStep(w io.Writer, m opsapi.Move) {
 	fmt.Fprintf(w, "%s  %s  %s of traffic on %s  %s\n", m.At.Format(time.RFC3339), m.State, percent(m.Share), m.To, m.Reason)
 }
