control: a term whose beginning failed once wakes the syncs that wait for it

A sync at a new leader waits until the term has begun. The waiters are woken when a Tick sees a change of the leadership. If the proposal that begins the term fails, that Tick wakes them in vain, and the one that begins the term sees the same leadership and wakes nobody: the nodes waited for maxLeaderWait, were told "the leader's term has not begun" and went from replica to replica. A Tick now also wakes them when the term that has begun differs from the one seen last.

Ruled out: the syncs that wait for a change (fleet.changed); they are woken when the term begins or another replica leads, and their hold bounds the rest.

TestSync_WaitsForATermWhoseBeginningFailed failed before: the reply has NotLeader with "the leader's term has not begun"; now it comes one TickInterval after the failed attempt.

--- a/internal/coordination/control/fleet_sync_test.go
+++ b/internal/coordination/control/fleet_sync_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -83,6 +84,47 @@
 	})
 }
 
+// lateProposer is a proposer of which the first proposals in a term fail.
+type lateProposer struct {
+	electedProposer
+	failures int
+}
+
+// Propose implements consensus.Proposer.
+func (p *lateProposer) Propose(ctx context.Context, command []byte) (machine.Result, error) {
+	if p.failures > 0 {
+		p.failures--
+		return machine.Result{}, consensus.ErrBusy
+	}
+	return p.electedProposer.Propose(ctx, command)
+}
+
+// TestSync_WaitsForATermWhoseBeginningFailed checks that a sync which waits at a new leader
+// is answered as soon as the term has begun, also if that took more than one attempt.
+func TestSync_WaitsForATermWhoseBeginningFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := machine.New(ledger.DefaultLimits())
+		p := &lateProposer{electedProposer: electedProposer{LocalProposer: NewLocalProposer("r1", m)}, failures: 1}
+		s := NewService("r1", p, m)
+		s.EnableFleet(func() FleetState { return FleetState{} })
+		s.Tick()
+		start := time.Now()
+		done := make(chan SyncReply, 1)
+		go func() {
+			var reply SyncReply
+			_ = s.Sync(&SyncArgs{Member: Member{ID: "g1", Incarnation: 1}}, &reply)
+			done <- reply
+		}()
+		synctest.Wait()
+		p.setLeadership(s, consensus.Leadership{Term: 1, Leader: "r1", Leading: true})
+		time.Sleep(TickInterval)
+		s.Tick()
+		reply := <-done
+		must.True(t, reply.OK(), must.Sprint(reply.Status))
+		must.Eq(t, TickInterval, time.Since(start))
+	})
+}
+
 // TestSync_LastOfManyNodesIsAnswered covers a change in a fleet of 400 nodes: those whose turn came
 // last got no reply for so long that they dropped the connection to the leader and began anew.
 func TestSync_LastOfManyNodesIsAnswered(t *testing.T) {
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -58,9 +58,10 @@
 	deliveries       configDeliveries
 	confirmations    *confirmations
 
-	// leadership is what the latest Tick saw. leadershipChanged is closed and
-	// replaced when it changes.
+	// leadership is what the latest Tick saw, and notedTerm the term that it had begun;
+	// zero if none. leadershipChanged is closed and replaced when either changes.
 	leadership        consensus.Leadership
+	notedTerm         uint64
 	leadershipChanged chan struct{}
 
 	// ticking is held during a Tick, so that Ticks do not overlap.
@@ -168,12 +169,13 @@
 	s.assignPools(leadership.Term)
 }
 
-// noteLeadership records the leadership and wakes its waiters if it has changed.
+// noteLeadership records the leadership and wakes its waiters if it has changed, or if the
+// term has begun after an attempt that failed.
 func (s *Service) noteLeadership(l consensus.Leadership) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l != s.leadership {
-		s.leadership = l
+	if l != s.leadership || s.term != s.notedTerm {
+		s.leadership, s.notedTerm = l, s.term
 		close(s.leadershipChanged)
 		s.leadershipChanged = make(chan struct{})
 	}
