soak: a start that fails names the folder with the nodes' logs

When the nodes could not be started, the soak ended with the last failed call, "connection refused", and left its folder behind without a word, though the logs in it hold the reason. The error now names the folder. Ruled out: its removal, which would also remove the reason.

TestRun_FailedStartNamesItsFolder failed before: the error did not contain the folder's path.

--- a/internal/command/soak/cluster.go
+++ b/internal/command/soak/cluster.go
@@ -104,7 +104,7 @@
 	}
 	c := &cluster{folder: folder}
 	if err := c.start(ctx, o); err != nil {
-		return nil, errors.Join(err, c.close())
+		return nil, errors.Join(fmt.Errorf("start the nodes, whose logs are kept in %s: %w", folder, err), c.close())
 	}
 	return c, nil
 }
@@ -305,7 +305,7 @@
 }
 
 // close kills the nodes and closes the proxies and upstreams. It leaves the folder
-// with the nodes' logs, which run.removeFolder removes.
+// with the nodes' logs, which run.removeFolder removes after a start that succeeded.
 func (c *cluster) close() error {
 	for _, n := range c.nodes {
 		if n.process != nil {
