gateway, tunnel: names of the field for ends and probes

Renamed only: what an answer lacks is an end mark, an unknown end is unknown, and connections that compare upstreams are probes. Found by the review; no behaviour changes.

--- a/internal/coordination/gateway/answerend.go
+++ b/internal/coordination/gateway/answerend.go
@@ -79,15 +79,15 @@
 	}
 }
 
-// errUnvouched ends an answer that began with a length or in chunks and whose rest came in
+// errNoEndMark ends an answer that began with a length or in chunks and whose rest came in
 // one that is ended by its connection.
-var errUnvouched = errors.New("the rest ended with its connection, and nothing vouches for that end")
+var errNoEndMark = errors.New("the rest ended with its connection, and nothing marks its end")
 
-// judgeFraming returns the result of a dispatch whose end may not stand for that of the
-// caller's answer: vouches is true if that has a mark of its end.
-func judgeFraming(sent DispatchResult, vouches bool) DispatchResult {
-	if sent.Outcome == DispatchComplete && sent.Framing == FramedByConnection && sent.BytesEnd == EndClosed && vouches {
-		sent.Outcome, sent.Err = DispatchIncomplete, errUnvouched
+// requireEndMark returns the result of a dispatch whose end may not stand for that of the
+// caller's answer: hasEndMark is true if that has a mark of its end.
+func requireEndMark(sent DispatchResult, hasEndMark bool) DispatchResult {
+	if sent.Outcome == DispatchComplete && sent.Framing == FramedByConnection && sent.BytesEnd == EndClosed && hasEndMark {
+		sent.Outcome, sent.Err = DispatchIncomplete, errNoEndMark
 	}
 	return sent
 }
--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -22,9 +22,9 @@
 	must.NoError(t, doubtEnd(fmt.Errorf("%w: the relay is stopping", ErrInconclusive)))
 }
 
-// unvouchedEnv is an unresponsiveEnv whose upstream answers and ends its connection. The
+// connectionEndEnv is an unresponsiveEnv whose upstream answers and ends its connection. The
 // connection that checks the end takes a while.
-type unvouchedEnv struct {
+type connectionEndEnv struct {
 	unresponsiveEnv
 	probeErr error
 	probes   int
@@ -34,26 +34,26 @@
 
 const probeTime = 5 * time.Millisecond
 
-func (e *unvouchedEnv) PoolUpstreams(ident.PoolName) []Target {
+func (e *connectionEndEnv) PoolUpstreams(ident.PoolName) []Target {
 	if !e.listed {
 		return nil
 	}
 	return []Target{{Name: "u"}}
 }
 
-func (e *unvouchedEnv) Send(_ context.Context, _ Dispatch, sink AnswerSink) DispatchResult {
+func (e *connectionEndEnv) Send(_ context.Context, _ Dispatch, sink AnswerSink) DispatchResult {
 	_ = sink.Begin(AnswerHead{Status: 200, ContentType: "text/plain", Framing: FramedByConnection})
 	_ = sink.Write([]byte("answer"))
 	return DispatchResult{Outcome: DispatchComplete, Status: 200, Framing: FramedByConnection, BytesEnd: EndClosed}
 }
 
-func (e *unvouchedEnv) Probe(context.Context, Target, string) error {
+func (e *connectionEndEnv) Probe(context.Context, Target, string) error {
 	e.probes++
 	time.Sleep(probeTime)
 	return e.probeErr
 }
 
-func (e *unvouchedEnv) ProbePath(context.Context, Target) error { return e.probeErr }
+func (e *connectionEndEnv) ProbePath(context.Context, Target) error { return e.probeErr }
 
 // TestGateway_EndOfConnection has an answer end with its connection. It must not be
 // delivered if the upstream can't be reached any more, unless a relay only doesn't try.
@@ -70,7 +70,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &unvouchedEnv{listed: !c.gone}
+				e := &connectionEndEnv{listed: !c.gone}
 				g := New(e, e, e, NewBudget(1<<20), nil)
 				if c.refused {
 					e.probeErr = errors.New("connection refused")
@@ -92,7 +92,7 @@
 	}
 }
 
-func (e *unvouchedEnv) Complete(_ context.Context, c ledger.Complete) error {
+func (e *connectionEndEnv) Complete(_ context.Context, c ledger.Complete) error {
 	e.recorded = c.Answer
 	return nil
 }
@@ -103,7 +103,7 @@
 	for name, killed := range map[string]bool{"killed": true, "still there": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &unvouchedEnv{listed: true}
+				e := &connectionEndEnv{listed: true}
 				if killed {
 					e.probeErr = errors.New("connection refused")
 				}
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -42,11 +42,11 @@
 	probeValidity    = time.Second
 	// unsafeTrialWait is how long trials wait for requests that can be sent again.
 	unsafeTrialWait = 5 * time.Second
-	// comparedUpstreams is the number of upstreams of the pool to which connections are
+	// probedUpstreams is the number of upstreams of the pool to which connections are
 	// tried after a direct attempt failed that another gateway's path would have served, and
-	// compareInterval the time between two such rounds.
-	comparedUpstreams = 3
-	compareInterval   = 250 * time.Millisecond
+	// probeUpstreamsInterval the time between two such rounds.
+	probedUpstreams        = 3
+	probeUpstreamsInterval = 250 * time.Millisecond
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
@@ -89,8 +89,8 @@
 	trialInterval time.Duration
 	// probeAt is when the latest connection was tried, and probedAt when one was made.
 	probeAt, probedAt time.Time
-	// comparedAt is when connections to several upstreams were last tried.
-	comparedAt time.Time
+	// upstreamsProbedAt is when connections to several upstreams were last tried.
+	upstreamsProbedAt time.Time
 	// peer is the gateway that a grant last named as one with an answer from an upstream of
 	// the pool, and peerAnsweredAt when it had that.
 	peer           ident.NodeID
@@ -193,18 +193,18 @@
 	p.pool(pool).probedAt = now
 }
 
-// takeComparison reports whether connections to upstreams of the pool should be tried now,
+// mayProbeUpstreams reports whether connections to upstreams of the pool should be tried now,
 // because a direct attempt under the grant failed. A gateway with few requests would
 // otherwise lose several of them, one after the other, before it knows that its path is at
 // fault.
-func (p *Paths) takeComparison(pool ident.PoolName, grant *scheduler.Grant, now time.Time) bool {
+func (p *Paths) mayProbeUpstreams(pool ident.PoolName, grant *scheduler.Grant, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.pool(pool)
-	if known.cut || grant.Peer == "" || grant.PeerAge > peerFreshness || now.Sub(known.comparedAt) < compareInterval {
+	if known.cut || grant.Peer == "" || grant.PeerAge > peerFreshness || now.Sub(known.upstreamsProbedAt) < probeUpstreamsInterval {
 		return false
 	}
-	known.comparedAt = now
+	known.upstreamsProbedAt = now
 	return true
 }
 
@@ -493,8 +493,8 @@
 func (s *sending) fail() {
 	s.failed.Do(func() {
 		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
-		if s.gateway.paths.takeComparison(s.request.Pool, s.grant, time.Now()) {
-			go s.compare()
+		if s.gateway.paths.mayProbeUpstreams(s.request.Pool, s.grant, time.Now()) {
+			go s.probeUpstreams()
 		}
 	})
 }
@@ -508,15 +508,15 @@
 	s.fail()
 }
 
-// compare tries connections to some upstreams of the pool, the one that failed among them,
+// probeUpstreams tries connections to some upstreams of the pool, the one that failed among them,
 // and records those that can't be reached.
-func (s *sending) compare() {
+func (s *sending) probeUpstreams() {
 	targets := s.gateway.env.PoolUpstreams(s.request.Pool)
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	if at := slices.IndexFunc(targets, func(t Target) bool { return t.Name == s.grant.Upstream }); at > 0 {
 		targets[0], targets[at] = targets[at], targets[0]
 	}
-	for _, t := range targets[:min(len(targets), comparedUpstreams)] {
+	for _, t := range targets[:min(len(targets), probedUpstreams)] {
 		go func() {
 			began := time.Now()
 			if s.connects(t) {
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -121,16 +121,16 @@
 	must.Eq(t, Route{}, r, must.Sprint("another pool is not cut off"))
 }
 
-// TestPaths_ComparisonAfterFailure checks when connections to other upstreams are tried.
-func TestPaths_ComparisonAfterFailure(t *testing.T) {
+// TestPaths_ProbesAfterFailure checks when connections to other upstreams are tried.
+func TestPaths_ProbesAfterFailure(t *testing.T) {
 	p, now := NewPaths(), pathsStart
 	grant := pathGrant("u1", 10*time.Millisecond)
-	must.False(t, p.takeComparison("a", &scheduler.Grant{Upstream: "u1"}, now), must.Sprint("no other gateway has an answer"))
-	must.True(t, p.takeComparison("a", grant, now))
-	must.False(t, p.takeComparison("a", grant, now.Add(compareInterval/2)))
-	must.True(t, p.takeComparison("a", grant, now.Add(compareInterval)))
+	must.False(t, p.mayProbeUpstreams("a", &scheduler.Grant{Upstream: "u1"}, now), must.Sprint("no other gateway has an answer"))
+	must.True(t, p.mayProbeUpstreams("a", grant, now))
+	must.False(t, p.mayProbeUpstreams("a", grant, now.Add(probeUpstreamsInterval/2)))
+	must.True(t, p.mayProbeUpstreams("a", grant, now.Add(probeUpstreamsInterval)))
 	p.Failed("a", "u1", now, false)
 	p.Failed("a", "u2", now, false)
 	_, _ = p.Choose("a", grant, true, now.Add(time.Second))
-	must.False(t, p.takeComparison("a", grant, now.Add(2*time.Second)), must.Sprint("the path is known to be cut"))
+	must.False(t, p.mayProbeUpstreams("a", grant, now.Add(2*time.Second)), must.Sprint("the path is known to be cut"))
 }
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -97,9 +97,9 @@
 	rl.placer.FirstToken(rl.r.ID, 0)
 }
 
-// vouches reports whether the answer to the caller has begun with a mark of its end that
+// hasEndMark reports whether the answer to the caller has begun with a mark of its end that
 // the end of a connection can't stand for.
-func (rl *relay) vouches() bool { return rl.begun && rl.head.Framing != FramedByConnection }
+func (rl *relay) hasEndMark() bool { return rl.begun && rl.head.Framing != FramedByConnection }
 
 // canResume reports whether another upstream may go on with the answer.
 func (rl *relay) canResume() bool {
--- a/internal/transport/tunnel/ending.go
+++ b/internal/transport/tunnel/ending.go
@@ -23,8 +23,8 @@
 	EndTimeout
 	// EndStopped means that the relay stopped first.
 	EndStopped
-	// EndUntold means that the tunnel ended without its last frame.
-	EndUntold
+	// EndUnknown means that the tunnel ended without its last frame.
+	EndUnknown
 )
 
 // String implements fmt.Stringer.
@@ -40,7 +40,7 @@
 		return "timed out"
 	case EndStopped:
 		return "was open when the relay stopped"
-	case EndUntold:
+	case EndUnknown:
 		return "ended in an unknown way, as the relay broke off"
 	default:
 		return fmt.Sprintf("ended in way %d", uint8(e))
--- a/internal/transport/tunnel/frame.go
+++ b/internal/transport/tunnel/frame.go
@@ -65,9 +65,9 @@
 
 // fail returns the error of a tunnel that ends without its last frame.
 func (r *frameReader) fail(err error) error {
-	r.ended, r.end = true, EndUntold
+	r.ended, r.end = true, EndUnknown
 	if err == io.EOF || err == io.ErrUnexpectedEOF {
-		return EndUntold.err()
+		return EndUnknown.err()
 	}
 	return fmt.Errorf("relay: %w", err)
 }
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -58,7 +58,7 @@
 	// permit returns why no tunnel is opened to a host:port address; nil if one may be.
 	permit func(address string) error
 	// broke is called with each tunnel that has not ended properly.
-	broke       func(Ending)
+	onBroken    func(Ending)
 	dialTimeout time.Duration
 	server      *http.Server
 	listener    net.Listener
@@ -73,14 +73,14 @@
 	closed  bool
 }
 
-// Listen returns a server at an address, which calls broke with each tunnel that has not
+// Listen returns a server at an address, which calls onBroken with each tunnel that has not
 // ended properly. Serve must be called.
-func Listen(address string, dialTimeout time.Duration, permit func(address string) error, broke func(Ending)) (*Server, error) {
+func Listen(address string, dialTimeout time.Duration, permit func(address string) error, onBroken func(Ending)) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("tunnel: %w", err)
 	}
-	s := &Server{permit: permit, broke: broke, dialTimeout: dialTimeout, listener: listener, running: make(map[*tunnel]bool)}
+	s := &Server{permit: permit, onBroken: onBroken, dialTimeout: dialTimeout, listener: listener, running: make(map[*tunnel]bool)}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, ErrorLog: klog.NewStandardLogger("WARNING")}
 	return s, nil
 }
@@ -185,7 +185,7 @@
 	ending := t.run()
 	if !ending.Proper() {
 		s.broken.Add(1)
-		s.broke(ending)
+		s.onBroken(ending)
 	}
 }
 
@@ -267,16 +267,16 @@
 	case end == EndProper && toUpstream.broke():
 		end = EndReset
 	}
-	told := end == EndProper
-	if told {
+	endDelivered := end == EndProper
+	if endDelivered {
 		setReset(t.upstream, false)
 	}
 	if t.framed && writeErr == nil {
 		_ = t.conn.SetWriteDeadline(time.Now().Add(lastFrameTimeout))
 		_, err := t.conn.Write(appendLastFrame(nil, end))
-		told = err == nil
+		endDelivered = err == nil
 	}
-	if told {
+	if endDelivered {
 		setReset(t.conn, false)
 	}
 	_ = t.conn.Close()
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -277,7 +277,7 @@
 			continue
 		}
 		must.ErrorIs(t, err, io.ErrUnexpectedEOF, must.Sprint(n))
-		must.Eq(t, EndUntold, (<-ended).Upstream)
+		must.Eq(t, EndUnknown, (<-ended).Upstream)
 	}
 }
 
