--- a/internal/coordination/consensus/slowdisk_test.go
+++ b/internal/coordination/consensus/slowdisk_test.go
@@ -32,6 +32,13 @@
 				must.NoError(t, mustLead(t, c).node.ReadBarrier(t.Context()))
 				must.Less(t, time.Second, time.Since(began))
 				must.Eq(t, leader, mustLead(t, c))
+				// A follower's write may begin after the commit.
+				for range 100 {
+					if synctest.Wait(); slow.node.Status().Writing > 0 {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
 				time.Sleep(time.Second)
 				synctest.Wait()
 				must.GreaterEq(t, time.Second, slow.node.Status().Writing)
