--- a/internal/coordination/gateway/continuation_test.go
+++ b/internal/coordination/gateway/continuation_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 func positionAfter(ids ...string) streamPosition {
@@ -166,3 +167,27 @@
 		}
 	})
 }
+
+// firstTokenCounter counts the reports of first tokens to the scheduler.
+type firstTokenCounter struct {
+	unresponsiveEnv
+	reports int
+}
+
+func (c *firstTokenCounter) FirstToken(ident.RequestID, int) { c.reports++ }
+
+// TestRelay_FirstTokenIsReportedOnce checks that a stream does not report its first token
+// with each of its events: the scheduler of a large fleet can't keep up with that.
+func TestRelay_FirstTokenIsReportedOnce(t *testing.T) {
+	placer := &firstTokenCounter{}
+	rl := newRelay(&memorySink{}, placer, &Request{ID: "r1", Stream: true, Resumable: true})
+	rl.setGrant(&scheduler.Grant{Upstream: "u1"}, nil)
+	for _, ids := range [][]string{{"1", "2", "3"}, {"4", "5"}} {
+		must.NoError(t, rl.Begin(AnswerHead{Status: 200, ContentType: "text/event-stream", EventStream: true, Framing: FramedInChunks}))
+		for _, id := range ids {
+			_, err := rl.Events([]StreamEvent{{Kind: EventData, ID: id, Bytes: []byte("id: " + id + "\n\n")}})
+			must.NoError(t, err)
+		}
+	}
+	must.Eq(t, 2, placer.reports, must.Sprint("one for each upstream that answered"))
+}
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -109,7 +109,7 @@
 // Events implements AnswerSink. Nothing of an answer that goes on with a stream is passed
 // on before its first event has shown that it does.
 func (rl *relay) Events(events []StreamEvent) (int, error) {
-	first := rl.position.events
+	recognized := rl.recognized
 	passed := 0
 	rl.part = rl.part[:0]
 	var refused error
@@ -130,7 +130,7 @@
 		rl.position.advance(e)
 		rl.part = append(rl.part, e.Bytes...)
 	}
-	if rl.position.events > first {
+	if rl.recognized && !recognized {
 		rl.FirstToken()
 	}
 	if len(rl.part) > 0 {
