--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -42,11 +40,6 @@
 	probeValidity    = time.Second
 	// unsafeTrialWait is how long trials wait for requests that can be sent again.
 	unsafeTrialWait = 5 * time.Second
-	// probedUpstreams is the number of upstreams of the pool to which connections are
-	// tried after a direct attempt failed that another gateway's path would have served, and
-	// probeUpstreamsInterval the time between two such rounds.
-	probedUpstreams        = 3
-	probeUpstreamsInterval = 250 * time.Millisecond
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
@@ -89,8 +82,6 @@
 	trialInterval time.Duration
 	// probeAt is when the latest connection was tried, and probedAt when one was made.
 	probeAt, probedAt time.Time
-	// upstreamsProbedAt is when connections to several upstreams were last tried.
-	upstreamsProbedAt time.Time
 	// peer is the gateway that a grant last named as one with an answer from an upstream of
 	// the pool, and peerAnsweredAt when it had that.
 	peer           ident.NodeID
@@ -193,21 +184,6 @@
 	p.pool(pool).probedAt = now
 }
 
-// mayProbeUpstreams reports whether connections to upstreams of the pool should be tried now,
-// because a direct attempt under the grant failed. A gateway with few requests would
-// otherwise lose several of them, one after the other, before it knows that its path is at
-// fault.
-func (p *Paths) mayProbeUpstreams(pool ident.PoolName, grant *scheduler.Grant, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	known := p.pool(pool)
-	if known.cut || grant.Peer == "" || grant.PeerAge > peerFreshness || now.Sub(known.upstreamsProbedAt) < probeUpstreamsInterval {
-		return false
-	}
-	known.upstreamsProbedAt = now
-	return true
-}
-
 // takeTrial reports whether a request is sent directly as a trial.
 func (k *poolPaths) takeTrial(repeatable bool, now time.Time) bool {
 	since := k.trialAt
@@ -491,12 +467,7 @@
 
 // fail records that the direct sending failed or has no answer.
 func (s *sending) fail() {
-	s.failed.Do(func() {
-		s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial)
-		if s.gateway.paths.mayProbeUpstreams(s.request.Pool, s.grant, time.Now()) {
-			go s.probeUpstreams()
-		}
-	})
+	s.failed.Do(func() { s.gateway.paths.Failed(s.request.Pool, s.grant.Upstream, s.sentAt, s.route.Trial) })
 }
 
 // stall records that the bytes of the direct sending are not acknowledged. Unlike a missing
@@ -508,28 +479,6 @@
 	s.fail()
 }
 
-// probeUpstreams tries connections to some upstreams of the pool, the one that failed among them,
-// and records those that can't be reached.
-func (s *sending) probeUpstreams() {
-	targets := s.gateway.env.PoolUpstreams(s.request.Pool)
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	if at := slices.IndexFunc(targets, func(t Target) bool { return t.Name == s.grant.Upstream }); at > 0 {
-		targets[0], targets[at] = targets[at], targets[0]
-	}
-	for _, t := range targets[:min(len(targets), probedUpstreams)] {
-		go func() {
-			began := time.Now()
-			if s.connects(t) {
-				return
-			}
-			s.gateway.paths.Failed(s.request.Pool, t.Name, began, false)
-			if s.gateway.freshConns.failed(t.Name, began) {
-				s.gateway.recordPath(s.request, fmt.Sprintf("no connection to %s could be made: others are used, or other gateways", t.Name))
-			}
-		}()
-	}
-}
-
 // failSilent records an attempt that was given up for silence. After less than
 // minSilence the upstream may only be slow, so that a connection decides.
 func (s *sending) failSilent(t Target) {
@@ -564,7 +513,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
 	defer cancel()
-	return prober.ProbePath(ctx, t) == nil
+	return prober.Probe(ctx, t, "") == nil
 }
 
 // Relays knows the addresses at which other gateways accept requests to relay.
@@ -582,9 +531,6 @@
 	// is empty, and closes the connection.
 	// It fails with ErrInconclusive if that shows nothing of the upstream.
 	Probe(ctx context.Context, t Target, relay string) error
-	// ProbePath connects to an upstream directly, and fails also if the connection is broken
-	// off at once: a path may accept connections that the upstream never sees.
-	ProbePath(ctx context.Context, t Target) error
 }
 
 // SetRelays makes the gateway send requests through other gateways when it can't reach
--- a/internal/transport/upstreamhttp/probe.go
+++ b/internal/transport/upstreamhttp/probe.go
@@ -121,10 +121,6 @@
 	return conn.Close()
 }
 
-// ProbePath implements gateway.Prober. The daemon relays nothing, so that nothing depends on
-// the path.
-func (s *Sender) ProbePath(ctx context.Context, t gateway.Target) error { return s.Probe(ctx, t, "") }
-
 func (s *Sender) getJSON(ctx context.Context, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
