--- a/internal/command/fleet/syncwatch.go
+++ b/internal/command/fleet/syncwatch.go
@@ -11,7 +11,7 @@
 // syncTimes returns how long a sync may wait for a change at the replica, and by when after the
 // sending of the first unanswered one a reply is due. members is the number of members that the
 // node knows. Only the replica that served the latest sync may let one wait: any other one
-// replies at once, so that one that is stuck is told from one that waits for a change. The same
+// replies at once, so that one that is stuck differs from one that waits for a change. The same
 // holds for a sync after an interrupted one, or else a node with much news would have no proof
 // that its configuration is the newest.
 func syncTimes(members int, b syncBegin) (hold, timeout time.Duration) {
--- a/internal/protocol/jsonlist/jsonlist.go
+++ b/internal/protocol/jsonlist/jsonlist.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxDepth bounds the nesting of an entry that is looked for after one whose end
-	// can't be told.
+	// is unknown.
 	maxDepth = 16
 	// maxUnclosed bounds the entries whose ends are looked for up to the end of the
 	// document, and maxEnds the places that are tried as the end of the list. With
@@ -29,7 +29,7 @@
 
 // Split splits the list that the JSON object document holds under the given key. Ok is
 // false if there is none, if anything but its entries is malformed or if its end can't be
-// told. Whole reports whether a document, which is valid JSON, lacks nothing beside the
+// known. Whole reports whether a document, which is valid JSON, lacks nothing beside the
 // entries; a broken-off one may else seem to end within an entry.
 //
 // An entry ends at the next comma or at the end of the list outside strings and brackets,
@@ -86,7 +86,7 @@
 	begin        int
 	sound, whole func(text []byte) bool
 	list         List
-	// unclosed counts the entries whose ends could not be told, and ends the places
+	// unclosed counts the entries whose ends are unknown, and ends the places
 	// tried as the end of the list.
 	unclosed, ends int
 }
