--- a/review/_kit/fleet.go
+++ b/review/_kit/fleet.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,7 +37,6 @@
 	network  string // the first two bytes of all addresses
 	machines []*machine
 	list     *listServer
-	bounds   string
 	seeds    []string
 }
 
@@ -51,6 +49,9 @@
 	zone     string
 	memoryMB int
 
+	// added is true for a machine that was added to the running system.
+	added bool
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	done   chan struct{}
@@ -133,6 +134,14 @@
 	return m
 }
 
+// addLater adds a machine to the running system. It gets the seeds of the others.
+func (f *fleet) addLater(role, zone string, memoryMB int) *machine {
+	seeds := f.seeds
+	m := f.add(role, zone, memoryMB)
+	f.seeds, m.added = seeds, true
+	return m
+}
+
 func (f *fleet) of(role string) []*machine {
 	var found []*machine
 	for _, m := range f.machines {
@@ -180,7 +189,7 @@
 	if err := os.MkdirAll(m.dataDir(), 0o755); err != nil {
 		return err
 	}
-	if err := os.WriteFile(m.file("settings.yaml"), []byte(m.settings(m.starts == 0)), 0o644); err != nil {
+	if err := os.WriteFile(m.file("settings.yaml"), []byte(m.settings(m.starts == 0 && !m.added)), 0o644); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(m.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -220,15 +229,6 @@
 	}
 }
 
-// signal sends a signal to the process that runs now.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cmd != nil {
-		_ = m.cmd.Process.Signal(s)
-	}
-}
-
 // kill kills the process and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
@@ -285,11 +285,16 @@
 	}
 }
 
-// close ends all processes and removes the temporary folder.
-func (f *fleet) close() {
+// stop ends all processes.
+func (f *fleet) stop() {
 	for _, m := range f.machines {
 		m.kill()
 	}
+}
+
+// close ends all processes and removes the temporary folder.
+func (f *fleet) close() {
+	f.stop()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(f.dir)
 	} else {
@@ -374,12 +379,6 @@
 	l.added++
 }
 
-func (l *listServer) remove(id string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.entries = slices.DeleteFunc(l.entries, func(e instance) bool { return e.ID == id })
-}
-
 // operator sends orders like the operator of the page: to any node that serves control, and
 // to another one after a failure, a 5xx or a second without a response.
 type operator struct {
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -17,10 +17,9 @@
 )
 
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
-	"core-memory":    coreMemory,
-	"front-memory":   frontMemory,
-	"leaving-server": leavingServer,
-	"first-version":  firstVersion,
+	"replaced-then-wiped": replacedThenWiped,
+	"core-memory":         coreMemory,
+	"front-memory":        frontMemory,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_kit/server.go
+++ b/review/_kit/server.go
@@ -22,52 +22,25 @@
 	// work answers one request.
 	work func(w http.ResponseWriter, r *http.Request)
 
-	list     *listServer
-	entry    instance
-	listener net.Listener
-
 	mu   sync.Mutex
 	runs map[string]int
-	// whole holds the requests that were answered to the last byte.
-	whole map[string]bool
-	busy  atomic.Int64
 }
 
 // startServer starts a server and puts it on the platform's list.
 func startServer(f *fleet, service, zone, ip string, slots int, queue int64, work func(w http.ResponseWriter, r *http.Request)) (*server, error) {
 	s := &server{
 		id: "i-" + fmt.Sprintf("%08x", 0x7f3a9100+f.list.added), address: ip + ":" + portServer, record: f.record,
-		slots: make(chan struct{}, slots), queue: queue, work: work, runs: make(map[string]int), whole: make(map[string]bool),
-		list: f.list,
+		slots: make(chan struct{}, slots), queue: queue, work: work, runs: make(map[string]int),
 	}
 	listener, err := net.Listen("tcp4", s.address)
 	if err != nil {
 		return nil, err
 	}
-	s.listener = listener
 	go func() { _ = http.Serve(listener, s) }()
-	s.entry = instance{ID: s.id, Service: service, Address: s.address, Zone: zone, Version: "v1", Slots: slots, State: "ready", Born: time.Now().UnixMilli()}
-	f.list.put(s.entry)
+	f.list.put(instance{ID: s.id, Service: service, Address: s.address, Zone: zone, Version: "v1", Slots: slots, State: "ready", Born: time.Now().UnixMilli()})
 	return s, nil
 }
 
-// leave drains the server as the page says, for a little longer than drainMs. Then it stops
-// like most servers: it accepts no more connections, finishes the requests that it has, and
-// ends.
-func (s *server) leave(drain time.Duration) {
-	s.entry.State = "draining"
-	s.list.put(s.entry)
-	s.record.line("server %s is draining", s.id)
-	time.Sleep(drain)
-	_ = s.listener.Close()
-	s.record.line("server %s stops: it accepts no more connections, %d requests run", s.id, s.busy.Load())
-	for s.waiting.Load() > 0 {
-		time.Sleep(10 * time.Millisecond)
-	}
-	s.list.remove(s.id)
-	s.record.line("server %s has ended", s.id)
-}
-
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
@@ -95,8 +68,6 @@
 	times := s.runs[id]
 	s.mu.Unlock()
 	s.record.line("server %s runs %s (%s), time %d", s.id, id, r.URL.Path, times)
-	s.busy.Add(1)
-	defer s.busy.Add(-1)
 	w.Header().Set("Response-Seal", "3e1b."+id)
 	s.work(w, r)
 }
@@ -108,40 +79,6 @@
 	return s.runs[id] > 0
 }
 
-// unframed returns work that answers with events at even gaps, in an answer that has neither
-// a length nor chunks and ends with its connection.
-func (s *server) unframed(events int, gap time.Duration) func(w http.ResponseWriter, r *http.Request) {
-	return func(w http.ResponseWriter, r *http.Request) {
-		id := r.Header.Get("Attempt-Id")
-		seal := w.Header().Get("Response-Seal")
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: %s\r\nResponse-Seal: %s\r\nConnection: close\r\n\r\n", id, seal)
-		for i := 1; i <= events && err == nil; i++ {
-			time.Sleep(gap)
-			_, err = fmt.Fprintf(conn, "id: %d\ndata: tokens\n\n", i)
-		}
-		if err != nil {
-			s.record.line("server %s can't answer %s: %v", s.id, id, err)
-			return
-		}
-		s.mu.Lock()
-		s.whole[id] = true
-		s.mu.Unlock()
-		s.record.line("server %s has answered %s to the end and closes its connection properly", s.id, id)
-	}
-}
-
-// hasAnswered reports whether the server answered a request to the last byte.
-func (s *server) hasAnswered(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.whole[id]
-}
-
 // streamOf returns work that answers with events at even gaps.
 func streamOf(events int, gap time.Duration) func(w http.ResponseWriter, r *http.Request) {
 	return func(w http.ResponseWriter, r *http.Request) {
