consensus: a learner's silence counts from when it was added

Cause: a learner that had not answered yet counted as silent since the beginning of the term, so a leader older than staleLearnerTimeout removed it at its next round. Same cause: a dead voter lost its membership together with its vote, and a learner that led before counted from a message that may be old. Change: progress.followedSince, from which core.silence counts. Ruled out: a retired identity that is used again (each end has a new incarnation); the timeout itself.

--- a/internal/coordination/consensus/core_fuzz_test.go
+++ b/internal/coordination/consensus/core_fuzz_test.go
@@ -280,11 +280,11 @@
 		case 0:
 			_, err = n.core.join(s.now, replica)
 		case 1:
-			_, err = n.core.addLearner(replica, false)
+			_, err = n.core.addLearner(s.now, replica, false)
 		case 2:
-			_, err = n.core.remove(replica)
+			_, err = n.core.remove(s.now, replica)
 		default:
-			_, err = n.core.promote(replica)
+			_, err = n.core.promote(s.now, replica)
 		}
 		if errors.Is(err, ErrRemoved) {
 			s.replicas[other].Incarnation++
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -25,6 +25,12 @@
 
 // progress is what the leader knows about the log of a peer.
 type progress struct {
+	// role is the peer's role in the membership in effect. followedSince is when
+	// this leader began to expect answers from the peer in that role: at the
+	// beginning of the term, or when the peer became a member or a learner.
+	role          Role
+	followedSince time.Time
+
 	match uint64
 	next  uint64
 	// pipelining is set while entries are sent without waiting for replies.
@@ -69,7 +75,7 @@
 	c.leader = c.self
 	c.failedCampaign = ""
 	c.leadership = leadership{progress: map[Replica]*progress{}, leaderSince: now, heartbeatAt: now, seq: c.seq}
-	c.syncProgress()
+	c.syncProgress(now)
 	c.appendLocal(wal.Entry{Kind: entryNoop})
 	c.termStart = c.log.last()
 }
@@ -85,11 +91,20 @@
 }
 
 // syncProgress adds and removes peers according to the membership in effect.
-func (c *core) syncProgress() {
+func (c *core) syncProgress(now time.Time) {
 	for _, member := range c.members().Members {
-		if member.Replica != c.self && c.progress[member.Replica] == nil {
-			c.progress[member.Replica] = &progress{next: c.log.last() + 1}
+		if member.Replica == c.self {
+			continue
+		}
+		p := c.progress[member.Replica]
+		if p == nil {
+			p = &progress{next: c.log.last() + 1, role: member.Role, followedSince: now}
+			c.progress[member.Replica] = p
+		}
+		if p.role != member.Role && member.Role == RoleLearner {
+			p.followedSince = now
 		}
+		p.role = member.Role
 	}
 	for peer := range c.progress {
 		if c.members().Role(peer) == RoleNone {
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -74,17 +74,17 @@
 
 // appendMembership appends a new membership to the log and returns its index.
 // The membership takes effect at once, before it is committed.
-func (c *core) appendMembership(next Membership) uint64 {
+func (c *core) appendMembership(now time.Time, next Membership) uint64 {
 	index := c.appendLocal(wal.Entry{Kind: entryMembers, Data: next.encode()})
 	c.configs = append(c.configs, configAt{index: index, members: next})
-	c.syncProgress()
+	c.syncProgress(now)
 	return index
 }
 
 // addLearner adds a learner and returns the index of the membership entry. An
 // auto learner is promoted without an operator; a learner that left becomes one
 // again.
-func (c *core) addLearner(r Replica, auto bool) (uint64, error) {
+func (c *core) addLearner(now time.Time, r Replica, auto bool) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
@@ -92,7 +92,7 @@
 	case c.members().retired(r):
 		return 0, ErrRemoved
 	case c.replaceDead && c.members().Role(r) == RoleLearner && auto && !c.members().member(r).AutoPromote:
-		return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner, AutoPromote: true})), nil
+		return c.appendMembership(now, c.members().withMember(Member{Replica: r, Role: RoleLearner, AutoPromote: true})), nil
 	case c.members().Role(r) != RoleNone:
 		return c.configIndex(), nil
 	}
@@ -100,11 +100,11 @@
 	if len(next.Members) > MaxMembers {
 		return 0, ErrTooManyMembers
 	}
-	return c.appendMembership(next), nil
+	return c.appendMembership(now, next), nil
 }
 
 // promote turns a learner that has caught up into a voter.
-func (c *core) promote(r Replica) (uint64, error) {
+func (c *core) promote(now time.Time, r Replica) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
@@ -117,11 +117,11 @@
 	if c.progress[r].match < c.commit {
 		return 0, ErrNotCaughtUp
 	}
-	return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleVoter})), nil
+	return c.appendMembership(now, c.members().withMember(Member{Replica: r, Role: RoleVoter})), nil
 }
 
 // remove removes a replica permanently: the incarnation can't join again.
-func (c *core) remove(r Replica) (uint64, error) {
+func (c *core) remove(now time.Time, r Replica) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
@@ -132,7 +132,7 @@
 	if len(next.Voters()) == 0 {
 		return 0, ErrLastVoter
 	}
-	return c.appendMembership(next), nil
+	return c.appendMembership(now, next), nil
 }
 
 // join adds a learner that later replaces older incarnations of its ID. If there
@@ -142,10 +142,10 @@
 	if r.ID == c.self.ID && r != c.self {
 		return 0, ErrIDInUse
 	}
-	index, err := c.addLearner(r, true)
+	index, err := c.addLearner(now, r, true)
 	if errors.Is(err, ErrTooManyMembers) && c.replaceDead {
 		if stale, silent := c.longestSilentLearner(now); silent >= SilentVoterTimeout {
-			c.appendMembership(c.members().without(stale))
+			c.appendMembership(now, c.members().without(stale))
 		}
 	}
 	return index, err
@@ -163,18 +163,18 @@
 	learner, waiting := c.promotable(now)
 	if waiting {
 		if old, found := c.otherIncarnation(learner); found {
-			c.appendMembership(c.members().without(old))
+			c.appendMembership(now, c.members().without(old))
 			return
 		}
 	}
 	if c.replaceDead {
 		voter, silent := c.longestSilentVoter(now)
 		if silent >= SilentVoterTimeout && c.hasSpareVoter() {
-			c.appendMembership(c.members().withMember(Member{Replica: voter, Role: RoleLearner, AutoPromote: true}))
+			c.appendMembership(now, c.members().withMember(Member{Replica: voter, Role: RoleLearner, AutoPromote: true}))
 			return
 		}
 		if stale, silent := c.longestSilentLearner(now); silent >= staleLearnerTimeout {
-			c.appendMembership(c.members().without(stale))
+			c.appendMembership(now, c.members().without(stale))
 			return
 		}
 		// Another voter beside one that doesn't answer would raise the quorum while
@@ -183,7 +183,7 @@
 		waiting = waiting && (silent >= DeadVoterTimeout || c.allVotersAnswer(now))
 	}
 	if waiting {
-		c.appendMembership(c.members().withMember(Member{Replica: learner, Role: RoleVoter}))
+		c.appendMembership(now, c.members().withMember(Member{Replica: learner, Role: RoleVoter}))
 	}
 }
 
@@ -213,11 +213,12 @@
 }
 
 // silence returns how long a peer has been silent, as far as this leader can
-// tell. The previous leader counts from its last message if it had time to
-// answer since; all others count from the beginning of the term at the earliest.
+// tell. A voter that led before counts from its last message if it had time to
+// answer since; all others count from followedSince at the earliest.
 func (c *core) silence(now time.Time, peer Replica) time.Duration {
-	heard := latest(c.progress[peer].ackedAt, c.leaderSince)
-	if peer == c.lastLeader && c.progress[peer].ackedAt.IsZero() && now.Sub(c.leaderSince) >= c.timing.ElectionMax {
+	p := c.progress[peer]
+	heard := latest(p.ackedAt, p.followedSince)
+	if peer == c.lastLeader && p.role == RoleVoter && p.ackedAt.IsZero() && now.Sub(c.leaderSince) >= c.timing.ElectionMax {
 		heard = c.lastLeaderAt
 	}
 	return now.Sub(heard)
@@ -267,14 +268,14 @@
 
 // leave takes the vote of a replica that is about to stop, if there are more
 // voters than minVoters. The replica becomes a learner until it joins again.
-func (c *core) leave(r Replica) (uint64, error) {
+func (c *core) leave(now time.Time, r Replica) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
 	}
 	if c.members().Role(r) != RoleVoter || !c.hasSpareVoter() {
 		return c.configIndex(), nil
 	}
-	return c.appendMembership(c.members().withMember(Member{Replica: r, Role: RoleLearner})), nil
+	return c.appendMembership(now, c.members().withMember(Member{Replica: r, Role: RoleLearner})), nil
 }
 
 // silentVoters returns how many other voters a leader has not heard from for
--- a/internal/coordination/consensus/leave.go
+++ b/internal/coordination/consensus/leave.go
@@ -53,6 +53,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, r.opts.Timing.CallTimeout)
 	defer cancel()
-	err := r.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.leave(req.Replica) })
+	err := r.changeMembers(ctx, func(now time.Time, c *core) (uint64, error) { return c.leave(now, req.Replica) })
 	return LeaveReply{Done: err == nil}, err
 }
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -108,18 +108,18 @@
 // AddLearner adds a learner, which receives the log but does not vote. Leader
 // only.
 func (n *Node[R]) AddLearner(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.addLearner(r, false) })
+	return n.replica.changeMembers(ctx, func(now time.Time, c *core) (uint64, error) { return c.addLearner(now, r, false) })
 }
 
 // Promote turns a learner that has caught up into a voter. Leader only.
 func (n *Node[R]) Promote(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.promote(r) })
+	return n.replica.changeMembers(ctx, func(now time.Time, c *core) (uint64, error) { return c.promote(now, r) })
 }
 
 // Remove removes a replica permanently: the incarnation can't join again.
 // Leader only.
 func (n *Node[R]) Remove(ctx context.Context, r Replica) error {
-	return n.replica.changeMembers(ctx, func(_ time.Time, c *core) (uint64, error) { return c.remove(r) })
+	return n.replica.changeMembers(ctx, func(now time.Time, c *core) (uint64, error) { return c.remove(now, r) })
 }
 
 // Status describes a replica for operators and metrics.
