consensus: the log in memory is bounded by bytes

Tests: TestNode_LogOfLargeEntriesIsBounded, _EmptyReplicaAfterLargeEntries and _UncommittedBytesAreBounded failed before.

--- a/internal/coordination/consensus/applier.go
+++ b/internal/coordination/consensus/applier.go
@@ -10,8 +10,9 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/wal"
 )
 
-// trailingEntries is the number of entries before a snapshot that stay in
-// memory, so that a peer that is slightly behind does not need the snapshot.
+// trailingEntries bounds the entries before a snapshot that stay in memory, so
+// that a peer that is slightly behind does not need the snapshot. Their size is
+// bounded by Options.SnapshotBytes.
 const trailingEntries = 1024
 
 // applier applies committed entries in order and takes snapshots.
@@ -29,7 +30,9 @@
 	term                 uint64
 	entriesSinceSnapshot int
 	bytesSinceSnapshot   int
-	saving               atomic.Bool
+	// snapshotBytes is the size of the latest snapshot's data.
+	snapshotBytes int
+	saving        atomic.Bool
 }
 
 // applyStep is one unit of work for the applier. The fields are handled in
@@ -48,12 +51,12 @@
 	done chan outcome
 }
 
-func (a *applier) init(r *replica, applied uint64, members Membership) {
+func (a *applier) init(r *replica, latest snap.Snapshot, members Membership) {
 	a.r = r
 	a.queue.init()
 	a.waiters = map[uint64]waiter{}
-	a.applied.Store(applied)
-	a.members = members
+	a.applied.Store(latest.Meta.Index)
+	a.members, a.snapshotBytes = members, len(latest.Data)
 }
 
 func (a *applier) stop() {
@@ -146,7 +149,7 @@
 	if err := a.r.machine.restore(s.Data); err != nil {
 		return fmt.Errorf("consensus: restore the snapshot: %w", err)
 	}
-	a.members, a.term = members, s.Meta.Term
+	a.members, a.term, a.snapshotBytes = members, s.Meta.Term, len(s.Data)
 	a.entriesSinceSnapshot, a.bytesSinceSnapshot = 0, 0
 	a.applied.Store(s.Meta.Index)
 	return nil
@@ -191,10 +194,11 @@
 }
 
 // maybeSnapshot takes a snapshot if enough entries were applied since the last
-// one. The state is encoded here, between two steps, and saved in another
-// goroutine.
+// one. Their size is at least that of a snapshot, so that snapshots at most
+// double what is written. The state is encoded here, between two steps, and
+// saved in another goroutine.
 func (a *applier) maybeSnapshot() error {
-	due := a.entriesSinceSnapshot >= a.r.opts.SnapshotEntries || a.bytesSinceSnapshot >= a.r.opts.SnapshotBytes
+	due := a.entriesSinceSnapshot >= a.r.opts.SnapshotEntries || a.bytesSinceSnapshot >= max(a.r.opts.SnapshotBytes, a.snapshotBytes)
 	if !due || !a.saving.CompareAndSwap(false, true) {
 		return nil
 	}
@@ -202,7 +206,7 @@
 	if err != nil {
 		return fmt.Errorf("consensus: take a snapshot: %w", err)
 	}
-	a.entriesSinceSnapshot, a.bytesSinceSnapshot = 0, 0
+	a.entriesSinceSnapshot, a.bytesSinceSnapshot, a.snapshotBytes = 0, 0, len(data)
 	meta := snap.Meta{Index: a.applied.Load(), Term: a.term, Members: a.members.encode()}
 	a.r.spawn(func() { a.save(snap.Snapshot{Meta: meta, Data: data}) })
 	return nil
@@ -215,10 +219,9 @@
 		a.r.fail(err)
 		return
 	}
-	compactTo := s.Meta.Index - min(s.Meta.Index, trailingEntries)
 	// post fails only when the replica stops.
 	_ = a.r.post(a.r.ctx, func(time.Time) {
-		a.r.core.compact(compactTo)
+		a.r.core.compact(s.Meta.Index, trailingEntries, a.r.opts.SnapshotBytes)
 		a.r.writer.push(job{compact: s.Meta.Index})
 	})
 }
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -30,6 +30,9 @@
 	oracle  *oracle
 	applied []command
 	values  map[string]int
+	// latestOnly leaves all commands but the last one out of snapshots, whose size
+	// then doesn't depend on the number of commands.
+	latestOnly bool
 }
 
 func (m *registerMachine) Apply(index uint64, raw []byte) int {
@@ -49,6 +52,9 @@
 func (m *registerMachine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.latestOnly {
+		return json.Marshal(m.applied[max(0, len(m.applied)-1):])
+	}
 	return json.Marshal(m.applied)
 }
 
@@ -181,6 +187,8 @@
 	ids     []ident.NodeID
 	members map[ident.NodeID]*member
 	options Options
+	// latestOnly is that of the state machines.
+	latestOnly bool
 }
 
 // current returns ids.
@@ -224,7 +232,7 @@
 	options.Peers = memPeers{net: c.net, self: id}
 	options.clockRate = m.clockRate
 	options.faults = m.faults
-	machine := &registerMachine{oracle: c.oracle, values: map[string]int{}}
+	machine := &registerMachine{oracle: c.oracle, values: map[string]int{}, latestOnly: c.latestOnly}
 	node, err := New(options, machine)
 	if err != nil {
 		return err
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -11,9 +11,11 @@
 type leadership struct {
 	progress map[Replica]*progress
 	// termStart is the index of the first entry of the term.
-	termStart   uint64
-	leaderSince time.Time
-	heartbeatAt time.Time
+	termStart uint64
+	// uncommittedBytes is the size of the entries after the commit index.
+	uncommittedBytes int
+	leaderSince      time.Time
+	heartbeatAt      time.Time
 	// seq numbers the rounds of AppendRequests. It grows over all terms.
 	seq   uint64
 	reads []pendingRead
@@ -76,6 +78,7 @@
 	c.failedCampaign = ""
 	c.leadership = leadership{progress: map[Replica]*progress{}, leaderSince: now, heartbeatAt: now, seq: c.seq}
 	c.syncProgress(now)
+	c.uncommittedBytes = c.log.bytesAfter(c.commit)
 	c.appendLocal(wal.Entry{Kind: entryNoop})
 	c.termStart = c.log.last()
 }
@@ -119,6 +122,7 @@
 	entry.Index = c.log.last() + 1
 	entry.Term = c.term
 	c.log.entries = append(c.log.entries, entry)
+	c.uncommittedBytes += len(entry.Data) + entryOverhead
 	c.out.batch.Entries = append(c.out.batch.Entries, entry)
 	return entry.Index
 }
@@ -264,6 +268,9 @@
 	if index <= c.commit || (term != c.term && !c.faults.commitOldTerms) {
 		return
 	}
+	for _, entry := range c.log.slice(c.commit+1, index) {
+		c.uncommittedBytes -= len(entry.Data) + entryOverhead
+	}
 	c.commit = index
 	c.pruneConfigs()
 	c.releaseConfirmedReads(now)
--- a/internal/coordination/consensus/core_snapshot.go
+++ b/internal/coordination/consensus/core_snapshot.go
@@ -7,10 +7,12 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/wal"
 )
 
-// compact drops the entries up to index from memory, except those not yet
+// compact drops entries up to index from memory, except the last ones that
+// together have at most keptBytes and number at most kept, and those not yet
 // emitted for applying. The caller has saved a snapshot that covers them.
-func (c *core) compact(index uint64) {
-	c.log.compact(min(index, c.emitted))
+func (c *core) compact(index uint64, kept, keptBytes int) {
+	index = min(index, c.emitted)
+	c.log.compact(c.log.tailStart(index, kept, keptBytes))
 }
 
 // snapshotIsNewer reports whether a snapshot covers entries that are not
--- a/internal/coordination/consensus/loop.go
+++ b/internal/coordination/consensus/loop.go
@@ -23,6 +23,8 @@
 	// maxUncommitted is the number of uncommitted entries at which the leader
 	// stops accepting proposals.
 	maxUncommitted = 8192
+	// maxUncommittedBytes is their size at which it does so, in bytes.
+	maxUncommittedBytes = 16 << 20
 )
 
 // view is the state that the loop publishes to other goroutines.
@@ -87,7 +89,7 @@
 // proposalInput returns the channel of proposals, or nil while too many entries
 // are uncommitted.
 func (r *replica) proposalInput() chan proposal {
-	if r.core.log.last()-r.core.commit >= maxUncommitted {
+	if r.core.log.last()-r.core.commit >= maxUncommitted || r.core.uncommittedBytes >= maxUncommittedBytes {
 		return nil
 	}
 	return r.proposals
--- a/internal/coordination/consensus/options.go
+++ b/internal/coordination/consensus/options.go
@@ -15,8 +15,9 @@
 	// snapshot is taken.
 	DefaultSnapshotEntries = 8192
 	// DefaultSnapshotBytes is the size of applied entries after which a
-	// snapshot is taken, in bytes.
-	DefaultSnapshotBytes = 32 << 20
+	// snapshot is taken, in bytes. The log in memory is up to three times as
+	// large: before the latest snapshot, after it, and while one is saved.
+	DefaultSnapshotBytes = 4 << 20
 	// DefaultMinVoters tolerates the loss of one disk.
 	DefaultMinVoters = 3
 )
@@ -50,7 +51,8 @@
 	// Timing holds the periods and timeouts; zero fields take their defaults.
 	Timing Timing
 	// SnapshotEntries and SnapshotBytes are the number and the size in bytes of
-	// applied entries after which a snapshot is taken; 0 means the default.
+	// applied entries after which a snapshot is taken; 0 means the default. The
+	// size is at least that of the snapshot before.
 	SnapshotEntries int
 	SnapshotBytes   int
 
--- a/internal/coordination/consensus/raftlog.go
+++ b/internal/coordination/consensus/raftlog.go
@@ -70,6 +70,28 @@
 	return all
 }
 
+// tailStart returns the index before the longest run of entries that ends at
+// index, has at most count entries and takes at most maxBytes.
+func (l *raftLog) tailStart(index uint64, count, maxBytes int) uint64 {
+	size := 0
+	for ; index > l.base && count > 0; index, count = index-1, count-1 {
+		size += len(l.entries[index-l.base-1].Data) + entryOverhead
+		if size > maxBytes {
+			break
+		}
+	}
+	return index
+}
+
+// bytesAfter returns the size of the entries after index, in bytes.
+func (l *raftLog) bytesAfter(index uint64) int {
+	size := 0
+	for _, entry := range l.slice(index+1, l.last()) {
+		size += len(entry.Data) + entryOverhead
+	}
+	return size
+}
+
 // truncate drops every entry above index.
 func (l *raftLog) truncate(index uint64) {
 	l.entries = l.entries[: index-l.base : index-l.base]
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -133,7 +133,7 @@
 	if r.core, err = newCore(r.now(), config); err != nil {
 		return errors.Join(err, log.Close())
 	}
-	r.applier.init(r, snapshot.Meta.Index, config.members)
+	r.applier.init(r, snapshot, config.members)
 	r.publish(r.now())
 	if snapshot.Meta.Index == 0 {
 		return nil
