consensus: a new leader goes on counting a voter's silence

Cause: a new leader counted the silence of voters from the beginning of its own term, the leader before excepted. Change: heartbeats name the silent voters; core.recallSilent goes on from there for a voter that doesn't answer in the new term either.

--- a/internal/coordination/consensus/core.go
+++ b/internal/coordination/consensus/core.go
@@ -74,6 +74,10 @@
 	// this replica.
 	lastLeader   Replica
 	lastLeaderAt time.Time
+	// silentSince holds the voters that the latest leader reported as silent, as of
+	// silentReportedAt.
+	silentSince      map[Replica]time.Time
+	silentReportedAt time.Time
 
 	leadership
 
@@ -206,7 +210,7 @@
 		c.term, c.vote = term, Replica{}
 	}
 	if c.role == leader {
-		c.endLeadership()
+		c.endLeadership(now)
 		c.resetElection(now)
 	}
 	c.role = follower
--- a/internal/coordination/consensus/core_append.go
+++ b/internal/coordination/consensus/core_append.go
@@ -21,6 +21,7 @@
 // never rejects it.
 func (c *core) heartbeat(now time.Time) {
 	c.seq++
+	silent := c.silentVoters(now, c.timing.ElectionMax)
 	for _, member := range c.members().Members {
 		p := c.progress[member.Replica]
 		if p == nil {
@@ -31,6 +32,8 @@
 			prev = 0
 		}
 		c.sendAppend(now, member.Replica, p, prev, nil, true)
+		beat := c.out.sends[len(c.out.sends)-1].append
+		beat.Heartbeat, beat.Silent = true, silent
 	}
 }
 
@@ -105,6 +108,9 @@
 	if !c.acceptLeader(now, from, req.Term) {
 		return AppendReply{Term: c.term}
 	}
+	if req.Heartbeat {
+		c.recordSilent(now, req.Silent)
+	}
 	prev, prevTerm, entries := req.PrevIndex, req.PrevTerm, req.Entries
 	match := prev + uint64(len(entries))
 	if prev < c.log.base {
--- a/internal/coordination/consensus/core_leader.go
+++ b/internal/coordination/consensus/core_leader.go
@@ -32,6 +32,9 @@
 	// beginning of the term, or when the peer became a member or a learner.
 	role          Role
 	followedSince time.Time
+	// silentBefore is when the peer was last heard before this term; zero if that
+	// is not known.
+	silentBefore time.Time
 
 	match uint64
 	next  uint64
@@ -78,16 +81,18 @@
 	c.failedCampaign = ""
 	c.leadership = leadership{progress: map[Replica]*progress{}, leaderSince: now, heartbeatAt: now, seq: c.seq}
 	c.syncProgress(now)
+	c.recallSilent()
 	c.uncommittedBytes = c.log.bytesAfter(c.commit)
 	c.appendLocal(wal.Entry{Kind: entryNoop})
 	c.termStart = c.log.last()
 }
 
 // endLeadership resets the leader state and fails the pending reads.
-func (c *core) endLeadership() {
+func (c *core) endLeadership(now time.Time) {
 	for _, read := range c.reads {
 		c.out.reads = append(c.out.reads, readReady{token: read.token, failed: true})
 	}
+	c.recordSilent(now, c.silentVoters(now, c.timing.ElectionMax))
 	c.leadership = leadership{seq: c.seq}
 	c.lastLeader, c.lastLeaderAt = Replica{}, time.Time{}
 	c.out.steppedDown = true
--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -212,18 +212,6 @@
 	return Replica{}, false
 }
 
-// silence returns how long a peer has been silent, as far as this leader can
-// tell. A voter that led before counts from its last message if it had time to
-// answer since; all others count from followedSince at the earliest.
-func (c *core) silence(now time.Time, peer Replica) time.Duration {
-	p := c.progress[peer]
-	heard := latest(p.ackedAt, p.followedSince)
-	if peer == c.lastLeader && p.role == RoleVoter && p.ackedAt.IsZero() && now.Sub(c.leaderSince) >= c.timing.ElectionMax {
-		heard = c.lastLeaderAt
-	}
-	return now.Sub(heard)
-}
-
 // longestSilentVoter returns the other voter that has been silent for longest,
 // and for how long.
 func (c *core) longestSilentVoter(now time.Time) (Replica, time.Duration) {
@@ -278,18 +266,6 @@
 	return c.appendMembership(now, c.members().withMember(Member{Replica: r, Role: RoleLearner})), nil
 }
 
-// silentVoters returns how many other voters a leader has not heard from for
-// SilentVoterTimeout.
-func (c *core) silentVoters(now time.Time) int {
-	count := 0
-	for _, voter := range c.members().Voters() {
-		if c.progress[voter] != nil && c.silence(now, voter) >= SilentVoterTimeout {
-			count++
-		}
-	}
-	return count
-}
-
 // caughtUp reports whether a learner answered recently and holds all committed
 // entries.
 func (c *core) caughtUp(now time.Time, r Replica) bool {
--- a/internal/coordination/consensus/messages.go
+++ b/internal/coordination/consensus/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/wal"
@@ -60,6 +61,16 @@
 	PrevTerm  uint64
 	Entries   []wal.Entry
 	Commit    uint64
+	// Heartbeat is true for a heartbeat, which carries Silent: the voters that
+	// have not answered the leader for ElectionMax.
+	Heartbeat bool
+	Silent    []SilentVoter
+}
+
+// SilentVoter is a voter that has not answered the leader for a time.
+type SilentVoter struct {
+	Replica Replica
+	For     time.Duration
 }
 
 // AppendReply answers an AppendRequest.
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -159,7 +159,7 @@
 	return Status{
 		Replica: c.self, Cluster: r.identity.Genesis.Cluster, Term: c.term, Leader: c.leader.ID,
 		LastIndex: c.log.last(), Commit: c.commit, LogEntries: len(c.log.entries),
-		SilentVoters: c.silentVoters(now), FailedCampaign: c.failedCampaign,
+		SilentVoters: len(c.silentVoters(now, SilentVoterTimeout)), FailedCampaign: c.failedCampaign,
 	}
 }
 
--- a/internal/coordination/consensus/old_leader_test.go
+++ b/internal/coordination/consensus/old_leader_test.go
@@ -76,3 +76,40 @@
 		must.Eq(t, RoleVoter, mustLead(t, c).node.Members().Role(self), must.Sprint(c.describe()))
 	})
 }
+
+// TestNode_SuccessorWhileLeadersChange crashes a follower for good and lets the
+// leadership change 1 and 2.7 s later. A successor that starts 1 s after the loss
+// must vote within catchUpTime: each new leader counted the silence of the dead
+// voter from the beginning of its own term.
+func TestNode_SuccessorWhileLeadersChange(t *testing.T) {
+	for _, returns := range []bool{false, true} {
+		t.Run(fmt.Sprintf("same leader returns %t", returns), func(t *testing.T) {
+			runCluster(t, 3, replacementOptions, func(t *testing.T, c *cluster) {
+				mustPut(t, c, 1, 5)
+				time.Sleep(time.Second)
+				leading := mustLead(t, c)
+				dead := c.ids[slices.IndexFunc(c.ids, func(id ident.NodeID) bool { return id != leading.id })]
+				c.crash(dead)
+				c.forget(dead)
+				time.Sleep(time.Second)
+				c.join(t, "d")
+				started := time.Now()
+				for _, pause := range []time.Duration{0, 1700 * time.Millisecond} {
+					time.Sleep(pause)
+					leading = mustLead(t, c)
+					if returns {
+						loseLeadership(t, leading)
+						time.Sleep(time.Millisecond)
+						continue
+					}
+					leading.node.replica.transferLeadership(t.Context())
+					must.NotEq(t, leading, mustLead(t, c))
+				}
+				time.Sleep(time.Until(started.Add(catchUpTime)))
+				self := c.members["d"].node.Self()
+				must.Eq(t, RoleVoter, mustLead(t, c).node.Members().Role(self), must.Sprint(c.describe()))
+				must.Len(t, 3, mustLead(t, c).node.Members().Voters(), must.Sprint(c.describe()))
+			})
+		})
+	}
+}
