--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -93,7 +93,7 @@
 		clock:        &timeline.Clock{},
 		rpcClient:    rpcnet.NewClientWithDialer(o.dial()),
 		sender:       upstreamhttp.NewSender(),
-		budget:       gateway.NewBudget(s.Limits.MaxWaitingBytes),
+		budget:       gateway.NewBudget(s.Limits.MaxWaitingBytes, gateway.DefaultTeamShare),
 		metrics:      newMetrics(),
 		heartbeatNow: make(chan struct{}, 1),
 		drained:      make(chan struct{}),
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -34,9 +35,23 @@
 	ListPage func(ctx context.Context, token string) (ListPage, error)
 }
 
-// bodyMemoryShare is the share of the process's memory that the bodies of held
-// requests may take.
-const bodyMemoryShare = 0.2
+const (
+	// bodyMemoryShare is the share of the process's memory that the bodies of requests
+	// may take, those that are still arriving included.
+	bodyMemoryShare = 0.6
+	// teamBodyShare is the share of it that one team may use.
+	teamBodyShare = 0.75
+	// softMemoryShare is the share of the process's memory at which the garbage
+	// collector runs more often. The rest is left for stacks and buffers of the kernel.
+	softMemoryShare = 0.8
+)
+
+// LimitMemory makes the garbage collector keep the process below a share of the memory that it
+// may use, in bytes, as long as less is in use. Without it, the process may grow to twice of
+// what is in use.
+func LimitMemory(bytes int64) {
+	debug.SetMemoryLimit(int64(float64(bytes) * softMemoryShare))
+}
 
 // Node is the daemon of one node: a gateway, a replica or both.
 type Node struct {
@@ -137,7 +152,7 @@
 	n.control = control.NewClient(n.replicas, n.initialReplicas())
 	n.control.SetMaxBackoff(maxRetryDelay)
 	n.pools = pool.NewService(n.clock)
-	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes) * bodyMemoryShare))
+	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes)*bodyMemoryShare), teamBodyShare)
 	n.metrics = newMetrics(n)
 	n.gateway = gateway.New(n, nil, deps.Upstreams, n.budget, n.events)
 	if err := n.listen(); err != nil {
@@ -295,6 +310,11 @@
 // Hosts returns the current routes; nil before the first configuration.
 func (n *Node) Hosts() *routing.HostTable { return n.hosts.Load() }
 
+// Admit reserves memory for a request before its body is read.
+func (n *Node) Admit(ctx context.Context, r *gateway.Request, bodyBytes int64) (*gateway.Reservation, *gateway.Failure) {
+	return n.gateway.Admit(ctx, r, bodyBytes)
+}
+
 // Serve processes a request and writes its answer to sink.
 func (n *Node) Serve(ctx context.Context, r *gateway.Request, sink gateway.Sink) gateway.Result {
 	if failure := n.refuseIfStopping(r, time.Now()); failure != nil {
--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -34,11 +34,12 @@
 	reservations map[*Reservation]struct{}
 }
 
-// NewBudget returns a budget of limit bytes.
-func NewBudget(limit int64) *Budget {
+// NewBudget returns a budget of limit bytes, of which one team may use the given
+// share.
+func NewBudget(limit int64, teamShare float64) *Budget {
 	return &Budget{
 		limit:        limit,
-		teamLimit:    int64(float64(limit) * DefaultTeamShare),
+		teamLimit:    int64(float64(limit) * teamShare),
 		byTeam:       make(map[ident.TeamName]int64),
 		reservations: make(map[*Reservation]struct{}),
 	}
@@ -55,11 +56,11 @@
 	waiting bool
 }
 
-// Acquire reserves memory for the request, or returns a failure if there is not
-// enough. The reservation's context ends with ctx, or with a *Failure as its
-// cause when the request is shed.
-func (b *Budget) Acquire(ctx context.Context, r *Request) (*Reservation, *Failure) {
-	need := int64(len(r.Body)) + RequestOverhead
+// Acquire reserves memory for the request, whose body is or will be of the given size
+// in bytes, or returns a failure if there is not enough. The reservation's context
+// ends with ctx, or with a *Failure as its cause when the request is shed.
+func (b *Budget) Acquire(ctx context.Context, r *Request, bodyBytes int64) (*Reservation, *Failure) {
+	need := bodyBytes + RequestOverhead
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byTeam[r.Team]+need > b.teamLimitFor(r) {
@@ -76,6 +77,26 @@
 	return res, nil
 }
 
+// Grow reserves more bytes for a request whose body turned out to be larger.
+func (res *Reservation) Grow(r *Request, more int64) *Failure {
+	b := res.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, held := b.reservations[res]; !held {
+		return memoryFailure("the request was shed")
+	}
+	if b.byTeam[res.team]+more > b.teamLimitFor(r) {
+		return memoryFailure("the team's limit on waiting bytes is reached")
+	}
+	if !b.makeRoom(more, res.rank) {
+		return memoryFailure("the node's limit on waiting bytes is reached by work of the same or higher tiers")
+	}
+	res.bytes += more
+	b.used += more
+	b.byTeam[res.team] += more
+	return nil
+}
+
 func (b *Budget) teamLimitFor(r *Request) int64 {
 	if r.TeamWaitingBytes > 0 {
 		return r.TeamWaitingBytes
--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -69,7 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				e := &connectionEndEnv{listed: !c.gone}
-				g := New(e, e, e, NewBudget(1<<20), nil)
+				g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 				if c.refused {
 					e.probeErr = errors.New("connection refused")
 				}
@@ -105,7 +105,7 @@
 				if killed {
 					e.probeErr = errors.New("connection refused")
 				}
-				g := New(e, e, e, NewBudget(1<<20), nil)
+				g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 				sink := &memorySink{}
 				result := g.Serve(t.Context(), &Request{ID: "r1", Key: "k1", Deadline: time.Now().Add(time.Second)}, sink)
 				awaitSettled(g)
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -238,7 +238,7 @@
 			if leaves {
 				time.AfterFunc(time.Second, cancel)
 			}
-			g := New(e, l, e, NewBudget(1<<20), nil)
+			g := New(e, l, e, NewBudget(1<<20, DefaultTeamShare), nil)
 			result = g.Serve(ctx, r, sink)
 			awaitSettled(g)
 		})
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -51,6 +51,17 @@
 
 var errDeadline = errors.New("deadline has passed")
 
+// Admit reserves memory for a request before its body is read, whose size in bytes may be
+// known. The caller releases the reservation unless it passes the request to Serve.
+func (g *Gateway) Admit(ctx context.Context, r *Request, bodyBytes int64) (*Reservation, *Failure) {
+	reservation, failure := g.budget.Acquire(ctx, r, bodyBytes)
+	if failure != nil {
+		g.record(r, timeline.KindAccepted, r.describe())
+		g.recordEnd(r, Result{Failure: failure})
+	}
+	return reservation, failure
+}
+
 // Serve runs r until it is answered or has failed. Exactly one field of the
 // result is set. Ctx is canceled when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) Result {
@@ -60,17 +71,23 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, r *Request, sink Sink) Result {
+	if r.Admission != nil {
+		defer r.Admission.Release()
+	}
 	if !r.AllowStaleLease && !g.env.Fresh() {
 		return refusal(Reason(scheduler.ReasonCutOff), "this node holds no fresh lease", 0)
 	}
 	r.isRetry = g.retries.Observe(r.Route, r.CallerTimeout, time.Now())
 	r.setFingerprint()
 	g.record(r, timeline.KindAccepted, r.describe())
-	reservation, failure := g.budget.Acquire(ctx, r)
-	if failure != nil {
-		return Result{Failure: failure}
+	reservation := r.Admission
+	if reservation == nil {
+		var failure *Failure
+		if reservation, failure = g.budget.Acquire(ctx, r, int64(len(r.Body))); failure != nil {
+			return Result{Failure: failure}
+		}
+		defer reservation.Release()
 	}
-	defer reservation.Release()
 	waitCtx, cancel := context.WithDeadlineCause(reservation.Context(), r.Deadline, errDeadline)
 	defer cancel()
 	if r.needsClaim() {
--- a/internal/coordination/gateway/outcome_test.go
+++ b/internal/coordination/gateway/outcome_test.go
@@ -182,7 +182,7 @@
 	if s.draw(10) == 0 {
 		room = 1
 	}
-	g := New(s, s, s, NewBudget(room), nil)
+	g := New(s, s, s, NewBudget(room, DefaultTeamShare), nil)
 	s.decide(func() {})
 	s.result = g.Serve(ctx, s.request, &memorySink{})
 	awaitSettled(g)
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -24,6 +24,9 @@
 	// TeamWaitingBytes bounds the memory that the team may hold at this
 	// gateway; zero selects the default share.
 	TeamWaitingBytes int64
+	// Admission is the memory reserved by Admit; Serve releases it. If it is nil, Serve
+	// reserves memory itself.
+	Admission *Reservation
 	// Rank is the tier's rank; requests of a lower rank are shed first.
 	Rank       int
 	Idempotent bool
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -84,7 +84,7 @@
 func TestGateway_UnresponsiveServiceFailsAtDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &unresponsiveEnv{}
-		g := New(e, e, e, NewBudget(1<<20), nil)
+		g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 		r := &Request{ID: "r1", Key: "k1", StatusPath: "/status", Deadline: time.Now().Add(time.Second)}
 		result := g.Serve(t.Context(), r, &memorySink{})
 		must.Eq(t, settleGrace, time.Since(r.Deadline))
@@ -115,7 +115,7 @@
 func TestGateway_AnswerDeliveredDespiteUnresponsiveLedger(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &outcomeUnrecordedEnv{}
-		g := New(e, e, e, NewBudget(1<<20), nil)
+		g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 		r := &Request{ID: "r1", Key: "k1", Deadline: time.Now().Add(time.Second)}
 		sink := &memorySink{}
 		result := g.Serve(t.Context(), r, sink)
@@ -132,7 +132,7 @@
 func TestGateway_UnresponsiveLedgerFailsAtDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &claimReplyLostEnv{}
-		g := New(e, e, e, NewBudget(1<<20), nil)
+		g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 		r := &Request{ID: "r1", Key: "k1", Deadline: time.Now().Add(time.Second)}
 		result := g.Serve(t.Context(), r, &memorySink{})
 		must.Eq(t, settleGrace, time.Since(r.Deadline))
@@ -183,7 +183,7 @@
 func TestGateway_NoSecondGrantAtALeavingUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &leavingEnv{}
-		g := New(e, nil, e, NewBudget(1<<20), nil)
+		g := New(e, nil, e, NewBudget(1<<20, DefaultTeamShare), nil)
 		r := &Request{ID: "r1", Idempotent: true, MaxAttempts: 1, Deadline: time.Now().Add(time.Second)}
 		result := g.Serve(t.Context(), r, &memorySink{})
 		must.Nil(t, result.Failure)
