--- a/internal/coordination/consensus/core_member.go
+++ b/internal/coordination/consensus/core_member.go
@@ -93,7 +93,7 @@
 // together with the changes of following, and returns errAnnounced.
 func (c *core) changeMembership(now time.Time, next Membership, following ...Replica) (uint64, error) {
 	current := c.members()
-	changed := current.revoted(next)
+	changed := current.changedVoters(next)
 	for _, r := range changed {
 		if !current.member(r).Changing && !c.faults.unannounced {
 			c.announcedAt = now
@@ -102,7 +102,7 @@
 	}
 	left := slices.DeleteFunc(current.changing(), func(r Replica) bool { return slices.Contains(changed, r) })
 	next = next.announcing(left...)
-	next.Revoted = len(changed) > 0
+	next.VotesChanged = len(changed) > 0
 	return c.appendMembership(now, next), nil
 }
 
@@ -114,7 +114,7 @@
 	switch {
 	case withdrawn:
 		c.appendMembership(now, current.announcing())
-	case current.Revoted:
+	case current.VotesChanged:
 		c.appendMembership(now, current.announcing(current.changing()...))
 	}
 }
--- a/internal/coordination/consensus/core_recover.go
+++ b/internal/coordination/consensus/core_recover.go
@@ -12,22 +12,25 @@
 //
 // Why it is safe, for a lost voter L and the voters R that promise term T:
 //
-//   - R has a member in each quorum with L in it, in every membership that may be in
-//     effect (recovery.isSufficient). Those are the last two of a log, since a leader appends one
-//     only when the one before it is committed. A membership that R does not know differs
-//     by one vote from one that R knows, and that vote is marked there, since a
-//     change is announced to a quorum before it is made (changeMembership).
-//   - Entries that L acknowledged: one that was committed with L's answer is held by a
-//     member of R, which acknowledged it before its promise, since it refuses
-//     earlier terms afterwards and no leader of T or later counts answers from
-//     before the loss. L grants no vote to a candidate whose log is older than the
-//     most recent log of R (core.tip), and does not campaign before it holds that.
+//   - Memberships: R has a member in each quorum with L in it, in every
+//     membership that may be in effect (recovery.isSufficient). Those are the
+//     last two of a log, since a leader appends one only when the one before it
+//     is committed. A membership that R does not know differs by one vote from
+//     one that R knows, and that vote is marked there, since a change is
+//     announced to a quorum before it is made (changeMembership).
+//   - Entries that L acknowledged: one that was committed with L's answer is
+//     held by a member of R, which acknowledged it before its promise: it
+//     refuses earlier terms afterwards, and no leader of T or later counts
+//     answers from before the loss. L grants no vote to a candidate whose log is
+//     older than the most recent log of R (core.tip), and does not campaign
+//     before it holds that.
 //   - Votes that L granted: a leader that was elected with one has a vote from a
-//     member of R too. If that was given before the promise, its term is
-//     lower than T, in which L votes no more. If it was given afterwards, it comes too late: a
-//     campaign counts votes for ElectionMax at most, and L waits
-//     for longer than that, from its start, before it asks.
-//   - Leases: L refuses votes for ElectionMin from its start, as after any restart.
+//     member of R too. If that was given before the promise, its term is lower
+//     than T, in which L votes no more. If it was given afterwards, it came too
+//     late: a campaign counts votes for ElectionMax at most, and L waits for
+//     longer than that, from its start, before it asks.
+//   - Leases: L refuses votes for ElectionMin from its start, as after any
+//     restart.
 
 // logTip is the position of the last entry of a log.
 type logTip struct {
--- a/internal/coordination/consensus/member.go
+++ b/internal/coordination/consensus/member.go
@@ -76,9 +76,9 @@
 	// Retired lists the most recently removed replicas, oldest first, at most
 	// maxRetired. They can't join again.
 	Retired []Replica
-	// Revoted is true if this membership took or gave a vote. The next one, which may
+	// VotesChanged is true if this membership took or gave a vote. The next one, which may
 	// be equal to it, shows that it is committed.
-	Revoted bool `cbor:",omitempty"`
+	VotesChanged bool `cbor:",omitempty"`
 }
 
 // String returns the members with their roles, as in "a/1f voter, b/2c learner".
@@ -117,8 +117,8 @@
 	return voters
 }
 
-// revoted returns the replicas that vote in exactly one of two memberships.
-func (m Membership) revoted(next Membership) []Replica {
+// changedVoters returns the replicas that vote in exactly one of two memberships.
+func (m Membership) changedVoters(next Membership) []Replica {
 	var changed []Replica
 	for _, voter := range m.Voters() {
 		if next.Role(voter) != RoleVoter {
@@ -137,7 +137,7 @@
 // Changing.
 func (m Membership) announcing(changing ...Replica) Membership {
 	next := m
-	next.Revoted = false
+	next.VotesChanged = false
 	next.Members = slices.Clone(m.Members)
 	for i, member := range next.Members {
 		next.Members[i].Changing = slices.Contains(changing, member.Replica)
