pool: reports that free no slot wait for the next message

Cause: a scheduler is a gateway with a fifth of a core, and each request took 4.1 messages: its ticket, and one each for its dispatch, its first token and its end, since a message left as soon as a report was there. In a burst the messages took all of the scheduler's processor time. Then the reports of ends came late, a slot counted as used for 94 ms of which the work took 14, tickets waited, and refusals and repeats added messages.

Change: the report of a dispatch waits up to 250 ms and that of a first token up to 100 ms for a message that is sent anyway; they free no slot. Reports say how old they are, so that the times the scheduler derives stay the same. What waits together may be lost together, so a registration now lists the requests that ended lately: their grants no longer count until they expire.

Ruled out: too few slots (8 of each scheduler are enough at 14 ms each), ordinary gateways (time at the upstreams is the same in the burst), replicas (requests are accepted and wait afterwards).

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -63,7 +63,9 @@
 	running    map[ident.RequestID]*runningRequest
 	tickets    []ident.RequestID
 	cancels    []ident.RequestID
-	reports    []scheduler.Report
+	reports    reportQueue
+	// ended holds the requests whose grants the scheduler may still count.
+	ended []endedRequest
 	// notices holds what upstreams have said about themselves.
 	notices map[ident.UpstreamName]upstreamNotices
 	// pauses holds until when upstreams asked this gateway to send them nothing.
@@ -281,6 +283,7 @@
 	}
 	delete(c.running, id)
 	c.poison.recordEnd(r, end, c.notices[r.grant.Upstream].brittle, time.Now())
+	c.recordEnded(id, time.Now())
 	c.queueReport(scheduler.Report{
 		Kind:         end.Kind,
 		Ticket:       id,
@@ -297,8 +300,9 @@
 
 func (c *Client) queueReport(r scheduler.Report) {
 	r.Gateway = c.gateway
-	c.reports = append(c.reports, r)
-	c.notify()
+	if c.reports.add(r, time.Now(), c.wakeSubmitLoop) {
+		c.notify()
+	}
 }
 
 // Load returns the numbers of waiting and running requests of this gateway.
--- a/internal/coordination/pool/repeated_test.go
+++ b/internal/coordination/pool/repeated_test.go
@@ -37,7 +37,7 @@
 		must.Eq(t, scheduler.BeginSend, c.Begin("r"))
 		c.Finish("r", scheduler.Ending{Kind: scheduler.ReportRejected})
 		second := place("u1")
-		reports := len(c.reports)
+		reports := len(c.reports.queued)
 		c.deliver(c.session(), grant("u1"), time.Now())
 		synctest.Wait()
 		select {
@@ -45,7 +45,7 @@
 			t.Fatalf("a grant of %s was taken again", d.Grant.Upstream)
 		default:
 		}
-		must.Len(t, reports, c.reports, must.Sprint("the rejection is reported already"))
+		must.Len(t, reports, c.reports.queued, must.Sprint("the rejection is reported already"))
 		c.deliver(c.session(), grant("u2"), time.Now())
 		must.Eq(t, "u2", (<-second).Grant.Upstream)
 	})
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -152,19 +152,20 @@
 	}
 	args := &SubmitArgs{}
 	if c.registered {
-		if len(c.tickets)+len(c.cancels)+len(c.reports) == 0 {
+		if len(c.tickets)+len(c.cancels) == 0 && !c.reports.isDue(now) {
 			return nil, ""
 		}
 		args.Tickets = c.pendingTickets(now)
 		args.Cancels = c.cancels
-		args.Reports = c.reports
+		args.Reports = c.reports.list(now)
 	} else {
 		c.number++
 		c.sequence = 0
 		c.registered = true
 		args.Register = c.registration(now)
 	}
-	c.tickets, c.cancels, c.reports = nil, nil, nil
+	c.tickets, c.cancels = nil, nil
+	c.reports.clear()
 	args.Session = c.session()
 	args.Sequence = c.sequence
 	c.sequence++
@@ -217,6 +218,7 @@
 		})
 	}
 	r.Retries = c.retries.Usage(granted, now)
+	r.Ended = c.endedIDs(now)
 	return r
 }
 
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -82,19 +82,21 @@
 	at      time.Duration
 }
 
-// recordContact records that a gateway had an answer.
-func (e *engine) recordContact(gateway ident.NodeID, now time.Duration) {
+// recordContact records that a gateway had an answer at the given time, of which it may
+// report late.
+func (e *engine) recordContact(gateway ident.NodeID, at time.Duration) {
 	if e.contacts[0].gateway != gateway {
 		e.contacts[1] = e.contacts[0]
+		e.contacts[0] = contact{}
 	}
-	e.contacts[0] = contact{gateway: gateway, at: now}
+	e.contacts[0] = contact{gateway: gateway, at: max(e.contacts[0].at, at)}
 }
 
 // recordResponse records a sign of life, the answer to a request that was sent at the
 // given time.
-func (e *engine) recordResponse(sentAt, now time.Duration) {
-	e.health.observeResponse(max(e.lastResponseAt, sentAt), now)
-	e.lastResponseAt = now
+func (e *engine) recordResponse(sentAt, at time.Duration) {
+	e.health.observeResponse(max(e.lastResponseAt, sentAt), at)
+	e.lastResponseAt = max(e.lastResponseAt, at)
 	e.unheard = false
 	e.rejections.recordTaken(sentAt)
 }
--- a/internal/coordination/scheduler/params.go
+++ b/internal/coordination/scheduler/params.go
@@ -12,6 +12,9 @@
 	// the gateway has not reported. If a call is lost, a dispatch at the last
 	// moment is reported only after the gateway has registered again.
 	confirmMargin = 1250 * time.Millisecond
+	// GrantCounted is how long the slot of a grant stays counted if the gateway does not
+	// report.
+	GrantCounted = GrantTTL + confirmMargin
 	// takeoverWait is how long a new epoch waits for missing registrations.
 	takeoverWait = GrantTTL + grantMargin
 	// takeoverWindow is how long into an epoch load reports may reveal requests
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -25,19 +25,20 @@
 }
 
 func (p *Pool) applyReport(e *entry, r Report, now time.Duration) {
+	at := now - max(0, r.Age)
 	if r.Kind != ReportDispatched && r.Kind != ReportFirstToken {
 		p.observeAnswer(e, r, now)
 	}
 	switch r.Kind {
 	case ReportFirstToken, ReportEnded, ReportFailed, ReportRejected:
-		e.engine.recordContact(cmp.Or(r.Via, r.Gateway), now)
+		e.engine.recordContact(cmp.Or(r.Via, r.Gateway), at)
 	}
 	switch r.Kind {
 	case ReportDispatched:
-		p.recordStart(e, r, now)
+		p.recordStart(e, r, at)
 	case ReportFirstToken:
-		p.recordStart(e, r, now)
-		p.recordFirstToken(e, r, now)
+		p.recordStart(e, r, at)
+		p.recordFirstToken(e, r, at, now)
 	case ReportEnded:
 		e.engine.recordResponse(now-r.Elapsed, now)
 		p.retractEnd(e)
@@ -108,27 +109,28 @@
 	p.occupy(e, e.engine, now)
 }
 
-func (p *Pool) recordStart(e *entry, r Report, now time.Duration) {
+func (p *Pool) recordStart(e *entry, r Report, at time.Duration) {
 	if e.state == stateGranted {
 		e.state = stateRunning
-		e.startedAt = now - r.Elapsed
+		e.startedAt = at - r.Elapsed
 	}
 }
 
-func (p *Pool) recordFirstToken(e *entry, r Report, now time.Duration) {
+// recordFirstToken records a first token that came at the given time.
+func (p *Pool) recordFirstToken(e *entry, r Report, at, now time.Duration) {
 	if e.firstTokenAt != 0 {
 		return
 	}
-	e.firstTokenAt = max(1, now)
+	e.firstTokenAt = max(1, at)
 	p.retractEnd(e)
-	e.engine.recordResponse(now-r.Elapsed, now)
+	e.engine.recordResponse(at-r.Elapsed, at)
 	e.engine.backlog.done(e.uncachedTokens, now)
 	if e.ticket.PromptTokens > 0 {
 		missed := max(0, e.ticket.PromptTokens-r.CachedTokens)
 		e.engine.cache.observeMatch(e.matchedBlocks, e.cachedBlocks(r.CachedTokens+1))
 		e.engine.speed.observeFirstToken(e.prefillAhead+float64(missed), r.Elapsed, now)
 	}
-	e.startedAt = now - r.Elapsed
+	e.startedAt = at - r.Elapsed
 }
 
 // observeEnd learns from a complete answer. A plain service's answer counts as
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -159,7 +159,9 @@
 
 // reconcile settles the gateway's tickets that its registration does not list: a
 // live gateway has finished them, and a previous incarnation left them behind. A
-// grant on its way to a live gateway stays until it expires.
+// grant on its way to a live gateway stays until it expires, unless the gateway says that
+// the request has ended: the reports of a request wait for each other, and may be lost
+// together.
 func (p *Pool) reconcile(r Registration, alive bool, listed map[ident.RequestID]bool, now time.Duration) {
 	if !alive {
 		p.dropRequests(now, func(e *entry) bool {
@@ -167,8 +169,15 @@
 		})
 		return
 	}
+	ended := make(map[ident.RequestID]bool, len(r.Ended))
+	for _, id := range r.Ended {
+		ended[id] = true
+	}
 	finished := p.matching(func(e *entry) bool {
-		return e.ticket.Gateway == r.Gateway && !listed[e.ticket.ID] && e.state == stateRunning
+		if e.ticket.Gateway != r.Gateway || listed[e.ticket.ID] {
+			return false
+		}
+		return e.state == stateRunning || e.state == stateGranted && ended[e.ticket.ID]
 	})
 	for _, e := range finished {
 		p.release(e, now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -238,8 +238,10 @@
 	Ticket   ident.RequestID
 	Gateway  ident.NodeID
 	Upstream ident.UpstreamName
-	// Elapsed is the time since dispatch.
+	// Elapsed is the time from the dispatch to what is reported.
 	Elapsed time.Duration
+	// Age is the time since then if the report has waited for another message.
+	Age time.Duration
 	// OutputTokens counts tokens received so far.
 	OutputTokens int
 	// CachedTokens counts prompt tokens that the engine took from its cache.
@@ -287,6 +289,9 @@
 	// has counted that. Both are used only where quotas are shared.
 	Sent   []TeamUsage
 	Uptime time.Duration
+	// Ended are the requests that ended within GrantCounted and are not placed again. The
+	// reports of their dispatches and ends may be lost.
+	Ended []ident.RequestID
 	// Retries is what the gateway has sent to the pool; nil if it does not count that.
 	Retries *RetryUsage
 	// RateLimits are the limits that upstreams have named to the gateway, and which of
