scheduler: the pool's slots are summed up when an upstream changes

Each report, ticket and tick asked every upstream of the pool for its limit to tell whether the pool as a whole may run one more request: 8.6% of a scheduler's processor time with 240 upstreams. The sum is kept as that of the shared limits is. A message in order no longer takes a timer.

The model of shards checks the sum at each step.

--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -334,13 +334,13 @@
 // applied. A message whose predecessor was lost waits until the gateway registers
 // again or until CallTimeout, and is then refused.
 func (m *Master) submit(args *SubmitArgs) Reply {
+	reply, advanced := m.trySubmit(args)
+	if advanced == nil {
+		return reply
+	}
 	timeout := time.NewTimer(CallTimeout)
 	defer timeout.Stop()
-	for {
-		reply, advanced := m.trySubmit(args)
-		if advanced == nil {
-			return reply
-		}
+	for ; advanced != nil; reply, advanced = m.trySubmit(args) {
 		select {
 		case <-advanced:
 		case <-m.stop:
@@ -348,6 +348,7 @@
 			return Reply{Refused: true}
 		}
 	}
+	return reply
 }
 
 // trySubmit applies the message if it is the next of its session. Otherwise it
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -33,8 +33,9 @@
 	external externalLoad
 	backlog  backlog
 	cache    cacheIndex
-	// slots is the engine's contribution to the pool's slots.
-	slots int
+	// slots is the engine's contribution to the pool's slots, and unsharedSlots that to its
+	// unsharedSlots.
+	slots, unsharedSlots int
 	// rate bounds the requests that the upstream gets; nil if it names no limit.
 	rate *rateLimit
 	// brittle bounds the requests in flight; nil if the upstream is not brittle.
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -37,8 +37,8 @@
 	readySets    []*readySet
 	readyEngines int
 	// slots is the sum of the concurrency limits of the engines that accept new
-	// work.
-	slots int
+	// work, and unsharedSlots that of the limits without other schedulers.
+	slots, unsharedSlots int
 	// ejected holds the engines that are out of rotation.
 	ejected   []*engine
 	nextCheck time.Duration
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -54,12 +54,13 @@
 // refresh updates the pool's summary of an upstream. It must be called after
 // every change to the upstream.
 func (p *Pool) refresh(g *engine, now time.Duration) {
-	slots := 0
+	slots, unshared := 0, 0
 	if g.acceptsWork() {
-		slots = g.limit()
+		slots, unshared = g.limit(), g.unsharedLimit()
 	}
 	p.slots += slots - g.slots
-	g.slots = slots
+	p.unsharedSlots += unshared - g.unsharedSlots
+	g.slots, g.unsharedSlots = slots, unshared
 	p.updateEjected(g)
 	if g.isHeld(now) {
 		p.removeReady(g)
--- a/internal/coordination/scheduler/shards_model_test.go
+++ b/internal/coordination/scheduler/shards_model_test.go
@@ -118,6 +118,15 @@
 }
 
 func (m *shardModel) collect(p *Pool) {
+	unshared := 0
+	for _, g := range p.orderedEngines {
+		if g.acceptsWork() {
+			unshared += g.unsharedLimit()
+		}
+	}
+	if unshared != p.unsharedSlots {
+		panic(fmt.Sprintf("the pool counts %d slots, its upstreams have %d", p.unsharedSlots, unshared))
+	}
 	for _, d := range p.Decisions() {
 		if d.Grant == nil {
 			m.refusals[fmt.Sprint(m.requests[d.Refusal.Ticket], d.Refusal.Reason)]++
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -165,13 +165,7 @@
 	if p.fraction >= 1 || p.slotsAssigned {
 		return true
 	}
-	whole := 0
-	for _, g := range p.orderedEngines {
-		if g.acceptsWork() {
-			whole += g.unsharedLimit()
-		}
-	}
-	return p.running < scaleLimit(whole, p.fraction)
+	return p.running < scaleLimit(p.unsharedSlots, p.fraction)
 }
 
 // Depart implements Scheduler.
