consensus: a full disk ends no replica and holds up nothing afterwards

Cause: only the append to the log waited for space. Where an append could not remove its partial write, and where a compaction could not remove a segment, the log counted as failed for good, with an error that says that the disk is full: the writer tried again for ever. The class is a retry that can't tell a fault that passes from one that stays, and steps of a group that are done again with it.

Files that did not fit are removed, also those of an earlier process, whose names never came again. All operations tell a full disk, and both daemons wait for space when they open their data folder. A leader whose disk stays full hands over, since what it can't write stays in its memory.

The scripts of faults draw full disks, with and without space for names.

--- a/internal/command/agent/replica.go
+++ b/internal/command/agent/replica.go
@@ -43,7 +43,7 @@
 		folder = disk.NewOS(a.settings.DataDir)
 	}
 	m := machine.New(ledger.DefaultLimits())
-	node, err := consensus.New(consensus.Options{
+	node, err := consensus.NewAwaitingSpace(consensus.Options{
 		ID:              a.settings.Node,
 		InitialReplicas: replicaIDs(&a.settings),
 		FS:              folder,
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -32,10 +32,6 @@
 	Heartbeat: 50 * time.Millisecond, ElectionMin: 250 * time.Millisecond, ElectionMax: 400 * time.Millisecond,
 }
 
-// fullDiskRetryDelay is the delay between two attempts to open a data directory on
-// a full disk.
-const fullDiskRetryDelay = 250 * time.Millisecond
-
 // replica is the part of a node that keeps the replicated state.
 type replica struct {
 	calls   *rpcnet.Client
@@ -55,24 +51,16 @@
 	}
 	calls := rpcnet.NewClientWithDialer(rpcnet.DialWithTimeout(dialTimeout))
 	m := machine.New(ledger.DefaultLimits())
-	open := func() (*consensus.Node[machine.Result], error) {
-		return consensus.New(consensus.Options{
-			ID:              s.ID(),
-			InitialReplicas: initial,
-			JoinOnly:        !s.FirstStart || !seeded,
-			ReplaceDead:     true,
-			MinVoters:       s.minVoters(),
-			Timing:          consensusTiming,
-			FS:              disk.NewOS(s.DataDir),
-			Peers:           &peernet.Peers{Calls: calls, Address: func(id ident.NodeID) (string, bool) { return s.address(id), true }},
-		}, m)
-	}
-	node, err := open()
-	for errors.Is(err, disk.ErrFull) {
-		klog.ErrorS(err, "the disk is full, retrying to open the data directory", "node", s.Name)
-		time.Sleep(fullDiskRetryDelay)
-		node, err = open()
-	}
+	node, err := consensus.NewAwaitingSpace(consensus.Options{
+		ID:              s.ID(),
+		InitialReplicas: initial,
+		JoinOnly:        !s.FirstStart || !seeded,
+		ReplaceDead:     true,
+		MinVoters:       s.minVoters(),
+		Timing:          consensusTiming,
+		FS:              disk.NewOS(s.DataDir),
+		Peers:           &peernet.Peers{Calls: calls, Address: func(id ident.NodeID) (string, bool) { return s.address(id), true }},
+	}, m)
 	if err != nil {
 		calls.Close()
 		return nil, err
--- a/internal/coordination/consensus/applier.go
+++ b/internal/coordination/consensus/applier.go
@@ -215,7 +215,7 @@
 // save stores a snapshot, then drops the log entries that it covers.
 func (a *applier) save(s snap.Snapshot) {
 	defer a.saving.Store(false)
-	if err := a.r.saveSnapshot(s); err != nil {
+	if err := a.r.retryWhileFull("a snapshot", func() error { return a.r.saveSnapshot(s) }); err != nil {
 		a.r.fail(err)
 		return
 	}
--- a/internal/coordination/consensus/bootstrap.go
+++ b/internal/coordination/consensus/bootstrap.go
@@ -172,7 +172,7 @@
 // replica take part in it.
 func (r *replica) adoptCluster(genesis Genesis) {
 	own := identity{Replica: r.view.Load().self, Genesis: genesis}
-	if err := own.save(r.opts.FS); err != nil {
+	if err := r.retryWhileFull("the identity", func() error { return own.save(r.opts.FS) }); err != nil {
 		r.fail(err)
 		return
 	}
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -221,7 +221,12 @@
 }
 
 // start starts a node if it is down.
-func (c *cluster) start(id ident.NodeID) error {
+func (c *cluster) start(id ident.NodeID) error { return c.startWith(id, New[int]) }
+
+// startAwaitingSpace is start, but waits while the node's disk is full.
+func (c *cluster) startAwaitingSpace(id ident.NodeID) error { return c.startWith(id, NewAwaitingSpace[int]) }
+
+func (c *cluster) startWith(id ident.NodeID, open func(Options, StateMachine[int]) (*Node[int], error)) error {
 	m := c.members[id]
 	if m.node != nil {
 		return nil
@@ -233,7 +238,7 @@
 	options.clockRate = m.clockRate
 	options.faults = m.faults
 	machine := &registerMachine{oracle: c.oracle, values: map[string]int{}, latestOnly: c.latestOnly}
-	node, err := New(options, machine)
+	node, err := open(options, machine)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/consensus/fault_script_test.go
+++ b/internal/coordination/consensus/fault_script_test.go
@@ -35,6 +35,8 @@
 	actHeal        action = "heal"
 	actFailSync    action = "fail sync"
 	actSlowDisk    action = "slow disk"
+	actFullDisk    action = "full disk"
+	actFullNames   action = "full disk that removes nothing"
 	actLossy       action = "lossy network"
 	actAdd         action = "add a node with a new ID"
 	actRemove      action = "remove a node for good"
@@ -43,7 +45,7 @@
 var actions = []action{
 	actWait, actStart, actStart, actKill, actCrash, actCrashTwo, actCrashAll, actCrashAll, actCrashLeader, actCrashLeader, actStop,
 	actLoseDisk, actLoseDisk, actLoseNewest, actLoseNewest, actIsolate, actIsolateLead, actIsolateLead, actCutOneWay, actRestartPeer, actRestartPeer,
-	actRestartLead, actRestartLead, actHeal, actHeal, actFailSync, actSlowDisk, actLossy,
+	actRestartLead, actRestartLead, actHeal, actHeal, actFailSync, actSlowDisk, actLossy, actFullDisk, actFullNames,
 }
 
 // step is an action followed by a pause. Node and Other select the nodes that
@@ -211,6 +213,10 @@
 		m.fs.Inject(disk.Faults{Tear: true, FailSyncs: true})
 	case actSlowDisk:
 		m.fs.Inject(disk.Faults{Tear: true, SyncDelay: 5 * time.Millisecond})
+	case actFullDisk:
+		m.fs.Inject(disk.Faults{Tear: true, Full: true})
+	case actFullNames:
+		m.fs.Inject(disk.Faults{Tear: true, Full: true, FullNames: true})
 	case actAdd:
 		r.addWithin(st)
 	case actRemove:
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -5,6 +5,9 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -38,6 +41,21 @@
 	return &Node[R]{replica: r}, nil
 }
 
+// fullDiskOpenInterval is the time between two attempts to open a data folder on a full disk.
+const fullDiskOpenInterval = 250 * time.Millisecond
+
+// NewAwaitingSpace is New, but tries again while the disk is too full to open the data folder.
+func NewAwaitingSpace[R any](opts Options, sm StateMachine[R]) (*Node[R], error) {
+	for {
+		node, err := New(opts, sm)
+		if !errors.Is(err, disk.ErrFull) {
+			return node, err
+		}
+		klog.ErrorS(err, "the disk is full, retrying to open the data folder", "replica", opts.ID)
+		time.Sleep(fullDiskOpenInterval)
+	}
+}
+
 // Start starts the replica. The peers must be able to reach Service.
 func (n *Node[R]) Start() {
 	n.replica.start()
--- a/internal/coordination/consensus/recover.go
+++ b/internal/coordination/consensus/recover.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -43,10 +45,14 @@
 		klog.InfoS("vote not recovered, too few promises", "replica", v.self, "lost", lost, "term", term, "promises", len(round.replies))
 		return
 	}
-	if err := r.adoptVote(v, lost, term, round.tip); err != nil {
+	adopted, err := r.adoptVote(v, lost, term, round.tip)
+	if err != nil {
 		r.fail(err)
 		return
 	}
+	if !adopted {
+		return
+	}
 	klog.InfoS("vote recovered", "replica", lost, "term", term, "promises", len(round.replies), "tipTerm", round.tip.Term, "tipIndex", round.tip.Index)
 }
 
@@ -90,9 +96,10 @@
 }
 
 // adoptVote makes the promised term durable, then the identity of the lost
-// incarnation, and takes part under it. It returns without an effect if this replica has
-// heard from a leader meanwhile.
-func (r *replica) adoptVote(v *view, lost Replica, term uint64, tip logTip) error {
+// incarnation, and takes part under it. It returns false without an effect if this replica
+// has heard from a leader meanwhile, and if the disk is full: others may have gone on when
+// there is space, so the next round asks them again.
+func (r *replica) adoptVote(v *view, lost Replica, term uint64, tip logTip) (adopted bool, err error) {
 	if !r.inLoop(true, func(now time.Time) bool {
 		if r.core.leader != (Replica{}) || r.core.term > term {
 			return false
@@ -100,18 +107,22 @@
 		r.core.becomeFollower(now, term, Replica{})
 		return true
 	}) {
-		return nil
+		return false, nil
 	}
 	own := identity{Replica: lost, Genesis: v.genesis, RecoveredTip: tip}
-	if err := own.save(r.opts.FS); err != nil {
-		return err
+	err = own.save(r.opts.FS)
+	if errors.Is(err, disk.ErrFull) {
+		klog.ErrorS(err, "vote not recovered, the disk is full", "replica", v.self, "lost", lost)
+		return false, nil
+	}
+	if err != nil {
+		return false, err
 	}
-	r.inLoop(false, func(now time.Time) bool {
+	return r.inLoop(false, func(now time.Time) bool {
 		r.identity = own
 		r.core.recovered(now, lost, tip)
 		return true
-	})
-	return nil
+	}), nil
 }
 
 // inLoop runs fn in the event loop and waits until it is done and, with needsSync
--- a/internal/coordination/consensus/replica.go
+++ b/internal/coordination/consensus/replica.go
@@ -223,8 +223,11 @@
 }
 
 // fail stops the replica after an error and reports the error on the fatal
-// channel. Only the first call has an effect.
+// channel. Only the first call has an effect, and none if the replica stops already.
 func (r *replica) fail(err error) {
+	if errors.Is(err, ErrStopped) {
+		return
+	}
 	r.failOnce.Do(func() {
 		klog.ErrorS(err, "replica stopped by an error", "replica", r.opts.ID)
 		r.fatal <- err
--- a/internal/coordination/consensus/writer.go
+++ b/internal/coordination/consensus/writer.go
@@ -17,9 +17,6 @@
 type writer struct {
 	r     *replica
 	queue queue[job]
-	// diskFull is true while writes fail for lack of space. It keeps the
-	// failure from being logged at every retry.
-	diskFull bool
 	// writeBegan is when the write in progress began, in nanoseconds since the writer was made; 0
 	// if there is none. slowWrites counts those longer than SlowWrite.
 	made       time.Time
@@ -74,15 +71,10 @@
 		}
 		for len(jobs) > 0 {
 			n := groupLength(jobs)
-			err := w.write(jobs[:n])
-			if errors.Is(err, disk.ErrFull) && w.waitForSpace(err) {
-				continue
-			}
-			if err != nil {
+			if err := w.write(jobs[:n]); err != nil {
 				w.r.fail(err)
 				return
 			}
-			w.diskFull = false
 			jobs = jobs[n:]
 		}
 	}
@@ -92,19 +84,45 @@
 // disk.
 const fullDiskRetryInterval = 100 * time.Millisecond
 
-// waitForSpace waits before the next attempt. It returns false once the replica
-// stops. In the meantime the replica acknowledges nothing that is not written.
-func (w *writer) waitForSpace(err error) bool {
-	if !w.diskFull {
-		w.diskFull = true
-		klog.ErrorS(err, "disk full, retrying until space is available", "replica", w.r.opts.ID)
+// retryWhileFull calls write again until the disk has space for it, or returns ErrStopped.
+// write must have had no effect when it fails with disk.ErrFull. In the meantime the replica
+// acknowledges nothing that is not written, and does not go on leading: what it could not
+// write stays in its memory.
+func (r *replica) retryWhileFull(what string, write func() error) error {
+	var since, resigned time.Time
+	for {
+		err := write()
+		if !errors.Is(err, disk.ErrFull) {
+			if !since.IsZero() && err == nil {
+				klog.InfoS("the disk has space again", "replica", r.opts.ID, "for", what, "fullMs", time.Since(since).Milliseconds())
+			}
+			return err
+		}
+		now := time.Now()
+		if since.IsZero() {
+			since, resigned = now, now
+			klog.ErrorS(err, "disk full, retrying until space is available", "replica", r.opts.ID, "for", what)
+		}
+		if now.Sub(resigned) >= r.opts.Timing.ElectionMax {
+			resigned = now
+			r.spawn(func() { r.transferLeadership(r.ctx) })
+		}
+		select {
+		case <-r.ctx.Done():
+			return ErrStopped
+		case <-time.After(fullDiskRetryInterval):
+		}
 	}
-	select {
-	case <-w.r.ctx.Done():
-		return false
-	case <-time.After(fullDiskRetryInterval):
-		return true
+}
+
+// ignoreFull returns err unless it means that the disk is full, which is logged. It is for
+// work that frees space: the next snapshot does it again.
+func (r *replica) ignoreFull(what string, err error) error {
+	if !errors.Is(err, disk.ErrFull) {
+		return err
 	}
+	klog.ErrorS(err, "disk full, left for the next snapshot", "replica", r.opts.ID, "what", what)
+	return nil
 }
 
 // groupLength returns how many jobs one sync may cover. A snapshot must be
@@ -119,14 +137,15 @@
 	return len(jobs)
 }
 
-// write makes a group of jobs durable and runs their callbacks.
+// write makes a group of jobs durable and runs their callbacks. Each step waits for space
+// by itself, so that none is done twice.
 func (w *writer) write(group []job) error {
-	if group[0].snapshot != nil {
-		if err := w.r.saveSnapshot(*group[0].snapshot); err != nil {
+	if s := group[0].snapshot; s != nil {
+		if err := w.r.retryWhileFull("a snapshot of the leader", func() error { return w.r.saveSnapshot(*s) }); err != nil {
 			return err
 		}
 	}
-	if err := w.appendGroup(group); err != nil {
+	if err := w.r.retryWhileFull("the log", func() error { return w.appendGroup(group) }); err != nil {
 		return err
 	}
 	for _, j := range group {
@@ -188,7 +207,7 @@
 		if j.compact == 0 {
 			continue
 		}
-		if err := w.r.log.Compact(j.compact); err != nil {
+		if err := w.r.ignoreFull("compaction of the log", w.r.log.Compact(j.compact)); err != nil {
 			return err
 		}
 	}
@@ -202,7 +221,7 @@
 	if err := r.store.Save(s); err != nil {
 		return err
 	}
-	return r.store.Prune(keptSnapshots)
+	return r.ignoreFull("removal of old snapshots", r.store.Prune(keptSnapshots))
 }
 
 // keptSnapshots is the number of snapshots kept on disk.
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 )
 
 // ErrLocked means that another process has locked the data directory.
@@ -57,6 +58,9 @@
 
 // WriteFile replaces a file atomically and durably: it writes a temporary
 // file, syncs it, renames it and syncs the directory.
+//
+// If the disk is full, nothing has changed, and the temporary file is removed if possible:
+// what was written of it would keep others from writing.
 func WriteFile(fsys FS, dir, name string, content []byte) error {
 	path := join(dir, name)
 	temp := path + tempSuffix
@@ -64,6 +68,9 @@
 		return err
 	}
 	if err := writeNew(fsys, temp, content); err != nil {
+		if errors.Is(err, ErrFull) {
+			_ = removeIfPresent(fsys, temp)
+		}
 		return err
 	}
 	if err := fsys.Rename(temp, path); err != nil {
@@ -80,7 +87,26 @@
 	}
 	_, err = file.Write(content)
 	if err == nil {
-		err = file.Sync()
+		// Space may be allocated only now. The file is not in use yet, so that it may be
+		// written again.
+		err = withErrFull(file.Sync())
 	}
 	return errors.Join(err, file.Close())
 }
+
+// RemoveTemporary removes the incomplete files that an earlier process left in a directory.
+func RemoveTemporary(fsys FS, dir string) error {
+	names, err := fsys.List(dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, tempSuffix) {
+			continue
+		}
+		if err := fsys.Remove(join(dir, name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/state/disk/disk_test.go
+++ b/internal/state/disk/disk_test.go
@@ -77,3 +77,27 @@
 	must.NoError(t, err)
 	must.Eq(t, 0, len(content))
 }
+
+// TestWriteFile_FullDiskLeavesNothing checks that a file which did not fit leaves no
+// temporary file behind, which would keep others from writing, and that one of an earlier
+// process can be removed.
+func TestWriteFile_FullDiskLeavesNothing(t *testing.T) {
+	fsys := NewFake(3)
+	must.NoError(t, WriteFile(fsys, "d", "f", []byte("old")))
+	fsys.Inject(Faults{Full: true})
+	must.ErrorIs(t, WriteFile(fsys, "d", "f", []byte("a longer content")), ErrFull)
+	names, err := fsys.List("d")
+	must.NoError(t, err)
+	must.Eq(t, []string{"f"}, names)
+	content, err := fsys.ReadFile("d/f")
+	must.NoError(t, err)
+	must.Eq(t, "old", string(content))
+
+	fsys.Inject(Faults{Full: true, FullNames: true})
+	must.ErrorIs(t, WriteFile(fsys, "d", "g", []byte("a longer content")), ErrFull)
+	fsys.Inject(Faults{})
+	must.NoError(t, RemoveTemporary(fsys, "d"))
+	names, err = fsys.List("d")
+	must.NoError(t, err)
+	must.Eq(t, []string{"f"}, names)
+}
--- a/internal/state/disk/fake.go
+++ b/internal/state/disk/fake.go
@@ -49,6 +49,11 @@
 	FailWrites, FailSyncs bool
 	// Full makes every write fail with ErrFull after writing a part of the data.
 	Full bool
+	// FullAbove is the size in bytes up to which writes succeed although the disk is full.
+	FullAbove int
+	// FullNames makes Truncate, Rename, Remove and SyncDir fail with ErrFull too, as on a
+	// file system that needs space for them.
+	FullNames bool
 	// SyncDelay is the duration of each file sync.
 	SyncDelay time.Duration
 }
@@ -118,6 +123,9 @@
 func (f *Fake) Truncate(name string, size int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.faults.FullNames {
+		return ErrFull
+	}
 	node, known := f.files[name]
 	if !known {
 		return fs.ErrNotExist
@@ -254,6 +262,9 @@
 func (f *Fake) Rename(oldName, newName string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.faults.FullNames {
+		return ErrFull
+	}
 	oldName, newName = path.Clean(oldName), path.Clean(newName)
 	node, ok := f.files[oldName]
 	if !ok {
@@ -270,6 +281,9 @@
 func (f *Fake) Remove(name string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.faults.FullNames {
+		return ErrFull
+	}
 	name = path.Clean(name)
 	if _, ok := f.files[name]; !ok {
 		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
@@ -298,6 +312,9 @@
 	if f.faults.FailSyncs {
 		return ErrInjected
 	}
+	if f.faults.FullNames {
+		return ErrFull
+	}
 	var rest []nameChange
 	for _, change := range f.pending {
 		if change.dir == path.Clean(dir) {
--- a/internal/state/disk/fake_file.go
+++ b/internal/state/disk/fake_file.go
@@ -21,7 +21,7 @@
 		f.node.content = append(f.node.content, data[:n]...)
 		return n, ErrInjected
 	}
-	if f.fake.faults.Full {
+	if f.fake.faults.Full && len(data) > f.fake.faults.FullAbove {
 		n := f.fake.rng.Intn(len(data) + 1)
 		f.node.content = append(f.node.content, data[:n]...)
 		return n, ErrFull
--- a/internal/state/disk/os.go
+++ b/internal/state/disk/os.go
@@ -36,7 +36,7 @@
 // MkdirAll implements FS.
 func (o *OS) MkdirAll(dir string) error {
 	if err := os.MkdirAll(o.path(dir), dirMode); err != nil {
-		return err
+		return withErrFull(err)
 	}
 	if err := o.SyncDir(dir); err != nil {
 		return err
@@ -76,7 +76,7 @@
 
 // Truncate implements FS.
 func (o *OS) Truncate(name string, size int64) error {
-	return os.Truncate(o.path(name), size)
+	return withErrFull(os.Truncate(o.path(name), size))
 }
 
 // ReadFile implements FS.
@@ -86,12 +86,12 @@
 
 // Rename implements FS.
 func (o *OS) Rename(oldName, newName string) error {
-	return os.Rename(o.path(oldName), o.path(newName))
+	return withErrFull(os.Rename(o.path(oldName), o.path(newName)))
 }
 
 // Remove implements FS.
 func (o *OS) Remove(name string) error {
-	return os.Remove(o.path(name))
+	return withErrFull(os.Remove(o.path(name)))
 }
 
 // List implements FS.
@@ -119,7 +119,7 @@
 func (o *OS) Lock(name string) (io.Closer, error) {
 	file, err := os.OpenFile(o.path(name), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
-		return nil, err
+		return nil, withErrFull(err)
 	}
 	err = unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB)
 	if errors.Is(err, unix.EWOULDBLOCK) {
--- a/internal/state/snap/snap.go
+++ b/internal/state/snap/snap.go
@@ -47,6 +47,9 @@
 	if err := fsys.MkdirAll(dir); err != nil {
 		return nil, fmt.Errorf("snap: open: %w", err)
 	}
+	if err := disk.RemoveTemporary(fsys, dir); err != nil {
+		return nil, fmt.Errorf("snap: open: %w", err)
+	}
 	return &Store{fs: fsys, dir: dir}, nil
 }
 
--- a/internal/state/wal/open.go
+++ b/internal/state/wal/open.go
@@ -31,6 +31,9 @@
 	if err := fsys.MkdirAll(dir); err != nil {
 		return nil, Recovered{}, fmt.Errorf("wal: open: %w", err)
 	}
+	if err := disk.RemoveTemporary(fsys, dir); err != nil {
+		return nil, Recovered{}, fmt.Errorf("wal: open: %w", err)
+	}
 	recovered, err := l.recover()
 	if err != nil {
 		return nil, Recovered{}, err
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -96,6 +96,9 @@
 	segments     []segment
 	file         disk.File
 	hardState    HardState
+	// partialWrite is true while the current segment may be longer than its size, and
+	// removalUnsynced while the removal of a segment is not durable. A full disk causes both.
+	partialWrite, removalUnsynced bool
 	// failed is returned by every later Append and Compact once it is set.
 	failed error
 }
@@ -117,27 +120,27 @@
 
 // Append writes the batches and makes them durable with one sync. After an error
 // every later Append and Compact fails with it, because unsynced data may be lost.
-// The exception is a full disk (disk.ErrFull): the partial write is truncated,
-// and the caller may retry.
+// The exception is a full disk (disk.ErrFull): nothing was appended, and the caller may
+// retry.
 func (l *Log) Append(batches ...Batch) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	if err := l.append(batches); err != nil {
-		if errors.Is(err, disk.ErrFull) && l.file != nil {
-			truncateErr := l.fs.Truncate(l.path(l.current().number), int64(l.current().size))
-			if truncateErr == nil {
-				return fmt.Errorf("wal: append: %w", err)
-			}
-			err = errors.Join(err, truncateErr)
-		}
-		l.failed = fmt.Errorf("wal: append: %w", err)
-		return l.failed
+	err := l.append(batches)
+	if err == nil {
+		return nil
 	}
-	return nil
+	err = fmt.Errorf("wal: append: %w", err)
+	if !errors.Is(err, disk.ErrFull) {
+		l.failed = err
+	}
+	return err
 }
 
 func (l *Log) append(batches []Batch) error {
+	if err := l.removePartialWrite(); err != nil {
+		return err
+	}
 	if l.current().size >= l.segmentBytes {
 		if err := l.roll(); err != nil {
 			return err
@@ -148,6 +151,11 @@
 		return nil
 	}
 	if _, err := l.file.Write(buf); err != nil {
+		l.partialWrite = true
+		if errors.Is(err, disk.ErrFull) {
+			// If this fails, the next append tries again.
+			_ = l.removePartialWrite()
+		}
 		return err
 	}
 	l.current().size += len(buf)
@@ -158,6 +166,18 @@
 	return nil
 }
 
+// removePartialWrite removes what an append left behind that found the disk full.
+func (l *Log) removePartialWrite() error {
+	if !l.partialWrite {
+		return nil
+	}
+	if err := l.fs.Truncate(l.path(l.current().number), int64(l.current().size)); err != nil {
+		return fmt.Errorf("remove a partial write: %w", err)
+	}
+	l.partialWrite = false
+	return nil
+}
+
 // encode encodes the batches as a single on-disk batch. It also returns the hard state
 // that holds once that is durable.
 func (l *Log) encode(batches []Batch) (buf []byte, hard HardState) {
@@ -200,14 +220,17 @@
 	if err := disk.WriteFile(l.fs, l.dir, segmentName(number), content); err != nil {
 		return err
 	}
-	if l.file != nil {
-		if err := l.file.Close(); err != nil {
-			return err
-		}
-		l.file = nil
+	file, err := l.fs.Append(l.path(number))
+	if err != nil {
+		return err
 	}
+	former := l.file
 	l.segments = append(l.segments, segment{number: number, size: len(content)})
-	return l.openCurrent()
+	l.file = file
+	if former != nil {
+		return former.Close()
+	}
+	return nil
 }
 
 // initialRecords encodes the records with which a segment begins: its header and
@@ -228,15 +251,30 @@
 }
 
 // Compact removes the oldest segments that contain no index above the given one.
-// The caller must have a durable snapshot at index or above.
+// The caller must have a durable snapshot at index or above. If it fails because the disk
+// is full (disk.ErrFull), a later call goes on with it.
 func (l *Log) Compact(index uint64) error {
 	if l.failed != nil {
 		return l.failed
 	}
+	err := l.compact(index)
+	if err == nil {
+		return nil
+	}
+	err = fmt.Errorf("wal: compact: %w", err)
+	if !errors.Is(err, disk.ErrFull) {
+		l.failed = err
+	}
+	return err
+}
+
+func (l *Log) compact(index uint64) error {
+	if err := l.syncRemoval(); err != nil {
+		return err
+	}
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= index {
 		if err := l.removeOldestSegment(); err != nil {
-			l.failed = fmt.Errorf("wal: compact: %w", err)
-			return l.failed
+			return err
 		}
 	}
 	return nil
@@ -249,7 +287,20 @@
 		return err
 	}
 	l.segments = l.segments[1:]
-	return l.fs.SyncDir(l.dir)
+	l.removalUnsynced = true
+	return l.syncRemoval()
+}
+
+// syncRemoval makes the removal of a segment durable.
+func (l *Log) syncRemoval() error {
+	if !l.removalUnsynced {
+		return nil
+	}
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return err
+	}
+	l.removalUnsynced = false
+	return nil
 }
 
 // Close closes the file of the current segment. It does not sync; Append already
