pool: how long schedulers take to answer shows in a histogram

That a scheduler lacked processor time could only be derived: slots in use while upstreams answered fast. flamingohaven_fleet_scheduler_answer_seconds shows it at each gateway, since a message with tickets or reports is answered at once.

Reports of dispatches and of first tokens now wait for the same time, 250 ms, less than the 300 ms for which an answer counts as beginning.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -26,6 +26,8 @@
 	// denialsNotAwaited counts the requests that were refused at once since
 	// maxWaitingDenials others waited.
 	denialsNotAwaited prometheus.Counter
+	// schedulerAnswers holds the times that schedulers took to answer.
+	schedulerAnswers prometheus.Histogram
 }
 
 func newMetrics(n *Node) *metrics {
@@ -54,6 +56,11 @@
 			Help: "Requests that the configuration does not allow, refused at once since too many others waited for its confirmation.",
 		}),
 	}
+	m.schedulerAnswers = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name:    "flamingohaven_fleet_scheduler_answer_seconds",
+		Help:    "Time from a message with tickets or reports to the scheduler's answer, which does not wait for decisions, in seconds.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 9),
+	})
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -190,7 +197,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers)
 	return m
 }
 
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -118,6 +118,7 @@
 	}
 	c.SetFailureHandler(schedulerTimeout, n.suspect)
 	c.CountUsage(n.usage)
+	c.SetAnswerHandler(func(took time.Duration) { n.metrics.schedulerAnswers.Observe(took.Seconds()) })
 	if n.settings.FirstStart {
 		c.SetFirstStart()
 	}
--- a/internal/coordination/consensus/cluster_test.go
+++ b/internal/coordination/consensus/cluster_test.go
@@ -224,7 +224,9 @@
 func (c *cluster) start(id ident.NodeID) error { return c.startWith(id, New[int]) }
 
 // startAwaitingSpace is start, but waits while the node's disk is full.
-func (c *cluster) startAwaitingSpace(id ident.NodeID) error { return c.startWith(id, NewAwaitingSpace[int]) }
+func (c *cluster) startAwaitingSpace(id ident.NodeID) error {
+	return c.startWith(id, NewAwaitingSpace[int])
+}
 
 func (c *cluster) startWith(id ident.NodeID, open func(Options, StateMachine[int]) (*Node[int], error)) error {
 	m := c.members[id]
--- a/internal/coordination/pool/burst_test.go
+++ b/internal/coordination/pool/burst_test.go
@@ -186,6 +186,20 @@
 	})
 }
 
+// TestBurst_BeyondTheScheduler sends more than the scheduler's processor bears: it must not
+// grant fewer requests a second than before.
+func TestBurst_BeyondTheScheduler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newShardFleet()
+		defer f.stop()
+		random := rand.New(rand.NewPCG(1, 2))
+		time.Sleep(2 * time.Second)
+		calm := f.run(random, 1, 4*time.Second)
+		beyond := f.run(random, 2.8, 4*time.Second)
+		must.GreaterEq(t, calm.granted.Load(), beyond.granted.Load())
+	})
+}
+
 // TestClient_FewMessagesPerRequest counts the messages of a request: its ticket and its end
 // with all before it, and for a longer stream one of its beginning.
 func TestClient_FewMessagesPerRequest(t *testing.T) {
@@ -197,7 +211,7 @@
 			before := f.scheduler.submits.Load()
 			_, granted := f.request(name, 0)
 			must.True(t, granted)
-			time.Sleep(dispatchedDelay)
+			time.Sleep(maxReportDelay)
 			must.LessEq(t, most, f.scheduler.submits.Load()-before, must.Sprint(name))
 		}
 	})
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -44,6 +44,9 @@
 	// answer.
 	onFailure func(address string)
 
+	// onAnswer, if set, is called with the time that a scheduler took to answer a message.
+	onAnswer func(took time.Duration)
+
 	// onNews, if set, is called with what the client learns from a scheduler about
 	// upstreams and prompt parts.
 	onNews func(detail string)
@@ -127,6 +130,10 @@
 // scheduler about upstreams and prompt parts. It must be called before Run.
 func (c *Client) SetNewsHandler(onNews func(detail string)) { c.onNews = onNews }
 
+// SetAnswerHandler sets a function that is called with the time that a scheduler took to
+// answer a message, which it does at once. It must be called before Run.
+func (c *Client) SetAnswerHandler(onAnswer func(took time.Duration)) { c.onAnswer = onAnswer }
+
 // CountUsage sets a log, shared by all clients of the gateway, in which the
 // client counts the requests that it sends. It must be called before Run.
 func (c *Client) CountUsage(l *scheduler.UsageLog) { c.usage = l }
--- a/internal/coordination/pool/reports.go
+++ b/internal/coordination/pool/reports.go
@@ -8,24 +8,17 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
-const (
-	// dispatchedDelay and firstTokenDelay are how long such a report may wait for a message
-	// that is sent anyway. Neither frees a slot, and a message costs the scheduler more than
-	// its contents.
-	dispatchedDelay = 250 * time.Millisecond
-	firstTokenDelay = 100 * time.Millisecond
-)
+// maxReportDelay is how long a report that frees no slot may wait for a message that is sent
+// anyway. A message costs the scheduler more than its contents. It is less than the time for
+// which an answer counts as beginning, so that the evidence against prompt parts stays the same.
+const maxReportDelay = 250 * time.Millisecond
 
 // reportDelay returns how long a report may wait for another message.
 func reportDelay(kind scheduler.ReportKind) time.Duration {
-	switch kind {
-	case scheduler.ReportDispatched:
-		return dispatchedDelay
-	case scheduler.ReportFirstToken:
-		return firstTokenDelay
-	default:
-		return 0
+	if kind == scheduler.ReportDispatched || kind == scheduler.ReportFirstToken {
+		return maxReportDelay
 	}
+	return 0
 }
 
 // reportQueue holds the reports that are not sent yet. Its owner's lock guards it.
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -95,6 +95,9 @@
 		c.reportFailure(err, address)
 		return false
 	}
+	if c.onAnswer != nil {
+		c.onAnswer(time.Since(sent))
+	}
 	c.clock.Observe(reply.Stamp)
 	c.unansweredCalls.Store(0)
 	c.markAccepted(args.Session)
