--- a/internal/state/disk/os.go
+++ b/internal/state/disk/os.go
@@ -65,11 +65,11 @@
 // Sync implements File.
 func (f osFile) Sync() error { return f.File.Sync() }
 
-// withErrFull joins ErrFull to an error that means that the disk is full or that
+// withErrFull wraps in ErrFull an error that means that the disk is full or that
 // the user's quota is used up.
 func withErrFull(err error) error {
 	if errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) {
-		return errors.Join(ErrFull, err)
+		return fmt.Errorf("%w: %w", ErrFull, err)
 	}
 	return err
 }
