--- a/internal/coordination/consensus/diskfull_test.go
+++ b/internal/coordination/consensus/diskfull_test.go
@@ -134,3 +134,56 @@
 		mustRun(t, c)
 	})
 }
+
+// TestNode_DiskFullWhileTheClusterForms fills the disk of a replica before it has stored that
+// it belongs to the cluster.
+func TestNode_DiskFullWhileTheClusterForms(t *testing.T) {
+	runCluster(t, 3, Options{}, func(t *testing.T, c *cluster) {
+		m := c.members["b"]
+		m.fs.Inject(disk.Faults{Full: true})
+		time.Sleep(3 * time.Second)
+		mustRun(t, c)
+		m.fs.Inject(disk.Faults{})
+		for n := 1; n <= 5; n++ {
+			putUntilAcked(t, c, n)
+		}
+		time.Sleep(caughtUpWithin)
+		mustRun(t, c)
+		must.Eq(t, 5, m.state().get("k"))
+		must.True(t, c.fullyRepaired())
+	})
+}
+
+// TestNode_DiskFullForALeadersSnapshot fills the disk of a replica that is so far behind that
+// the leader sends it a snapshot.
+func TestNode_DiskFullForALeadersSnapshot(t *testing.T) {
+	runCluster(t, 3, Options{SnapshotEntries: 8, SnapshotBytes: 64}, func(t *testing.T, c *cluster) {
+		mustPut(t, c, 1, 5)
+		id := ident.NodeID("a")
+		if mustLead(t, c).id == id {
+			id = "b"
+		}
+		m := c.members[id]
+		c.kill(id)
+		mustPut(t, c, 6, 60)
+		stored := func() []string {
+			names, err := m.fs.List(snapDir)
+			must.NoError(t, err)
+			return names
+		}
+		before := stored()
+		must.NoError(t, c.start(id))
+		m.fs.Inject(disk.Faults{Full: true})
+		for n := 61; n <= 80; n++ {
+			putUntilAcked(t, c, n)
+			time.Sleep(100 * time.Millisecond)
+		}
+		mustRun(t, c)
+		must.Eq(t, before, stored(), must.Sprint("nothing fits on the disk"))
+		m.fs.Inject(disk.Faults{})
+		time.Sleep(caughtUpWithin)
+		mustRun(t, c)
+		must.Eq(t, 80, m.state().get("k"))
+		must.NotEq(t, before, stored())
+	})
+}
