fleet: an operator's change of the configuration leaves a line and a histogram

Cause: a change that was not acknowledged left no trace but the revision in force, so that reading, committing and spreading it could not be told apart.

Change: config_change names number, size, the times to read and to commit, and the verdict or error; flamingohaven_fleet_config_change_seconds has the same times. The node reads the text itself (ApplyDocument), with the reader of the deployment's format passed in; what operators get is unchanged.

Ruled out: a line of the leader alone, since the node that gets the call reads the text.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -28,6 +28,8 @@
 	denialsNotAwaited prometheus.Counter
 	// schedulerAnswers holds the times that schedulers took to answer.
 	schedulerAnswers prometheus.Histogram
+	// changes holds the times that the steps of operators' changes of the configuration took.
+	changes *prometheus.HistogramVec
 }
 
 func newMetrics(n *Node) *metrics {
@@ -61,6 +63,11 @@
 		Help:    "Time from a message with tickets or reports to the scheduler's answer, which does not wait for decisions, in seconds.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 9),
 	})
+	m.changes = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "flamingohaven_fleet_config_change_seconds",
+		Help:    "Time that a step of an operator's change of the configuration took at this node, in seconds: read from its text, or commit by the replicas.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
+	}, []string{"step"})
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -197,7 +204,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers, m.changes)
 	return m
 }
 
--- a/internal/command/fleet/orders.go
+++ b/internal/command/fleet/orders.go
@@ -2,19 +2,63 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
-// Apply commits a numbered configuration. Accepted is false if a configuration with
-// a higher number has been committed already. After an error the outcome is
-// unknown.
-func (n *Node) Apply(ctx context.Context, c config.Numbered) (accepted bool, err error) {
+// ApplyDocument reads the text of a numbered configuration and commits it. It also succeeds
+// if a configuration with that number or a higher one has been committed already. The
+// error wraps config.ErrInvalid if the text can't be read; after any other, the outcome
+// is unknown.
+func (n *Node) ApplyDocument(ctx context.Context, text []byte, read config.Reader) error {
+	change := configChange{began: time.Now(), bytes: len(text)}
+	err := n.applyDocument(ctx, text, read, &change)
+	n.recordChange(&change, err)
+	return err
+}
+
+// configChange describes an operator's call that changes the configuration.
+type configChange struct {
+	began  time.Time
+	bytes  int
+	number uint64
+	// read and commit are the times that these steps took; 0 for one that was not reached.
+	read, commit time.Duration
+	verdict      config.Verdict
+}
+
+func (n *Node) applyDocument(ctx context.Context, text []byte, read config.Reader, change *configChange) error {
+	c, err := read(text)
+	change.read = time.Since(change.began)
+	if err != nil {
+		return fmt.Errorf("%w: %w", config.ErrInvalid, err)
+	}
+	change.number = c.Number
+	began := time.Now()
 	reply, err := control.Call[control.ApplyNumberedReply](ctx, n.control, "ApplyNumbered", &control.ApplyNumberedArgs{Numbered: c})
-	return reply.Outcome.Verdict == config.VerdictAccepted, err
+	change.commit = time.Since(began)
+	change.verdict = reply.Outcome.Verdict
+	return err
+}
+
+// recordChange records how an operator's call that changes the configuration has ended.
+func (n *Node) recordChange(c *configChange, err error) {
+	result := string(c.verdict)
+	if err != nil {
+		result = err.Error()
+	}
+	n.events.Record(timeline.Event{Kind: timeline.KindConfigChange, Detail: fmt.Sprintf("number %d, %d bytes, read in %v, committed in %v: %s",
+		c.number, c.bytes, c.read.Round(time.Microsecond), c.commit.Round(time.Microsecond), result)})
+	n.metrics.changes.WithLabelValues("read").Observe(c.read.Seconds())
+	if c.commit > 0 {
+		n.metrics.changes.WithLabelValues("commit").Observe(c.commit.Seconds())
+	}
 }
 
 // Document returns the text of the newest numbered configuration as it was
--- a/internal/state/config/store.go
+++ b/internal/state/config/store.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -51,6 +52,13 @@
 	Document []byte
 }
 
+// Reader reads a configuration from the text that an operator submitted. It returns an
+// error if the text is no valid configuration.
+type Reader func(text []byte) (Numbered, error)
+
+// ErrInvalid means that a submitted text is no valid configuration.
+var ErrInvalid = errors.New("invalid configuration")
+
 // Verdict is the result of an operation.
 type Verdict string
 
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -78,6 +78,7 @@
 	KindResumed       Kind = "stream_resumed"
 	KindContinuation  Kind = "continuation_refused"
 	KindConfig        Kind = "config_in_force"
+	KindConfigChange  Kind = "config_change"
 	KindLeadership    Kind = "leadership"
 	KindPoolLease     Kind = "pool_lease"
 	KindNodeLease     Kind = "node_lease"
