control: changes of the configuration are committed one at a time

What operators saw: repeats of a change that was not acknowledged in time made the next acknowledgement later.

Cause: an operator sends such a change again, to other nodes first. The leader checked the number before it proposed, so that each copy that came while the first one was being committed went into the log as well: 650 kB with its text at 1,500 routes, to four followers and every log. A call whose caller had left was carried out all the same.

Change: one change has its turn, the one of the highest number first; what is overtaken meanwhile is acknowledged without a proposal. A call says how long its caller waits, and leaves the queue then.

Ruled out: dropping copies by number alone, since the first one may fail.

--- a/internal/coordination/control/fleet_calls.go
+++ b/internal/coordination/control/fleet_calls.go
@@ -1,20 +1,41 @@
 package control
 
 import (
+	"context"
+	"fmt"
+
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
 // ApplyNumbered commits a configuration under the policy that the highest number
-// wins. The call is served once a quorum has the configuration on disk.
+// wins. The call is served once a quorum has the configuration on disk. Changes are
+// committed one at a time, the one of the highest number first, so that copies of a change
+// and those that it overtakes cost the replicas nothing.
 func (s *Service) ApplyNumbered(args *ApplyNumberedArgs, reply *ApplyNumberedReply) error {
 	if _, status := s.readBarrier(); !status.OK() {
 		reply.Status = status
 		return nil
 	}
-	if _, number := s.machine.Document(); args.Numbered.Number <= number {
-		reply.Number = number
-		reply.Outcome.Verdict = config.VerdictOvertaken
+	if s.overtaken(args, reply) {
+		return nil
+	}
+	if len(args.Numbered.Document) == 0 {
+		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: fmt.Sprintf("number %d is not committed here and came without its text", args.Numbered.Number)}
+		return nil
+	}
+	patience := ProposeTimeout
+	if args.Patience > 0 {
+		patience = min(patience, args.Patience)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := s.changeTurns.take(ctx, args.Numbered.Number); err != nil {
+		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: err.Error()}
+		return nil
+	}
+	defer s.changeTurns.done()
+	if s.overtaken(args, reply) {
 		return nil
 	}
 	numbered := args.Numbered
@@ -27,6 +48,18 @@
 	return nil
 }
 
+// overtaken reports whether a configuration with the same or a higher number is committed,
+// and replies that if so.
+func (s *Service) overtaken(args *ApplyNumberedArgs, reply *ApplyNumberedReply) bool {
+	_, number := s.machine.Document()
+	if args.Numbered.Number > number {
+		return false
+	}
+	reply.Number = number
+	reply.Outcome.Verdict = config.VerdictOvertaken
+	return true
+}
+
 // ReadDocument returns the original text of the newest numbered configuration.
 func (s *Service) ReadDocument(_ *ReadDocumentArgs, reply *ReadDocumentReply) error {
 	term, status := s.readBarrier()
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -84,7 +84,12 @@
 
 // ApplyNumberedArgs holds a configuration to put in force unless one with the
 // same or a higher number is committed.
-type ApplyNumberedArgs struct{ Numbered config.Numbered }
+type ApplyNumberedArgs struct {
+	// Numbered has only a number if the caller knows that it has been committed.
+	Numbered config.Numbered
+	// Patience is how long the caller waits for the reply; 0 if it is not known.
+	Patience time.Duration
+}
 
 // ApplyNumberedReply answers an ApplyNumbered call. Number is the highest
 // committed number.
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -56,6 +56,7 @@
 	updateLimiter    *rate.Limiter
 	firstSyncLimiter *rate.Limiter
 	deliveries       configDeliveries
+	changeTurns      turns
 	confirmations    *confirmations
 
 	// leadership is what the latest Tick saw, and notedTerm the term that it had begun;
