fleet: texts of changes are read one at a time, and repeats not again

What operators saw: the longer a change took, the more repeats of it were read at once, by replicas that then stalled.

Cause: each call read its text as it came, side by side with earlier copies whose operator had given them up.

Change: a node reads one text at a time, the latest first, and none whose caller has left. A text that was read last is not read again, and for one that is the committed one already, the replica asks the leader with the number alone.

Ruled out: a limit on calls, which would refuse the copy that is waited for.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -63,11 +63,13 @@
 	logLines    *timeline.LineWriter
 	metrics     *metrics
 
-	calls    *rpcnet.Client
-	server   *rpcnet.Server
-	control  *control.Client
-	replicas *replicaCaller
-	follower *control.FleetFollower
+	calls   *rpcnet.Client
+	server  *rpcnet.Server
+	control *control.Client
+	// documents reads the configurations that operators submit.
+	documents control.DocumentReader
+	replicas  *replicaCaller
+	follower  *control.FleetFollower
 	// proof says since when the routes and keys in force may be outdated.
 	proof       *proof
 	denialLines *rate.Limiter
--- a/internal/command/fleet/orders.go
+++ b/internal/command/fleet/orders.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -34,19 +35,37 @@
 }
 
 func (n *Node) applyDocument(ctx context.Context, text []byte, read config.Reader, change *configChange) error {
-	c, err := read(text)
+	c, err := n.readDocument(ctx, text, read)
 	change.read = time.Since(change.began)
 	if err != nil {
-		return fmt.Errorf("%w: %w", config.ErrInvalid, err)
+		return err
 	}
 	change.number = c.Number
 	began := time.Now()
-	reply, err := control.Call[control.ApplyNumberedReply](ctx, n.control, "ApplyNumbered", &control.ApplyNumberedArgs{Numbered: c})
+	args := &control.ApplyNumberedArgs{Numbered: c}
+	if deadline, limited := ctx.Deadline(); limited {
+		args.Patience = min(callTimeout, time.Until(deadline))
+	}
+	reply, err := control.Call[control.ApplyNumberedReply](ctx, n.control, "ApplyNumbered", args)
 	change.commit = time.Since(began)
 	change.verdict = reply.Outcome.Verdict
+	if err == nil {
+		n.documents.Committed(c.Number)
+	}
 	return err
 }
 
+// readDocument reads the text of a numbered configuration. For a text that this replica has
+// as the committed one, it returns the number only.
+func (n *Node) readDocument(ctx context.Context, text []byte, read config.Reader) (config.Numbered, error) {
+	if n.replica != nil {
+		if committed, number := n.replica.machine.Document(); number > 0 && bytes.Equal(committed, text) {
+			return config.Numbered{Number: number}, nil
+		}
+	}
+	return n.documents.Read(ctx, text, read)
+}
+
 // recordChange records how an operator's call that changes the configuration has ended.
 func (n *Node) recordChange(c *configChange, err error) {
 	result := string(c.verdict)
