control: a change that replicas can't decode is not acknowledged

What operators see: 200 for a configuration that is not there afterwards.

Cause: replicas decode at most 131,072 elements of a list or map and treat a command beyond that as one without effect, while nothing limits what is encoded; the leader took a result without an outcome for success.

Change: a node refuses such a configuration as invalid before it is proposed, and the leader never acknowledges an undecodable command.

Evidence: TestApplyNumbered_UndecodableIsNotAcknowledged, acknowledged before. TestDocumentReader_LargestConfigurationIsDecodable holds the limit against what is decoded.

Ruled out: a higher limit, as replicas of older builds would skip what newer ones apply.

--- a/internal/coordination/control/document_reader.go
+++ b/internal/coordination/control/document_reader.go
@@ -28,7 +28,7 @@
 }
 
 // Read waits for the turn of a text and reads it. The error wraps config.ErrInvalid if read
-// fails, and is that of the context or errTooManyChanges if the turn does not come.
+// fails or the configuration has too many objects, and is that of the context or errTooManyChanges if the turn does not come.
 func (d *DocumentReader) Read(ctx context.Context, text []byte, read config.Reader) (config.Numbered, error) {
 	if err := d.turns.take(ctx, d.arrivals.Add(1)); err != nil {
 		return config.Numbered{}, err
@@ -38,6 +38,9 @@
 		return known, nil
 	}
 	n, err := read(text)
+	if err == nil {
+		err = n.Config.CheckSize()
+	}
 	if err != nil {
 		return config.Numbered{}, fmt.Errorf("%w: %w", config.ErrInvalid, err)
 	}
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -299,6 +299,8 @@
 	switch {
 	case err == nil && result.Superseded:
 		return result, Status{NotLeader: true, Detail: "the term has ended"}
+	case err == nil && result.Invalid:
+		return result, Status{Uncertain: true, Detail: "the replicas could not decode the command"}
 	case err == nil:
 		return result, Status{}
 	case errors.As(err, &notLeader):
--- a/internal/state/config/encode.go
+++ b/internal/state/config/encode.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,29 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
+// MaxElements is the maximum number of objects of one kind, and of elements of one list or
+// map in an object. Replicas can't decode more.
+const MaxElements = 1 << 17
+
+// CheckSize returns an error if c exceeds MaxElements.
+func (c Config) CheckSize() error {
+	check := func(what string, elements int) error {
+		if elements > MaxElements {
+			return fmt.Errorf("%d %s, at most %d are allowed", elements, what, MaxElements)
+		}
+		return nil
+	}
+	err := errors.Join(check("tiers", len(c.Tiers)), check("teams", len(c.Teams)), check("pools", len(c.Pools)),
+		check("upstreams", len(c.Upstreams)), check("routes", len(c.Routes)), check("moves", len(c.Moves)))
+	for name, team := range c.Teams {
+		err = errors.Join(err, check(fmt.Sprintf("keys of team %q", name), len(team.Keys)), check(fmt.Sprintf("tiers of team %q", name), len(team.Tiers)))
+	}
+	for name, route := range c.Routes {
+		err = errors.Join(err, check(fmt.Sprintf("splits of route %q", name), len(route.Splits)))
+	}
+	return err
+}
+
 // Digest is the hash of a configuration's canonical encoding.
 type Digest [sha256.Size]byte
 
