fleet: what a configuration and a list cost a node is held to their size

A line for each configuration applied held all quotas, some 100 bytes a team, at each of 300 nodes.

Change: testmeter.Growth times work at a size and at its double in one run. The line names the numbers of routes and teams.

--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -160,7 +160,7 @@
 	n.hosts.Store(routing.NewHostTable(&cfg))
 	n.quotas.SetLimits(n.quotaLimits(&cfg))
 	n.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
-	klog.InfoS("configuration applied", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "quotas", n.quotaLimits(&cfg))
+	klog.InfoS("configuration applied", "node", n.settings.Name, "revision", revision, "routes", len(cfg.Routes), "teams", len(cfg.Teams))
 }
 
 const (
--- a/internal/state/testmeter/testmeter.go
+++ b/internal/state/testmeter/testmeter.go
@@ -1,9 +1,12 @@
-// Package testmeter measures the CPU time and network traffic of benchmarks.
+// Package testmeter measures the CPU time and network traffic of benchmarks, and how work
+// grows with its size.
 // Only tests use it.
 package testmeter
 
 import (
+	"math"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -38,3 +41,24 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// growthRuns is the number of runs of which Growth takes the shortest.
+const growthRuns = 7
+
+// Growth returns how long work takes at a size and at twice that size: the shortest of
+// several runs each. prepare returns the work for a factor, 1 or 2. Work that grows with its
+// size takes twice as long, and work that grows with a product of two sizes four times.
+func Growth(prepare func(factor int) (work func())) (once, twice time.Duration) {
+	return shortest(prepare(1)), shortest(prepare(2))
+}
+
+func shortest(work func()) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for range growthRuns {
+		runtime.GC()
+		began := time.Now()
+		work()
+		least = min(least, time.Since(began))
+	}
+	return least
+}
