fleet: the line of a refused change is bounded

Cause: an operator's change leaves a line with its error, which may quote a name of up to 16 MB from its text.

Change: 512 bytes of the error are logged.

Evidence: TestApplyDocument_InvalidTextLeavesAShortLine.

Ruled out: cutting all events' details, which the writer of an event knows best.

--- a/internal/command/fleet/orders.go
+++ b/internal/command/fleet/orders.go
@@ -66,11 +66,15 @@
 	return n.documents.Read(ctx, text, read)
 }
 
+// maxChangeError bounds the error in the line of a change, in bytes: it may quote the text.
+const maxChangeError = 512
+
 // recordChange records how an operator's call that changes the configuration has ended.
 func (n *Node) recordChange(c *configChange, err error) {
 	result := string(c.verdict)
 	if err != nil {
 		result = err.Error()
+		result = result[:min(len(result), maxChangeError)]
 	}
 	n.events.Record(timeline.Event{Kind: timeline.KindConfigChange, Detail: fmt.Sprintf("number %d, %d bytes, read in %v, committed in %v: %s",
 		c.number, c.bytes, c.read.Round(time.Microsecond), c.commit.Round(time.Microsecond), result)})
