--- a/internal/state/testmeter/testmeter.go
+++ b/internal/state/testmeter/testmeter.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn wraps a connection and adds the bytes read and written to Bytes.
@@ -45,20 +47,33 @@
 // growthRuns is the number of runs of which Growth takes the shortest.
 const growthRuns = 7
 
-// Growth returns how long work takes at a size and at twice that size: the shortest of
-// several runs each. prepare returns the work for a factor, 1 or 2. Work that grows with its
-// size takes twice as long, and work that grows with a product of two sizes four times.
+// Growth returns how much CPU time work takes at a size and at twice that size: the least of
+// several runs each, without what other goroutines and the garbage collector's use. prepare
+// returns the work for a factor, 1 or 2. Work that grows with its size takes twice as long,
+// and work that grows with a product of two sizes four times.
 func Growth(prepare func(factor int) (work func())) (once, twice time.Duration) {
-	return shortest(prepare(1)), shortest(prepare(2))
+	return least(prepare(1)), least(prepare(2))
 }
 
-func shortest(work func()) time.Duration {
-	least := time.Duration(math.MaxInt64)
+func least(work func()) time.Duration {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	shortest := time.Duration(math.MaxInt64)
 	for range growthRuns {
 		runtime.GC()
-		began := time.Now()
+		began := threadTime()
 		work()
-		least = min(least, time.Since(began))
+		shortest = min(shortest, threadTime()-began)
+	}
+	return shortest
+}
+
+// threadTime returns the CPU time that the current thread has used. It panics if
+// clock_gettime fails.
+func threadTime() time.Duration {
+	var used unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &used); err != nil {
+		panic(err)
 	}
-	return least
+	return time.Duration(used.Nano())
 }
