pool: up to four messages at a time again

Measured: the tests of the package; TestBurst_BeyondTheScheduler is red (392 granted, 480 asked), as before.

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -58,10 +58,7 @@
 	holder Holder
 	number uint64
 	// sequence is the number of the next message of the session.
-	sequence uint64
-	// inFlight is the message of the session that the scheduler has not answered; nil if
-	// there is none.
-	inFlight   *SubmitArgs
+	sequence   uint64
 	registered bool
 	accepted   bool
 	changed    chan struct{}
@@ -179,7 +176,6 @@
 func (c *Client) resetSession() {
 	c.registered = false
 	c.accepted = false
-	c.inFlight = nil
 	close(c.changed)
 	c.changed = make(chan struct{})
 	c.notify()
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -18,6 +18,8 @@
 const (
 	// PollHold is how long a Poll waits for a decision.
 	PollHold = 500 * time.Millisecond
+	// MaxInFlight bounds the concurrent Submit calls of one gateway.
+	MaxInFlight = 4
 	// CallTimeout bounds one Submit.
 	CallTimeout = time.Second
 	// PollTimeout bounds one Poll.
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -22,11 +22,10 @@
 	<-done
 }
 
-// submitLoop sends pending messages, one at a time in a session: what comes while the
-// scheduler has not answered goes with the next message. A scheduler that lacks processor
-// time thus gets fewer and larger messages, and no end of a request waits behind several of
-// them.
+// submitLoop sends pending messages. Until the scheduler has accepted the session
+// it sends one message at a time, then up to MaxInFlight concurrently.
 func (c *Client) submitLoop(ctx context.Context) {
+	slots := make(chan struct{}, MaxInFlight)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -42,10 +41,20 @@
 			}
 			continue
 		}
-		if args, address := c.nextMessage(time.Now()); args != nil {
-			// A message of the next session does not wait for the answer.
-			calls.Go(func() { c.send(ctx, args, address) })
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
 		}
+		args, address := c.nextMessage(time.Now())
+		if args == nil {
+			<-slots
+			continue
+		}
+		calls.Go(func() {
+			c.send(ctx, args, address)
+			<-slots
+		})
 	}
 }
 
@@ -77,7 +86,6 @@
 func (c *Client) send(ctx context.Context, args *SubmitArgs, address string) bool {
 	callCtx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
-	defer c.endMessage(args)
 	reply := &Reply{}
 	sent := time.Now()
 	args.Stamp = c.clock.Now(sent)
@@ -98,16 +106,6 @@
 	return true
 }
 
-// endMessage allows the next message of the session.
-func (c *Client) endMessage(args *SubmitArgs) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inFlight == args {
-		c.inFlight = nil
-		c.notify()
-	}
-}
-
 // failureThreshold is the number of consecutive unanswered calls after which a
 // scheduler counts as failed: the first may have used a connection to a former
 // process. A call that timed out counts as a failure at once.
@@ -148,11 +146,11 @@
 
 // nextMessage returns a message with all pending tickets, cancellations and
 // reports, or the registration of a new session. It returns nil when there is
-// nothing to send, no scheduler is known or the last message is not answered.
+// nothing to send or no scheduler is known.
 func (c *Client) nextMessage(now time.Time) (*SubmitArgs, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.holder.Address == "" || c.inFlight != nil {
+	if c.holder.Address == "" {
 		return nil, ""
 	}
 	args := &SubmitArgs{}
@@ -174,7 +172,6 @@
 	args.Session = c.session()
 	args.Sequence = c.sequence
 	c.sequence++
-	c.inFlight = args
 	return args, c.holder.Address
 }
 
