gateway: the line of an ended attempt names its connection

Whether an upstream got a request twice on one connection couldn't be read from the logs: attempt_ended named the upstream, which may have several names for one process.

The client numbers its connections and counts what each has carried; the line says "on connection N after M requests". No logic changes.

Measured: tests of h1conn and gateway pass.

--- a/internal/coordination/gateway/answerend_test.go
+++ b/internal/coordination/gateway/answerend_test.go
@@ -24,8 +24,8 @@
 		{fmt.Errorf("read: %w", syscall.ECONNRESET), FramedByConnection, "ended by its connection, connection reset"},
 		{io.ErrClosedPipe, FramedByLength, "with a length, given up"},
 	} {
-		sent := DispatchResult{Outcome: DispatchIncomplete, Status: 200, Framing: c.f, BytesEnd: EndOf(c.err, c.f), Events: 2, LastEvent: "5", WithinEvent: true}
+		sent := DispatchResult{Outcome: DispatchIncomplete, Status: 200, Framing: c.f, BytesEnd: EndOf(c.err, c.f), Events: 2, LastEvent: "5", WithinEvent: true, Conn: 7, ConnCalls: 3}
 		text := describeAttempt(Dispatch{Target: Target{Name: "u"}}, "n2", "3", sent, attemptRetryElsewhere)
-		must.Eq(t, `broken at u through n2, status 200, 2 events after "3", the last one "5", `+c.want+" within an event; goes on elsewhere", text)
+		must.Eq(t, `broken at u through n2 on connection 7 after 3 requests, status 200, 2 events after "3", the last one "5", `+c.want+" within an event; goes on elsewhere", text)
 	}
 }
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -366,6 +366,9 @@
 	if via != "" {
 		text += fmt.Sprintf(" through %s", via)
 	}
+	if sent.Conn != 0 {
+		text += fmt.Sprintf(" on connection %d after %d requests", sent.Conn, sent.ConnCalls)
+	}
 	text += fmt.Sprintf(", status %d, %d events", sent.Status, sent.Events)
 	if after != "" {
 		text += fmt.Sprintf(" after %q", after)
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -244,6 +244,11 @@
 	Resumed int
 	// FreshConn is true if the request was sent on a new connection.
 	FreshConn bool
+	// Conn is the number of the connection that the request was sent on, which tells those
+	// of a gateway apart, and ConnCalls the number of requests that it had carried before;
+	// Conn is 0 if that isn't known.
+	Conn      uint64
+	ConnCalls int
 	// Skipped is the number of answers before the request's, or in its place, that belong
 	// to other requests or to none, and SkippedNameless of those without a request id.
 	Skipped, SkippedNameless int
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -88,8 +88,8 @@
 	Matches func(h http.Header) bool
 	// Fresh forces a new connection, and ReuseOnly one from before.
 	Fresh, ReuseOnly bool
-	// OnConn, if set, is called with the kind of connection before the call is sent.
-	OnConn func(fresh bool)
+	// OnConn, if set, is called with the connection's use so far before the call is sent.
+	OnConn func(ConnUse)
 	// OnStall, if set, is called if the call's bytes are not acknowledged StallAfter after
 	// they were sent and no answer has begun. Larger calls than maxInlineWrite are left out:
 	// the server may not have read them yet.
@@ -99,6 +99,14 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// ConnUse says what a connection was used for before a call.
+type ConnUse struct {
+	// Number tells the connections of a client apart; the first one has 1.
+	Number uint64
+	// Calls is the number of calls that the connection has carried; 0 for a new one.
+	Calls int
+}
+
 // isInline reports whether the call is written before its answer is read.
 func (c *Call) isInline() bool { return len(c.Head)+len(c.Body) <= maxInlineWrite }
 
@@ -106,6 +114,7 @@
 type Client struct {
 	dialTimeout time.Duration
 	dialed      atomic.Uint64
+	numbered    atomic.Uint64
 
 	mu        sync.Mutex
 	idleConns map[string][]*persistConn
@@ -127,8 +136,9 @@
 	reader  *bufio.Reader
 	// head bounds what reader may read while it reads headers.
 	head *headLimiter
-	// reused is true once the connection has served a call before the current one.
-	reused bool
+	// number tells the client's connections apart, and calls counts those that it has carried.
+	number uint64
+	calls  int
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
@@ -186,8 +196,9 @@
 		return nil, &UnsentError{Err: err}
 	}
 	if call.OnConn != nil {
-		call.OnConn(!pc.reused)
+		call.OnConn(ConnUse{Number: pc.number, Calls: pc.calls})
 	}
+	pc.calls++
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
 	if call.OnStall != nil && call.isInline() {
@@ -219,12 +230,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return newPersistConn(raw, ""), nil
+		return c.newPersistConn(raw, ""), nil
 	}
 	if !call.Fresh {
 		for pc := c.takeIdle(call.Address); pc != nil; pc = c.takeIdle(call.Address) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
-				pc.reused = true
 				return pc, nil
 			}
 			_ = pc.Close()
@@ -254,14 +264,17 @@
 		return nil, err
 	}
 	c.dialed.Add(1)
-	return newPersistConn(raw, address), nil
+	return c.newPersistConn(raw, address), nil
 }
 
 // newPersistConn returns a connection that is kept for other calls to the address;
 // empty if it is not.
-func newPersistConn(raw net.Conn, address string) *persistConn {
+func (c *Client) newPersistConn(raw net.Conn, address string) *persistConn {
 	head := &headLimiter{Reader: raw}
-	return &persistConn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+	return &persistConn{
+		Conn: raw, address: address, number: c.numbered.Add(1),
+		head: head, reader: bufio.NewReaderSize(head, readBufferSize),
+	}
 }
 
 // Connect makes a connection with the client's timeouts, which does not belong to the
--- a/internal/transport/h1conn/reuse_test.go
+++ b/internal/transport/h1conn/reuse_test.go
@@ -24,7 +24,7 @@
 	send := func(reuseOnly bool) error {
 		answer, err := client.Do(context.Background(), Call{
 			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-			ReuseOnly: reuseOnly, OnConn: func(f bool) { fresh = f },
+			ReuseOnly: reuseOnly, OnConn: func(use ConnUse) { fresh = use.Calls == 0 },
 		})
 		if err != nil {
 			return err
--- a/internal/transport/h1conn/stall_test.go
+++ b/internal/transport/h1conn/stall_test.go
@@ -28,7 +28,7 @@
 			// The filter is attached once the connection is accepted.
 			answer, err := client.Do(ctx, Call{
 				Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-				OnConn:  func(bool) { time.Sleep(100 * time.Millisecond) },
+				OnConn:  func(ConnUse) { time.Sleep(100 * time.Millisecond) },
 				OnStall: func() { stalls.Add(1) }, StallAfter: 200 * time.Millisecond,
 			})
 			if silent {
