h1conn: a connection carries a request once

An upstream may write a rejection once more, late. An answer was taken for a request's if it had its id; when the rejected request was under way again on the same connection, the copy had that id too.

A connection now remembers the ids of the requests that it has carried, as hashes, and a request is sent on another one or a new one if it comes again. So an id proves what it is taken to prove, whichever way the request came back: under another name of the process, after a change of the list, from the caller. A connection is given up after 256 requests, which bounds what it remembers to 2 KiB. Copies of other answers than rejections are covered too.

Ruled out: excluding upstreams by address, which doesn't hold for requests that callers send again; closing connections after rejections, which costs sound upstreams theirs.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -2,6 +2,8 @@
 // request may have reached the server. It never sends a request twice. It uses
 // the header to check that an answer belongs to the request, because a faulty server
 // may send a second answer to one request where the answer to the next is expected.
+// That check can't tell a second answer to a request that is sent again, so no connection
+// carries the same request twice.
 package h1conn
 
 import (
@@ -12,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -55,6 +59,9 @@
 	maxHeadBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
+	// maxCallsPerConn is the number of calls after which a connection is no longer kept. It
+	// bounds the list of the requests that the connection has carried, to 2 KiB.
+	maxCallsPerConn = 256
 )
 
 // ErrHeadTooLarge means that the headers of the answers exceed maxHeadBytes.
@@ -80,6 +87,9 @@
 	// Address is host:port, where host is an IPv4 address.
 	Address string
 	Method  string
+	// ID is the id of the request that answers repeat. A connection that has carried a
+	// request with this id is not used. If it is empty, any connection is.
+	ID string
 	// Head is the request line and the header, including the blank line at the end.
 	Head []byte
 	Body []byte
@@ -139,6 +149,8 @@
 	// number tells the client's connections apart, and calls counts those that it has carried.
 	number uint64
 	calls  int
+	// carried holds the hashes of the ids of the requests that were sent on the connection.
+	carried []uint64
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
@@ -199,6 +211,9 @@
 		call.OnConn(ConnUse{Number: pc.number, Calls: pc.calls})
 	}
 	pc.calls++
+	if call.ID != "" {
+		pc.carried = append(pc.carried, xxhash.Sum64String(call.ID))
+	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
 	if call.OnStall != nil && call.isInline() {
@@ -233,7 +248,7 @@
 		return c.newPersistConn(raw, ""), nil
 	}
 	if !call.Fresh {
-		for pc := c.takeIdle(call.Address); pc != nil; pc = c.takeIdle(call.Address) {
+		for pc := c.takeIdle(call.Address, call.ID); pc != nil; pc = c.takeIdle(call.Address, call.ID) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
 				return pc, nil
 			}
@@ -246,16 +261,20 @@
 	return c.dial(ctx, call.Address)
 }
 
-func (c *Client) takeIdle(address string) *persistConn {
+// takeIdle removes the connection from the pool that was used last, of those to the address
+// that have not carried the request with the id. It returns nil if there is none.
+func (c *Client) takeIdle(address, id string) *persistConn {
+	hash := xxhash.Sum64String(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idleConns[address]
-	if len(list) == 0 {
-		return nil
+	for i, pc := range slices.Backward(list) {
+		if !slices.Contains(pc.carried, hash) {
+			c.idleConns[address] = slices.Delete(list, i, i+1)
+			return pc
+		}
 	}
-	pc := list[len(list)-1]
-	c.idleConns[address] = list[:len(list)-1]
-	return pc
+	return nil
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*persistConn, error) {
@@ -415,7 +434,7 @@
 
 func (a *Answer) release() {
 	notCanceled := a.stopAfterFunc()
-	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0
+	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.conn.calls < maxCallsPerConn
 	select {
 	case a.writeErr = <-a.writeDone:
 		a.wrote = true
--- a/internal/transport/h1conn/reuse_test.go
+++ b/internal/transport/h1conn/reuse_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -43,3 +44,63 @@
 	must.False(t, fresh)
 	must.Eq(t, 2, calls)
 }
+
+// TestClient_RequestOnceOnEachConnection checks that a request which comes again is sent on
+// a connection that has not carried it, and that other requests still share connections.
+func TestClient_RequestOnceOnEachConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	client := New(DefaultDialTimeout)
+	defer client.Close()
+	send := func(id string, reuseOnly bool) (use ConnUse, err error) {
+		answer, err := client.Do(t.Context(), Call{
+			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+			ID: id, ReuseOnly: reuseOnly, OnConn: func(u ConnUse) { use = u },
+		})
+		if err != nil {
+			return use, err
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		return use, answer.Body.Close()
+	}
+	for _, c := range []struct {
+		id   string
+		want ConnUse
+	}{
+		{"a", ConnUse{Number: 1}},
+		{"b", ConnUse{Number: 1, Calls: 1}},
+		{"a", ConnUse{Number: 2}},
+		{"c", ConnUse{Number: 2, Calls: 1}},
+		{"b", ConnUse{Number: 2, Calls: 2}},
+		{"c", ConnUse{Number: 1, Calls: 2}},
+		{"a", ConnUse{Number: 3}},
+		{"", ConnUse{Number: 3, Calls: 1}},
+		{"", ConnUse{Number: 3, Calls: 2}},
+	} {
+		use, err := send(c.id, false)
+		must.NoError(t, err)
+		must.Eq(t, c.want, use, must.Sprint(c.id))
+	}
+	_, err := send("a", true)
+	must.ErrorIs(t, err, ErrNoIdleConn)
+}
+
+// TestClient_ConnOfManyCallsIsNotKept checks that what a connection remembers of its
+// requests is bounded.
+func TestClient_ConnOfManyCallsIsNotKept(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	client := New(DefaultDialTimeout)
+	defer client.Close()
+	for i := range 2*maxCallsPerConn + 1 {
+		answer, err := client.Do(t.Context(), Call{
+			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+			ID: strconv.Itoa(i),
+		})
+		must.NoError(t, err)
+		_, _ = io.Copy(io.Discard, answer.Body)
+		must.NoError(t, answer.Body.Close())
+		must.LessEq(t, maxCallsPerConn, len(answer.conn.carried))
+	}
+	must.Eq(t, 3, client.Dialed())
+}
