h1conn: an answer behind a cut copy of another is not taken for that

An upstream that breaks off a copy of a rejection within its header leaves text that goes on with the next answer: "503 DeclHTTP/1.1 200 OK" with the id of the request that runs, or a field "Not-Executed: 1HTTP/1.1 200 OK". It was read as a rejection of that request.

On a connection that was used before, an answer is refused as another's if a status line stands within its status text or a field. Nothing is promised of the request then. On a new connection no earlier answer can precede.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -370,6 +371,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("answer: %w", err)
 		}
+		if pc.calls > 1 && isSpliced(response) {
+			return nil, fmt.Errorf("%w: the header of one that was broken off goes on with another's status line", ErrAnswerMismatch)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -384,6 +388,24 @@
 	return nil, ErrAnswerMismatch
 }
 
+// statusLine matches the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// isSpliced reports whether another answer begins within the header of an answer. A server
+// that breaks off a second answer to an earlier call within its header leaves a field, or a
+// status line, that goes on with the next answer.
+func isSpliced(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipBody reads the body of an answer to another request. It reports whether the
 // next answer may follow.
 func (pc *persistConn) skipBody(response *http.Response) bool {
