h1conn: a connection forgets requests past their deadlines

A request can't come again after its deadline, which is the same for all of its sendings, so a connection needs to remember it only until then. It is given up only while 256 requests on it may come again; at 16 B each, 4 KiB.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"regexp"
@@ -60,9 +61,9 @@
 	maxHeadBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
-	// maxCallsPerConn is the number of calls after which a connection is no longer kept. It
-	// bounds the list of the requests that the connection has carried, to 2 KiB.
-	maxCallsPerConn = 256
+	// maxCarried bounds the requests that a connection remembers, to 4 KiB. A connection
+	// that has carried more which may still come again is not kept.
+	maxCarried = 256
 )
 
 // ErrHeadTooLarge means that the headers of the answers exceed maxHeadBytes.
@@ -88,8 +89,9 @@
 	// Address is host:port, where host is an IPv4 address.
 	Address string
 	Method  string
-	// ID is the id of the request that answers repeat. A connection that has carried a
-	// request with this id is not used. If it is empty, any connection is.
+	// ID is the id of the request that answers repeat. Until the deadline of the call's
+	// context, or for good if it has none, a connection that has carried a request with this
+	// id is not used for another one. If ID is empty, any connection is.
 	ID string
 	// Head is the request line and the header, including the blank line at the end.
 	Head []byte
@@ -124,6 +126,7 @@
 // Client sends requests over pooled connections. It is safe for concurrent use.
 type Client struct {
 	dialTimeout time.Duration
+	began       time.Time
 	dialed      atomic.Uint64
 	numbered    atomic.Uint64
 
@@ -134,7 +137,7 @@
 
 // New returns a client whose dials time out after dialTimeout.
 func New(dialTimeout time.Duration) *Client {
-	return &Client{dialTimeout: dialTimeout, idleConns: make(map[string][]*persistConn)}
+	return &Client{dialTimeout: dialTimeout, began: time.Now(), idleConns: make(map[string][]*persistConn)}
 }
 
 // Dialed returns the number of connections established.
@@ -150,12 +153,37 @@
 	// number tells the client's connections apart, and calls counts those that it has carried.
 	number uint64
 	calls  int
-	// carried holds the hashes of the ids of the requests that were sent on the connection.
-	carried []uint64
+	// carried lists the requests that were sent on the connection and may come again.
+	carried []carriedRequest
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
 
+// carriedRequest is a request that a connection has carried.
+type carriedRequest struct {
+	// hash is that of the request's id.
+	hash uint64
+	// until is when the request can't come again, since the client began.
+	until time.Duration
+}
+
+// carry records a request with a deadline; zero if it has none.
+func (pc *persistConn) carry(id string, deadline time.Time, began time.Time) {
+	now := time.Since(began)
+	pc.carried = slices.DeleteFunc(pc.carried, func(r carriedRequest) bool { return r.until < now })
+	until := time.Duration(math.MaxInt64)
+	if !deadline.IsZero() {
+		until = deadline.Sub(began)
+	}
+	pc.carried = append(pc.carried, carriedRequest{hash: xxhash.Sum64String(id), until: until})
+}
+
+// hasCarried reports whether a request with the hash may come again that the connection has
+// carried.
+func (pc *persistConn) hasCarried(hash uint64) bool {
+	return slices.ContainsFunc(pc.carried, func(r carriedRequest) bool { return r.hash == hash })
+}
+
 // headLimiter passes reads through until a limit is set and reached. The limit is
 // up to readBufferSize too generous, since the reader above it reads ahead.
 type headLimiter struct {
@@ -213,7 +241,8 @@
 	}
 	pc.calls++
 	if call.ID != "" {
-		pc.carried = append(pc.carried, xxhash.Sum64String(call.ID))
+		deadline, _ := ctx.Deadline()
+		pc.carry(call.ID, deadline, c.began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
@@ -270,7 +299,7 @@
 	defer c.mu.Unlock()
 	list := c.idleConns[address]
 	for i, pc := range slices.Backward(list) {
-		if !slices.Contains(pc.carried, hash) {
+		if !pc.hasCarried(hash) {
 			c.idleConns[address] = slices.Delete(list, i, i+1)
 			return pc
 		}
@@ -456,7 +485,7 @@
 
 func (a *Answer) release() {
 	notCanceled := a.stopAfterFunc()
-	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0 && a.conn.calls < maxCallsPerConn
+	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0 && len(a.conn.carried) < maxCarried
 	select {
 	case a.writeErr = <-a.writeDone:
 		a.wrote = true
--- a/internal/transport/h1conn/reuse_test.go
+++ b/internal/transport/h1conn/reuse_test.go
@@ -9,7 +9,9 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/shoenig/test/must"
 )
 
@@ -85,22 +87,40 @@
 	must.ErrorIs(t, err, ErrNoIdleConn)
 }
 
-// TestClient_ConnOfManyCallsIsNotKept checks that what a connection remembers of its
-// requests is bounded.
-func TestClient_ConnOfManyCallsIsNotKept(t *testing.T) {
+// TestClient_MemoryOfAConnectionIsBounded checks that a connection which has carried many
+// requests that may come again is not kept.
+func TestClient_MemoryOfAConnectionIsBounded(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
-	client := New(DefaultDialTimeout)
-	defer client.Close()
-	for i := range 2*maxCallsPerConn + 1 {
-		answer, err := client.Do(t.Context(), Call{
-			Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
-			ID: strconv.Itoa(i),
-		})
-		must.NoError(t, err)
-		_, _ = io.Copy(io.Discard, answer.Body)
-		must.NoError(t, answer.Body.Close())
-		must.LessEq(t, maxCallsPerConn, len(answer.conn.carried))
+	withDeadline, cancel := context.WithTimeout(t.Context(), time.Hour)
+	defer cancel()
+	for _, ctx := range []context.Context{t.Context(), withDeadline} {
+		client := New(DefaultDialTimeout)
+		for i := range 2*maxCarried + 1 {
+			answer, err := client.Do(ctx, Call{
+				Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+				ID: strconv.Itoa(i),
+			})
+			must.NoError(t, err)
+			_, _ = io.Copy(io.Discard, answer.Body)
+			must.NoError(t, answer.Body.Close())
+			must.LessEq(t, maxCarried, len(answer.conn.carried))
+		}
+		must.Eq(t, 3, client.Dialed())
+		client.Close()
+	}
+}
+
+// TestConn_ForgetsRequestsPastTheirDeadline checks that requests which can't come again
+// don't count, so that a busy connection is kept.
+func TestConn_ForgetsRequestsPastTheirDeadline(t *testing.T) {
+	began := time.Now().Add(-time.Hour)
+	pc := &persistConn{}
+	pc.carry("lasting", time.Now().Add(time.Hour), began)
+	for i := range 4 * maxCarried {
+		pc.carry(strconv.Itoa(i), time.Now().Add(-time.Millisecond), began)
+		must.LessEq(t, 2, len(pc.carried))
 	}
-	must.Eq(t, 3, client.Dialed())
+	must.True(t, pc.hasCarried(xxhash.Sum64String("lasting")))
+	must.False(t, pc.hasCarried(xxhash.Sum64String("0")))
 }
