upstreamhttp: copy of an answer to the request under way (known red)

Callers of the daemon would see the copy of an earlier 503 where the upstream runs the request and answers 200, or a second run elsewhere.

Cause: the id of an answer on a kept connection is believed, also if that connection has carried an answer to the same request before. How the same request comes again there isn't shown for the daemon: its ids are its own, and no two upstreams of a configuration share an address.

--- a/internal/transport/upstreamhttp/copies_test.go
+++ b/internal/transport/upstreamhttp/copies_test.go
@@ -63,3 +63,53 @@
 		must.NoError(t, listener.Close())
 	}
 }
+
+// TestSender_CopyOfAnswerToRequestUnderWay checks that a copy of an earlier answer with the
+// id of a request that is under way again isn't taken for its answer: the upstream runs it.
+func TestSender_CopyOfAnswerToRequestUnderWay(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("idempotent=%t", idempotent), func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				for sent := 0; ; {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					reader := bufio.NewReader(conn)
+					for onConn := 1; ; onConn++ {
+						r, err := http.ReadRequest(reader)
+						if err != nil {
+							break
+						}
+						_, _ = io.Copy(io.Discard, r.Body)
+						named := fmt.Sprintf("Content-Length: 0\r\n%s: %s\r\n\r\n", upstreamapi.HeaderRequestID, r.Header.Get(upstreamapi.HeaderRequestID))
+						full, ran := "HTTP/1.1 503 Full\r\n"+named, "HTTP/1.1 200 OK\r\n"+named
+						sent++
+						switch {
+						case sent == 1:
+							_, _ = io.WriteString(conn, full)
+						case onConn > 1:
+							_, _ = io.WriteString(conn, full+ran)
+						default:
+							_, _ = io.WriteString(conn, ran)
+						}
+					}
+					_ = conn.Close()
+				}
+			}()
+			sender := NewSender()
+			defer sender.Close()
+			send := func() gateway.DispatchResult {
+				return sender.Send(t.Context(), gateway.Dispatch{
+					Request: &gateway.Request{ID: "again", Method: http.MethodGet, Path: "/x", Idempotent: idempotent, Deadline: time.Now().Add(time.Second)},
+					Target:  gateway.Target{Name: "u", Upstream: config.Upstream{Address: listener.Addr().String()}},
+				}, discardSink{})
+			}
+			must.Eq(t, http.StatusServiceUnavailable, send().Status)
+			must.NotEq(t, http.StatusServiceUnavailable, send().Status)
+		})
+	}
+}
