pool: a pause holds for an upstream that is listed under another name

The name has the start in it, so the pause stayed with the former name. An upstream with the same id at the same address may be the same process: a pause now holds under its later names, at the gateway that was asked, and at schedulers that list it anew. A server that did start after the pause waits out the rest of it, some seconds at most.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -241,7 +241,7 @@
 	for _, d := range n.upstreams.Load().byPool[name] {
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
 			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone,
-			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving,
+			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream),
 		})
 	}
 	return view
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -218,6 +218,8 @@
 // setUpstreams replaces the known upstreams and records what has changed.
 func (n *Node) setUpstreams(found []control.Discovered, source string) {
 	next := newUpstreamTable(found)
+	// Before new names can be granted.
+	n.carryPauses(n.upstreams.Load(), next)
 	previous := n.upstreams.Swap(next)
 	events := upstreamEvents(previous, next, source)
 	if len(events) > maxUpstreamEvents {
@@ -228,6 +230,29 @@
 	}
 }
 
+// carryPauses tells the pools' clients of upstreams that are listed under another name than
+// before.
+func (n *Node) carryPauses(previous, next *upstreamTable) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, d := range next.byName {
+		if _, known := previous.byName[name]; known {
+			continue
+		}
+		for _, former := range previous.byAddress[d.Upstream.Address] {
+			c := n.clients[d.Upstream.Pool]
+			if c != nil && former.Upstream.Pool == d.Upstream.Pool && processOf(former.Upstream) == processOf(d.Upstream) {
+				c.Succeeds(name, former.Name)
+			}
+		}
+	}
+}
+
+// processOf returns the same text for upstreams that may be one process. A server may be
+// started again at its address under its id before the list shows that, and an entry may lack
+// when it was started.
+func processOf(u config.Upstream) string { return u.Address + "/" + u.Instance }
+
 // maxUpstreamEvents is the maximum number of upstream changes that are recorded one
 // by one. A node that learns a whole list would otherwise flood the timeline.
 const maxUpstreamEvents = 20
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -73,6 +73,8 @@
 	notices map[ident.UpstreamName]upstreamNotices
 	// pauses holds until when upstreams asked this gateway to send them nothing.
 	pauses map[ident.UpstreamName]time.Time
+	// successors holds the later names of upstreams that were listed under another one.
+	successors map[ident.UpstreamName]ident.UpstreamName
 	// leaving holds when upstreams that said in an answer that they leave became known.
 	leaving map[ident.UpstreamName]time.Time
 	poison  poisonRecord
@@ -114,6 +116,7 @@
 		running:     make(map[ident.RequestID]*runningRequest),
 		notices:     make(map[ident.UpstreamName]upstreamNotices),
 		pauses:      make(map[ident.UpstreamName]time.Time),
+		successors:  make(map[ident.UpstreamName]ident.UpstreamName),
 		leaving:     make(map[ident.UpstreamName]time.Time),
 		poison:      poisonRecord{start: time.Now(), cleared: make(map[uint64]bool)},
 	}
--- a/internal/coordination/pool/pauses.go
+++ b/internal/coordination/pool/pauses.go
@@ -12,9 +12,38 @@
 // maxPauses bounds the pauses that a gateway keeps.
 const maxPauses = 4096
 
-// pauseUntil keeps requests from an upstream until a time. An earlier end than the known
-// one changes nothing. The caller holds the lock.
+// maxSuccessors bounds the names of one upstream that a pause is kept for, one after another.
+const maxSuccessors = 4
+
+// Succeeds says that the upstream which was listed under the name former is listed under
+// another one. The same process may be meant by both, so a pause that it asked this gateway
+// for under either holds under the later one too.
+func (c *Client) Succeeds(name, former ident.UpstreamName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.successors) >= maxPauses {
+		clear(c.successors)
+	}
+	c.successors[former] = name
+	if now := time.Now(); c.pauseLeft(former, now) > 0 {
+		c.pauseUntil(name, c.pauses[former], now)
+	}
+}
+
+// pauseUntil keeps requests from an upstream until a time, also under its later names. An
+// earlier end than the known one changes nothing. The caller holds the lock.
 func (c *Client) pauseUntil(name ident.UpstreamName, until, now time.Time) {
+	for range maxSuccessors {
+		c.pauseName(name, until, now)
+		next, renamed := c.successors[name]
+		if !renamed {
+			return
+		}
+		name = next
+	}
+}
+
+func (c *Client) pauseName(name ident.UpstreamName, until, now time.Time) {
 	if !until.After(c.pauses[name]) {
 		return
 	}
--- a/internal/coordination/pool/pauses_test.go
+++ b/internal/coordination/pool/pauses_test.go
@@ -54,3 +54,21 @@
 		}
 	})
 }
+
+// TestClient_PauseOfRenamedUpstream checks that a pause holds under all later names of an
+// upstream, whichever name it becomes known by, and ends with its time.
+func TestClient_PauseOfRenamedUpstream(t *testing.T) {
+	c := NewClient(testPool, "g", 1, nil, nil)
+	now := time.Now()
+	c.pauseUntil("a", now.Add(time.Minute), now)
+	c.Succeeds("b", "a")
+	must.Positive(t, c.PauseLeft("b"))
+	c.pauseUntil("a", now.Add(time.Hour), now)
+	must.Greater(t, time.Minute, c.PauseLeft("b"))
+	c.Succeeds("a", "b")
+	c.pauseUntil("b", now.Add(2*time.Hour), now)
+	must.Greater(t, time.Hour, c.PauseLeft("a"))
+	must.Zero(t, c.PauseLeft("c"))
+	c.Succeeds("c", "d")
+	must.Zero(t, c.PauseLeft("c"))
+}
--- a/internal/coordination/scheduler/pause.go
+++ b/internal/coordination/scheduler/pause.go
@@ -55,6 +55,24 @@
 	return true
 }
 
+// adoptPauses takes over the pauses in force of the upstreams that may be the same process.
+func (p *Pool) adoptPauses(g *engine) {
+	if p.now >= p.pausedUntil || g.upstream.Process == "" {
+		return
+	}
+	for _, other := range p.orderedEngines {
+		if other.upstream.Process != g.upstream.Process {
+			continue
+		}
+		for gateway, until := range other.pauses {
+			if g.pauses == nil {
+				g.pauses = make(map[ident.NodeID]time.Duration)
+			}
+			g.pauses[gateway] = max(g.pauses[gateway], until)
+		}
+	}
+}
+
 // recordPause processes a pause that an answer asks for. It holds for the gateway that the
 // upstream saw, which may have relayed the request.
 func (p *Pool) recordPause(r Report, now time.Duration) {
--- a/internal/coordination/scheduler/pause_test.go
+++ b/internal/coordination/scheduler/pause_test.go
@@ -119,3 +119,27 @@
 	must.Len(t, 1, granted)
 	must.Eq(t, ident.NodeID(""), granted[0].Peer)
 }
+
+// TestPool_PauseOfRenamedUpstream checks that a pause holds for an upstream that may be the
+// same process under another name, and for no other.
+func TestPool_PauseOfRenamedUpstream(t *testing.T) {
+	view := sharedView(2)
+	view.Upstreams[0].Process, view.Upstreams[1].Process = "a/i-0", "b/i-1"
+	p := sharedPool(view, "g1", "g2", "g3", "g4")
+	askPause(p, "g1", "", "u0", 3*time.Second, start)
+	renamed := view
+	renamed.Upstreams = []Upstream{view.Upstreams[0], view.Upstreams[1]}
+	renamed.Upstreams[0].Name, renamed.Upstreams[1].Name = "u0-again", "u1-again"
+	p.SetView(renamed, start+time.Second)
+	late := pauseTicket(1, "g1", "low")
+	late.Objective, late.Excluded = 0, []ident.UpstreamName{"u1-again"}
+	p.Submit(late, start+time.Second)
+	p.Tick(start + 3*time.Second - time.Millisecond)
+	must.Len(t, 0, grants(p.Decisions()))
+	p.Tick(start + 3*time.Second)
+	granted := grants(p.Decisions())
+	must.Len(t, 1, granted)
+	must.Eq(t, ident.UpstreamName("u0-again"), granted[0].Upstream)
+	p.Submit(pauseTicket(2, "g1", "low"), start+2*time.Second)
+	must.Len(t, 1, grants(p.Decisions()))
+}
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -262,6 +262,7 @@
 		_, g.saysLeaving = p.leaving[u.Name]
 		p.adoptLimit(g, p.now)
 		p.adoptBrittle(g, p.now)
+		p.adoptPauses(g)
 		p.engines[u.Name] = g
 		p.orderedEngines = append(p.orderedEngines, g)
 	}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -339,6 +339,9 @@
 	MaxConcurrent int
 	// Leaving upstreams get no new work.
 	Leaving bool
+	// Process is the same for upstreams that may be one process under several names; empty
+	// if that can't be told.
+	Process string
 }
 
 // VersionShare directs a fraction of a pool's traffic to one version.
