--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -194,6 +194,13 @@
 
 // node starts the syncs of a node.
 func (f *syncFleet) node(i int) *Node {
+	n := f.newNode(i)
+	f.loops.Go(n.syncLoop)
+	return n
+}
+
+// newNode returns a node that doesn't sync yet.
+func (f *syncFleet) newNode(i int) *Node {
 	ip := fmt.Sprintf("10.0.%d.%d", 1+i/200, 1+i%200)
 	clock := &timeline.Clock{}
 	n := &Node{
@@ -211,7 +218,6 @@
 	n.control.SetMaxBackoff(maxRetryDelay)
 	n.metrics = newMetrics(n)
 	n.settings.MaxDenialAge = configApply - 300*time.Millisecond
-	f.loops.Go(n.syncLoop)
 	return n
 }
 
