h1conn: expired idle connections are closed

Up to 32 descriptors stayed for each address that was ever used. No caller has been seen to fail for that.

Forget is removed: idle connections expire after four seconds.

Ruled out: a loop in each program that uses the client, which was what none had; a timer for each connection.

--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -34,6 +34,9 @@
 	// for less. It is short because an idle connection can stop working without
 	// an error.
 	IdleTimeout = 4 * time.Second
+	// sweepInterval is the time between two sweeps, and so the longest for which an idle
+	// connection stays open after it has expired.
+	sweepInterval = time.Second
 	// maxIdlePerServer limits the idle connections to one server.
 	maxIdlePerServer = 32
 	// userTimeout limits how long sent data may stay unacknowledged
@@ -128,7 +131,9 @@
 
 	mu        sync.Mutex
 	idleConns map[string][]*persistConn
-	closed    bool
+	// sweeper runs the next sweep; nil if none is due.
+	sweeper *time.Timer
+	closed  bool
 }
 
 // New returns a client whose dials time out after dialTimeout.
@@ -456,6 +461,7 @@
 	}
 	pc.expires = time.Now().Add(timeout)
 	c.idleConns[pc.address] = append(c.idleConns[pc.address], pc)
+	c.scheduleSweep()
 	return true
 }
 
@@ -479,21 +485,20 @@
 	return IdleTimeout
 }
 
-// Forget closes the idle connections to a server that no longer exists.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	list := c.idleConns[address]
-	delete(c.idleConns, address)
-	c.mu.Unlock()
-	for _, pc := range list {
+// sweep closes the idle connections that have expired, and goes on as long as there are
+// others.
+func (c *Client) sweep() {
+	for _, pc := range c.removeExpired(time.Now()) {
 		_ = pc.Close()
 	}
 }
 
-// Sweep closes the idle connections that have expired by now.
-func (c *Client) Sweep(now time.Time) {
-	var expired []*persistConn
+// removeExpired removes the idle connections that have expired by now from the pool and
+// returns them. It schedules the next sweep if others are left.
+func (c *Client) removeExpired(now time.Time) []*persistConn {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	var expired []*persistConn
 	for address, list := range c.idleConns {
 		kept := list[:0]
 		for _, pc := range list {
@@ -508,9 +513,16 @@
 			delete(c.idleConns, address)
 		}
 	}
-	c.mu.Unlock()
-	for _, pc := range expired {
-		_ = pc.Close()
+	c.sweeper = nil
+	c.scheduleSweep()
+	return expired
+}
+
+// scheduleSweep makes the next sweep follow after sweepInterval if there are idle
+// connections. The caller holds the lock.
+func (c *Client) scheduleSweep() {
+	if c.sweeper == nil && len(c.idleConns) > 0 {
+		c.sweeper = time.AfterFunc(sweepInterval, c.sweep)
 	}
 }
 
@@ -520,6 +532,9 @@
 	c.closed = true
 	idle := c.idleConns
 	c.idleConns = make(map[string][]*persistConn)
+	if c.sweeper != nil {
+		c.sweeper.Stop()
+	}
 	c.mu.Unlock()
 	for _, list := range idle {
 		for _, pc := range list {
