pool: a gateway that turns to another scheduler leaves no session behind

It then goes on using the gateway's part of the capacity and the quotas until the session times out.

Cause, three orders of messages: - Between the switch and the next registration the gateway still used the former session's number. A late answer to that session then marked the next one as accepted; a poll for it arrived before its registration, was refused, and the session counted as lost. - A gateway without a registered session told the former scheduler nothing, although that had one: after a lost session, or a call without an answer, the usual reason to turn to another scheduler. - The end of a session arrived before its registration, or named a later one than the scheduler had, and was ignored.

Ruled out: the schedulers' own timeout, which is for gateways that are gone.

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -56,7 +56,9 @@
 
 	mu     sync.Mutex
 	holder Holder
-	number uint64
+	// offered is true once a registration was sent to the holder.
+	offered bool
+	number  uint64
 	// sequence is the number of the next message of the session.
 	sequence   uint64
 	registered bool
@@ -150,19 +152,19 @@
 	if h.Lease.Epoch < c.holder.Lease.Epoch || h == c.holder {
 		return
 	}
-	if c.registered && h.Lease.Epoch == c.holder.Lease.Epoch {
+	if c.offered && h.Lease.Epoch == c.holder.Lease.Epoch {
 		// Without a new epoch the former scheduler may keep serving other
 		// gateways. If its session for this gateway did not end, it would also
 		// use the part of the capacity and of the quotas that belongs to this
 		// gateway.
 		go c.leave(c.session(), c.holder.Address)
 	}
-	c.holder = h
+	c.holder, c.offered = h, false
 	c.resetSession()
 }
 
-// leave tells a former scheduler that the session has ended. If the call is lost,
-// the scheduler ends the session after a timeout.
+// leave tells a former scheduler that the session and those before it have ended. If the
+// call is lost, the scheduler ends the session after a timeout.
 func (c *Client) leave(s Session, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.callTimeout)
 	defer cancel()
@@ -174,6 +176,8 @@
 // resetSession makes the next message start a new session. The caller holds the
 // lock.
 func (c *Client) resetSession() {
+	// Answers to messages of the former session must not count for the next one.
+	c.number++
 	c.registered = false
 	c.accepted = false
 	close(c.changed)
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	runningTickInterval = 100 * time.Millisecond
 	// idleTickInterval is the tick interval while no request waits or runs.
 	idleTickInterval = 500 * time.Millisecond
+	// leftRetention is how long a registration of a session that its gateway has left may
+	// still arrive.
+	leftRetention = 2 * PollTimeout
 )
 
 // Master runs one scheduler for one lease epoch. It is safe for concurrent use.
@@ -36,8 +40,10 @@
 	sessions       map[ident.NodeID]*session
 	// lastHeard is the time of each gateway's latest message.
 	lastHeard map[ident.NodeID]time.Time
-	observer  Observer
-	spread    spread
+	// left holds the sessions that gateways have left lately.
+	left     map[ident.NodeID]leftSession
+	observer Observer
+	spread   spread
 }
 
 // Observer is notified of what happens to granted requests and to upstreams. It
@@ -77,6 +83,12 @@
 	known uint64
 }
 
+// leftSession is the last session that a gateway had here when it turned to another scheduler.
+type leftSession struct {
+	Session
+	at time.Time
+}
+
 // wake makes the gateway's poll return.
 func (s *session) wake() {
 	select {
@@ -95,6 +107,7 @@
 		sched:     build(0),
 		sessions:  make(map[ident.NodeID]*session),
 		lastHeard: make(map[ident.NodeID]time.Time),
+		left:      make(map[ident.NodeID]leftSession),
 		observer:  observer,
 		spread:    spread{limits: make(map[ident.UpstreamName]spreadLimit)},
 	}
@@ -214,6 +227,7 @@
 		}
 		m.endSession(gateway, now)
 	}
+	maps.DeleteFunc(m.left, func(_ ident.NodeID, l leftSession) bool { return time.Since(l.at) > leftRetention })
 	m.sched.Tick(now)
 	m.spreadChanges()
 }
@@ -228,11 +242,16 @@
 	m.sched.Depart(gateway, now)
 }
 
-// leave ends a session that its gateway has left. It does nothing if a later
-// session has replaced it.
+// leave ends a session that its gateway has left, or an earlier one. Registrations of these
+// that arrive later are refused.
 func (m *Master) leave(id Session) {
 	m.do(func(now time.Duration) {
-		if s := m.sessions[id.Gateway]; s != nil && s.id == id {
+		s := m.sessions[id.Gateway]
+		if s != nil && !supersedes(id, s.id) || supersedes(m.left[id.Gateway].Session, id) {
+			return
+		}
+		m.left[id.Gateway] = leftSession{Session: id, at: time.Now()}
+		if s != nil {
 			m.endSession(id.Gateway, now)
 		}
 	})
@@ -409,7 +428,7 @@
 	if s != nil && s.id == args.Session {
 		return s
 	}
-	if args.Register == nil || s != nil && supersedes(s.id, args.Session) {
+	if args.Register == nil || s != nil && supersedes(s.id, args.Session) || supersedes(m.left[args.Session.Gateway].Session, args.Session) {
 		return nil
 	}
 	s = &session{
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -164,7 +164,7 @@
 	} else {
 		c.number++
 		c.sequence = 0
-		c.registered = true
+		c.registered, c.offered = true, true
 		args.Register = c.registration(now)
 	}
 	c.tickets, c.cancels = nil, nil
