Prompt parts: other streams at an end don't hide a request without a header

Cause: where any request at an end had begun, only those were suspects. Since ends are kept for fingerprints too, that held for streams in their middle, whose parts are left out. So a request that crashed its upstream before its header came was a suspect of no end, wherever another stream ran beside it. Change: an end says whether an answer had gone on past its beginning. All others are suspects; how far an answer had come still decides how many ends are needed. Ruled out: the list, a reset and a time until the next start of 0 to 3 s; these made no difference with the header received (trials with 4 processes).

--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -83,7 +83,8 @@
 		Route: r.ticket.Route, Team: r.ticket.Team, Broken: end.Broken,
 		AnsweredBefore: p.answeredBefore(r.ticket.Fingerprint, now), Brittle: brittle,
 	}
-	if end.OutputTokens < 2 {
+	notice.PastBeginning = end.OutputTokens >= 2
+	if !notice.PastBeginning {
 		notice.Parts = r.ticket.Parts
 	}
 	if notice.Fingerprint == 0 && len(notice.Parts) == 0 {
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -83,7 +83,9 @@
 	// to a request with the fingerprint; 0 if it knows of none.
 	AnsweredBefore time.Duration
 	Broken         Broken
-	Age            time.Duration
+	// PastBeginning is true for a request whose answer had gone on past its beginning.
+	PastBeginning bool
+	Age           time.Duration
 	// Spread is true for a request known from the leader, which doesn't name its parts.
 	Spread bool
 	// Brittle is true if another scheduler knew the upstream to be brittle.
@@ -172,9 +174,11 @@
 }
 
 type endedRequest struct {
-	ticket      ident.RequestID
-	parts       []uint64
-	begun       bool
+	ticket ident.RequestID
+	parts  []uint64
+	// begun is true for a request that was at the beginning of its answer, and past for one
+	// whose answer had gone on past it.
+	begun, past bool
 	fingerprint uint64
 	content     uint64
 	route       ident.RouteName
@@ -212,8 +216,8 @@
 	end.own = end.own || evaluate
 	end.brittle = end.brittle || n.Brittle || p.isBrittle(n.Upstream)
 	r := endedRequest{
-		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, content: n.Content,
-		route: n.Route, team: n.Team, spread: n.Spread,
+		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun && !n.PastBeginning, past: n.PastBeginning,
+		fingerprint: n.Fingerprint, content: n.Content, route: n.Route, team: n.Team, spread: n.Spread,
 	}
 	known := slices.IndexFunc(end.requests, func(other endedRequest) bool { return other.ticket == n.Ticket })
 	switch {
@@ -313,17 +317,20 @@
 }
 
 // suspectsOf returns the requests of an end that may have caused it: those with the
-// fingerprint that is blamed, else those whose answers had begun or, if there is none,
-// all.
+// fingerprint that is blamed, else all whose answers had not gone on past their beginnings,
+// first those whose answers had begun.
 func (e *upstreamEnd) suspectsOf() []endedRequest {
-	if e.blamed != 0 {
-		return slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return r.fingerprint != e.blamed })
-	}
-	begun := slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return !r.begun })
-	if len(begun) > 0 {
-		return begun
+	var begun, unbegun []endedRequest
+	for _, r := range e.requests {
+		switch {
+		case e.blamed != 0 && r.fingerprint != e.blamed, e.blamed == 0 && r.past:
+		case r.begun:
+			begun = append(begun, r)
+		default:
+			unbegun = append(unbegun, r)
+		}
 	}
-	return e.requests
+	return append(begun, unbegun...)
 }
 
 // hidesParts reports whether a request may have had parts that are not known here. Others
@@ -789,7 +796,7 @@
 		n := EndNotice{
 			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Content: e.ticket.Content,
 			Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
-			AnsweredBefore: r.AnsweredBefore,
+			AnsweredBefore: r.AnsweredBefore, PastBeginning: pastBeginning,
 		}
 		if !pastBeginning {
 			n.Parts = e.ticket.Parts
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -558,3 +558,33 @@
 	}
 	must.SliceLen(t, 2, p.evidence.refused.List())
 }
+
+// TestPoison_UnbegunBesideOtherStreams ends upstreams under requests with a deadly part of
+// whose answers nothing came, while the answer to another request at each goes on or begins.
+// Five ends refuse the part, also if a former scheduler saw the first ones.
+func TestPoison_UnbegunBesideOtherStreams(t *testing.T) {
+	for _, past := range []bool{true, false} {
+		for former := range endsToRefuseWeak {
+			p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+			p.SetOrigin(quotaStart)
+			answerSound(p, 1, start)
+			now := start + 2*answeredHistory
+			for i := range endsToRefuseWeak {
+				must.SliceEmpty(t, p.evidence.refused.List())
+				name := ident.UpstreamName(fmt.Sprintf("u%d", i))
+				stream := EndNotice{Ticket: ident.RequestID("s-" + name), Upstream: name, Fingerprint: uint64(50 + i), Broken: BrokenBegun, PastBeginning: past}
+				if !past {
+					stream.Parts = []uint64{uint64(50 + i)}
+				}
+				deadly := EndNotice{Ticket: ident.RequestID("d-" + name), Upstream: name, Fingerprint: uint64(100 + i), Parts: []uint64{templateID + uint64(i), poisonID}, Broken: BrokenUnbegun}
+				p.recordBroken(stream, i >= former, now)
+				p.recordBroken(deadly, i >= former, now)
+				now += time.Second
+				p.Tick(now)
+			}
+			records := p.evidence.refused.List()
+			must.SliceLen(t, 1, records)
+			must.Eq(t, poisonID, records[0].ID)
+		}
+	}
+}
