Prompt parts: a few events before an end don't clear a part

Callers saw requests with a part that crashes upstreams sent on and on: the processes of four upstreams ended 13 times, and 6 such requests reached them later than 3 s after the fifth end, with 3 allowed, if each wrote two events first.

Cause: an answer counted as past its beginning from its second token on, also if its upstream broke it off. An engine writes two within milliseconds of the first, before its end shows. Such an end was no evidence, and cleared the part besides. Change: an answer is past its beginning 300 ms after its first token, as it already was for requests that run. The gateway measures the time and reports it. Ruled out: a rule by tokens, since engines differ by orders in their pace.

--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -93,6 +93,8 @@
 	// since is the time of the dispatch, or of the grant before the dispatch.
 	since time.Time
 	begun bool
+	// firstToken is when the answer began; zero if it has not.
+	firstToken time.Time
 	// via is the gateway through which it is sent; empty if it is sent directly.
 	via ident.NodeID
 }
@@ -270,6 +272,7 @@
 	if r == nil {
 		return
 	}
+	r.firstToken = time.Now()
 	c.queueReport(scheduler.Report{
 		Kind:         scheduler.ReportFirstToken,
 		Ticket:       id,
@@ -289,22 +292,32 @@
 		return
 	}
 	delete(c.running, id)
-	c.poison.recordEnd(r, end, c.notices[r.grant.Upstream].brittle, time.Now())
-	c.recordEnded(id, time.Now())
+	now := time.Now()
+	c.poison.recordEnd(r, end, c.notices[r.grant.Upstream].brittle, now)
+	c.recordEnded(id, now)
 	c.queueReport(scheduler.Report{
 		Kind:         end.Kind,
 		Ticket:       id,
 		Upstream:     r.grant.Upstream,
 		Elapsed:      time.Since(r.since),
 		OutputTokens: end.OutputTokens,
+		SinceFirst:   r.sinceFirst(now),
 		Broken:       end.Broken,
 		Via:          r.via,
 
-		AnsweredBefore: c.poison.answeredBefore(r.ticket.Fingerprint, time.Now()),
+		AnsweredBefore: c.poison.answeredBefore(r.ticket.Fingerprint, now),
 		PathSuspect:    end.PathSuspect,
 	})
 }
 
+// sinceFirst returns how long ago the answer began; 0 if it has not.
+func (r *runningRequest) sinceFirst(now time.Time) time.Duration {
+	if r.firstToken.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(r.firstToken))
+}
+
 func (c *Client) queueReport(r scheduler.Report) {
 	r.Gateway = c.gateway
 	if c.reports.add(r, time.Now(), c.wakeSubmitLoop) {
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -32,7 +32,8 @@
 	// endSettle is the time after an end until the reports of all gateways about it
 	// are in.
 	endSettle = 100 * time.Millisecond
-	// beginSettle is how long after its first token a request counts as beginning.
+	// beginSettle is how long after its first token a request counts as beginning. An
+	// upstream that ends on it may still send a few tokens.
 	beginSettle = 300 * time.Millisecond
 	// maxEnds bounds the ends that are kept, maxSuspects the requests that are kept
 	// of each, and endRetention is how long they are.
@@ -774,11 +775,20 @@
 	return len(p.evidence.suspects) > 0 && slices.ContainsFunc(e.ticket.Parts, func(part uint64) bool { return p.evidence.suspects[part] > 0 })
 }
 
+// IsPastBeginning reports whether an answer that began so long ago, 0 if it has not, has gone
+// on past its beginning.
+func IsPastBeginning(sinceFirst time.Duration) bool { return sinceFirst > beginSettle }
+
 // observeAnswer learns from the final report on a granted request what it says about
 // the request, the parts of its prompt and the end of its upstream.
 func (p *Pool) observeAnswer(e *entry, r Report, now time.Duration) {
 	complete := r.Kind == ReportEnded || r.Kind == ReportFailed
-	pastBeginning := r.Kind == ReportEnded || r.OutputTokens >= 2
+	sinceFirst := r.SinceFirst
+	if sinceFirst == 0 && e.firstTokenAt != 0 {
+		// Gateways of earlier versions don't say.
+		sinceFirst = now - e.firstTokenAt
+	}
+	pastBeginning := r.Kind == ReportEnded || IsPastBeginning(sinceFirst)
 	if pastBeginning {
 		p.clearParts(e, now)
 	}
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -219,11 +219,11 @@
 		}
 		r := Report{Kind: ReportUnknown, Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: name, Elapsed: m.now - q.sent, Broken: BrokenUnbegun}
 		if q.begun {
-			r.Broken, r.OutputTokens = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond))
+			r.Broken, r.OutputTokens, r.SinceFirst = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond)), max(1, m.now-q.first)
 		} else if m.now-q.sent >= poisonAnswer {
 			r.Broken = BrokenBegun
 		}
-		if r.OutputTokens < 2 {
+		if !IsPastBeginning(r.SinceFirst) {
 			m.broken = append(m.broken, EndNotice{Ticket: q.ticket.ID, Upstream: name, Parts: q.ticket.Parts, Broken: r.Broken})
 			m.brokenAt, m.brokenBy = append(m.brokenAt, m.now), append(m.brokenBy, q.ticket.Gateway)
 		}
@@ -588,3 +588,32 @@
 		}
 	}
 }
+
+// TestPoison_TokensBeforeTheEnd ends upstreams shortly after the first tokens of answers to
+// requests with a deadly part. Three ends refuse it.
+func TestPoison_TokensBeforeTheEnd(t *testing.T) {
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	answerSound(p, 1, start)
+	now := start + 2*answeredHistory
+	for i := range endsToRefuse {
+		must.SliceEmpty(t, p.evidence.refused.List())
+		deadly := sharedTicket(i, "low")
+		deadly.Parts, deadly.Objective = []uint64{templateID + uint64(i), poisonID}, 0
+		p.Submit(deadly, now)
+		for _, g := range grants(p.Decisions()) {
+			r := Report{Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Kind: ReportDispatched}
+			p.Report(r, now)
+			r.Kind, r.Elapsed = ReportFirstToken, 50*time.Millisecond
+			p.Report(r, now+50*time.Millisecond)
+			r.Kind, r.Broken, r.OutputTokens = ReportUnknown, BrokenBegun, 20
+			r.Elapsed, r.SinceFirst = 200*time.Millisecond, 150*time.Millisecond
+			p.Report(r, now+200*time.Millisecond)
+		}
+		now += 2 * time.Second
+		p.Tick(now)
+	}
+	records := p.evidence.refused.List()
+	must.SliceLen(t, 1, records)
+	must.Eq(t, poisonID, records[0].ID)
+}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -244,6 +244,8 @@
 	Age time.Duration
 	// OutputTokens counts tokens received so far.
 	OutputTokens int
+	// SinceFirst is the time since the answer began; 0 if it has not.
+	SinceFirst time.Duration
 	// CachedTokens counts prompt tokens that the engine took from its cache.
 	CachedTokens int
 	// Broken states how far the answer had come if its upstream broke it off, and
