--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -2,6 +2,8 @@
 // request may have reached the server. It never sends a request twice. It uses
 // the header to check that an answer belongs to the request, because a faulty server
 // may send a second answer to one request where the answer to the next is expected.
+// That check can't tell a second answer to a request that is sent again, so no connection
+// carries the same request twice.
 package h1conn
 
 import (
@@ -10,8 +12,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -30,6 +36,9 @@
 	// for less. It is short because an idle connection can stop working without
 	// an error.
 	IdleTimeout = 4 * time.Second
+	// sweepInterval is the time between two sweeps, and so the longest for which an idle
+	// connection stays open after it has expired.
+	sweepInterval = time.Second
 	// maxIdlePerServer limits the idle connections to one server.
 	maxIdlePerServer = 32
 	// userTimeout limits how long sent data may stay unacknowledged
@@ -55,6 +64,9 @@
 	maxHeadBytes = 64 << 10
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
+	// maxCarried bounds the requests that a connection remembers, to 4 KiB. A connection
+	// that has carried more which may still come again is not kept.
+	maxCarried = 256
 )
 
 // ErrHeadTooLarge means that the headers of the answers exceed maxHeadBytes.
@@ -80,6 +92,10 @@
 	// Address is host:port, where host is an IPv4 address.
 	Address string
 	Method  string
+	// ID is the id of the request that answers repeat. Until the deadline of the call's
+	// context, or for good if it has none, a connection that has carried a request with this
+	// id is not used for another one. If ID is empty, any connection is.
+	ID string
 	// Head is the request line and the header, including the blank line at the end.
 	Head []byte
 	Body []byte
@@ -88,8 +104,8 @@
 	Matches func(h http.Header) bool
 	// Fresh forces a new connection, and ReuseOnly one from before.
 	Fresh, ReuseOnly bool
-	// OnConn, if set, is called with the kind of connection before the call is sent.
-	OnConn func(fresh bool)
+	// OnConn, if set, is called with the connection's use so far before the call is sent.
+	OnConn func(ConnUse)
 	// OnStall, if set, is called if the call's bytes are not acknowledged StallAfter after
 	// they were sent and no answer has begun. Larger calls than maxInlineWrite are left out:
 	// the server may not have read them yet.
@@ -99,22 +115,34 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// ConnUse says what a connection was used for before a call.
+type ConnUse struct {
+	// Number tells the connections of a client apart; the first one has 1.
+	Number uint64
+	// Calls is the number of calls that the connection has carried; 0 for a new one.
+	Calls int
+}
+
 // isInline reports whether the call is written before its answer is read.
 func (c *Call) isInline() bool { return len(c.Head)+len(c.Body) <= maxInlineWrite }
 
 // Client sends requests over pooled connections. It is safe for concurrent use.
 type Client struct {
 	dialTimeout time.Duration
+	began       time.Time
 	dialed      atomic.Uint64
+	numbered    atomic.Uint64
 
 	mu        sync.Mutex
 	idleConns map[string][]*persistConn
-	closed    bool
+	// sweeper runs the next sweep; nil if none is due.
+	sweeper *time.Timer
+	closed  bool
 }
 
 // New returns a client whose dials time out after dialTimeout.
 func New(dialTimeout time.Duration) *Client {
-	return &Client{dialTimeout: dialTimeout, idleConns: make(map[string][]*persistConn)}
+	return &Client{dialTimeout: dialTimeout, began: time.Now(), idleConns: make(map[string][]*persistConn)}
 }
 
 // Dialed returns the number of connections established.
@@ -127,12 +155,40 @@
 	reader  *bufio.Reader
 	// head bounds what reader may read while it reads headers.
 	head *headLimiter
-	// reused is true once the connection has served a call before the current one.
-	reused bool
+	// number tells the client's connections apart, and calls counts those that it has carried.
+	number uint64
+	calls  int
+	// carried lists the requests that were sent on the connection and may come again.
+	carried []carriedRequest
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
 }
 
+// carriedRequest is a request that a connection has carried.
+type carriedRequest struct {
+	// hash is that of the request's id.
+	hash uint64
+	// until is when the request can't come again, since the client began.
+	until time.Duration
+}
+
+// carry records a request with a deadline; zero if it has none.
+func (pc *persistConn) carry(id string, deadline time.Time, began time.Time) {
+	now := time.Since(began)
+	pc.carried = slices.DeleteFunc(pc.carried, func(r carriedRequest) bool { return r.until < now })
+	until := time.Duration(math.MaxInt64)
+	if !deadline.IsZero() {
+		until = deadline.Sub(began)
+	}
+	pc.carried = append(pc.carried, carriedRequest{hash: xxhash.Sum64String(id), until: until})
+}
+
+// hasCarried reports whether a request with the hash may come again that the connection has
+// carried.
+func (pc *persistConn) hasCarried(hash uint64) bool {
+	return slices.ContainsFunc(pc.carried, func(r carriedRequest) bool { return r.hash == hash })
+}
+
 // headLimiter passes reads through until a limit is set and reached. The limit is
 // up to readBufferSize too generous, since the reader above it reads ahead.
 type headLimiter struct {
@@ -186,7 +242,12 @@
 		return nil, &UnsentError{Err: err}
 	}
 	if call.OnConn != nil {
-		call.OnConn(!pc.reused)
+		call.OnConn(ConnUse{Number: pc.number, Calls: pc.calls})
+	}
+	pc.calls++
+	if call.ID != "" {
+		deadline, _ := ctx.Deadline()
+		pc.carry(call.ID, deadline, c.began)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = pc.Close() })
 	writeDone := pc.send(call)
@@ -219,12 +280,11 @@
 		if err != nil {
 			return nil, err
 		}
-		return newPersistConn(raw, ""), nil
+		return c.newPersistConn(raw, ""), nil
 	}
 	if !call.Fresh {
-		for pc := c.takeIdle(call.Address); pc != nil; pc = c.takeIdle(call.Address) {
+		for pc := c.takeIdle(call.Address, call.ID); pc != nil; pc = c.takeIdle(call.Address, call.ID) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
-				pc.reused = true
 				return pc, nil
 			}
 			_ = pc.Close()
@@ -236,16 +296,20 @@
 	return c.dial(ctx, call.Address)
 }
 
-func (c *Client) takeIdle(address string) *persistConn {
+// takeIdle removes the connection from the pool that was used last, of those to the address
+// that have not carried the request with the id. It returns nil if there is none.
+func (c *Client) takeIdle(address, id string) *persistConn {
+	hash := xxhash.Sum64String(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idleConns[address]
-	if len(list) == 0 {
-		return nil
+	for i, pc := range slices.Backward(list) {
+		if !pc.hasCarried(hash) {
+			c.idleConns[address] = slices.Delete(list, i, i+1)
+			return pc
+		}
 	}
-	pc := list[len(list)-1]
-	c.idleConns[address] = list[:len(list)-1]
-	return pc
+	return nil
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*persistConn, error) {
@@ -254,14 +318,17 @@
 		return nil, err
 	}
 	c.dialed.Add(1)
-	return newPersistConn(raw, address), nil
+	return c.newPersistConn(raw, address), nil
 }
 
 // newPersistConn returns a connection that is kept for other calls to the address;
 // empty if it is not.
-func newPersistConn(raw net.Conn, address string) *persistConn {
+func (c *Client) newPersistConn(raw net.Conn, address string) *persistConn {
 	head := &headLimiter{Reader: raw}
-	return &persistConn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+	return &persistConn{
+		Conn: raw, address: address, number: c.numbered.Add(1),
+		head: head, reader: bufio.NewReaderSize(head, readBufferSize),
+	}
 }
 
 // Connect makes a connection with the client's timeouts, which does not belong to the
@@ -338,6 +405,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("answer: %w", err)
 		}
+		if pc.calls > 1 && isSpliced(response) {
+			return nil, fmt.Errorf("%w: the header of one that was broken off goes on with another's status line", ErrAnswerMismatch)
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -352,6 +422,24 @@
 	return nil, ErrAnswerMismatch
 }
 
+// statusLine matches the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// isSpliced reports whether another answer begins within the header of an answer. A server
+// that breaks off a second answer to an earlier call within its header leaves a field, or a
+// status line, that goes on with the next answer.
+func isSpliced(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipBody reads the body of an answer to another request. It reports whether the
 // next answer may follow.
 func (pc *persistConn) skipBody(response *http.Response) bool {
@@ -402,7 +490,7 @@
 
 func (a *Answer) release() {
 	notCanceled := a.stopAfterFunc()
-	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0
+	keep := notCanceled && a.sawEOF && !a.Response.Close && a.conn.reader.Buffered() == 0 && len(a.conn.carried) < maxCarried
 	select {
 	case a.writeErr = <-a.writeDone:
 		a.wrote = true
@@ -424,6 +512,7 @@
 	}
 	pc.expires = time.Now().Add(timeout)
 	c.idleConns[pc.address] = append(c.idleConns[pc.address], pc)
+	c.scheduleSweep()
 	return true
 }
 
@@ -447,21 +536,20 @@
 	return IdleTimeout
 }
 
-// Forget closes the idle connections to a server that no longer exists.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	list := c.idleConns[address]
-	delete(c.idleConns, address)
-	c.mu.Unlock()
-	for _, pc := range list {
+// sweep closes the idle connections that have expired, and goes on as long as there are
+// others.
+func (c *Client) sweep() {
+	for _, pc := range c.removeExpired(time.Now()) {
 		_ = pc.Close()
 	}
 }
 
-// Sweep closes the idle connections that have expired by now.
-func (c *Client) Sweep(now time.Time) {
-	var expired []*persistConn
+// removeExpired removes the idle connections that have expired by now from the pool and
+// returns them. It schedules the next sweep if others are left.
+func (c *Client) removeExpired(now time.Time) []*persistConn {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	var expired []*persistConn
 	for address, list := range c.idleConns {
 		kept := list[:0]
 		for _, pc := range list {
@@ -476,9 +564,16 @@
 			delete(c.idleConns, address)
 		}
 	}
-	c.mu.Unlock()
-	for _, pc := range expired {
-		_ = pc.Close()
+	c.sweeper = nil
+	c.scheduleSweep()
+	return expired
+}
+
+// scheduleSweep makes the next sweep follow after sweepInterval if there are idle
+// connections. The caller holds the lock.
+func (c *Client) scheduleSweep() {
+	if c.sweeper == nil && len(c.idleConns) > 0 {
+		c.sweeper = time.AfterFunc(sweepInterval, c.sweep)
 	}
 }
 
@@ -488,6 +583,9 @@
 	c.closed = true
 	idle := c.idleConns
 	c.idleConns = make(map[string][]*persistConn)
+	if c.sweeper != nil {
+		c.sweeper.Stop()
+	}
 	c.mu.Unlock()
 	for _, list := range idle {
 		for _, pc := range list {
