Prompt parts: the next start of an upstream doesn't take back its end

Callers saw requests with a part that crashes upstreams sent on and on: the processes of four upstreams, started again at once under their ids, ended 13 times, and 7 such requests reached them later than 3 s after the fifth end, with 3 allowed.

Cause: an answer under the same name within 2 s of an end, or 6 s after it, was taken as a sign that only connections had broken, and the end was forgotten. Until the list shows the next start, or for good if it doesn't say when starts were, that start answers under the name. Change: such an answer takes an end back only if it came on a connection that is older than the end by more than the time within which ends are noticed. Reports say how old the connection was. The daemon, which doesn't know that, keeps its rule. Ruled out: waiting for the list (it lags); the id in answers (it stays the same). Measured: TestEndToEnd_PartEndsUpstreamProcesses/same_id failed before (7 late, 13 ends) and passes; TestPoison_NextStartUnderTheSameName failed before. TestPoisonRequest_ConnectionsBreakAtSomeGateways, in whose model gateways now keep connections, passes. The test of h1conn also checks that ages grow.

--- a/internal/command/agent/latency_bench_test.go
+++ b/internal/command/agent/latency_bench_test.go
@@ -150,6 +150,6 @@
 		return
 	}
 	time.Sleep(overloadServiceTime)
-	client.FirstToken(id, 0)
+	client.FirstToken(id, 0, 0)
 	client.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded})
 }
--- a/internal/command/fleet/scheduler_cost_test.go
+++ b/internal/command/fleet/scheduler_cost_test.go
@@ -186,11 +186,11 @@
 	}
 	if name == "engines" {
 		time.Sleep(60 * time.Millisecond)
-		c.FirstToken(id, 0)
+		c.FirstToken(id, 0, 0)
 		time.Sleep(140 * time.Millisecond)
 	} else {
 		time.Sleep(14 * time.Millisecond)
-		c.FirstToken(id, 0)
+		c.FirstToken(id, 0, 0)
 	}
 	c.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: 100})
 }
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -112,7 +112,7 @@
 	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, sending)}
 	sent := sending.send(sendCtx, placer, d, answer)
 	placer.Finish(r.ID, scheduler.Ending{
-		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(),
+		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge,
 	})
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, attemptUnsent)
@@ -329,6 +329,7 @@
 	onNotice    func(n scheduler.UpstreamNotice)
 	status      int
 	contentType string
+	connAge     time.Duration
 	body        []byte
 }
 
@@ -338,6 +339,7 @@
 func (c *answerRecorder) Begin(head AnswerHead) error {
 	c.status = head.Status
 	c.contentType = head.ContentType
+	c.connAge = head.ConnAge
 	return nil
 }
 
@@ -346,7 +348,7 @@
 func (c *answerRecorder) Fields([]HeaderField) {}
 
 func (c *answerRecorder) FirstToken() {
-	c.placer.FirstToken(c.id, 0)
+	c.placer.FirstToken(c.id, 0, c.connAge)
 }
 
 // maxRecordedAnswer bounds the answer to a claimed request, which is held until its
--- a/internal/coordination/gateway/continuation.go
+++ b/internal/coordination/gateway/continuation.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // AnswerHead is what the header of an upstream's answer says about its body.
@@ -13,6 +14,8 @@
 	Framing     Framing
 	// EventStream is true if the body consists of events.
 	EventStream bool
+	// ConnAge is how long before the sending the connection was opened; 0 if unknown.
+	ConnAge time.Duration
 }
 
 // EventKind is what a part of a stream is that ends with an empty line.
--- a/internal/coordination/gateway/continuation_test.go
+++ b/internal/coordination/gateway/continuation_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -174,7 +175,7 @@
 	reports int
 }
 
-func (c *firstTokenCounter) FirstToken(ident.RequestID, int) { c.reports++ }
+func (c *firstTokenCounter) FirstToken(ident.RequestID, int, time.Duration) { c.reports++ }
 
 // TestRelay_FirstTokenIsReportedOnce checks that a stream does not report its first token
 // with each of its events: the scheduler of a large fleet can't keep up with that.
--- a/internal/coordination/gateway/fuzz_test.go
+++ b/internal/coordination/gateway/fuzz_test.go
@@ -40,7 +40,7 @@
 func (e *faultyEnv) Identity() (ident.NodeID, ident.Incarnation)           { return "n", 1 }
 func (e *faultyEnv) PoolUpstreams(ident.PoolName) []Target                 { return []Target{{Name: "u"}} }
 func (e *faultyEnv) Relayed(ident.RequestID, ident.NodeID)                 {}
-func (e *faultyEnv) FirstToken(ident.RequestID, int)                       {}
+func (e *faultyEnv) FirstToken(ident.RequestID, int, time.Duration)        {}
 func (e *faultyEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
 func (e *faultyEnv) Finish(ident.RequestID, scheduler.Ending)              { e.begun = false }
 
--- a/internal/coordination/gateway/outcome_test.go
+++ b/internal/coordination/gateway/outcome_test.go
@@ -161,7 +161,7 @@
 }
 func (s *keySend) Status(context.Context, Dispatch) *ledger.Answer       { return nil }
 func (s *keySend) Relayed(ident.RequestID, ident.NodeID)                 {}
-func (s *keySend) FirstToken(ident.RequestID, int)                       {}
+func (s *keySend) FirstToken(ident.RequestID, int, time.Duration)        {}
 func (s *keySend) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
 func (s *keySend) Finish(ident.RequestID, scheduler.Ending)              {}
 
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 )
 
@@ -31,6 +33,8 @@
 	// head is that of the answer that began, and position how far its stream has come.
 	head     AnswerHead
 	position streamPosition
+	// connAge is that of the latest answer.
+	connAge time.Duration
 	// continues is true while an answer has to go on after the position, joined if what
 	// it goes on with is part of the same answer to the caller, and recognized once its
 	// first event did.
@@ -63,7 +67,7 @@
 func (rl *relay) Begin(head AnswerHead) error {
 	rl.continues = rl.r.Resumable && head.EventStream && rl.position.last != ""
 	rl.joined, rl.recognized = rl.begun && rl.position.events > 0, false
-	rl.held = nil
+	rl.held, rl.connAge = nil, head.ConnAge
 	if rl.begun {
 		return rl.position.checkHead(rl.head, head)
 	}
@@ -94,7 +98,7 @@
 // FirstToken implements AnswerSink.
 func (rl *relay) FirstToken() {
 	rl.silence.stop()
-	rl.placer.FirstToken(rl.r.ID, 0)
+	rl.placer.FirstToken(rl.r.ID, 0, rl.connAge)
 }
 
 // hasEndMark reports whether the answer to the caller has begun with a mark of its end that
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -249,6 +249,8 @@
 	// Conn is 0 if that isn't known.
 	Conn      uint64
 	ConnCalls int
+	// ConnAge is how long before the sending the connection was opened; 0 if unknown.
+	ConnAge time.Duration
 	// Skipped is the number of answers before the request's, or in its place, that belong
 	// to other requests or to none, and SkippedNameless of those without a request id.
 	Skipped, SkippedNameless int
@@ -329,8 +331,8 @@
 	// Notice reports what the header of the answer says about the upstream, and
 	// returns whether this gateway learns something new from it.
 	Notice(id ident.RequestID, n scheduler.UpstreamNotice) (news bool)
-	// FirstToken reports that the answer began.
-	FirstToken(id ident.RequestID, cachedTokens int)
+	// FirstToken reports that the answer began. ConnAge is as in scheduler.Report.
+	FirstToken(id ident.RequestID, cachedTokens int, connAge time.Duration)
 	// Finish reports the end of a granted request.
 	Finish(id ident.RequestID, end scheduler.Ending)
 }
--- a/internal/coordination/gateway/unresponsive_test.go
+++ b/internal/coordination/gateway/unresponsive_test.go
@@ -29,7 +29,7 @@
 
 func (e *unresponsiveEnv) Begin(ident.RequestID) scheduler.BeginResult           { return scheduler.BeginSend }
 func (e *unresponsiveEnv) Relayed(ident.RequestID, ident.NodeID)                 {}
-func (e *unresponsiveEnv) FirstToken(ident.RequestID, int)                       {}
+func (e *unresponsiveEnv) FirstToken(ident.RequestID, int, time.Duration)        {}
 func (e *unresponsiveEnv) Notice(ident.RequestID, scheduler.UpstreamNotice) bool { return false }
 func (e *unresponsiveEnv) Finish(ident.RequestID, scheduler.Ending)              {}
 
--- a/internal/coordination/pool/burst_test.go
+++ b/internal/coordination/pool/burst_test.go
@@ -126,7 +126,7 @@
 		return 0, false
 	}
 	time.Sleep(first)
-	c.FirstToken(id, 0)
+	c.FirstToken(id, 0, 0)
 	answered := time.Since(begin)
 	time.Sleep(rest)
 	c.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: t.OutputTokens})
--- a/internal/coordination/pool/capacity_messages_test.go
+++ b/internal/coordination/pool/capacity_messages_test.go
@@ -114,7 +114,7 @@
 		return fmt.Errorf("grant of %s lapsed", id)
 	}
 	time.Sleep(pause)
-	client.FirstToken(id, 0)
+	client.FirstToken(id, 0, 0)
 	time.Sleep(pause)
 	client.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: 200})
 	time.Sleep(pause)
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -268,7 +268,7 @@
 }
 
 // FirstToken reports that the answer began.
-func (c *Client) FirstToken(id ident.RequestID, cachedTokens int) {
+func (c *Client) FirstToken(id ident.RequestID, cachedTokens int, connAge time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.running[id]
@@ -282,6 +282,7 @@
 		Upstream:     r.grant.Upstream,
 		Elapsed:      time.Since(r.since),
 		CachedTokens: cachedTokens,
+		ConnAge:      connAge,
 		Via:          r.via,
 	})
 }
@@ -310,6 +311,7 @@
 
 		AnsweredBefore: c.poison.answeredBefore(r.ticket.Fingerprint, now),
 		PathSuspect:    end.PathSuspect,
+		ConnAge:        end.ConnAge,
 	})
 }
 
--- a/internal/coordination/pool/fuzz_test.go
+++ b/internal/coordination/pool/fuzz_test.go
@@ -292,7 +292,7 @@
 			c.Notice(id, scheduler.UpstreamNotice{Leaving: scheduler.NoticeNamed})
 			s.log.pause(c.gateway, d.Grant.Upstream, scheduler.LeavingRetention)
 		}
-		c.FirstToken(id, 0)
+		c.FirstToken(id, 0, 0)
 		time.Sleep(s.jitter(300 * time.Millisecond))
 		s.log.end(d.Grant.Upstream)
 		c.Finish(id, scheduler.Ending{Kind: scheduler.ReportEnded, OutputTokens: 1})
--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -47,11 +47,11 @@
 	// leader spreads it.
 	learnedRetention     = 10 * time.Minute
 	learnedSweepInterval = time.Minute
+	// maxNoticeDelay is how long after an end the reports of it may come.
+	maxNoticeDelay = time.Second
 	// maxRetraction is how soon after its end an answer shows that an upstream did not
-	// end. Later, it may be back under its name, until maxListLag after the end: by then
-	// the list gives another start another name, where names differ between starts.
+	// end where the ages of connections are unknown. Later, it may be back under its name.
 	maxRetraction = 2 * time.Second
-	maxListLag    = 6 * time.Second
 )
 
 // Broken states how far an answer had come when its upstream broke it off.
@@ -587,9 +587,10 @@
 	}
 }
 
-// retractEnd forgets the end of an upstream that has answered a request sent after it:
-// only connections had broken.
-func (p *Pool) retractEnd(e *entry) {
+// retractEnd forgets the end of an upstream that has answered a request sent after it on a
+// connection from before: only others had broken. On a later connection, another start
+// that the list doesn't show yet may have answered.
+func (p *Pool) retractEnd(e *entry, connAge time.Duration) {
 	v := &p.evidence
 	if len(v.ends) == 0 {
 		return
@@ -597,7 +598,13 @@
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(end *upstreamEnd) bool {
 		after := e.startedAt - end.at
-		return end.upstream == e.engine.upstream.Name && after > 0 && (after < maxRetraction || p.view.Shared != nil && after > maxListLag)
+		if end.upstream != e.engine.upstream.Name || after <= 0 {
+			return false
+		}
+		if p.view.Shared == nil {
+			return after < maxRetraction
+		}
+		return connAge > after+maxNoticeDelay
 	})
 	if len(v.ends) != before {
 		v.dropUnused()
--- a/internal/coordination/scheduler/poison_request_test.go
+++ b/internal/coordination/scheduler/poison_request_test.go
@@ -43,9 +43,13 @@
 	requests []*crashRequest
 	notices  []poison.End
 	own      map[ident.NodeID][]EndNotice
-	ownAt    map[ident.NodeID][]time.Duration
-	down     map[time.Duration]int
-	next     int
+	// started holds the starts of the upstreams, and broken when the connections of a gateway
+	// last broke: connections are kept otherwise.
+	started map[ident.UpstreamName]time.Duration
+	broken  map[ident.NodeID]time.Duration
+	ownAt   map[ident.NodeID][]time.Duration
+	down    map[time.Duration]int
+	next    int
 	// ends and arrivals are the times at which upstreams ended on a content and at which
 	// requests with it reached an upstream.
 	ends, arrivals map[uint64][]time.Duration
@@ -69,7 +73,8 @@
 	m := &crashModel{
 		random: rand.New(rand.NewPCG(5, 6)), view: sharedView(0), deadly: deadly, rate: 4, shared: true,
 		fingerprint: func(content uint64) uint64 { return content },
-		down:        make(map[time.Duration]int), own: make(map[ident.NodeID][]EndNotice), ownAt: make(map[ident.NodeID][]time.Duration),
+		down:        make(map[time.Duration]int), own: make(map[ident.NodeID][]EndNotice),
+		started: make(map[ident.UpstreamName]time.Duration), broken: make(map[ident.NodeID]time.Duration), ownAt: make(map[ident.NodeID][]time.Duration),
 		ends: make(map[uint64][]time.Duration), arrivals: make(map[uint64][]time.Duration),
 		sent: make(map[int]int), served: make(map[int]int), refused: make(map[int]int),
 	}
@@ -90,6 +95,7 @@
 func (m *crashModel) addUpstream() {
 	m.next++
 	m.view.Upstreams = append(m.view.Upstreams, Upstream{Name: ident.UpstreamName(fmt.Sprintf("u%d", m.next)), Version: "v1", MaxConcurrent: 6})
+	m.started[m.view.Upstreams[len(m.view.Upstreams)-1].Name] = m.now
 }
 
 // start replaces a scheduler. Its gateways register what they know.
@@ -280,6 +286,7 @@
 func (m *crashModel) report(q *crashRequest, kind ReportKind, broken Broken) {
 	m.pools[q.pool].Report(Report{
 		Kind: kind, Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: q.upstream, Elapsed: m.now - q.sent, Broken: broken,
+		ConnAge: q.sent - max(m.started[q.upstream], m.broken[q.ticket.Gateway]),
 	}, m.now)
 	m.collect(q.pool)
 }
@@ -310,6 +317,7 @@
 
 // breakAt breaks the connections of a gateway to all upstreams, which go on.
 func (m *crashModel) breakAt(g ident.NodeID) {
+	m.broken[g] = m.now
 	for _, q := range slices.Clone(m.requests) {
 		if !q.runs || q.ticket.Gateway != g {
 			continue
@@ -833,7 +841,7 @@
 		}
 		p.Tick(now + endSettle)
 		for _, g := range p.orderedEngines {
-			p.retractEnd(&entry{engine: g, startedAt: now + endSettle})
+			p.retractEnd(&entry{engine: g, startedAt: now + endSettle}, now)
 		}
 		must.SliceEmpty(b, p.evidence.ends)
 	}
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -363,7 +363,7 @@
 			p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
 			p.Report(Report{Kind: ReportUnknown, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Broken: BrokenBegun}, now)
 			for _, other := range p.orderedEngines {
-				p.retractEnd(&entry{engine: other, startedAt: now + 1})
+				p.retractEnd(&entry{engine: other, startedAt: now + 1}, now)
 			}
 		}
 		p.Tick(now + 200*time.Millisecond)
@@ -617,3 +617,31 @@
 	must.SliceLen(t, 1, records)
 	must.Eq(t, poisonID, records[0].ID)
 }
+
+// TestPoison_NextStartUnderTheSameName ends upstreams that answer again at once, before the
+// list shows that they have started: connections from before the end don't carry such
+// answers. Three ends under a part refuse it, and an answer on an older connection takes the
+// evidence back.
+func TestPoison_NextStartUnderTheSameName(t *testing.T) {
+	for _, lives := range []bool{false, true} {
+		for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second} {
+			p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+			p.SetOrigin(quotaStart)
+			answerSound(p, 1, start)
+			now := start + 2*answeredHistory
+			for i := range endsToRefuse {
+				must.SliceEmpty(t, p.evidence.refused.List())
+				name := ident.UpstreamName(fmt.Sprintf("u%d", i))
+				p.recordBroken(EndNotice{Ticket: ident.RequestID("d-" + name), Upstream: name, Parts: []uint64{templateID + uint64(i), poisonID}, Broken: BrokenBegun}, true, now)
+				connAge := after / 2
+				if lives {
+					connAge = after + 2*maxNoticeDelay
+				}
+				p.retractEnd(&entry{engine: p.engines[name], startedAt: now + after}, connAge)
+				p.Tick(now + endSettle)
+				now += after + time.Second
+			}
+			must.Eq(t, lives, len(p.evidence.refused.List()) == 0, must.Sprintf("lives: %t, answers after %s", lives, after))
+		}
+	}
+}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -41,7 +41,7 @@
 		p.recordFirstToken(e, r, at, now)
 	case ReportEnded:
 		e.engine.recordResponse(now-r.Elapsed, now)
-		p.retractEnd(e)
+		p.retractEnd(e, r.ConnAge)
 		p.observeEnd(e, r, now)
 		p.release(e, now)
 		p.end(e, now)
@@ -122,7 +122,7 @@
 		return
 	}
 	e.firstTokenAt = max(1, at)
-	p.retractEnd(e)
+	p.retractEnd(e, r.ConnAge)
 	e.engine.recordResponse(at-r.Elapsed, at)
 	e.engine.backlog.done(e.uncachedTokens, now)
 	if e.ticket.PromptTokens > 0 {
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -257,6 +257,9 @@
 	// upstream may have caused.
 	Via         ident.NodeID
 	PathSuspect bool
+	// ConnAge is how long before the dispatch the connection of the answer was opened; 0 if
+	// unknown.
+	ConnAge time.Duration
 	// Notice is what the answer says about its upstream; nil except with
 	// ReportNotice.
 	Notice *UpstreamNotice
@@ -268,8 +271,9 @@
 	Kind         ReportKind
 	OutputTokens int
 	Broken       Broken
-	// PathSuspect is as in Report.
+	// PathSuspect and ConnAge are as in Report.
 	PathSuspect bool
+	ConnAge     time.Duration
 }
 
 // Running is a dispatched request that a gateway lists when it registers.
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -121,6 +121,8 @@
 	Number uint64
 	// Calls is the number of calls that the connection has carried; 0 for a new one.
 	Calls int
+	// Age is the time since it was opened.
+	Age time.Duration
 }
 
 // isInline reports whether the call is written before its answer is read.
@@ -158,6 +160,7 @@
 	// number tells the client's connections apart, and calls counts those that it has carried.
 	number uint64
 	calls  int
+	opened time.Time
 	// carried lists the requests that were sent on the connection and may come again.
 	carried []carriedRequest
 	// expires is when an idle connection may no longer be used.
@@ -242,7 +245,7 @@
 		return nil, &UnsentError{Err: err}
 	}
 	if call.OnConn != nil {
-		call.OnConn(ConnUse{Number: pc.number, Calls: pc.calls})
+		call.OnConn(ConnUse{Number: pc.number, Calls: pc.calls, Age: time.Since(pc.opened)})
 	}
 	pc.calls++
 	if call.ID != "" {
@@ -326,7 +329,7 @@
 func (c *Client) newPersistConn(raw net.Conn, address string) *persistConn {
 	head := &headLimiter{Reader: raw}
 	return &persistConn{
-		Conn: raw, address: address, number: c.numbered.Add(1),
+		Conn: raw, address: address, number: c.numbered.Add(1), opened: time.Now(),
 		head: head, reader: bufio.NewReaderSize(head, readBufferSize),
 	}
 }
--- a/internal/transport/h1conn/reuse_test.go
+++ b/internal/transport/h1conn/reuse_test.go
@@ -48,7 +48,8 @@
 }
 
 // TestClient_RequestOnceOnEachConnection checks that a request which comes again is sent on
-// a connection that has not carried it, and that other requests still share connections.
+// a connection that has not carried it, that other requests still share connections, and
+// that these age.
 func TestClient_RequestOnceOnEachConnection(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	defer server.Close()
@@ -65,6 +66,7 @@
 		_, _ = io.Copy(io.Discard, answer.Body)
 		return use, answer.Body.Close()
 	}
+	ages := make(map[uint64]time.Duration)
 	for _, c := range []struct {
 		id   string
 		want ConnUse
@@ -81,6 +83,8 @@
 	} {
 		use, err := send(c.id, false)
 		must.NoError(t, err)
+		must.Greater(t, ages[use.Number], use.Age)
+		ages[use.Number], c.want.Age = use.Age, use.Age
 		must.Eq(t, c.want, use, must.Sprint(c.id))
 	}
 	_, err := send("a", true)
