--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -32,7 +32,8 @@
 	// endSettle is the time after an end until the reports of all gateways about it
 	// are in.
 	endSettle = 100 * time.Millisecond
-	// beginSettle is how long after its first token a request counts as beginning.
+	// beginSettle is how long after its first token a request counts as beginning. An
+	// upstream that ends on it may still send a few tokens.
 	beginSettle = 300 * time.Millisecond
 	// maxEnds bounds the ends that are kept, maxSuspects the requests that are kept
 	// of each, and endRetention is how long they are.
@@ -46,11 +47,11 @@
 	// leader spreads it.
 	learnedRetention     = 10 * time.Minute
 	learnedSweepInterval = time.Minute
+	// maxNoticeDelay is how long after an end the reports of it may come.
+	maxNoticeDelay = time.Second
 	// maxRetraction is how soon after its end an answer shows that an upstream did not
-	// end. Later, it may be back under its name, until maxListLag after the end: by then
-	// the list gives another start another name, where names differ between starts.
+	// end where the ages of connections are unknown. Later, it may be back under its name.
 	maxRetraction = 2 * time.Second
-	maxListLag    = 6 * time.Second
 )
 
 // Broken states how far an answer had come when its upstream broke it off.
@@ -83,7 +84,9 @@
 	// to a request with the fingerprint; 0 if it knows of none.
 	AnsweredBefore time.Duration
 	Broken         Broken
-	Age            time.Duration
+	// PastBeginning is true for a request whose answer had gone on past its beginning.
+	PastBeginning bool
+	Age           time.Duration
 	// Spread is true for a request known from the leader, which doesn't name its parts.
 	Spread bool
 	// Brittle is true if another scheduler knew the upstream to be brittle.
@@ -172,9 +175,11 @@
 }
 
 type endedRequest struct {
-	ticket      ident.RequestID
-	parts       []uint64
-	begun       bool
+	ticket ident.RequestID
+	parts  []uint64
+	// begun is true for a request that was at the beginning of its answer, and past for one
+	// whose answer had gone on past it.
+	begun, past bool
 	fingerprint uint64
 	content     uint64
 	route       ident.RouteName
@@ -212,8 +217,8 @@
 	end.own = end.own || evaluate
 	end.brittle = end.brittle || n.Brittle || p.isBrittle(n.Upstream)
 	r := endedRequest{
-		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun, fingerprint: n.Fingerprint, content: n.Content,
-		route: n.Route, team: n.Team, spread: n.Spread,
+		ticket: n.Ticket, parts: n.Parts, begun: n.Broken == BrokenBegun && !n.PastBeginning, past: n.PastBeginning,
+		fingerprint: n.Fingerprint, content: n.Content, route: n.Route, team: n.Team, spread: n.Spread,
 	}
 	known := slices.IndexFunc(end.requests, func(other endedRequest) bool { return other.ticket == n.Ticket })
 	switch {
@@ -313,17 +318,20 @@
 }
 
 // suspectsOf returns the requests of an end that may have caused it: those with the
-// fingerprint that is blamed, else those whose answers had begun or, if there is none,
-// all.
+// fingerprint that is blamed, else all whose answers had not gone on past their beginnings,
+// first those whose answers had begun.
 func (e *upstreamEnd) suspectsOf() []endedRequest {
-	if e.blamed != 0 {
-		return slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return r.fingerprint != e.blamed })
-	}
-	begun := slices.DeleteFunc(slices.Clone(e.requests), func(r endedRequest) bool { return !r.begun })
-	if len(begun) > 0 {
-		return begun
+	var begun, unbegun []endedRequest
+	for _, r := range e.requests {
+		switch {
+		case e.blamed != 0 && r.fingerprint != e.blamed, e.blamed == 0 && r.past:
+		case r.begun:
+			begun = append(begun, r)
+		default:
+			unbegun = append(unbegun, r)
+		}
 	}
-	return e.requests
+	return append(begun, unbegun...)
 }
 
 // hidesParts reports whether a request may have had parts that are not known here. Others
@@ -579,9 +587,10 @@
 	}
 }
 
-// retractEnd forgets the end of an upstream that has answered a request sent after it:
-// only connections had broken.
-func (p *Pool) retractEnd(e *entry) {
+// retractEnd forgets the end of an upstream that has answered a request sent after it on a
+// connection from before: only others had broken. On a later connection, another start
+// that the list doesn't show yet may have answered.
+func (p *Pool) retractEnd(e *entry, connAge time.Duration) {
 	v := &p.evidence
 	if len(v.ends) == 0 {
 		return
@@ -589,7 +598,13 @@
 	before := len(v.ends)
 	v.ends = slices.DeleteFunc(v.ends, func(end *upstreamEnd) bool {
 		after := e.startedAt - end.at
-		return end.upstream == e.engine.upstream.Name && after > 0 && (after < maxRetraction || p.view.Shared != nil && after > maxListLag)
+		if end.upstream != e.engine.upstream.Name || after <= 0 {
+			return false
+		}
+		if p.view.Shared == nil {
+			return after < maxRetraction
+		}
+		return connAge > after+maxNoticeDelay
 	})
 	if len(v.ends) != before {
 		v.dropUnused()
@@ -767,11 +782,20 @@
 	return len(p.evidence.suspects) > 0 && slices.ContainsFunc(e.ticket.Parts, func(part uint64) bool { return p.evidence.suspects[part] > 0 })
 }
 
+// IsPastBeginning reports whether an answer that began so long ago, 0 if it has not, has gone
+// on past its beginning.
+func IsPastBeginning(sinceFirst time.Duration) bool { return sinceFirst > beginSettle }
+
 // observeAnswer learns from the final report on a granted request what it says about
 // the request, the parts of its prompt and the end of its upstream.
 func (p *Pool) observeAnswer(e *entry, r Report, now time.Duration) {
 	complete := r.Kind == ReportEnded || r.Kind == ReportFailed
-	pastBeginning := r.Kind == ReportEnded || r.OutputTokens >= 2
+	sinceFirst := r.SinceFirst
+	if sinceFirst == 0 && e.firstTokenAt != 0 {
+		// Gateways of earlier versions don't say.
+		sinceFirst = now - e.firstTokenAt
+	}
+	pastBeginning := r.Kind == ReportEnded || IsPastBeginning(sinceFirst)
 	if pastBeginning {
 		p.clearParts(e, now)
 	}
@@ -789,7 +813,7 @@
 		n := EndNotice{
 			Ticket: e.ticket.ID, Upstream: r.Upstream, Fingerprint: e.ticket.Fingerprint, Content: e.ticket.Content,
 			Route: e.ticket.Route, Team: e.ticket.Team, Broken: r.Broken,
-			AnsweredBefore: r.AnsweredBefore,
+			AnsweredBefore: r.AnsweredBefore, PastBeginning: pastBeginning,
 		}
 		if !pastBeginning {
 			n.Parts = e.ticket.Parts
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -219,11 +219,11 @@
 		}
 		r := Report{Kind: ReportUnknown, Ticket: q.ticket.ID, Gateway: q.ticket.Gateway, Upstream: name, Elapsed: m.now - q.sent, Broken: BrokenUnbegun}
 		if q.begun {
-			r.Broken, r.OutputTokens = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond))
+			r.Broken, r.OutputTokens, r.SinceFirst = BrokenBegun, 1+int((m.now-q.first)/(20*time.Millisecond)), max(1, m.now-q.first)
 		} else if m.now-q.sent >= poisonAnswer {
 			r.Broken = BrokenBegun
 		}
-		if r.OutputTokens < 2 {
+		if !IsPastBeginning(r.SinceFirst) {
 			m.broken = append(m.broken, EndNotice{Ticket: q.ticket.ID, Upstream: name, Parts: q.ticket.Parts, Broken: r.Broken})
 			m.brokenAt, m.brokenBy = append(m.brokenAt, m.now), append(m.brokenBy, q.ticket.Gateway)
 		}
@@ -363,7 +363,7 @@
 			p.Report(Report{Kind: ReportDispatched, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream}, now)
 			p.Report(Report{Kind: ReportUnknown, Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Broken: BrokenBegun}, now)
 			for _, other := range p.orderedEngines {
-				p.retractEnd(&entry{engine: other, startedAt: now + 1})
+				p.retractEnd(&entry{engine: other, startedAt: now + 1}, now)
 			}
 		}
 		p.Tick(now + 200*time.Millisecond)
@@ -558,3 +558,90 @@
 	}
 	must.SliceLen(t, 2, p.evidence.refused.List())
 }
+
+// TestPoison_UnbegunBesideOtherStreams ends upstreams under requests with a deadly part of
+// whose answers nothing came, while the answer to another request at each goes on or begins.
+// Five ends refuse the part, also if a former scheduler saw the first ones.
+func TestPoison_UnbegunBesideOtherStreams(t *testing.T) {
+	for _, past := range []bool{true, false} {
+		for former := range endsToRefuseWeak {
+			p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+			p.SetOrigin(quotaStart)
+			answerSound(p, 1, start)
+			now := start + 2*answeredHistory
+			for i := range endsToRefuseWeak {
+				must.SliceEmpty(t, p.evidence.refused.List())
+				name := ident.UpstreamName(fmt.Sprintf("u%d", i))
+				stream := EndNotice{Ticket: ident.RequestID("s-" + name), Upstream: name, Fingerprint: uint64(50 + i), Broken: BrokenBegun, PastBeginning: past}
+				if !past {
+					stream.Parts = []uint64{uint64(50 + i)}
+				}
+				deadly := EndNotice{Ticket: ident.RequestID("d-" + name), Upstream: name, Fingerprint: uint64(100 + i), Parts: []uint64{templateID + uint64(i), poisonID}, Broken: BrokenUnbegun}
+				p.recordBroken(stream, i >= former, now)
+				p.recordBroken(deadly, i >= former, now)
+				now += time.Second
+				p.Tick(now)
+			}
+			records := p.evidence.refused.List()
+			must.SliceLen(t, 1, records)
+			must.Eq(t, poisonID, records[0].ID)
+		}
+	}
+}
+
+// TestPoison_TokensBeforeTheEnd ends upstreams shortly after the first tokens of answers to
+// requests with a deadly part. Three ends refuse it.
+func TestPoison_TokensBeforeTheEnd(t *testing.T) {
+	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+	p.SetOrigin(quotaStart)
+	answerSound(p, 1, start)
+	now := start + 2*answeredHistory
+	for i := range endsToRefuse {
+		must.SliceEmpty(t, p.evidence.refused.List())
+		deadly := sharedTicket(i, "low")
+		deadly.Parts, deadly.Objective = []uint64{templateID + uint64(i), poisonID}, 0
+		p.Submit(deadly, now)
+		for _, g := range grants(p.Decisions()) {
+			r := Report{Ticket: g.Ticket, Gateway: "g1", Upstream: g.Upstream, Kind: ReportDispatched}
+			p.Report(r, now)
+			r.Kind, r.Elapsed = ReportFirstToken, 50*time.Millisecond
+			p.Report(r, now+50*time.Millisecond)
+			r.Kind, r.Broken, r.OutputTokens = ReportUnknown, BrokenBegun, 20
+			r.Elapsed, r.SinceFirst = 200*time.Millisecond, 150*time.Millisecond
+			p.Report(r, now+200*time.Millisecond)
+		}
+		now += 2 * time.Second
+		p.Tick(now)
+	}
+	records := p.evidence.refused.List()
+	must.SliceLen(t, 1, records)
+	must.Eq(t, poisonID, records[0].ID)
+}
+
+// TestPoison_NextStartUnderTheSameName ends upstreams that answer again at once, before the
+// list shows that they have started: connections from before the end don't carry such
+// answers. Three ends under a part refuse it, and an answer on an older connection takes the
+// evidence back.
+func TestPoison_NextStartUnderTheSameName(t *testing.T) {
+	for _, lives := range []bool{false, true} {
+		for _, after := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second} {
+			p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
+			p.SetOrigin(quotaStart)
+			answerSound(p, 1, start)
+			now := start + 2*answeredHistory
+			for i := range endsToRefuse {
+				must.SliceEmpty(t, p.evidence.refused.List())
+				name := ident.UpstreamName(fmt.Sprintf("u%d", i))
+				p.recordBroken(EndNotice{Ticket: ident.RequestID("d-" + name), Upstream: name, Parts: []uint64{templateID + uint64(i), poisonID}, Broken: BrokenBegun}, true, now)
+				connAge := after / 2
+				if lives {
+					connAge = after + 2*maxNoticeDelay
+				}
+				p.retractEnd(&entry{engine: p.engines[name], startedAt: now + after}, connAge)
+				p.Tick(now + endSettle)
+				now += after + time.Second
+			}
+			must.Eq(t, lives, len(p.evidence.refused.List()) == 0, must.Sprintf("lives: %t, answers after %s", lives, after))
+		}
+	}
+}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -244,6 +244,8 @@
 	Age time.Duration
 	// OutputTokens counts tokens received so far.
 	OutputTokens int
+	// SinceFirst is the time since the answer began; 0 if it has not.
+	SinceFirst time.Duration
 	// CachedTokens counts prompt tokens that the engine took from its cache.
 	CachedTokens int
 	// Broken states how far the answer had come if its upstream broke it off, and
@@ -255,6 +257,9 @@
 	// upstream may have caused.
 	Via         ident.NodeID
 	PathSuspect bool
+	// ConnAge is how long before the dispatch the connection of the answer was opened; 0 if
+	// unknown.
+	ConnAge time.Duration
 	// Notice is what the answer says about its upstream; nil except with
 	// ReportNotice.
 	Notice *UpstreamNotice
@@ -266,8 +271,9 @@
 	Kind         ReportKind
 	OutputTokens int
 	Broken       Broken
-	// PathSuspect is as in Report.
+	// PathSuspect and ConnAge are as in Report.
 	PathSuspect bool
+	ConnAge     time.Duration
 }
 
 // Running is a dispatched request that a gateway lists when it registers.
