gateway: a rest without any event counts only if the stream is full

Callers would have had a resumable stream that ends as complete after a part of its events: an upstream breaks off, and the next one answers the call for the rest with 200, no event and a proper end, in chunks or with a length of 0. Only an end by the connection was refused.

An upstream that broke off after its last event leaves nothing, so an empty rest may be the truth. What tells the two apart is the caller's Token-Counts: an event has a token or more, so a stream with as many events as output tokens are allowed has ended. Otherwise an empty rest is refused as other rests that are none: asked for elsewhere, or the caller's answer breaks off, and the caller may resume.

Ruled out: believing a second upstream that answers alike, which may have the same fault; the Length-Hint, which is an estimate.

--- a/internal/coordination/gateway/continuation.go
+++ b/internal/coordination/gateway/continuation.go
@@ -76,6 +76,10 @@
 	return !p.foreign && (p.events == 0 || p.last != "" && !p.unnumbered)
 }
 
+// isFull reports whether a stream of at most so many tokens, 0 if unknown, can have no more
+// events: each has one token or more.
+func (p *streamPosition) isFull(maxTokens int) bool { return maxTokens > 0 && p.events >= maxTokens }
+
 // checkHead returns why an answer can't go on with a stream that began with another
 // answer; nil if it can.
 func (p *streamPosition) checkHead(begun, next AnswerHead) error {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -285,7 +285,7 @@
 	after := r.ResumeAfter
 	sent := sending.send(sendCtx, placer, d, relay)
 	relay.silence.stop()
-	sent = requireEndMark(sent, relay.hasEndMark())
+	sent = relay.requireRest(requireEndMark(sent, relay.hasEndMark()))
 	end := g.evaluateAttempt(deadlineCtx, r, sent, relay)
 	if sent.Outcome != DispatchComplete {
 		sent.HeldBack = relay.heldBack()
--- a/internal/coordination/gateway/relay.go
+++ b/internal/coordination/gateway/relay.go
@@ -106,6 +106,17 @@
 	return !rl.begun || rl.head.EventStream && rl.position.canContinue()
 }
 
+// requireRest returns the result of a dispatch that was to go on with the answer to the
+// caller. A rest without any event may be the truth, if the former upstream broke off right
+// after its last event, or the answer of an upstream that doesn't know the stream. Nothing in
+// it tells which, so it counts only if the stream can't have more events.
+func (rl *relay) requireRest(sent DispatchResult) DispatchResult {
+	if sent.Outcome == DispatchComplete && rl.joined && !rl.recognized && !rl.position.isFull(rl.r.MaxOutputTokens) {
+		sent.Outcome, sent.Err = DispatchIncomplete, rl.position.refuse("nothing follows, %d events of at most %d tokens came", rl.position.events, rl.r.MaxOutputTokens)
+	}
+	return sent
+}
+
 // Events implements AnswerSink. Nothing of an answer that goes on with a stream is passed
 // on before its first event has shown that it does.
 func (rl *relay) Events(events []StreamEvent) (int, error) {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -53,7 +53,9 @@
 
 	PromptTokens int
 	OutputTokens int
-	Prefixes     []uint64
+	// MaxOutputTokens is the most output tokens that the caller allows; 0 if unknown.
+	MaxOutputTokens int
+	Prefixes        []uint64
 	// PrefixTokens holds the prompt tokens up to the end of each prefix.
 	PrefixTokens []int
 	// Parts identifies the parts of the prompt that other requests may have too,
