Prompt parts: an end that shows late doesn't clear a part

Callers saw requests with a part that crashes upstreams sent on: on a busy machine an upstream's connections ended 354 and 842 ms after such a request was sent, and 4 requests more reached upstreams than the five ends and the time to react allow (3 allowed; a case of TestEndToEnd_PartEndsUpstreamProcesses, traced).

Cause: an answer that broke off 300 ms after its first token counted as sound, and cleared the part. Change: only an answer that ends whole, or goes on for a second, clears its parts and ends a trial well. One that breaks off is a suspect up to 50 ms after its first token, the time within which all connections of an upstream end, and says nothing later. Measured: TestPoison_TokensBeforeTheEnd, with ends of 850 and 1,500 ms added, failed before; the scheduler's tests pass.

--- a/internal/coordination/scheduler/poison.go
+++ b/internal/coordination/scheduler/poison.go
@@ -32,9 +32,14 @@
 	// endSettle is the time after an end until the reports of all gateways about it
 	// are in.
 	endSettle = 100 * time.Millisecond
-	// beginSettle is how long after its first token a request counts as beginning. An
-	// upstream that ends on it may still send a few tokens.
+	// beginSettle is how long after its first token a request that runs counts as beginning.
 	beginSettle = 300 * time.Millisecond
+	// endDuration is how long after the first token of a request the connections of an
+	// upstream that ends on it commonly stay open. It may still send a few tokens.
+	// maxEndDuration is how long they may where processors are busy: in between, a broken
+	// answer says nothing of its request.
+	endDuration    = 50 * time.Millisecond
+	maxEndDuration = time.Second
 	// maxEnds bounds the ends that are kept, maxSuspects the requests that are kept
 	// of each, and endRetention is how long they are.
 	maxEnds      = 256
@@ -565,7 +570,7 @@
 func (p *Pool) clearRunning(now time.Duration) {
 	for _, g := range p.orderedEngines {
 		for e := range g.running {
-			if e.firstTokenAt != 0 && now-e.firstTokenAt > beginSettle {
+			if e.firstTokenAt != 0 && now-e.firstTokenAt > maxEndDuration {
 				p.clearParts(e, e.firstTokenAt)
 			}
 		}
@@ -742,8 +747,8 @@
 	return trial
 }
 
-// endTrial ends the trial that a ticket may be. Begun is true if its answer went on
-// past its beginning, and complete if it is complete.
+// endTrial ends the trial that a ticket may be. Begun is true if its answer shows that its
+// parts are sound, and complete if it is complete.
 func (p *Pool) endTrial(e *entry, begun, complete bool, now time.Duration) {
 	v := &p.evidence
 	record, isTrial := v.trials[e]
@@ -784,7 +789,7 @@
 
 // IsPastBeginning reports whether an answer that began so long ago, 0 if it has not, has gone
 // on past its beginning.
-func IsPastBeginning(sinceFirst time.Duration) bool { return sinceFirst > beginSettle }
+func IsPastBeginning(sinceFirst time.Duration) bool { return sinceFirst > endDuration }
 
 // observeAnswer learns from the final report on a granted request what it says about
 // the request, the parts of its prompt and the end of its upstream.
@@ -796,7 +801,8 @@
 		sinceFirst = now - e.firstTokenAt
 	}
 	pastBeginning := r.Kind == ReportEnded || IsPastBeginning(sinceFirst)
-	if pastBeginning {
+	sound := r.Kind == ReportEnded || r.Broken == NotBroken && sinceFirst > maxEndDuration
+	if sound {
 		p.clearParts(e, now)
 	}
 	if complete {
@@ -822,7 +828,7 @@
 			p.recordBroken(n, true, now)
 		}
 	}
-	p.endTrial(e, pastBeginning, complete, now)
+	p.endTrial(e, sound, complete, now)
 }
 
 // PoisonChanges implements Scheduler.
--- a/internal/coordination/scheduler/poison_test.go
+++ b/internal/coordination/scheduler/poison_test.go
@@ -589,14 +589,16 @@
 	}
 }
 
-// TestPoison_TokensBeforeTheEnd ends upstreams shortly after the first tokens of answers to
-// requests with a deadly part. Three ends refuse it.
+// TestPoison_TokensBeforeTheEnd ends upstreams some time after the first tokens of answers to
+// requests with a deadly part. Three ends refuse it, also if others between them take longer:
+// these say nothing.
 func TestPoison_TokensBeforeTheEnd(t *testing.T) {
 	p := sharedPool(sharedView(8), "g1", "g2", "g3", "g4")
 	p.SetOrigin(quotaStart)
 	answerSound(p, 1, start)
 	now := start + 2*answeredHistory
-	for i := range endsToRefuse {
+	durations := []time.Duration{40 * time.Millisecond, 850 * time.Millisecond, 20 * time.Millisecond, 1500 * time.Millisecond, 45 * time.Millisecond}
+	for i, duration := range durations {
 		must.SliceEmpty(t, p.evidence.refused.List())
 		deadly := sharedTicket(i, "low")
 		deadly.Parts, deadly.Objective = []uint64{templateID + uint64(i), poisonID}, 0
@@ -607,8 +609,8 @@
 			r.Kind, r.Elapsed = ReportFirstToken, 50*time.Millisecond
 			p.Report(r, now+50*time.Millisecond)
 			r.Kind, r.Broken, r.OutputTokens = ReportUnknown, BrokenBegun, 20
-			r.Elapsed, r.SinceFirst = 200*time.Millisecond, 150*time.Millisecond
-			p.Report(r, now+200*time.Millisecond)
+			r.Elapsed, r.SinceFirst = 50*time.Millisecond+duration, duration
+			p.Report(r, now+r.Elapsed)
 		}
 		now += 2 * time.Second
 		p.Tick(now)
