Ends of answers: the next start of an upstream doesn't vouch for the last one

Callers got streams that had broken off as whole, and saw requests with a part that crashes upstreams sent on: the processes of four upstreams that wrote one event of an answer without length, ended and were started again at once, ended 12 times, and 6 such requests reached them later than 3 s after the fifth end, with 3 allowed.

Cause: an answer that ends with its connection is whole if a connection to its upstream can be made 50 ms later. The next start at the address accepts it. The answer then cleared the part. Change: the gateway's other connections to the upstream, idle for a second at most or in use, tell first: if one is still open, the upstream lives; if all have ended at that moment, the answer broke off. Only if there are none, one is made. The time of the check no longer counts as time since the answer began. Measured: TestEndToEnd_PartEndsUpstreamProcesses/one_event failed before (6 late, 12 ends) and passes, so do TestAnswer_Upstream*, OnePartEndsUpstreams, h1conn and gateway; two new cases of TestGateway_EndOfConnection failed before.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -163,7 +163,7 @@
 		_, total, _ := n.relayed()
 		return total
 	})
-	gauge("flamingohaven_fleet_end_checks_total", "Connections made to check whether an upstream is still there whose answer has ended with its connection.", func() float64 {
+	gauge("flamingohaven_fleet_end_checks_total", "Checks whether an upstream is still there whose answer has ended with its connection.", func() float64 {
 		checks, _ := n.gateway.EndChecks()
 		return float64(checks)
 	})
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -124,6 +124,6 @@
 	return float64(n.relay.Open()), float64(n.relay.Total()), float64(n.relay.Broken())
 }
 
-// EndChecks returns how many connections this gateway made to check the end of an answer,
-// and how many of these ends were not taken for that of the answer.
+// EndChecks returns how many ends of answers this gateway checked, and how many of them it
+// did not take for that of the answer.
 func (n *Node) EndChecks() (checks, doubted uint64) { return n.gateway.EndChecks() }
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -112,7 +112,7 @@
 	answer := &answerRecorder{placer: placer, id: r.ID, onNotice: g.noticeHandler(placer, sending)}
 	sent := sending.send(sendCtx, placer, d, answer)
 	placer.Finish(r.ID, scheduler.Ending{
-		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge,
+		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge, SinceEnd: sent.CheckTime,
 	})
 	if sent.Outcome == DispatchUnsent {
 		return g.releaseUnsent(ctx, r, attemptUnsent)
--- a/internal/coordination/gateway/endcheck.go
+++ b/internal/coordination/gateway/endcheck.go
@@ -33,14 +33,18 @@
 	return fmt.Errorf("the answer ended with its connection, and the upstream can't be reached: %w", connectErr)
 }
 
-// EndChecks returns how many connections were made to check the end of an answer, and how
-// many of these ends were not taken for that of the answer.
+// errAllEnded speaks against the end of an answer.
+var errAllEnded = errors.New("the answer ended with its connection, and the upstream ended all others")
+
+// EndChecks returns how many ends of answers were checked, and how many of them were not
+// taken for that of the answer.
 func (g *Gateway) EndChecks() (checks, doubted uint64) {
 	return g.endChecks.Load(), g.endsDoubted.Load()
 }
 
 // checkEnd decides whether the answer of a dispatch is complete that has ended with its
-// connection. Only such answers pay for a connection more.
+// connection. The other connections tell whether the upstream has ended; if there are none,
+// one is made, which the next start of the upstream may accept.
 func (s *sending) checkEnd(ctx context.Context, d Dispatch, sent DispatchResult) DispatchResult {
 	g := s.gateway
 	prober, ok := g.upstreams.(Prober)
@@ -49,10 +53,24 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndCheckDelay+endCheckTimeout)
 	defer cancel()
+	count := func() (open, ended int) { return 0, 0 }
+	if witnesser, ok := g.upstreams.(Witnesser); ok && d.Relay == "" {
+		count = witnesser.Witnesses(d.Target)
+	}
+	began := time.Now()
 	sleep(ctx, EndCheckDelay)
 	g.endChecks.Add(1)
 	sent.EndChecked = true
-	if err := doubtEnd(prober.Probe(ctx, d.Target, d.Relay)); err != nil {
+	var err error
+	switch open, ended := count(); {
+	case open > 0:
+	case ended > 0:
+		err = errAllEnded
+	default:
+		err = doubtEnd(prober.Probe(ctx, d.Target, d.Relay))
+	}
+	sent.CheckTime = time.Since(began)
+	if err != nil {
 		g.endsDoubted.Add(1)
 		sent.Outcome, sent.Broken, sent.Err = DispatchIncomplete, true, err
 	}
--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -28,8 +28,10 @@
 	unresponsiveEnv
 	probeErr error
 	probes   int
-	listed   bool
-	recorded *ledger.Answer
+	// open and ended count the other connections.
+	open, ended int
+	listed      bool
+	recorded    *ledger.Answer
 }
 
 const probeTime = 5 * time.Millisecond
@@ -53,22 +55,30 @@
 	return e.probeErr
 }
 
+func (e *connectionEndEnv) Witnesses(Target) func() (open, ended int) {
+	return func() (open, ended int) { return e.open, e.ended }
+}
+
 // TestGateway_EndOfConnection has an answer end with its connection. It must not be
-// delivered if the upstream can't be reached any more, unless a relay only doesn't try.
+// delivered if the upstream can't be reached any more, unless a relay only doesn't try, or if
+// all other connections have ended with it, whatever can be reached then.
 func TestGateway_EndOfConnection(t *testing.T) {
 	for name, c := range map[string]struct {
 		gone, refused, relayRefuses bool
 		complete                    bool
+		open, ended                 int
 	}{
 		"nothing against it":            {complete: true},
 		"gone from the list, but there": {gone: true, complete: true},
 		"gone from the list":            {gone: true, refused: true},
 		"connection refused":            {refused: true},
 		"relay opens none now":          {relayRefuses: true, complete: true},
+		"others ended, next start":      {ended: 2},
+		"one lives, one ended":          {refused: true, open: 1, ended: 1, complete: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &connectionEndEnv{listed: !c.gone}
+				e := &connectionEndEnv{listed: !c.gone, open: c.open, ended: c.ended}
 				g := New(e, e, e, NewBudget(1<<20, DefaultTeamShare), nil)
 				if c.refused {
 					e.probeErr = errors.New("connection refused")
@@ -81,7 +91,7 @@
 				result := g.Serve(t.Context(), r, sink)
 				must.Eq(t, c.complete, result.Answered)
 				must.Eq(t, c.complete, string(sink.body) == "answer")
-				must.Eq(t, 1, e.probes)
+				must.Eq(t, c.open+c.ended == 0, e.probes == 1)
 				checks, doubted := g.EndChecks()
 				must.Eq(t, 1, checks)
 				must.Eq(t, !c.complete, doubted == 1)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -297,7 +297,7 @@
 	}
 	placer.Finish(r.ID, scheduler.Ending{
 		Kind: reportKind(sendCtx, sent, end), OutputTokens: sent.OutputTokens, Broken: brokenState(sendCtx, sent),
-		PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge,
+		PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge, SinceEnd: sent.CheckTime,
 	})
 	if sent.Resumed > 0 {
 		g.record(r, timeline.KindResumed, fmt.Sprintf("%d times at %s", sent.Resumed, grant.Upstream))
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -267,6 +267,8 @@
 	// EndChecked is true if the upstream was asked for a connection after the answer had
 	// ended with its own.
 	EndChecked bool
+	// CheckTime is how long that took.
+	CheckTime time.Duration
 	// HeldBack is the size of the text before the first event that the caller did not get
 	// because the attempt failed, in bytes.
 	HeldBack int
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -305,7 +305,7 @@
 		Upstream:     r.grant.Upstream,
 		Elapsed:      time.Since(r.since),
 		OutputTokens: end.OutputTokens,
-		SinceFirst:   r.sinceFirst(now),
+		SinceFirst:   r.sinceFirst(now.Add(-end.SinceEnd)),
 		Broken:       end.Broken,
 		Via:          r.via,
 
--- a/internal/coordination/pool/poison.go
+++ b/internal/coordination/pool/poison.go
@@ -83,7 +83,7 @@
 		Route: r.ticket.Route, Team: r.ticket.Team, Broken: end.Broken,
 		AnsweredBefore: p.answeredBefore(r.ticket.Fingerprint, now), Brittle: brittle,
 	}
-	notice.PastBeginning = scheduler.IsPastBeginning(r.sinceFirst(now))
+	notice.PastBeginning = scheduler.IsPastBeginning(r.sinceFirst(now.Add(-end.SinceEnd)))
 	if !notice.PastBeginning {
 		notice.Parts = r.ticket.Parts
 	}
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -274,6 +274,8 @@
 	// PathSuspect and ConnAge are as in Report.
 	PathSuspect bool
 	ConnAge     time.Duration
+	// SinceEnd is the time since the answer ended, which was checked.
+	SinceEnd time.Duration
 }
 
 // Running is a dispatched request that a gateway lists when it registers.
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -137,6 +137,9 @@
 
 	mu        sync.Mutex
 	idleConns map[string][]*persistConn
+	// open holds all connections to each server, and lastEnded when a server last ended one.
+	open      map[string]map[*persistConn]struct{}
+	lastEnded map[string]time.Time
 	// sweeper runs the next sweep; nil if none is due.
 	sweeper *time.Timer
 	closed  bool
@@ -144,7 +147,10 @@
 
 // New returns a client whose dials time out after dialTimeout.
 func New(dialTimeout time.Duration) *Client {
-	return &Client{dialTimeout: dialTimeout, began: time.Now(), idleConns: make(map[string][]*persistConn)}
+	return &Client{
+		dialTimeout: dialTimeout, began: time.Now(), idleConns: make(map[string][]*persistConn),
+		open: make(map[string]map[*persistConn]struct{}), lastEnded: make(map[string]time.Time),
+	}
 }
 
 // Dialed returns the number of connections established.
@@ -165,6 +171,13 @@
 	carried []carriedRequest
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
+	// idleSince is when the latest call ended; zero while there is one. The client's lock
+	// guards it.
+	idleSince time.Time
+	// answered is true once the latest call was answered whole and the connection is not to be
+	// used for others, and forgotten once it is no longer among the client's open ones.
+	answered, forgotten atomic.Bool
+	client              *Client
 }
 
 // carriedRequest is a request that a connection has carried.
@@ -288,6 +301,7 @@
 	if !call.Fresh {
 		for pc := c.takeIdle(call.Address, call.ID); pc != nil; pc = c.takeIdle(call.Address, call.ID) {
 			if time.Now().Before(pc.expires) && pc.isReusable() {
+				c.use(pc)
 				return pc, nil
 			}
 			_ = pc.Close()
@@ -328,10 +342,14 @@
 // empty if it is not.
 func (c *Client) newPersistConn(raw net.Conn, address string) *persistConn {
 	head := &headLimiter{Reader: raw}
-	return &persistConn{
-		Conn: raw, address: address, number: c.numbered.Add(1), opened: time.Now(),
+	pc := &persistConn{
+		Conn: raw, client: c, address: address, number: c.numbered.Add(1), opened: time.Now(),
 		head: head, reader: bufio.NewReaderSize(head, readBufferSize),
 	}
+	if address != "" {
+		c.remember(pc)
+	}
+	return pc
 }
 
 // Connect makes a connection with the client's timeouts, which does not belong to the
@@ -501,6 +519,7 @@
 	}
 	keep = keep && a.wrote && a.writeErr == nil
 	if !keep || !a.client.putIdle(a.conn, idleTimeoutFor(a.Header)) {
+		a.conn.answered.Store(a.sawEOF)
 		_ = a.conn.Close()
 	}
 }
@@ -513,7 +532,8 @@
 	if c.closed || pc.address == "" || len(c.idleConns[pc.address]) >= maxIdlePerServer || timeout <= 0 {
 		return false
 	}
-	pc.expires = time.Now().Add(timeout)
+	pc.idleSince = time.Now()
+	pc.expires = pc.idleSince.Add(timeout)
 	c.idleConns[pc.address] = append(c.idleConns[pc.address], pc)
 	c.scheduleSweep()
 	return true
--- /dev/null
+++ b/internal/transport/h1conn/witness_test.go
@@ -0,0 +1,97 @@
+package h1conn
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestWitnesses_ServerEnds checks that other connections tell whether their server has ended,
+// idle ones and those in use, also if their ends were noticed first. Connections that have
+// been idle for long, that were answered whole or that came later say nothing.
+func TestWitnesses_ServerEnds(t *testing.T) {
+	entered, proceed := make(chan bool), make(chan bool)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			entered <- true
+			<-proceed
+		}
+	}))
+	defer server.Close()
+	defer close(proceed)
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := New(DefaultDialTimeout)
+	defer client.Close()
+	begin := func(path string) *Answer {
+		answer, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Head: []byte("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")})
+		must.NoError(t, err)
+		return answer
+	}
+	end := func(a *Answer) {
+		_, _ = io.Copy(io.Discard, a.Body)
+		must.NoError(t, a.Body.Close())
+	}
+	check := func(w Witnesses, wantOpen, wantEnded int) {
+		t.Helper()
+		open, ended := w.Count()
+		must.Eq(t, [2]int{wantOpen, wantEnded}, [2]int{open, ended})
+	}
+	check(client.Witnesses(address), 0, 0)
+	first, second, third := begin("/"), begin("/"), begin("/")
+	end(first)
+	end(second)
+	end(third)
+	must.Len(t, 3, client.idleConns[address])
+	client.idleConns[address][0].idleSince = time.Now().Add(-2 * witnessIdle)
+	w := client.Witnesses(address)
+	check(w, 2, 0)
+	left := make(chan error)
+	go func() {
+		_, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Head: []byte("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")})
+		left <- err
+	}()
+	<-entered
+	check(w, 2, 0)
+	server.CloseClientConnections()
+	must.Error(t, <-left)
+	for open, _ := w.Count(); open > 0; open, _ = w.Count() {
+		time.Sleep(time.Millisecond)
+	}
+	end(begin("/"))
+	// What has ended before the call to Witnesses counts, as the order is open.
+	later := client.Witnesses(address)
+	_, ended := w.Count()
+	must.Positive(t, ended)
+	open, ended := later.Count()
+	must.Eq(t, [2]int{1, 1}, [2]int{open, ended})
+	time.Sleep(2 * endSpread)
+	check(client.Witnesses(address), 1, 0)
+}
+
+// TestWitnesses_EachAnswerEndsItsConnection checks that a server which ends a connection
+// after each whole answer is not taken for one that has ended.
+func TestWitnesses_EachAnswerEndsItsConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "answer")
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := New(DefaultDialTimeout)
+	defer client.Close()
+	for range 3 {
+		answer, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")})
+		must.NoError(t, err)
+		_, _ = io.Copy(io.Discard, answer.Body)
+		time.Sleep(10 * time.Millisecond)
+		must.NoError(t, answer.Body.Close())
+		open, ended := client.Witnesses(address).Count()
+		must.Eq(t, [2]int{}, [2]int{open, ended})
+		must.MapEmpty(t, client.open)
+	}
+}
