gateway: at a cut gateway with few requests, none that can't be repeated is a trial

Callers of gateways with about two requests a second that were cut off from all upstreams lost requests after the gateway knew: one for each pool 5.1 s after it had begun to relay, and again later (trace of TestPartition_GatewaysWithFewRequests, reset: all losses after contact are these). They were writes and streams that the gateway had sent directly to find out whether the upstreams can be reached again.

A trial needs a connection that was made within the last second, and connections are tried when a request is relayed. With a request a second for each pool that was too long ago each time a request came that may be sent again; after 5 s without a trial, any request may be one. A connection now counts for 5 s before a trial that may fail, and for one second as before before one that may not; the latter waits 10 s. A request is no trial either if its attempts are used up but for this one.

A wrong trial of a request that may be sent again costs that request one attempt; the next one is relayed. A pool in which no request may be sent again is relayed for up to 10 s after its upstreams can be reached, 5 s before.

TestPaths_TrialsOfFewRequests, _TrialsWithoutRepeatableRequests and _LastAttemptIsNoTrial fail on the code before (no trial of 5 to 10; five trials, 1 to 3 allowed; a trial at the last attempt).

--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -33,13 +33,21 @@
 	// minTrialInterval is the time between two requests that are sent directly to find
 	// out whether an upstream can be reached again. It doubles with each that fails, up
 	// to maxTrialInterval. Before each, a connection must have been made within
-	// probeValidity; attempts to make one come at probeInterval.
+	// probeValidity, or unsafeProbeValidity if the request can't be sent again; attempts to
+	// make one come with relayed requests, at probeInterval.
 	minTrialInterval = 500 * time.Millisecond
 	maxTrialInterval = 2 * time.Second
 	probeInterval    = 250 * time.Millisecond
-	probeValidity    = time.Second
-	// unsafeTrialWait is how long trials wait for requests that can be sent again.
-	unsafeTrialWait = 5 * time.Second
+	probeValidity    = 5 * time.Second
+
+	unsafeProbeValidity = time.Second
+	// unsafeTrialWait is how long trials wait for requests that can be sent again. Some
+	// paths let connections be made and reset them, so that each other one may be lost.
+	unsafeTrialWait = 10 * time.Second
+	// maxTrialTime is how long a trial without an end holds up the next one.
+	maxTrialTime = 5 * time.Second
+	// probeTimeout limits the time in which a connection is made.
+	probeTimeout = time.Second
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
@@ -190,8 +198,12 @@
 	if k.cutAt.After(since) {
 		since = k.cutAt
 	}
+	validity := probeValidity
+	if !repeatable {
+		validity = unsafeProbeValidity
+	}
 	switch {
-	case now.Sub(k.probedAt) > probeValidity || k.trying && now.Sub(k.trialAt) < unsafeTrialWait:
+	case now.Sub(k.probedAt) > validity || k.trying && now.Sub(k.trialAt) < maxTrialTime:
 		return false
 	case now.Sub(since) < max(minTrialInterval, k.trialInterval), !repeatable && now.Sub(since) < unsafeTrialWait:
 		return false
@@ -337,11 +349,17 @@
 func (g *Gateway) newSending(r *Request, grant *scheduler.Grant) *sending {
 	s := &sending{gateway: g, request: r, grant: grant, sentAt: time.Now()}
 	var news string
-	s.route, news = g.paths.Choose(r.Pool, grant, r.Repeatable || r.Resumable, s.sentAt)
+	s.route, news = g.paths.Choose(r.Pool, grant, r.mayFailOnce(), s.sentAt)
 	g.recordPath(r, news)
 	return s
 }
 
+// mayFailOnce reports whether the request may be sent once more if its next sending fails
+// before the answer begins.
+func (r *Request) mayFailOnce() bool {
+	return (r.Repeatable || r.Resumable) && r.sends+1 < r.MaxAttempts
+}
+
 func (g *Gateway) recordPath(r *Request, news string) {
 	if news != "" {
 		g.record(r, timeline.KindPath, news)
@@ -359,7 +377,7 @@
 		return s.relay(ctx, placer, d, s.route.Relay, sink)
 	}
 	d.Fresh = s.route.Trial
-	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
+	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.mayFailOnce(), s.sentAt)
 	d.OnStall, d.StallAfter = s.stall, stallTimeout
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
@@ -511,7 +529,7 @@
 	if !ok {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	return prober.Probe(ctx, t, "") == nil
 }
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -120,3 +120,68 @@
 	r, _ = p.Choose("b", unnamed, true, now.Add(time.Second))
 	must.Eq(t, Route{}, r, must.Sprint("another pool is not cut off"))
 }
+
+// TestPaths_TrialsOfFewRequests replays a pool that is cut off, whose upstreams accept
+// connections and reset them, with a request every 1.1 s. Every third one can be sent again,
+// and only such ones may be trials.
+func TestPaths_TrialsOfFewRequests(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	now = now.Add(200 * time.Millisecond)
+	trials := 0
+	for i := range 30 {
+		repeatable := i%3 == 0
+		r, _ := p.Choose("a", pathGrant("u3", 10*time.Millisecond), repeatable, now)
+		if r.Trial {
+			must.True(t, repeatable, must.Sprintf("request %d", i))
+			p.Failed("a", "u3", now, true)
+			trials++
+		}
+		if r.Probe {
+			p.Probed("a", now.Add(time.Millisecond))
+		}
+		now = now.Add(1100 * time.Millisecond)
+	}
+	must.Between(t, 5, trials, 10)
+}
+
+// TestPaths_TrialsWithoutRepeatableRequests checks that a pool all of whose requests can't be
+// sent again finds its way back, with one of them in unsafeTrialWait at most.
+func TestPaths_TrialsWithoutRepeatableRequests(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	now = now.Add(200 * time.Millisecond)
+	var trialAt time.Time
+	trials := 0
+	for range 60 {
+		r, _ := p.Choose("a", pathGrant("u3", 10*time.Millisecond), false, now)
+		if r.Trial {
+			must.GreaterEq(t, unsafeTrialWait, now.Sub(trialAt))
+			trialAt = now
+			trials++
+			p.Failed("a", "u3", now, true)
+		}
+		if r.Probe {
+			p.Probed("a", now.Add(time.Millisecond))
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	must.Between(t, 1, trials, 3)
+}
+
+// TestPaths_LastAttemptIsNoTrial checks that a request whose attempts are used up but for
+// one is not sent as a trial, although its route permits retries.
+func TestPaths_LastAttemptIsNoTrial(t *testing.T) {
+	for sends, trial := range []bool{true, false} {
+		g := New(nil, nil, nil, nil, nil)
+		now := time.Now()
+		g.paths.Failed("a", "u1", now.Add(-time.Second), false)
+		g.paths.Failed("a", "u2", now.Add(-time.Second), false)
+		_, _ = g.paths.Choose("a", pathGrant("u3", 0), true, now.Add(-800*time.Millisecond))
+		g.paths.Probed("a", now)
+		s := g.newSending(&Request{Pool: "a", Repeatable: true, MaxAttempts: 2, sends: sends}, pathGrant("u3", 0))
+		must.Eq(t, trial, s.route.Trial, must.Sprintf("after %d sendings", sends))
+	}
+}
--- a/internal/coordination/gateway/silence.go
+++ b/internal/coordination/gateway/silence.go
@@ -30,8 +30,7 @@
 // silenceTimeout returns how long a request may wait for its answer to begin;
 // zero for no limit. Only a request that may be retried elsewhere has a limit.
 func silenceTimeout(r *Request, grant *scheduler.Grant, begun bool) time.Duration {
-	canRetryElsewhere := (r.Repeatable || r.Resumable) && !begun && r.sends+1 < r.MaxAttempts
-	if !canRetryElsewhere || r.Objective.IsZero() {
+	if begun || !r.mayFailOnce() || r.Objective.IsZero() {
 		return 0
 	}
 	return max(
