gateway: new connections that break to several upstreams count as broken to all

Callers of gateways whose connections to upstreams lived on while new ones were reset lost up to 11 of 48 first tries (trace of TestPartition_GatewaysWithFewRequests, refuse new). Each gateway lost a request at each upstream in turn, since it knew of new connections only by upstream, for 3 s, and answers on older connections hid the failures from what it knows of its paths. And requests were relayed through gateways that were cut off the same way: their answers on older connections made grants name them.

After new connections to two upstreams broke that other gateways reach, with no answer on a new one since, those to all upstreams count as broken: requests use connections from before or go through any gateway, until a request on a new connection is answered. Trials are as for a pool that is cut off. A gateway opens no tunnel to an upstream to which new connections break from it; the request goes through another one. If none takes it, it is placed again without evidence against the upstream, and goes directly the second time. No connection is made for it that the request would not have made.

Ruled out: connections to other upstreams after the first failure. Answers on older connections still say nothing of new ones.

--- a/internal/coordination/gateway/freshconns.go
+++ b/internal/coordination/gateway/freshconns.go
@@ -18,10 +18,19 @@
 
 // freshConns knows to which upstreams new connections break. Something between the two
 // ends may end new connections while older ones live on; answers on those then hide that
-// the upstream can't be reached.
+// the upstream can't be reached. Once new connections to several upstreams broke that other
+// gateways reach, and none was answered since, those to all count as broken.
 type freshConns struct {
 	mu     sync.Mutex
 	broken map[ident.UpstreamName]brokenFresh
+	// answeredAt is when a request on a new connection was last answered, and failedAt
+	// when the latest one that broke on one was sent.
+	answeredAt, failedAt time.Time
+	// cut is true while new connections to all upstreams count as broken. TrialAt is when
+	// it began or the latest trial was sent, and trialInterval the time until the next one.
+	cut           bool
+	trialAt       time.Time
+	trialInterval time.Duration
 }
 
 // brokenFresh is an upstream to which new connections break.
@@ -45,21 +54,82 @@
 		}
 	}
 	b, known := f.broken[upstream]
-	b.failedAt = sent
+	b.failedAt, f.failedAt = sent, sent
 	f.broken[upstream] = b
 	return !known
 }
 
 // answered records that a request on a new connection was answered. It reports whether
 // that is news.
-func (f *freshConns) answered(upstream ident.UpstreamName) (news bool) {
+func (f *freshConns) answered(upstream ident.UpstreamName, now time.Time) (news bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, news = f.broken[upstream]
+	news = news || f.cut
 	delete(f.broken, upstream)
+	f.answeredAt, f.cut, f.trialInterval = now, false, 0
 	return news
 }
 
+// isCut reports whether new connections to all upstreams count as broken.
+func (f *freshConns) isCut() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut
+}
+
+// breaks reports whether a new connection to the upstream would break here, as far as is
+// known from the last requests on such.
+func (f *freshConns) breaks(upstream ident.UpstreamName, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, known := f.broken[upstream]
+	return known && now.Sub(b.failedAt) <= failureRetention || f.cut && now.Sub(f.failedAt) <= unsafeTrialWait
+}
+
+// avoidAll reports whether a request under a grant should use a connection from before or
+// another gateway because new connections to all upstreams count as broken. Now and then
+// one is let through as a trial; one that can't be sent again only if there were no others
+// for long. News, if not empty, says what the gateway believes from now on.
+func (f *freshConns) avoidAll(grant *scheduler.Grant, repeatable bool, now time.Time) (avoid bool, news string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut && now.Sub(f.failedAt) > relayedRetention {
+		f.cut = false
+	}
+	if !f.cut {
+		if f.brokenSince(grant, now) < upstreamsToRelay {
+			return false, ""
+		}
+		f.cut, f.trialAt, f.trialInterval = true, now, freshTrialInterval
+		news = "new connections to several upstreams broke that other gateways reach: connections from before are used, or other gateways"
+	}
+	wait := f.trialInterval
+	if !repeatable {
+		wait = unsafeTrialWait
+	}
+	if now.Sub(f.trialAt) < wait {
+		return true, news
+	}
+	f.trialAt, f.trialInterval = now, min(maxTrialInterval, 2*f.trialInterval)
+	return false, news
+}
+
+// brokenSince returns the number of upstreams to which new connections broke since one was
+// answered, before another gateway had the answer that the grant tells of.
+func (f *freshConns) brokenSince(grant *scheduler.Grant, now time.Time) int {
+	if grant.Peer == "" {
+		return 0
+	}
+	n, peer := 0, now.Add(-grant.PeerAge)
+	for _, b := range f.broken {
+		if b.failedAt.After(f.answeredAt) && now.Sub(b.failedAt) <= failureRetention && peer.Sub(b.failedAt) > peerAdvantage {
+			n++
+		}
+	}
+	return n
+}
+
 // mustReuse reports whether a request under a grant should use a connection from before
 // or another gateway: new ones break here, and another gateway had an answer since. A
 // repeatable request is let through now and then as a trial.
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -343,6 +343,9 @@
 	sentAt  time.Time
 	hang    *time.Timer
 	failed  sync.Once
+	// avoidsNew is true if the request is not to be sent on a new connection because those
+	// break here, and unrelayed once no other gateway took it.
+	avoidsNew, unrelayed bool
 }
 
 // newSending chooses the route of a request under a grant.
@@ -377,7 +380,7 @@
 		return s.relay(ctx, placer, d, s.route.Relay, sink)
 	}
 	d.Fresh = s.route.Trial
-	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.mayFailOnce(), s.sentAt)
+	d.ReuseOnly = !d.Fresh && s.mustReuse()
 	d.OnStall, d.StallAfter = s.stall, stallTimeout
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
@@ -392,6 +395,9 @@
 		if !d.ReuseOnly {
 			s.fail()
 		}
+		if s.avoidsNew && d.ReuseOnly {
+			return s.relayOrSend(ctx, placer, d, sink)
+		}
 		age := s.grant.PeerAge + time.Since(s.sentAt)
 		if s.grant.Peer != "" && age < peerFreshness/2 && g.relayAddress(s.grant.Peer) != "" {
 			return s.relay(ctx, placer, d, s.grant.Peer, sink)
@@ -405,6 +411,38 @@
 	return sent
 }
 
+// mustReuse reports whether the request may only be sent on a connection from before, or
+// through another gateway.
+func (s *sending) mustReuse() bool {
+	g, mayFail := s.gateway, s.request.mayFailOnce()
+	avoids, news := g.freshConns.avoidAll(s.grant, mayFail, s.sentAt)
+	g.recordPath(s.request, news)
+	s.avoidsNew = avoids && g.anyRelay(nil) != ""
+	return s.avoidsNew ||
+		s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, mayFail, s.sentAt)
+}
+
+// relayOrSend sends the request through another gateway. If none takes it, it is placed
+// again; the next time it is sent directly.
+func (s *sending) relayOrSend(ctx context.Context, placer Placer, d Dispatch, sink AnswerSink) DispatchResult {
+	sent := s.relay(ctx, placer, d, s.grant.Peer, sink)
+	if sent.Outcome != DispatchUnsent || ctx.Err() != nil {
+		return sent
+	}
+	s.unrelayed = true
+	if !s.request.unrelayed {
+		s.request.unrelayed = true
+		return sent
+	}
+	d.Relay, d.ReuseOnly = "", false
+	sent = s.sendAnyway(ctx, d, sink)
+	s.observeFresh(sent)
+	if sent.Outcome == DispatchIncomplete && sent.Broken {
+		s.fail()
+	}
+	return sent
+}
+
 // observeFresh records what a direct sending says about new connections to the upstream.
 func (s *sending) observeFresh(sent DispatchResult) {
 	switch {
@@ -414,7 +452,7 @@
 			s.gateway.recordPath(s.request, fmt.Sprintf("a new connection to %s broke: others are used, or other gateways", s.grant.Upstream))
 		}
 	case sent.Status != 0:
-		if s.gateway.freshConns.answered(s.grant.Upstream) {
+		if s.gateway.freshConns.answered(s.grant.Upstream, time.Now()) {
 			s.gateway.recordPath(s.request, fmt.Sprintf("%s answered on a new connection", s.grant.Upstream))
 		}
 	}
@@ -513,7 +551,7 @@
 
 // isSuspect reports whether a failure of the sending may be that of the gateway's path.
 func (s *sending) isSuspect() bool {
-	return !s.route.isRelayed() && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
+	return s.unrelayed || !s.route.isRelayed() && (s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream) || s.gateway.freshConns.isCut())
 }
 
 // probe tries to connect to an upstream directly.
@@ -559,9 +597,10 @@
 // requests to through other gateways.
 func (g *Gateway) CutPaths() int { return g.paths.Cut() }
 
-// IsCutOff reports whether the gateway sends requests to an upstream through other gateways.
+// IsCutOff reports whether the gateway sends requests to an upstream through other gateways,
+// or would if it had no connections from before.
 func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
-	return g.paths.IsSuspect(pool, upstream)
+	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(upstream, time.Now())
 }
 
 func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -103,6 +103,8 @@
 	// begun is true once the gateway has begun to send the request, and arrived once an
 	// upstream may have got it, also if that rejected it.
 	begun, arrived bool
+	// unrelayed is true once no other gateway relayed the request.
+	unrelayed bool
 	// provenUnrun is true if the ledger's last answer proves that no send of the request
 	// under its key had run.
 	provenUnrun bool
