gateway: no relaying of requests while new connections break at other gateways too

Upstreams at their connection limits reset new connections from all gateways.

TestSend_NewConnectionsBreakEverywhere fails without it: requests go on asking others.

--- a/internal/coordination/gateway/freshconns.go
+++ b/internal/coordination/gateway/freshconns.go
@@ -78,6 +78,14 @@
 	return f.cut
 }
 
+// unrelayed records that no other gateway took a request twice: connections break not only
+// here, such as at upstreams that are at their connection limits.
+func (f *freshConns) unrelayed(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answeredAt, f.cut, f.trialInterval = now, false, 0
+}
+
 // breaks reports whether a new connection to the upstream would break here, as far as is
 // known from the last requests on such.
 func (f *freshConns) breaks(upstream ident.UpstreamName, now time.Time) bool {
--- a/internal/coordination/gateway/freshconns_test.go
+++ b/internal/coordination/gateway/freshconns_test.go
@@ -163,3 +163,29 @@
 	must.False(t, last.ReuseOnly)
 	must.True(t, s.isSuspect())
 }
+
+// TestSend_NewConnectionsBreakEverywhere checks that a gateway stops asking others to relay
+// its requests while new connections break at them as well, as they do to upstreams that are
+// at their connection limits.
+func TestSend_NewConnectionsBreakEverywhere(t *testing.T) {
+	env := &brokenPathEnv{refuse: true}
+	g := New(env, nil, env, nil, nil)
+	g.SetRelays(env)
+	g.freshConns.failed("u0", time.Now().Add(-time.Second))
+	g.freshConns.failed("u1", time.Now().Add(-time.Second))
+	send := func(r *Request) {
+		env.sent = nil
+		s := g.newSending(r, pathGrant("u2", time.Millisecond))
+		s.send(t.Context(), env, Dispatch{Request: r, Target: Target{Name: "u2"}}, nil)
+	}
+	first := &Request{Pool: "a"}
+	send(first)
+	send(first)
+	must.Eq(t, 2+maxRelaysTried, len(env.sent))
+	for range 10 {
+		send(&Request{Pool: "a"})
+		for _, d := range env.sent {
+			must.Eq(t, "", d.Relay)
+		}
+	}
+}
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -434,6 +434,7 @@
 		s.request.unrelayed = true
 		return sent
 	}
+	s.gateway.freshConns.unrelayed(time.Now())
 	d.Relay, d.ReuseOnly = "", false
 	sent = s.sendAnyway(ctx, d, sink)
 	s.observeFresh(sent)
