gateway: requests go through any gateway while several upstreams are silent

Callers of gateways whose connections hang lost the first request after the gateway's callers had given up the ones before, 2.4 s after these were sent (two traces of TestPartition_GatewaysWithFewRequests/hang on a busy machine, 20 of 24 and 19 of 22 first tries). Attempts at two or three upstreams had failed, but the grant told of no answer of another gateway since: the other three had had none from that upstream, with two requests a second each.

Once attempts at two upstreams, of any pools, failed and none has answered directly for 2 s, requests go through any gateway. The first answer that comes so counts as that of another gateway and makes the pool cut off. Failures of all pools are forgotten after 3 s, not only when a request to their pool comes.

One silent upstream does not count, and two that are silent for less than 2 s don't, nor does anything while another one answers.

With the rule taken out TestPaths_SeveralUpstreamsSilentAndNoGatewayNamed fails. Gateway and fleet with -race green.

--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -25,6 +25,9 @@
 	// peerFreshness is how long ago another gateway may have had an answer from an
 	// upstream to be used as a relay to it.
 	peerFreshness = 2 * time.Second
+	// doubtAfter is how long no upstream has answered directly, while several failed, when
+	// requests go through any gateway although none is known to have had an answer since.
+	doubtAfter = 2 * time.Second
 	// failureRetention is how long a direct attempt that failed counts.
 	failureRetention = 3 * time.Second
 	// relayedRetention is how long an upstream is relayed to without a direct attempt: it
@@ -141,17 +144,17 @@
 	if len(p.pools) == 0 {
 		return r, ""
 	}
+	p.dropOld(now)
 	known := p.pool(pool)
-	known.dropOld(now)
 	if grant.Peer == "" || grant.PeerAge > peerFreshness {
 		if !known.cut {
-			return r, ""
+			return p.doubtedRoute(now), ""
 		}
 		return known.route(repeatable, now), ""
 	}
 	answered := now.Add(-grant.PeerAge)
 	known.peer, known.peerAnsweredAt = grant.Peer, answered
-	if !known.cut && (known.failedSince(known.answeredAt, answered) >= upstreamsToRelay || p.failedAnywhere(answered) >= upstreamsToRelay) {
+	if !known.cut && p.failsWhereOthersDont(known, answered) {
 		known.cut, known.cutAt = true, now
 		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
 	}
@@ -163,11 +166,38 @@
 		}
 	}
 	if !known.cut && (u == nil || !u.relayed) {
-		return r, news
+		return p.doubtedRoute(now), news
 	}
 	return known.route(repeatable, now), news
 }
 
+// doubtedRoute returns the route of a request to an upstream that isn't known to be cut off.
+// It is direct unless none has answered directly for doubtAfter while attempts at several,
+// of any pools, failed: then the gateway's path is in doubt, and another one's is not.
+func (p *Paths) doubtedRoute(now time.Time) Route {
+	return Route{AnyRelay: p.failedAnywhere(now.Add(peerAdvantage-doubtAfter)) >= upstreamsToRelay}
+}
+
+// failsWhereOthersDont reports whether enough direct attempts failed since the latest direct
+// answer, of the pool or at all, before another gateway had one.
+func (p *Paths) failsWhereOthersDont(known *poolPaths, peer time.Time) bool {
+	return known.failedSince(known.answeredAt, peer) >= upstreamsToRelay || p.failedAnywhere(peer) >= upstreamsToRelay
+}
+
+// AnsweredElsewhere records that an upstream of the pool answered through another gateway.
+// News, if not empty, says what the gateway believes from now on.
+func (p *Paths) AnsweredElsewhere(pool ident.PoolName, upstream ident.UpstreamName, peer ident.NodeID, now time.Time) (news string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pools[pool]
+	if known == nil || known.cut || !p.failsWhereOthersDont(known, now) {
+		return ""
+	}
+	known.cut, known.cutAt = true, now
+	known.peer, known.peerAnsweredAt = peer, now
+	return fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", peer, upstream)
+}
+
 // route returns the route of a request that is not sent directly unless as a trial. It
 // names the gateway that last had an answer from an upstream of the pool, or none if that
 // was too long ago: the upstream has just started, or the scheduler or other gateways have.
@@ -234,6 +264,22 @@
 	return n
 }
 
+// IsInDoubt reports whether direct attempts at several upstreams failed lately and none was
+// answered since, so that the gateway should relay nothing for others.
+func (p *Paths) IsInDoubt(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropOld(now)
+	return p.failedAnywhere(now.Add(peerAdvantage)) >= upstreamsToRelay
+}
+
+// dropOld forgets old failures in all pools.
+func (p *Paths) dropOld(now time.Time) {
+	for _, known := range p.pools {
+		known.dropOld(now)
+	}
+}
+
 // dropOld forgets failures that are old; later if requests are relayed because of them.
 func (k *poolPaths) dropOld(now time.Time) {
 	for name, u := range k.upstreams {
@@ -515,6 +561,7 @@
 // answered records that the header of the answer has arrived.
 func (s *sending) answered() {
 	if s.route.isRelayed() {
+		s.gateway.recordPath(s.request, s.gateway.paths.AnsweredElsewhere(s.request.Pool, s.grant.Upstream, s.route.Relay, time.Now()))
 		return
 	}
 	s.hang.Stop()
@@ -599,9 +646,10 @@
 func (g *Gateway) CutPaths() int { return g.paths.Cut() }
 
 // IsCutOff reports whether the gateway sends requests to an upstream through other gateways,
-// or would if it had no connections from before.
+// would if it had no connections from before, or may soon have to.
 func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
-	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(upstream, time.Now())
+	now := time.Now()
+	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(upstream, now) || g.paths.IsInDoubt(now)
 }
 
 func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -185,3 +185,66 @@
 		must.Eq(t, trial, s.route.Trial, must.Sprintf("after %d sendings", sends))
 	}
 }
+
+// TestPaths_SeveralUpstreamsSilentAndNoGatewayNamed replays a gateway with few requests
+// whose connections hang: two upstreams have not answered for seconds, and grants name no
+// gateway that had an answer since. Requests must go through any gateway then, not before,
+// and the first answer through one shows that the gateway's own path is cut.
+func TestPaths_SeveralUpstreamsSilentAndNoGatewayNamed(t *testing.T) {
+	grants := map[string]*scheduler.Grant{"none": {Upstream: "u3"}, "an old answer": pathGrant("u3", 3*time.Second), "one before the failures": pathGrant("u3", 1900*time.Millisecond)}
+	for name, grant := range grants {
+		p, now := NewPaths(), pathsStart
+		p.Failed("a", "u1", now, false)
+		now = now.Add(200 * time.Millisecond)
+		p.Failed("b", "v1", now, false)
+		r, _ := p.Choose("a", grant, true, now.Add(doubtAfter-100*time.Millisecond))
+		must.Eq(t, Route{}, r, must.Sprint(name))
+		now = now.Add(doubtAfter + 100*time.Millisecond)
+		grant := *grant
+		if grant.Peer != "" {
+			grant.PeerAge += 300 * time.Millisecond
+		}
+		r, _ = p.Choose("a", &grant, true, now)
+		must.Eq(t, Route{AnyRelay: true}, r, must.Sprint(name))
+		must.Zero(t, p.Cut())
+		must.StrContains(t, p.AnsweredElsewhere("a", "u3", "g2", now), "g2 reaches u3")
+		must.Eq(t, "", p.AnsweredElsewhere("a", "u3", "g2", now))
+		r, _ = p.Choose("a", &scheduler.Grant{Upstream: "u4"}, true, now.Add(time.Second))
+		must.Eq(t, "g2", r.Relay)
+	}
+}
+
+// TestPaths_SilentUpstreamsAreNotRelayedTo checks that requests go on directly where one
+// upstream is silent for seconds, or another one has answered since.
+func TestPaths_SilentUpstreamsAreNotRelayedTo(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	grant := &scheduler.Grant{Upstream: "u3"}
+	for range 5 {
+		p.Failed("a", "u1", now, false)
+	}
+	r, _ := p.Choose("a", grant, true, now.Add(2500*time.Millisecond))
+	must.Eq(t, Route{}, r)
+	p.Failed("a", "u2", now, false)
+	p.Answered("b", "v1", false, now.Add(time.Second))
+	r, _ = p.Choose("a", grant, true, now.Add(2500*time.Millisecond))
+	must.Eq(t, Route{}, r)
+	must.Eq(t, "", p.AnsweredElsewhere("c", "w1", "g2", now.Add(2500*time.Millisecond)))
+}
+
+// TestPaths_GatewayInDoubtRelaysNothing checks that a gateway relays nothing while several
+// upstreams failed its own requests and none answered since, and that old failures in
+// another pool neither count there nor for its requests.
+func TestPaths_GatewayInDoubtRelaysNothing(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	must.False(t, p.IsInDoubt(now.Add(time.Second)))
+	p.Failed("b", "v1", now, false)
+	must.True(t, p.IsInDoubt(now.Add(time.Second)))
+	r, _ := p.Choose("c", &scheduler.Grant{Upstream: "w1"}, true, now.Add(time.Hour))
+	must.Eq(t, Route{}, r)
+	must.False(t, p.IsInDoubt(now.Add(time.Hour)))
+	p.Failed("a", "u1", now, false)
+	p.Failed("b", "v1", now, false)
+	p.Answered("a", "u2", false, now.Add(time.Second))
+	must.False(t, p.IsInDoubt(now.Add(time.Second)))
+}
