gateway: a gateway relays nothing after a new connection broke until one is answered

Requests of gateways whose new connections were reset went through another gateway that was cut off the same way, and broke there (trace of a red TestSoak_PartitionedGateways, new connections refused: five of them). Answers on older connections made grants name it, and it knew only that new connections to another upstream broke. It now opens no tunnel for 3 s after one broke, 10 s if they count as broken to all upstreams, unless a later one is answered. Its refusal proves that nothing was sent, and the request goes through another gateway.

--- a/internal/coordination/gateway/freshconns.go
+++ b/internal/coordination/gateway/freshconns.go
@@ -86,13 +86,16 @@
 	f.answeredAt, f.cut, f.trialInterval = now, false, 0
 }
 
-// breaks reports whether a new connection to the upstream would break here, as far as is
-// known from the last requests on such.
-func (f *freshConns) breaks(upstream ident.UpstreamName, now time.Time) bool {
+// breaks reports whether new connections may break here: one did lately, and none was
+// answered since.
+func (f *freshConns) breaks(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b, known := f.broken[upstream]
-	return known && now.Sub(b.failedAt) <= failureRetention || f.cut && now.Sub(f.failedAt) <= unsafeTrialWait
+	retention := failureRetention
+	if f.cut {
+		retention = unsafeTrialWait
+	}
+	return f.failedAt.After(f.answeredAt) && now.Sub(f.failedAt) <= retention
 }
 
 // avoidAll reports whether a request under a grant should use a connection from before or
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -649,7 +649,7 @@
 // would if it had no connections from before, or may soon have to.
 func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
 	now := time.Now()
-	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(upstream, now) || g.paths.IsInDoubt(now)
+	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(now) || g.paths.IsInDoubt(now)
 }
 
 func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
