--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -25,6 +25,9 @@
 	// peerFreshness is how long ago another gateway may have had an answer from an
 	// upstream to be used as a relay to it.
 	peerFreshness = 2 * time.Second
+	// doubtAfter is how long no upstream has answered directly, while several failed, when
+	// requests go through any gateway although none is known to have had an answer since.
+	doubtAfter = 2 * time.Second
 	// failureRetention is how long a direct attempt that failed counts.
 	failureRetention = 3 * time.Second
 	// relayedRetention is how long an upstream is relayed to without a direct attempt: it
@@ -33,13 +36,21 @@
 	// minTrialInterval is the time between two requests that are sent directly to find
 	// out whether an upstream can be reached again. It doubles with each that fails, up
 	// to maxTrialInterval. Before each, a connection must have been made within
-	// probeValidity; attempts to make one come at probeInterval.
+	// probeValidity, or unsafeProbeValidity if the request can't be sent again; attempts to
+	// make one come with relayed requests, at probeInterval.
 	minTrialInterval = 500 * time.Millisecond
 	maxTrialInterval = 2 * time.Second
 	probeInterval    = 250 * time.Millisecond
-	probeValidity    = time.Second
-	// unsafeTrialWait is how long trials wait for requests that can be sent again.
-	unsafeTrialWait = 5 * time.Second
+	probeValidity    = 5 * time.Second
+
+	unsafeProbeValidity = time.Second
+	// unsafeTrialWait is how long trials wait for requests that can be sent again. Some
+	// paths let connections be made and reset them, so that each other one may be lost.
+	unsafeTrialWait = 10 * time.Second
+	// maxTrialTime is how long a trial without an end holds up the next one.
+	maxTrialTime = 5 * time.Second
+	// probeTimeout limits the time in which a connection is made.
+	probeTimeout = time.Second
 	// minHang and hangFactor state when an attempt without an answer counts as failed:
 	// after minHang and a multiple of the time that is expected, or after unknownHang
 	// if none is.
@@ -133,17 +144,17 @@
 	if len(p.pools) == 0 {
 		return r, ""
 	}
+	p.dropOld(now)
 	known := p.pool(pool)
-	known.dropOld(now)
 	if grant.Peer == "" || grant.PeerAge > peerFreshness {
 		if !known.cut {
-			return r, ""
+			return p.doubtedRoute(now), ""
 		}
 		return known.route(repeatable, now), ""
 	}
 	answered := now.Add(-grant.PeerAge)
 	known.peer, known.peerAnsweredAt = grant.Peer, answered
-	if !known.cut && (known.failedSince(known.answeredAt, answered) >= upstreamsToRelay || p.failedAnywhere(answered) >= upstreamsToRelay) {
+	if !known.cut && p.failsWhereOthersDont(known, answered) {
 		known.cut, known.cutAt = true, now
 		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
 	}
@@ -155,11 +166,38 @@
 		}
 	}
 	if !known.cut && (u == nil || !u.relayed) {
-		return r, news
+		return p.doubtedRoute(now), news
 	}
 	return known.route(repeatable, now), news
 }
 
+// doubtedRoute returns the route of a request to an upstream that isn't known to be cut off.
+// It is direct unless none has answered directly for doubtAfter while attempts at several,
+// of any pools, failed: then the gateway's path is in doubt, and another one's is not.
+func (p *Paths) doubtedRoute(now time.Time) Route {
+	return Route{AnyRelay: p.failedAnywhere(now.Add(peerAdvantage-doubtAfter)) >= upstreamsToRelay}
+}
+
+// failsWhereOthersDont reports whether enough direct attempts failed since the latest direct
+// answer, of the pool or at all, before another gateway had one.
+func (p *Paths) failsWhereOthersDont(known *poolPaths, peer time.Time) bool {
+	return known.failedSince(known.answeredAt, peer) >= upstreamsToRelay || p.failedAnywhere(peer) >= upstreamsToRelay
+}
+
+// AnsweredElsewhere records that an upstream of the pool answered through another gateway.
+// News, if not empty, says what the gateway believes from now on.
+func (p *Paths) AnsweredElsewhere(pool ident.PoolName, upstream ident.UpstreamName, peer ident.NodeID, now time.Time) (news string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.pools[pool]
+	if known == nil || known.cut || !p.failsWhereOthersDont(known, now) {
+		return ""
+	}
+	known.cut, known.cutAt = true, now
+	known.peer, known.peerAnsweredAt = peer, now
+	return fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", peer, upstream)
+}
+
 // route returns the route of a request that is not sent directly unless as a trial. It
 // names the gateway that last had an answer from an upstream of the pool, or none if that
 // was too long ago: the upstream has just started, or the scheduler or other gateways have.
@@ -190,8 +228,12 @@
 	if k.cutAt.After(since) {
 		since = k.cutAt
 	}
+	validity := probeValidity
+	if !repeatable {
+		validity = unsafeProbeValidity
+	}
 	switch {
-	case now.Sub(k.probedAt) > probeValidity || k.trying && now.Sub(k.trialAt) < unsafeTrialWait:
+	case now.Sub(k.probedAt) > validity || k.trying && now.Sub(k.trialAt) < maxTrialTime:
 		return false
 	case now.Sub(since) < max(minTrialInterval, k.trialInterval), !repeatable && now.Sub(since) < unsafeTrialWait:
 		return false
@@ -222,6 +264,22 @@
 	return n
 }
 
+// IsInDoubt reports whether direct attempts at several upstreams failed lately and none was
+// answered since, so that the gateway should relay nothing for others.
+func (p *Paths) IsInDoubt(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropOld(now)
+	return p.failedAnywhere(now.Add(peerAdvantage)) >= upstreamsToRelay
+}
+
+// dropOld forgets old failures in all pools.
+func (p *Paths) dropOld(now time.Time) {
+	for _, known := range p.pools {
+		known.dropOld(now)
+	}
+}
+
 // dropOld forgets failures that are old; later if requests are relayed because of them.
 func (k *poolPaths) dropOld(now time.Time) {
 	for name, u := range k.upstreams {
@@ -331,17 +389,26 @@
 	sentAt  time.Time
 	hang    *time.Timer
 	failed  sync.Once
+	// avoidsNew is true if the request is not to be sent on a new connection because those
+	// break here, and unrelayed once no other gateway took it.
+	avoidsNew, unrelayed bool
 }
 
 // newSending chooses the route of a request under a grant.
 func (g *Gateway) newSending(r *Request, grant *scheduler.Grant) *sending {
 	s := &sending{gateway: g, request: r, grant: grant, sentAt: time.Now()}
 	var news string
-	s.route, news = g.paths.Choose(r.Pool, grant, r.Repeatable || r.Resumable, s.sentAt)
+	s.route, news = g.paths.Choose(r.Pool, grant, r.mayFailOnce(), s.sentAt)
 	g.recordPath(r, news)
 	return s
 }
 
+// mayFailOnce reports whether the request may be sent once more if its next sending fails
+// before the answer begins.
+func (r *Request) mayFailOnce() bool {
+	return (r.Repeatable || r.Resumable) && r.sends+1 < r.MaxAttempts
+}
+
 func (g *Gateway) recordPath(r *Request, news string) {
 	if news != "" {
 		g.record(r, timeline.KindPath, news)
@@ -359,7 +426,7 @@
 		return s.relay(ctx, placer, d, s.route.Relay, sink)
 	}
 	d.Fresh = s.route.Trial
-	d.ReuseOnly = !d.Fresh && s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, s.request.Repeatable || s.request.Resumable, s.sentAt)
+	d.ReuseOnly = !d.Fresh && s.mustReuse()
 	d.OnStall, d.StallAfter = s.stall, stallTimeout
 	s.hang = time.AfterFunc(hangTimeout(s.grant), s.fail)
 	defer s.hang.Stop()
@@ -374,6 +441,9 @@
 		if !d.ReuseOnly {
 			s.fail()
 		}
+		if s.avoidsNew && d.ReuseOnly {
+			return s.relayOrSend(ctx, placer, d, sink)
+		}
 		age := s.grant.PeerAge + time.Since(s.sentAt)
 		if s.grant.Peer != "" && age < peerFreshness/2 && g.relayAddress(s.grant.Peer) != "" {
 			return s.relay(ctx, placer, d, s.grant.Peer, sink)
@@ -387,6 +457,39 @@
 	return sent
 }
 
+// mustReuse reports whether the request may only be sent on a connection from before, or
+// through another gateway.
+func (s *sending) mustReuse() bool {
+	g, mayFail := s.gateway, s.request.mayFailOnce()
+	avoids, news := g.freshConns.avoidAll(s.grant, mayFail, s.sentAt)
+	g.recordPath(s.request, news)
+	s.avoidsNew = avoids && g.anyRelay(nil) != ""
+	return s.avoidsNew ||
+		s.grant.PeerAge < maxReusePeerAge && g.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, mayFail, s.sentAt)
+}
+
+// relayOrSend sends the request through another gateway. If none takes it, it is placed
+// again; the next time it is sent directly.
+func (s *sending) relayOrSend(ctx context.Context, placer Placer, d Dispatch, sink AnswerSink) DispatchResult {
+	sent := s.relay(ctx, placer, d, s.grant.Peer, sink)
+	if sent.Outcome != DispatchUnsent || ctx.Err() != nil {
+		return sent
+	}
+	s.unrelayed = true
+	if !s.request.unrelayed {
+		s.request.unrelayed = true
+		return sent
+	}
+	s.gateway.freshConns.unrelayed(time.Now())
+	d.Relay, d.ReuseOnly = "", false
+	sent = s.sendAnyway(ctx, d, sink)
+	s.observeFresh(sent)
+	if sent.Outcome == DispatchIncomplete && sent.Broken {
+		s.fail()
+	}
+	return sent
+}
+
 // observeFresh records what a direct sending says about new connections to the upstream.
 func (s *sending) observeFresh(sent DispatchResult) {
 	switch {
@@ -396,7 +499,7 @@
 			s.gateway.recordPath(s.request, fmt.Sprintf("a new connection to %s broke: others are used, or other gateways", s.grant.Upstream))
 		}
 	case sent.Status != 0:
-		if s.gateway.freshConns.answered(s.grant.Upstream) {
+		if s.gateway.freshConns.answered(s.grant.Upstream, time.Now()) {
 			s.gateway.recordPath(s.request, fmt.Sprintf("%s answered on a new connection", s.grant.Upstream))
 		}
 	}
@@ -458,6 +561,7 @@
 // answered records that the header of the answer has arrived.
 func (s *sending) answered() {
 	if s.route.isRelayed() {
+		s.gateway.recordPath(s.request, s.gateway.paths.AnsweredElsewhere(s.request.Pool, s.grant.Upstream, s.route.Relay, time.Now()))
 		return
 	}
 	s.hang.Stop()
@@ -495,7 +599,7 @@
 
 // isSuspect reports whether a failure of the sending may be that of the gateway's path.
 func (s *sending) isSuspect() bool {
-	return !s.route.isRelayed() && s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream)
+	return s.unrelayed || !s.route.isRelayed() && (s.gateway.paths.IsSuspect(s.request.Pool, s.grant.Upstream) || s.gateway.freshConns.isCut())
 }
 
 // probe tries to connect to an upstream directly.
@@ -511,7 +615,7 @@
 	if !ok {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), probeValidity)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	return prober.Probe(ctx, t, "") == nil
 }
@@ -548,9 +652,11 @@
 // requests to through other gateways.
 func (g *Gateway) CutPaths() int { return g.paths.Cut() }
 
-// IsCutOff reports whether the gateway sends requests to an upstream through other gateways.
+// IsCutOff reports whether the gateway sends requests to an upstream through other gateways,
+// would if it had no connections from before, or may soon have to.
 func (g *Gateway) IsCutOff(pool ident.PoolName, upstream ident.UpstreamName) bool {
-	return g.paths.IsSuspect(pool, upstream)
+	now := time.Now()
+	return g.paths.IsSuspect(pool, upstream) || g.freshConns.breaks(now) || g.paths.IsInDoubt(now)
 }
 
 func (g *Gateway) anyRelay(except []ident.NodeID) ident.NodeID {
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -120,3 +120,131 @@
 	r, _ = p.Choose("b", unnamed, true, now.Add(time.Second))
 	must.Eq(t, Route{}, r, must.Sprint("another pool is not cut off"))
 }
+
+// TestPaths_TrialsOfFewRequests replays a pool that is cut off, whose upstreams accept
+// connections and reset them, with a request every 1.1 s. Every third one can be sent again,
+// and only such ones may be trials.
+func TestPaths_TrialsOfFewRequests(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	now = now.Add(200 * time.Millisecond)
+	trials := 0
+	for i := range 30 {
+		repeatable := i%3 == 0
+		r, _ := p.Choose("a", pathGrant("u3", 10*time.Millisecond), repeatable, now)
+		if r.Trial {
+			must.True(t, repeatable, must.Sprintf("request %d", i))
+			p.Failed("a", "u3", now, true)
+			trials++
+		}
+		if r.Probe {
+			p.Probed("a", now.Add(time.Millisecond))
+		}
+		now = now.Add(1100 * time.Millisecond)
+	}
+	must.Between(t, 5, trials, 10)
+}
+
+// TestPaths_TrialsWithoutRepeatableRequests checks that a pool all of whose requests can't be
+// sent again finds its way back, with one of them in unsafeTrialWait at most.
+func TestPaths_TrialsWithoutRepeatableRequests(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	p.Failed("a", "u2", now, false)
+	now = now.Add(200 * time.Millisecond)
+	var trialAt time.Time
+	trials := 0
+	for range 60 {
+		r, _ := p.Choose("a", pathGrant("u3", 10*time.Millisecond), false, now)
+		if r.Trial {
+			must.GreaterEq(t, unsafeTrialWait, now.Sub(trialAt))
+			trialAt = now
+			trials++
+			p.Failed("a", "u3", now, true)
+		}
+		if r.Probe {
+			p.Probed("a", now.Add(time.Millisecond))
+		}
+		now = now.Add(500 * time.Millisecond)
+	}
+	must.Between(t, 1, trials, 3)
+}
+
+// TestPaths_LastAttemptIsNoTrial checks that a request whose attempts are used up but for
+// one is not sent as a trial, although its route permits retries.
+func TestPaths_LastAttemptIsNoTrial(t *testing.T) {
+	for sends, trial := range []bool{true, false} {
+		g := New(nil, nil, nil, nil, nil)
+		now := time.Now()
+		g.paths.Failed("a", "u1", now.Add(-time.Second), false)
+		g.paths.Failed("a", "u2", now.Add(-time.Second), false)
+		_, _ = g.paths.Choose("a", pathGrant("u3", 0), true, now.Add(-800*time.Millisecond))
+		g.paths.Probed("a", now)
+		s := g.newSending(&Request{Pool: "a", Repeatable: true, MaxAttempts: 2, sends: sends}, pathGrant("u3", 0))
+		must.Eq(t, trial, s.route.Trial, must.Sprintf("after %d sendings", sends))
+	}
+}
+
+// TestPaths_SeveralUpstreamsSilentAndNoGatewayNamed replays a gateway with few requests
+// whose connections hang: two upstreams have not answered for seconds, and grants name no
+// gateway that had an answer since. Requests must go through any gateway then, not before,
+// and the first answer through one shows that the gateway's own path is cut.
+func TestPaths_SeveralUpstreamsSilentAndNoGatewayNamed(t *testing.T) {
+	grants := map[string]*scheduler.Grant{"none": {Upstream: "u3"}, "an old answer": pathGrant("u3", 3*time.Second), "one before the failures": pathGrant("u3", 1900*time.Millisecond)}
+	for name, grant := range grants {
+		p, now := NewPaths(), pathsStart
+		p.Failed("a", "u1", now, false)
+		now = now.Add(200 * time.Millisecond)
+		p.Failed("b", "v1", now, false)
+		r, _ := p.Choose("a", grant, true, now.Add(doubtAfter-100*time.Millisecond))
+		must.Eq(t, Route{}, r, must.Sprint(name))
+		now = now.Add(doubtAfter + 100*time.Millisecond)
+		grant := *grant
+		if grant.Peer != "" {
+			grant.PeerAge += 300 * time.Millisecond
+		}
+		r, _ = p.Choose("a", &grant, true, now)
+		must.Eq(t, Route{AnyRelay: true}, r, must.Sprint(name))
+		must.Zero(t, p.Cut())
+		must.StrContains(t, p.AnsweredElsewhere("a", "u3", "g2", now), "g2 reaches u3")
+		must.Eq(t, "", p.AnsweredElsewhere("a", "u3", "g2", now))
+		r, _ = p.Choose("a", &scheduler.Grant{Upstream: "u4"}, true, now.Add(time.Second))
+		must.Eq(t, "g2", r.Relay)
+	}
+}
+
+// TestPaths_SilentUpstreamsAreNotRelayedTo checks that requests go on directly where one
+// upstream is silent for seconds, or another one has answered since.
+func TestPaths_SilentUpstreamsAreNotRelayedTo(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	grant := &scheduler.Grant{Upstream: "u3"}
+	for range 5 {
+		p.Failed("a", "u1", now, false)
+	}
+	r, _ := p.Choose("a", grant, true, now.Add(2500*time.Millisecond))
+	must.Eq(t, Route{}, r)
+	p.Failed("a", "u2", now, false)
+	p.Answered("b", "v1", false, now.Add(time.Second))
+	r, _ = p.Choose("a", grant, true, now.Add(2500*time.Millisecond))
+	must.Eq(t, Route{}, r)
+	must.Eq(t, "", p.AnsweredElsewhere("c", "w1", "g2", now.Add(2500*time.Millisecond)))
+}
+
+// TestPaths_GatewayInDoubtRelaysNothing checks that a gateway relays nothing while several
+// upstreams failed its own requests and none answered since, and that old failures in
+// another pool neither count there nor for its requests.
+func TestPaths_GatewayInDoubtRelaysNothing(t *testing.T) {
+	p, now := NewPaths(), pathsStart
+	p.Failed("a", "u1", now, false)
+	must.False(t, p.IsInDoubt(now.Add(time.Second)))
+	p.Failed("b", "v1", now, false)
+	must.True(t, p.IsInDoubt(now.Add(time.Second)))
+	r, _ := p.Choose("c", &scheduler.Grant{Upstream: "w1"}, true, now.Add(time.Hour))
+	must.Eq(t, Route{}, r)
+	must.False(t, p.IsInDoubt(now.Add(time.Hour)))
+	p.Failed("a", "u1", now, false)
+	p.Failed("b", "v1", now, false)
+	p.Answered("a", "u2", false, now.Add(time.Second))
+	must.False(t, p.IsInDoubt(now.Add(time.Second)))
+}
