gateway: an open connection is no proof that an upstream is still there

A connection to a dead server with unread bytes counted as open and kept the gateway from probing, so that a cut answer without length could pass as whole. And a server that ends an idle connection was taken for one that has ended.

An open connection no longer replaces the probe; it only keeps other ends from counting. Idle connections that ended don't count.

--- a/internal/coordination/gateway/endcheck.go
+++ b/internal/coordination/gateway/endcheck.go
@@ -24,8 +24,8 @@
 // doubtEnd returns why the end of a connection is not taken for the end of its answer; nil if
 // nothing speaks against it. ConnectErr is why no connection to the upstream could be made
 // afterwards; nil if one was. An upstream that leaves accepts connections until it ends. That
-// an upstream which can be reached broke off other answers is no evidence: it may have broken
-// off these alone.
+// an upstream which can be reached broke off some other answers is no evidence: it may have
+// broken off these alone.
 func doubtEnd(connectErr error) error {
 	if connectErr == nil || errors.Is(connectErr, ErrInconclusive) {
 		return nil
@@ -43,8 +43,8 @@
 }
 
 // checkEnd decides whether the answer of a dispatch is complete that has ended with its
-// connection. The other connections tell whether the upstream has ended; if there are none,
-// one is made, which the next start of the upstream may accept.
+// connection. It is not if the upstream ended all others with it, or can't be reached: the next
+// start of an upstream that has ended may accept connections already.
 func (s *sending) checkEnd(ctx context.Context, d Dispatch, sent DispatchResult) DispatchResult {
 	g := s.gateway
 	prober, ok := g.upstreams.(Prober)
@@ -62,11 +62,9 @@
 	g.endChecks.Add(1)
 	sent.EndChecked = true
 	var err error
-	switch open, ended := count(); {
-	case open > 0:
-	case ended > 0:
+	if open, ended := count(); open == 0 && ended > 0 {
 		err = errAllEnded
-	default:
+	} else {
 		err = doubtEnd(prober.Probe(ctx, d.Target, d.Relay))
 	}
 	sent.CheckTime = time.Since(began)
--- a/internal/coordination/gateway/endcheck_test.go
+++ b/internal/coordination/gateway/endcheck_test.go
@@ -74,7 +74,8 @@
 		"connection refused":            {refused: true},
 		"relay opens none now":          {relayRefuses: true, complete: true},
 		"others ended, next start":      {ended: 2},
-		"one lives, one ended":          {refused: true, open: 1, ended: 1, complete: true},
+		"one lives, one ended":          {open: 1, ended: 1, complete: true},
+		"one lives, no connection made": {refused: true, open: 1, ended: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -91,7 +92,11 @@
 				result := g.Serve(t.Context(), r, sink)
 				must.Eq(t, c.complete, result.Answered)
 				must.Eq(t, c.complete, string(sink.body) == "answer")
-				must.Eq(t, c.open+c.ended == 0, e.probes == 1)
+				wantProbes := 1
+				if c.open == 0 && c.ended > 0 {
+					wantProbes = 0
+				}
+				must.Eq(t, wantProbes, e.probes)
 				checks, doubted := g.EndChecks()
 				must.Eq(t, 1, checks)
 				must.Eq(t, !c.complete, doubted == 1)
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -268,8 +268,8 @@
 	// EventStream is true if the answer was passed on as events, and WithinEvent if it
 	// ended within one.
 	EventStream, WithinEvent bool
-	// EndChecked is true if the upstream was asked for a connection after the answer had
-	// ended with its own.
+	// EndChecked is true if it was checked whether the upstream is still there after the
+	// answer had ended with its connection.
 	EndChecked bool
 	// CheckTime is how long that took.
 	CheckTime time.Duration
--- a/internal/transport/h1conn/witness.go
+++ b/internal/transport/h1conn/witness.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// witnessIdle is how long a connection may have been idle to be a witness: one that is
-	// idle for longer may be ended by its server for that.
-	witnessIdle = time.Second
+	// endedRetention is how long the latest end of a connection to a server is kept.
+	endedRetention = time.Second
 	// endSpread is the time within which the ends of all connections to a server that ends
 	// are noticed.
 	endSpread = 50 * time.Millisecond
 )
 
-// Witnesses are the connections to a server that were open at one moment, idle or in use.
+// Witnesses are the connections to a server that the client had at one moment. What became of
+// them tells whether the server has ended.
 type Witnesses struct {
 	client  *Client
 	address string
@@ -29,26 +29,30 @@
 	return Witnesses{client: c, address: address, at: time.Now()}
 }
 
-// Count returns how many of the connections are still open, and how many the server has
-// ended since before it had answered. Connections that had been idle for long say nothing.
+// Count returns how many of the connections may still be open, and how many of those in use
+// the server has ended before it had answered. An idle connection that has ended says nothing:
+// its server may have ended it for that. One with unread bytes counts as open, whether the
+// server has ended it or not.
 func (w Witnesses) Count() (open, ended int) {
-	c, now := w.client, time.Now()
+	c := w.client
 	var conns []*persistConn
+	var inUse []bool
 	c.mu.Lock()
 	for pc := range c.open[w.address] {
-		if pc.opened.Before(w.at) && (pc.idleSince.IsZero() || now.Sub(pc.idleSince) <= witnessIdle) {
+		if pc.opened.Before(w.at) {
 			conns = append(conns, pc)
+			inUse = append(inUse, pc.idleSince.IsZero())
 		}
 	}
 	if last, known := c.lastEnded[w.address]; known && w.at.Sub(last) <= endSpread {
 		ended++
 	}
 	c.mu.Unlock()
-	for _, pc := range conns {
+	for i, pc := range conns {
 		switch isOpen, isEnded := pc.peek(); {
 		case isOpen:
 			open++
-		case isEnded:
+		case isEnded && inUse[i]:
 			ended++
 		}
 	}
@@ -111,11 +115,11 @@
 	if len(c.open[pc.address]) == 0 {
 		delete(c.open, pc.address)
 	}
-	if !ended || !pc.idleSince.IsZero() && now.Sub(pc.idleSince) > witnessIdle {
+	if !ended || !pc.idleSince.IsZero() {
 		return
 	}
 	for address, last := range c.lastEnded {
-		if now.Sub(last) > witnessIdle {
+		if now.Sub(last) > endedRetention {
 			delete(c.lastEnded, address)
 		}
 	}
--- a/internal/transport/h1conn/witness_test.go
+++ b/internal/transport/h1conn/witness_test.go
@@ -11,9 +11,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestWitnesses_ServerEnds checks that other connections tell whether their server has ended,
-// idle ones and those in use, also if their ends were noticed first. Connections that have
-// been idle for long, that were answered whole or that came later say nothing.
+// TestWitnesses_ServerEnds checks that connections in use tell whether their server has ended,
+// also if their ends were noticed first. Connections that were answered whole or that came
+// later say nothing.
 func TestWitnesses_ServerEnds(t *testing.T) {
 	entered, proceed := make(chan bool), make(chan bool)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -47,16 +47,15 @@
 	end(second)
 	end(third)
 	must.Len(t, 3, client.idleConns[address])
-	client.idleConns[address][0].idleSince = time.Now().Add(-2 * witnessIdle)
 	w := client.Witnesses(address)
-	check(w, 2, 0)
+	check(w, 3, 0)
 	left := make(chan error)
 	go func() {
 		_, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Head: []byte("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")})
 		left <- err
 	}()
 	<-entered
-	check(w, 2, 0)
+	check(w, 3, 0)
 	server.CloseClientConnections()
 	must.Error(t, <-left)
 	for open, _ := w.Count(); open > 0; open, _ = w.Count() {
@@ -95,3 +94,24 @@
 		must.MapEmpty(t, client.open)
 	}
 }
+
+// TestWitnesses_IdleConnectionEnds checks that a server which ends idle connections is not
+// taken for one that has ended.
+func TestWitnesses_IdleConnectionEnds(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	client := New(DefaultDialTimeout)
+	defer client.Close()
+	answer, err := client.Do(t.Context(), Call{Address: address, Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")})
+	must.NoError(t, err)
+	_, _ = io.Copy(io.Discard, answer.Body)
+	must.NoError(t, answer.Body.Close())
+	server.CloseClientConnections()
+	w := client.Witnesses(address)
+	for open, _ := w.Count(); open > 0; open, _ = w.Count() {
+		time.Sleep(time.Millisecond)
+	}
+	_, ended := w.Count()
+	must.Zero(t, ended)
+}
