gateway: a request that another gateway serves doesn't hang here

Found by a review of the merged parts, by reading: where a direct sending found no connection and the request went through another gateway, the timer for hanging sendings went on. An answer later than that counted as a direct attempt that had failed, though nothing was sent directly; two of these cut the pool.

The timer ends with the direct sending. Measured: gateway whole with -race.

--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -441,6 +441,9 @@
 		if !d.ReuseOnly {
 			s.fail()
 		}
+		// What another gateway sends doesn't hang here.
+		s.hang.Stop()
+		s.hang = nil
 		if s.avoidsNew && d.ReuseOnly {
 			return s.relayOrSend(ctx, placer, d, sink)
 		}
