--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -23,6 +23,11 @@
 	Replica bool
 	// Draining is true for a node that gets no new callers.
 	Draining bool
+	// Region is the region of the node's data centre; empty if it has none.
+	Region ident.Region
+	// Features is the feature level that the node's build supports; 0 for builds that
+	// don't state one.
+	Features uint32
 }
 
 // Gateway reports whether the node accepts callers.
@@ -34,6 +39,9 @@
 	Upstream config.Upstream
 	// Leaving is true for an upstream that gets no new work.
 	Leaving bool
+	// ColdFor is how much longer the upstream was cold when this entry last changed; 0
+	// for one that isn't.
+	ColdFor time.Duration
 }
 
 // FleetVersion is a version of the fleet state, ordered by term, then by sequence
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -59,6 +59,9 @@
 	// Excluded lists upstreams that provably did not get the request. It is not
 	// sent to them again.
 	Excluded []ident.UpstreamName
+	// Regions are those in which the request may be served; nil means all, an empty list
+	// none.
+	Regions []ident.Region
 }
 
 // Grant permits one dispatch of one ticket.
@@ -350,6 +353,12 @@
 	// Process is the same for upstreams that may be one process under several names; empty
 	// if that can't be told.
 	Process string
+	// Region is the region of the upstream's data centre; empty if it isn't known.
+	Region ident.Region
+	// Evacuated upstreams get no new work until the evacuation of their data centre ends.
+	Evacuated bool
+	// ColdFor is how much longer the upstream was cold when its entry last changed.
+	ColdFor time.Duration
 }
 
 // VersionShare directs a fraction of a pool's traffic to one version.
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -61,6 +61,8 @@
 	Tiers map[ident.TierName]ident.TierName `yaml:"-" cbor:",omitempty"`
 	// Quota limits the team's usage across all nodes; nil means no limit.
 	Quota *Quota `yaml:"-" cbor:",omitempty"`
+	// Regions are those in which the team's requests may be served; empty means all.
+	Regions []ident.Region `yaml:"-" cbor:",omitempty"`
 }
 
 // Quota is a token bucket that counts the tokens of prompts and answers.
@@ -98,6 +100,18 @@
 	// MaxConnections is the maximum number of connections to one upstream, summed
 	// over all nodes; 0 means no limit.
 	MaxConnections int `yaml:"-" cbor:",omitempty"`
+	// Cold limits the load of upstreams that have just started; nil means no limit.
+	Cold *ColdLimit `yaml:"-" cbor:",omitempty"`
+}
+
+// ColdLimit describes upstreams that are slow after a start and end if they get too
+// many requests meanwhile.
+type ColdLimit struct {
+	// Duration is how long an upstream is cold after its start.
+	Duration time.Duration
+	// PerSecond is the number of requests a second that a cold upstream tolerates,
+	// summed over all gateways; 0 means no limit.
+	PerSecond float64
 }
 
 // FencingMode states whether an upstream checks the fencing numbers of orders.
@@ -169,6 +183,8 @@
 	// Splits divides the route's requests among several pools by weight. Pool is
 	// the first of these pools.
 	Splits []Split `yaml:"-" cbor:",omitempty"`
+	// Regions are those in which the route's requests may be served; empty means all.
+	Regions []ident.Region `yaml:"-" cbor:",omitempty"`
 }
 
 // Split assigns a fraction of a route's requests to a pool.
--- a/internal/state/config/encode.go
+++ b/internal/state/config/encode.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"maps"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -105,5 +106,46 @@
 	return c.normalize(), nil
 }
 
-// Digest returns the SHA-256 hash of the canonical encoding.
-func (c Config) Digest() Digest { return sha256.Sum256(c.Encode()) }
+// Digest returns the SHA-256 hash of the canonical encoding. It leaves out the fields that
+// builds of feature level 0 don't know, so that nodes of both builds compute the same digest.
+func (c Config) Digest() Digest { return sha256.Sum256(c.withoutLevel1().Encode()) }
+
+// withoutLevel1 returns c without the fields that were added with feature level 1.
+func (c Config) withoutLevel1() Config {
+	c.Pools = mapChanged(c.Pools, func(p Pool) (Pool, bool) {
+		changed := p.Cold != nil
+		p.Cold = nil
+		return p, changed
+	})
+	c.Routes = mapChanged(c.Routes, func(r Route) (Route, bool) {
+		changed := r.Regions != nil
+		r.Regions = nil
+		return r, changed
+	})
+	c.Teams = mapChanged(c.Teams, func(t Team) (Team, bool) {
+		changed := t.Regions != nil
+		t.Regions = nil
+		return t, changed
+	})
+	return c
+}
+
+// mapChanged returns a copy of m in which change has replaced values, or m itself if it
+// changes none: configurations share their maps.
+func mapChanged[K comparable, V any](m map[K]V, change func(V) (V, bool)) map[K]V {
+	var next map[K]V
+	for name, value := range m {
+		value, changed := change(value)
+		if !changed {
+			continue
+		}
+		if next == nil {
+			next = maps.Clone(m)
+		}
+		next[name] = value
+	}
+	if next == nil {
+		return m
+	}
+	return next
+}
--- a/internal/state/ident/ident.go
+++ b/internal/state/ident/ident.go
@@ -23,6 +23,9 @@
 // Zone names a data centre.
 type Zone string
 
+// Region names a group of data centres.
+type Region string
+
 // Names of configured objects.
 type (
 	// TierName names a tier of service.
