Evacuations and the feature level in the replicated state

An order has no effect once the leader's term has ended. A feature level, committed once all voters and live members state that they support it, gates the new commands; at that level the leader reads the stored text of the configuration again if an older build has read it, and all nodes get the result as a whole. fleet.go is split. Not yet: gateways don't act on evacuations, and operators can't order them. Measured: tests of internal/state, internal/coordination/control and internal/command/fleet pass; the machine's random histories draw the new commands.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -19,6 +19,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
@@ -33,6 +34,8 @@
 	// ListPage reads the page with the given token from the platform's list of
 	// upstreams; an empty token means the first page.
 	ListPage func(ctx context.Context, token string) (ListPage, error)
+	// ReadDocument reads the text of a numbered configuration; only replicas need it.
+	ReadDocument config.Reader
 }
 
 const (
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -68,6 +68,7 @@
 	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(s.ID(), node, m), elected: make(chan struct{}, 1)}
 	r.service.EnableFleet(n.follower.State)
 	r.service.SetClock(n.clock)
+	r.service.SetDocumentReader(n.deps.ReadDocument)
 	if err := n.server.Register(control.ServiceName, r.service); err != nil {
 		return nil, err
 	}
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -24,6 +24,8 @@
 	// IP is the node's IP address, which is also its ID.
 	IP   string
 	Zone ident.Zone
+	// Regions maps the data centres of the system to their regions.
+	Regions map[ident.Zone]ident.Region
 	// InternalPort is the port for traffic between nodes, the same on all of them.
 	InternalPort int
 	// RelayPort is the port at which gateways relay requests of other gateways, the
@@ -85,6 +87,9 @@
 // ID returns the node's ID, which is its IP address.
 func (s *Settings) ID() ident.NodeID { return ident.NodeID(s.IP) }
 
+// region returns the region of a data centre; empty if it isn't known.
+func (s *Settings) region(zone ident.Zone) ident.Region { return s.Regions[zone] }
+
 // address returns the internal address of a node as host:port.
 func (s *Settings) address(node ident.NodeID) string {
 	return net.JoinHostPort(string(node), strconv.Itoa(s.InternalPort))
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
@@ -35,6 +36,8 @@
 		InternalAddress: n.settings.address(n.settings.ID()),
 		Replica:         n.settings.Replica(),
 		Draining:        n.Draining(),
+		Region:          n.settings.region(n.settings.Zone),
+		Features:        machine.FeatureLevel,
 	}
 }
 
--- a/internal/coordination/control/document_reader.go
+++ b/internal/coordination/control/document_reader.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
 // readRetention is how long a configuration is kept after it was read, for repeats of a
@@ -38,6 +39,7 @@
 		return known, nil
 	}
 	n, err := read(text)
+	n.Level = machine.FeatureLevel
 	if err == nil {
 		err = n.Config.CheckSize()
 	}
--- /dev/null
+++ b/internal/coordination/control/evacuations.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+)
+
+// EvacuateArgs holds an operator's order to start or end the evacuation of a data centre.
+type EvacuateArgs struct{ Order evacuation.Order }
+
+// EvacuateReply answers an Evacuate call.
+type EvacuateReply struct {
+	Status
+	// Refusal is the reason why the order was refused; empty if it was accepted.
+	Refusal machine.Refusal
+}
+
+// Evacuate commits an operator's order about the evacuation of a data centre. It is served
+// once a quorum has the order on disk. The order has no effect if the term ends before: a
+// delayed one can't overtake what the operator ordered at the next leader.
+func (s *Service) Evacuate(args *EvacuateArgs, reply *EvacuateReply) error {
+	if _, status := s.readBarrier(); !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	order := args.Order
+	if _, known := s.machine.Evacuation(order.Zone); known != order.End && order.Zone != "" {
+		return nil // a repeated order
+	}
+	if s.machine.Features() < evacuationLevel {
+		reply.Refusal = machine.RefusedFeatures
+		return nil
+	}
+	result, status := s.propose(&machine.Command{Evacuate: &order})
+	reply.Status, reply.Refusal = status, result.Refusal
+	if status.OK() {
+		s.publishCommitted()
+	}
+	return nil
+}
+
+// evacuationLevel is the feature level from which replicas know evacuations.
+const evacuationLevel = 1
+
+// ReadEvacuationsArgs requests the evacuated data centres.
+type ReadEvacuationsArgs struct{}
+
+// ReadEvacuationsReply holds the evacuated data centres, in order.
+type ReadEvacuationsReply struct {
+	Status
+	Evacuations []evacuation.Record
+}
+
+// ReadEvacuations returns the evacuated data centres.
+func (s *Service) ReadEvacuations(_ *ReadEvacuationsArgs, reply *ReadEvacuationsReply) error {
+	term, status := s.readBarrier()
+	if !status.OK() {
+		reply.Status = status
+		return nil
+	}
+	reply.Evacuations = s.machine.Evacuations()
+	reply.Status = s.stillServing(term)
+	return nil
+}
--- a/internal/coordination/control/fleet.go
+++ b/internal/coordination/control/fleet.go
@@ -1,9 +1,7 @@
 package control
 
 import (
-	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +9,6 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
-	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 const (
@@ -81,10 +78,8 @@
 	// teamUse holds the latest reports of schedulers that serve some of the gateways.
 	teamUse map[ident.NodeID]teamUse
 	// changed is closed and replaced at each change, and when the term ends.
-	changed           chan struct{}
-	committedRollouts []rollout.Record
-	committedHotTeams []ident.TeamName
-	committedPoison   []poison.Record
+	changed   chan struct{}
+	committed committedState
 	// poison holds the records of refused parts that nodes reported in this term.
 	poison poison.Set
 	// ends holds the ends of upstreams under requests that nodes reported, and
@@ -96,14 +91,6 @@
 	updates map[uint64]packedUpdate
 }
 
-// packedUpdate is an encoded update to a version, with the time when it was
-// encoded.
-type packedUpdate struct {
-	to     FleetVersion
-	packed []byte
-	made   time.Time
-}
-
 // memberContact is the latest contact with a member.
 type memberContact struct {
 	lastHeard time.Time
@@ -145,7 +132,7 @@
 	for _, d := range inherited.Upstreams {
 		f.upstreams.put(d.Name, d, f.version.Sequence)
 	}
-	f.committedRollouts, f.committedHotTeams, f.committedPoison = inherited.Rollouts, inherited.HotTeams, inherited.Poison
+	f.committed = committedState{rollouts: inherited.Rollouts, hotTeams: inherited.HotTeams, poison: inherited.Poison, evacuations: inherited.Evacuations}
 	f.poison = poison.Set{}
 	f.poison.Merge(inherited.Poison, now)
 	f.ends = newVersionedMap[string, poison.End]()
@@ -377,80 +364,3 @@
 		f.recordChange()
 	}
 }
-
-// setCommitted sets the committed rollouts, hot teams and refused parts.
-func (f *fleet) setCommitted(rollouts []rollout.Record, hot []ident.TeamName, parts []poison.Record) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.leading || slices.EqualFunc(f.committedRollouts, rollouts, sameRollout) && slices.Equal(f.committedHotTeams, hot) &&
-		poison.Equal(f.committedPoison, parts) {
-		return
-	}
-	f.committedRollouts, f.committedHotTeams, f.committedPoison = rollouts, hot, parts
-	f.recordChange()
-}
-
-// sameRollout compares records that may come from the log and from another node.
-// It ignores their times: equal times may differ in representation.
-func sameRollout(a, b rollout.Record) bool {
-	return a.Pool == b.Pool && a.Number == b.Number && a.State == b.State
-}
-
-// deliveryFor returns the update for a node at version have, which may be up to
-// updateCacheTTL old. It is empty if the node is up to date or this replica does
-// not lead.
-func (f *fleet) deliveryFor(have FleetVersion) (d FleetDelivery, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.leading || !f.version.Newer(have) {
-		return d, nil
-	}
-	since := f.since(have)
-	update, cached := f.updates[since]
-	if !cached || !update.to.Newer(have) || update.to != f.version && time.Since(update.made) >= updateCacheTTL {
-		packed, err := pack(f.updateSince(since))
-		if err != nil {
-			return d, fmt.Errorf("control: encoding fleet update to version %v: %w", f.version, err)
-		}
-		update = packedUpdate{to: f.version, packed: packed, made: time.Now()}
-		f.updates[since] = update
-	}
-	d.Packed = update.packed
-	if since != 0 {
-		d.From = have
-	}
-	return d, nil
-}
-
-// newer reports whether a node at version have is behind. changed is closed at
-// the next change.
-func (f *fleet) newer(have FleetVersion) (changed <-chan struct{}, newer bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.changed, f.leading && f.version.Newer(have)
-}
-
-// since returns the sequence number of a version if all changes after it are
-// known, else 0. The caller holds the lock.
-func (f *fleet) since(have FleetVersion) uint64 {
-	switch {
-	case have == FleetVersion{}:
-		return 0
-	case have == f.base:
-		return f.floor
-	case have.Term == f.version.Term && have.Sequence > f.floor:
-		return have.Sequence
-	default:
-		return 0
-	}
-}
-
-// updateSince returns all changes after a sequence number, and the full state for
-// 0. The caller holds the lock.
-func (f *fleet) updateSince(sequence uint64) *FleetUpdate {
-	u := &FleetUpdate{To: f.version, Listed: f.listed, Rollouts: f.committedRollouts, HotTeams: f.committedHotTeams, Poison: f.committedPoison}
-	u.Members, u.MembersGone = f.members.since(sequence)
-	u.Upstreams, u.UpstreamsGone = f.upstreams.since(sequence)
-	u.Ends, u.EndsGone = f.ends.since(sequence)
-	return u
-}
--- a/internal/coordination/control/fleet_calls.go
+++ b/internal/coordination/control/fleet_calls.go
@@ -95,10 +95,11 @@
 	return nil
 }
 
-// publishCommitted updates the fleet state with the committed rollouts, hot teams
-// and refused parts.
+// publishCommitted updates the fleet state with what is committed of it.
 func (s *Service) publishCommitted() {
-	s.fleet.setCommitted(s.machine.Rollouts(), s.machine.HotTeams(), s.machine.PoisonParts())
+	s.fleet.setCommitted(committedState{
+		rollouts: s.machine.Rollouts(), hotTeams: s.machine.HotTeams(), poison: s.machine.PoisonParts(), evacuations: s.machine.Evacuations(),
+	})
 }
 
 // ReadRollout returns a pool's latest rollout.
--- a/internal/coordination/control/fleet_state.go
+++ b/internal/coordination/control/fleet_state.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
@@ -26,6 +27,8 @@
 	Poison []poison.Record
 	// Ends holds the latest ends of upstreams under requests.
 	Ends []poison.End
+	// Evacuations holds the evacuated data centres, in order.
+	Evacuations []evacuation.Record
 }
 
 // FleetUpdate updates a node from one version of the fleet state to a later one.
@@ -40,10 +43,12 @@
 	Listed        bool
 	Upstreams     []Discovered
 	UpstreamsGone []ident.UpstreamName
-	// Rollouts, HotTeams and Poison are always complete, because there are few.
-	Rollouts []rollout.Record
-	HotTeams []ident.TeamName
-	Poison   []poison.Record
+	// Rollouts, HotTeams, Poison and Evacuations are always complete, because there are
+	// few.
+	Rollouts    []rollout.Record
+	HotTeams    []ident.TeamName
+	Poison      []poison.Record
+	Evacuations []evacuation.Record
 	// Ends holds new entries, and EndsGone the keys of those that were dropped.
 	Ends     []poison.End
 	EndsGone []string
@@ -69,6 +74,8 @@
 		HotTeams:  u.HotTeams,
 		Poison:    u.Poison,
 		Ends:      merge(s.Ends, u.Ends, u.EndsGone, poison.End.Key),
+
+		Evacuations: u.Evacuations,
 	}, nil
 }
 
--- a/internal/coordination/control/fleet_state_test.go
+++ b/internal/coordination/control/fleet_state_test.go
@@ -262,7 +262,7 @@
 				s.SetUpstreams(slices.Collect(maps.Values(listed)), true)
 			case 4:
 				number := rapid.Uint64Range(1, 3).Draw(t, "rollout")
-				f.setCommitted([]rollout.Record{{Number: number}}, nil, nil)
+				f.setCommitted(committedState{rollouts: []rollout.Record{{Number: number}}})
 			case 5:
 				lapsed := rapid.Bool().Draw(t, "lapsed")
 				f.endTerm(lapsed)
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
@@ -58,6 +59,11 @@
 	deliveries       configDeliveries
 	changeTurns      turns
 	confirmations    *confirmations
+	// readDocument reads the text of a numbered configuration; nil if nothing does.
+	readDocument config.Reader
+	// unreadableNumber is the number of a configuration whose text this build can't read.
+	// Only Tick uses it.
+	unreadableNumber uint64
 
 	// leadership is what the latest Tick saw, and notedTerm the term that it had begun;
 	// zero if none. leadershipChanged is closed and replaced when either changes.
@@ -160,6 +166,8 @@
 		s.fleet.expire(time.Now())
 		s.commitHotTeams(leadership.Term)
 		s.commitPoison(leadership.Term)
+		s.raiseFeatures(leadership.Term)
+		s.refreshDocument(leadership.Term)
 		s.publishCommitted()
 		return
 	}
@@ -235,7 +243,11 @@
 	}
 	now := time.Now()
 	if s.fleet != nil {
-		s.fleet.beginTerm(l.Term, s.followedState(), now)
+		inherited := s.followedState()
+		// What this replica has followed may be older than what it has applied. No node may
+		// see an evacuation vanish because the leader changes.
+		inherited.Evacuations = s.machine.Evacuations()
+		s.fleet.beginTerm(l.Term, inherited, now)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/state/config/store.go
+++ b/internal/state/config/store.go
@@ -41,6 +41,9 @@
 	// highest number wins. Base, Delta and Digest are then ignored, and retries
 	// are not recognized by ID.
 	Numbered *Numbered `cbor:",omitempty"`
+	// Refresh replaces the configuration of the current number by what a newer build
+	// reads in the same text.
+	Refresh bool `cbor:",omitempty"`
 }
 
 // Numbered is a complete configuration with a version number chosen by its author.
@@ -50,6 +53,8 @@
 	// Document is the text that the author submitted. It is stored so that it can
 	// be read back unchanged.
 	Document []byte
+	// Level is the feature level of the build that read Document.
+	Level uint32 `cbor:",omitempty"`
 }
 
 // Reader reads a configuration from the text that an operator submitted. It returns an
@@ -124,6 +129,8 @@
 	// Number and Document are those of the latest accepted numbered operation.
 	Number   uint64 `cbor:",omitempty"`
 	Document []byte `cbor:",omitempty"`
+	// Level is the feature level of the build that read Document.
+	Level uint32 `cbor:",omitempty"`
 }
 
 // NewStore returns a store with the empty configuration at revision 0.
@@ -134,7 +141,10 @@
 // Apply accepts or rejects an operation. A retry of a remembered operation gets
 // the first outcome again.
 func (s *Store) Apply(op Operation) Outcome {
-	if op.Numbered != nil {
+	switch {
+	case op.Numbered != nil && op.Refresh:
+		return s.refresh(op)
+	case op.Numbered != nil:
 		return s.applyNumbered(op)
 	}
 	if done, known := s.findFinished(op.ID); known {
@@ -171,10 +181,27 @@
 	op.Delta = &delta
 	op.Digest = next.Digest()
 	s.Number = op.Numbered.Number
-	s.Document = op.Numbered.Document
+	s.Document, s.Level = op.Numbered.Document, op.Numbered.Level
 	return s.accept(op, next)
 }
 
+// refresh replaces the configuration of the current number. Replicas and nodes that have run
+// an older build may lack different fields of it, so all of them get it as a whole: it is a
+// new revision even if it changes nothing here.
+func (s *Store) refresh(op Operation) Outcome {
+	if op.Numbered.Number != s.Number {
+		return Outcome{Verdict: VerdictOvertaken, Revision: s.Revision, Who: s.author()}
+	}
+	next := op.Numbered.Config.normalize()
+	delta := Diff(s.Config, next)
+	op.Delta = &delta
+	op.Digest = next.Digest()
+	s.Level = op.Numbered.Level
+	outcome := s.accept(op, next)
+	s.Steps = nil
+	return outcome
+}
+
 // accept makes next the configuration of a new revision.
 func (s *Store) accept(op Operation, next Config) Outcome {
 	s.Revision++
--- /dev/null
+++ b/internal/state/evacuation/evacuation.go
@@ -0,0 +1,56 @@
+// Package evacuation defines the replicated record of an operator's order that the
+// upstreams of a data centre get no new requests.
+package evacuation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
+
+const (
+	// MaxEvacuations bounds the data centres that are evacuated at once, and MaxNameBytes
+	// the name of one, so that orders can't fill the replicated state.
+	MaxEvacuations = 256
+	MaxNameBytes   = 256
+)
+
+// Order starts or ends the evacuation of a data centre.
+type Order struct {
+	Zone ident.Zone
+	// End is true for an order that ends the evacuation.
+	End bool
+	// By names who gave the order, for display.
+	By string
+}
+
+// Record is the evacuation of one data centre.
+type Record struct {
+	Zone ident.Zone
+	By   string
+	// At is when the order was committed.
+	At time.Time
+	// Number increases with every evacuation that starts, so that two of the same data
+	// centre can be told apart.
+	Number uint64
+}
+
+// Compare orders records by data centre.
+func Compare(a, b Record) int { return cmp.Compare(a.Zone, b.Zone) }
+
+// Same reports whether two lists name the same evacuations. It ignores their times: equal
+// times may differ in representation.
+func Same(a, b []Record) bool {
+	return slices.EqualFunc(a, b, func(a, b Record) bool { return a.Zone == b.Zone && a.Number == b.Number })
+}
+
+// Find returns the evacuation of a data centre. Records must be in the order of Compare.
+func Find(records []Record, zone ident.Zone) (Record, bool) {
+	at, found := slices.BinarySearchFunc(records, Record{Zone: zone}, Compare)
+	if !found {
+		return Record{}, false
+	}
+	return records[at], true
+}
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -45,6 +46,12 @@
 	EndRollout    *rollout.End      `cbor:",omitempty"`
 	SetHotTeams   *SetHotTeams      `cbor:",omitempty"`
 	SetPoison     *SetPoison        `cbor:",omitempty"`
+
+	// The following need feature level 1. RefreshConfig puts the configuration of the
+	// current number in force once more, as a newer build reads its text.
+	SetFeatures   *SetFeatures      `cbor:",omitempty"`
+	Evacuate      *evacuation.Order `cbor:",omitempty"`
+	RefreshConfig *config.Operation `cbor:",omitempty"`
 }
 
 // SetPoison replaces the records of prompt parts on which upstreams end.
@@ -181,6 +188,8 @@
 	RefusedQuorum Refusal = "quorum"
 	// RefusedFull means that the maximum number of open orders was reached.
 	RefusedFull Refusal = "full"
+	// RefusedFeatures means that some nodes may run a build that doesn't know the command.
+	RefusedFeatures Refusal = "features"
 )
 
 var encoding = newEncoding()
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -36,6 +37,11 @@
 	hotTeams []ident.TeamName
 	// poison holds the records of prompt parts on which upstreams end.
 	poison []poison.Record
+	// evacuations holds the evacuated data centres, in order.
+	evacuations      []evacuation.Record
+	evacuationNumber uint64
+	// features is the feature level that all nodes support.
+	features uint32
 	// epoch is the highest scheduler epoch granted so far, over all pools, so that
 	// a pool that is removed and added again never gets an old epoch.
 	epoch   ident.Epoch
@@ -131,6 +137,13 @@
 	case c.SetPoison != nil:
 		m.poison = c.SetPoison.Parts
 		return Result{}
+	case c.SetFeatures != nil:
+		m.features = max(m.features, c.SetFeatures.Level)
+		return Result{}
+	case c.Evacuate != nil:
+		return m.evacuate(*c.Evacuate)
+	case c.RefreshConfig != nil:
+		return m.applyConfig(*c.RefreshConfig)
 	case c.GrantNode != nil:
 		return m.grantNode(c.GrantNode.Node)
 	case c.RevokeNodes != nil:
--- a/internal/state/machine/machine_test.go
+++ b/internal/state/machine/machine_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -62,7 +63,7 @@
 	k := ledgerKey(rapid.IntRange(1, 3).Draw(t, "key"))
 	pool, _ := l.Pool("p")
 	current, revision, _ := l.Config()
-	switch rapid.IntRange(0, 12).Draw(t, "kind") {
+	switch rapid.IntRange(0, 15).Draw(t, "kind") {
 	case 0:
 		c.Begin = &Begin{Leader: node, Term: c.Term}
 	case 1:
@@ -96,6 +97,14 @@
 	case 12:
 		part := poison.Record{Pool: "p", ID: 7, Since: startTime, Updated: startTime.Add(time.Nanosecond), Upstreams: []ident.UpstreamName{"u"}}
 		c.SetPoison = &SetPoison{Parts: []poison.Record{part}}
+	case 13:
+		c.SetFeatures = &SetFeatures{Level: uint32(rapid.IntRange(0, 2).Draw(t, "level"))}
+	case 14:
+		zone := rapid.SampledFrom([]ident.Zone{"a", "b", ""}).Draw(t, "zone")
+		c.Evacuate = &evacuation.Order{Zone: zone, End: rapid.Bool().Draw(t, "end"), By: string(node)}
+	case 15:
+		numbered := &config.Numbered{Number: uint64(rapid.IntRange(0, 2).Draw(t, "number")), Document: []byte("{}"), Level: FeatureLevel}
+		c.RefreshConfig = &config.Operation{Numbered: numbered, Refresh: rapid.Bool().Draw(t, "refresh")}
 	}
 	return c
 }
@@ -136,6 +145,8 @@
 				must.NoError(t, err)
 				must.True(t, bytes.Equal(a, b))
 				must.Eq(t, l.PoisonParts(), replica.PoisonParts())
+				must.Eq(t, l.Evacuations(), replica.Evacuations())
+				must.Eq(t, l.Features(), replica.Features())
 				pool, _ := l.Pool("p")
 				must.LessEq(t, pool.Epoch, epoch)
 				epoch = max(epoch, pool.Epoch)
--- a/internal/state/machine/snapshot.go
+++ b/internal/state/machine/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -39,6 +40,10 @@
 	RolloutNumber uint64           `cbor:",omitempty"`
 	HotTeams      []ident.TeamName `cbor:",omitempty"`
 	Poison        []poison.Record  `cbor:",omitempty"`
+
+	Evacuations      []evacuation.Record `cbor:",omitempty"`
+	EvacuationNumber uint64              `cbor:",omitempty"`
+	Features         uint32              `cbor:",omitempty"`
 }
 
 // Snapshot returns the encoded state after the last applied command. The state is
@@ -64,6 +69,7 @@
 		Nodes: sortedValues(m.nodes), Pools: sortedValues(m.pools), Moves: sortedValues(m.moves),
 		Orders: slices.Clone(m.orders), Epoch: m.epoch, Fencing: m.fencing, Changes: m.changes,
 		Rollouts: sortedValues(m.rollouts), RolloutNumber: m.rolloutNumber, HotTeams: m.hotTeams, Poison: m.poison,
+		Evacuations: m.evacuations, EvacuationNumber: m.evacuationNumber, Features: m.features,
 	}
 }
 
@@ -110,6 +116,7 @@
 	m.moves = indexBy(s.Moves, func(r move.Record) ident.MoveName { return r.Name })
 	m.rollouts = indexBy(s.Rollouts, func(r rollout.Record) ident.PoolName { return r.Pool })
 	m.rolloutNumber, m.hotTeams, m.poison = s.RolloutNumber, s.HotTeams, s.Poison
+	m.evacuations, m.evacuationNumber, m.features = s.Evacuations, s.EvacuationNumber, s.Features
 	m.orders, m.epoch, m.fencing, m.changes = s.Orders, s.Epoch, s.Fencing, s.Changes
 	m.notifyChanged()
 	return nil
