Evacuations: operators order them, gateways obey

Cause: the state machine knows evacuations, but nobody could order one and nothing acted on it. What a gateway knows is as new as the contact by which it serves.

--- /dev/null
+++ b/internal/command/fleet/evacuations.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+)
+
+var (
+	// ErrUnknownZone means that no data centre of that name is known here.
+	ErrUnknownZone = errors.New("unknown data centre")
+	// ErrEvacuationRefused means that the order can't be carried out now; nothing has changed.
+	ErrEvacuationRefused = errors.New("the order was refused")
+)
+
+// Evacuate commits an operator's order that the upstreams of a data centre get no new
+// requests, or that ends that. The error wraps ErrUnknownZone or ErrEvacuationRefused if
+// nothing has changed; after any other, the outcome is unknown.
+func (n *Node) Evacuate(ctx context.Context, o evacuation.Order) error {
+	err := n.evacuate(ctx, o)
+	result := "acknowledged"
+	if err != nil {
+		result = err.Error()
+	}
+	n.events.Record(timeline.Event{Kind: timeline.KindEvacuation, Detail: fmt.Sprintf("data centre %.64q, end: %t, by %s: %.256s", o.Zone, o.End, o.By, result)})
+	return err
+}
+
+func (n *Node) evacuate(ctx context.Context, o evacuation.Order) error {
+	if !n.knowsZone(o.Zone) {
+		return fmt.Errorf("%w %.64q", ErrUnknownZone, o.Zone)
+	}
+	reply, err := control.Call[control.EvacuateReply](ctx, n.control, "Evacuate", &control.EvacuateArgs{Order: o})
+	switch {
+	case err != nil:
+		return err
+	case reply.Refusal == machine.RefusedFeatures:
+		return fmt.Errorf("%w: some nodes run a build without evacuations, or have not been heard of yet", ErrEvacuationRefused)
+	case reply.Refusal != "":
+		return fmt.Errorf("%w: %s", ErrEvacuationRefused, reply.Refusal)
+	}
+	return nil
+}
+
+// knowsZone reports whether a data centre is named in the settings, has listed upstreams or
+// is evacuated.
+func (n *Node) knowsZone(zone ident.Zone) bool {
+	if zone == "" {
+		return false
+	}
+	if _, known := n.settings.Regions[zone]; known || zone == n.settings.Zone {
+		return true
+	}
+	state := n.follower.State()
+	_, evacuated := evacuation.Find(state.Evacuations, zone)
+	return evacuated || slices.ContainsFunc(state.Upstreams, func(d control.Discovered) bool { return d.Upstream.Zone == zone })
+}
+
+// recordEvacuations records what has changed between two states of the fleet.
+func (n *Node) recordEvacuations(before, after []evacuation.Record) {
+	for _, r := range after {
+		if known, found := evacuation.Find(before, r.Zone); !found || known.Number != r.Number {
+			n.events.Record(timeline.Event{Kind: timeline.KindEvacuation, Detail: fmt.Sprintf("data centre %s is evacuated, ordered by %s at %s", r.Zone, r.By, r.At.UTC().Format("15:04:05.000"))})
+		}
+	}
+	for _, r := range before {
+		if _, kept := evacuation.Find(after, r.Zone); !kept {
+			n.events.Record(timeline.Event{Kind: timeline.KindEvacuation, Detail: fmt.Sprintf("the evacuation of data centre %s has ended", r.Zone)})
+		}
+	}
+}
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -20,6 +20,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
@@ -87,6 +88,8 @@
 
 	hosts     atomic.Pointer[routing.HostTable]
 	upstreams atomic.Pointer[upstreamTable]
+	// evacuated holds the evacuations last recorded. Only the sync loop uses it.
+	evacuated []evacuation.Record
 	// skippedEntries are those of the last complete pass over the platform's list.
 	skippedEntries atomic.Pointer[SkippedEntries]
 	// drainStart is the time of the first call to Drain; nil before it.
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -239,9 +239,11 @@
 		}
 	}
 	for _, d := range n.upstreams.Load().byPool[name] {
+		_, evacuated := n.follower.Evacuation(d.Upstream.Zone)
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
-			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone,
+			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone, Region: n.settings.region(d.Upstream.Zone),
 			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream),
+			Evacuated: evacuated, ColdFor: d.ColdFor,
 		})
 	}
 	return view
@@ -324,10 +326,12 @@
 	return leaving
 }
 
-// Upstream implements gateway.Environment.
+// Upstream implements gateway.Environment. It is asked before each sending, so that a grant
+// from before an evacuation is not used.
 func (n *Node) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
 	d, known := n.upstreams.Load().byName[name]
-	return d.Upstream, known && !d.Leaving
+	_, evacuated := n.follower.Evacuation(d.Upstream.Zone)
+	return d.Upstream, known && !d.Leaving && !evacuated
 }
 
 // PoolUpstreams implements gateway.Environment.
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -71,6 +71,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, d := range found {
+		if _, evacuated := n.follower.Evacuation(d.Upstream.Zone); evacuated {
+			return fmt.Errorf("%s is in data centre %s, which is evacuated", d.Name, d.Upstream.Zone)
+		}
 		c := n.clients[d.Upstream.Pool]
 		if c == nil {
 			continue
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -210,6 +210,8 @@
 		}
 	}
 	n.control.SetReplicas(replicas)
+	n.recordEvacuations(n.evacuated, spread.Evacuations)
+	n.evacuated = spread.Evacuations
 	n.quotas.SetHot(spread.HotTeams)
 	n.learnPoison(spread.Poison)
 	n.setEnded(spread.Ends, spread.Version.Term)
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
@@ -158,6 +159,14 @@
 	return f.state
 }
 
+// Evacuation returns the evacuation of a data centre. It is known no later than the contact
+// that Age counts from.
+func (f *FleetFollower) Evacuation(zone ident.Zone) (evacuation.Record, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return evacuation.Find(f.state.Evacuations, zone)
+}
+
 // Age returns how long ago the configuration in force was last known to be the
 // newest. now is the time since boot; known is false if no sync was served yet.
 func (f *FleetFollower) Age(now time.Duration) (age time.Duration, known bool) {
--- a/internal/state/timeline/timeline.go
+++ b/internal/state/timeline/timeline.go
@@ -79,6 +79,7 @@
 	KindContinuation  Kind = "continuation_refused"
 	KindConfig        Kind = "config_in_force"
 	KindConfigChange  Kind = "config_change"
+	KindEvacuation    Kind = "evacuation"
 	KindLeadership    Kind = "leadership"
 	KindPoolLease     Kind = "pool_lease"
 	KindNodeLease     Kind = "node_lease"
