Cold upstreams: one bound for each over all gateways

Change: where a service's configuration names a limit for cold servers, an upstream that the list, an answer, its new name, a series of requests without an answer or the end of an evacuation shows to be cold has a token bucket, of which each scheduler uses its fraction, as with limits that upstreams name. After the cold time the rate doubles each second. Names that may be one process share the bucket. The leader distributes a cold time only when its end moves by a second.

--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -11,6 +11,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
 const (
@@ -89,6 +90,8 @@
 func (n *Node) readList(wasReachable bool, limit *rate.Limiter, apply func(found []control.Discovered, complete bool)) bool {
 	scan := newListScan(n.knownUpstreams())
 	err := n.readPages(limit, func(page ListPage) {
+		n.dropUnlimitedCold(page.Found)
+		n.coldStarts.update(page.Found, func(name ident.UpstreamName) control.Discovered { return scan.known[name] }, time.Now())
 		scan.add(page)
 		if found, changed := scan.partial(); changed && page.Next != "" {
 			apply(found, false)
@@ -102,6 +105,7 @@
 		return false
 	}
 	n.noteSkipped(scan.skipped)
+	n.coldStarts.retain(scan.seen)
 	apply(scan.complete(), true)
 	return true
 }
--- a/internal/command/fleet/lists_test.go
+++ b/internal/command/fleet/lists_test.go
@@ -50,7 +50,7 @@
 }
 
 func newListReader(t *testing.T, l *pagedList, perSecond float64) *Node {
-	n := &Node{ctx: t.Context(), deps: Dependencies{ListPage: l.page}, settings: Settings{ListCallsPerSecond: perSecond}}
+	n := &Node{ctx: t.Context(), follower: &control.FleetFollower{}, deps: Dependencies{ListPage: l.page}, settings: Settings{ListCallsPerSecond: perSecond}}
 	n.upstreams.Store(&upstreamTable{})
 	return n
 }
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -86,8 +86,9 @@
 	quotas *scheduler.Quotas
 	usage  *scheduler.UsageLog
 
-	hosts     atomic.Pointer[routing.HostTable]
-	upstreams atomic.Pointer[upstreamTable]
+	hosts      atomic.Pointer[routing.HostTable]
+	upstreams  atomic.Pointer[upstreamTable]
+	coldStarts coldStarts
 	// evacuated holds the evacuations last recorded. Only the sync loop uses it.
 	evacuated []evacuation.Record
 	// skippedEntries are those of the last complete pass over the platform's list.
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -212,6 +212,7 @@
 	view := scheduler.View{
 		Pool:       name,
 		QueueLimit: c.Pools[name].QueueLimit,
+		Cold:       c.Pools[name].Cold,
 		Shares:     n.watchOf(name).shares(n.versions(name), time.Now()),
 		Shared: &scheduler.Shared{
 			RetryRatio: n.settings.RetryRatio,
@@ -243,7 +244,7 @@
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
 			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone, Region: n.settings.region(d.Upstream.Zone),
 			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream),
-			Evacuated: evacuated, ColdFor: d.ColdFor,
+			Evacuated: evacuated, ColdFor: d.ColdFor, ColdNumber: d.ColdNumber,
 		})
 	}
 	return view
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -167,6 +167,11 @@
 	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
 }
 
+// ColdChanged implements pool.Observer.
+func (w *rolloutWatch) ColdChanged(c scheduler.ColdChange) {
+	w.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: w.pool, Detail: c.String()})
+}
+
 // RetryChanged implements pool.Observer.
 func (w *rolloutWatch) RetryChanged(c scheduler.RetryChange) {
 	w.events.Record(timeline.Event{Kind: timeline.KindRetryBudget, Request: c.Ticket, Pool: w.pool, Detail: c.String()})
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -39,9 +39,11 @@
 	Upstream config.Upstream
 	// Leaving is true for an upstream that gets no new work.
 	Leaving bool
-	// ColdFor is how much longer the upstream was cold when this entry last changed; 0
-	// for one that isn't.
-	ColdFor time.Duration
+	// ColdFor is how much longer the upstream was cold when ColdNumber last changed; 0 for
+	// one that isn't. ColdNumber grows each time that the upstream becomes cold or stays so
+	// for longer.
+	ColdFor    time.Duration
+	ColdNumber uint64
 }
 
 // FleetVersion is a version of the fleet state, ordered by term, then by sequence
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -80,7 +80,9 @@
 	successors map[ident.UpstreamName]ident.UpstreamName
 	// leaving holds when upstreams that said in an answer that they leave became known.
 	leaving map[ident.UpstreamName]time.Time
-	poison  poisonRecord
+	// cold holds until when upstreams that said in an answer that they are cold are so.
+	cold   coldUpstreams
+	poison poisonRecord
 }
 
 type waiter struct {
@@ -124,6 +126,7 @@
 		pauses:      make(map[ident.UpstreamName]time.Time),
 		successors:  make(map[ident.UpstreamName]ident.UpstreamName),
 		leaving:     make(map[ident.UpstreamName]time.Time),
+		cold:        make(coldUpstreams),
 		poison:      poisonRecord{start: time.Now(), cleared: make(map[uint64]bool)},
 	}
 }
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -64,6 +64,8 @@
 	Paused(c scheduler.PauseChange)
 	// PoisonChanged is called for each change of the refused parts.
 	PoisonChanged(c scheduler.PoisonChange)
+	// ColdChanged is called for each upstream that became cold, or is so for longer.
+	ColdChanged(c scheduler.ColdChange)
 	// RetryChanged is called for each change of the retry budget.
 	RetryChanged(c scheduler.RetryChange)
 }
@@ -322,6 +324,11 @@
 			m.observer.PoisonChanged(c)
 		}
 	}
+	for _, c := range m.sched.ColdChanges() {
+		if m.observer != nil {
+			m.observer.ColdChanged(c)
+		}
+	}
 	for _, c := range m.sched.RetryChanges() {
 		if m.observer != nil {
 			m.observer.RetryChanged(c)
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -270,6 +270,11 @@
 	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
 }
 
+// ColdChanged implements Observer.
+func (r *Runner) ColdChanged(change scheduler.ColdChange) {
+	r.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: r.master.Pool(), Detail: change.String()})
+}
+
 // RetryChanged implements Observer.
 func (r *Runner) RetryChanged(change scheduler.RetryChange) {
 	r.events.Record(timeline.Event{Kind: timeline.KindRetryBudget, Request: change.Ticket, Pool: r.master.Pool(), Detail: change.String()})
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -207,6 +207,7 @@
 func (c *Client) registration(now time.Time) *scheduler.Registration {
 	r := &scheduler.Registration{Gateway: c.gateway, Incarnation: c.incarnation, RateLimits: c.rateLimits(now)}
 	r.Pauses, r.Leaving = c.pauseNotices(now), c.leavingNames(now)
+	r.Cold = c.cold.notices(now)
 	r.Poison, r.Ends = c.poison.refused.List(), c.poison.endsAt(now)
 	if c.usage != nil {
 		r.Sent, r.Uptime = c.usage.Recent(now)
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -145,7 +145,7 @@
 // that the work arriving for higher tiers leaves.
 func (p *Pool) spareSlots(tier *tierQueue, horizon, now time.Duration) float64 {
 	slots := p.usableSlots()
-	if len(p.limited) == 0 {
+	if len(p.limited)+len(p.coldEngines) == 0 {
 		slots = max(1, slots)
 	}
 	higher := 0.0
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -233,6 +233,10 @@
 	if pool == nil {
 		return cost
 	}
+	if g.isCold(now) {
+		// What it learned before its start may promise more than a cold upstream can do.
+		cost.time = max(cost.time, g.costAt(pool, e, missed, now))
+	}
 	if !g.speed.prefill.known() {
 		cost.variance = pool.variance(e.expectedOutput)
 		return cost
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -38,6 +38,9 @@
 	slots, unsharedSlots int
 	// rate bounds the requests that the upstream gets; nil if it names no limit.
 	rate *rateLimit
+	// cold bounds the requests that the upstream gets after a start; nil if it has not just
+	// started.
+	cold *coldUpstream
 	// brittle bounds the requests in flight; nil if the upstream is not brittle.
 	brittle *brittleRoom
 	// rejections bounds what the upstream gets after it has rejected requests.
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -221,6 +221,7 @@
 // counts for the estimates of external load.
 func (p *Pool) checkUpstreams(now time.Duration) {
 	p.dropUnlistedLimits(now)
+	p.dropCold(now)
 	p.checkBrittle(now)
 	p.checkRejections(now)
 	p.dropPauses(now)
--- a/internal/coordination/scheduler/notice.go
+++ b/internal/coordination/scheduler/notice.go
@@ -40,6 +40,11 @@
 	// Leaving is NoticeNamed if the upstream says that it leaves. LeavingText is as Text.
 	Leaving     NoticeState
 	LeavingText string
+	// Cold is NoticeNamed if the upstream says how much longer it is cold, which is ColdFor.
+	// ColdText is as Text.
+	Cold     NoticeState
+	ColdFor  time.Duration
+	ColdText string
 }
 
 // String implements fmt.Stringer.
@@ -69,5 +74,11 @@
 	case NoticeUnreadable:
 		text += "; says that it leaves or not, which can't be read, ignored: " + n.LeavingText
 	}
+	switch n.Cold {
+	case NoticeNamed:
+		text += fmt.Sprintf("; says that it is cold for %s", n.ColdFor)
+	case NoticeUnreadable:
+		text += "; says how long it is cold, which can't be read, ignored: " + n.ColdText
+	}
 	return text
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -75,7 +75,14 @@
 	lastWaiting time.Duration
 	// unlistedLimits holds the rate limits of upstreams that the view does not list.
 	unlistedLimits map[ident.UpstreamName]rateLimit
-	evidence       evidence
+	// cold holds the bounds of upstreams that have just started, by coldKey, coldEngines the
+	// engines that they belong to, and coldChanges those since the last call of ColdChanges.
+	cold        map[string]*coldUpstream
+	coldEngines []*engine
+	coldChanges []ColdChange
+	// viewWasComplete is true if the view before the present one listed all upstreams.
+	viewWasComplete bool
+	evidence        evidence
 	// rateChanges holds the changes of rate limits since the last call of
 	// RateLimitChanges.
 	rateChanges []RateLimitChange
@@ -128,6 +135,7 @@
 
 		evidence:       newEvidence(),
 		unlistedLimits: make(map[ident.UpstreamName]rateLimit),
+		cold:           make(map[string]*coldUpstream),
 		entries:        make(map[ident.RequestID]*entry),
 		engines:        make(map[ident.UpstreamName]*engine),
 		speed:          newSpeed(nil),
@@ -147,6 +155,7 @@
 
 // SetView implements Scheduler.
 func (p *Pool) SetView(v View, now time.Duration) {
+	p.viewWasComplete = !p.view.Incomplete && len(p.view.Upstreams) > 0
 	p.view = v
 	p.now = now
 	p.retries.configure(v, now)
@@ -237,7 +246,9 @@
 		g.listed = false
 	}
 	for _, u := range upstreams {
+		_, known := p.engines[u.Name]
 		g := p.engine(u)
+		p.learnColdFromView(g, u, !known, now)
 		g.cache.setMaxEntries(cacheEntriesTotal / len(upstreams))
 		if g.upstream.Version != u.Version {
 			g.versionNotLoaded = false
@@ -288,6 +299,7 @@
 	if g.brittle != nil {
 		p.brittle--
 	}
+	p.coldEngines = slices.DeleteFunc(p.coldEngines, func(other *engine) bool { return other == g })
 	g.cache.clear()
 	g.health.ejected = false
 	p.updateEjected(g)
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -145,8 +145,13 @@
 	return max(minTokenWait, seconds((1-l.tokens)/(l.rate(now)*fraction)))
 }
 
-// refreshRate fills the upstream's bucket and reports whether it may get a request.
+// refreshRate fills the upstream's buckets and reports whether it may get a request.
 func (p *Pool) refreshRate(g *engine, now time.Duration) bool {
+	return p.refreshLimit(g, now) && p.refreshColdBucket(g, now)
+}
+
+// refreshLimit fills the bucket of the limit that the upstream names.
+func (p *Pool) refreshLimit(g *engine, now time.Duration) bool {
 	l := g.rate
 	if l == nil {
 		return true
@@ -159,6 +164,18 @@
 	return l.tokens >= 1
 }
 
+// untilToken returns the time until all buckets of the upstream hold a whole token.
+func (p *Pool) untilToken(g *engine, now time.Duration) time.Duration {
+	until, fraction := time.Duration(0), p.quotaFraction(now)
+	if g.rate != nil {
+		until = g.rate.untilToken(fraction, now)
+	}
+	if g.cold != nil && g.cold.isBounded(g.upstream.MaxConcurrent, now) {
+		until = max(until, g.cold.bucket.untilToken(fraction, now))
+	}
+	return until
+}
+
 // applyLimit sets the bucket of an upstream, and dropLimit removes it.
 func (p *Pool) applyLimit(g *engine, l *rateLimit) {
 	g.rate = l
@@ -174,7 +191,7 @@
 // upstream under a limit can keep only those occupied that its permitted requests
 // need on average.
 func (p *Pool) updateUnusableSlots(now time.Duration) {
-	p.unusableSlots = 0
+	p.unusableSlots = p.unusableColdSlots(now)
 	for _, g := range p.limited {
 		usable := g.rate.rate(now) * p.quotaFraction(now) * p.meanService.Seconds()
 		p.unusableSlots += max(0, float64(g.slots)-usable)
@@ -192,7 +209,7 @@
 
 // usableSlots returns the slots of the pool that requests can keep occupied.
 func (p *Pool) usableSlots() float64 {
-	if len(p.limited) == 0 {
+	if len(p.limited)+len(p.coldEngines) == 0 {
 		return float64(p.slots)
 	}
 	return max(minRateCapacity, float64(p.slots)-p.unusableSlots)
@@ -202,15 +219,17 @@
 // only limits prevent that now; otherwise 0.
 func (p *Pool) nextToken(now time.Duration) time.Duration {
 	next := time.Duration(0)
-	if len(p.limited) == 0 || p.readyEngines > 0 {
+	if len(p.limited)+len(p.coldEngines) == 0 || p.readyEngines > 0 {
 		return 0
 	}
-	for _, g := range p.limited {
-		if g.health.ejected || !g.acceptsWork() || g.limit() <= g.used() {
-			continue
-		}
-		if until := g.rate.untilToken(p.quotaFraction(now), now); next == 0 || until < next {
-			next = until
+	for _, engines := range [...][]*engine{p.limited, p.coldEngines} {
+		for _, g := range engines {
+			if g.health.ejected || !g.acceptsWork() || g.limit() <= g.used() {
+				continue
+			}
+			if until := p.untilToken(g, now); next == 0 || until < next {
+				next = until
+			}
 		}
 	}
 	return next
@@ -281,6 +300,9 @@
 		p.liftLimit(r.Upstream, now-r.Elapsed, now)
 	}
 	p.recordPause(r, now)
+	if g := p.engines[r.Upstream]; g != nil && r.Notice.Cold == NoticeNamed {
+		p.markCold(g, r.Notice.ColdFor-r.Age, "says so", now)
+	}
 	if r.Notice.Leaving == NoticeNamed {
 		p.markLeaving(r.Upstream, now)
 	}
@@ -348,10 +370,14 @@
 	if g.rate != nil {
 		g.rate.tokens--
 	}
+	if g.cold != nil {
+		g.cold.bucket.tokens--
+	}
 }
 
 func (g *engine) refundToken() {
 	if g.rate != nil {
 		g.rate.tokens = min(rateBurst, g.rate.tokens+1)
 	}
+	g.refundColdToken()
 }
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -67,10 +67,10 @@
 		p.scheduleRefresh(g, g.heldUntil())
 		return
 	}
-	if g.rate != nil && !p.refreshRate(g, now) {
+	if !p.refreshRate(g, now) {
 		p.removeReady(g)
 		if g.free() > 0 {
-			p.scheduleRefresh(g, now+g.rate.untilToken(p.quotaFraction(now), now))
+			p.scheduleRefresh(g, now+p.untilToken(g, now))
 		}
 		return
 	}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -32,6 +32,10 @@
 	switch r.Kind {
 	case ReportFirstToken, ReportEnded, ReportFailed, ReportRejected:
 		e.engine.recordContact(cmp.Or(r.Via, r.Gateway), at)
+		p.observeColdAnswer(e.engine, now)
+	}
+	if r.Kind == ReportUnsent || r.Broken == BrokenUnbegun {
+		p.observeColdEnd(e.engine, r, now)
 	}
 	switch r.Kind {
 	case ReportDispatched:
@@ -73,6 +77,7 @@
 		p.turnedAway(g, g.used(), now)
 	case ReportMisdirected:
 		p.keepCounted(e)
+		e.engine.refundColdToken()
 		e.engine.health.recordMisdirected(e, now)
 		p.requeue(e, now, true)
 	case ReportDropped:
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
@@ -312,6 +313,8 @@
 	// that it knows to leave because they said so in an answer.
 	Pauses  []PauseNotice
 	Leaving []ident.UpstreamName
+	// Cold holds the upstreams that have said in an answer that they are cold.
+	Cold []ColdNotice
 	// Poison holds the records of refused parts and requests that the gateway knows, and
 	// Ends its requests whose upstreams broke off their answers.
 	Poison []poison.Record
@@ -357,8 +360,10 @@
 	Region ident.Region
 	// Evacuated upstreams get no new work until the evacuation of their data centre ends.
 	Evacuated bool
-	// ColdFor is how much longer the upstream was cold when its entry last changed.
-	ColdFor time.Duration
+	// ColdFor is how much longer the upstream was cold when ColdNumber last changed, which
+	// grows each time that it becomes cold or stays so for longer.
+	ColdFor    time.Duration
+	ColdNumber uint64
 }
 
 // VersionShare directs a fraction of a pool's traffic to one version.
@@ -405,6 +410,8 @@
 	// all pools, and Ends the ends of upstreams under requests.
 	Poison []poison.Record
 	Ends   []poison.End
+	// Cold limits the load of upstreams that have just started; nil means no limit.
+	Cold *config.ColdLimit
 	// Shared is set where no lease prevents other schedulers from serving the
 	// pool at the same time.
 	Shared *Shared
@@ -473,6 +480,9 @@
 	// LeavingChanges returns and clears the upstreams that the scheduler has learnt to leave
 	// since the last call, because they said so in an answer.
 	LeavingChanges() []ident.UpstreamName
+	// ColdChanges returns and clears the upstreams that became cold since the last call, or
+	// are so for longer.
+	ColdChanges() []ColdChange
 	// PoisonChanges returns and clears the changes of refused parts since the last
 	// call.
 	PoisonChanges() []PoisonChange
--- a/internal/protocol/upstreamapi/notice.go
+++ b/internal/protocol/upstreamapi/notice.go
@@ -69,6 +69,21 @@
 	return n
 }
 
+// WithCold returns the notice with how much longer an upstream is cold, in milliseconds, as
+// the values of the header field say. 0 means that it isn't.
+func WithCold(n scheduler.UpstreamNotice, values []string) scheduler.UpstreamNotice {
+	state, ms, text := parseNumber(values)
+	if state == scheduler.NoticeNamed && ms == 0 {
+		state = scheduler.NoticeAbsent
+	}
+	n.Cold, n.ColdText = state, text
+	n.ColdFor = time.Duration(min(float64(MaxCold.Milliseconds()), ms) * float64(time.Millisecond))
+	return n
+}
+
+// MaxCold is the longest cold time that is kept to when an upstream or the list names one.
+const MaxCold = 5 * time.Minute
+
 // parseNumber decodes the values of a field. Text is the number as it was sent or, if it
 // is unreadable, why.
 func parseNumber(values []string) (state scheduler.NoticeState, number float64, text string) {
