scheduler: answers may take longer to stay within a data centre

Cause: the choice of an upstream knew no data centre, so that three of four requests crossed on a deployment of four, at a price, and opened more connections. Change: where FLAMINGOHAVEN_ZONE_COST is set, an upstream elsewhere costs more time by the bytes that would cross, at most an eighth of the time to the objective, scaled by the pool's idle fraction.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -183,6 +183,9 @@
 	gauge("flamingohaven_fleet_scheduled_gateways", "Gateways that the schedulers of this node serve.", func() float64 {
 		return float64(n.schedulerLoad().gateways)
 	})
+	gauge("flamingohaven_fleet_grants_elsewhere_total", "Grants by the schedulers of this node of upstreams outside their gateways' data centres, where that matters.", func() float64 {
+		return float64(n.schedulerLoad().elsewhere)
+	})
 	gauge("flamingohaven_fleet_stale_estimate_grants_total", "Grants by the schedulers of this node of upstreams whose speed was no longer known.", func() float64 {
 		return float64(n.schedulerLoad().stale)
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -233,8 +233,14 @@
 	for team, t := range c.Teams {
 		view.Teams = append(view.Teams, scheduler.Team{Name: team, Shares: t.Shares})
 	}
+	if n.settings.ZoneCost > 0 {
+		view.Zones = &scheduler.ZonePolicy{Gateways: make(map[ident.NodeID]ident.Zone), PerGB: n.settings.ZoneCost}
+	}
 	for _, m := range n.gateways() {
 		view.Gateways = append(view.Gateways, m.ID)
+		if view.Zones != nil {
+			view.Zones.Gateways[m.ID] = m.Zone
+		}
 		if shard.Of(m.ID, max(1, n.shards)) == shard.Of(n.settings.ID(), max(1, n.shards)) {
 			view.Shared.Neighbours = append(view.Shared.Neighbours, m.ID)
 		}
@@ -254,6 +260,8 @@
 type schedulerLoad struct {
 	// gateways are served by them, and requests wait there or run under their grants.
 	gateways, waiting, running int
+	// elsewhere counts the grants so far of upstreams outside their gateways' data centres.
+	elsewhere int
 	// stale counts the grants so far of upstreams whose speed was no longer known.
 	stale int
 	// retries took from the retry budgets so far and refused were not allowed by them. The
@@ -275,6 +283,7 @@
 		}
 		load.gateways = max(load.gateways, m.Sessions())
 		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
+		load.elsewhere += stats.Elsewhere
 	}
 	if math.IsInf(load.left, 1) {
 		load.left = 0
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -68,6 +68,9 @@
 	// ListCallsPerSecond is the rate of calls that the platform's list accepts from
 	// all nodes together; 0 means no limit.
 	ListCallsPerSecond float64
+	// ZoneCost is how much longer an answer may take to keep a GB within a data centre; 0
+	// means that data centres don't matter.
+	ZoneCost time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
@@ -112,6 +115,7 @@
 		add(net.ParseIP(string(seed)) == nil, "seed %q is not an IP address", seed)
 	}
 	add(!s.Gateway() && !s.Replica(), "the node has neither a caller address nor a data directory")
+	add(s.ZoneCost < 0, "cost of traffic between data centres is %s for each GB, must not be negative", s.ZoneCost)
 	add(s.ToleratedLosses < 0, "tolerated losses are %d, must not be negative", s.ToleratedLosses)
 	add(s.MaxConfigAge <= 0, "maximum configuration age is %s, must be positive", s.MaxConfigAge)
 	add(s.MaxDenialAge <= 0, "maximum age of the configuration for a denial is %s, must be positive", s.MaxDenialAge)
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -21,7 +21,7 @@
 	if g := p.probeEngine(e, now); g != nil {
 		return g
 	}
-	c := candidates{pool: p, apart: p.isSuspectRequest(e), urgent: e.ticket.Tier == p.highestTier, options: p.options[:0]}
+	c := candidates{pool: p, apart: p.isSuspectRequest(e), urgent: e.ticket.Tier == p.highestTier, idle: p.idleFraction(), options: p.options[:0]}
 	defer func() { p.options = c.options }()
 	if len(p.shares.shares) == 0 {
 		for _, r := range p.readySets {
@@ -46,7 +46,9 @@
 	// request.
 	apart bool
 	// urgent is true for a ticket of the highest tier.
-	urgent  bool
+	urgent bool
+	// idle is the fraction of the pool's slots that are free.
+	idle    float64
 	options []option
 	// feasible reports whether any upstream in rotation is expected to meet the
 	// ticket's deadline. It is computed on first use, which sets feasibleKnown.
@@ -59,6 +61,8 @@
 	engine *engine
 	missed float64
 	cost   estimate
+	// crossing is the part of the cost for bytes that leave the gateway's data centre.
+	crossing time.Duration
 }
 
 // consider adds the upstreams at the head of a ready set to the candidates, and those
@@ -70,6 +74,7 @@
 	if len(r.engines) <= p.tuning.headCandidates {
 		return
 	}
+	p.considerZone(e, r, c, now)
 	blocks := longestMatch(e.ticket.Prefixes, p.holders.has)
 	if blocks == 0 {
 		return
@@ -87,8 +92,11 @@
 	if e.excludes(g.upstream.Name) || g.isPausedFor(e.ticket.Gateway, now) || c.apart && c.pool.runsSuspect(g) {
 		return
 	}
-	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
-	c.options = append(c.options, option{engine: g, missed: missed, cost: g.expectedCost(e, missed, c.urgent, now)})
+	o := option{engine: g, missed: float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))}
+	o.crossing = c.pool.view.Zones.crossing(&e.ticket, &g.upstream, c.idle)
+	o.cost = g.expectedCost(e, o.missed, c.urgent, now)
+	o.cost.time += o.crossing
+	c.options = append(c.options, o)
 }
 
 // best returns the upstream with the lowest expected cost, nil if there is none. Those
@@ -118,7 +126,7 @@
 // explain returns the figures behind the choice of a candidate.
 func (c *candidates) explain(pick, alike int, now time.Duration) Choice {
 	chosen := c.options[pick]
-	choice := Choice{Expected: chosen.cost.time, Error: seconds(math.Sqrt(chosen.cost.variance)), Alike: alike}
+	choice := Choice{Crossing: chosen.crossing, Expected: chosen.cost.time, Error: seconds(math.Sqrt(chosen.cost.variance)), Alike: alike}
 	if at := chosen.engine.speed.latest.at; at > 0 {
 		choice.Age = now - at
 	}
@@ -140,7 +148,7 @@
 			continue
 		}
 		alike++
-		cost := o.engine.costAt(&cheapest.engine.speed, e, o.missed, now)
+		cost := o.crossing + o.engine.costAt(&cheapest.engine.speed, e, o.missed, now)
 		if pick < 0 || cost < least || cost == least && lessLoaded(o.engine, c.options[pick].engine) {
 			pick, least = i, cost
 		}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -133,6 +133,9 @@
 	if g.used() == 0 && g.speed.isStale(now) {
 		p.staleGrants++
 	}
+	if zone := p.view.Zones.ownZone(&e.ticket); zone != "" && zone != g.upstream.Zone {
+		p.grantsElsewhere++
+	}
 	g.running[e], g.grantedAt = struct{}{}, now
 	g.spendToken()
 	p.spaceOut(g, now)
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -48,6 +48,8 @@
 	highestTier ident.TierName
 	// staleGrants counts the grants of upstreams with stale samples.
 	staleGrants int
+	// grantsElsewhere counts the grants of upstreams outside their gateways' data centres.
+	grantsElsewhere int
 	// options is reused by choose.
 	options []option
 	outputs outputs
@@ -531,7 +533,7 @@
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
 	s := Stats{
-		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
+		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants, Elsewhere: p.grantsElsewhere,
 		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
 	}
 	for _, q := range p.tiers {
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -98,6 +98,8 @@
 	Expected, Error, Age time.Duration
 	// Alike counts the candidates that count as equally fast, the chosen one included.
 	Alike int
+	// Crossing is the part of Expected for bytes that leave the gateway's data centre.
+	Crossing time.Duration
 	// Next is the cheapest one of the other candidates, which would cost NextExpected; empty
 	// if there is none.
 	Next         ident.UpstreamName
@@ -107,6 +109,9 @@
 // String implements fmt.Stringer.
 func (c Choice) String() string {
 	text := fmt.Sprintf("expected %d ms, error %d ms, last answer %d ms ago, %d alike", c.Expected.Milliseconds(), c.Error.Milliseconds(), c.Age.Milliseconds(), c.Alike)
+	if c.Crossing > 0 {
+		text += fmt.Sprintf(", %d ms of it for another data centre", c.Crossing.Milliseconds())
+	}
 	if c.Next == "" {
 		return text
 	}
@@ -410,6 +415,8 @@
 	// all pools, and Ends the ends of upstreams under requests.
 	Poison []poison.Record
 	Ends   []poison.End
+	// Zones says what traffic between data centres is worth; nil means nothing.
+	Zones *ZonePolicy
 	// Cold limits the load of upstreams that have just started; nil means no limit.
 	Cold *config.ColdLimit
 	// Shared is set where no lease prevents other schedulers from serving the
@@ -532,6 +539,9 @@
 	// Stale counts the grants so far of upstreams whose speed was no longer known, because
 	// they had got no requests for a while.
 	Stale int
+	// Elsewhere counts the grants so far of upstreams outside their gateways' data centres, where
+	// that matters.
+	Elsewhere int
 	// Retries counts the retries so far that took from the retry budget, RetriesRefused those
 	// that it did not allow, and RetriesLeft is what is left of it.
 	Retries, RetriesRefused int
