Answers with a malformed status, and uploads that the upstream resets

The daemon's sender took 000, 101 and 600 for whole answers. (2) The daemon took part of an answer without a length for all of it if the upstream reset the connection while the request was being written: the kernel reports the reset once, to the write. Change: a status other than 100 to 599, or a 101, ends the exchange as one that may have run, and the connection is closed.

--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
+	"github.com/flamingohaven/flamingohaven/internal/transport/h1conn"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
@@ -112,7 +114,8 @@
 func (s *Sender) send(ctx context.Context, d gateway.Dispatch, sink gateway.AnswerSink) gateway.DispatchResult {
 	sendCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	request, err := newRequest(sendCtx, d)
+	upload := newUpload()
+	request, err := newRequest(httptrace.WithClientTrace(sendCtx, &httptrace.ClientTrace{WroteRequest: upload.record}), d)
 	if err != nil {
 		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
 	}
@@ -124,6 +127,9 @@
 		return failureResult(err)
 	}
 	defer response.Body.Close()
+	if !h1conn.IsAnswerStatus(response.StatusCode) {
+		return gateway.DispatchResult{Outcome: gateway.DispatchIncomplete, Err: fmt.Errorf("%w: %q", h1conn.ErrMalformedStatus, response.Status)}
+	}
 	if response.Header.Get(upstreamapi.HeaderRequestID) != string(d.Request.ID) {
 		err := fmt.Errorf("answer carries request id %q", response.Header.Get(upstreamapi.HeaderRequestID))
 		return gateway.DispatchResult{Outcome: gateway.DispatchMismatched, Err: err}
@@ -133,7 +139,7 @@
 		reader := &streamReader{sink: sink}
 		return s.resumeUntilDone(ctx, d, reader, reader.forwardResponse(response))
 	}
-	return forwardWhole(response, sink)
+	return forwardWhole(response, upload, sink)
 }
 
 // noticeOf decodes what an answer says about its upstream.
@@ -219,7 +225,7 @@
 func (b *singleReadBody) Close() error { return nil }
 
 // forwardWhole forwards an answer that is not an event stream.
-func forwardWhole(response *http.Response, sink gateway.AnswerSink) gateway.DispatchResult {
+func forwardWhole(response *http.Response, upload *upload, sink gateway.AnswerSink) gateway.DispatchResult {
 	result := gateway.DispatchResult{
 		Outcome: gateway.DispatchIncomplete, Status: response.StatusCode,
 		Framing: framingOf(response), BytesEnd: gateway.EndOther,
@@ -239,6 +245,9 @@
 				return result
 			}
 		}
+		if err == io.EOF && result.Framing == gateway.FramedByConnection && !upload.sentWhole() {
+			err = fmt.Errorf("the connection ended while the request was sent: %w", io.ErrUnexpectedEOF)
+		}
 		if err == io.EOF && total <= MaxAnswerBytes {
 			result.Outcome, result.BytesEnd = gateway.DispatchComplete, gateway.EndOf(err, result.Framing)
 			return result
