--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -24,6 +24,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 	"github.com/flamingohaven/flamingohaven/internal/transport/tunnel"
 )
@@ -81,7 +82,9 @@
 	pools       *pool.Service
 	gateway     *gateway.Gateway
 	// relay accepts requests of other gateways; nil if this node relays none.
-	relay  *tunnel.Server
+	relay *tunnel.Server
+	// guard accounts for the connections of all listeners of the process.
+	guard  *connguard.Guard
 	budget *gateway.Budget
 	quotas *scheduler.Quotas
 	usage  *scheduler.UsageLog
@@ -163,6 +166,7 @@
 	n.pools = pool.NewService(n.clock)
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes)*bodyMemoryShare), teamBodyShare)
 	n.metrics = newMetrics(n)
+	n.guard = newGuard(&n.settings, n.metrics)
 	n.gateway = gateway.New(n, nil, deps.Upstreams, n.budget, n.events)
 	if err := n.listen(); err != nil {
 		n.Stop()
@@ -195,6 +199,7 @@
 		return err
 	}
 	n.server = server
+	n.server.Guard(n.guard)
 	if err := n.listenRelay(); err != nil {
 		return err
 	}
--- a/internal/command/fleet/relay.go
+++ b/internal/command/fleet/relay.go
@@ -24,6 +24,7 @@
 	}
 	n.relay, err = tunnel.Listen(n.relayAddress(n.settings.ID()), relayDialTimeout, n.permitRelay, n.recordBrokenTunnel)
 	if err == nil {
+		n.relay.Guard(n.guard)
 		n.gateway.SetRelays(n)
 	}
 	return err
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -71,6 +71,8 @@
 	// ZoneCost is how much longer an answer may take to keep a GB within a data centre; 0
 	// means that data centres don't matter.
 	ZoneCost time.Duration
+	// MaxDescriptors is the number of descriptors that the process may open; 0 if unknown.
+	MaxDescriptors int
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
--- a/internal/transport/rpcnet/frames.go
+++ b/internal/transport/rpcnet/frames.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+
+	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
 )
 
 // MaxMessageBytes limits one message, in bytes. The largest legitimate one carries a
@@ -20,6 +22,8 @@
 	lengthBytes int
 	length      uint64
 	payload     uint64
+	// ready is true once a whole message has come.
+	ready bool
 }
 
 // Read implements net.Conn.
@@ -37,6 +41,9 @@
 			skipped := min(f.payload, uint64(len(read)))
 			f.payload -= skipped
 			read = read[skipped:]
+			if f.payload == 0 && !f.ready {
+				f.markReady()
+			}
 			continue
 		}
 		if err := f.followLength(read[0]); err != nil {
@@ -47,6 +54,14 @@
 	return nil
 }
 
+// markReady tells the guard of the connection that a whole message has come.
+func (f *frameLimiter) markReady() {
+	f.ready = true
+	if guarded, ok := f.Conn.(*connguard.Conn); ok {
+		guarded.Ready()
+	}
+}
+
 // followLength processes one byte of a length.
 func (f *frameLimiter) followLength(b byte) error {
 	const maxOneByte, maxLengthBytes = 0x7f, 8
--- a/internal/transport/rpcnet/server.go
+++ b/internal/transport/rpcnet/server.go
@@ -5,6 +5,9 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
 )
 
 // Server serves net/rpc on one listener.
@@ -27,6 +30,15 @@
 	return NewServer(listener), nil
 }
 
+// firstMessageTimeout bounds the time until the first whole message on a connection, which its
+// client sends at once.
+const firstMessageTimeout = 10 * time.Second
+
+// Guard makes a guard account for the connections, before Serve.
+func (s *Server) Guard(g *connguard.Guard) {
+	s.listener = g.Wrap(s.listener, connguard.Options{Name: "internal", HeadTimeout: firstMessageTimeout})
+}
+
 // NewServer returns a server on an existing listener.
 func NewServer(listener net.Listener) *Server {
 	return &Server{
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -15,11 +15,16 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
 )
 
 const (
 	// MaxOpen bounds the tunnels through one node.
 	MaxOpen = 512
+	// maxHeaderBytes bounds the header of a CONNECT request, which names an address and its
+	// origin.
+	maxHeaderBytes = 4 << 10
 	// headerTimeout bounds the time to read the header of a CONNECT request.
 	headerTimeout = 2 * time.Second
 	// keepAliveInterval is the time between keep-alive probes, and keepAliveCount the
@@ -81,10 +86,16 @@
 		return nil, fmt.Errorf("tunnel: %w", err)
 	}
 	s := &Server{permit: permit, onBroken: onBroken, dialTimeout: dialTimeout, listener: listener, running: make(map[*tunnel]bool)}
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, ErrorLog: klog.NewStandardLogger("WARNING")}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: klog.NewStandardLogger("WARNING")}
 	return s, nil
 }
 
+// Guard makes a guard account for the connections, before Serve.
+func (s *Server) Guard(g *connguard.Guard) {
+	s.listener = g.Wrap(s.listener, connguard.Options{Name: "relay"})
+	s.server.ConnState = g.State
+}
+
 // Serve accepts connections until Close.
 func (s *Server) Serve() { _ = s.server.Serve(s.listener) }
 
@@ -317,7 +328,7 @@
 	if reset {
 		linger = 0
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(linger)
 	}
 }
