Retry reservations: a calendar of capacity for refused callers

Cause: under heavy load half of all attempts are refused; each caller retries once at Retry-After, which today is the wait of requests within their objectives, so that most come back in vain. Change: retryslots keeps a bounded table of reservations and a calendar of capacity. Where Shared.RetryReservations is set, a refusal for load tells the earliest time that fits, or no time; a retry at its time is queued before late work of its tier. No node sets it. pool.go and types.go are split without other changes.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -30,7 +30,8 @@
 	wait := p.expectedWait(e, now)
 	e.waitAhead = wait
 	if e.lateUntil != 0 {
-		if now+wait > e.lateUntil || now+wait+e.shortest >= e.deadline {
+		// A retry that came when it was told to waits as long as any late ticket may.
+		if !e.reserved && now+wait > e.lateUntil || now+wait+e.shortest >= e.deadline {
 			return ReasonDeadline
 		}
 		return ""
@@ -184,7 +185,9 @@
 		}
 	}
 	ahead += workAheadInTier(tier, e)
-	return max(p.nextToken(now), p.pauseWait(e, now), scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now)))
+	spare := p.spareSlots(tier, e.deadline-now, now)
+	ahead += p.reservedAhead(e, scaleBy(ahead, 1/spare), now)
+	return max(p.nextToken(now), p.pauseWait(e, now), scaleBy(ahead, 1/spare))
 }
 
 // workAheadInTier returns the work of the ticket's tier that is served before it:
@@ -253,6 +256,9 @@
 // sweep refuses the waiting tickets that are not going to meet their deadlines,
 // judged by the work ahead of each.
 func (p *Pool) sweep(now time.Duration) {
+	if p.reservations != nil {
+		p.reservations.Expire(now)
+	}
 	p.refreshAll(now)
 	p.updateUnusableSlots(now)
 	ahead := time.Duration(0)
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -87,6 +87,10 @@
 	retry                 retryState
 	counted, countedFirst int64
 	refusal               Refusal
+	// reserved is true for a retry that came at its reserved time, and retryNote what the
+	// reservations say of the ticket, for logs.
+	reserved  bool
+	retryNote string
 }
 
 // latestStart returns the last moment at which a dispatch still meets the
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler/retryslots"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -118,6 +118,11 @@
 	// 0 once its budget was reported. Undecided holds the retries that wait for that.
 	settledAt time.Duration
 	undecided []*entry
+	// reservations holds those of refused callers; nil if there are none. Unplanned counts the
+	// refusals for load for which there was none.
+	reservations *retryslots.Table
+	unplanned    int
+	overload     overloadSpan
 	// newUsage is true after a registration until these are looked at again.
 	newUsage bool
 }
@@ -167,78 +172,13 @@
 		p.refreshAll(now)
 	}
 	p.shares.set(v.Shares)
+	p.setReservations()
 	p.setTiers(v)
 	p.learnPoison(v.Poison, now)
 	p.learnEnds(v.Ends, now)
 	p.step(now)
 }
 
-// setTiers rebuilds the tier queues, highest rank first, and moves the state and
-// the waiting tickets of the old queues into them.
-func (p *Pool) setTiers(v View) {
-	old := p.tiers
-	p.weights = make(map[ident.TeamName]float64, len(v.Teams))
-	for _, t := range v.Teams {
-		p.weights[t.Name] = float64(max(1, t.Shares))
-	}
-	p.tiers = make([]*tierQueue, 0, len(v.Tiers))
-	for _, t := range v.Tiers {
-		if v.Shared != nil {
-			p.tiers = append(p.tiers, newTierQueue(onTimeTier(t)), newTierQueue(lateTier(t)))
-			continue
-		}
-		p.tiers = append(p.tiers, newTierQueue(t))
-	}
-	sort.SliceStable(p.tiers, func(i, j int) bool { return p.tiers[i].tier.Rank > p.tiers[j].tier.Rank })
-	p.highestTier = ""
-	if len(p.tiers) > 0 {
-		p.highestTier = p.tiers[0].tier.Name
-	}
-	for _, q := range old {
-		for name, t := range q.teams {
-			p.tier(q.tier.Name).team(name, p.weight(name)).virtualTime = t.virtualTime
-		}
-		p.tier(q.tier.Name).virtualTime = q.virtualTime
-		p.tier(q.tier.Name).arrivals = q.arrivals
-		p.tier(q.tier.Name).held = q.held
-		p.tier(q.tier.Name).shed = q.shed
-		p.tier(q.tier.Name).shedAt = q.shedAt
-		for _, t := range q.active {
-			for _, e := range t.entries {
-				p.queueOf(e).add(e)
-			}
-		}
-	}
-}
-
-// tier returns the queue of the named tier. A tier that the view does not list
-// gets a queue that ranks below all others.
-func (p *Pool) tier(name ident.TierName) *tierQueue {
-	for _, q := range p.tiers {
-		if q.tier.Name == name {
-			return q
-		}
-	}
-	rank := 0
-	if n := len(p.tiers); n > 0 {
-		rank = p.tiers[n-1].tier.Rank - 1
-	}
-	q := newTierQueue(Tier{Name: name, Rank: rank})
-	p.tiers = append(p.tiers, q)
-	return q
-}
-
-func (p *Pool) weight(team ident.TeamName) float64 {
-	if w, known := p.weights[team]; known {
-		return w
-	}
-	return 1
-}
-
-func (p *Pool) queueOf(e *entry) *teamQueue {
-	return p.tierOf(e).team(e.ticket.Team, p.weight(e.ticket.Team))
-}
-
 // setUpstreams applies the view's upstreams. An upstream that the view no longer
 // lists is kept while requests run on it.
 func (p *Pool) setUpstreams(upstreams []Upstream, now time.Duration) {
@@ -306,142 +246,6 @@
 	p.removeReady(g)
 }
 
-// Submit implements Scheduler.
-func (p *Pool) Submit(t Ticket, now time.Duration) {
-	p.submit(t, now)
-	p.step(now)
-}
-
-// submit queues or refuses a new ticket. For a known ticket it repeats the
-// decision.
-func (p *Pool) submit(t Ticket, now time.Duration) {
-	p.now = now
-	if e, known := p.entries[t.ID]; known && e.state != stateEnded {
-		p.repeatDecision(e, now)
-		return
-	}
-	e := &entry{ticket: t, state: stateWaiting, deadline: now + t.Remaining, submittedAt: now}
-	switch {
-	case t.Objective == 0:
-	case t.Returned:
-		e.lateUntil = now + e.lateWait(now)
-	default:
-		e.objective = now + t.Objective
-	}
-	p.entries[t.ID] = e
-	if p.isRetry(e) && !p.reserveRetry(e, now) {
-		return
-	}
-	p.admitNew(e, now)
-}
-
-// admitNew queues or refuses a ticket that is new here.
-func (p *Pool) admitNew(e *entry, now time.Duration) {
-	defer p.observeService(e)
-	e.admitted = true
-	if reason := p.admit(e, now); reason != "" {
-		p.refuse(e, reason, now)
-		return
-	}
-	p.enqueue(e)
-	e.queue.tier.arrivals.add(e.serviceTime.Seconds(), now)
-}
-
-func (p *Pool) enqueue(e *entry) {
-	e.state = stateWaiting
-	p.queueOf(e).add(e)
-	p.waiting++
-}
-
-func (p *Pool) dequeue(e *entry) {
-	e.queue.remove(e)
-	p.waiting--
-	p.lastWaiting = p.now
-}
-
-// repeatDecision emits the decision on a known ticket again, if there is one.
-func (p *Pool) repeatDecision(e *entry, now time.Duration) {
-	switch e.state {
-	case stateGranted:
-		p.emitGrant(e, now)
-	case stateRefused:
-		refusal := e.refusal
-		p.emit(e, Decision{Refusal: &refusal})
-	}
-}
-
-func (p *Pool) emit(e *entry, d Decision) {
-	d.Gateway = e.ticket.Gateway
-	d.Basis = Basis{
-		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
-		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle,
-		Percent: int(100 * p.fraction),
-	}
-	p.decisions = append(p.decisions, d)
-}
-
-// emitGrant emits a grant whose TTL is the time left until it expires. The
-// gateway counts the TTL from when it sent the call that the grant answers. That
-// was before now, so the gateway stops using the grant in time.
-func (p *Pool) emitGrant(e *entry, now time.Duration) {
-	peer := e.engine.peerOf(e.ticket.Gateway, now)
-	p.emit(e, Decision{Grant: &Grant{
-		Ticket:   e.ticket.ID,
-		Epoch:    p.epoch,
-		Upstream: e.engine.upstream.Name,
-		Version:  e.version,
-		First:    e.expectedFirstToken,
-		Limited:  e.engine.rate != nil || e.engine.brittle != nil,
-		Trial:    p.isTrial(e),
-		Choice:   e.choice,
-		Peer:     peer.gateway,
-		PeerAge:  now - peer.at,
-		TTL:      e.grantExpires - now,
-	}})
-}
-
-// refuse refuses a ticket that holds no slot and is in no queue.
-func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
-	tier := p.tierOf(e)
-	tier.shed = true
-	tier.shedAt = now
-	e.refusal = Refusal{Ticket: e.ticket.ID, Reason: reason, RetryAfter: p.retryAfter(e, reason, now)}
-	e.state = stateRefused
-	p.endTrial(e, false, false, now)
-	p.releaseQuota(e)
-	p.releaseRetry(e)
-	refusal := e.refusal
-	p.emit(e, Decision{Refusal: &refusal})
-	p.forgetLater(e, now)
-}
-
-// forgetLater keeps a finished ticket for finishedRetention, to answer
-// duplicates.
-func (p *Pool) forgetLater(e *entry, now time.Duration) {
-	e.ticket.Prefixes = nil
-	p.timers.add(timer{at: now + finishedRetention, kind: timerForget, entry: e})
-}
-
-// Cancel implements Scheduler.
-func (p *Pool) Cancel(id ident.RequestID, now time.Duration) {
-	if e, known := p.entries[id]; known && e.state == stateWaiting {
-		p.dequeue(e)
-		p.end(e, now)
-	} else if known && e.state == stateUndecided {
-		p.end(e, now)
-	}
-	p.step(now)
-}
-
-// end marks a ticket that holds no slot and is in no queue as ended.
-func (p *Pool) end(e *entry, now time.Duration) {
-	p.endTrial(e, false, false, now)
-	p.releaseQuota(e)
-	p.releaseRetry(e)
-	e.state = stateEnded
-	p.forgetLater(e, now)
-}
-
 // Tick implements Scheduler.
 func (p *Pool) Tick(now time.Duration) {
 	p.step(now)
@@ -534,6 +338,7 @@
 		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
 		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
 	}
+	s.Reservations, s.Unplanned = p.reservationCounts(), p.unplanned
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
 	}
--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -73,6 +73,9 @@
 // tierOf returns the queue for a ticket: that of its tier, or that of the tier's
 // late tickets.
 func (p *Pool) tierOf(e *entry) *tierQueue {
+	if e.reserved && p.reservations != nil {
+		return p.tier(e.ticket.Tier + reservedSuffix)
+	}
 	if p.view.Shared != nil && e.lateUntil != 0 {
 		return p.tier(e.ticket.Tier + lateSuffix)
 	}
@@ -226,7 +229,7 @@
 			continue
 		}
 		switch {
-		case q.tier.Rank < own.tier.Rank-1:
+		case q.tier.Rank < own.tier.Rank-p.lateRanks():
 			below++
 		case q.tier.Rank > own.tier.Rank:
 			above++
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler/retryslots"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 )
@@ -190,255 +190,18 @@
 	// Percent is the percentage of the pool's capacity that this scheduler may
 	// use.
 	Percent int
+	// Retry says what the reservations for retries decided; empty if they don't apply.
+	Retry string
 }
 
 // String implements fmt.Stringer.
 func (b Basis) String() string {
-	return fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d brittle, %d%% of capacity",
+	text := fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d brittle, %d%% of capacity",
 		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Limited, b.Brittle, b.Percent)
-}
-
-// ReportKind is the kind of event that is reported about a granted request.
-type ReportKind uint8
-
-const (
-	// ReportDispatched means that the request was sent.
-	ReportDispatched ReportKind = iota + 1
-	// ReportFirstToken means that the answer began.
-	ReportFirstToken
-	// ReportEnded means that the answer is complete.
-	ReportEnded
-	// ReportFailed means that the upstream failed the request.
-	ReportFailed
-	// ReportUnsent means that the request provably did not reach the upstream;
-	// the slot is free and the ticket waits again.
-	ReportUnsent
-	// ReportDropped means that the gateway let the grant expire unused or that
-	// the caller left.
-	ReportDropped
-	// ReportUnknown means that the connection broke; the upstream may still run
-	// the request.
-	ReportUnknown
-	// ReportRejected means that the upstream declined to run the request; the
-	// slot is free and the ticket waits again.
-	ReportRejected
-	// ReportRetryable means that the upstream failed a request that may run again;
-	// the ticket waits again.
-	ReportRetryable
-	// ReportOverdue means that the caller's deadline passed before the answer was
-	// complete; the upstream may still run the request.
-	ReportOverdue
-	// ReportMisdirected means that another upstream answered at the address and
-	// did not run the request; the slot is free and the ticket waits again.
-	ReportMisdirected
-	// ReportNotice means that an answer says something about its upstream. It does
-	// not change the state of the request.
-	ReportNotice
-)
-
-// Report informs the scheduler of an event in the life of a granted request.
-type Report struct {
-	Kind     ReportKind
-	Ticket   ident.RequestID
-	Gateway  ident.NodeID
-	Upstream ident.UpstreamName
-	// Elapsed is the time from the dispatch to what is reported.
-	Elapsed time.Duration
-	// Age is the time since then if the report has waited for another message.
-	Age time.Duration
-	// OutputTokens counts tokens received so far.
-	OutputTokens int
-	// SinceFirst is the time since the answer began; 0 if it has not.
-	SinceFirst time.Duration
-	// CachedTokens counts prompt tokens that the engine took from its cache.
-	CachedTokens int
-	// Broken states how far the answer had come if its upstream broke it off, and
-	// AnsweredBefore is as in EndNotice.
-	Broken         Broken
-	AnsweredBefore time.Duration
-	// Via is the gateway through which the request was sent; empty if it was sent
-	// directly. PathSuspect is true for a failure that the gateway's own path to the
-	// upstream may have caused.
-	Via         ident.NodeID
-	PathSuspect bool
-	// ConnAge is how long before the dispatch the connection of the answer was opened; 0 if
-	// unknown.
-	ConnAge time.Duration
-	// Notice is what the answer says about its upstream; nil except with
-	// ReportNotice.
-	Notice *UpstreamNotice
-}
-
-// Ending is how a granted request ended, as its gateway reports it.
-type Ending struct {
-	// Kind is one of the final kinds.
-	Kind         ReportKind
-	OutputTokens int
-	Broken       Broken
-	// PathSuspect and ConnAge are as in Report.
-	PathSuspect bool
-	ConnAge     time.Duration
-	// SinceEnd is the time since the answer ended, which was checked.
-	SinceEnd time.Duration
-}
-
-// Running is a dispatched request that a gateway lists when it registers.
-type Running struct {
-	Ticket   Ticket
-	Upstream ident.UpstreamName
-	Version  ident.VersionName
-	// Elapsed is the time since dispatch.
-	Elapsed time.Duration
-}
-
-// Registration reports a gateway's waiting and running requests to a scheduler.
-type Registration struct {
-	Gateway     ident.NodeID
-	Incarnation ident.Incarnation
-	Waiting     []Ticket
-	Running     []Running
-	// Sent is what the gateway has sent recently, by team, and Uptime how long it
-	// has counted that. Both are used only where quotas are shared.
-	Sent   []TeamUsage
-	Uptime time.Duration
-	// Ended are the requests that ended within GrantCounted and are not placed again. The
-	// reports of their dispatches and ends may be lost.
-	Ended []ident.RequestID
-	// Retries is what the gateway has sent to the pool; nil if it does not count that.
-	Retries *RetryUsage
-	// RateLimits are the limits that upstreams have named to the gateway, and which of
-	// them are brittle.
-	RateLimits []RateLimitNotice
-	// Pauses are those that upstreams have asked the gateway for, and Leaving the upstreams
-	// that it knows to leave because they said so in an answer.
-	Pauses  []PauseNotice
-	Leaving []ident.UpstreamName
-	// Cold holds the upstreams that have said in an answer that they are cold.
-	Cold []ColdNotice
-	// Poison holds the records of refused parts and requests that the gateway knows, and
-	// Ends its requests whose upstreams broke off their answers.
-	Poison []poison.Record
-	Ends   []EndNotice
-}
-
-// LoadReport is the load that an upstream itself reports, with a delay.
-type LoadReport struct {
-	Upstream ident.UpstreamName
-	Running  int
-	Waiting  int
-	// CacheUsed is the used fraction of the KV cache, 0 to 1.
-	CacheUsed float64
-	// Age is how old the figures are when the scheduler receives them.
-	Age time.Duration
-	// Versions lists the versions loaded and ready. Empty means unknown.
-	Versions []ident.VersionName
-}
-
-// CacheEvent reports that an engine stored or evicted prefix blocks. Events
-// arrive late and some are lost; Sequence reveals the gaps.
-type CacheEvent struct {
-	Upstream ident.UpstreamName
-	Sequence uint64
-	Stored   []uint64
-	Evicted  []uint64
-	// Cleared means that the whole cache was emptied.
-	Cleared bool
-}
-
-// Upstream describes one upstream to the scheduler.
-type Upstream struct {
-	Name          ident.UpstreamName
-	Version       ident.VersionName
-	Zone          ident.Zone
-	MaxConcurrent int
-	// Leaving upstreams get no new work.
-	Leaving bool
-	// Process is the same for upstreams that may be one process under several names; empty
-	// if that can't be told.
-	Process string
-	// Region is the region of the upstream's data centre; empty if it isn't known.
-	Region ident.Region
-	// Evacuated upstreams get no new work until the evacuation of their data centre ends.
-	Evacuated bool
-	// ColdFor is how much longer the upstream was cold when ColdNumber last changed, which
-	// grows each time that it becomes cold or stays so for longer.
-	ColdFor    time.Duration
-	ColdNumber uint64
-}
-
-// VersionShare directs a fraction of a pool's traffic to one version.
-type VersionShare struct {
-	Version ident.VersionName
-	// Share is the fraction of idempotent traffic, 0 to 1.
-	Share float64
-	// NonIdempotentShare is the fraction of non-idempotent traffic, 0 to 1.
-	NonIdempotentShare float64
-}
-
-// Tier describes a tier of service to the scheduler. A tier of higher Rank is
-// served first. Reserve is the fraction of the slots that the tier may use for
-// tickets close to their deadlines.
-type Tier struct {
-	Name    ident.TierName
-	Rank    int
-	Reserve float64
-}
-
-// Team describes a team to the scheduler. Shares is its weight among the teams of
-// a tier.
-type Team struct {
-	Name   ident.TeamName
-	Shares int
-}
-
-// View is the scheduler's input from configuration, membership and moves.
-type View struct {
-	Pool       ident.PoolName
-	Revision   ident.Revision
-	QueueLimit int
-	Tiers      []Tier
-	Teams      []Team
-	Upstreams  []Upstream
-	// Incomplete is true while the list of upstreams may lack some.
-	Incomplete bool
-	// Shares sum to 1 over the versions that get traffic.
-	Shares []VersionShare
-	// Gateways lists the nodes that hold a lease. Slots used by other nodes stay
-	// counted until the upstream reports them free or a timeout passes.
-	Gateways []ident.NodeID
-	// Poison holds the records of refused parts and requests that the leader knows, of
-	// all pools, and Ends the ends of upstreams under requests.
-	Poison []poison.Record
-	Ends   []poison.End
-	// Cold limits the load of upstreams that have just started; nil means no limit.
-	Cold *config.ColdLimit
-	// Shared is set where no lease prevents other schedulers from serving the
-	// pool at the same time.
-	Shared *Shared
-}
-
-// Shared configures a shared scheduler: one that may run beside other schedulers
-// of the same pool. Of the upstreams' slots, the quotas and the retry budget it
-// uses only the fraction that its registered gateways make up of all gateways.
-type Shared struct {
-	// In any RetryWindow, RetryRatio retries for each request and RetryBurst more may be
-	// sent; a window of 0 selects 10 s.
-	RetryRatio  float64
-	RetryBurst  float64
-	RetryWindow time.Duration
-	// Neighbours are the gateways that have the same scheduler if all is well; nil means all.
-	Neighbours []ident.NodeID
-	// FirstStart is true if the whole system started for the first time when this process
-	// did, so that no scheduler was there before.
-	FirstStart bool
-	// Quotas bounds what teams use. Several pools may share it.
-	Quotas *Quotas
-	// Phase is a number from 0 to 1 that differs between schedulers. Those that use
-	// a small fraction of a rate limit grant out of phase.
-	Phase float64
-	// CutOffGrace is how long a gateway goes on serving requests under quotas
-	// after it has lost the leader.
-	CutOffGrace time.Duration
+	if b.Retry != "" {
+		text += "; " + b.Retry
+	}
+	return text
 }
 
 // Scheduler schedules the requests of one pool during one lease epoch. It is not
@@ -536,4 +299,8 @@
 	// that it did not allow, and RetriesLeft is what is left of it.
 	Retries, RetriesRefused int
 	RetriesLeft             float64
+	// Reservations are those for retries of refused callers, and Unplanned counts the refusals
+	// for load so far that had none and no RetryAfter.
+	Reservations retryslots.Counts
+	Unplanned    int
 }
