--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -195,6 +195,7 @@
 	gauge("flamingohaven_fleet_retry_budget_left", "Retries left in the retry budget of the pool that has the least left, of those that this node schedules.", func() float64 {
 		return n.schedulerLoad().left
 	})
+	n.registerReservationMetrics(gauge)
 	gauge("flamingohaven_fleet_scheduled_waiting", "Requests that wait at the schedulers of this node.", func() float64 {
 		return float64(n.schedulerLoad().waiting)
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -15,6 +15,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler/retryslots"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/shard"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -260,6 +261,10 @@
 	// budget that has the least left has left.
 	retries, refused int
 	left             float64
+	// reservations are those for retries of refused callers, and unplanned counts the
+	// refusals for load so far that had none.
+	reservations retryslots.Counts
+	unplanned    int
 }
 
 func (n *Node) schedulerLoad() schedulerLoad {
@@ -270,6 +275,7 @@
 	for _, m := range masters {
 		stats := m.Stats()
 		load.retries, load.refused = load.retries+stats.Retries, load.refused+stats.RetriesRefused
+		load.reservations, load.unplanned = load.reservations.Plus(stats.Reservations), load.unplanned+stats.Unplanned
 		if m.Sessions() > 0 {
 			load.left = min(load.left, stats.RetriesLeft)
 		}
--- a/internal/coordination/gateway/fingerprint_test.go
+++ b/internal/coordination/gateway/fingerprint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -17,6 +18,10 @@
 	}
 	same := fingerprint(func(*Request) {})
 	must.Eq(t, same, fingerprint(func(r *Request) { r.ID, r.Route, r.Pool = "b", "s", "p" }))
+	// A caller that retries has a new id and less time left.
+	must.Eq(t, same, fingerprint(func(r *Request) {
+		r.ID, r.Deadline, r.Objective, r.CallerTimeout, r.GiveUpAt = "b", time.Unix(9, 0), time.Unix(8, 0), time.Second, time.Unix(7, 0)
+	}))
 	prompted := &Request{Team: "t", Host: "h", Method: "GET", Path: "/p?q", Body: []byte("b"), Parts: []uint64{1}}
 	prompted.setFingerprint()
 	must.Eq(t, same, prompted.content)
--- a/internal/coordination/scheduler/reservations.go
+++ b/internal/coordination/scheduler/reservations.go
@@ -112,6 +112,9 @@
 func (p *Pool) retryCapacity(e *entry, now time.Duration) retryslots.Capacity {
 	rank := p.tier(e.ticket.Tier).tier.Rank
 	slots := p.usableSlots()
+	if p.fraction < 1 && !p.slotsAssigned {
+		slots = min(slots, float64(scaleLimit(p.unsharedSlots, p.fraction)))
+	}
 	c := retryslots.Capacity{Recent: slots, Usual: slots, Total: slots, Age: p.overload.age(now)}
 	for _, q := range p.tiers {
 		if q.tier.Rank > rank {
--- a/internal/coordination/scheduler/retryslots/retryslots.go
+++ b/internal/coordination/scheduler/retryslots/retryslots.go
@@ -95,6 +95,13 @@
 	Open, Made, Honoured, Expired, Displaced int
 }
 
+// Plus returns the sum of the numbers of two schedulers.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{
+		Open: c.Open + o.Open, Made: c.Made + o.Made, Honoured: c.Honoured + o.Honoured, Expired: c.Expired + o.Expired, Displaced: c.Displaced + o.Displaced,
+	}
+}
+
 type entry struct {
 	fingerprint           uint64
 	rank                  int
