--- a/internal/coordination/scheduler/retryslots/retryslots.go
+++ b/internal/coordination/scheduler/retryslots/retryslots.go
@@ -22,7 +22,8 @@
 	lateTolerance  = 150 * time.Millisecond
 	waitTolerance  = 0.1
 	// deadlineTolerance is how far the deadline of a retry may differ from that of its first
-	// attempt. Equal requests of other callers mostly differ by more.
+	// attempt, half of its wait at most: the deadline of another caller's first attempt with
+	// an equal request, which arrives in its stead, differs by the whole wait.
 	deadlineTolerance = 100 * time.Millisecond
 	// maxLasts is the chance of a continued overload above which only what it leaves counts.
 	maxLasts = 0.67
@@ -106,7 +107,9 @@
 	fingerprint           uint64
 	rank                  int
 	at, expires, deadline time.Duration
-	spans                 []span
+	// tolerance is how far the retry's deadline may differ.
+	tolerance time.Duration
+	spans     []span
 	// index is the position in the heap of expiries.
 	index int
 }
@@ -148,7 +151,8 @@
 		if at = max(at, from); len(spans) > 0 && at <= latest {
 			e := &entry{
 				fingerprint: r.Fingerprint, rank: r.Rank, at: at, deadline: r.Deadline,
-				expires: at + lateTolerance + time.Duration(waitTolerance*float64(at-now)),
+				tolerance: min(deadlineTolerance, (at-now)/2),
+				expires:   at + lateTolerance + time.Duration(waitTolerance*float64(at-now)),
 			}
 			t.calendar.hold(e, spans)
 			t.displace(e, c)
@@ -224,7 +228,7 @@
 	t.Expire(now)
 	match := Unknown
 	for _, e := range t.open[r.Fingerprint] {
-		if e.rank != r.Rank || !isRetry && (e.deadline-r.Deadline).Abs() > deadlineTolerance {
+		if e.rank != r.Rank || !isRetry && (e.deadline-r.Deadline).Abs() > e.tolerance {
 			continue
 		}
 		if now >= e.at-earlyTolerance {
--- a/internal/coordination/scheduler/retryslots/retryslots_test.go
+++ b/internal/coordination/scheduler/retryslots/retryslots_test.go
@@ -79,6 +79,20 @@
 	must.Eq(t, Counts{Made: 2, Honoured: 1, Expired: 1}, table.Counts())
 }
 
+// TestTable_EqualRequestOfAnother checks that a first attempt that arrives when the retry of
+// an equal request is due, after a short wait, does not get its reservation.
+func TestTable_EqualRequestOfAnother(t *testing.T) {
+	table := New()
+	r := request(7, 1)
+	r.Earliest = 80 * ms
+	at, ok := table.Reserve(r, Capacity{Recent: 10, Usual: 10, Total: 10}, 0)
+	must.True(t, ok)
+	other := r
+	other.Deadline += at - 20*ms
+	must.Eq(t, Unknown, table.Take(other, false, at-20*ms))
+	must.Eq(t, Honoured, table.Take(r, false, at-20*ms))
+}
+
 // TestTable_EqualCallersSpread checks that callers who are refused at once are told different
 // times, no more of them than the capacity serves, and that late ones get none.
 func TestTable_EqualCallersSpread(t *testing.T) {
