--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -13,6 +13,9 @@
 	if reason := p.admitPoison(e, now); reason != "" {
 		return reason
 	}
+	if p.isEvacuated() {
+		return ReasonNoUpstream
+	}
 	if p.exhausted(e) {
 		return ReasonUnsent
 	}
@@ -120,7 +123,7 @@
 // upstream of the pool at its average load.
 func (p *Pool) estimate(e *entry) {
 	batch := 1
-	if n := len(p.engines); n > 0 {
+	if n := len(p.engines) - p.evacuated; n > 0 {
 		batch = 1 + p.running/n
 	}
 	output := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -248,7 +248,7 @@
 func (p *Pool) ejectUnlessHalfOut(g *engine, now time.Duration) {
 	all, out := 0, 0
 	for _, other := range p.orderedEngines {
-		if other.upstream.Version != g.upstream.Version || !other.listed {
+		if other.upstream.Version != g.upstream.Version || !other.listed || other.upstream.Evacuated {
 			continue
 		}
 		all++
