Evacuations: gateways and leaders by what is committed, not by old copies

Cause: a leader could answer a sync with an update packed up to 100 ms before an evacuation was acknowledged, and commit an order whose sender had given it up; a replica that ran an older build when a text was committed disagreed with the others on its level, so that the text was not read again; a node that had just started or was cut off answered 404, which operators don't repeat; while a scheduler didn't know an evacuation, a gateway asked for one evacuated upstream after the other; a version whose upstreams are all evacuated kept its share. Change: cached updates are dropped when the evacuations change, orders carry how long the sender waits, the level of a text counts only from the committed level, such a node answers 503, a gateway excludes all evacuated upstreams from its next ticket or refuses with no_upstream, and versions without other upstreams have no share.

--- a/internal/command/fleet/evacuations.go
+++ b/internal/command/fleet/evacuations.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
@@ -35,9 +37,16 @@
 
 func (n *Node) evacuate(ctx context.Context, o evacuation.Order) error {
 	if !n.knowsZone(o.Zone) {
+		if !n.knowsAllZones() {
+			return fmt.Errorf("this node doesn't know the data centres at present: it has no contact with the leader, or the list was not read yet")
+		}
 		return fmt.Errorf("%w %.64q", ErrUnknownZone, o.Zone)
 	}
-	reply, err := control.Call[control.EvacuateReply](ctx, n.control, "Evacuate", &control.EvacuateArgs{Order: o})
+	args := &control.EvacuateArgs{Order: o}
+	if end, bounded := ctx.Deadline(); bounded {
+		args.Patience = max(1, time.Until(end))
+	}
+	reply, err := control.Call[control.EvacuateReply](ctx, n.control, "Evacuate", args)
 	switch {
 	case err != nil:
 		return err
@@ -49,6 +58,18 @@
 	return nil
 }
 
+// knowsAllZones reports whether a data centre that the node doesn't know can be told to be
+// unknown. A node that has just started or is cut off may lack upstreams and evacuations, and
+// operators don't repeat an order after a 404.
+func (n *Node) knowsAllZones() bool {
+	age, known, _ := n.proof.age(boottime.Now())
+	return known && age <= zonesMaxAge && n.follower.State().Listed
+}
+
+// zonesMaxAge is the age of the last contact up to which the node knows the listed data
+// centres: some syncs of the longest hold.
+const zonesMaxAge = 3 * time.Second
+
 // knowsZone reports whether a data centre is named in the settings, has listed upstreams or
 // is evacuated.
 func (n *Node) knowsZone(zone ident.Zone) bool {
@@ -63,6 +84,45 @@
 	return evacuated || slices.ContainsFunc(state.Upstreams, func(d control.Discovered) bool { return d.Upstream.Zone == zone })
 }
 
+// Evacuated implements gateway.Evacuations.
+func (n *Node) Evacuated(name ident.PoolName) (names []ident.UpstreamName, all bool) {
+	state := n.follower.State()
+	if len(state.Evacuations) == 0 {
+		return nil, false
+	}
+	all = true
+	for _, d := range n.upstreams.Load().byPool[name] {
+		if _, evacuated := evacuation.Find(state.Evacuations, d.Upstream.Zone); evacuated {
+			names = append(names, d.Name)
+		} else if !d.Leaving {
+			all = false
+		}
+	}
+	return names, all && len(names) > 0 && state.Listed
+}
+
+// evacuatedZones returns the number of evacuated data centres that this node knows, and
+// inFlightThere that of its requests that still run on their upstreams.
+func (n *Node) evacuatedZones() int { return len(n.follower.State().Evacuations) }
+
+func (n *Node) inFlightThere() int {
+	if n.evacuatedZones() == 0 {
+		return 0
+	}
+	state, upstreams := n.follower.State(), n.upstreams.Load()
+	there := func(name ident.UpstreamName) bool {
+		_, evacuated := evacuation.Find(state.Evacuations, upstreams.byName[name].Upstream.Zone)
+		return evacuated
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for _, c := range n.clients {
+		sum += c.InFlight(there)
+	}
+	return sum
+}
+
 // recordEvacuations records what has changed between two states of the fleet.
 func (n *Node) recordEvacuations(before, after []evacuation.Record) {
 	for _, r := range after {
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -143,6 +143,12 @@
 	gauge("flamingohaven_fleet_leaving_upstreams", "Upstreams that have said in an answer that they leave, as this gateway knows.", func() float64 {
 		return float64(n.leavingUpstreams())
 	})
+	gauge("flamingohaven_fleet_evacuated_zones", "Data centres that are evacuated, as this node knows.", func() float64 {
+		return float64(n.evacuatedZones())
+	})
+	gauge("flamingohaven_fleet_evacuated_in_flight", "Requests of this gateway that still run on upstreams of evacuated data centres.", func() float64 {
+		return float64(n.inFlightThere())
+	})
 	gauge("flamingohaven_fleet_unusable_list_entries", "Entries of the platform's list that the last complete pass of this node over it has skipped, since they can't be used.", func() float64 {
 		return float64(n.skippedCount())
 	})
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -164,6 +164,7 @@
 	n.budget = gateway.NewBudget(int64(float64(s.MemoryBytes)*bodyMemoryShare), teamBodyShare)
 	n.metrics = newMetrics(n)
 	n.gateway = gateway.New(n, nil, deps.Upstreams, n.budget, n.events)
+	n.gateway.SetEvacuations(n)
 	if err := n.listen(); err != nil {
 		n.Stop()
 		return nil, err
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -255,7 +255,7 @@
 func (n *Node) versions(name ident.PoolName) []ident.VersionName {
 	var versions []ident.VersionName
 	for _, d := range n.upstreams.Load().byPool[name] {
-		if !slices.Contains(versions, d.Upstream.Version) {
+		if _, evacuated := n.follower.Evacuation(d.Upstream.Zone); !evacuated && !slices.Contains(versions, d.Upstream.Version) {
 			versions = append(versions, d.Upstream.Version)
 		}
 	}
--- a/internal/coordination/control/evacuations.go
+++ b/internal/coordination/control/evacuations.go
@@ -1,12 +1,20 @@
 package control
 
 import (
+	"time"
+
 	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
 // EvacuateArgs holds an operator's order to start or end the evacuation of a data centre.
-type EvacuateArgs struct{ Order evacuation.Order }
+type EvacuateArgs struct {
+	Order evacuation.Order
+	// Patience is how long the sender waits for a reply; zero if it doesn't say. An order
+	// that is not proposed by then is dropped: its sender repeats it at another replica, and
+	// may have ordered the opposite meanwhile.
+	Patience time.Duration
+}
 
 // EvacuateReply answers an Evacuate call.
 type EvacuateReply struct {
@@ -19,13 +27,20 @@
 // once a quorum has the order on disk. The order has no effect if the term ends before: a
 // delayed one can't overtake what the operator ordered at the next leader.
 func (s *Service) Evacuate(args *EvacuateArgs, reply *EvacuateReply) error {
+	arrived := time.Now()
 	if _, status := s.readBarrier(); !status.OK() {
 		reply.Status = status
 		return nil
 	}
 	order := args.Order
 	if _, known := s.machine.Evacuation(order.Zone); known != order.End && order.Zone != "" {
-		return nil // a repeated order
+		// A repeated order. The call that it repeats may not have published it yet.
+		s.publishCommitted()
+		return nil
+	}
+	if args.Patience > 0 && time.Since(arrived) >= args.Patience {
+		reply.Status = Status{NotLeader: true, Redirect: s.self, Detail: "the sender no longer waits"}
+		return nil
 	}
 	if s.machine.Features() < evacuationLevel {
 		reply.Refusal = machine.RefusedFeatures
--- a/internal/coordination/control/fleet_committed.go
+++ b/internal/coordination/control/fleet_committed.go
@@ -30,6 +30,10 @@
 	if !f.leading || f.committed.sameAs(c) {
 		return
 	}
+	if !evacuation.Same(f.committed.evacuations, c.evacuations) {
+		// A reply proves a node's contact, so that none may lack an evacuation committed before.
+		clear(f.updates)
+	}
 	f.committed = c
 	f.recordChange()
 }
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -231,6 +231,7 @@
 func (s *Service) beginTerm(l consensus.Leadership) bool {
 	s.dropTerm(l)
 	if s.fleet != nil && s.fleet.resumeTerm(l.Term, time.Now()) {
+		s.publishCommitted()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.term = l.Term
--- a/internal/state/machine/evacuations_test.go
+++ b/internal/state/machine/evacuations_test.go
@@ -84,3 +84,19 @@
 	refresh.Numbered.Number = 3
 	must.Eq(t, config.VerdictOvertaken, l.do(Command{RefreshConfig: refresh}).Config.Verdict)
 }
+
+// TestDocumentLevel_TextReadBeforeTheLevel guards against replicas that disagree on whether the text
+// has to be read again, because some ran an older build when it was committed: those have dropped
+// its new fields and its level.
+func TestDocumentLevel_TextReadBeforeTheLevel(t *testing.T) {
+	l := newLoggedMachine()
+	apply := func(number uint64) {
+		l.do(Command{ApplyConfig: &config.Operation{Numbered: &config.Numbered{Number: number, Document: []byte("text"), Level: 1}}})
+	}
+	apply(1)
+	must.Eq(t, 0, l.DocumentLevel())
+	l.do(Command{SetFeatures: &SetFeatures{Level: 1}})
+	must.Eq(t, 0, l.DocumentLevel())
+	apply(2)
+	must.Eq(t, 1, l.DocumentLevel())
+}
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -185,6 +185,14 @@
 // changed.
 func (m *Machine) applyConfig(op config.Operation) Result {
 	op.At = m.clock
+	if op.Numbered != nil && !op.Refresh {
+		// Before the level was reached, replicas of older builds have dropped the fields that
+		// came with it, and the level of the text too. All replicas must agree on it, so that
+		// the next leader reads the text again whichever build it ran.
+		numbered := *op.Numbered
+		numbered.Level = min(numbered.Level, m.features)
+		op.Numbered = &numbered
+	}
 	before := m.config.Revision
 	outcome := m.config.Apply(op)
 	if m.config.Revision != before {
