--- a/internal/command/fleet/evacuations_test.go
+++ b/internal/command/fleet/evacuations_test.go
@@ -149,3 +149,34 @@
 		must.False(t, errors.Is(err, ErrUnknownZone))
 	})
 }
+
+// TestEvacuate_EightyFourGateways guards against an order that takes longer than a second until it is
+// acknowledged, or until it is in force at each gateway of a usual fleet.
+func TestEvacuate_EightyFourGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		var nodes []*Node
+		for i := range 84 {
+			nodes = append(nodes, f.node(i))
+		}
+		defer func() { f.stop(nodes...) }()
+		f.listZones("a", "b")
+		time.Sleep(5 * time.Second)
+		for _, n := range nodes {
+			must.Len(t, 2, usable(n, "a", "b"))
+		}
+		ordered := time.Now()
+		must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: "a"}))
+		acknowledged := time.Now()
+		must.Less(t, time.Second, acknowledged.Sub(ordered))
+		for i := 0; i < len(nodes); {
+			if len(usable(nodes[i], "a")) == 0 {
+				i++
+				continue
+			}
+			must.Less(t, time.Second, time.Since(acknowledged))
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("acknowledged after %s, in force at all after %s more", acknowledged.Sub(ordered), time.Since(acknowledged))
+	})
+}
--- a/internal/coordination/gateway/evacuations.go
+++ b/internal/coordination/gateway/evacuations.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // Evacuations knows the upstreams whose data centres are evacuated.
@@ -19,14 +21,17 @@
 func (g *Gateway) SetEvacuations(e Evacuations) { g.evacuations = e }
 
 // excludeEvacuated adds the evacuated upstreams of the request's pool to those that it must
-// not go to. Until the scheduler knows of the evacuation, it would grant one after the other
+// not go to, after the grant of one was not used. Until the scheduler knows of the evacuation, it would grant one after the other
 // of them: they are idle, because no gateway uses its grants. The failure is not nil if no
 // upstream is left.
-func (g *Gateway) excludeEvacuated(r *Request, excluded []ident.UpstreamName) ([]ident.UpstreamName, *Failure) {
+func (g *Gateway) excludeEvacuated(r *Request, granted ident.UpstreamName, excluded []ident.UpstreamName) ([]ident.UpstreamName, *Failure) {
 	if g.evacuations == nil {
 		return excluded, nil
 	}
 	names, all := g.evacuations.Evacuated(r.Pool)
+	if slices.Contains(names, granted) {
+		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: the data centre of %s is evacuated", granted))
+	}
 	if all {
 		return excluded, &Failure{
 			Reason: Reason(scheduler.ReasonNoUpstream), NotRun: true, RetryAfter: unsentRetryAfter,
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -147,7 +147,7 @@
 		case attemptLapsed:
 		case attemptUnlisted, attemptPaused:
 			unlisted = append(unlisted, grant.Upstream)
-			if unlisted, failure = g.excludeEvacuated(r, unlisted); failure != nil {
+			if unlisted, failure = g.excludeEvacuated(r, grant.Upstream, unlisted); failure != nil {
 				return giveUp(r, relay, failure)
 			}
 		default:
