Evacuations: tests of version shares and undecided retries

Cause: both were reviewed and had no test. Measured: go test -race -run Evacuated ./internal/coordination/scheduler passes.

--- a/internal/coordination/scheduler/evacuation_test.go
+++ b/internal/coordination/scheduler/evacuation_test.go
@@ -240,3 +240,44 @@
 	must.Len(t, 1, got)
 	must.Eq(t, ReasonNoUpstream, got[0].Reason)
 }
+
+// TestEvacuated_VersionShares guards against requests that wait although upstreams are free, because all
+// upstreams of one version are evacuated: of the one that a rollout moves traffic to, or of the former
+// one, which the view then gives no share.
+func TestEvacuated_VersionShares(t *testing.T) {
+	v := zonedView(2)
+	v.Upstreams[0].Version, v.Upstreams[1].Version = "v1", "v2"
+	both := []VersionShare{{Version: "v1", Share: 0.9, NonIdempotentShare: 0.9}, {Version: "v2", Share: 0.1, NonIdempotentShare: 0.1}}
+	for zone, shares := range map[ident.Zone][]VersionShare{"a": both[1:], "b": both} {
+		p := sharedPool(v, v.Gateways...)
+		next := evacuated(v, zone)
+		next.Shares = shares
+		p.SetView(next, start)
+		for i := range 50 {
+			now := start + time.Duration(i)*20*time.Millisecond
+			p.Submit(sharedTicket(i, "low"), now)
+			got := grants(p.Decisions())
+			must.Len(t, 1, got, must.Sprintf("request %d, %s evacuated", i, zone))
+			must.NotEq(t, zone, zoneOf(v, got[0].Upstream))
+			serveRequest(p, got[0], ReportEnded, now, 5*time.Millisecond)
+		}
+	}
+}
+
+// TestEvacuated_RetriesWithoutABudgetYet guards against retries that wait for the budget of a scheduler
+// that begins, while no upstream may get them.
+func TestEvacuated_RetriesWithoutABudgetYet(t *testing.T) {
+	v := zonedView(3)
+	p := New(0, v, 0)
+	p.Register(Registration{Gateway: "g1", Incarnation: 1, Uptime: time.Minute}, 0)
+	retry := sharedTicket(1, "low")
+	retry.Resumes, retry.Sent = true, true
+	p.undecided = append(p.undecided, &entry{ticket: retry, state: stateUndecided, deadline: 10 * time.Second})
+	p.entries[retry.ID] = p.undecided[0]
+	p.settledAt = time.Second
+	p.SetView(evacuated(v, "a", "b", "c"), 10*time.Millisecond)
+	got := refusals(p.Decisions())
+	must.Len(t, 1, got)
+	must.Eq(t, ReasonNoUpstream, got[0].Reason)
+	must.Eq(t, 0, p.Stats().Waiting)
+}
