--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -168,6 +168,7 @@
 	n.metrics = newMetrics(n)
 	n.guard = newGuard(&n.settings, n.metrics)
 	n.gateway = gateway.New(n, nil, deps.Upstreams, n.budget, n.events)
+	n.gateway.SetEvacuations(n)
 	if err := n.listen(); err != nil {
 		n.Stop()
 		return nil, err
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -40,7 +40,9 @@
 	// work, and unsharedSlots that of the limits without other schedulers.
 	slots, unsharedSlots int
 	// ejected holds the engines that are out of rotation.
-	ejected   []*engine
+	ejected []*engine
+	// evacuated counts the listed upstreams in evacuated data centres.
+	evacuated int
 	nextCheck time.Duration
 	nextTrial time.Duration
 	speed     speed
@@ -196,10 +198,11 @@
 			g.versionNotLoaded = false
 			g.cache.clear()
 		}
-		g.upstream = u
+		g.setUpstream(u)
 		g.listed = true
 		p.assignSlotsOf(g)
 	}
+	p.countEvacuated()
 	p.refreshAll(now)
 	p.dropEngines()
 }
@@ -273,6 +276,7 @@
 		p.nextCheck = now + checkInterval
 		p.checkUpstreams(now)
 	}
+	p.refuseEvacuated()
 	if p.placing {
 		p.placeReserved(now)
 		p.place(now)
