Cold upstreams: ends are recognised, knowledge survives a takeover

Cause: the first version lost the count of unanswered requests at each check, counted a request broken off as an answer, let a second name of a process send beside the bound, gave tokens back for requests of before the bound, forgot an ended upstream after 30 s and the inferred cold times at a change of schedulers, and bounded an upstream anew that the list left out for one read. A slow answer of a cold upstream took it out of rotation.

--- a/internal/command/fleet/coldstarts.go
+++ b/internal/command/fleet/coldstarts.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 // otherwise be a change for all nodes.
 const minColdExtension = time.Second
 
+// unlistedRetention is how long the cold time of an upstream that the list doesn't name is kept.
+const unlistedRetention = time.Minute
+
 // coldStarts turns how long upstreams stay cold, which the list says with each read, into few
 // changes. It is safe for concurrent use; its zero value is ready for use.
 type coldStarts struct {
@@ -22,9 +26,13 @@
 
 // coldStart is a cold time as it was last distributed.
 type coldStart struct {
-	end    time.Time
-	left   time.Duration
+	end  time.Time
+	left time.Duration
+	// number grows with each change. It comes from the time, so that an upstream that was
+	// forgotten meanwhile gets none that it had before.
 	number uint64
+	// seen is when the list last named the upstream.
+	seen time.Time
 }
 
 // update returns the upstreams of a page with the cold times to distribute. Their ColdFor must
@@ -41,11 +49,13 @@
 		end := now.Add(d.ColdFor)
 		switch {
 		case d.ColdFor > 0 && end.After(record.end.Add(minColdExtension)):
-			record = coldStart{end: end, left: d.ColdFor, number: record.number + 1}
+			record.end, record.left = end, d.ColdFor
+			record.number = max(record.number+1, uint64(now.UnixMilli()))
 		case d.ColdFor <= 0 && !now.Before(record.end):
 			record.left = 0
 		}
-		if record != (coldStart{}) {
+		if record.number != 0 {
+			record.seen = now
 			if c.known == nil {
 				c.known = make(map[ident.UpstreamName]coldStart)
 			}
@@ -55,15 +65,12 @@
 	}
 }
 
-// retain forgets the upstreams that a complete read of the list has not named.
-func (c *coldStarts) retain(found map[ident.UpstreamName]control.Discovered) {
+// dropUnlisted forgets the upstreams that the list has not named for unlistedRetention. It may
+// leave one out for some reads.
+func (c *coldStarts) dropUnlisted(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name := range c.known {
-		if _, listed := found[name]; !listed {
-			delete(c.known, name)
-		}
-	}
+	maps.DeleteFunc(c.known, func(_ ident.UpstreamName, s coldStart) bool { return now.Sub(s.seen) > unlistedRetention })
 }
 
 // dropUnlimitedCold removes the cold times of upstreams whose pools don't limit cold ones, so
--- a/internal/command/fleet/lists.go
+++ b/internal/command/fleet/lists.go
@@ -105,7 +105,7 @@
 		return false
 	}
 	n.noteSkipped(scan.skipped)
-	n.coldStarts.retain(scan.seen)
+	n.coldStarts.dropUnlisted(time.Now())
 	apply(scan.complete(), true)
 	return true
 }
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -183,6 +183,12 @@
 	gauge("flamingohaven_fleet_scheduled_gateways", "Gateways that the schedulers of this node serve.", func() float64 {
 		return float64(n.schedulerLoad().gateways)
 	})
+	gauge("flamingohaven_fleet_cold_upstreams", "Upstreams that have just started and get a bounded rate of requests, as the schedulers of this node know, while gateways use them.", func() float64 {
+		return float64(n.schedulerLoad().cold)
+	})
+	gauge("flamingohaven_fleet_cold_held_requests_total", "Requests that waited at the schedulers of this node while only the bound on cold upstreams kept free slots from them.", func() float64 {
+		return float64(n.schedulerLoad().coldHolds)
+	})
 	gauge("flamingohaven_fleet_stale_estimate_grants_total", "Grants by the schedulers of this node of upstreams whose speed was no longer known.", func() float64 {
 		return float64(n.schedulerLoad().stale)
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -85,6 +85,7 @@
 		if n.clients[name] == nil {
 			n.startClient(name)
 		}
+		n.clients[name].LimitCold(view.Cold != nil)
 	}
 	for name, c := range n.clients {
 		if _, kept := cfg.Pools[name]; !kept {
@@ -260,6 +261,9 @@
 	// budget that has the least left has left.
 	retries, refused int
 	left             float64
+	// cold counts the upstreams in their cold time, and coldHolds the requests so far that
+	// waited while only the bound on cold upstreams kept free slots from them.
+	cold, coldHolds int
 }
 
 func (n *Node) schedulerLoad() schedulerLoad {
@@ -273,6 +277,10 @@
 		if m.Sessions() > 0 {
 			load.left = min(load.left, stats.RetriesLeft)
 		}
+		if m.Sessions() > 0 {
+			load.cold += stats.Cold
+		}
+		load.coldHolds += stats.ColdHolds
 		load.gateways = max(load.gateways, m.Sessions())
 		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
 	}
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -80,9 +80,10 @@
 	successors map[ident.UpstreamName]ident.UpstreamName
 	// leaving holds when upstreams that said in an answer that they leave became known.
 	leaving map[ident.UpstreamName]time.Time
-	// cold holds until when upstreams that said in an answer that they are cold are so.
-	cold   coldUpstreams
-	poison poisonRecord
+	// cold holds which upstreams are cold, and coldLimited is true if that limits them.
+	cold        coldUpstreams
+	coldLimited bool
+	poison      poisonRecord
 }
 
 type waiter struct {
--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -325,6 +325,7 @@
 		}
 	}
 	for _, c := range m.sched.ColdChanges() {
+		m.spread.addCold(c, time.Now())
 		if m.observer != nil {
 			m.observer.ColdChanged(c)
 		}
--- a/internal/coordination/pool/messages.go
+++ b/internal/coordination/pool/messages.go
@@ -74,6 +74,8 @@
 	// Leaving are the upstreams that have said in an answer that they leave, of which the
 	// session has not been told.
 	Leaving []ident.UpstreamName
+	// Cold are the upstreams that became cold since the last reply to the session.
+	Cold []scheduler.ColdNotice
 	// Pauses are those that upstreams asked the gateway for while it relayed requests of
 	// others.
 	Pauses []scheduler.PauseNotice
--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -84,8 +84,10 @@
 	case scheduler.NoticeUnreadable:
 		known.unreadablePause = n.PauseText
 	}
-	if n.Cold == scheduler.NoticeNamed {
-		c.cold.set(r.grant.Upstream, n.ColdFor, time.Now())
+	c.cold.answered(r.grant.Upstream)
+	cold := n.Cold == scheduler.NoticeNamed && c.coldLimited
+	if cold {
+		c.cold.add(scheduler.ColdNotice{Upstream: r.grant.Upstream, For: n.ColdFor}, time.Now())
 	}
 	leaves := n.Leaving == scheduler.NoticeNamed && c.markLeaving(r.grant.Upstream, time.Now())
 	if n.Leaving == scheduler.NoticeUnreadable {
@@ -93,7 +95,7 @@
 	}
 	c.setNotices(r.grant.Upstream, known)
 	named := n.RateLimit == scheduler.NoticeNamed || n.Brittle == scheduler.NoticeNamed || n.Pause == scheduler.NoticeNamed
-	if named || leaves || n.Cold == scheduler.NoticeNamed || r.grant.Limited || former.perSecond != 0 || former.brittle {
+	if named || leaves || cold || r.grant.Limited || former.perSecond != 0 || former.brittle {
 		c.queueReport(scheduler.Report{
 			Kind: scheduler.ReportNotice, Ticket: id, Upstream: r.grant.Upstream, Elapsed: time.Since(r.since), Notice: &n, Via: r.via,
 		})
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -128,6 +128,9 @@
 	if len(limits)+len(parts)+len(pauses)+len(leaving) > 0 && c.onNews != nil {
 		c.onNews(fmt.Sprintf("the scheduler tells of rate limits %v, parts %v, pauses %v and leaving upstreams %v", limits, parts, pauses, leaving))
 	}
+	if cold := c.learnCold(reply.Cold, time.Now()); len(cold) > 0 && c.onNews != nil {
+		c.onNews(fmt.Sprintf("the scheduler tells of cold upstreams %v", cold))
+	}
 }
 
 // markAnswered records that the scheduler knows the session, so that polls can begin, and
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -27,6 +27,8 @@
 	records []spreadRecord
 	// leaving holds the upstreams that have said that they leave, each with its version.
 	leaving []spreadLeaving
+	// cold holds the upstreams that are cold.
+	cold map[ident.UpstreamName]spreadCold
 	// version counts the changes; signaled is the version at the last signal to the
 	// gateways.
 	version, signaled uint64
@@ -136,7 +138,8 @@
 
 // reply returns the pending decisions for a gateway and what it does not know yet.
 func (m *Master) reply(s *session) Reply {
-	r := Reply{RateLimits: m.spread.limitsSince(s.known, time.Now()), Leaving: m.spread.leavingSince(s.known), Poison: m.spread.recordsSince(s.known)}
+	now := time.Now()
+	r := Reply{RateLimits: m.spread.limitsSince(s.known, now), Cold: m.spread.coldSince(s.known, now), Leaving: m.spread.leavingSince(s.known), Poison: m.spread.recordsSince(s.known)}
 	s.known = m.spread.version
 	r.Decisions = s.takeOutbox()
 	r.Pauses, s.pauses = s.pauses, nil
@@ -145,7 +148,7 @@
 
 // isEmpty reports whether the reply tells the gateway nothing.
 func (r *Reply) isEmpty() bool {
-	return len(r.Decisions)+len(r.RateLimits)+len(r.Leaving)+len(r.Pauses)+len(r.Poison) == 0
+	return len(r.Decisions)+len(r.RateLimits)+len(r.Leaving)+len(r.Cold)+len(r.Pauses)+len(r.Poison) == 0
 }
 
 // spreadChanges makes the gateways' polls return if there is news for them. The
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -222,7 +222,8 @@
 func (p *Pool) nextProbe(now time.Duration) time.Duration {
 	next := time.Duration(0)
 	for _, g := range p.ejected {
-		if until := g.health.nextProbe(p.noneInRotation()) - now; next == 0 || until < next {
+		until := max(g.health.nextProbe(p.noneInRotation())-now, p.untilColdToken(g, now))
+		if next == 0 || until < next {
 			next = until
 		}
 	}
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -195,7 +195,7 @@
 	if !g.limitTrusted || e.longOutput == 0 || !g.speed.decode.known() {
 		return true
 	}
-	return now+g.speed.serviceTime(float64(e.ticket.PromptTokens), e.longOutput, g.used()+1) <= e.deadline
+	return now+g.coldServiceTime(float64(e.ticket.PromptTokens), e.longOutput, g.used()+1, now) <= e.deadline
 }
 
 // lessLoaded orders upstreams by load relative to their limits, then by how long ago they
--- a/internal/coordination/scheduler/cold.go
+++ b/internal/coordination/scheduler/cold.go
@@ -11,27 +11,39 @@
 )
 
 const (
-	// endsBeforeCold is the number of requests in a row that an upstream took no connection
-	// for or broke off before an answer, at which it is assumed to have ended.
-	endsBeforeCold = 2
-	// endedRetention is how long an upstream that is assumed to have ended counts as cold
-	// without an answer.
-	endedRetention = 30 * time.Second
+	// endedRetention is how long an upstream that has ended is kept after the view stopped
+	// listing it.
+	endedRetention = time.Minute
 	// coldRetention is how long the load of an upstream that is no longer cold may still
 	// be returning: the bound on it has doubled often enough by then.
 	coldRetention = 10 * time.Second
+	// coldReportStep is the smallest change of the end of a cold time that is reported.
+	coldReportStep = 250 * time.Millisecond
 )
 
-// ColdNotice says how much longer an upstream is cold, as a gateway knows it.
+// ColdNotice says how much longer an upstream is cold, as a gateway or a scheduler knows it.
 type ColdNotice struct {
 	Upstream ident.UpstreamName
 	For      time.Duration
+	// Ended is true for an upstream that has ended and not answered since. It is cold from
+	// its next answer on.
+	Ended bool
+}
+
+// String implements fmt.Stringer.
+func (n ColdNotice) String() string {
+	if n.Ended {
+		return fmt.Sprintf("%s has ended", n.Upstream)
+	}
+	return fmt.Sprintf("%s for %s", n.Upstream, n.For)
 }
 
 // ColdChange reports that an upstream became cold, or is cold for longer.
 type ColdChange struct {
 	Upstream ident.UpstreamName
 	For      time.Duration
+	// Ended is as in ColdNotice.
+	Ended bool
 	// PerSecond is the bound on its requests in that time.
 	PerSecond float64
 	// Reason says how the scheduler knows.
@@ -40,6 +52,9 @@
 
 // String implements fmt.Stringer.
 func (c ColdChange) String() string {
+	if c.Ended {
+		return fmt.Sprintf("%s has ended (%s), gets at most %g requests a second until it has answered and is no longer cold", c.Upstream, c.Reason, c.PerSecond)
+	}
 	return fmt.Sprintf("%s is cold for %d ms (%s), gets at most %g requests a second", c.Upstream, c.For.Milliseconds(), c.Reason, c.PerSecond)
 }
 
@@ -49,25 +64,26 @@
 // Invariant: until never moves back, so that no older notice ends a bound early.
 type coldUpstream struct {
 	until time.Duration
-	// endedAt is when the upstream was assumed to have ended; it is cold from its next answer
-	// on. 0 if it has answered since. Failures counts its failures in a row.
-	endedAt  time.Duration
-	failures int
+	// reported is the end that was reported last.
+	reported time.Duration
+	// ended is true for an upstream that was assumed at endedAt to have ended; it is cold
+	// from its next answer on.
+	ended   bool
+	endedAt time.Duration
+	// engines are the upstreams that share the bound.
+	engines []*engine
 	// bucket is the bound. After the cold time, its rate doubles at intervals.
 	bucket *rateLimit
 }
 
 // isCold reports whether the upstream is in its cold time.
-func (c *coldUpstream) isCold(now time.Duration) bool { return c.endedAt != 0 || now < c.until }
+func (c *coldUpstream) isCold(now time.Duration) bool { return c.ended || now < c.until }
 
 // isBounded reports whether the requests of an upstream are bounded, in its cold time and until
 // its load has returned.
 func (c *coldUpstream) isBounded(slots int, now time.Duration) bool {
-	if c.until == 0 && c.endedAt == 0 {
-		return false
-	}
 	c.updateBucket(now)
-	return c.bucket.rate(now) < rampEndPerSlot*float64(slots) || c.isCold(now)
+	return c.isCold(now) || c.bucket.rate(now) < rampEndPerSlot*float64(slots)
 }
 
 // updateBucket starts the return of the load at the end of the cold time.
@@ -80,6 +96,14 @@
 	}
 }
 
+// isExpired reports whether the bound no longer holds.
+func (c *coldUpstream) isExpired(now time.Duration) bool {
+	if c.ended {
+		return len(c.engines) == 0 && now >= c.endedAt+endedRetention
+	}
+	return now >= c.until+coldRetention
+}
+
 // coldKey identifies an upstream among those that may be one process.
 func coldKey(u *Upstream) string { return cmp.Or(u.Process, string(u.Name)) }
 
@@ -91,28 +115,8 @@
 	return p.view.Cold
 }
 
-// markCold bounds an upstream's requests for a time from now, unless it is bounded for longer
-// already.
-func (p *Pool) markCold(g *engine, left time.Duration, reason string, now time.Duration) {
-	limit := p.coldLimit()
-	if limit == nil || left <= 0 {
-		return
-	}
-	c := p.coldOf(g, now)
-	if until := now + left; until > c.until {
-		if until > c.until+coldReportStep {
-			p.coldChanges = append(p.coldChanges, ColdChange{Upstream: g.upstream.Name, For: left, PerSecond: limit.PerSecond, Reason: reason})
-		}
-		c.until = until
-	}
-	c.bucket.perSecond = limit.PerSecond
-	p.refreshCold(g, now)
-}
-
-// coldReportStep is the smallest change of the end of a cold time that is reported.
-const coldReportStep = 250 * time.Millisecond
-
-// coldOf returns the bound of an upstream and creates it if there is none.
+// coldOf returns the bound of an upstream and creates it if there is none. All upstreams that
+// may be the same process get it, since any of their names may reach the new process.
 func (p *Pool) coldOf(g *engine, now time.Duration) *coldUpstream {
 	if g.cold != nil {
 		return g.cold
@@ -124,77 +128,46 @@
 		c.bucket.perSecond = p.coldLimit().PerSecond
 		p.cold[key] = c
 	}
-	g.cold = c
-	p.coldEngines = append(p.coldEngines, g)
-	return c
-}
-
-// refreshCold updates all upstreams that share a bound.
-func (p *Pool) refreshCold(g *engine, now time.Duration) {
-	for _, other := range p.coldEngines {
-		if other.cold == g.cold {
-			p.refresh(other, now)
+	if g.upstream.Process == "" {
+		p.joinCold(g, c)
+		return c
+	}
+	for _, other := range p.orderedEngines {
+		if coldKey(&other.upstream) == key {
+			p.joinCold(other, c)
 		}
 	}
+	return c
 }
 
-// learnColdFromView marks the upstreams as cold that the view tells of: by what is left of
-// their cold time, by a name that a complete list did not have before, and by the end of an
-// evacuation.
-func (p *Pool) learnColdFromView(g *engine, u Upstream, isNew bool, now time.Duration) {
-	limit := p.coldLimit()
-	if limit == nil {
+func (p *Pool) joinCold(g *engine, c *coldUpstream) {
+	if g.cold != nil {
 		return
 	}
-	former := g.upstream
-	if isNew {
-		if c := p.cold[coldKey(&u)]; c != nil && g.cold == nil {
-			g.cold = c
-			p.coldEngines = append(p.coldEngines, g)
-		}
-	}
-	switch {
-	case u.ColdFor > 0 && (isNew || u.ColdNumber != former.ColdNumber):
-		p.markCold(g, u.ColdFor, "by the list", now)
-	case isNew && p.viewWasComplete:
-		p.markCold(g, limit.Duration, "new in the list", now)
-	}
-	if former.Evacuated && !u.Evacuated {
-		p.markCold(g, limit.Duration, "its data centre was evacuated", now)
-	}
+	g.cold = c
+	c.engines = append(c.engines, g)
+	p.coldEngines = append(p.coldEngines, g)
 }
 
-// observeColdEnd counts a request that an upstream took no connection for, or broke off before
-// it answered.
-func (p *Pool) observeColdEnd(g *engine, r Report, now time.Duration) {
-	limit := p.coldLimit()
-	if limit == nil || r.PathSuspect {
-		return
-	}
-	c := p.coldOf(g, now)
-	c.failures++
-	if c.failures < endsBeforeCold || c.endedAt != 0 {
+// leaveCold removes an upstream from its bound, which stays for others and for its return.
+func (p *Pool) leaveCold(g *engine) {
+	if g.cold == nil {
 		return
 	}
-	c.endedAt = now
-	p.coldChanges = append(p.coldChanges, ColdChange{Upstream: g.upstream.Name, PerSecond: limit.PerSecond, Reason: fmt.Sprintf("%d requests in a row without an answer", c.failures)})
-	p.refreshCold(g, now)
+	is := func(other *engine) bool { return other == g }
+	g.cold.engines = slices.DeleteFunc(g.cold.engines, is)
+	p.coldEngines = slices.DeleteFunc(p.coldEngines, is)
+	g.cold = nil
+	p.setHeldByCold(g, false)
 }
 
-// observeColdAnswer records an answer of an upstream. One that is assumed to have ended has
-// started again before it.
-func (p *Pool) observeColdAnswer(g *engine, now time.Duration) {
-	c := g.cold
-	if c == nil {
-		return
-	}
-	c.failures = 0
-	if c.endedAt == 0 {
+// refreshCold updates all upstreams that share a bound with the given one.
+func (p *Pool) refreshCold(g *engine, now time.Duration) {
+	if g.cold == nil {
 		return
 	}
-	c.endedAt = 0
-	if limit := p.coldLimit(); limit != nil {
-		p.markCold(g, limit.Duration, "answers again", now)
+	for _, other := range g.cold.engines {
+		p.refresh(other, now)
 	}
 }
 
@@ -208,17 +181,67 @@
 	if c == nil || !c.isBounded(g.upstream.MaxConcurrent, now) {
 		return true
 	}
-	c.bucket.fill(p.quotaFraction(now), p.waiting > 0 || now-p.lastWaiting < demandRetention, now)
+	c.bucket.fill(p.quotaFraction(now), p.wantsColdToken(c, now), now)
 	return c.bucket.tokens >= 1
 }
 
-// unusableColdSlots returns how many slots stay free because upstreams are cold.
+// untilColdToken returns the time until the bound on a cold upstream permits a request.
+func (p *Pool) untilColdToken(g *engine, now time.Duration) time.Duration {
+	if g.cold == nil || !g.cold.isBounded(g.upstream.MaxConcurrent, now) {
+		return 0
+	}
+	return g.cold.bucket.untilToken(p.quotaFraction(now), now)
+}
+
+// wantsColdToken reports whether a whole token is to be saved up: tickets wait, and one of the
+// upstreams could take one. While none can, many schedulers would each save a token, and use
+// all of them at once when the upstream is back.
+func (p *Pool) wantsColdToken(c *coldUpstream, now time.Duration) bool {
+	if p.waiting == 0 && now-p.lastWaiting >= demandRetention {
+		return false
+	}
+	for _, g := range c.engines {
+		h := &g.health
+		if h.ejected && h.probe == nil && now >= h.nextProbe(p.noneInRotation()) && g.acceptsWork() || g.free() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// setHeldByCold records whether only its bound keeps an upstream from taking a ticket.
+func (p *Pool) setHeldByCold(g *engine, held bool) {
+	if g.heldByCold == held {
+		return
+	}
+	g.heldByCold = held
+	if held {
+		p.heldByCold++
+	} else {
+		p.heldByCold--
+	}
+}
+
+// countColdHold counts a ticket that waited while a cold upstream with free slots had no token.
+func (p *Pool) countColdHold(e *entry, now time.Duration) {
+	if p.heldByCold > 0 && now > e.submittedAt {
+		p.coldHolds++
+	}
+}
+
+// unusableColdSlots returns how many slots stay free because upstreams are cold. It includes
+// those that also name a limit.
 func (p *Pool) unusableColdSlots(now time.Duration) float64 {
-	slots := 0.0
+	slots, fraction := 0.0, p.quotaFraction(now)
 	for _, g := range p.coldEngines {
-		if g.acceptsWork() && g.cold.isBounded(g.upstream.MaxConcurrent, now) {
-			slots += max(0, float64(g.slots)-g.cold.bucket.rate(now)*p.quotaFraction(now)*p.meanService.Seconds())
+		if !g.cold.isBounded(g.upstream.MaxConcurrent, now) {
+			continue
+		}
+		rate := g.cold.bucket.rate(now) / float64(len(g.cold.engines))
+		if g.rate != nil {
+			rate = min(rate, g.rate.rate(now))
 		}
+		slots += max(0, float64(g.slots)-rate*fraction*p.meanService.Seconds())
 	}
 	return slots
 }
@@ -226,18 +249,16 @@
 // dropCold forgets the bounds that no longer hold.
 func (p *Pool) dropCold(now time.Duration) {
 	for key, c := range p.cold {
-		if now < c.until+coldRetention || c.endedAt != 0 && now < c.endedAt+endedRetention {
+		if !c.isExpired(now) {
 			continue
 		}
 		delete(p.cold, key)
-		p.coldEngines = slices.DeleteFunc(p.coldEngines, func(g *engine) bool {
-			gone := g.cold == c
-			if gone {
-				g.cold = nil
-			}
-			return gone
-		})
+		for _, g := range slices.Clone(c.engines) {
+			p.leaveCold(g)
+			p.refresh(g, now)
+		}
 	}
+	p.dropUnlistedCold(now)
 }
 
 // ColdChanges implements Scheduler.
@@ -247,10 +268,40 @@
 	return out
 }
 
-// refundColdToken gives back the token of a request that the upstream has not got, or that
-// another one at its address has answered.
-func (g *engine) refundColdToken() {
+// spendColdToken counts a request that a cold upstream gets.
+func (g *engine) spendColdToken(e *entry) {
+	e.coldToken, e.cold = nil, g.cold != nil
 	if g.cold != nil {
-		g.cold.bucket.tokens = min(rateBurst, g.cold.bucket.tokens+1)
+		g.cold.bucket.tokens--
+		e.coldToken = g.cold.bucket
+	}
+}
+
+// refundColdToken gives back the token of a request that was not sent, or that another
+// upstream at the address has answered. A request for which no connection could be made gets
+// none back: the probes of many schedulers would all reach the upstream when it is back.
+func refundColdToken(e *entry) {
+	if e.coldToken != nil {
+		e.coldToken.tokens = min(rateBurst, e.coldToken.tokens+1)
+		e.coldToken = nil
+	}
+}
+
+// coldServiceTime returns the service time to expect of the upstream: while it is cold, at best
+// that of the pool, because its own speed may have been learned before its start.
+func (g *engine) coldServiceTime(tokens float64, output, batch int, now time.Duration) time.Duration {
+	own := g.speed.serviceTime(tokens, output, batch)
+	if g.speed.pool == nil || !g.isCold(now) {
+		return own
+	}
+	return max(own, g.speed.pool.serviceTime(tokens, output, batch))
+}
+
+// coldFirstToken is coldServiceTime for the time to the first token.
+func (g *engine) coldFirstToken(tokens float64, now time.Duration) time.Duration {
+	own := g.speed.firstToken(tokens)
+	if g.speed.pool == nil || !g.isCold(now) {
+		return own
 	}
+	return max(own, g.speed.pool.firstToken(tokens))
 }
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -41,6 +41,11 @@
 	// cold bounds the requests that the upstream gets after a start; nil if it has not just
 	// started.
 	cold *coldUpstream
+	// heldByCold is true while only that bound keeps the upstream from taking a ticket, and
+	// unanswered counts the requests in a row that it took no connection for or broke off
+	// before an answer.
+	heldByCold bool
+	unanswered int
 	// brittle bounds the requests in flight; nil if the upstream is not brittle.
 	brittle *brittleRoom
 	// rejections bounds what the upstream gets after it has rejected requests.
--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -79,7 +79,11 @@
 	// expected of the engine at the grant.
 	expectedFirstToken time.Duration
 	prefillAhead       float64
-	retries            int
+	// cold is true for a request to an upstream that was cold, or warming up, at the grant.
+	// coldToken is the bucket of which the ticket holds a token; nil if none.
+	cold      bool
+	coldToken *rateLimit
+	retries   int
 	// admitted is true once the ticket was admitted or adopted here.
 	admitted bool
 	// retry is what the ticket has of the retry budget, counted the step in which a retry was
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -126,7 +126,7 @@
 	g.cache.store(e.ticket.Prefixes, now)
 	e.prefillAhead = g.backlog.ahead(g.speed.prefillRate(), now)
 	g.backlog.add(e.uncachedTokens, now)
-	e.expectedFirstToken = g.speed.firstToken(e.prefillAhead + float64(e.ticket.PromptTokens))
+	e.expectedFirstToken = g.coldFirstToken(e.prefillAhead+float64(e.ticket.PromptTokens), now)
 	if g.health.ejected {
 		g.health.probe = e
 	}
@@ -135,6 +135,8 @@
 	}
 	g.running[e], g.grantedAt = struct{}{}, now
 	g.spendToken()
+	g.spendColdToken(e)
+	p.countColdHold(e, now)
 	p.spaceOut(g, now)
 	e.batchAtStart = g.used()
 	p.running++
@@ -143,6 +145,7 @@
 	p.queueOf(e).charge(e.tokenCost())
 	p.countGrant(e, now)
 	p.refresh(g, now)
+	p.refreshCold(g, now)
 	p.timers.add(timer{at: e.grantExpires + confirmMargin, kind: timerGrant, entry: e})
 	p.emitGrant(e, now)
 }
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -80,6 +80,11 @@
 	cold        map[string]*coldUpstream
 	coldEngines []*engine
 	coldChanges []ColdChange
+	// unlistedCold holds what is known of upstreams that the view does not list.
+	unlistedCold map[ident.UpstreamName]unlistedCold
+	// heldByCold counts the upstreams that only their bound keeps from taking a ticket, and
+	// coldHolds the tickets so far that waited meanwhile.
+	heldByCold, coldHolds int
 	// viewWasComplete is true if the view before the present one listed all upstreams.
 	viewWasComplete bool
 	evidence        evidence
@@ -136,6 +141,7 @@
 		evidence:       newEvidence(),
 		unlistedLimits: make(map[ident.UpstreamName]rateLimit),
 		cold:           make(map[string]*coldUpstream),
+		unlistedCold:   make(map[ident.UpstreamName]unlistedCold),
 		entries:        make(map[ident.RequestID]*entry),
 		engines:        make(map[ident.UpstreamName]*engine),
 		speed:          newSpeed(nil),
@@ -248,7 +254,7 @@
 	for _, u := range upstreams {
 		_, known := p.engines[u.Name]
 		g := p.engine(u)
-		p.learnColdFromView(g, u, !known, now)
+		former := g.upstream
 		g.cache.setMaxEntries(cacheEntriesTotal / len(upstreams))
 		if g.upstream.Version != u.Version {
 			g.versionNotLoaded = false
@@ -257,9 +263,13 @@
 		g.upstream = u
 		g.listed = true
 		p.assignSlotsOf(g)
+		p.learnColdFromView(g, former, !known, now)
 	}
 	p.refreshAll(now)
 	p.dropEngines()
+	if len(p.coldEngines) > 0 {
+		p.updateUnusableSlots(now)
+	}
 }
 
 // engine returns the model of an upstream and creates it if needed.
@@ -286,6 +296,7 @@
 		gone := !g.listed && g.used() == 0
 		if gone {
 			p.keepLimit(g)
+			p.forgetListedCold(g, p.now)
 			p.removeEngine(g)
 			delete(p.engines, g.upstream.Name)
 		}
@@ -299,7 +310,6 @@
 	if g.brittle != nil {
 		p.brittle--
 	}
-	p.coldEngines = slices.DeleteFunc(p.coldEngines, func(other *engine) bool { return other == g })
 	g.cache.clear()
 	g.health.ejected = false
 	p.updateEjected(g)
@@ -374,7 +384,7 @@
 	d.Gateway = e.ticket.Gateway
 	d.Basis = Basis{
 		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
-		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle,
+		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle, Cold: len(p.coldEngines),
 		Percent: int(100 * p.fraction),
 	}
 	p.decisions = append(p.decisions, d)
@@ -402,6 +412,7 @@
 
 // refuse refuses a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
+	p.countColdHold(e, now)
 	tier := p.tierOf(e)
 	tier.shed = true
 	tier.shedAt = now
@@ -533,6 +544,12 @@
 	s := Stats{
 		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants,
 		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
+		ColdHolds: p.coldHolds,
+	}
+	for _, g := range p.coldEngines {
+		if g.isCold(p.now) {
+			s.Cold++
+		}
 	}
 	for _, q := range p.tiers {
 		s.WaitingByTier[q.tier.Name] += q.waiting
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -166,14 +166,11 @@
 
 // untilToken returns the time until all buckets of the upstream hold a whole token.
 func (p *Pool) untilToken(g *engine, now time.Duration) time.Duration {
-	until, fraction := time.Duration(0), p.quotaFraction(now)
+	until := time.Duration(0)
 	if g.rate != nil {
-		until = g.rate.untilToken(fraction, now)
+		until = g.rate.untilToken(p.quotaFraction(now), now)
 	}
-	if g.cold != nil && g.cold.isBounded(g.upstream.MaxConcurrent, now) {
-		until = max(until, g.cold.bucket.untilToken(fraction, now))
-	}
-	return until
+	return max(until, p.untilColdToken(g, now))
 }
 
 // applyLimit sets the bucket of an upstream, and dropLimit removes it.
@@ -193,6 +190,9 @@
 func (p *Pool) updateUnusableSlots(now time.Duration) {
 	p.unusableSlots = p.unusableColdSlots(now)
 	for _, g := range p.limited {
+		if g.cold != nil && g.cold.isBounded(g.upstream.MaxConcurrent, now) {
+			continue
+		}
 		usable := g.rate.rate(now) * p.quotaFraction(now) * p.meanService.Seconds()
 		p.unusableSlots += max(0, float64(g.slots)-usable)
 	}
@@ -302,6 +302,7 @@
 	p.recordPause(r, now)
 	if g := p.engines[r.Upstream]; g != nil && r.Notice.Cold == NoticeNamed {
 		p.markCold(g, r.Notice.ColdFor-r.Age, "says so", now)
+		p.updateUnusableSlots(now)
 	}
 	if r.Notice.Leaving == NoticeNamed {
 		p.markLeaving(r.Upstream, now)
@@ -370,14 +371,10 @@
 	if g.rate != nil {
 		g.rate.tokens--
 	}
-	if g.cold != nil {
-		g.cold.bucket.tokens--
-	}
 }
 
 func (g *engine) refundToken() {
 	if g.rate != nil {
 		g.rate.tokens = min(rateBurst, g.rate.tokens+1)
 	}
-	g.refundColdToken()
 }
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -64,16 +64,19 @@
 	p.updateEjected(g)
 	if g.isHeld(now) {
 		p.removeReady(g)
+		p.setHeldByCold(g, false)
 		p.scheduleRefresh(g, g.heldUntil())
 		return
 	}
 	if !p.refreshRate(g, now) {
 		p.removeReady(g)
+		p.setHeldByCold(g, g.free() > 0 && g.cold != nil && g.cold.bucket.tokens < 1)
 		if g.free() > 0 {
 			p.scheduleRefresh(g, now+p.untilToken(g, now))
 		}
 		return
 	}
+	p.setHeldByCold(g, false)
 	wait := g.prefillWait(now)
 	if g.free() == 0 || wait > maxBacklog && !g.limitTrusted {
 		p.removeReady(g)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -32,11 +32,8 @@
 	switch r.Kind {
 	case ReportFirstToken, ReportEnded, ReportFailed, ReportRejected:
 		e.engine.recordContact(cmp.Or(r.Via, r.Gateway), at)
-		p.observeColdAnswer(e.engine, now)
-	}
-	if r.Kind == ReportUnsent || r.Broken == BrokenUnbegun {
-		p.observeColdEnd(e.engine, r, now)
 	}
+	p.observeColdReport(e.engine, r, at, now)
 	switch r.Kind {
 	case ReportDispatched:
 		p.recordStart(e, r, at)
@@ -77,7 +74,7 @@
 		p.turnedAway(g, g.used(), now)
 	case ReportMisdirected:
 		p.keepCounted(e)
-		e.engine.refundColdToken()
+		refundColdToken(e)
 		e.engine.health.recordMisdirected(e, now)
 		p.requeue(e, now, true)
 	case ReportDropped:
@@ -182,6 +179,10 @@
 	if expected > 0 {
 		slowness = float64(actual) / float64(expected)
 	}
+	if e.cold {
+		// It was expected to be slow, which says nothing about its health.
+		slowness = min(1, slowness)
+	}
 	g := e.engine
 	if e.trial && slowness < trialFastRatio {
 		g.speed.forget()
@@ -238,6 +239,7 @@
 		return
 	}
 	e.engine.refundToken()
+	refundColdToken(e)
 	p.uncountGrant(e)
 	p.release(e, now)
 	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -82,11 +82,7 @@
 	for _, name := range r.Leaving {
 		p.markLeaving(name, now)
 	}
-	for _, n := range r.Cold {
-		if g := p.engines[n.Upstream]; g != nil {
-			p.markCold(g, n.For, "a gateway has been told so", now)
-		}
-	}
+	p.learnCold(r.Cold, now)
 	p.learnPoison(r.Poison, now)
 	for _, n := range r.Ends {
 		p.recordBroken(n, false, now)
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -187,6 +187,8 @@
 	// Ejected counts the upstreams out of rotation, Limited those under a rate limit and
 	// Brittle those that are brittle.
 	Ejected, Limited, Brittle int
+	// Cold counts the upstreams that are bounded because they have just started.
+	Cold int
 	// Percent is the percentage of the pool's capacity that this scheduler may
 	// use.
 	Percent int
@@ -194,8 +196,12 @@
 
 // String implements fmt.Stringer.
 func (b Basis) String() string {
-	return fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d brittle, %d%% of capacity",
+	text := fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d brittle, %d%% of capacity",
 		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Limited, b.Brittle, b.Percent)
+	if b.Cold > 0 {
+		text += fmt.Sprintf(", %d cold or warming up", b.Cold)
+	}
+	return text
 }
 
 // ReportKind is the kind of event that is reported about a granted request.
@@ -536,4 +542,7 @@
 	// that it did not allow, and RetriesLeft is what is left of it.
 	Retries, RetriesRefused int
 	RetriesLeft             float64
+	// Cold counts the upstreams in their cold time, and ColdHolds the tickets so far that
+	// waited while a cold upstream with free slots might get no more requests.
+	Cold, ColdHolds int
 }
