--- a/internal/coordination/scheduler/cold_test.go
+++ b/internal/coordination/scheduler/cold_test.go
@@ -140,6 +140,7 @@
 			}
 			for _, signals := range all {
 				t.Run(fmt.Sprintf("%s, %d schedulers, %s", c.name, shards, signals), func(t *testing.T) {
+					t.Parallel()
 					m := newColdModel(t, 8, 8, 8)
 					m.listCold, m.headerCold = signals != "header", signals != "list"
 					m.assign(func(gateway int) int { return gateway % shards })
