--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-	"sort"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -179,143 +177,6 @@
 	p.step(now)
 }
 
-// setTiers rebuilds the tier queues, highest rank first, and moves the state and
-// the waiting tickets of the old queues into them.
-func (p *Pool) setTiers(v View) {
-	old := p.tiers
-	p.weights = make(map[ident.TeamName]float64, len(v.Teams))
-	for _, t := range v.Teams {
-		p.weights[t.Name] = float64(max(1, t.Shares))
-	}
-	p.tiers = make([]*tierQueue, 0, len(v.Tiers))
-	for _, t := range v.Tiers {
-		if v.Shared != nil {
-			p.tiers = append(p.tiers, newTierQueue(onTimeTier(t)), newTierQueue(lateTier(t)))
-			continue
-		}
-		p.tiers = append(p.tiers, newTierQueue(t))
-	}
-	sort.SliceStable(p.tiers, func(i, j int) bool { return p.tiers[i].tier.Rank > p.tiers[j].tier.Rank })
-	p.highestTier = ""
-	if len(p.tiers) > 0 {
-		p.highestTier = p.tiers[0].tier.Name
-	}
-	for _, q := range old {
-		for name, t := range q.teams {
-			p.tier(q.tier.Name).team(name, p.weight(name)).virtualTime = t.virtualTime
-		}
-		p.tier(q.tier.Name).virtualTime = q.virtualTime
-		p.tier(q.tier.Name).arrivals = q.arrivals
-		p.tier(q.tier.Name).held = q.held
-		p.tier(q.tier.Name).shed = q.shed
-		p.tier(q.tier.Name).shedAt = q.shedAt
-		for _, t := range q.active {
-			for _, e := range t.entries {
-				p.queueOf(e).add(e)
-			}
-		}
-	}
-}
-
-// tier returns the queue of the named tier. A tier that the view does not list
-// gets a queue that ranks below all others.
-func (p *Pool) tier(name ident.TierName) *tierQueue {
-	for _, q := range p.tiers {
-		if q.tier.Name == name {
-			return q
-		}
-	}
-	rank := 0
-	if n := len(p.tiers); n > 0 {
-		rank = p.tiers[n-1].tier.Rank - 1
-	}
-	q := newTierQueue(Tier{Name: name, Rank: rank})
-	p.tiers = append(p.tiers, q)
-	return q
-}
-
-func (p *Pool) weight(team ident.TeamName) float64 {
-	if w, known := p.weights[team]; known {
-		return w
-	}
-	return 1
-}
-
-func (p *Pool) queueOf(e *entry) *teamQueue {
-	return p.tierOf(e).team(e.ticket.Team, p.weight(e.ticket.Team))
-}
-
-// setUpstreams applies the view's upstreams. An upstream that the view no longer
-// lists is kept while requests run on it.
-func (p *Pool) setUpstreams(upstreams []Upstream, now time.Duration) {
-	for _, g := range p.orderedEngines {
-		g.listed = false
-	}
-	for _, u := range upstreams {
-		_, known := p.engines[u.Name]
-		g := p.engine(u)
-		former := g.upstream
-		g.cache.setMaxEntries(cacheEntriesTotal / len(upstreams))
-		if g.upstream.Version != u.Version {
-			g.versionNotLoaded = false
-			g.cache.clear()
-		}
-		g.upstream = u
-		g.listed = true
-		p.assignSlotsOf(g)
-		p.learnColdFromView(g, former, !known, now)
-	}
-	p.refreshAll(now)
-	p.dropEngines()
-	if len(p.coldEngines) > 0 {
-		p.updateUnusableSlots(now)
-	}
-}
-
-// engine returns the model of an upstream and creates it if needed.
-func (p *Pool) engine(u Upstream) *engine {
-	g, known := p.engines[u.Name]
-	if !known {
-		g = newEngine(u, &p.speed, p.holders, &p.tuning)
-		g.fraction = p.fraction
-		g.limitTrusted = p.view.Shared != nil
-		g.unheard = p.isUninformed(p.now)
-		_, g.saysLeaving = p.leaving[u.Name]
-		p.adoptLimit(g, p.now)
-		p.adoptBrittle(g, p.now)
-		p.adoptPauses(g)
-		p.engines[u.Name] = g
-		p.orderedEngines = append(p.orderedEngines, g)
-	}
-	return g
-}
-
-// dropEngines removes the idle engines that the view no longer lists.
-func (p *Pool) dropEngines() {
-	p.orderedEngines = slices.DeleteFunc(p.orderedEngines, func(g *engine) bool {
-		gone := !g.listed && g.used() == 0
-		if gone {
-			p.keepLimit(g)
-			p.forgetListedCold(g, p.now)
-			p.removeEngine(g)
-			delete(p.engines, g.upstream.Name)
-		}
-		return gone
-	})
-}
-
-// removeEngine removes an engine from the pool's holders, ejected list and ready
-// sets.
-func (p *Pool) removeEngine(g *engine) {
-	if g.brittle != nil {
-		p.brittle--
-	}
-	g.cache.clear()
-	g.health.ejected = false
-	p.updateEjected(g)
-	p.removeReady(g)
-}
-
 // Submit implements Scheduler.
 func (p *Pool) Submit(t Ticket, now time.Duration) {
 	p.submit(t, now)
@@ -369,47 +230,6 @@
 	p.lastWaiting = p.now
 }
 
-// repeatDecision emits the decision on a known ticket again, if there is one.
-func (p *Pool) repeatDecision(e *entry, now time.Duration) {
-	switch e.state {
-	case stateGranted:
-		p.emitGrant(e, now)
-	case stateRefused:
-		refusal := e.refusal
-		p.emit(e, Decision{Refusal: &refusal})
-	}
-}
-
-func (p *Pool) emit(e *entry, d Decision) {
-	d.Gateway = e.ticket.Gateway
-	d.Basis = Basis{
-		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
-		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle, Cold: len(p.coldEngines),
-		Percent: int(100 * p.fraction),
-	}
-	p.decisions = append(p.decisions, d)
-}
-
-// emitGrant emits a grant whose TTL is the time left until it expires. The
-// gateway counts the TTL from when it sent the call that the grant answers. That
-// was before now, so the gateway stops using the grant in time.
-func (p *Pool) emitGrant(e *entry, now time.Duration) {
-	peer := e.engine.peerOf(e.ticket.Gateway, now)
-	p.emit(e, Decision{Grant: &Grant{
-		Ticket:   e.ticket.ID,
-		Epoch:    p.epoch,
-		Upstream: e.engine.upstream.Name,
-		Version:  e.version,
-		First:    e.expectedFirstToken,
-		Limited:  e.engine.rate != nil || e.engine.brittle != nil,
-		Trial:    p.isTrial(e),
-		Choice:   e.choice,
-		Peer:     peer.gateway,
-		PeerAge:  now - peer.at,
-		TTL:      e.grantExpires - now,
-	}})
-}
-
 // refuse refuses a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
 	p.countColdHold(e, now)
