--- a/internal/coordination/scheduler/cold.go
+++ b/internal/coordination/scheduler/cold.go
@@ -115,6 +115,19 @@
 	return p.view.Cold
 }
 
+// applyColdLimit applies a changed limit to the upstreams that are cold.
+func (p *Pool) applyColdLimit(now time.Duration) {
+	if len(p.coldEngines) == 0 {
+		return
+	}
+	if limit := p.coldLimit(); limit != nil {
+		for _, c := range p.cold {
+			c.bucket.perSecond = limit.PerSecond
+		}
+	}
+	p.updateUnusableSlots(now)
+}
+
 // coldOf returns the bound of an upstream and creates it if there is none. All upstreams that
 // may be the same process get it, since any of their names may reach the new process.
 func (p *Pool) coldOf(g *engine, now time.Duration) *coldUpstream {
--- a/internal/coordination/scheduler/cold_test.go
+++ b/internal/coordination/scheduler/cold_test.go
@@ -341,6 +341,9 @@
 	must.True(t, p.engines["u2"].cold.ended)
 	p.observeColdAnswer(p.engines["u2"], 7*time.Second, 7*time.Second)
 	must.Eq(t, 12*time.Second, until("u2"))
+	v.Cold = &config.ColdLimit{Duration: coldDuration, PerSecond: 1}
+	p.SetView(v, 7*time.Second)
+	must.Eq(t, 1, p.engines["u2"].cold.bucket.perSecond)
 	// Two requests in a row without an answer are an end, one between answers isn't.
 	unsent := Report{Kind: ReportUnsent}
 	p.observeColdEnd(p.engines["u3"], unsent, 8*time.Second)
--- a/internal/coordination/scheduler/upstreams.go
+++ b/internal/coordination/scheduler/upstreams.go
@@ -27,9 +27,7 @@
 	}
 	p.refreshAll(now)
 	p.dropEngines()
-	if len(p.coldEngines) > 0 {
-		p.updateUnusableSlots(now)
-	}
+	p.applyColdLimit(now)
 }
 
 // engine returns the model of an upstream and creates it if needed.
