--- a/internal/coordination/scheduler/cold.go
+++ b/internal/coordination/scheduler/cold.go
@@ -292,7 +292,7 @@
 
 // refundColdToken gives back the token of a request that was not sent, or that another
 // upstream at the address has answered. A request for which no connection could be made gets
-// none back: the probes of many schedulers would all reach the upstream when it is back.
+// none back, since the upstream may be back at any moment: its probes are bounded as well.
 func refundColdToken(e *entry) {
 	if e.coldToken != nil {
 		e.coldToken.tokens = min(rateBurst, e.coldToken.tokens+1)
