--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -84,6 +84,11 @@
 	cold        map[string]*coldUpstream
 	coldEngines []*engine
 	coldChanges []ColdChange
+	// unlistedCold holds what is known of upstreams that the view does not list.
+	unlistedCold map[ident.UpstreamName]unlistedCold
+	// heldByCold counts the upstreams that only their bound keeps from taking a ticket, and
+	// coldHolds the tickets so far that waited meanwhile.
+	heldByCold, coldHolds int
 	// viewWasComplete is true if the view before the present one listed all upstreams.
 	viewWasComplete bool
 	evidence        evidence
@@ -145,6 +150,7 @@
 		evidence:       newEvidence(),
 		unlistedLimits: make(map[ident.UpstreamName]rateLimit),
 		cold:           make(map[string]*coldUpstream),
+		unlistedCold:   make(map[ident.UpstreamName]unlistedCold),
 		entries:        make(map[ident.RequestID]*entry),
 		engines:        make(map[ident.UpstreamName]*engine),
 		speed:          newSpeed(nil),
@@ -192,7 +198,7 @@
 	for _, u := range upstreams {
 		_, known := p.engines[u.Name]
 		g := p.engine(u)
-		p.learnColdFromView(g, u, !known, now)
+		former := g.upstream
 		g.cache.setMaxEntries(cacheEntriesTotal / len(upstreams))
 		if g.upstream.Version != u.Version {
 			g.versionNotLoaded = false
@@ -201,10 +207,12 @@
 		g.setUpstream(u)
 		g.listed = true
 		p.assignSlotsOf(g)
+		p.learnColdFromView(g, former, !known, now)
 	}
 	p.countEvacuated()
 	p.refreshAll(now)
 	p.dropEngines()
+	p.applyColdLimit(now)
 }
 
 // engine returns the model of an upstream and creates it if needed.
@@ -231,6 +239,7 @@
 		gone := !g.listed && g.used() == 0
 		if gone {
 			p.keepLimit(g)
+			p.forgetListedCold(g, p.now)
 			p.removeEngine(g)
 			delete(p.engines, g.upstream.Name)
 		}
@@ -244,7 +253,6 @@
 	if g.brittle != nil {
 		p.brittle--
 	}
-	p.coldEngines = slices.DeleteFunc(p.coldEngines, func(other *engine) bool { return other == g })
 	g.cache.clear()
 	g.health.ejected = false
 	p.updateEjected(g)
@@ -343,6 +351,12 @@
 	s := Stats{
 		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants, Elsewhere: p.grantsElsewhere,
 		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
+		ColdHolds: p.coldHolds,
+	}
+	for _, g := range p.coldEngines {
+		if g.isCold(p.now) {
+			s.Cold++
+		}
 	}
 	s.Reservations, s.Unplanned = p.reservationCounts(), p.unplanned
 	for _, q := range p.tiers {
--- a/internal/coordination/scheduler/submit.go
+++ b/internal/coordination/scheduler/submit.go
@@ -75,7 +75,7 @@
 	d.Gateway = e.ticket.Gateway
 	d.Basis = Basis{
 		Waited: p.now - e.submittedAt, Wait: e.waitAhead,
-		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle,
+		Slots: p.slots, Running: p.running, Waiting: p.waiting, Ejected: len(p.ejected), Limited: len(p.limited), Brittle: p.brittle, Cold: len(p.coldEngines),
 		Percent: int(100 * p.fraction), Retry: e.retryNote,
 	}
 	p.decisions = append(p.decisions, d)
@@ -103,6 +103,7 @@
 
 // refuse refuses a ticket that holds no slot and is in no queue.
 func (p *Pool) refuse(e *entry, reason Reason, now time.Duration) {
+	p.countColdHold(e, now)
 	tier := p.tierOf(e)
 	tier.shed = true
 	tier.shedAt = now
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -192,6 +192,8 @@
 	// Ejected counts the upstreams out of rotation, Limited those under a rate limit and
 	// Brittle those that are brittle.
 	Ejected, Limited, Brittle int
+	// Cold counts the upstreams that are bounded because they have just started.
+	Cold int
 	// Percent is the percentage of the pool's capacity that this scheduler may
 	// use.
 	Percent int
@@ -203,6 +205,9 @@
 func (b Basis) String() string {
 	text := fmt.Sprintf("waited %d ms, %d ms ahead, %d running, %d waiting, %d slots, %d upstreams ejected, %d limited, %d brittle, %d%% of capacity",
 		b.Waited.Milliseconds(), b.Wait.Milliseconds(), b.Running, b.Waiting, b.Slots, b.Ejected, b.Limited, b.Brittle, b.Percent)
+	if b.Cold > 0 {
+		text += fmt.Sprintf(", %d cold or warming up", b.Cold)
+	}
 	if b.Retry != "" {
 		text += "; " + b.Retry
 	}
@@ -311,4 +316,7 @@
 	// for load so far that had none and no RetryAfter.
 	Reservations retryslots.Counts
 	Unplanned    int
+	// Cold counts the upstreams in their cold time, and ColdHolds the tickets so far that
+	// waited while a cold upstream with free slots might get no more requests.
+	Cold, ColdHolds int
 }
