Evacuations in the view and the change log of nodes

Cause: the daemon's nodes learn of leases and moves by the machine's view; evacuations were not part of it, so that they reached only nodes that sync with the fleet state. Change: evacuations are numbered in the change log and part of views and of Members. Measured: tests of internal/state/machine pass; the random histories compare the evacuations of a node that follows views with those of the machine.

--- a/internal/state/machine/evacuations.go
+++ b/internal/state/machine/evacuations.go
@@ -35,7 +35,7 @@
 		r := evacuation.Record{Zone: o.Zone, By: o.By, At: m.clock, Number: m.evacuationNumber}
 		m.evacuations = slices.Insert(slices.Clone(m.evacuations), at, r)
 	}
-	m.notifyChanged()
+	m.changes.add(ChangedObject{Evacuation: o.Zone})
 	return Result{}
 }
 
--- a/internal/state/machine/evacuations_test.go
+++ b/internal/state/machine/evacuations_test.go
@@ -9,6 +9,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
 	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 )
 
 func evacuate(zone ident.Zone, term uint64, end bool) Command {
@@ -58,6 +59,45 @@
 	must.Eq(t, Result{}, l.do(evacuate("one more", 0, false)))
 }
 
+// TestEvacuate_InTheViewOfNodes guards against nodes that never learn of an evacuation or of
+// its end: one that follows each change, one that missed both, and one whose state is older
+// than the change log.
+func TestEvacuate_InTheViewOfNodes(t *testing.T) {
+	l := newLoggedMachine()
+	l.do(Command{GrantNode: &GrantNode{Node: lease.Node{ID: "n1", Incarnation: 1}}})
+	full, err := Members{}.Apply(l.ViewFrom(0))
+	must.NoError(t, err)
+	must.MapEmpty(t, full.Evacuations)
+
+	changed := l.Changed()
+	l.do(evacuate("b", 0, false))
+	<-changed
+	started, err := full.Apply(l.ViewFrom(full.Sequence))
+	must.NoError(t, err)
+	must.Eq(t, ident.Zone("b"), started.Evacuations["b"].Zone)
+	must.MapEmpty(t, full.Evacuations)
+	l.do(evacuate("b", 0, false))
+	must.Nil(t, l.ViewFrom(started.Sequence))
+
+	l.do(evacuate("b", 0, true))
+	for _, before := range []Members{full, started} {
+		view := l.ViewFrom(before.Sequence)
+		must.False(t, view.Full)
+		ended, err := before.Apply(view)
+		must.NoError(t, err)
+		must.MapEmpty(t, ended.Evacuations)
+	}
+	l.do(evacuate("c", 0, false))
+	for i := range 2 * minKeptChanges {
+		l.do(Command{GrantNode: &GrantNode{Node: lease.Node{ID: "n1", Incarnation: 1, Draining: i%2 == 0}}})
+	}
+	view := l.ViewFrom(started.Sequence)
+	must.True(t, view.Full)
+	late, err := started.Apply(view)
+	must.NoError(t, err)
+	must.Eq(t, map[ident.Zone]evacuation.Record{"c": l.Evacuations()[0]}, late.Evacuations)
+}
+
 // TestRefresh_ReachesNodesThatLackFields guards against a field that an older build has
 // dropped at a node and that the node never gets, because the leader's own configuration had
 // it: the node's update is then an empty difference.
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -96,7 +96,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the configuration,
-// node leases, scheduler leases, moves or rollouts.
+// node leases, scheduler leases, moves, rollouts or evacuations.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/state/machine/machine_test.go
+++ b/internal/state/machine/machine_test.go
@@ -137,6 +137,7 @@
 				must.Eq(t, replica.Nodes(), sortedValues(members.Nodes))
 				must.Eq(t, replica.Pools(), sortedValues(members.Pools))
 				must.Eq(t, replica.Moves(), sortedValues(members.Moves))
+				must.Eq(t, append([]evacuation.Record{}, replica.Evacuations()...), sortedValues(members.Evacuations))
 			},
 			"": func(t *rapid.T) {
 				a, err := l.Snapshot()
--- a/internal/state/machine/view.go
+++ b/internal/state/machine/view.go
@@ -5,12 +5,13 @@
 	"maps"
 	"slices"
 
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
 )
 
-// minKeptChanges is the number of changes to nodes, pools and moves to which the
+// minKeptChanges is the number of changes to nodes, pools, moves and evacuations to which the
 // changeLog is trimmed when it reaches twice as many. A node that lags further than
 // the log reaches gets a full view.
 const minKeptChanges = 2048
@@ -20,10 +21,12 @@
 	Node ident.NodeID   `cbor:",omitempty"`
 	Pool ident.PoolName `cbor:",omitempty"`
 	Move ident.MoveName `cbor:",omitempty"`
+	// Evacuation is the data centre whose evacuation started or ended.
+	Evacuation ident.Zone `cbor:",omitempty"`
 }
 
-// changeLog records the latest changes to nodes, pools and moves and numbers them.
-// Its fields are exported only so that they are encoded.
+// changeLog records the latest changes to nodes, pools, moves and evacuations and numbers
+// them. Its fields are exported only so that they are encoded.
 type changeLog struct {
 	// Sequence is the number of the latest change.
 	Sequence uint64
@@ -70,6 +73,10 @@
 	RemovedPools []ident.PoolName
 	Moves        []move.Record
 	RemovedMoves []ident.MoveName
+	// Evacuations and RemovedEvacuations are unknown to nodes of builds below feature
+	// level 1. They are empty until all nodes support that level.
+	Evacuations        []evacuation.Record
+	RemovedEvacuations []ident.Zone
 }
 
 // ViewFrom returns the view for a node that has applied the changes up to number
@@ -98,6 +105,8 @@
 		Nodes:    sortedValues(m.nodes),
 		Pools:    sortedValues(m.pools),
 		Moves:    sortedValues(m.moves),
+
+		Evacuations: m.evacuations,
 	}
 }
 
@@ -109,6 +118,12 @@
 		v.Pools, v.RemovedPools = appendObject(m.pools, c.Pool, v.Pools, v.RemovedPools)
 	case c.Move != "":
 		v.Moves, v.RemovedMoves = appendObject(m.moves, c.Move, v.Moves, v.RemovedMoves)
+	case c.Evacuation != "":
+		if r, evacuated := evacuation.Find(m.evacuations, c.Evacuation); evacuated {
+			v.Evacuations = append(v.Evacuations, r)
+		} else {
+			v.RemovedEvacuations = append(v.RemovedEvacuations, c.Evacuation)
+		}
 	}
 }
 
@@ -127,13 +142,15 @@
 	return m.changes.Sequence
 }
 
-// Members is a node's copy of the node leases, the scheduler leases and the move
-// records. The zero value is empty.
+// Members is a node's copy of the node leases, the scheduler leases, the move records
+// and the evacuations. The zero value is empty.
 type Members struct {
 	Sequence uint64
 	Nodes    map[ident.NodeID]lease.Node
 	Pools    map[ident.PoolName]lease.Pool
 	Moves    map[ident.MoveName]move.Record
+	// Evacuations holds the evacuated data centres.
+	Evacuations map[ident.Zone]evacuation.Record
 }
 
 // Apply returns m updated by a view, or m itself if the view is not newer. It doesn't
@@ -154,6 +171,8 @@
 		Nodes:    merge(m.Nodes, v.Nodes, v.RemovedNodes, func(n lease.Node) ident.NodeID { return n.ID }),
 		Pools:    merge(m.Pools, v.Pools, v.RemovedPools, func(p lease.Pool) ident.PoolName { return p.Pool }),
 		Moves:    merge(m.Moves, v.Moves, v.RemovedMoves, func(r move.Record) ident.MoveName { return r.Name }),
+
+		Evacuations: merge(m.Evacuations, v.Evacuations, v.RemovedEvacuations, func(r evacuation.Record) ident.Zone { return r.Zone }),
 	}, nil
 }
 
