The feature level and known data centres among the daemon's nodes

Cause: only the leader of a fleet raised the feature level and checked names, so that the daemon's nodes could never evacuate a data centre; an accepted order would have ended the leader's process, which published a fleet state that the daemon doesn't have. Change: nodes state the level with each heartbeat, in the leader's memory and not in the lease, which replicas of older builds compare without it. The leader commits it once all nodes with a lease and all voters have stated it; before, a refusal names those that have not.

--- a/internal/coordination/control/calls.go
+++ b/internal/coordination/control/calls.go
@@ -140,6 +140,7 @@
 	reply.OpenOrders = s.machine.OpenOrders()
 	reply.Replicas = s.members()
 	reply.LedgerEntries, reply.LedgerBytes = s.machine.LedgerSize()
+	reply.Evacuations, reply.Features = s.machine.Evacuations(), s.machine.Features()
 	reply.Status = s.stillServing(term)
 	return nil
 }
--- a/internal/coordination/control/evacuations.go
+++ b/internal/coordination/control/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
@@ -13,6 +14,9 @@
 	Status
 	// Refusal is the reason why the order was refused; empty if it was accepted.
 	Refusal machine.Refusal
+	// Waiting holds, after a refusal for the feature level, the nodes and voters that
+	// have not stated that they support it, as far as they are known.
+	Waiting []ident.NodeID
 }
 
 // Evacuate commits an operator's order about the evacuation of a data centre. It is served
@@ -24,16 +28,23 @@
 		return nil
 	}
 	order := args.Order
+	if s.fleet == nil && !s.knowsZone(order.Zone) {
+		reply.Refusal = machine.RefusedUnknown
+		return nil
+	}
 	if _, known := s.machine.Evacuation(order.Zone); known != order.End && order.Zone != "" {
 		return nil // a repeated order
 	}
 	if s.machine.Features() < evacuationLevel {
 		reply.Refusal = machine.RefusedFeatures
+		if s.fleet == nil {
+			reply.Waiting = s.nodesWithout(evacuationLevel)
+		}
 		return nil
 	}
 	result, status := s.propose(&machine.Command{Evacuate: &order})
 	reply.Status, reply.Refusal = status, result.Refusal
-	if status.OK() {
+	if status.OK() && s.fleet != nil {
 		s.publishCommitted()
 	}
 	return nil
--- a/internal/coordination/control/features.go
+++ b/internal/coordination/control/features.go
@@ -12,12 +12,21 @@
 // supports it. A voter that has not been heard of in this term holds it back: its build is
 // unknown.
 func (s *Service) raiseFeatures(term uint64) {
-	if s.machine.Features() >= machine.FeatureLevel || !s.fleet.allSupport(s.members(), machine.FeatureLevel) {
+	if s.machine.Features() >= machine.FeatureLevel || !s.allSupport(machine.FeatureLevel) {
 		return
 	}
 	_, _ = s.proposeIn(term, &machine.Command{SetFeatures: &machine.SetFeatures{Level: machine.FeatureLevel}})
 }
 
+// allSupport reports whether all voters and live members support a feature level.
+func (s *Service) allSupport(level uint32) bool {
+	if s.fleet != nil {
+		return s.fleet.allSupport(s.members(), level)
+	}
+	nodes := s.machine.Nodes()
+	return len(nodes) > 0 && len(s.nodesWithout(level)) == 0
+}
+
 // SetDocumentReader sets what reads the text of a numbered configuration. It must be called
 // before the service serves.
 func (s *Service) SetDocumentReader(read config.Reader) { s.readDocument = read }
--- a/internal/coordination/control/follower.go
+++ b/internal/coordination/control/follower.go
@@ -55,7 +55,7 @@
 	defer f.mu.Unlock()
 	args := &HeartbeatArgs{
 		Node: f.node, Load: load, WantLoads: wantLoads,
-		HaveRevision: f.revision, HaveView: f.members.Sequence,
+		HaveRevision: f.revision, HaveView: f.members.Sequence, Features: machine.FeatureLevel,
 	}
 	if f.needFullConfig {
 		args.HaveRevision = 0
--- a/internal/coordination/control/heartbeat.go
+++ b/internal/coordination/control/heartbeat.go
@@ -111,6 +111,7 @@
 	n.revision = args.HaveRevision
 	n.view = args.HaveView
 	n.load = args.Load
+	n.features = args.Features
 }
 
 // grant commits a node lease or its new attributes.
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -108,6 +108,8 @@
 	revision ident.Revision
 	view     uint64
 	load     uint8
+	// features is the feature level that the node has stated.
+	features uint32
 }
 
 // Counters counts the service's operations since the start of the process.
@@ -145,9 +147,9 @@
 	}
 }
 
-// Tick begins a term that this replica won, expires node leases and assigns
-// pools. After EnableFleet, it expires members and publishes committed state instead
-// of the latter two.
+// Tick begins a term that this replica won, expires node leases, assigns pools and raises
+// the feature level. After EnableFleet, it expires members and publishes committed state
+// instead of the second and the third.
 func (s *Service) Tick() {
 	if !s.ticking.TryLock() {
 		return // the running Tick does the same
@@ -176,6 +178,7 @@
 	}
 	s.expireNodes(leadership.Term)
 	s.assignPools(leadership.Term)
+	s.raiseFeatures(leadership.Term)
 }
 
 // noteLeadership records the leadership and wakes its waiters if it has changed, or if the
--- a/internal/coordination/control/types.go
+++ b/internal/coordination/control/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -52,6 +53,9 @@
 	HaveView uint64
 	// WantLoads requests the loads of all nodes.
 	WantLoads bool
+	// Features is the feature level that the node's build supports; 0 for older builds.
+	// It isn't part of the lease, which replicas of older builds would compare without it.
+	Features uint32
 	// Stamp is the timestamp of the sender's timeline clock.
 	Stamp timeline.Stamp
 }
@@ -189,6 +193,10 @@
 	Replicas      []consensus.Member
 	LedgerEntries int
 	LedgerBytes   int64
+	// Evacuations are the evacuated data centres, in order.
+	Evacuations []evacuation.Record
+	// Features is the committed feature level.
+	Features uint32
 }
 
 // NodeStatus is one live node as the leader sees it.
