Gateway: no sending to an upstream evacuated while a claim commits

Cause: the gateway asked whether the upstream gets new requests before the claim, whose commit may take seconds, and then sent. Change: it asks again when it takes up the grant; the claim is released and the request goes elsewhere. The timeline names a grant that wasn't used for that reason. Measured: tests of internal/coordination/gateway pass with -race; the new one is red without the second check.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -14,8 +14,7 @@
 func (g *Gateway) attempt(ctx context.Context, placer Placer, r *Request, grant *scheduler.Grant, relay *relay) (Result, attemptOutcome) {
 	upstream, ok := g.env.Upstream(grant.Upstream)
 	if !ok {
-		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
-		return Result{}, attemptUnlisted
+		return Result{}, g.dropUnlisted(placer, r, grant)
 	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
 	if r.needsClaim() {
@@ -64,9 +63,21 @@
 	return Result{Answered: true}, attemptSettled
 }
 
+// dropUnlisted gives up a grant at an upstream that the environment doesn't know or that gets
+// no new requests.
+func (g *Gateway) dropUnlisted(placer Placer, r *Request, grant *scheduler.Grant) attemptOutcome {
+	g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s gets no new requests from this gateway; goes on elsewhere", grant.Upstream))
+	placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+	return attemptUnlisted
+}
+
 // begin takes up a grant just before the request is sent. If the grant can't be used, it
-// reports that and returns why; otherwise attemptSettled.
+// reports that and returns why; otherwise attemptSettled. It asks the environment again:
+// the commit of a claim takes long enough for an evacuation to come into force meanwhile.
 func (g *Gateway) begin(placer Placer, r *Request, grant *scheduler.Grant) attemptOutcome {
+	if _, ok := g.env.Upstream(grant.Upstream); !ok {
+		return g.dropUnlisted(placer, r, grant)
+	}
 	switch placer.Begin(r.ID) {
 	case scheduler.BeginSend:
 		r.begun = true
