Daemon: schedulers and gateways obey evacuations

Cause: the daemon's nodes got evacuations with their view and did nothing with them. Change: the scheduler's view marks the upstreams of an evacuated data centre, so that they get no grants and trials; the gateway asks before each sending, so that a grant from before isn't used. Each node records what has changed, counts unused grants and reports its requests in flight by data centre.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -16,6 +16,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/nodeview"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
@@ -65,8 +66,10 @@
 	// heartbeatNow makes heartbeatLoop send the next heartbeat without delay.
 	heartbeatNow chan struct{}
 	reachability reachability
-	drained      chan struct{}
-	drain        sync.Once
+	// evacuations are those last recorded. Only heartbeatLoop uses them.
+	evacuations []evacuation.Record
+	drained     chan struct{}
+	drain       sync.Once
 	stopOnce     sync.Once
 
 	mu      sync.Mutex
--- a/internal/command/agent/environment.go
+++ b/internal/command/agent/environment.go
@@ -26,9 +26,14 @@
 	return nil
 }
 
-// Upstream implements gateway.Environment.
+// Upstream implements gateway.Environment. The gateway asks it before each sending, so
+// that a grant from before an evacuation isn't used.
 func (a *Agent) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
-	return a.view.Upstream(name)
+	u, usable := a.view.Upstream(name)
+	if !usable && a.view.Evacuated(u.Zone) {
+		a.metrics.evacuatedGrants.Inc()
+	}
+	return u, usable
 }
 
 // PoolUpstreams implements gateway.Environment.
--- a/internal/command/agent/heartbeat.go
+++ b/internal/command/agent/heartbeat.go
@@ -105,6 +105,7 @@
 		a.events.Record(timeline.Event{Kind: timeline.KindConfig, Revision: revision})
 		klog.InfoS("configuration in force", "revision", revision)
 	}
+	a.recordEvacuations()
 	// An earlier incarnation of the node may still be listed as draining.
 	if node, ok := a.view.Members().Nodes[a.settings.Node]; ok && node.Draining && node.Incarnation == a.incarnation {
 		a.Drain()
--- a/internal/command/agent/metrics.go
+++ b/internal/command/agent/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/transport/callerhttp"
 )
 
-// metrics holds the Prometheus metrics of the caller server. Label values come
+// metrics holds the Prometheus metrics of the caller server and the gateway. Label values come
 // only from the configuration and from fixed lists of reasons and outcomes,
 // which bounds the number of time series.
 type metrics struct {
@@ -19,6 +19,8 @@
 	refusals *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
 	rejected prometheus.Counter
+	// evacuatedGrants counts grants that the gateway didn't use.
+	evacuatedGrants prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -49,8 +51,12 @@
 			Name: "flamingohaven_connections_rejected_total",
 			Help: "Callers' connections closed at the limit.",
 		}),
+		evacuatedGrants: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "flamingohaven_evacuated_grants_total",
+			Help: "Grants that were not used because the upstream's data centre was evacuated meanwhile.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.teams, m.versions, m.refusals, m.seconds, m.rejected)
+	m.registry.MustRegister(m.requests, m.teams, m.versions, m.refusals, m.seconds, m.rejected, m.evacuatedGrants)
 	return m
 }
 
--- a/internal/command/agent/nodeservice.go
+++ b/internal/command/agent/nodeservice.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
@@ -21,3 +22,16 @@
 	reply.Events = s.agent.events.Events(args.Filter)
 	return nil
 }
+
+// InFlightArgs requests the requests in flight.
+type InFlightArgs struct{}
+
+// InFlightReply holds the number of requests in flight from this node to the upstreams of
+// each data centre that has any.
+type InFlightReply struct{ Zones map[ident.Zone]int }
+
+// InFlight returns the number of requests in flight from this node.
+func (s *nodeService) InFlight(_ *InFlightArgs, reply *InFlightReply) error {
+	reply.Zones = s.agent.inFlight()
+	return nil
+}
--- a/internal/coordination/nodeview/nodeview.go
+++ b/internal/coordination/nodeview/nodeview.go
@@ -1,6 +1,6 @@
 // Package nodeview holds what one node knows of the system: the configuration
-// in force, the live nodes, the scheduler leases, the moves, the leaving
-// upstreams, and how long the node may rely on its own lease.
+// in force, the live nodes, the scheduler leases, the moves, the evacuated data
+// centres, the leaving upstreams, and how long the node may rely on its own lease.
 package nodeview
 
 import (
@@ -36,7 +36,7 @@
 type Change struct {
 	// Config is true when another revision came into force.
 	Config bool
-	// Members is true when nodes, scheduler leases or moves changed.
+	// Members is true when nodes, scheduler leases, moves or evacuations changed.
 	Members bool
 }
 
@@ -117,11 +117,11 @@
 }
 
 // Upstream returns a configured upstream, and false if it is unknown or gets no
-// new work.
+// new work: it leaves, or its data centre is evacuated.
 func (v *View) Upstream(name ident.UpstreamName) (config.Upstream, bool) {
 	cfg, _ := v.Config()
 	u, ok := cfg.Upstreams[name]
-	return u, ok && !v.Leaving(u.Address)
+	return u, ok && !v.Leaving(u.Address) && !v.Evacuated(u.Zone)
 }
 
 // Holder returns the scheduler lease of a pool and the live node that holds it,
--- a/internal/coordination/nodeview/schedview.go
+++ b/internal/coordination/nodeview/schedview.go
@@ -56,6 +56,7 @@
 			Zone:          u.Zone,
 			MaxConcurrent: u.MaxConcurrent,
 			Leaving:       v.Leaving(u.Address),
+			Evacuated:     v.Evacuated(u.Zone),
 		})
 	}
 	slices.SortFunc(list, func(a, b scheduler.Upstream) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -46,6 +46,23 @@
 	return slices.EqualFunc(a, b, func(a, b Record) bool { return a.Zone == b.Zone && a.Number == b.Number })
 }
 
+// Changes returns the evacuations that are in force after and not before, and those that were
+// in force before and whose data centre isn't evacuated after. Both lists must be in the order
+// of Compare. An evacuation that ended and started again in between has started.
+func Changes(before, after []Record) (started, ended []Record) {
+	for _, r := range after {
+		if known, found := Find(before, r.Zone); !found || known.Number != r.Number {
+			started = append(started, r)
+		}
+	}
+	for _, r := range before {
+		if _, kept := Find(after, r.Zone); !kept {
+			ended = append(ended, r)
+		}
+	}
+	return started, ended
+}
+
 // Find returns the evacuation of a data centre. Records must be in the order of Compare.
 func Find(records []Record, zone ident.Zone) (Record, bool) {
 	at, found := slices.BinarySearchFunc(records, Record{Zone: zone}, Compare)
