Commands: evacuate, and evacuations in the status

Cause: operators of the daemon had no way to order an evacuation or to see one. Change: POST /v1/evacuate on the operator API and flamingohaven evacuate [-end] ZONE. The status lists the evacuated data centres with the requests in flight on their upstreams, summed over the nodes that answer. A refusal for the feature level has a code of its own, since trying other nodes doesn't help. The leader exports two more metrics, so its collector's test expects 10 families instead of 8.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -70,7 +70,7 @@
 	evacuations []evacuation.Record
 	drained     chan struct{}
 	drain       sync.Once
-	stopOnce     sync.Once
+	stopOnce    sync.Once
 
 	mu      sync.Mutex
 	clients map[ident.PoolName]*poolClient
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -75,6 +75,7 @@
 	commander.Register(u.movesCommand(), operators)
 	commander.Register(u.timelineCommand(), operators)
 	commander.Register(u.drainCommand(), operators)
+	commander.Register(u.evacuateCommand(), operators)
 	commander.Register(u.replicasCommand(), operators)
 	commander.Register(u.demoCommand(), trial)
 	commander.Register(u.loadCommand(), trial)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -58,7 +58,7 @@
 
 func TestCommands_HelpHasAnExample(t *testing.T) {
 	for _, line := range []string{
-		"serve", "status", "addresses", "timeline", "drain", "demo", "load", "fakes", "version",
+		"serve", "status", "addresses", "timeline", "drain", "evacuate", "demo", "load", "fakes", "version",
 		"config check", "config apply", "config show", "config history", "moves list", "moves wait",
 	} {
 		words := strings.Fields(line)
@@ -153,8 +153,10 @@
 		"GET " + opsapi.PathConfig:   &opsapi.ConfigReply{},
 		"GET /v1/addresses":          map[string]any{"ttl_seconds": 5},
 		"POST " + opsapi.PathDrain:   &opsapi.DrainReply{Node: "n1"},
+
+		"POST " + opsapi.PathEvacuate: &opsapi.EvacuateReply{Zone: "z1"},
 	})
-	for _, line := range []string{"status", "timeline", "config history", "config show", "addresses", "drain n1", "version"} {
+	for _, line := range []string{"status", "timeline", "config history", "config show", "addresses", "drain n1", "evacuate z1", "version"} {
 		r := execute(t, env, append(strings.Fields(line), "-o", "json")...)
 		must.Eq(t, 0, r.exit, must.Sprint(line, r))
 		must.True(t, json.Valid([]byte(r.out)), must.Sprint(line, r.out))
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -45,6 +45,7 @@
 	opsapi.CodeBadRequest:   {ExitUsage, "check the arguments, and that -operator lists operator addresses of nodes of this version"},
 	opsapi.CodeNotFound:     {ExitFailed, "nothing was changed; see flamingohaven status for the names"},
 	opsapi.CodeUnavailable:  {ExitFailed, "nothing was changed; check -operator and that a majority of the replicas is running, then try again"},
+	opsapi.CodeRefused:      {ExitFailed, "nothing was changed; try again once the reason is gone"},
 	opsapi.CodeUncertain:    {ExitUncertain, "the change may have taken effect; run the same command again, which is safe"},
 }
 
--- a/internal/command/operator/backend.go
+++ b/internal/command/operator/backend.go
@@ -58,7 +58,7 @@
 // Timeline implements opshttp.Backend. It calls all nodes in parallel and returns
 // the merged events and the nodes that did not answer.
 func (b *backend) Timeline(ctx context.Context, filter timeline.Filter) ([]timeline.Event, []ident.NodeID) {
-	nodes := b.knownNodes(ctx)
+	nodes := b.knownNodes(b.liveNodes(ctx))
 	lists := make([][]timeline.Event, len(nodes))
 	answered := make([]bool, len(nodes))
 	var wg sync.WaitGroup
@@ -85,17 +85,23 @@
 	return reply.Events, true
 }
 
-// knownNodes returns the replicas, this node and the live nodes, sorted by ID.
-// Without a leader the live nodes are unknown and left out.
-func (b *backend) knownNodes(ctx context.Context) []settings.Replica {
+// liveNodes returns the live nodes; none if there is no leader.
+func (b *backend) liveNodes(ctx context.Context) []control.NodeStatus {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
+	status, err := b.Status(ctx)
+	if err != nil {
+		return nil
+	}
+	return status.Nodes
+}
+
+// knownNodes returns the replicas, this node and the live nodes, sorted by ID.
+func (b *backend) knownNodes(live []control.NodeStatus) []settings.Replica {
 	nodes := slices.Clone(b.settings.Replicas)
 	nodes = append(nodes, settings.Replica{ID: b.settings.Node, Address: b.settings.InternalAdvertise})
-	if status, err := b.Status(ctx); err == nil {
-		for _, n := range status.Nodes {
-			nodes = append(nodes, settings.Replica{ID: n.ID, Address: n.InternalAddress})
-		}
+	for _, n := range live {
+		nodes = append(nodes, settings.Replica{ID: n.ID, Address: n.InternalAddress})
 	}
 	slices.SortStableFunc(nodes, func(a, b settings.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	return slices.CompactFunc(nodes, func(a, b settings.Replica) bool { return a.ID == b.ID })
--- a/internal/command/operator/collector.go
+++ b/internal/command/operator/collector.go
@@ -34,6 +34,9 @@
 	orders     *prometheus.Desc
 	moveState  *prometheus.Desc
 	moveShare  *prometheus.Desc
+
+	evacuations *prometheus.Desc
+	features    *prometheus.Desc
 }
 
 func newLeaderCollector(self ident.NodeID, status func(context.Context) (control.StatusReply, error)) *leaderCollector {
@@ -51,12 +54,15 @@
 		orders:     desc("flamingohaven_orders_open", "Orders to upstreams that have not ended, at the leader."),
 		moveState:  desc("flamingohaven_move_state", "1 for the state that a move is in, else 0, at the leader.", "move", "pool", "state"),
 		moveShare:  desc("flamingohaven_move_share", "Part of the pool's idempotent traffic, 0 to 1, on the new version, at the leader.", "move", "pool"),
+
+		evacuations: desc("flamingohaven_evacuated_data_centres", "Data centres whose upstreams get no new requests, at the leader."),
+		features:    desc("flamingohaven_feature_level", "Feature level that all nodes support, at the leader."),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *leaderCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.revision, c.nodes, c.maxSilence, c.keys, c.keyBytes, c.orders, c.moveState, c.moveShare} {
+	for _, d := range []*prometheus.Desc{c.revision, c.nodes, c.maxSilence, c.keys, c.keyBytes, c.orders, c.moveState, c.moveShare, c.evacuations, c.features} {
 		out <- d
 	}
 }
@@ -76,6 +82,8 @@
 	gauge(c.keys, float64(status.LedgerEntries))
 	gauge(c.keyBytes, float64(status.LedgerBytes))
 	gauge(c.orders, float64(len(status.OpenOrders)))
+	gauge(c.evacuations, float64(len(status.Evacuations)))
+	gauge(c.features, float64(status.Features))
 	live, draining, maxSilent := 0, 0, time.Duration(0)
 	for _, n := range status.Nodes {
 		maxSilent = max(maxSilent, n.Silent)
--- a/internal/command/operator/operator_test.go
+++ b/internal/command/operator/operator_test.go
@@ -14,6 +14,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/lease"
 	"github.com/flamingohaven/flamingohaven/internal/state/move"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
@@ -28,13 +29,16 @@
 		must.NoError(t, err)
 		return len(families)
 	}
-	must.Eq(t, 8, familyCount("a", nil))
+	must.Eq(t, 10, familyCount("a", nil))
 	must.Zero(t, familyCount("b", nil))
 	must.Zero(t, familyCount("a", errors.New("no leader")))
 }
 
-// testNode implements Node and serves the RPC method Node.Events.
-type testNode struct{ events []timeline.Event }
+// testNode implements Node and serves the RPC methods Node.Events and Node.InFlight.
+type testNode struct {
+	events   []timeline.Event
+	inFlight map[ident.Zone]int
+}
 
 func (n *testNode) Fresh() bool                      { return false }
 func (n *testNode) Addresses() callerapi.AddressList { return callerapi.AddressList{} }
@@ -44,6 +48,11 @@
 	return nil
 }
 
+func (n *testNode) InFlight(_ *agent.InFlightArgs, reply *agent.InFlightReply) error {
+	reply.Zones = n.inFlight
+	return nil
+}
+
 func serveNode(t *testing.T, n *testNode) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,3 +85,17 @@
 	must.Eq(t, "c", events[0].Node)
 	must.Error(t, b.Ready())
 }
+
+// TestInFlight_OneNodeDown guards against a sum that counts a node twice, which is a replica
+// and live, or that passes over a node without naming it.
+func TestInFlight_OneNodeDown(t *testing.T) {
+	replica := serveNode(t, &testNode{inFlight: map[ident.Zone]int{"z1": 2, "z2": 1}})
+	gateway := serveNode(t, &testNode{inFlight: map[ident.Zone]int{"z1": 5}})
+	s := &settings.Settings{Node: "b", InternalAdvertise: replica, Replicas: []settings.Replica{{ID: "a", Address: "127.0.0.1:1"}, {ID: "b", Address: replica}}}
+	rpcClient := rpcnet.NewClient()
+	defer rpcClient.Close()
+	live := []control.NodeStatus{{Node: lease.Node{ID: "b", InternalAddress: replica}}, {Node: lease.Node{ID: "g", InternalAddress: gateway}}}
+	sum, missing := (&backend{settings: s, rpcClient: rpcClient}).InFlight(t.Context(), live)
+	must.Eq(t, map[ident.Zone]int{"z1": 7, "z2": 1}, sum)
+	must.Eq(t, []ident.NodeID{"a"}, missing)
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -15,7 +15,7 @@
 	var o operatorFlags
 	return &cmd{
 		name:     "status",
-		synopsis: "show nodes, schedulers, moves and open orders",
+		synopsis: "show nodes, evacuations, schedulers, moves and open orders",
 		usage: `status [flags]
 
 Shows the state of the system as known to the leader.
@@ -54,6 +54,10 @@
 		nodes.row(n.Node, n.Zone, n.CallerAddress, state, n.Revision, n.Load, fmt.Sprintf("%.1fs", n.SilentSeconds))
 	}
 	nodes.flush()
+	if len(s.Evacuations) > 0 {
+		fmt.Fprintln(w)
+		printEvacuations(w, s.Evacuations)
+	}
 	if len(s.Pools) > 0 {
 		fmt.Fprintln(w)
 		pools := newTable(w, "POOL", "SCHEDULER", "EPOCH")
--- a/internal/protocol/opsapi/opsapi.go
+++ b/internal/protocol/opsapi/opsapi.go
@@ -144,6 +144,9 @@
 	Replicas      []Replica      `json:"replicas"`
 	LedgerEntries int            `json:"ledger_entries"`
 	LedgerBytes   int64          `json:"ledger_bytes"`
+	// Features is the feature level that all nodes support.
+	Features    uint32       `json:"features"`
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // Replica is one replica of the replicated log.
@@ -215,6 +218,9 @@
 	CodeNotFound Code = "not_found"
 	// CodeUnavailable means that the call certainly had no effect.
 	CodeUnavailable Code = "unavailable"
+	// CodeRefused means that the leader can't carry out the call at present and that it
+	// had no effect.
+	CodeRefused Code = "refused"
 	// CodeUncertain means that the call may have taken effect; it is safe to
 	// retry it unchanged.
 	CodeUncertain Code = "uncertain"
--- a/internal/transport/opshttp/client.go
+++ b/internal/transport/opshttp/client.go
@@ -97,6 +97,11 @@
 	return send[opsapi.DrainReply](ctx, c, http.MethodPost, opsapi.PathDrain, &opsapi.DrainRequest{Node: node})
 }
 
+// Evacuate starts or ends the evacuation of a data centre.
+func (c *Client) Evacuate(ctx context.Context, request *opsapi.EvacuateRequest) (*opsapi.EvacuateReply, error) {
+	return send[opsapi.EvacuateReply](ctx, c, http.MethodPost, opsapi.PathEvacuate, request)
+}
+
 // Addresses returns the nodes that callers should use.
 func (c *Client) Addresses(ctx context.Context) (*callerapi.AddressList, error) {
 	return send[callerapi.AddressList](ctx, c, http.MethodGet, callerapi.PathAddresses, nil)
--- a/internal/transport/opshttp/control.go
+++ b/internal/transport/opshttp/control.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 )
 
@@ -37,6 +38,11 @@
 	return control.Call[control.RemoveReplicaReply](ctx, c.Client, "RemoveReplica", &control.RemoveReplicaArgs{Node: node})
 }
 
+// Evacuate starts or ends the evacuation of a data centre.
+func (c Control) Evacuate(ctx context.Context, order evacuation.Order) (control.EvacuateReply, error) {
+	return control.Call[control.EvacuateReply](ctx, c.Client, "Evacuate", &control.EvacuateArgs{Order: order})
+}
+
 // Drain marks a node as draining.
 func (c Control) Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error) {
 	return control.Call[control.DrainReply](ctx, c.Client, "Drain", &control.DrainArgs{Node: node})
--- a/internal/transport/opshttp/opshttp_test.go
+++ b/internal/transport/opshttp/opshttp_test.go
@@ -34,8 +34,13 @@
 // testBackend is the backend of a node with the leader in the same process.
 type testBackend struct {
 	Control
-	ready error
-	fail  error
+	service *control.Service
+	ready   error
+	fail    error
+}
+
+func (b *testBackend) InFlight(_ context.Context, live []control.NodeStatus) (map[ident.Zone]int, []ident.NodeID) {
+	return map[ident.Zone]int{"z1": 3, "z2": 7}, []ident.NodeID{live[0].ID}
 }
 
 func (b *testBackend) Status(ctx context.Context) (control.StatusReply, error) {
@@ -75,7 +80,7 @@
 	clientConn, serverConn := net.Pipe()
 	go rpcServer.ServeConn(serverConn)
 	rpcClient := rpc.NewClient(clientConn)
-	backend := &testBackend{Control: Control{Client: control.NewClient(rpcCaller{rpcClient}, []ident.NodeID{"a"})}}
+	backend := &testBackend{service: service, Control: Control{Client: control.NewClient(rpcCaller{rpcClient}, []ident.NodeID{"a"})}}
 	server := New(backend, testToken, http.NotFoundHandler())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
--- a/internal/transport/opshttp/server.go
+++ b/internal/transport/opshttp/server.go
@@ -17,6 +17,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/opsapi"
+	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
@@ -29,6 +30,11 @@
 	History(ctx context.Context, limit int) (control.HistoryReply, error)
 	Status(ctx context.Context) (control.StatusReply, error)
 	Drain(ctx context.Context, node ident.NodeID) (control.DrainReply, error)
+	Evacuate(ctx context.Context, order evacuation.Order) (control.EvacuateReply, error)
+	// InFlight returns the number of requests in flight to the upstreams of each data
+	// centre, summed over the nodes that answered, and the nodes that did not. It asks
+	// the given live nodes and those that it knows otherwise.
+	InFlight(ctx context.Context, live []control.NodeStatus) (map[ident.Zone]int, []ident.NodeID)
 	RemoveReplica(ctx context.Context, node ident.NodeID) (control.RemoveReplicaReply, error)
 	// Timeline returns the merged events of all nodes, and the nodes that did
 	// not answer.
@@ -71,6 +77,7 @@
 	mux.HandleFunc("GET "+opsapi.PathMoves, s.authorized(s.moves))
 	mux.HandleFunc("GET "+opsapi.PathTimeline, s.authorized(s.timeline))
 	mux.HandleFunc("POST "+opsapi.PathDrain, s.authorized(s.drain))
+	mux.HandleFunc("POST "+opsapi.PathEvacuate, s.authorized(s.evacuate))
 	mux.HandleFunc("POST "+opsapi.PathRemoveReplica, s.authorized(s.removeReplica))
 	mux.HandleFunc("GET "+callerapi.PathAddresses, s.authorized(s.addresses))
 	mux.HandleFunc("GET "+opsapi.PathHealth, s.health)
--- a/internal/transport/opshttp/statecalls.go
+++ b/internal/transport/opshttp/statecalls.go
@@ -22,7 +22,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return toStatusReply(&reply), nil
+	out := toStatusReply(&reply)
+	if len(reply.Evacuations) > 0 {
+		inFlight, missing := s.backend.InFlight(ctx, reply.Nodes)
+		out.Evacuations = toEvacuations(reply.Evacuations, inFlight, missing)
+	}
+	return out, nil
 }
 
 func toStatusReply(r *control.StatusReply) *opsapi.StatusReply {
@@ -34,6 +39,7 @@
 		Moves:         toMoves(r.Moves),
 		LedgerEntries: r.LedgerEntries,
 		LedgerBytes:   r.LedgerBytes,
+		Features:      r.Features,
 	}
 	for _, n := range r.Nodes {
 		out.Nodes = append(out.Nodes, opsapi.Node{
