--- a/internal/command/agent/evacuations_test.go
+++ b/internal/command/agent/evacuations_test.go
@@ -69,7 +69,9 @@
 	long := strings.Replace(chatBody, `{"model":"writer-8b","max_tokens":8`, `{"stream":true,"model":"writer-8b","max_tokens":400`, 1)
 	streams := make(chan answer, 12)
 	for i := range cap(streams) {
-		go func() { streams <- c.send(i%3, call{method: http.MethodPost, path: "/v1/chat/completions", body: long}) }()
+		go func() {
+			streams <- c.send(i%3, call{method: http.MethodPost, path: "/v1/chat/completions", body: long})
+		}()
 	}
 	c.eventually(t, "streams at the engine", func() bool { return c.inFlight("east") > 0 })
 
--- a/internal/coordination/pool/runner.go
+++ b/internal/coordination/pool/runner.go
@@ -158,7 +158,7 @@
 	byVersion := make(map[ident.VersionName]*moves.Readiness)
 	for name, u := range c.Upstreams {
 		_, unloaded := r.unloaded[name]
-		if u.Pool != r.master.Pool() || unloaded || r.view.Leaving(u.Address) {
+		if u.Pool != r.master.Pool() || unloaded || r.view.Leaving(u.Address) || r.view.Evacuated(u.Zone) {
 			continue
 		}
 		ready := byVersion[u.Version]
