Scheduler: the upstreams left beside an evacuation aren't ejected as one of several

Cause: an upstream with a silent request stays in rotation if half of its version is out of it already. Change: evacuated upstreams don't count beside one that isn't. The daemon's test sends from more callers than the other engine has slots when it waits for the end of the evacuation: single requests may all be placed at the other one.

--- a/internal/command/agent/evacuations_test.go
+++ b/internal/command/agent/evacuations_test.go
@@ -127,10 +127,12 @@
 	c.evacuate(t, 2, "east", true)
 	c.evacuate(t, 2, "west", true)
 	c.awaitEvacuated(t, "west", false, 0, 1, 2)
-	c.eventually(t, "requests at the engine again", func() bool {
-		c.send(0, requests[0])
-		return len(c.engines[0].Runs()) > before
-	})
+	// There are more callers than the other engine has slots.
+	again := make(chan struct{})
+	load := c.startLoad(12, again)
+	c.eventually(t, "requests at the engine again", func() bool { return len(c.engines[0].Runs()) > before })
+	close(again)
+	load.Wait()
 	for i, n := range c.nodes {
 		changes := 0
 		for _, e := range n.events.Events(timeline.Filter{}) {
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -244,11 +244,12 @@
 
 // ejectUnlessHalfOut ejects an upstream unless half of its version is out of
 // rotation already: then the load or the estimate is at fault rather than the
-// upstream.
+// upstream. Evacuated upstreams don't count beside one that isn't: they take none of the
+// load.
 func (p *Pool) ejectUnlessHalfOut(g *engine, now time.Duration) {
 	all, out := 0, 0
 	for _, other := range p.orderedEngines {
-		if other.upstream.Version != g.upstream.Version || !other.listed {
+		if other.upstream.Version != g.upstream.Version || !other.listed || other.upstream.Evacuated && !g.upstream.Evacuated {
 			continue
 		}
 		all++
