--- a/internal/command/fleet/evacuations.go
+++ b/internal/command/fleet/evacuations.go
@@ -118,7 +118,11 @@
 	defer n.mu.Unlock()
 	sum := 0
 	for _, c := range n.clients {
-		sum += c.InFlight(there)
+		for name, requests := range c.InFlight() {
+			if there(name) {
+				sum += requests
+			}
+		}
 	}
 	return sum
 }
--- a/internal/coordination/control/fleet_calls.go
+++ b/internal/coordination/control/fleet_calls.go
@@ -95,8 +95,11 @@
 	return nil
 }
 
-// publishCommitted updates the fleet state with what is committed of it.
+// publishCommitted updates the fleet state, if there is one, with what is committed of it.
 func (s *Service) publishCommitted() {
+	if s.fleet == nil {
+		return
+	}
 	s.fleet.setCommitted(committedState{
 		rollouts: s.machine.Rollouts(), hotTeams: s.machine.HotTeams(), poison: s.machine.PoisonParts(), evacuations: s.machine.Evacuations(),
 	})
--- a/internal/coordination/pool/inflight.go
+++ b/internal/coordination/pool/inflight.go
@@ -2,16 +2,16 @@
 
 import "github.com/flamingohaven/flamingohaven/internal/state/ident"
 
-// InFlight returns the number of requests that this gateway has sent and that have not ended,
-// on the upstreams that where accepts.
-func (c *Client) InFlight(where func(ident.UpstreamName) bool) int {
+// InFlight returns the number of requests that this gateway has sent to each upstream and
+// that have not ended.
+func (c *Client) InFlight() map[ident.UpstreamName]int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	count := 0
+	sent := make(map[ident.UpstreamName]int)
 	for _, r := range c.running {
-		if r.begun && where(r.grant.Upstream) {
-			count++
+		if r.begun {
+			sent[r.grant.Upstream]++
 		}
 	}
-	return count
+	return sent
 }
