--- a/internal/state/config/encode.go
+++ b/internal/state/config/encode.go
@@ -27,10 +27,11 @@
 	err := errors.Join(check("tiers", len(c.Tiers)), check("teams", len(c.Teams)), check("pools", len(c.Pools)),
 		check("upstreams", len(c.Upstreams)), check("routes", len(c.Routes)), check("moves", len(c.Moves)))
 	for name, team := range c.Teams {
-		err = errors.Join(err, check(fmt.Sprintf("keys of team %q", name), len(team.Keys)), check(fmt.Sprintf("tiers of team %q", name), len(team.Tiers)))
+		err = errors.Join(err, check(fmt.Sprintf("keys of team %q", name), len(team.Keys)), check(fmt.Sprintf("tiers of team %q", name), len(team.Tiers)),
+			check(fmt.Sprintf("regions of team %q", name), len(team.Regions)))
 	}
 	for name, route := range c.Routes {
-		err = errors.Join(err, check(fmt.Sprintf("splits of route %q", name), len(route.Splits)))
+		err = errors.Join(err, check(fmt.Sprintf("splits of route %q", name), len(route.Splits)), check(fmt.Sprintf("regions of route %q", name), len(route.Regions)))
 	}
 	return err
 }
