Scheduler: tickets with regions

Cause: Ticket.Regions had no effect. Change: choice, probes, pauses and exhaustion consider only upstreams in a ticket's regions. A ticket that waits for a full region is held during a placement without a bound on the number, so that it blocks no other. Waits are estimated per region: work that may run anywhere goes where there is least. A request for which none is left is refused with the reason region, also while it waits: with Retry-After if listed upstreams there are out of service. Measured: go test ./internal/coordination/scheduler ok.

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -13,6 +13,9 @@
 	if reason := p.admitPoison(e, now); reason != "" {
 		return reason
 	}
+	if reason := p.admitRegion(e, now); reason != "" {
+		return reason
+	}
 	if p.exhausted(e) {
 		return ReasonUnsent
 	}
@@ -89,7 +92,7 @@
 		return false
 	}
 	for _, g := range p.orderedEngines {
-		if g.acceptsWork() && !e.excludes(g.upstream.Name) {
+		if g.acceptsWork() && e.mayUse(g) {
 			return false
 		}
 	}
@@ -109,7 +112,7 @@
 // it, at most once per trialInterval. Without trials there would be no new
 // samples, and a slow period would never be forgotten.
 func (p *Pool) admitTrial(e *entry, wait, now time.Duration) bool {
-	e.trial = wait == 0 && now < e.deadline && p.readyEngines > 0 && now >= p.nextTrial
+	e.trial = wait == 0 && now < e.deadline && p.readyFor(e) && now >= p.nextTrial
 	if e.trial {
 		p.nextTrial = now + trialInterval
 	}
@@ -176,15 +179,7 @@
 // expectedWait estimates the time until a new ticket gets a slot: the work ahead
 // of it in its own and higher tiers, divided by the slots that its tier may use.
 func (p *Pool) expectedWait(e *entry, now time.Duration) time.Duration {
-	tier := p.tierOf(e)
-	ahead := time.Duration(0)
-	for _, q := range p.tiers {
-		if q.tier.Rank > tier.tier.Rank {
-			ahead += q.work
-		}
-	}
-	ahead += workAheadInTier(tier, e)
-	return max(p.nextToken(now), p.pauseWait(e, now), scaleBy(ahead, 1/p.spareSlots(tier, e.deadline-now, now)))
+	return max(p.nextTokenFor(e, now), p.pauseWait(e, now), p.waitAhead(e, p.tierOf(e), now))
 }
 
 // workAheadInTier returns the work of the ticket's tier that is served before it:
@@ -202,8 +197,11 @@
 // been placed, when the quota allows the request, when an ejected upstream is
 // probed again, or when the next trial is due.
 func (p *Pool) retryAfter(e *entry, reason Reason, now time.Duration) time.Duration {
-	if reason == ReasonPoisonPart || reason == ReasonPoisonRequest {
+	switch reason {
+	case ReasonPoisonPart, ReasonPoisonRequest:
 		return 0
+	case ReasonRegion:
+		return p.regionRetryAfter(e, now)
 	}
 	after := p.expectedWait(e, now)
 	switch {
@@ -256,17 +254,20 @@
 	p.refreshAll(now)
 	p.updateUnusableSlots(now)
 	ahead := time.Duration(0)
+	load := p.newSweepLoad()
 	for _, q := range p.tiers {
 		if q.waiting > 0 {
-			p.sweepTier(q, ahead, now)
+			load.beginTier()
+			p.sweepTier(q, ahead, load, now)
 		}
 		ahead += q.work
+		load.endTier(q)
 	}
 }
 
 // sweepTier reviews the tickets of one tier in order of slack. ahead is the
-// waiting work of higher tiers.
-func (p *Pool) sweepTier(q *tierQueue, ahead, now time.Duration) {
+// waiting work of higher tiers, and load that of all by region.
+func (p *Pool) sweepTier(q *tierQueue, ahead time.Duration, load *sweepLoad, now time.Duration) {
 	order := make([]*entry, 0, q.waiting)
 	for _, t := range q.active {
 		order = append(order, t.entries...)
@@ -277,9 +278,17 @@
 	contended := p.isLowestActive(q, now)
 	teamWork := make(map[*teamQueue]time.Duration, len(q.active))
 	for _, e := range order {
+		if reason := p.admitRegion(e, now); reason != "" {
+			p.dequeue(e)
+			p.refuse(e, reason, now)
+			continue
+		}
 		own := scaleBy(teamWork[e.queue], q.totalWeight/e.queue.weight)
 		spare := p.spareSlots(q, e.deadline-now, now)
 		wait := max(p.pauseWait(e, now), scaleBy(ahead+min(tierWork, own), 1/spare))
+		if load != nil {
+			wait = max(p.pauseWait(e, now), load.wait(e, own, spare))
+		}
 		if e.missesDeadline(wait, contended, now) && p.keepLate(e, wait, now) {
 			p.dequeue(e)
 			p.enqueue(e)
@@ -293,6 +302,7 @@
 		left := e.deadline - now
 		q.margin = min(q.margin, float64(left-wait-e.longest)/float64(left))
 		tierWork += e.serviceTime
+		load.add(e)
 		teamWork[e.queue] += e.serviceTime
 	}
 }
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -64,8 +64,12 @@
 // consider adds the upstreams at the head of a ready set to the candidates, and those
 // in it that hold the longest cached prefix of the prompt.
 func (p *Pool) consider(e *entry, r *readySet, c *candidates, now time.Duration) {
-	for _, g := range r.engines[:min(p.tuning.headCandidates, len(r.engines))] {
-		c.add(e, g, now)
+	if e.ticket.Regions != nil {
+		p.considerInside(e, r, c, now)
+	} else {
+		for _, g := range r.engines[:min(p.tuning.headCandidates, len(r.engines))] {
+			c.add(e, g, now)
+		}
 	}
 	if len(r.engines) <= p.tuning.headCandidates {
 		return
@@ -84,7 +88,7 @@
 
 // add makes an upstream a candidate unless the ticket must not go there.
 func (c *candidates) add(e *entry, g *engine, now time.Duration) {
-	if e.excludes(g.upstream.Name) || g.isPausedFor(e.ticket.Gateway, now) || c.apart && c.pool.runsSuspect(g) {
+	if !e.mayUse(g) || g.isPausedFor(e.ticket.Gateway, now) || c.apart && c.pool.runsSuspect(g) {
 		return
 	}
 	missed := float64(e.ticket.PromptTokens - e.cachedTokens(g.cache.match(e.ticket.Prefixes)))
@@ -178,7 +182,7 @@
 	if !c.feasibleKnown {
 		c.feasibleKnown = true
 		for _, g := range c.pool.orderedEngines {
-			if g.acceptsWork() && !g.health.ejected && !e.excludes(g.upstream.Name) && !g.isPausedFor(e.ticket.Gateway, now) && g.meetsDeadline(e, now) {
+			if g.acceptsWork() && !g.health.ejected && e.mayUse(g) && !g.isPausedFor(e.ticket.Gateway, now) && g.meetsDeadline(e, now) {
 				c.feasible = true
 				break
 			}
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -48,10 +48,11 @@
 	// pauses holds until when gateways send the upstream nothing because it asked them for
 	// that.
 	pauses map[ident.NodeID]time.Duration
-	// readyIn is the ready set that holds the engine, nil if none, and readyIndex
-	// its index there.
-	readyIn    *readySet
-	readyIndex int
+	// readyIn is the ready set that holds the engine, nil if none, readyIndex its index there,
+	// and readyRegion the region under which it is counted as ready.
+	readyIn     *readySet
+	readyIndex  int
+	readyRegion ident.Region
 	// score is the time that the reference request would need.
 	score time.Duration
 	// refreshAt is when a timer refreshes the engine, 0 if none is set.
--- a/internal/coordination/scheduler/health.go
+++ b/internal/coordination/scheduler/health.go
@@ -262,10 +262,11 @@
 	}
 }
 
-// probeDue reports whether an ejected upstream may get its next probe.
-func (p *Pool) probeDue(g *engine, now time.Duration) bool {
+// probeDue reports whether an ejected upstream may get its next probe. Urgent is true if only
+// probes can be served.
+func (p *Pool) probeDue(g *engine, urgent bool, now time.Duration) bool {
 	h := &g.health
-	due := h.ejected && h.probe == nil && now >= h.nextProbe(p.noneInRotation())
+	due := h.ejected && h.probe == nil && now >= h.nextProbe(urgent)
 	return due && !g.isHeld(now) && g.acceptsWork() && g.used() < g.upstream.MaxConcurrent && p.refreshRate(g, now)
 }
 
@@ -282,7 +283,7 @@
 		return true
 	}
 	for _, g := range p.ejected {
-		if p.probeDue(g, now) {
+		if p.probeDue(g, p.noneInRotation() || p.hasRegionalWork(), now) {
 			return true
 		}
 	}
@@ -301,9 +302,9 @@
 // any.
 func (p *Pool) suitableAsProbe(e *entry, waited, now time.Duration) bool {
 	if p.view.Shared != nil {
-		return p.isLowestActive(p.tierOf(e), now) || waited >= sharedProbeLowestTierWait || p.noneInRotation()
+		return p.isLowestActive(p.tierOf(e), now) || waited >= sharedProbeLowestTierWait || p.noneInRotationFor(e)
 	}
-	if waited >= probeSuitableWait || p.noneInRotation() {
+	if waited >= probeSuitableWait || p.noneInRotationFor(e) {
 		return true
 	}
 	if !e.ticket.Idempotent || e.ticket.PromptTokens > maxProbePrompt {
@@ -315,8 +316,12 @@
 
 // probeEngine returns an ejected upstream that the ticket may probe, or nil.
 func (p *Pool) probeEngine(e *entry, now time.Duration) *engine {
+	if len(p.ejected) == 0 {
+		return nil
+	}
+	urgent := p.noneInRotationFor(e)
 	for _, g := range p.ejected {
-		if !p.probeDue(g, now) || e.excludes(g.upstream.Name) || g.isPausedFor(e.ticket.Gateway, now) {
+		if !p.probeDue(g, urgent, now) || !e.mayUse(g) || g.isPausedFor(e.ticket.Gateway, now) {
 			continue
 		}
 		waited := now - g.health.probeAt
--- a/internal/coordination/scheduler/pause.go
+++ b/internal/coordination/scheduler/pause.go
@@ -99,7 +99,7 @@
 	}
 	next := time.Duration(0)
 	for _, g := range p.orderedEngines {
-		if !g.acceptsWork() || g.health.ejected || e.excludes(g.upstream.Name) {
+		if !g.acceptsWork() || g.health.ejected || !e.mayUse(g) {
 			continue
 		}
 		left := max(g.pauses[e.ticket.Gateway], g.heldUntil()) - now
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -36,12 +36,12 @@
 	// Held tickets don't count towards the limit: many copies of a suspected request, or
 	// the tickets of a gateway that all upstreams asked for a pause, must not keep a tier
 	// from being served.
-	var held []*entry
+	var held heldTickets
 	limit := len(passed) + maxPassedOver
 	for p.canPlace(now) && len(passed) < limit {
-		window, held = p.fillWindow(q, window, held, now)
+		window = p.fillWindow(q, window, &held, now)
 		if len(window) == 0 {
-			return append(passed, held...)
+			return append(passed, held.entries...)
 		}
 		at, g := p.bestMatch(window, now)
 		if g == nil {
@@ -53,25 +53,23 @@
 		window = append(window[:at], window[at+1:]...)
 		p.grant(e, g, now)
 	}
-	return append(append(passed, window...), held...)
+	return append(append(passed, window...), held.entries...)
 }
 
 // fillWindow moves the next tickets of a tier to the window, and those that have to
-// wait for a suspected request or for the end of a pause to the held ones.
-func (p *Pool) fillWindow(q *tierQueue, window, held []*entry, now time.Duration) (filled, waiting []*entry) {
-	for len(window) < matchWindow && len(held) < maxHeld {
+// wait for a suspected request, for the end of a pause or for their regions to the held ones.
+func (p *Pool) fillWindow(q *tierQueue, window []*entry, held *heldTickets, now time.Duration) []*entry {
+	for len(window) < matchWindow && held.bounded < maxHeld {
 		e := q.next()
 		if e == nil {
 			break
 		}
 		p.dequeue(e)
-		if p.mustRunApart(e, now) || p.pauseWait(e, now) > 0 {
-			held = append(held, e)
-			continue
+		if !p.hold(e, held, now) {
+			window = append(window, e)
 		}
-		window = append(window, e)
 	}
-	return window, held
+	return window
 }
 
 // bestMatch returns the index of the ticket with the lowest regret and the free
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -50,11 +50,13 @@
 // tierQueue holds the waiting tickets of one tier. Its active teams form a
 // min-heap by virtual time.
 type tierQueue struct {
-	tier     Tier
-	teams    map[ident.TeamName]*teamQueue
-	active   []*teamQueue
-	waiting  int
-	work     time.Duration
+	tier    Tier
+	teams   map[ident.TeamName]*teamQueue
+	active  []*teamQueue
+	waiting int
+	work    time.Duration
+	// regional is the part of work that may not run everywhere.
+	regional regionQueue
 	arrivals rate
 	// held counts the slots that the tier's tickets occupy.
 	held int
@@ -72,7 +74,7 @@
 }
 
 func newTierQueue(tier Tier) *tierQueue {
-	return &tierQueue{tier: tier, teams: make(map[ident.TeamName]*teamQueue)}
+	return &tierQueue{tier: tier, teams: make(map[ident.TeamName]*teamQueue), regional: make(regionQueue)}
 }
 
 func (q *tierQueue) Len() int           { return len(q.active) }
@@ -115,6 +117,7 @@
 	heap.Push(t, e)
 	t.work += e.serviceTime
 	t.tier.work += e.serviceTime
+	t.tier.regional.add(e)
 	t.tier.waiting++
 	if t.index < 0 {
 		t.virtualTime = max(t.virtualTime, t.tier.virtualTime)
@@ -128,6 +131,7 @@
 	e.queue = nil
 	t.work -= e.serviceTime
 	t.tier.work -= e.serviceTime
+	t.tier.regional.remove(e)
 	t.tier.waiting--
 	if len(t.entries) == 0 {
 		heap.Remove(t.tier, t.index)
--- a/internal/coordination/scheduler/ratelimit.go
+++ b/internal/coordination/scheduler/ratelimit.go
@@ -215,16 +215,16 @@
 	return max(minRateCapacity, float64(p.slots)-p.unusableSlots)
 }
 
-// nextToken returns the time until an upstream in rotation may get a request, if
+// nextTokenFor returns the time until an upstream in rotation may get the ticket, if
 // only limits prevent that now; otherwise 0.
-func (p *Pool) nextToken(now time.Duration) time.Duration {
+func (p *Pool) nextTokenFor(e *entry, now time.Duration) time.Duration {
 	next := time.Duration(0)
-	if len(p.limited)+len(p.coldEngines) == 0 || p.readyEngines > 0 {
+	if len(p.limited)+len(p.coldEngines) == 0 || p.readyFor(e) {
 		return 0
 	}
 	for _, engines := range [...][]*engine{p.limited, p.coldEngines} {
 		for _, g := range engines {
-			if g.health.ejected || !g.acceptsWork() || g.limit() <= g.used() {
+			if g.health.ejected || !g.acceptsWork() || !e.permits(g) || g.limit() <= g.used() {
 				continue
 			}
 			if until := p.untilToken(g, now); next == 0 || until < next {
--- a/internal/coordination/scheduler/readyset.go
+++ b/internal/coordination/scheduler/readyset.go
@@ -104,7 +104,7 @@
 }
 
 func (p *Pool) addReady(g *engine) {
-	if g.readyIn != nil && g.readyIn.version == g.upstream.Version {
+	if g.readyIn != nil && g.readyIn.version == g.upstream.Version && g.readyRegion == g.upstream.Region {
 		heap.Fix(g.readyIn, g.readyIndex)
 		return
 	}
@@ -112,6 +112,8 @@
 	g.readyIn = p.readySet(g.upstream.Version)
 	heap.Push(g.readyIn, g)
 	p.readyEngines++
+	g.readyRegion = g.upstream.Region
+	p.regions.add(g.readyRegion, 1)
 }
 
 func (p *Pool) removeReady(g *engine) {
@@ -121,6 +123,7 @@
 	heap.Remove(g.readyIn, g.readyIndex)
 	g.readyIn = nil
 	p.readyEngines--
+	p.regions.add(g.readyRegion, -1)
 }
 
 // scheduleRefresh sets a timer that refreshes the upstream when its prompt
