Gateways: requests stay in their regions

Cause: a request's regions were not passed on to the scheduler, and any gateway could relay it. A grant of an upstream outside, as a scheduler of an older build gives it, is dropped before the sending. Details of the timeline name the regions. paths.go, gateway.go and callers.go are split: sending, tickets, descriptions, the reading of heads and the caller's sink have files of their own.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -191,61 +191,13 @@
 			Reason:     Reason(decision.Refusal.Reason),
 			NotRun:     true,
 			RetryAfter: decision.Refusal.RetryAfter,
-			Message:    "the pool's scheduler refused the request: " + decision.Basis.String(),
+			Message:    "the pool's scheduler refused the request" + r.describeRegions() + ": " + decision.Basis.String(),
 		}
 	}
 	g.record(r, timeline.KindGranted, fmt.Sprintf("%s: %s; %s", decision.Grant.Upstream, decision.Grant.Choice, decision.Basis))
 	return decision.Grant, nil
 }
 
-func (g *Gateway) ticket(r *Request, excluded []ident.UpstreamName) scheduler.Ticket {
-	node, _ := g.env.Identity()
-	return scheduler.Ticket{
-		ID:           r.ID,
-		Gateway:      node,
-		Tier:         r.Tier,
-		Team:         r.Team,
-		Route:        r.Route,
-		Idempotent:   r.Idempotent,
-		PromptTokens: r.PromptTokens,
-		OutputTokens: r.OutputTokens,
-		Prefixes:     r.Prefixes,
-		PrefixTokens: r.PrefixTokens,
-		Parts:        r.Parts,
-		Fingerprint:  r.fingerprint,
-		Content:      r.content,
-		Objective:    r.objectiveLeft(),
-		Returned:     r.isRetry,
-		Patience:     r.patienceLeft(),
-		Cost:         r.Cost,
-		Resumes:      r.sends > 0,
-		Sent:         r.begun,
-		Arrived:      r.arrived,
-		BodyBytes:    int64(len(r.Body)),
-		Excluded:     excluded,
-	}
-}
-
-// patienceLeft returns the time left until the caller gives up; zero if unknown.
-func (r *Request) patienceLeft() time.Duration {
-	if r.GiveUpAt.IsZero() {
-		return 0
-	}
-	return max(1, time.Until(r.GiveUpAt))
-}
-
-// objectiveLeft returns the time left until the answer should begin. It is zero
-// only for a request without an objective.
-func (r *Request) objectiveLeft() time.Duration {
-	if r.Objective.IsZero() {
-		return 0
-	}
-	if left := time.Until(r.Objective); left != 0 {
-		return left
-	}
-	return -1
-}
-
 // waitFailure returns the failure of a request whose wait for a grant was ended
 // by ctx. Nothing was sent.
 func waitFailure(ctx context.Context) *Failure {
@@ -267,6 +219,11 @@
 		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
 		return Result{}, attemptUnlisted
 	}
+	if !g.permits(r, upstream) {
+		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s is outside the regions of the request; goes on elsewhere", grant.Upstream))
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+		return Result{}, attemptUnlisted
+	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
 	if r.needsClaim() {
 		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
@@ -346,60 +303,6 @@
 	}
 }
 
-// describe returns the detail of the timeline event that records the acceptance
-// of the request.
-func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, fingerprint %016x, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
-		r.Route, r.Tier, r.Team, r.fingerprint, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
-		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds(), r.isRetry)
-}
-
-// describeAttempt returns the detail of the timeline event that records the end
-// of a dispatch, which went through the gateway via unless that is empty. After is the
-// last event that the caller had when it began.
-func describeAttempt(d Dispatch, via ident.NodeID, after string, sent DispatchResult, end attemptOutcome) string {
-	outcomes := map[DispatchOutcome]string{
-		DispatchComplete: "whole", DispatchUnsent: "unsent", DispatchIncomplete: "broken",
-		DispatchMismatched: "crossed", DispatchRejected: "rejected", DispatchMisdirected: "misdirected",
-	}
-	text := fmt.Sprintf("%s at %s", outcomes[sent.Outcome], d.Target.Name)
-	if via != "" {
-		text += fmt.Sprintf(" through %s", via)
-	}
-	if sent.Conn != 0 {
-		text += fmt.Sprintf(" on connection %d after %d requests", sent.Conn, sent.ConnCalls)
-	}
-	text += fmt.Sprintf(", status %d, %d events", sent.Status, sent.Events)
-	if after != "" {
-		text += fmt.Sprintf(" after %q", after)
-	}
-	if sent.LastEvent != "" {
-		text += fmt.Sprintf(", the last one %q", sent.LastEvent)
-	}
-	if sent.Framing != 0 {
-		text += fmt.Sprintf(", %s, %s", sent.Framing, sent.BytesEnd.describe(sent.Framing))
-	}
-	if sent.WithinEvent {
-		text += " within an event"
-	}
-	if sent.HeldBack > 0 {
-		text += fmt.Sprintf(", %d bytes of text before the first event held back", sent.HeldBack)
-	}
-	if sent.EndChecked && sent.Outcome == DispatchComplete {
-		text += ", the upstream is still there"
-	}
-	if sent.Err != nil {
-		text += ": " + sent.Err.Error()
-	}
-	if sent.Skipped > 0 {
-		text += fmt.Sprintf("; %d answers skipped as no answers to it, %d of them without an id", sent.Skipped, sent.SkippedNameless)
-	}
-	if end == attemptRetryElsewhere {
-		text += "; goes on elsewhere"
-	}
-	return text
-}
-
 // evaluateAttempt decides whether a dispatch settles the request, and updates the
 // request's send count and resume position.
 func (g *Gateway) evaluateAttempt(ctx context.Context, r *Request, sent DispatchResult, relay *relay) attemptOutcome {
@@ -485,15 +388,3 @@
 func refusal(reason Reason, message string, retryAfter time.Duration) Result {
 	return Result{Failure: &Failure{Reason: reason, NotRun: true, Message: message, RetryAfter: retryAfter}}
 }
-
-func (g *Gateway) recordEnd(r *Request, result Result) {
-	if result.Failure == nil {
-		g.record(r, timeline.KindEnded, "")
-		return
-	}
-	g.record(r, timeline.KindRefused, fmt.Sprintf("%s (%s)", result.Failure, OutcomeOf(r, result.Failure)))
-}
-
-func (g *Gateway) record(r *Request, kind timeline.Kind, detail string) {
-	g.events.Record(timeline.Event{Kind: kind, Request: r.ID, Pool: r.Pool, Detail: detail})
-}
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -88,6 +88,8 @@
 	// under the same id: it is sent at most once and needs no claim in the
 	// ledger.
 	SkipClaim bool
+	// Regions are those in which the request may be served, as in scheduler.Ticket.
+	Regions []ident.Region
 	// AllowStaleLease permits the request at a node without a fresh lease.
 	AllowStaleLease bool
 	// ResumeAfter is the id of the last event that the caller received; empty at
