Directory: regions, and no gateways that ended long ago

Cause: the directory ignored its query, and named the members last heard of, however old. Change: name, region and zone of a lookup select gateways in the caller's region or in those of the host's routes, as long as there are some. A node knows as of when its members are the leader's; after a new term or a time without contact they count as known from before until the leader has dropped what it inherited. When they are too old (bounds.contactMs + 3 s, less the 2.5 s that a leader may need), the directory names only gateways that the node has heard of: syncs sent to its replica, sessions of its schedulers, answers through relays, and itself.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -74,6 +74,10 @@
 	documents control.DocumentReader
 	replicas  *replicaCaller
 	follower  *control.FleetFollower
+	// trust is how old the follower's members are, and heard the nodes that this one has heard
+	// of itself.
+	trust memberTrust
+	heard heardMembers
 	// proof says since when the routes and keys in force may be outdated.
 	proof       *proof
 	denialLines *rate.Limiter
--- a/internal/command/fleet/regions.go
+++ b/internal/command/fleet/regions.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/region"
 )
@@ -9,6 +11,7 @@
 var (
 	_ gateway.RegionalEnvironment = (*Node)(nil)
 	_ gateway.RegionalRelays      = (*Node)(nil)
+	_ gateway.RelayObserver       = (*Node)(nil)
 )
 
 // Region implements gateway.RegionalEnvironment.
@@ -27,3 +30,8 @@
 	}
 	return false
 }
+
+// RelayAnswered implements gateway.RelayObserver.
+func (n *Node) RelayAnswered(peer ident.NodeID) {
+	n.heard.record(control.Member{ID: peer}, boottime.Now())
+}
--- a/internal/command/fleet/replica.go
+++ b/internal/command/fleet/replica.go
@@ -13,6 +13,7 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/disk"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/ledger"
@@ -67,6 +68,7 @@
 	}
 	r := &replica{calls: calls, machine: m, node: node, service: control.NewService(s.ID(), node, m), elected: make(chan struct{}, 1)}
 	r.service.EnableFleet(n.follower.State)
+	r.service.ObserveSyncs(func(m control.Member) { n.heard.record(m, boottime.Now()) })
 	r.service.SetClock(n.clock)
 	r.service.SetDocumentReader(n.deps.ReadDocument)
 	if err := n.server.Register(control.ServiceName, r.service); err != nil {
--- a/internal/command/fleet/settings.go
+++ b/internal/command/fleet/settings.go
@@ -52,6 +52,9 @@
 	// newest at which a request is denied for what it lacks. Older ones make the request
 	// wait, and then refuse it as not run.
 	MaxDenialAge time.Duration
+	// Contact is how long a node may be without contact to the leader under the platform's
+	// rules; 0 selects 4 s.
+	Contact time.Duration
 	// Grace is the grace period of a stopping process.
 	Grace time.Duration
 	// RetryRatio and RetryBurst bound retries over all nodes in any RetryWindow: the ratio
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -129,6 +129,9 @@
 	}
 	if err == nil {
 		n.proof.renew(sent)
+		if term := n.follower.State().Version.Term; term > 0 {
+			n.trust.served(term, sent, boottime.Now())
+		}
 	}
 	if change.State {
 		n.applyFleetState()
--- a/internal/coordination/control/fleet_sync.go
+++ b/internal/coordination/control/fleet_sync.go
@@ -22,6 +22,7 @@
 // Sync records that a node is live, waits for a change and returns what the node
 // lacks. Every served reply proves that this replica led after the call was sent.
 func (s *Service) Sync(args *SyncArgs, reply *SyncReply) error {
+	s.observeSync(args.Member)
 	term, status := s.awaitServing()
 	if !status.OK() {
 		reply.Status = status
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -54,6 +54,7 @@
 	// the limiters.
 	fleet            *fleet
 	followedState    func() FleetState
+	syncObserver     func(Member)
 	updateLimiter    *rate.Limiter
 	firstSyncLimiter *rate.Limiter
 	deliveries       configDeliveries
--- a/internal/coordination/gateway/sending.go
+++ b/internal/coordination/gateway/sending.go
@@ -196,6 +196,9 @@
 // answered records that the header of the answer has arrived.
 func (s *sending) answered() {
 	if s.route.isRelayed() {
+		if o, ok := s.gateway.relays.(RelayObserver); ok {
+			o.RelayAnswered(s.route.Relay)
+		}
 		s.gateway.recordPath(s.request, s.gateway.paths.AnsweredElsewhere(s.request.Pool, s.grant.Upstream, s.route.Relay, time.Now()))
 		return
 	}
@@ -264,6 +267,12 @@
 	AnyRelay(except []ident.NodeID) ident.NodeID
 }
 
+// RelayObserver is implemented by Relays that take note of signs of life.
+type RelayObserver interface {
+	// RelayAnswered records that an answer came through another gateway.
+	RelayAnswered(peer ident.NodeID)
+}
+
 // Prober is implemented by Upstreams that can test whether an upstream can be reached.
 type Prober interface {
 	// Probe connects to an upstream, through the gateway at the address relay unless that
