--- a/internal/command/fleet/addresses.go
+++ b/internal/command/fleet/addresses.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/region"
+	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
 // Lookup is what a caller says of itself when it asks for gateways. Any part may be empty.
@@ -64,11 +66,17 @@
 // the time since boot.
 func (n *Node) namedMembers(now time.Duration, wall time.Time) []control.Member {
 	members := n.Members()
-	if n.trust.isFresh(now, n.settings.maxMembersAge()) {
-		return members
+	age, known := n.trust.age(now)
+	outdated := !known || age > n.settings.maxMembersAge()
+	if outdated {
+		n.learnSessions(now, wall)
+		members = n.heard.members(members, n.settings, n.member(), now)
+	}
+	// Before the first contact there is nothing to be outdated.
+	if known && n.outdated.Swap(outdated) != outdated {
+		n.events.Record(timeline.Event{Kind: timeline.KindContact, Detail: fmt.Sprintf("members known %d ms ago, the directory names only those heard of here: %t, %d members", age.Milliseconds(), outdated, len(members))})
 	}
-	n.learnSessions(now, wall)
-	return n.heard.members(members, n.settings, n.member(), now)
+	return members
 }
 
 // learnSessions records the gateways that have sessions with schedulers of this node.
--- a/internal/command/fleet/membertrust.go
+++ b/internal/command/fleet/membertrust.go
@@ -70,11 +70,11 @@
 	t.known, t.term, t.servedAt = true, term, now
 }
 
-// isFresh reports whether the members were known no longer ago than maxAge.
-func (t *memberTrust) isFresh(now, maxAge time.Duration) bool {
+// age returns how long ago the members were known; known is false if they never were.
+func (t *memberTrust) age(now time.Duration) (age time.Duration, known bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.known && now-t.asOf <= maxAge
+	return now - t.asOf, t.known
 }
 
 // heardMembers holds the nodes that a node has had a sign of life from itself. It is safe for
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -152,6 +152,13 @@
 	gauge("flamingohaven_fleet_refused_requests", "Requests that are refused because upstreams end when they run them.", func() float64 {
 		return float64(n.refused(poison.KindRequest))
 	})
+	gauge("flamingohaven_fleet_members_age_seconds", "Time since the members known here were certainly those of the leader; -1 if they never were.", func() float64 {
+		age, known := n.trust.age(boottime.Now())
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
 	gauge("flamingohaven_fleet_cut_paths", "Pools and single upstreams that this gateway can't reach and sends requests to through other gateways.", func() float64 {
 		return float64(n.gateway.CutPaths())
 	})
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -78,6 +78,8 @@
 	// of itself.
 	trust memberTrust
 	heard heardMembers
+	// outdated is true while the directory names only the latter.
+	outdated atomic.Bool
 	// proof says since when the routes and keys in force may be outdated.
 	proof       *proof
 	denialLines *rate.Limiter
