--- a/internal/coordination/scheduler/entry.go
+++ b/internal/coordination/scheduler/entry.go
@@ -53,8 +53,10 @@
 	serviceTime time.Duration
 	shortest    time.Duration
 	longest     time.Duration
-	queue       *teamQueue
-	index       int
+	// regionKey is that of the ticket's regions once it was queued.
+	regionKey string
+	queue     *teamQueue
+	index     int
 
 	engine *engine
 	// choice is why choose took its latest upstream for the ticket.
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -59,7 +59,7 @@
 // fillWindow moves the next tickets of a tier to the window, and those that have to
 // wait for a suspected request, for the end of a pause or for their regions to the held ones.
 func (p *Pool) fillWindow(q *tierQueue, window []*entry, held *heldTickets, now time.Duration) []*entry {
-	for len(window) < matchWindow && held.bounded < maxHeld {
+	for len(window) < matchWindow && held.bounded < maxHeld && p.anyPlaceable(q) {
 		e := q.next()
 		if e == nil {
 			break
--- a/internal/coordination/scheduler/regionload.go
+++ b/internal/coordination/scheduler/regionload.go
@@ -23,11 +23,13 @@
 	if e.ticket.Regions == nil {
 		return
 	}
-	key := regionKey(e.ticket.Regions)
-	w := q[key]
+	if e.regionKey == "" {
+		e.regionKey = regionKey(e.ticket.Regions)
+	}
+	w := q[e.regionKey]
 	if w == nil {
 		w = &regionWork{regions: e.ticket.Regions}
-		q[key] = w
+		q[e.regionKey] = w
 	}
 	w.work += e.serviceTime
 	w.tickets++
@@ -37,12 +39,11 @@
 	if e.ticket.Regions == nil {
 		return
 	}
-	key := regionKey(e.ticket.Regions)
-	w := q[key]
+	w := q[e.regionKey]
 	w.work -= e.serviceTime
 	w.tickets--
 	if w.tickets == 0 {
-		delete(q, key)
+		delete(q, e.regionKey)
 	}
 }
 
--- a/internal/coordination/scheduler/regions.go
+++ b/internal/coordination/scheduler/regions.go
@@ -113,7 +113,12 @@
 	if e.ticket.Regions == nil {
 		return p.readyEngines > 0
 	}
-	return slices.ContainsFunc(e.ticket.Regions, func(r ident.Region) bool { return r != "" && p.regions.ready[r] > 0 })
+	return p.readyIn(e.ticket.Regions)
+}
+
+// readyIn reports whether an upstream in one of the regions has a free slot.
+func (p *Pool) readyIn(set []ident.Region) bool {
+	return slices.ContainsFunc(set, func(r ident.Region) bool { return r != "" && p.regions.ready[r] > 0 })
 }
 
 // waitsForRegion reports whether a ticket that names regions can't be placed because no
@@ -134,6 +139,21 @@
 	}
 }
 
+// anyPlaceable reports whether a tier has tickets other than such that wait for their regions.
+func (p *Pool) anyPlaceable(q *tierQueue) bool {
+	placeable := q.waiting
+	if len(p.ejected) > 0 {
+		// Any ticket may be a probe.
+		return placeable > 0
+	}
+	for _, w := range q.regional {
+		if !p.readyIn(w.regions) {
+			placeable -= w.tickets
+		}
+	}
+	return placeable > 0
+}
+
 // heldTickets are those that a placement passes over without counting them.
 type heldTickets struct {
 	entries []*entry
