--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -75,6 +75,12 @@
 	documents control.DocumentReader
 	replicas  *replicaCaller
 	follower  *control.FleetFollower
+	// trust is how old the follower's members are, and heard the nodes that this one has heard
+	// of itself.
+	trust memberTrust
+	heard heardMembers
+	// outdated is true while the directory names only the latter.
+	outdated atomic.Bool
 	// proof says since when the routes and keys in force may be outdated.
 	proof       *proof
 	denialLines *rate.Limiter
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -17,6 +17,11 @@
 	if !ok {
 		return Result{}, g.dropUnlisted(placer, r, grant)
 	}
+	if !g.permits(r, upstream) {
+		g.record(r, timeline.KindAttemptEnded, fmt.Sprintf("not sent: %s is outside the regions of the request; goes on elsewhere", grant.Upstream))
+		placer.Finish(r.ID, scheduler.Ending{Kind: scheduler.ReportDropped})
+		return Result{}, attemptUnlisted
+	}
 	d := Dispatch{Request: r, Target: Target{Name: grant.Upstream, Upstream: upstream}, Version: grant.Version}
 	if r.needsClaim() {
 		return g.attemptClaimed(ctx, placer, d, grant, relay.sink)
@@ -103,8 +108,8 @@
 // describe returns the detail of the timeline event that records the acceptance
 // of the request.
 func (r *Request) describe() string {
-	return fmt.Sprintf("route %s, tier %s, team %s, fingerprint %016x, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
-		r.Route, r.Tier, r.Team, r.fingerprint, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
+	return fmt.Sprintf("route %s, tier %s, team %s%s, fingerprint %016x, %d+%d tokens, parts %x, cost %.0f, deadline in %d ms, objective in %d ms, returned: %t",
+		r.Route, r.Tier, r.Team, r.describeRegions(), r.fingerprint, r.PromptTokens, r.OutputTokens, r.Parts, r.Cost,
 		time.Until(r.Deadline).Milliseconds(), r.objectiveLeft().Milliseconds(), r.isRetry)
 }
 
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -196,7 +196,7 @@
 			Reason:     Reason(decision.Refusal.Reason),
 			NotRun:     true,
 			RetryAfter: decision.Refusal.RetryAfter,
-			Message:    "the pool's scheduler refused the request: " + decision.Basis.String(),
+			Message:    "the pool's scheduler refused the request" + r.describeRegions() + ": " + decision.Basis.String(),
 		}
 	}
 	g.record(r, timeline.KindGranted, fmt.Sprintf("%s: %s; %s", decision.Grant.Upstream, decision.Grant.Choice, decision.Basis))
@@ -228,6 +228,7 @@
 		Arrived:      r.arrived,
 		BodyBytes:    int64(len(r.Body)),
 		Excluded:     excluded,
+		Regions:      r.Regions,
 	}
 }
 
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -54,6 +54,8 @@
 	grantsElsewhere int
 	// options is reused by choose.
 	options []option
+	// regions counts what the tickets that name regions need.
+	regions regionCounts
 	outputs outputs
 	shares  shareTracker
 
--- a/internal/coordination/scheduler/reservations.go
+++ b/internal/coordination/scheduler/reservations.go
@@ -88,7 +88,7 @@
 	if t.Fingerprint == 0 || t.Objective == 0 || t.Returned || e.reserved || t.Sent || t.Arrived || t.Resumes {
 		return 0, false
 	}
-	wait := max(p.nextToken(now), p.pauseWait(e, now))
+	wait := max(p.nextTokenFor(e, now), p.pauseWait(e, now))
 	if reason == ReasonDeadline && wait == 0 && p.expectedWait(e, now) == 0 {
 		// The learned speed speaks against it, not the load.
 		return 0, false
