--- a/internal/transport/opshttp/server.go
+++ b/internal/transport/opshttp/server.go
@@ -51,6 +51,9 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 30 * time.Second
 	idleTimeout       = time.Minute
+	// maxHeaderBytes limits the header of a request, in bytes: a connection that sends no
+	// end of it would otherwise take 1 MB.
+	maxHeaderBytes = 16 << 10
 	// maxBodyBytes limits a request body, in bytes. The largest is that of an
 	// apply, which takes more space as JSON than its files do.
 	maxBodyBytes = 40 << 20
@@ -88,6 +91,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s
 }
