No second revision for a configuration that older builds can't have reduced

Cause: the first configuration of a new system comes before the feature level is committed, so that its text counted as read by an older build and every node got it once more as a second revision; TestEndToEnd_Metrics expects revision 1 and was red. Change: the leader keeps a configuration without fields of feature level 1 as it is. Identifiers and comments that said "news" or "told" use the usual terms.

--- a/internal/command/fleet/directory_test.go
+++ b/internal/command/fleet/directory_test.go
@@ -159,7 +159,7 @@
 	return empty, partial
 }
 
-// Guards against a directory that names a gateway long after its end, whatever keeps the news
+// Guards against a directory that names a gateway long after its end, whatever keeps the update
 // from it, and against one that goes on without the running ones afterwards.
 func TestDirectory_DeadGatewayIsNotNamed(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -85,7 +85,7 @@
 	gauge("flamingohaven_fleet_sync_unanswered_seconds", "Time for which a replica has left the node's syncs unanswered, the one in progress included.", func() float64 {
 		return n.replicas.syncs.waiting(time.Now()).Seconds()
 	})
-	gauge("flamingohaven_fleet_members", "Live nodes as last told by a leader.", func() float64 {
+	gauge("flamingohaven_fleet_members", "Live nodes as last reported by a leader.", func() float64 {
 		return float64(len(n.Members()))
 	})
 	gauge("flamingohaven_fleet_leading", "1 while this replica leads.", func() float64 {
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -124,7 +124,7 @@
 	if n.settings.FirstStart {
 		c.SetFirstStart()
 	}
-	c.SetNewsHandler(func(detail string) {
+	c.SetUpdateHandler(func(detail string) {
 		n.events.Record(timeline.Event{Kind: timeline.KindUpstream, Pool: name, Detail: detail})
 	})
 	c.LearnPoison(n.poison.List())
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -79,7 +79,7 @@
 		if hot := n.quotas.Hot(time.Now()); !slices.Equal(hot, reported) {
 			reported = hot
 			n.triggerSync()
-		} else if n.follower.HasPoisonNews(n.known()) {
+		} else if n.follower.HasUnreportedPoison(n.known()) {
 			n.triggerSync()
 		}
 	}
--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -269,7 +269,7 @@
 	})
 }
 
-// TestSync_InterruptedOnSilentConnection covers a node with news for the leader, which interrupts
+// TestSync_InterruptedOnSilentConnection covers a node with reports for the leader, which interrupts
 // its sync again and again: the connection was never given up.
 func TestSync_InterruptedOnSilentConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -290,7 +290,7 @@
 	})
 }
 
-// TestSync_InterruptionsLeaveProof covers a node that has news all the time: its proof must not
+// TestSync_InterruptionsLeaveProof covers a node that has reports all the time: its proof must not
 // age while its syncs are interrupted, and it must stay with its leader.
 func TestSync_InterruptionsLeaveProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/command/fleet/syncwatch.go
+++ b/internal/command/fleet/syncwatch.go
@@ -12,7 +12,7 @@
 // sending of the first unanswered one a reply is due. members is the number of members that the
 // node knows. Only the replica that served the latest sync may let one wait: any other one
 // replies at once, so that one that is stuck differs from one that waits for a change. The same
-// holds for a sync after an interrupted one, or else a node with much news would have no proof
+// holds for a sync after an interrupted one, or else a node with many reports would have no proof
 // that its configuration is the newest.
 func syncTimes(members int, b syncBegin) (hold, timeout time.Duration) {
 	hold = control.SyncHold(members)
@@ -29,7 +29,7 @@
 }
 
 // syncWatch follows which replica serves a node's syncs and since when one leaves them
-// unanswered. A node interrupts its sync to send news, and a connection on which nothing arrives
+// unanswered. A node interrupts its sync to send a report, and a connection on which nothing arrives
 // any more looks the same as a leader that waits, so that the time of the interrupted ones
 // counts. It is safe for concurrent use.
 type syncWatch struct {
--- a/internal/coordination/control/evacuations_test.go
+++ b/internal/coordination/control/evacuations_test.go
@@ -101,3 +101,24 @@
 	must.Eq(t, 3, number)
 	must.Eq(t, "{}", string(text))
 }
+
+// TestRefreshDocument_NothingDropped guards against a second revision of a configuration that
+// has no field which an older build could have dropped: all nodes would get it once more.
+func TestRefreshDocument_NothingDropped(t *testing.T) {
+	c := fleetCluster(map[ident.NodeID]uint32{"r1": 1})
+	leader := c.replicas[0]
+	plain := config.Numbered{Number: 3, Config: config.Config{Pools: map[ident.PoolName]config.Pool{"p": {}}}, Document: []byte("{}")}
+	reads := 0
+	leader.service.SetDocumentReader(func([]byte) (config.Numbered, error) {
+		reads++
+		return plain, nil
+	})
+	var reply ApplyNumberedReply
+	must.NoError(t, leader.service.ApplyNumbered(&ApplyNumberedArgs{Numbered: plain}, &reply))
+	for range 3 {
+		leader.service.Tick()
+	}
+	_, revision, _ := leader.machine.Config()
+	must.Eq(t, 1, revision)
+	must.Eq(t, 1, reads)
+}
--- a/internal/coordination/control/features.go
+++ b/internal/coordination/control/features.go
@@ -32,21 +32,24 @@
 func (s *Service) SetDocumentReader(read config.Reader) { s.readDocument = read }
 
 // refreshDocument puts the configuration in force once more if a build below the feature
-// level has read its text: that has dropped the fields that it doesn't know.
+// level has read its text: that has dropped the fields that it doesn't know. A text without
+// such fields is in force as it is.
 func (s *Service) refreshDocument(term uint64) {
 	document, number := s.machine.Document()
 	level := s.machine.Features()
 	if s.readDocument == nil || number == 0 || level == 0 || s.machine.DocumentLevel() >= level {
 		return
 	}
-	if s.unreadableNumber == number {
+	if s.keptNumber == number {
 		return
 	}
 	numbered, err := s.readDocument(document)
 	if err != nil {
 		// An older build has accepted what this one doesn't.
 		klog.ErrorS(err, "the configuration in force can't be read, keeping it as it is", "number", number)
-		s.unreadableNumber = number
+	}
+	if err != nil || !numbered.Config.UsesLevel1() {
+		s.keptNumber = number
 		return
 	}
 	numbered.Number, numbered.Document, numbered.Level = number, document, machine.FeatureLevel
--- a/internal/coordination/control/fleet_follower.go
+++ b/internal/coordination/control/fleet_follower.go
@@ -70,9 +70,9 @@
 	return args
 }
 
-// HasPoisonNews reports whether the node knows records or ends that the leader does not
+// HasUnreportedPoison reports whether the node knows records or ends that the leader does not
 // know, as far as the node can tell.
-func (f *FleetFollower) HasPoisonNews(known Known) bool {
+func (f *FleetFollower) HasUnreportedPoison(known Known) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return len(newerRecords(f.state.Poison, known.Poison)) > 0 || len(f.newerEnds(known.Ends)) > 0 || len(known.Cleared) > 0
--- a/internal/coordination/control/fleet_state_test.go
+++ b/internal/coordination/control/fleet_state_test.go
@@ -82,7 +82,7 @@
 }
 
 // TestSync_InterruptedCallsTakeNoUpdate lets each of 291 nodes interrupt its sync four times
-// a second, as nodes with news do, while the configuration of the fleet changes: the calls
+// a second, as nodes with reports do, while the configuration of the fleet changes: the calls
 // that they gave up must not use the rate of updates, so that each node has a change within
 // the time of one round.
 func TestSync_InterruptedCallsTakeNoUpdate(t *testing.T) {
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -62,9 +62,10 @@
 	confirmations    *confirmations
 	// readDocument reads the text of a numbered configuration; nil if nothing does.
 	readDocument config.Reader
-	// unreadableNumber is the number of a configuration whose text this build can't read.
+	// keptNumber is the number of a configuration that needs no refresh, or whose text this
+	// build can't read.
 	// Only Tick uses it.
-	unreadableNumber uint64
+	keptNumber uint64
 
 	// leadership is what the latest Tick saw, and notedTerm the term that it had begun;
 	// zero if none. leadershipChanged is closed and replaced when either changes.
--- a/internal/coordination/gateway/freshconns.go
+++ b/internal/coordination/gateway/freshconns.go
@@ -40,9 +40,9 @@
 	failedAt, trialAt time.Time
 }
 
-// failed records that a request broke on a new connection. It reports whether that is
-// news.
-func (f *freshConns) failed(upstream ident.UpstreamName, sent time.Time) (news bool) {
+// failed records that a request broke on a new connection. It reports whether the
+// gateway did not know that.
+func (f *freshConns) failed(upstream ident.UpstreamName, sent time.Time) (isNew bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.broken == nil {
@@ -60,15 +60,15 @@
 }
 
 // answered records that a request on a new connection was answered. It reports whether
-// that is news.
-func (f *freshConns) answered(upstream ident.UpstreamName, now time.Time) (news bool) {
+// the gateway did not know that.
+func (f *freshConns) answered(upstream ident.UpstreamName, now time.Time) (isNew bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, news = f.broken[upstream]
-	news = news || f.cut
+	_, isNew = f.broken[upstream]
+	isNew = isNew || f.cut
 	delete(f.broken, upstream)
 	f.answeredAt, f.cut, f.trialInterval = now, false, 0
-	return news
+	return isNew
 }
 
 // isCut reports whether new connections to all upstreams count as broken.
@@ -101,8 +101,8 @@
 // avoidAll reports whether a request under a grant should use a connection from before or
 // another gateway because new connections to all upstreams count as broken. Now and then
 // one is let through as a trial; one that can't be sent again only if there were no others
-// for long. News, if not empty, says what the gateway believes from now on.
-func (f *freshConns) avoidAll(grant *scheduler.Grant, repeatable bool, now time.Time) (avoid bool, news string) {
+// for long. Change, if not empty, says what the gateway believes from now on.
+func (f *freshConns) avoidAll(grant *scheduler.Grant, repeatable bool, now time.Time) (avoid bool, change string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cut && now.Sub(f.failedAt) > relayedRetention {
@@ -113,17 +113,17 @@
 			return false, ""
 		}
 		f.cut, f.trialAt, f.trialInterval = true, now, freshTrialInterval
-		news = "new connections to several upstreams broke that other gateways reach: connections from before are used, or other gateways"
+		change = "new connections to several upstreams broke that other gateways reach: connections from before are used, or other gateways"
 	}
 	wait := f.trialInterval
 	if !repeatable {
 		wait = unsafeTrialWait
 	}
 	if now.Sub(f.trialAt) < wait {
-		return true, news
+		return true, change
 	}
 	f.trialAt, f.trialInterval = now, min(maxTrialInterval, 2*f.trialInterval)
-	return false, news
+	return false, change
 }
 
 // brokenSince returns the number of upstreams to which new connections broke since one was
--- a/internal/coordination/gateway/paths.go
+++ b/internal/coordination/gateway/paths.go
@@ -133,9 +133,9 @@
 }
 
 // Choose returns the route of a request under a grant. Repeatable is true for a request
-// that may be sent again if its sending fails. News, if not empty, says what the gateway
+// that may be sent again if its sending fails. Change, if not empty, says what the gateway
 // believes from now on.
-func (p *Paths) Choose(pool ident.PoolName, grant *scheduler.Grant, repeatable bool, now time.Time) (r Route, news string) {
+func (p *Paths) Choose(pool ident.PoolName, grant *scheduler.Grant, repeatable bool, now time.Time) (r Route, change string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.pools) == 0 {
@@ -153,19 +153,19 @@
 	known.peer, known.peerAnsweredAt = grant.Peer, answered
 	if !known.cut && p.failsWhereOthersDont(known, answered) {
 		known.cut, known.cutAt = true, now
-		news = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
+		change = fmt.Sprintf("upstreams of the pool can't be reached from here, %s reaches %s: requests go through other gateways", grant.Peer, grant.Upstream)
 	}
 	u := known.upstreams[grant.Upstream]
 	if u != nil && !u.relayed && u.failures >= failuresToRelay && answered.Sub(u.failedAt) > peerAdvantage {
 		u.relayed = true
 		if !known.cut {
-			news = fmt.Sprintf("%s can't be reached from here, %s reaches it: requests go through other gateways", grant.Upstream, grant.Peer)
+			change = fmt.Sprintf("%s can't be reached from here, %s reaches it: requests go through other gateways", grant.Upstream, grant.Peer)
 		}
 	}
 	if !known.cut && (u == nil || !u.relayed) {
-		return p.doubtedRoute(now), news
+		return p.doubtedRoute(now), change
 	}
-	return known.route(repeatable, now), news
+	return known.route(repeatable, now), change
 }
 
 // doubtedRoute returns the route of a request to an upstream that isn't known to be cut off.
@@ -182,8 +182,8 @@
 }
 
 // AnsweredElsewhere records that an upstream of the pool answered through another gateway.
-// News, if not empty, says what the gateway believes from now on.
-func (p *Paths) AnsweredElsewhere(pool ident.PoolName, upstream ident.UpstreamName, peer ident.NodeID, now time.Time) (news string) {
+// Change, if not empty, says what the gateway believes from now on.
+func (p *Paths) AnsweredElsewhere(pool ident.PoolName, upstream ident.UpstreamName, peer ident.NodeID, now time.Time) (change string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.pools[pool]
@@ -303,9 +303,9 @@
 	known.trying = known.trying && !trial
 }
 
-// Answered records that an upstream answered a request that was sent directly. News, if
+// Answered records that an upstream answered a request that was sent directly. Change, if
 // not empty, says what the gateway believes from now on.
-func (p *Paths) Answered(pool ident.PoolName, upstream ident.UpstreamName, trial bool, now time.Time) (news string) {
+func (p *Paths) Answered(pool ident.PoolName, upstream ident.UpstreamName, trial bool, now time.Time) (change string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.pools[pool]
--- a/internal/coordination/gateway/paths_test.go
+++ b/internal/coordination/gateway/paths_test.go
@@ -25,9 +25,9 @@
 	p.Failed("a", "u1", now, false)
 	p.Failed("b", "v1", now, false)
 	now = now.Add(200 * time.Millisecond)
-	r, news := p.Choose("a", pathGrant("u3", 10*time.Millisecond), true, now)
+	r, change := p.Choose("a", pathGrant("u3", 10*time.Millisecond), true, now)
 	must.Eq(t, Route{Relay: "peer", Probe: true}, r)
-	must.StrContains(t, news, "go through other gateways")
+	must.StrContains(t, change, "go through other gateways")
 	must.True(t, p.IsSuspect("a", "u7"))
 	must.Eq(t, 1, p.Cut())
 	for range 100 {
@@ -58,9 +58,9 @@
 func TestPaths_NotTheGatewaysPath(t *testing.T) {
 	direct := func(name string, grant *scheduler.Grant, p *Paths, now time.Time) {
 		t.Helper()
-		r, news := p.Choose("a", grant, true, now)
+		r, change := p.Choose("a", grant, true, now)
 		must.Eq(t, Route{}, r, must.Sprint(name))
-		must.Eq(t, "", news, must.Sprint(name))
+		must.Eq(t, "", change, must.Sprint(name))
 	}
 	now := pathsStart
 	p := NewPaths()
--- a/internal/coordination/gateway/sending.go
+++ b/internal/coordination/gateway/sending.go
@@ -29,9 +29,9 @@
 // newSending chooses the route of a request under a grant.
 func (g *Gateway) newSending(r *Request, grant *scheduler.Grant) *sending {
 	s := &sending{gateway: g, request: r, grant: grant, sentAt: time.Now()}
-	var news string
-	s.route, news = g.paths.Choose(r.Pool, grant, r.mayFailOnce(), s.sentAt)
-	g.recordPath(r, news)
+	var change string
+	s.route, change = g.paths.Choose(r.Pool, grant, r.mayFailOnce(), s.sentAt)
+	g.recordPath(r, change)
 	return s
 }
 
@@ -41,9 +41,9 @@
 	return (r.Repeatable || r.Resumable) && r.sends+1 < r.MaxAttempts
 }
 
-func (g *Gateway) recordPath(r *Request, news string) {
-	if news != "" {
-		g.record(r, timeline.KindPath, news)
+func (g *Gateway) recordPath(r *Request, change string) {
+	if change != "" {
+		g.record(r, timeline.KindPath, change)
 	}
 }
 
@@ -96,8 +96,8 @@
 // through another gateway.
 func (s *sending) mustReuse() bool {
 	g, mayFail := s.gateway, s.request.mayFailOnce()
-	avoids, news := g.freshConns.avoidAll(s.grant, mayFail, s.sentAt)
-	g.recordPath(s.request, news)
+	avoids, change := g.freshConns.avoidAll(s.grant, mayFail, s.sentAt)
+	g.recordPath(s.request, change)
 	s.avoidsNew = avoids && s.anyRelay(nil) != ""
 	return s.avoidsNew ||
 		s.grant.PeerAge < maxReusePeerAge && s.relayAddress(s.grant.Peer) != "" && g.freshConns.mustReuse(s.grant, mayFail, s.sentAt)
@@ -203,8 +203,8 @@
 		return
 	}
 	s.hang.Stop()
-	news := s.gateway.paths.Answered(s.request.Pool, s.grant.Upstream, s.route.Trial, time.Now())
-	s.gateway.recordPath(s.request, news)
+	change := s.gateway.paths.Answered(s.request.Pool, s.grant.Upstream, s.route.Trial, time.Now())
+	s.gateway.recordPath(s.request, change)
 }
 
 // fail records that the direct sending failed or has no answer.
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -338,7 +338,7 @@
 	Relayed(id ident.RequestID, peer ident.NodeID)
 	// Notice reports what the header of the answer says about the upstream, and
 	// returns whether this gateway learns something new from it.
-	Notice(id ident.RequestID, n scheduler.UpstreamNotice) (news bool)
+	Notice(id ident.RequestID, n scheduler.UpstreamNotice) (isNew bool)
 	// FirstToken reports that the answer began. ConnAge is as in scheduler.Report.
 	FirstToken(id ident.RequestID, cachedTokens int, connAge time.Duration)
 	// Finish reports the end of a granted request.
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -46,9 +46,9 @@
 	// onAnswer, if set, is called with the time that a scheduler took to answer a message.
 	onAnswer func(took time.Duration)
 
-	// onNews, if set, is called with what the client learns from a scheduler about
+	// onUpdate, if set, is called with what the client learns from a scheduler about
 	// upstreams and prompt parts.
-	onNews func(detail string)
+	onUpdate func(detail string)
 
 	// unansweredCalls counts consecutive calls without an answer.
 	unansweredCalls atomic.Int32
@@ -138,9 +138,9 @@
 	c.onFailure = onFailure
 }
 
-// SetNewsHandler sets a function that is called with what the client learns from a
+// SetUpdateHandler sets a function that is called with what the client learns from a
 // scheduler about upstreams and prompt parts. It must be called before Run.
-func (c *Client) SetNewsHandler(onNews func(detail string)) { c.onNews = onNews }
+func (c *Client) SetUpdateHandler(onUpdate func(detail string)) { c.onUpdate = onUpdate }
 
 // SetAnswerHandler sets a function that is called with the time that a scheduler took to
 // answer a message, which it does at once. It must be called before Run.
--- a/internal/coordination/pool/notices.go
+++ b/internal/coordination/pool/notices.go
@@ -47,7 +47,7 @@
 // An answer that names no limit ends one only if its request was sent after the
 // limit was last named: an older answer may arrive late. The same holds for
 // brittleness.
-func (c *Client) Notice(id ident.RequestID, n scheduler.UpstreamNotice) (news bool) {
+func (c *Client) Notice(id ident.RequestID, n scheduler.UpstreamNotice) (isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.running[id]
--- a/internal/coordination/pool/session.go
+++ b/internal/coordination/pool/session.go
@@ -125,11 +125,11 @@
 func (c *Client) learn(reply *Reply, sent time.Time) {
 	limits, parts := c.learnLimits(reply.RateLimits, sent), c.LearnPoison(reply.Poison)
 	pauses, leaving := c.learnPauses(reply.Pauses, time.Now()), c.learnLeaving(reply.Leaving, time.Now())
-	if len(limits)+len(parts)+len(pauses)+len(leaving) > 0 && c.onNews != nil {
-		c.onNews(fmt.Sprintf("the scheduler tells of rate limits %v, parts %v, pauses %v and leaving upstreams %v", limits, parts, pauses, leaving))
+	if len(limits)+len(parts)+len(pauses)+len(leaving) > 0 && c.onUpdate != nil {
+		c.onUpdate(fmt.Sprintf("the scheduler tells of rate limits %v, parts %v, pauses %v and leaving upstreams %v", limits, parts, pauses, leaving))
 	}
-	if cold := c.learnCold(reply.Cold, time.Now()); len(cold) > 0 && c.onNews != nil {
-		c.onNews(fmt.Sprintf("the scheduler tells of cold upstreams %v", cold))
+	if cold := c.learnCold(reply.Cold, time.Now()); len(cold) > 0 && c.onUpdate != nil {
+		c.onUpdate(fmt.Sprintf("the scheduler tells of cold upstreams %v", cold))
 	}
 }
 
--- a/internal/coordination/pool/spread.go
+++ b/internal/coordination/pool/spread.go
@@ -151,7 +151,7 @@
 	return len(r.Decisions)+len(r.RateLimits)+len(r.Leaving)+len(r.Cold)+len(r.Pauses)+len(r.Poison) == 0
 }
 
-// spreadChanges makes the gateways' polls return if there is news for them. The
+// spreadChanges makes the gateways' polls return if there are changes for them. The
 // caller holds the lock.
 func (m *Master) spreadChanges() {
 	if !m.spread.due(time.Now()) {
--- a/internal/coordination/scheduler/cold.go
+++ b/internal/coordination/scheduler/cold.go
@@ -159,9 +159,9 @@
 	if isNew {
 		known := p.unlistedCold[g.upstream.Name]
 		delete(p.unlistedCold, g.upstream.Name)
-		p.markCold(g, known.until-now, "a gateway has been told so", now)
+		p.markCold(g, known.until-now, "reported by a gateway", now)
 		if known.ended {
-			p.markEnded(g, "a gateway has been told so", now)
+			p.markEnded(g, "reported by a gateway", now)
 		}
 		former.ColdNumber = known.number
 		isNew = !known.listed
--- a/internal/coordination/scheduler/cold_signals.go
+++ b/internal/coordination/scheduler/cold_signals.go
@@ -46,9 +46,9 @@
 			p.keepUnlistedCold(n.Upstream, u)
 			continue
 		}
-		p.markCold(g, n.For, "a gateway has been told so", now)
+		p.markCold(g, n.For, "reported by a gateway", now)
 		if n.Ended && (g.lastResponseAt == 0 || now-g.lastResponseAt > p.coldLimit().Duration) {
-			p.markEnded(g, "a gateway has been told so", now)
+			p.markEnded(g, "reported by a gateway", now)
 		}
 	}
 	p.updateUnusableSlots(now)
--- a/internal/state/config/encode.go
+++ b/internal/state/config/encode.go
@@ -131,6 +131,26 @@
 	return c
 }
 
+// UsesLevel1 reports whether c sets fields that were added with feature level 1.
+func (c Config) UsesLevel1() bool {
+	for _, p := range c.Pools {
+		if p.Cold != nil {
+			return true
+		}
+	}
+	for _, r := range c.Routes {
+		if r.Regions != nil {
+			return true
+		}
+	}
+	for _, t := range c.Teams {
+		if t.Regions != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // mapChanged returns a copy of m in which change has replaced values, or m itself if it
 // changes none: configurations share their maps.
 func mapChanged[K comparable, V any](m map[K]V, change func(V) (V, bool)) map[K]V {
