A probe that is due is not counted as none

A due probe was replaced by the next upstream's later one, so callers that were refused because nothing was in rotation were sent away for seconds instead of the minimum.

Change: nextProbe begins with no bound and takes the least; only a cold upstream's token delays it. TestPool_NextProbeIsDue fails without the change (1 s instead of at most 0).

--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -225,17 +226,19 @@
 }
 
 // nextProbe returns the time until an ejected upstream may be probed, or the
-// minimum interval between probes if no upstream is ejected.
+// minimum interval between probes if no upstream is ejected. It is negative or 0 if a probe is
+// due, also while others are due later.
 func (p *Pool) nextProbe(now time.Duration) time.Duration {
-	next := time.Duration(0)
+	if len(p.ejected) == 0 {
+		return p.tuning.probeMinInterval
+	}
+	next := time.Duration(math.MaxInt64)
 	for _, g := range p.ejected {
-		until := max(g.health.nextProbe(p.noneInRotation())-now, p.untilColdToken(g, now))
-		if next == 0 || until < next {
-			next = until
+		until := g.health.nextProbe(p.noneInRotation()) - now
+		if wait := p.untilColdToken(g, now); wait > 0 {
+			until = max(until, wait)
 		}
-	}
-	if next == 0 {
-		return p.tuning.probeMinInterval
+		next = min(next, until)
 	}
 	return next
 }
--- a/internal/coordination/scheduler/pool_test.go
+++ b/internal/coordination/scheduler/pool_test.go
@@ -319,6 +319,21 @@
 	must.Eq(t, []Refusal{{Ticket: "r0000", Reason: ReasonNoUpstream, RetryAfter: probeMinInterval}}, refusals(p.Decisions()))
 }
 
+// TestPool_NextProbeIsDue guards against a probe that is due, counted as none, so that refused
+// callers are sent away until the next upstream's probe.
+func TestPool_NextProbeIsDue(t *testing.T) {
+	p := openPool(testView())
+	now := 10 * time.Second
+	first, second := p.orderedEngines[0], p.orderedEngines[1]
+	first.health.eject(0)
+	second.health.eject(now)
+	p.updateEjected(first)
+	p.updateEjected(second)
+	must.SliceLen(t, 2, p.ejected)
+	must.LessEq(t, 0, p.nextProbe(now))
+	must.Greater(t, 0, p.nextProbe(0))
+}
+
 func TestHealth_LastingSlownessIsAccepted(t *testing.T) {
 	h := newHealth(&leaseTuning)
 	h.eject(0)
