httphead: a text that would end a line is not written into a head

Cause: the head of a request to an upstream was put together from texts of others as they were: ids of upstreams, names of teams, ids of events. Change: one package writes heads, also those to relays, and refuses such a text. The request is then unwritable: it goes elsewhere, or is refused as not run, and neither the upstream nor the path counts as failing. The daemon's sender reports it so too, where the HTTP client's error left open whether the request ran.

--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -120,6 +120,7 @@
 	outcomes := map[DispatchOutcome]string{
 		DispatchComplete: "whole", DispatchUnsent: "unsent", DispatchIncomplete: "broken",
 		DispatchMismatched: "crossed", DispatchRejected: "rejected", DispatchMisdirected: "misdirected",
+		DispatchUnwritable: "unwritable",
 	}
 	text := fmt.Sprintf("%s at %s", outcomes[sent.Outcome], d.Target.Name)
 	if via != "" {
@@ -162,9 +163,9 @@
 // evaluateAttempt decides whether a dispatch settles the request, and updates the
 // request's send count and resume position.
 func (g *Gateway) evaluateAttempt(ctx context.Context, r *Request, sent DispatchResult, relay *relay) attemptOutcome {
-	r.arrived = r.arrived || sent.Outcome != DispatchUnsent
+	r.arrived = r.arrived || !sent.Outcome.isUnsent()
 	switch sent.Outcome {
-	case DispatchUnsent, DispatchRejected, DispatchMisdirected:
+	case DispatchUnsent, DispatchUnwritable, DispatchRejected, DispatchMisdirected:
 		return attemptUnsent
 	}
 	r.sends++
@@ -184,6 +185,8 @@
 	switch {
 	case sent.Outcome == DispatchUnsent:
 		return scheduler.ReportUnsent
+	case sent.Outcome == DispatchUnwritable:
+		return scheduler.ReportDropped
 	case sent.Outcome == DispatchRejected:
 		return scheduler.ReportRejected
 	case sent.Outcome == DispatchMisdirected:
--- a/internal/coordination/gateway/claimed.go
+++ b/internal/coordination/gateway/claimed.go
@@ -114,7 +114,7 @@
 	placer.Finish(r.ID, scheduler.Ending{
 		Kind: reportKind(sendCtx, sent, attemptSettled), Broken: brokenState(sendCtx, sent), PathSuspect: sending.isSuspect(), ConnAge: sent.ConnAge, SinceEnd: sent.CheckTime,
 	})
-	if sent.Outcome == DispatchUnsent {
+	if sent.Outcome.isUnsent() {
 		return g.releaseUnsent(ctx, r, attemptUnsent)
 	}
 	complete := answer.completeAnswer(sent)
--- a/internal/coordination/gateway/types.go
+++ b/internal/coordination/gateway/types.go
@@ -234,8 +234,14 @@
 	// DispatchMisdirected means that another upstream answered at the address
 	// and declined the request.
 	DispatchMisdirected
+	// DispatchUnwritable means that the request can't be written for the upstream, as a text
+	// in its head would end a line. No byte was sent, and nothing is learned of the upstream.
+	DispatchUnwritable
 )
 
+// isUnsent reports whether provably no byte of the request was sent.
+func (o DispatchOutcome) isUnsent() bool { return o == DispatchUnsent || o == DispatchUnwritable }
+
 // DispatchResult describes how a dispatch ended.
 type DispatchResult struct {
 	Outcome DispatchOutcome
--- a/internal/transport/tunnel/dial.go
+++ b/internal/transport/tunnel/dial.go
@@ -8,10 +8,11 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/flamingohaven/flamingohaven/internal/transport/httphead"
 )
 
 // RefusedError is the answer of a relay that opened no tunnel.
@@ -51,7 +52,11 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	if _, err := io.WriteString(conn, connectHead(target, o.Origin)); err != nil {
+	head, err := connectHead(target, o.Origin)
+	if err != nil {
+		return fail(fmt.Errorf("relay %s: %w", relay, err))
+	}
+	if _, err := conn.Write(head); err != nil {
 		return fail(fmt.Errorf("relay %s: %w", relay, err))
 	}
 	reader := bufio.NewReader(conn)
@@ -72,21 +77,18 @@
 	return t, nil
 }
 
-// connectHead returns the request that asks a relay for a tunnel.
-func connectHead(target string, o Origin) string {
-	var head strings.Builder
-	field := func(name, value string) {
-		if value != "" && !strings.ContainsAny(value, "\r\n") {
-			fmt.Fprintf(&head, "%s: %s\r\n", name, value)
+// connectHead returns the request that asks a relay for a tunnel. It fails if the target can't
+// be written into a head; an origin that can't is left out.
+func connectHead(target string, o Origin) ([]byte, error) {
+	head := httphead.New(http.MethodConnect, target)
+	head.Field("Host", target)
+	head.Field(headerFrames, framesV1)
+	for name, value := range map[string]string{headerGateway: o.Gateway, headerRequest: o.Request} {
+		if value != "" && httphead.CheckField(name, value) == nil {
+			head.Field(name, value)
 		}
 	}
-	fmt.Fprintf(&head, "CONNECT %s HTTP/1.1\r\n", target)
-	field("Host", target)
-	field(headerFrames, framesV1)
-	field(headerGateway, o.Gateway)
-	field(headerRequest, o.Request)
-	head.WriteString("\r\n")
-	return head.String()
+	return head.Bytes()
 }
 
 // tunneled is the gateway's end of a tunnel.
--- a/internal/transport/upstreamhttp/malformed_test.go
+++ b/internal/transport/upstreamhttp/malformed_test.go
@@ -94,3 +94,20 @@
 		}
 	}
 }
+
+// TestSender_TextEndsLineOfHead covers a version whose name can't be written into a head: the
+// request was never sent, and counted as one that may have run.
+func TestSender_TextEndsLineOfHead(t *testing.T) {
+	accepted := make(chan struct{}, 1)
+	address := listen(t, func(conn *net.TCPConn) { accepted <- struct{}{}; _ = conn.Close() })
+	s := NewSender()
+	defer s.Close()
+	result := s.Send(t.Context(), gateway.Dispatch{
+		Request: &gateway.Request{ID: "a1", Method: http.MethodPost, Path: "/x", Deadline: time.Now().Add(time.Second)},
+		Target:  gateway.Target{Name: "u", Upstream: config.Upstream{Address: address}},
+		Version: "v1\r\nOther: 1",
+	}, discardSink{})
+	must.NotEq(t, gateway.DispatchIncomplete, result.Outcome, must.Sprintf("%+v", result))
+	must.Error(t, result.Err)
+	must.Eq(t, 0, len(accepted))
+}
--- a/internal/transport/upstreamhttp/sender.go
+++ b/internal/transport/upstreamhttp/sender.go
@@ -21,6 +21,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/protocol/callerapi"
 	"github.com/flamingohaven/flamingohaven/internal/protocol/upstreamapi"
 	"github.com/flamingohaven/flamingohaven/internal/transport/h1conn"
+	"github.com/flamingohaven/flamingohaven/internal/transport/httphead"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 )
 
@@ -117,7 +118,7 @@
 	upload := newUpload()
 	request, err := newRequest(httptrace.WithClientTrace(sendCtx, &httptrace.ClientTrace{WroteRequest: upload.record}), d)
 	if err != nil {
-		return gateway.DispatchResult{Outcome: gateway.DispatchUnsent, Err: err}
+		return gateway.DispatchResult{Outcome: gateway.DispatchUnwritable, Err: err}
 	}
 	response, err := s.roundTrip(request, d, cancel)
 	if err != nil && errors.Is(context.Cause(sendCtx), errStreamIdle) {
@@ -205,6 +206,11 @@
 	if r.Key != "" {
 		request.Header.Set(upstreamapi.HeaderIdempotencyKey, r.Key)
 	}
+	// The HTTP client would refuse them as well, with an error that does not say that nothing
+	// was sent.
+	if err := httphead.CheckHeader(request.Header); err != nil {
+		return nil, fmt.Errorf("dispatch: %w", err)
+	}
 	return request, nil
 }
 
