A manifest whose list of tenants is empty lets nobody in

Cause: a manifest without tenants and one with an empty list were both read as an empty map of teams, which asks for no keys. No form of the configuration keeps the difference between an empty map and none.

--- a/internal/coordination/control/evacuations_test.go
+++ b/internal/coordination/control/evacuations_test.go
@@ -122,3 +122,32 @@
 	must.Eq(t, 1, revision)
 	must.Eq(t, 1, reads)
 }
+
+// TestRefreshDocument_EmptyListOfTeams covers a text whose list of teams is empty and that a build
+// of level 1 has read, which takes it for no list and lets everyone in: after the upgrade of all
+// nodes it went on doing so.
+func TestRefreshDocument_EmptyListOfTeams(t *testing.T) {
+	c := fleetCluster(map[ident.NodeID]uint32{"r1": 2, "g1": 1})
+	leader := c.replicas[0]
+	leader.service.Tick()
+	must.Eq(t, 1, leader.machine.Features())
+	leader.service.SetDocumentReader(func(text []byte) (config.Numbered, error) {
+		keyless := map[ident.TeamName]config.Team{config.KeylessTeam: {Shares: 1}}
+		return config.Numbered{Number: 3, Config: config.Config{Teams: keyless}, Document: text}, nil
+	})
+	var reply ApplyNumberedReply
+	must.NoError(t, leader.service.ApplyNumbered(&ApplyNumberedArgs{Numbered: config.Numbered{Number: 3, Document: []byte("{}"), Level: 1}}, &reply))
+	for range 3 {
+		leader.service.Tick()
+	}
+	current, revision, _ := leader.machine.Config()
+	must.MapEmpty(t, current.Teams)
+
+	leader.service.fleet.startSync(Member{ID: "g1", Incarnation: 2, Features: 2}, time.Now())
+	for range 3 {
+		leader.service.Tick()
+	}
+	refreshed, latest, _ := leader.machine.Config()
+	must.MapLen(t, 1, refreshed.Teams)
+	must.Eq(t, revision+1, latest)
+}
--- a/internal/coordination/control/features.go
+++ b/internal/coordination/control/features.go
@@ -8,14 +8,16 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/machine"
 )
 
-// raiseFeatures raises the committed feature level once every voter and every live member
-// supports it. A voter that has not been heard of in this term holds it back: its build is
-// unknown.
+// raiseFeatures raises the committed feature level to the highest one that every voter and every
+// live member supports. A voter that has not been heard of in this term holds it back: its build
+// is unknown.
 func (s *Service) raiseFeatures(term uint64) {
-	if s.machine.Features() >= machine.FeatureLevel || !s.allSupport(machine.FeatureLevel) {
-		return
+	for level := uint32(machine.FeatureLevel); level > s.machine.Features(); level-- {
+		if s.allSupport(level) {
+			_, _ = s.proposeIn(term, &machine.Command{SetFeatures: &machine.SetFeatures{Level: level}})
+			return
+		}
 	}
-	_, _ = s.proposeIn(term, &machine.Command{SetFeatures: &machine.SetFeatures{Level: machine.FeatureLevel}})
 }
 
 // allSupport reports whether all voters and live members support a feature level.
@@ -32,8 +34,8 @@
 func (s *Service) SetDocumentReader(read config.Reader) { s.readDocument = read }
 
 // refreshDocument puts the configuration in force once more if a build below the feature
-// level has read its text: that has dropped the fields that it doesn't know. A text without
-// such fields is in force as it is.
+// level has read its text and this build reads something else in it, or fields that such a
+// build has dropped.
 func (s *Service) refreshDocument(term uint64) {
 	document, number := s.machine.Document()
 	level := s.machine.Features()
@@ -48,7 +50,7 @@
 		// An older build has accepted what this one doesn't.
 		klog.ErrorS(err, "the configuration in force can't be read, keeping it as it is", "number", number)
 	}
-	if err != nil || !numbered.Config.UsesLevel1() {
+	if err != nil || !s.readsMore(numbered.Config) {
 		s.keptNumber = number
 		return
 	}
@@ -56,6 +58,13 @@
 	_, _ = s.proposeIn(term, &machine.Command{RefreshConfig: &config.Operation{Numbered: &numbered, Refresh: true}})
 }
 
+// readsMore reports whether c, which this build has read in the text of the configuration in
+// force, is not what is in force at all nodes. The digest leaves out the fields of level 1.
+func (s *Service) readsMore(c config.Config) bool {
+	_, _, digest := s.machine.Config()
+	return c.Digest() != digest || s.machine.DocumentLevel() < 1 && c.UsesLevel1()
+}
+
 // allSupport reports whether all voters are live members and all live members support a
 // feature level.
 func (f *fleet) allSupport(replicas []consensus.Member, level uint32) bool {
--- a/internal/coordination/routing/hosts.go
+++ b/internal/coordination/routing/hosts.go
@@ -76,7 +76,8 @@
 	return name, t.teams[name], known
 }
 
-// HasTeams reports whether callers must identify their team.
+// HasTeams reports whether callers must identify their team. It is also true if none can, see
+// config.KeylessTeam.
 func (t *HostTable) HasTeams() bool { return len(t.teams) > 0 }
 
 // Tier returns the tier of a team's request on a route, and the rank of the tier.
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -65,6 +65,12 @@
 	Regions []ident.Region `yaml:"-" cbor:",omitempty"`
 }
 
+// KeylessTeam is the name of a team without keys that stands for an empty list of teams: callers
+// have to identify themselves, and none can. A configuration without any team asks for no keys.
+// Deltas, gob and the normal form don't tell an empty map from none; they keep this team like
+// any other, and builds that don't know the name deny callers because of it too.
+const KeylessTeam ident.TeamName = "(no team)"
+
 // Quota is a token bucket that counts the tokens of prompts and answers.
 type Quota struct {
 	// PerSecond is the refill rate in tokens per second, and Burst the capacity in
