routing: an empty key names no team

What callers saw: requests without a key were served as those of a tenant that has an empty text among its keys. Cause: a header field that is missing has the empty value, and the table of keys held the empty text like any other. Change: the table leaves it out. Measured: TestEndToEnd_EmptyKey red before (200 at the first gateway), green now.

--- a/internal/coordination/routing/hosts.go
+++ b/internal/coordination/routing/hosts.go
@@ -45,7 +45,10 @@
 	}
 	for name, team := range c.Teams {
 		for _, key := range team.Keys {
-			t.byKey[key] = name
+			// A request without a key looks like one with an empty key.
+			if key != "" {
+				t.byKey[key] = name
+			}
 		}
 	}
 	return t
