A gateway that stops answers the requests that wait there

Cause: whether a request may outlast the grace period was checked as it arrived, and not for those that had arrived before. Change: from 2 s after the signal on, what no upstream has and would outlast the exit is refused as not run, also while its body arrives or it waits to be sent again; what is left 0.7 s before the end of the grace period gets 502. TestMayOutliveGrace tested the function that checked arrivals, which is gone.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -283,7 +283,9 @@
 // no new callers.
 func (n *Node) Drain() {
 	began := time.Now()
-	n.drainStart.CompareAndSwap(nil, &began)
+	if n.drainStart.CompareAndSwap(nil, &began) && n.settings.Gateway() {
+		n.loops.Go(func() { n.endRequests(began) })
+	}
 	n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: "draining"})
 	klog.InfoS("draining", "node", n.settings.Name)
 	n.triggerSync()
@@ -338,9 +340,6 @@
 
 // Serve processes a request and writes its answer to sink.
 func (n *Node) Serve(ctx context.Context, r *gateway.Request, sink gateway.Sink) gateway.Result {
-	if failure := n.refuseIfStopping(r, time.Now()); failure != nil {
-		return gateway.Result{Failure: failure}
-	}
 	return n.gateway.Serve(ctx, r, sink)
 }
 
--- a/internal/command/fleet/stopping.go
+++ b/internal/command/fleet/stopping.go
@@ -1,12 +1,6 @@
 package fleet
 
-import (
-	"fmt"
-	"time"
-
-	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
-	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
-)
+import "time"
 
 const (
 	// callerMoveTimeout is the time after the start of a drain by which callers
@@ -14,29 +8,42 @@
 	// directory answer, each at most 1 s on the platform.
 	callerMoveTimeout = 2 * time.Second
 	// ExitReserve is the part of the grace period that is reserved for the exit
-	// itself, after the remaining requests were cut off.
+	// itself, after the remaining connections were closed.
 	ExitReserve = 500 * time.Millisecond
-	// reasonStopping is the reason for refusing a request that a stopping gateway
-	// might have to cut off.
-	reasonStopping gateway.Reason = "stopping"
+	// answerReserve is the time before that in which requests that are ended get their answers.
+	answerReserve = 200 * time.Millisecond
 )
 
-// mayOutliveGrace reports whether a request that arrives now at a draining gateway
-// may still be running when the gateway exits. It is false for requests that arrive
-// soon after the start of the drain: their callers could not know of it yet, and
-// few requests need all of their time.
-func mayOutliveGrace(drainStart, now, deadline time.Time, grace time.Duration) bool {
-	return now.Sub(drainStart) >= callerMoveTimeout && deadline.After(drainStart.Add(grace-ExitReserve))
+// stopTimes says when a draining gateway ends requests, from the start of the drain on.
+type stopTimes struct {
+	// refuse is when requests that have reached no upstream, and may outlast end, are refused.
+	// Until then most are served: few need all of their time, and their callers could not know
+	// of the drain. After it, callers still have time to be served elsewhere.
+	refuse time.Duration
+	// end is when the requests that are left get an answer.
+	end time.Duration
+}
+
+func stopTimesOf(grace time.Duration) stopTimes {
+	end := max(0, grace-ExitReserve-answerReserve)
+	return stopTimes{refuse: min(callerMoveTimeout, end/2), end: end}
 }
 
-// refuseIfStopping returns the refusal of a request that may outlive the grace
-// period of a draining node; nil if the request can be served.
-func (n *Node) refuseIfStopping(r *gateway.Request, now time.Time) *gateway.Failure {
-	began := n.drainStart.Load()
-	if began == nil || !mayOutliveGrace(*began, now, r.Deadline, n.settings.Grace) {
-		return nil
+// EndTime returns when a draining gateway ends the requests that are left, after the start of
+// the drain.
+func (n *Node) EndTime() time.Duration { return stopTimesOf(n.settings.Grace).end }
+
+// endRequests ends the requests of a draining gateway in time, so that each that it has read is
+// answered before it exits.
+func (n *Node) endRequests(began time.Time) {
+	times := stopTimesOf(n.settings.Grace)
+	sleep(n.ctx, time.Until(began.Add(times.refuse)))
+	if n.ctx.Err() != nil {
+		return
+	}
+	n.gateway.RefuseBeyond(began.Add(times.end))
+	sleep(n.ctx, time.Until(began.Add(times.end)))
+	if n.ctx.Err() == nil {
+		n.gateway.EndAll()
 	}
-	failure := &gateway.Failure{Reason: reasonStopping, NotRun: true, Message: "the node stops before the request's deadline"}
-	n.events.Record(timeline.Event{Kind: timeline.KindRefused, Request: r.ID, Pool: r.Pool, Detail: fmt.Sprintf("%s (%s)", failure, gateway.OutcomeOf(r, failure))})
-	return failure
 }
--- a/internal/command/fleet/stopping_test.go
+++ b/internal/command/fleet/stopping_test.go
@@ -7,23 +7,13 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestMayOutliveGrace uses the times of a request that arrived 3.2 s after its
-// gateway began to drain, had 6 s left, and was cut off 7.5 s after the start of
-// the drain.
-func TestMayOutliveGrace(t *testing.T) {
-	const grace = 8 * time.Second
-	began := time.Unix(100, 0)
-	for _, c := range []struct {
-		name          string
-		after, remain time.Duration
-		want          bool
-	}{
-		{"cut off at the end of the grace period", 3221 * time.Millisecond, 6 * time.Second, true},
-		{"finished before the end of the grace period", 3221 * time.Millisecond, 4 * time.Second, false},
-		{"too soon for callers to know of the drain", 100 * time.Millisecond, 10 * time.Second, false},
-		{"short request just before the exit", 7 * time.Second, time.Second, true},
-	} {
-		now := began.Add(c.after)
-		must.Eq(t, c.want, mayOutliveGrace(began, now, now.Add(c.remain), grace), must.Sprint(c.name))
+// TestStopTimes checks that requests are refused while their callers still have time, and that all
+// are answered before the process exits.
+func TestStopTimes(t *testing.T) {
+	must.Eq(t, stopTimes{refuse: 2 * time.Second, end: 7300 * time.Millisecond}, stopTimesOf(8*time.Second))
+	for _, grace := range []time.Duration{0, 100 * time.Millisecond, time.Second, 3 * time.Second, time.Minute} {
+		times := stopTimesOf(grace)
+		must.LessEq(t, times.end, times.refuse, must.Sprint(grace))
+		must.LessEq(t, max(0, grace-ExitReserve), times.end, must.Sprint(grace))
 	}
 }
--- a/internal/coordination/gateway/attempt.go
+++ b/internal/coordination/gateway/attempt.go
@@ -233,6 +233,9 @@
 	case sent.Outcome == DispatchMismatched:
 		f.Reason = ReasonAnswerMismatch
 		f.Message = "the upstream answered another request"
+	case errors.Is(context.Cause(ctx), errStopping):
+		f.Reason = ReasonStopping
+		f.Message = "the node stopped while the request ran"
 	case errors.Is(context.Cause(ctx), errDeadline):
 		f.Reason = ReasonTimeout
 		f.Message = "the deadline passed while the request ran"
--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -32,6 +32,8 @@
 	used         int64
 	byTeam       map[ident.TeamName]int64
 	reservations map[*Reservation]struct{}
+	// exit is when the gateway will be gone; zero unless it refuses what would outlast it.
+	exit time.Time
 }
 
 // NewBudget returns a budget of limit bytes, of which one team may use the given
@@ -47,15 +49,33 @@
 
 // Reservation is one request's part of the budget.
 type Reservation struct {
-	budget  *Budget
-	team    ident.TeamName
-	rank    int
-	bytes   int64
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	waiting bool
+	budget   *Budget
+	team     ident.TeamName
+	rank     int
+	bytes    int64
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	phase    phase
 }
 
+// phase says how far a request has come.
+type phase uint8
+
+const (
+	// phaseWaiting is that of a request that no upstream has got: its body is still arriving,
+	// or it waits for a grant. Only in this phase may it be shed.
+	phaseWaiting phase = iota
+	// phaseRetrying is that of a request that was sent before, has no answer yet and waits to
+	// be sent once more.
+	phaseRetrying
+	// phaseDispatched is that of a request that is sent, or whose answer has begun.
+	phaseDispatched
+)
+
+// isUnsent reports whether a request needs not be sent any more.
+func (p phase) isUnsent() bool { return p != phaseDispatched }
+
 // Acquire reserves memory for the request, whose body is or will be of the given size
 // in bytes, or returns a failure if there is not enough. The reservation's context
 // ends with ctx, or with a *Failure as its cause when the request is shed.
@@ -63,13 +83,16 @@
 	need := bodyBytes + RequestOverhead
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.outlasts(r.Deadline) {
+		return nil, stoppingFailure()
+	}
 	if b.byTeam[r.Team]+need > b.teamLimitFor(r) {
 		return nil, memoryFailure("the team's limit on waiting bytes is reached")
 	}
 	if !b.makeRoom(need, r.Rank) {
 		return nil, memoryFailure("the node's limit on waiting bytes is reached by work of the same or higher tiers")
 	}
-	res := &Reservation{budget: b, team: r.Team, rank: r.Rank, bytes: need, waiting: true}
+	res := &Reservation{budget: b, team: r.Team, rank: r.Rank, bytes: need, deadline: r.Deadline}
 	res.ctx, res.cancel = context.WithCancelCause(ctx)
 	b.used += need
 	b.byTeam[r.Team] += need
@@ -129,7 +152,7 @@
 func (b *Budget) lowestWaiting(rank int, except []*Reservation) *Reservation {
 	var found *Reservation
 	for res := range b.reservations {
-		if !res.waiting || res.rank >= rank || slices.Contains(except, res) {
+		if res.phase != phaseWaiting || res.rank >= rank || slices.Contains(except, res) {
 			continue
 		}
 		if found == nil || res.rank < found.rank {
@@ -163,15 +186,19 @@
 func (res *Reservation) Context() context.Context { return res.ctx }
 
 // MarkDispatched protects the request from being shed.
-func (res *Reservation) MarkDispatched() { res.setWaiting(false) }
+func (res *Reservation) MarkDispatched() { res.setPhase(phaseDispatched) }
 
 // MarkWaiting permits the request to be shed again.
-func (res *Reservation) MarkWaiting() { res.setWaiting(true) }
+func (res *Reservation) MarkWaiting() { res.setPhase(phaseWaiting) }
+
+// MarkRetrying notes that the request was sent, has no answer and waits to be sent once more.
+func (res *Reservation) MarkRetrying() { res.setPhase(phaseRetrying) }
 
-func (res *Reservation) setWaiting(waiting bool) {
+func (res *Reservation) setPhase(p phase) {
 	res.budget.mu.Lock()
 	defer res.budget.mu.Unlock()
-	res.waiting = waiting
+	res.phase = p
+	res.budget.endIfStopping(res)
 }
 
 // Release returns the memory to the budget.
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// evacuations is nil if there are none.
 	evacuations Evacuations
 	events      *timeline.Recorder
+	// running ends, by endRunning, when all requests are to end.
+	running    context.Context
+	endRunning context.CancelCauseFunc
 	// settling counts the commits of releases and outcomes that are under way,
 	// also those of requests that were already answered.
 	settling atomic.Int64
@@ -43,7 +46,9 @@
 
 // New returns a gateway. Events may be nil.
 func New(env Environment, l Ledger, u Upstreams, b *Budget, events *timeline.Recorder) *Gateway {
-	return &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events, paths: NewPaths()}
+	g := &Gateway{env: env, ledger: l, upstreams: u, budget: b, events: events, paths: NewPaths()}
+	g.running, g.endRunning = context.WithCancelCause(context.Background())
+	return g
 }
 
 // Settling returns the number of requests whose release or outcome is still being
@@ -67,6 +72,8 @@
 // Serve runs r until it is answered or has failed. Exactly one field of the
 // result is set. Ctx is canceled when the caller disconnects.
 func (g *Gateway) Serve(ctx context.Context, r *Request, sink Sink) Result {
+	ctx, cancel := g.untilEnd(ctx)
+	defer cancel()
 	result := g.serve(ctx, r, sink)
 	g.recordEnd(r, result)
 	return result
@@ -140,8 +147,11 @@
 		if end == attemptSettled {
 			return result
 		}
-		if r.sends == 0 {
+		switch {
+		case r.sends == 0:
 			reservation.MarkWaiting()
+		case !relay.begun:
+			reservation.MarkRetrying()
 		}
 		switch end {
 		case attemptLapsed:
@@ -256,6 +266,9 @@
 // by ctx. Nothing was sent.
 func waitFailure(ctx context.Context) *Failure {
 	cause := context.Cause(ctx)
+	if errors.Is(cause, errStopping) {
+		return stoppingFailure()
+	}
 	if errors.Is(cause, errDeadline) {
 		return &Failure{Reason: Reason(scheduler.ReasonDeadline), NotRun: true, Message: "the deadline passed while the request waited"}
 	}
