gateway: names and comments of the phases of a request

Cause: isUnsent was also true for a request that was sent and waits to be sent once more, and the comment on the end of all requests left open what a stream gets. Change: isQueued, and three comments.

--- a/internal/coordination/gateway/budget.go
+++ b/internal/coordination/gateway/budget.go
@@ -73,8 +73,8 @@
 	phaseDispatched
 )
 
-// isUnsent reports whether a request needs not be sent any more.
-func (p phase) isUnsent() bool { return p != phaseDispatched }
+// isQueued reports whether the request waits to be sent, for the first time or once more.
+func (p phase) isQueued() bool { return p != phaseDispatched }
 
 // Acquire reserves memory for the request, whose body is or will be of the given size
 // in bytes, or returns a failure if there is not enough. The reservation's context
--- a/internal/coordination/gateway/stopping.go
+++ b/internal/coordination/gateway/stopping.go
@@ -14,12 +14,12 @@
 
 // RefuseBeyond refuses all requests whose deadline lies after exit, when this gateway will be
 // gone, and that no upstream has: those that wait, that are still arriving, and that come
-// later. A request that was sent before, and has no answer yet, is not sent once more. A
+// later. A request that has failed at an upstream and waits to be sent once more fails. A
 // stream that has begun still goes on at another upstream.
 func (g *Gateway) RefuseBeyond(exit time.Time) { g.budget.refuseBeyond(exit) }
 
-// EndAll ends all requests that are left, so that each gets an answer unless one has begun.
-// Later ones are refused.
+// EndAll ends all requests that are left, so that each without an answer gets one. An answer that
+// has begun is broken off. Later requests are refused.
 func (g *Gateway) EndAll() {
 	g.budget.endAll()
 	g.endRunning(errStopping)
@@ -39,8 +39,8 @@
 	return &Failure{Reason: ReasonStopping, NotRun: true, Message: "the node stops before the request's deadline"}
 }
 
-// refuseBeyond ends the reservations of requests that would outlast exit and that no upstream
-// has, and lets none be made for such requests.
+// refuseBeyond ends the reservations of requests that wait to be sent and would outlast exit,
+// and lets none be made for such requests.
 func (b *Budget) refuseBeyond(exit time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -65,10 +65,10 @@
 	return !b.exit.IsZero() && deadline.After(b.exit)
 }
 
-// endIfStopping ends a reservation if its request is not to be sent any more. The memory is
-// released by the request itself, as its body may be in use.
+// endIfStopping ends a reservation if its request waits to be sent and would outlast the exit.
+// The memory is released by the request itself, as its body may be in use.
 func (b *Budget) endIfStopping(res *Reservation) {
-	if res.phase.isUnsent() && b.outlasts(res.deadline) {
+	if res.phase.isQueued() && b.outlasts(res.deadline) {
 		res.cancel(stoppingFailure())
 	}
 }
