review: a late copy of a rollout's order undoes the next one

Cause: a copy of an order that a frozen replica held back is taken for a new order once another order for the pool came between, and replaces it.

Nothing of the product is changed.

--- a/review/_standins3/main_test.go
+++ b/review/_standins3/main_test.go
@@ -21,6 +21,7 @@
 	play          scenario
 	cores, fronts int
 }{
+	"stale-rollouts": {play: staleRollouts, cores: 3, fronts: 2},
 	"lossy-endings":  {play: lossyEndings, cores: 3, fronts: 2},
 }
 
