review: a version that was rolled back gets traffic again

Cause: the shares of a rollout are split evenly over all listed versions but its target; that one of them was rolled back by the rollout before is forgotten.

Change: case 13 with its stand-in. Nothing of the product is changed.

--- a/review/_standins3/main_test.go
+++ b/review/_standins3/main_test.go
@@ -22,6 +22,7 @@
 	cores, fronts int
 }{
 	"stale-rollouts": {play: staleRollouts, cores: 3, fronts: 2},
+	"rolled-back":    {play: rolledBack, cores: 3, fronts: 2},
 	"lossy-endings":  {play: lossyEndings, cores: 3, fronts: 2},
 }
 
