--- a/review/_standins3/main_test.go
+++ b/review/_standins3/main_test.go
@@ -24,6 +24,7 @@
 	"stale-rollouts": {play: staleRollouts, cores: 3, fronts: 2},
 	"rolled-back":    {play: rolledBack, cores: 3, fronts: 2},
 	"lossy-endings":  {play: lossyEndings, cores: 3, fronts: 2},
+	"last-streams":   {play: lastStreams, cores: 3, fronts: 5},
 }
 
 // TestMain plays the case that REVIEW_CASE names in the folder REVIEW_FOLDER.
