--- a/review/_standins3/endings_test.go
+++ b/review/_standins3/endings_test.go
@@ -164,7 +164,7 @@
 		}
 		address := l.Addr().String()
 		_ = l.Close()
-		c := &crashing{server: &server{service: service, version: "v1", address: address, slots: 20, rec: d.rec}}
+		c := &crashing{server: &server{service: service, version: "v1", address: address, slots: 20, rec: d.rec, zone: "zone-b"}}
 		if err := c.start(); err != nil {
 			return false, err
 		}
--- a/review/_standins3/system_test.go
+++ b/review/_standins3/system_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -124,6 +125,7 @@
 region: "region-a"
 zones:
   zone-a: "region-a"
+  zone-b: "region-a"
 listen:
 %sinternalPorts:
   - 7600
@@ -358,7 +360,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.entries[s.id] = map[string]any{
-		"id": s.id, "service": s.service, "address": s.address, "zone": "zone-a", "version": s.version,
+		"id": s.id, "service": s.service, "address": s.address, "zone": cmp.Or(s.zone, "zone-a"), "version": s.version,
 		"slots": s.slots, "state": state, "coldLeftMs": 0, "born": s.born,
 	}
 }
@@ -371,6 +373,7 @@
 
 // server is a stand-in of one server.
 type server struct {
+	zone                          string // of the server; that of the fronts if empty
 	id, service, version, address string
 	slots                         int
 	born                          int64
