--- a/internal/coordination/consensus/core_snapshot.go
+++ b/internal/coordination/consensus/core_snapshot.go
@@ -15,10 +15,18 @@
 	c.log.compact(c.log.tailStart(index, kept, keptBytes))
 }
 
-// snapshotIsNewer reports whether a snapshot covers entries that are not
-// committed here.
-func (c *core) snapshotIsNewer(meta snap.Meta) bool {
-	return meta.Index > c.commit
+// holdsSnapshot reports whether all entries that a snapshot from the leader covers are in the
+// log, and commits them. Those that follow stay: this replica may have acknowledged them.
+func (c *core) holdsSnapshot(meta snap.Meta) bool {
+	if meta.Index <= c.commit {
+		return true
+	}
+	if term, ok := c.log.term(meta.Index); !ok || term != meta.Term {
+		return false
+	}
+	c.commit = meta.Index
+	c.pruneConfigs()
+	return true
 }
 
 // installSnapshot replaces the log with a snapshot from the leader.
--- a/internal/coordination/consensus/receiver.go
+++ b/internal/coordination/consensus/receiver.go
@@ -126,7 +126,7 @@
 		return SnapshotReply{Term: r.core.term}
 	}
 	meta := snap.Meta{Index: req.Index, Term: req.SnapshotTerm, Members: req.Members}
-	if !r.core.snapshotIsNewer(meta) {
+	if r.core.holdsSnapshot(meta) {
 		return SnapshotReply{Term: r.core.term, Done: true}
 	}
 	in := &r.incoming
