scheduler: owned slots are assigned with the first registration

Where there are more schedulers than an upstream has slots, each owns some of them, by which gateways are registered.

Owned slots are assigned anew with each registration and departure.

TestShared_SlotsOfTheFirstGateway failed on the code before (no grant with all slots free) and passes now, five runs.

--- a/internal/coordination/scheduler/shared.go
+++ b/internal/coordination/scheduler/shared.go
@@ -130,6 +130,11 @@
 func (p *Pool) updateCapacityFraction(now time.Duration) {
 	fraction := p.capacityFraction()
 	if fraction == p.fraction {
+		// It is the same before and after the first registration, and other gateways may
+		// have come in the place of some; owned slots depend on which ones are registered.
+		if p.slotsAssigned && p.assignSlots() {
+			p.refreshAll(now)
+		}
 		return
 	}
 	p.fraction = fraction
--- a/internal/coordination/scheduler/shared_test.go
+++ b/internal/coordination/scheduler/shared_test.go
@@ -688,3 +688,25 @@
 	p.Depart("g1", start)
 	must.Zero(t, p.waiting)
 }
+
+// TestShared_SlotsOfTheFirstGateway guards against a scheduler that keeps to slots of its own and
+// owns none, since its fraction of the slots is the same before and after a gateway registers:
+// the first one, or one in the place of another.
+func TestShared_SlotsOfTheFirstGateway(t *testing.T) {
+	v := sharedView(40)
+	p := New(0, v, 0)
+	must.True(t, p.slotsAssigned)
+	submit := func(gateway ident.NodeID, id int) int {
+		now := start + time.Duration(id)*time.Second
+		p.Register(Registration{Gateway: gateway, Incarnation: 1, Uptime: time.Minute}, now)
+		ticket := sharedTicket(id, "low")
+		ticket.Gateway = gateway
+		p.Submit(ticket, now+500*time.Millisecond)
+		return len(grants(p.Decisions()))
+	}
+	must.Eq(t, 1, submit("g1", 1))
+	must.Positive(t, p.slots)
+	p.Depart("g1", start+2*time.Second)
+	must.Eq(t, 1, submit("g2", 3))
+	must.Positive(t, p.slots)
+}
