scheduler: the windows of quotas follow one clock

Steps are counted from the first time that is passed in, by a difference of times, for which the monotonic clock decides.

--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// quotaSteps is the number of steps into which a quota's sliding window is
-	// divided.
-	quotaSteps = 64
 	// lowUrgencyFraction is the fraction of a window that a team's least urgent
 	// requests may fill. The rest is reserved for its more urgent ones.
 	lowUrgencyFraction = 0.9
@@ -75,10 +72,13 @@
 
 // Quotas tracks what teams use through the gateways of all schedulers of a
 // process. It is safe for concurrent use. All times must be readings of one
-// clock.
+// clock; if they have a monotonic one, steps of the wall clock make no difference.
 type Quotas struct {
-	mu    sync.Mutex
-	teams map[ident.TeamName]*teamQuota
+	mu sync.Mutex
+	// origin is the time from which the steps of the windows are counted. It is before all
+	// times that are passed in.
+	origin time.Time
+	teams  map[ident.TeamName]*teamQuota
 	// fraction is the latest fraction of the quotas that applied here; 0 before any.
 	fraction float64
 	// hot holds the teams that were near their quotas recently, according to all
@@ -113,14 +113,6 @@
 	scheduledAt      time.Time
 }
 
-// usage is a sliding window of tokens.
-type usage struct {
-	steps [quotaSteps]float64
-	// step is the number of the current step since the clock's origin.
-	step int64
-	sum  float64
-}
-
 // NewQuotas returns quotas without limits.
 func NewQuotas() *Quotas {
 	return &Quotas{teams: make(map[ident.TeamName]*teamQuota), gateways: make(map[ident.NodeID]*quotaGateway)}
@@ -145,34 +137,27 @@
 // stepLength returns the length of one step of the window, in nanoseconds.
 func (l QuotaLimit) stepLength() int64 { return max(1, int64(l.Window)/quotaSteps) }
 
-// usageOf returns the usage through a gateway, advanced to now.
-func (t *teamQuota) usageOf(gateway ident.NodeID, now time.Time) *usage {
-	u := t.gateways[gateway]
-	if u == nil {
-		u = &usage{step: now.UnixNano() / t.limit.stepLength()}
-		t.gateways[gateway] = u
-	}
-	u.slide(now.UnixNano() / t.limit.stepLength())
-	return u
-}
+// originLead is how long before the first time that is passed in the windows' steps begin. A
+// scheduler may pass in a time a little before one of another scheduler.
+const originLead = time.Hour
 
-// slide advances the window to end with the given step and drops older usage.
-func (u *usage) slide(step int64) {
-	u.step = max(u.step, step-quotaSteps)
-	for u.step < step {
-		u.step++
-		u.sum -= u.steps[u.step%quotaSteps]
-		u.steps[u.step%quotaSteps] = 0
+// step returns the step of a team's window at a time. The caller holds the lock.
+func (q *Quotas) step(t *teamQuota, now time.Time) int64 {
+	if q.origin.IsZero() {
+		q.origin = now.Add(-originLead)
 	}
+	return max(0, int64(now.Sub(q.origin))/t.limit.stepLength())
 }
 
-// add counts tokens that were used the given number of steps ago.
-func (u *usage) add(tokens float64, ago int64) {
-	if ago < 0 || ago >= quotaSteps || u.step < ago {
-		return
+// usageOf returns the usage through a gateway, advanced to a step.
+func (t *teamQuota) usageOf(gateway ident.NodeID, step int64) *usage {
+	u := t.gateways[gateway]
+	if u == nil {
+		u = &usage{step: step}
+		t.gateways[gateway] = u
 	}
-	u.steps[(u.step-ago)%quotaSteps] += tokens
-	u.sum += tokens
+	u.slide(step)
+	return u
 }
 
 // add counts tokens that a gateway sent the given number of steps ago.
@@ -186,7 +171,7 @@
 // process knows: here counts the gateways that it serves, and all also those that
 // it served before. The caller holds the lock.
 func (q *Quotas) used(t *teamQuota, now time.Time) (here, all float64) {
-	step := now.UnixNano() / t.limit.stepLength()
+	step := q.step(t, now)
 	t.total.slide(step)
 	if q.departed == 0 {
 		return t.total.sum, t.total.sum
@@ -203,7 +188,7 @@
 // usageHere returns the usage of the gateways that this process serves, slid to now like
 // the total. The caller holds the lock.
 func (q *Quotas) usageHere(t *teamQuota, now time.Time) *usage {
-	step := now.UnixNano() / t.limit.stepLength()
+	step := q.step(t, now)
 	t.total.slide(step)
 	if q.departed == 0 {
 		return &t.total
@@ -279,23 +264,6 @@
 	return burst * (lowUrgencyBurstFraction + (1-lowUrgencyBurstFraction)*urgency)
 }
 
-// excess returns the most that was used beyond the refill, in tokens per second, since any
-// moment of the window that ends with the current step. Bounding it gives a team that sends
-// many times its quota a steady rate, not all of a window's tokens at once and then none.
-func (u *usage) excess(refill float64, window time.Duration) float64 {
-	perStep := refill * window.Seconds() / quotaSteps
-	most, sum := 0.0, 0.0
-	for ago := range min(quotaSteps, u.step+1) {
-		if ago > 0 {
-			// The current step may have just begun, so no refill is certain.
-			sum -= perStep
-		}
-		sum += u.steps[(u.step-ago)%quotaSteps]
-		most = max(most, sum)
-	}
-	return most
-}
-
 // unknownUsage estimates what a team used in the part of the window for which it
 // is not known what the gateways sent. For a hot team it assumes as much as the
 // least urgent requests may use, for others the usage at which a team becomes hot.
@@ -349,7 +317,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if t := q.teams[team]; t != nil {
-		t.add(t.usageOf(gateway, now), tokens, 0)
+		t.add(t.usageOf(gateway, q.step(t, now)), tokens, 0)
 	}
 }
 
--- a/internal/coordination/scheduler/quota_gateways.go
+++ b/internal/coordination/scheduler/quota_gateways.go
@@ -96,7 +96,7 @@
 		byTeam[s.Team] = s.Recent
 	}
 	for name, t := range q.teams {
-		u := t.usageOf(gateway, now)
+		u := t.usageOf(gateway, q.step(t, now))
 		length := t.limit.stepLength()
 		// The gateway's own count replaces the usage recorded here since that
 		// count began.
--- a/internal/coordination/scheduler/quota_test.go
+++ b/internal/coordination/scheduler/quota_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/shoenig/test/must"
 
@@ -64,6 +65,51 @@
 	must.Greater(t, 7000.0, most)
 }
 
+// steppedTime returns a reading of the same moment by a wall clock that is some whole seconds ahead.
+// The monotonic reading is the same. It changes the seconds in the first word of time.Time, where
+// they stand above 30 bits of nanoseconds.
+func steppedTime(t *testing.T, moment time.Time, ahead int64) time.Time {
+	stepped := moment
+	*(*uint64)(unsafe.Pointer(&stepped)) += uint64(ahead) << 30
+	must.Zero(t, stepped.Sub(moment))
+	must.Eq(t, ahead, stepped.Unix()-moment.Unix())
+	return stepped
+}
+
+// TestQuotas_StepsOfTheWallClock guards against a team that gets more than its limit while the wall
+// clock is set ahead and back, and one that gets less: schedulers read the time from their start
+// on, other callers the wall clock.
+func TestQuotas_StepsOfTheWallClock(t *testing.T) {
+	began := time.Now()
+	q := NewQuotas()
+	q.SetLimits([]QuotaLimit{{Team: "a", Tokens: 8000, Window: testWindow}})
+	q.Register("p", "g1", nil, testWindow, began)
+	var spent [400]float64 // by 100 ms
+	for i := range 4000 {
+		now := began.Add(time.Duration(i) * 10 * time.Millisecond)
+		if wall := steppedTime(t, now, int64(3*(i/300%2))); i%10 == 0 {
+			q.Hot(wall)
+			q.Use(wall)
+		}
+		if ok, _ := q.Admit("a", 50, 1, 1, now); ok {
+			q.Release("a", 50)
+			q.Spend("a", "g1", 50, now)
+			spent[i/10] += 50
+		}
+	}
+	const steps = int((testWindow - testWindow/quotaSteps) / (100 * time.Millisecond))
+	for from := range len(spent) - steps {
+		sum := 0.0
+		for _, tokens := range spent[from : from+steps] {
+			sum += tokens
+		}
+		must.LessEq(t, 8000.0, sum, must.Sprint(from))
+		if from > 10*int(testWindow/time.Second) {
+			must.Greater(t, 0.75*8000, sum, must.Sprint(from))
+		}
+	}
+}
+
 // TestQuotas_RefusedRequestsLeaveNoDebt checks that the tokens of a waiting
 // request are free again as soon as it leaves, and only once, also after other
 // requests were refused.
