pool: a gateway that starts after its clock was set back is served

A process's incarnation is its start by the wall clock. A scheduler ignored a registration with a lower one than it knew; the session was accepted all the same, and the gateway took its waiting requests for known. They waited until their deadlines.

The side that accepts sessions remembers which process of a gateway was followed by another one, in the order in which the sessions began, and refuses late messages of the former ones.

--- a/internal/coordination/pool/master.go
+++ b/internal/coordination/pool/master.go
@@ -40,6 +40,10 @@
 	sessions       map[ident.NodeID]*session
 	// lastHeard is the time of each gateway's latest message.
 	lastHeard map[ident.NodeID]time.Time
+	// processes holds the process of each gateway whose session began last, and former when
+	// another one followed it.
+	processes map[ident.NodeID]gatewayProcess
+	former    map[formerProcess]time.Time
 	// left holds the sessions that gateways have left lately.
 	left     map[ident.NodeID]leftSession
 	observer Observer
@@ -91,6 +95,42 @@
 	at time.Time
 }
 
+// formerProcess is a process of a gateway that another one has followed.
+type formerProcess struct {
+	gateway     ident.NodeID
+	incarnation ident.Incarnation
+}
+
+// gatewayProcess is the process of a gateway that opened its latest session, and when it did.
+// Incarnations are times of the wall clock, which may have been set back before a start, so they
+// don't tell which process came later.
+type gatewayProcess struct {
+	incarnation ident.Incarnation
+	at          time.Time
+}
+
+// noteProcess records that a session of a process of a gateway begins. It reports false if
+// another process of that gateway has followed it: the message is late.
+func (m *Master) noteProcess(id Session) bool {
+	if _, isFormer := m.former[formerProcess{id.Gateway, id.Incarnation}]; isFormer {
+		return false
+	}
+	latest, known := m.processes[id.Gateway]
+	if known && latest.incarnation != id.Incarnation {
+		m.former[formerProcess{id.Gateway, latest.incarnation}] = time.Now()
+	}
+	m.processes[id.Gateway] = gatewayProcess{incarnation: id.Incarnation, at: time.Now()}
+	return true
+}
+
+// forgetProcesses forgets those of which no message can be under way any more.
+func (m *Master) forgetProcesses() {
+	maps.DeleteFunc(m.former, func(_ formerProcess, at time.Time) bool { return time.Since(at) > leftRetention })
+	maps.DeleteFunc(m.processes, func(gateway ident.NodeID, p gatewayProcess) bool {
+		return m.sessions[gateway] == nil && time.Since(p.at) > leftRetention
+	})
+}
+
 // wake makes the gateway's poll return.
 func (s *session) wake() {
 	select {
@@ -110,6 +150,8 @@
 		sessions:  make(map[ident.NodeID]*session),
 		lastHeard: make(map[ident.NodeID]time.Time),
 		left:      make(map[ident.NodeID]leftSession),
+		processes: make(map[ident.NodeID]gatewayProcess),
+		former:    make(map[formerProcess]time.Time),
 		observer:  observer,
 		spread:    spread{limits: make(map[ident.UpstreamName]spreadLimit)},
 	}
@@ -230,6 +272,7 @@
 		m.endSession(gateway, now)
 	}
 	maps.DeleteFunc(m.left, func(_ ident.NodeID, l leftSession) bool { return time.Since(l.at) > leftRetention })
+	m.forgetProcesses()
 	m.sched.Tick(now)
 	m.spreadChanges()
 }
--- a/internal/coordination/pool/master_messages.go
+++ b/internal/coordination/pool/master_messages.go
@@ -89,6 +89,9 @@
 	if args.Register == nil || s != nil && supersedes(s.id, args.Session) || supersedes(m.left[args.Session.Gateway].Session, args.Session) {
 		return nil
 	}
+	if !m.noteProcess(args.Session) {
+		return nil
+	}
 	s = &session{
 		id:       args.Session,
 		tickets:  make(map[ident.RequestID]scheduler.Ticket),
--- a/internal/coordination/scheduler/takeover.go
+++ b/internal/coordination/scheduler/takeover.go
@@ -64,10 +64,6 @@
 // Register implements Scheduler.
 func (p *Pool) Register(r Registration, now time.Duration) {
 	former, known := p.registered[r.Gateway]
-	if known && r.Incarnation < former {
-		p.step(now)
-		return
-	}
 	for _, l := range r.RateLimits {
 		if l.PerSecond > 0 {
 			p.nameLimit(l.Upstream, l.PerSecond, now-l.Age, now)
