fleet: new seeds don't set the list of upstreams

SetSeeds applied the leader's whole state beside the sync loop. It could set a state that the loop had replaced meanwhile, so that an upstream which leaves got requests until the next change of the list.

Seeds change the replicas to contact only, under a lock of their own.

--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -98,6 +98,8 @@
 	hosts      atomic.Pointer[routing.HostTable]
 	upstreams  atomic.Pointer[upstreamTable]
 	coldStarts coldStarts
+	// replicasMu is held while the replicas to contact are set.
+	replicasMu sync.Mutex
 	// evacuated holds the evacuations last recorded. Only the sync loop uses it.
 	evacuated []evacuation.Record
 	// skippedEntries are those of the last complete pass over the platform's list.
@@ -363,6 +365,6 @@
 func (n *Node) SetSeeds(seeds []ident.NodeID) {
 	if len(seeds) > 0 {
 		n.seeds.Store(&seeds)
-		n.applyFleetState()
+		n.applyReplicas()
 	}
 }
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -202,9 +202,10 @@
 	return limits
 }
 
-// applyFleetState applies the members, hot teams and upstreams last reported by the
-// leader.
-func (n *Node) applyFleetState() {
+// applyReplicas sets the replicas to contact: the seeds and those last reported by the leader.
+func (n *Node) applyReplicas() {
+	n.replicasMu.Lock()
+	defer n.replicasMu.Unlock()
 	spread := n.follower.State()
 	replicas := slices.Clone(*n.seeds.Load())
 	for _, m := range spread.Members {
@@ -213,6 +214,13 @@
 		}
 	}
 	n.control.SetReplicas(replicas)
+}
+
+// applyFleetState applies the members, hot teams and upstreams last reported by the leader. Only
+// the sync loop calls it: an older state must not take the place of a newer one.
+func (n *Node) applyFleetState() {
+	n.applyReplicas()
+	spread := n.follower.State()
 	n.recordEvacuations(n.evacuated, spread.Evacuations)
 	n.evacuated = spread.Evacuations
 	n.quotas.SetHot(spread.HotTeams)
--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -413,3 +413,24 @@
 		must.Eq(t, maxWaitingDenials+beyond, confirmed, must.Sprint("a fresh proof needs no wait"))
 	})
 }
+
+// TestNode_SeedsLeaveUpstreamsAlone guards against a new list of seeds that sets the upstreams from a
+// state which the sync loop may have replaced meanwhile.
+func TestNode_SeedsLeaveUpstreamsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSyncFleet(t)
+		n := f.node(0)
+		defer f.stop(n)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			if n.follower.State().Listed {
+				break
+			}
+		}
+		must.True(t, n.follower.State().Listed || len(n.follower.State().Upstreams) > 0)
+		newer := &upstreamTable{}
+		n.upstreams.Store(newer)
+		n.SetSeeds([]ident.NodeID{"10.9.9.9", leaderIP})
+		must.True(t, newer == n.upstreams.Load())
+	})
+}
