fleet: upstreams stay known until the list has been read whole

A leader that begins without a list distributes it page by page. Gateways that knew more replaced what they knew, and used the upstreams of the first pages only until the last one came.

Until the leader has read the whole list, a gateway keeps the upstreams that it knows and the leader doesn't name; once it is read, those that it doesn't name go.

--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -227,10 +227,26 @@
 	n.learnPoison(spread.Poison)
 	n.setEnded(spread.Ends, spread.Version.Term)
 	if spread.Listed || len(spread.Upstreams) > 0 {
-		n.setUpstreams(spread.Upstreams, fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
+		n.setUpstreams(n.currentUpstreams(&spread), fmt.Sprintf("the leader of term %d, change %d", spread.Version.Term, spread.Version.Sequence))
 	}
 }
 
+// currentUpstreams returns the upstreams of a leader's state. Until the leader has read the whole
+// list, those that are known here and that it doesn't name stay.
+func (n *Node) currentUpstreams(spread *control.FleetState) []control.Discovered {
+	if spread.Listed {
+		return spread.Upstreams
+	}
+	named := newUpstreamTable(spread.Upstreams).byName
+	found := slices.Clone(spread.Upstreams)
+	for name, d := range n.upstreams.Load().byName {
+		if _, isNamed := named[name]; !isNamed {
+			found = append(found, d)
+		}
+	}
+	return found
+}
+
 // setUpstreams replaces the known upstreams and records what has changed.
 func (n *Node) setUpstreams(found []control.Discovered, source string) {
 	next := newUpstreamTable(found)
--- a/internal/command/fleet/sync_test.go
+++ b/internal/command/fleet/sync_test.go
@@ -434,3 +434,27 @@
 		must.True(t, newer == n.upstreams.Load())
 	})
 }
+
+// TestNode_PartlyReadListKeepsUpstreams guards against upstreams that a node forgets since a new
+// leader, which began without any, has read only a part of the list; and against ones that
+// it keeps once the leader has read the whole list.
+func TestNode_PartlyReadListKeepsUpstreams(t *testing.T) {
+	discovered := func(name ident.UpstreamName, leaving bool) control.Discovered {
+		return control.Discovered{Name: name, Upstream: config.Upstream{Pool: "p", Address: string(name) + ":1"}, Leaving: leaving}
+	}
+	n := &Node{}
+	n.upstreams.Store(newUpstreamTable([]control.Discovered{discovered("a", false), discovered("b", false), discovered("c", false)}))
+	state := control.FleetState{Upstreams: []control.Discovered{discovered("b", true), discovered("d", false)}}
+	read := func() map[ident.UpstreamName]bool {
+		found := make(map[ident.UpstreamName]bool)
+		for _, d := range n.currentUpstreams(&state) {
+			_, twice := found[d.Name]
+			must.False(t, twice)
+			found[d.Name] = d.Leaving
+		}
+		return found
+	}
+	must.Eq(t, map[ident.UpstreamName]bool{"a": false, "b": true, "c": false, "d": false}, read())
+	state.Listed = true
+	must.Eq(t, map[ident.UpstreamName]bool{"b": true, "d": false}, read())
+}
