scheduler, rollouts: other versions take over for one whose upstreams are lost

During a rollout, the version with the largest share takes what the others may not. With all of its upstreams lost and still listed, requests waited for it until their deadlines, though the target served well.

A version's share says how many requests it may get beyond it (Extra) while no upstream of the versions that may take a ticket can serve it.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -215,6 +215,9 @@
 	gauge("flamingohaven_fleet_grants_elsewhere_total", "Grants by the schedulers of this node of upstreams outside their gateways' data centres, where that matters.", func() float64 {
 		return float64(n.schedulerLoad().elsewhere)
 	})
+	gauge("flamingohaven_fleet_grants_beyond_shares_total", "Grants by the schedulers of this node to versions beyond their shares, since those that should serve were lost.", func() float64 {
+		return float64(n.schedulerLoad().beyondShares)
+	})
 	gauge("flamingohaven_fleet_cold_upstreams", "Upstreams that have just started and get a bounded rate of requests, as the schedulers of this node know, while gateways use them.", func() float64 {
 		return float64(n.schedulerLoad().cold)
 	})
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -264,6 +264,8 @@
 	gateways, waiting, running int
 	// elsewhere counts the grants so far of upstreams outside their gateways' data centres.
 	elsewhere int
+	// beyondShares counts the grants so far to versions beyond their shares.
+	beyondShares int
 	// stale counts the grants so far of upstreams whose speed was no longer known.
 	stale int
 	// retries took from the retry budgets so far and refused were not allowed by them. The
@@ -298,6 +300,7 @@
 		load.gateways = max(load.gateways, m.Sessions())
 		load.waiting, load.running, load.stale = load.waiting+stats.Waiting, load.running+stats.Running, load.stale+stats.Stale
 		load.elsewhere += stats.Elsewhere
+		load.beyondShares += stats.BeyondShares
 	}
 	if math.IsInf(load.left, 1) {
 		load.left = 0
--- a/internal/coordination/rollouts/evaluator.go
+++ b/internal/coordination/rollouts/evaluator.go
@@ -55,6 +55,9 @@
 	// called bad: a pause of the machine delays many answers at once.
 	verySlowFactor    = 4.0
 	minVerySlowExcess = 0.125
+	// firstExtra is how many requests the target may get beyond its share before it has
+	// answered any, if the former versions are lost.
+	firstExtra = 4
 )
 
 // Sample is the outcome of one request.
@@ -245,12 +248,31 @@
 		return 0
 	}
 	elapsed := e.elapsedFraction(now)
-	if elapsed < rampFrom || e.all.target.answers < minAnswers {
+	if elapsed < rampFrom || e.all.target.answers < minAnswers || e.targetFails() {
 		return canaryShare
 	}
 	return min(1, canaryShare+(1-canaryShare)*(elapsed-rampFrom)/(rampTo-rampFrom))
 }
 
+// targetFails reports whether the target fails more than chance explains, whatever the former
+// versions do: those that are lost are no measure for it.
+func (e *Evaluator) targetFails() bool {
+	return exceeds(e.all.target.failures, e.all.target.answers, 0, 0, minFailureExcess)
+}
+
+// Extra returns how many requests the target may get beyond its share, in all, while the
+// former versions can't serve them. Each good answer allows one more, and two from
+// minAnswers on, so that a version that can't be compared with another one still shows
+// first that it serves. One that fails more than chance explains gets none.
+func (e *Evaluator) Extra() int {
+	if e.fault != "" || e.targetFails() {
+		return 0
+	}
+	target := e.all.target
+	good := max(0, target.answers-target.failures)
+	return firstExtra + int(good+max(0, good-minAnswers))
+}
+
 // Verdict returns the state that the rollout should have, and the reason.
 // FormerRunning is the number of requests that run on the former versions.
 func (e *Evaluator) Verdict(now time.Time, formerRunning int) (rollout.State, string) {
--- a/internal/coordination/rollouts/evaluator_test.go
+++ b/internal/coordination/rollouts/evaluator_test.go
@@ -100,6 +100,70 @@
 	}
 }
 
+// replayAlone is replay for a rollout whose former version is lost from a time on. Requests that
+// nothing may take are counted in refused.
+func replayAlone(seed int64, target version, lost time.Duration) (state rollout.State, got, refused int) {
+	rng := rand.New(rand.NewSource(seed))
+	e := NewEvaluator(testOrder, testBegan)
+	former, extra := healthyVersion(0.01), 0
+	for at := time.Duration(0); at <= testOrder.Duration; at += 16 * time.Millisecond {
+		now := testBegan.Add(at)
+		route := ident.RouteName([]string{"a", "b"}[rng.Intn(2)])
+		serve, toTarget := former, rng.Float64() < e.Share(now)
+		if at >= lost && !toTarget {
+			toTarget = extra < e.Extra()
+			if !toTarget {
+				refused++
+				// What is tried at the former version meanwhile fails.
+				if rng.Float64() < 0.3 {
+					e.Observe(Sample{Route: route, Failed: true})
+				}
+				continue
+			}
+			extra++
+		}
+		if toTarget {
+			serve = target
+			got++
+		}
+		failed, first := serve(route, at, rng)
+		e.Observe(Sample{Target: toTarget, Route: route, Failed: failed, First: first})
+		if state, _ = e.Verdict(now, 0); state == rollout.StateRolledBack {
+			return state, got, refused
+		}
+	}
+	return state, got, refused
+}
+
+// TestEvaluator_FormerVersionLost guards against a target that serves well and gets nothing because
+// the former version is lost, and against a bad one that gets more than a bad one may: a tenth
+// of the requests and 50 more.
+func TestEvaluator_FormerVersionLost(t *testing.T) {
+	fails, oneRoute := healthyVersion(1), func(route ident.RouteName, at time.Duration, rng *rand.Rand) (bool, time.Duration) {
+		return healthyVersion(map[ident.RouteName]float64{"a": 0.01, "b": 0.6}[route])(route, at, rng)
+	}
+	slow := func(route ident.RouteName, at time.Duration, rng *rand.Rand) (bool, time.Duration) {
+		_, first := healthyVersion(0)(route, at, rng)
+		return false, 3 * first
+	}
+	for seed := range int64(50) {
+		for lost := range 4 {
+			lost := time.Duration(lost) * 1500 * time.Millisecond
+			state, _, refused := replayAlone(seed, healthyVersion(0.01), lost)
+			must.Eq(t, rollout.StateCompleted, state, must.Sprint(seed, lost))
+			must.Less(t, 30, refused, must.Sprint(seed, lost))
+			for name, bad := range map[string]version{"fails": fails, "often": healthyVersion(0.4), "one route": oneRoute, "slow": slow} {
+				if name == "slow" && lost == 0 {
+					// Nothing shows that it is slow.
+					continue
+				}
+				state, got, refused := replayAlone(seed, bad, lost)
+				must.LessEq(t, float64(got+refused)/10+50, float64(got), must.Sprintf("%s, seed %d, lost at %v, %s", name, seed, lost, state))
+			}
+		}
+	}
+}
+
 // TestEvaluator_RollsBackWithoutEvidence checks that a target without any answers is
 // rolled back at the deadline.
 func TestEvaluator_RollsBackWithoutEvidence(t *testing.T) {
--- a/internal/coordination/scheduler/choose.go
+++ b/internal/coordination/scheduler/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -30,15 +31,36 @@
 		return c.best(e, now)
 	}
 	var buffer [4]ident.VersionName
-	for _, version := range p.shares.order(e.shareKey(), buffer[:0]) {
+	allowed := p.shares.order(e.shareKey(), buffer[:0])
+	for _, version := range allowed {
 		p.consider(e, p.readySet(version), &c, now)
 		if g := c.best(e, now); g != nil {
 			return g
 		}
 	}
+	for _, s := range p.shares.shares {
+		if !p.shares.mayExceed(s, e.shareKey()) || slices.Contains(allowed, s.Version) {
+			continue
+		}
+		if p.isServable(e, allowed) {
+			return nil
+		}
+		p.consider(e, p.readySet(s.Version), &c, now)
+		if g := c.best(e, now); g != nil {
+			return g
+		}
+	}
 	return nil
 }
 
+// isServable reports whether any upstream of the given versions, free or not, may serve the
+// ticket: it is in rotation, takes work and hasn't failed the ticket.
+func (p *Pool) isServable(e *entry, versions []ident.VersionName) bool {
+	return slices.ContainsFunc(p.orderedEngines, func(g *engine) bool {
+		return g.acceptsWork() && !g.health.ejected && e.mayUse(g) && slices.Contains(versions, g.upstream.Version)
+	})
+}
+
 // candidates are upstreams that can take a ticket.
 type candidates struct {
 	pool *Pool
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -351,7 +351,7 @@
 // Stats implements Scheduler.
 func (p *Pool) Stats() Stats {
 	s := Stats{
-		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants, Elsewhere: p.grantsElsewhere,
+		Waiting: p.waiting + len(p.undecided), Running: p.running, Capacity: p.slots, WaitingByTier: make(map[ident.TierName]int, len(p.tiers)), Stale: p.staleGrants, Elsewhere: p.grantsElsewhere, BeyondShares: p.shares.beyond,
 		Retries: p.retriesTaken, RetriesRefused: p.retriesRefused, RetriesLeft: p.retries.account(p.now).left,
 		ColdHolds: p.coldHolds,
 	}
--- a/internal/coordination/scheduler/shares.go
+++ b/internal/coordination/scheduler/shares.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/flamingohaven/flamingohaven/internal/state/ident"
+import (
+	"slices"
+
+	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+)
 
 // maxCredit bounds the credit that a version accumulates while it cannot be used.
 const maxCredit = 1.0
@@ -22,10 +26,14 @@
 
 // shareTracker splits each route's traffic between versions. The version with the
 // largest share also takes the requests that the others may not or cannot take;
-// every other version exceeds its share by less than one request.
+// every other version exceeds its share by less than one request, besides its Extra.
 type shareTracker struct {
 	shares  []VersionShare
 	credits map[shareKey]credits
+	// extra counts the requests that versions got beyond their shares.
+	extra map[ident.VersionName]int
+	// beyond counts all of them since the tracker exists.
+	beyond int
 	// generation is incremented whenever the shares change.
 	generation int
 }
@@ -33,18 +41,46 @@
 // set replaces the shares. If they differ from the old ones, all credits are
 // reset.
 func (t *shareTracker) set(shares []VersionShare) {
-	same := len(shares) == len(t.shares)
-	for i := 0; same && i < len(shares); i++ {
-		same = shares[i] == t.shares[i]
-	}
+	same := slices.EqualFunc(shares, t.shares, func(a, b VersionShare) bool {
+		a.Extra = b.Extra
+		return a == b
+	})
+	t.setExtra(shares)
+	t.shares = slices.Clone(shares)
 	if same && t.credits != nil {
 		return
 	}
-	t.shares = append([]VersionShare(nil), shares...)
 	t.credits = make(map[shareKey]credits)
 	t.generation++
 }
 
+// setExtra forgets what versions got beyond their shares if their allowance starts anew.
+func (t *shareTracker) setExtra(shares []VersionShare) {
+	counts := make(map[ident.VersionName]int)
+	for _, s := range shares {
+		i := slices.IndexFunc(t.shares, func(former VersionShare) bool { return former.Version == s.Version })
+		if i >= 0 && s.Extra >= t.shares[i].Extra {
+			counts[s.Version] = t.extra[s.Version]
+		}
+	}
+	t.extra = counts
+}
+
+// mayExceed reports whether a version may get a request of the key beyond its share.
+func (t *shareTracker) mayExceed(s VersionShare, key shareKey) bool {
+	return s.shareFor(key.idempotent) > 0 && t.extra[s.Version] < s.Extra
+}
+
+// none reports whether there are shares and no version has one.
+func (t *shareTracker) none() bool {
+	for _, s := range t.shares {
+		if s.Share > 0 || s.NonIdempotentShare > 0 {
+			return false
+		}
+	}
+	return len(t.shares) > 0
+}
+
 func (s VersionShare) shareFor(idempotent bool) float64 {
 	if idempotent {
 		return s.Share
@@ -96,9 +132,17 @@
 	return false
 }
 
+// beyondShares is the generation of requests that were sent beyond the shares.
+const beyondShares = -1
+
 // spend counts a request that was sent to a version. It returns the generation of
 // the shares under which the request was counted.
 func (t *shareTracker) spend(key shareKey, version ident.VersionName) (generation int) {
+	if !t.allows(key, version) {
+		t.extra[version]++
+		t.beyond++
+		return beyondShares
+	}
 	t.add(key, version, 1)
 	return t.generation
 }
@@ -106,7 +150,10 @@
 // refund reverses spend for a request that provably did not reach its version,
 // unless the shares have changed since.
 func (t *shareTracker) refund(key shareKey, version ident.VersionName, generation int) {
-	if generation == t.generation {
+	switch generation {
+	case beyondShares:
+		t.extra[version] = max(0, t.extra[version]-1)
+	case t.generation:
 		t.add(key, version, -1)
 	}
 }
--- a/internal/coordination/scheduler/types.go
+++ b/internal/coordination/scheduler/types.go
@@ -308,6 +308,8 @@
 	// Elsewhere counts the grants so far of upstreams outside their gateways' data centres, where
 	// that matters.
 	Elsewhere int
+	// BeyondShares counts the grants so far to versions beyond their shares.
+	BeyondShares int
 	// Retries counts the retries so far that took from the retry budget, RetriesRefused those
 	// that it did not allow, and RetriesLeft is what is left of it.
 	Retries, RetriesRefused int
--- a/internal/coordination/scheduler/view.go
+++ b/internal/coordination/scheduler/view.go
@@ -36,6 +36,10 @@
 	Share float64
 	// NonIdempotentShare is the fraction of non-idempotent traffic, 0 to 1.
 	NonIdempotentShare float64
+	// Extra is how many requests the version may get beyond its share, which must not be 0,
+	// while no upstream of the versions that may take them can serve them. It is a total
+	// since the scheduler began or since a view with a lower value.
+	Extra int
 }
 
 // Tier describes a tier of service to the scheduler. A tier of higher Rank is
