scheduler: requests that a version failed count against its share

What a version got was taken off its count for every request that was queued once more, also for those that it had failed or rejected: each failure gave it the next request.

Only a request that did not reach the version is refunded.

--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -56,6 +56,7 @@
 		p.ejectUnreachable(e, r, now)
 		p.recordUnreachable(r.Upstream, now)
 		p.uncountRetry(e)
+		p.refundShare(e)
 		p.requeue(e, now, p.view.Shared == nil)
 	case ReportRetryable:
 		p.keepCounted(e)
@@ -76,6 +77,7 @@
 		p.keepCounted(e)
 		refundColdToken(e)
 		e.engine.health.recordMisdirected(e, now)
+		p.refundShare(e)
 		p.requeue(e, now, true)
 	case ReportDropped:
 		p.recordDropped(e, now)
@@ -212,7 +214,6 @@
 // an upstream, uses up the retry budget.
 func (p *Pool) requeue(e *entry, now time.Duration, budgeted bool) {
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
 	p.queueOf(e).charge(-e.tokenCost())
 	e.ticket.Excluded = append(e.ticket.Excluded[:len(e.ticket.Excluded):len(e.ticket.Excluded)], e.engine.upstream.Name)
 	e.retries++
@@ -231,6 +232,12 @@
 	p.enqueue(e)
 }
 
+// refundShare takes a request that did not reach its version off what that version got. One that
+// the version failed or rejected counts.
+func (p *Pool) refundShare(e *entry) {
+	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
+}
+
 // recordDropped ends a ticket that its gateway dropped. A request that was
 // already sent may still run.
 func (p *Pool) recordDropped(e *entry, now time.Duration) {
@@ -242,7 +249,7 @@
 	refundColdToken(e)
 	p.uncountGrant(e)
 	p.release(e, now)
-	p.shares.refund(e.shareKey(), e.version, e.shareGeneration)
+	p.refundShare(e)
 	p.queueOf(e).charge(-e.tokenCost())
 	p.end(e, now)
 }
--- a/internal/coordination/scheduler/shares_test.go
+++ b/internal/coordination/scheduler/shares_test.go
@@ -90,3 +90,37 @@
 	l = newVersionLoad(0.5, math.MaxInt)
 	must.Eq(t, map[ident.VersionName]int{"v3": 40}, l.submit(40, true, l.upstreams[:2]...))
 }
+
+// TestShares_FailedRequestsCount guards against a version that gets more than its share because
+// the requests which it fails or rejects are sent again, and against one that loses its share by
+// requests which did not reach it.
+func TestShares_FailedRequestsCount(t *testing.T) {
+	for kind, reached := range map[ReportKind]bool{ReportRetryable: true, ReportRejected: true, ReportUnsent: false, ReportMisdirected: false} {
+		l := newVersionLoad(0.3, 0)
+		got, all := 0, 0
+		for range 200 {
+			l.tickets++
+			now := start + time.Duration(l.tickets)*100*time.Millisecond
+			l.pool.Submit(sharedTicket(l.tickets, "low"), now)
+			for again := true; again; {
+				again = false
+				for _, g := range grants(l.pool.Decisions()) {
+					all++
+					if g.Version == "v1" || all%3 > 0 {
+						serveRequest(l.pool, g, ReportEnded, now, 10*time.Millisecond)
+						if g.Version != "v1" {
+							got++
+						}
+						continue
+					}
+					if again = true; reached {
+						got++
+					}
+					serveRequest(l.pool, g, kind, now, 10*time.Millisecond)
+				}
+			}
+		}
+		must.LessEq(t, 0.3*float64(all)+1, float64(got), must.Sprint(kind))
+		must.Positive(t, got, must.Sprint(kind))
+	}
+}
