control, platform: a late copy of an order for a rollout has no effect

A frozen one read the first copy when it was woken, and replaced a rollout that had been acknowledged since. An order was compared with the latest record only; when it had been sent was not known.

An order carries its basis: the state of the rollout that the receiving replica had seen at the earliest time at which the order can have been sent, which transport/arrival bounds by the connection, by the answer before it and by the pauses of the process. The state machine carries an order out only if that is still the state; one that can't be judged gets 503 and a log line, and is counted (flamingohaven_fleet_orders_total). An order equal to one that has ended is carried out.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/gateway"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -31,6 +33,8 @@
 	schedulerAnswers prometheus.Histogram
 	// changes holds the times that the steps of operators' changes of the configuration took.
 	changes *prometheus.HistogramVec
+	// orders counts operators' orders by kind and result.
+	orders *prometheus.CounterVec
 }
 
 func newMetrics(n *Node) *metrics {
@@ -69,6 +73,10 @@
 		Help:    "Time that a step of an operator's change of the configuration took at this node, in seconds: read from its text, or commit by the replicas.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
 	}, []string{"step"})
+	m.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "flamingohaven_fleet_orders_total",
+		Help: "Operators' orders at this node, by kind (rollout, evacuation) and result: accepted, outdated (refused, may be a late copy) or failed.",
+	}, []string{"kind", "result"})
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
@@ -246,7 +254,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers, m.changes)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers, m.changes, m.orders)
 	return m
 }
 
@@ -264,3 +272,17 @@
 		n.metrics.refusals.WithLabelValues(reason).Inc()
 	}
 }
+
+// countOrder counts an operator's order that ended with an error or, if it is nil, was accepted,
+// and returns the result.
+func (m *metrics) countOrder(kind string, err error) string {
+	result := "accepted"
+	switch {
+	case errors.Is(err, control.ErrOrderOutdated):
+		result = "outdated"
+	case err != nil:
+		result = "failed"
+	}
+	m.orders.WithLabelValues(kind, result).Inc()
+	return result
+}
--- a/internal/command/fleet/node.go
+++ b/internal/command/fleet/node.go
@@ -24,6 +24,7 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/poison"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/arrival"
 	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
 	"github.com/flamingohaven/flamingohaven/internal/transport/rpcnet"
 	"github.com/flamingohaven/flamingohaven/internal/transport/tunnel"
@@ -104,6 +105,8 @@
 	evacuated []evacuation.Record
 	// skippedEntries are those of the last complete pass over the platform's list.
 	skippedEntries atomic.Pointer[SkippedEntries]
+	// pauses records when this process stood still.
+	pauses arrival.Pauses
 	// drainStart is the time of the first call to Drain; nil before it.
 	drainStart atomic.Pointer[time.Time]
 	seeds      atomic.Pointer[[]ident.NodeID]
@@ -161,6 +164,7 @@
 		watches:     make(map[ident.PoolName]*rolloutWatch),
 		fatal:       make(chan error, 1),
 	}
+	n.pauses.Tick(boottime.Now())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.upstreams.Store(&upstreamTable{})
 	n.seeds.Store(&n.settings.Seeds)
--- a/internal/command/fleet/orders.go
+++ b/internal/command/fleet/orders.go
@@ -8,8 +8,6 @@
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
 	"github.com/flamingohaven/flamingohaven/internal/state/config"
-	"github.com/flamingohaven/flamingohaven/internal/state/ident"
-	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
 )
 
@@ -90,15 +88,3 @@
 	reply, err := control.Call[control.ReadDocumentReply](ctx, n.control, "ReadDocument", &control.ReadDocumentArgs{})
 	return reply.Document, reply.Number, err
 }
-
-// StartRollout commits an operator's order to start a rollout.
-func (n *Node) StartRollout(ctx context.Context, o rollout.Order) error {
-	_, err := control.Call[control.RolloutReply](ctx, n.control, "StartRollout", &control.StartRolloutArgs{Order: o})
-	return err
-}
-
-// Rollout returns the latest rollout of a pool; nil if it has had none.
-func (n *Node) Rollout(ctx context.Context, name ident.PoolName) (*rollout.Record, error) {
-	reply, err := control.Call[control.RolloutReply](ctx, n.control, "ReadRollout", &control.ReadRolloutArgs{Pool: name})
-	return reply.Record, err
-}
--- a/internal/command/fleet/pause.go
+++ b/internal/command/fleet/pause.go
@@ -9,12 +9,13 @@
 	"github.com/flamingohaven/flamingohaven/internal/coordination/consensus"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/timeline"
+	"github.com/flamingohaven/flamingohaven/internal/transport/arrival"
 )
 
 const (
 	// pauseCheckInterval is the interval at which a process looks whether it has run all the
 	// while, and minPause by how much more than that counts as a pause.
-	pauseCheckInterval = 100 * time.Millisecond
+	pauseCheckInterval = arrival.TickInterval
 	minPause           = 500 * time.Millisecond
 )
 
@@ -36,6 +37,7 @@
 	for n.ctx.Err() == nil {
 		sleep(n.ctx, pauseCheckInterval)
 		now := boottime.Now()
+		n.pauses.Tick(now)
 		if paused := pausedFor(last, now); paused > 0 {
 			age, known, _ := n.proof.age(now)
 			n.events.Record(timeline.Event{Kind: timeline.KindProcess, Detail: fmt.Sprintf("did not run for %d ms", paused.Milliseconds())})
--- a/internal/coordination/control/client.go
+++ b/internal/coordination/control/client.go
@@ -92,6 +92,9 @@
 	uncertain := false
 	backoff := minRetryBackoff
 	for range maxAttempts {
+		if ctx.Err() != nil {
+			break
+		}
 		// Each attempt has its own reply, so that a late answer to an earlier
 		// attempt cannot overwrite it.
 		reply := new(R)
--- a/internal/coordination/control/fleet_calls.go
+++ b/internal/coordination/control/fleet_calls.go
@@ -72,12 +72,6 @@
 	return nil
 }
 
-// StartRollout commits an operator's order to start a rollout.
-func (s *Service) StartRollout(args *StartRolloutArgs, reply *RolloutReply) error {
-	order := args.Order
-	return s.changeRollout(&machine.Command{StartRollout: &order}, reply)
-}
-
 // EndRollout commits the end of a rollout.
 func (s *Service) EndRollout(args *EndRolloutArgs, reply *RolloutReply) error {
 	end := args.End
@@ -90,6 +84,7 @@
 	reply.Refusal = string(result.Refusal)
 	reply.Record = result.Rollout
 	if status.OK() {
+		s.noteRollouts()
 		s.publishCommitted()
 	}
 	return nil
@@ -114,6 +109,7 @@
 	}
 	if record, known := s.machine.Rollout(args.Pool); known {
 		reply.Record = &record
+		s.setAge(reply)
 	}
 	reply.Status = s.stillServing(term)
 	return nil
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -122,7 +122,12 @@
 }
 
 // StartRolloutArgs holds the order to start a rollout.
-type StartRolloutArgs struct{ Order rollout.Order }
+type StartRolloutArgs struct {
+	Order rollout.Order
+	// Basis is the state of the pool's rollout that was certainly known when the operator
+	// sent the order.
+	Basis rollout.Basis
+}
 
 // ReadRolloutArgs requests a pool's latest rollout.
 type ReadRolloutArgs struct{ Pool ident.PoolName }
@@ -136,4 +141,7 @@
 	Status
 	Refusal string
 	Record  *rollout.Record
+	// Age is for how long the replica that answers StartRollout or ReadRollout has known Record,
+	// at the time of the answer; 0 if it doesn't say.
+	Age time.Duration
 }
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -60,6 +60,7 @@
 	deliveries       configDeliveries
 	changeTurns      turns
 	confirmations    *confirmations
+	rolloutTimes     rolloutTimes
 	// readDocument reads the text of a numbered configuration; nil if nothing does.
 	readDocument config.Reader
 	// keptNumber is the number of a configuration that needs no refresh, or whose text this
@@ -137,6 +138,9 @@
 
 // Run calls Tick every TickInterval until the context ends.
 func (s *Service) Run(ctx context.Context) {
+	if s.fleet != nil {
+		go s.followOrders(ctx)
+	}
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
 	for {
@@ -172,6 +176,7 @@
 		s.commitPoison(leadership.Term)
 		s.raiseFeatures(leadership.Term)
 		s.refreshDocument(leadership.Term)
+		s.noteRollouts()
 		s.publishCommitted()
 		return
 	}
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -20,7 +20,8 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
-// Command is one entry of the replicated log. Exactly one of its pointers is set.
+// Command is one entry of the replicated log. Exactly one of its pointers is
+// set, but for the basis.
 type Command struct {
 	// At is the proposer's wall-clock time. An earlier time than that of a previous
 	// command doesn't set the machine's clock back.
@@ -47,6 +48,9 @@
 	SetHotTeams   *SetHotTeams      `cbor:",omitempty"`
 	SetPoison     *SetPoison        `cbor:",omitempty"`
 
+	// The following need feature level 3. RolloutBasis goes with StartRollout.
+	RolloutBasis *rollout.Basis `cbor:",omitempty"`
+
 	// The following need feature level 1. RefreshConfig puts the configuration of the
 	// current number in force once more, as a newer build reads its text.
 	SetFeatures   *SetFeatures      `cbor:",omitempty"`
@@ -190,6 +194,9 @@
 	RefusedFull Refusal = "full"
 	// RefusedFeatures means that some nodes may run a build that doesn't know the command.
 	RefusedFeatures Refusal = "features"
+	// RefusedOutdated means that the order may be a late copy: what it changes may have
+	// changed since it was sent.
+	RefusedOutdated Refusal = "outdated"
 )
 
 var encoding = newEncoding()
--- a/internal/state/machine/evacuations.go
+++ b/internal/state/machine/evacuations.go
@@ -9,8 +9,9 @@
 
 // FeatureLevel is the feature level of this build. Level 1 adds evacuations and the
 // refresh of a configuration whose fields older builds have dropped. From level 2 on, a text
-// whose list of teams is empty asks for keys.
-const FeatureLevel = 2
+// whose list of teams is empty asks for keys. Level 3 adds the bases of operators'
+// orders.
+const FeatureLevel = 3
 
 // SetFeatures raises the feature level: all nodes of the system support it. Commands that
 // builds below a level don't know may be proposed from then on.
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -123,7 +123,7 @@
 	case c.CommitMove != nil:
 		return m.commitMove(*c.CommitMove)
 	case c.StartRollout != nil:
-		return m.startRollout(*c.StartRollout)
+		return m.startRollout(*c.StartRollout, c.RolloutBasis)
 	case c.EndRollout != nil:
 		return m.endRollout(*c.EndRollout)
 	}
--- a/internal/state/machine/rollouts.go
+++ b/internal/state/machine/rollouts.go
@@ -5,11 +5,22 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
-// startRollout starts a rollout. A repetition of the pool's latest order returns its
-// record unchanged; a different order replaces a running rollout.
-func (m *Machine) startRollout(o rollout.Order) Result {
+// BasisLevel is the feature level from which operators' orders have a basis.
+const BasisLevel = 3
+
+// startRollout starts a rollout, which replaces a running one. A repetition of the pool's
+// latest order returns its record unchanged, and an order that may be a late copy is refused
+// with the record. The basis is nil for an order from a build without bases.
+func (m *Machine) startRollout(o rollout.Order, basis *rollout.Basis) Result {
 	current, known := m.rollouts[o.Pool]
-	if known && current.Repeats(o, m.clock) {
+	if basis != nil && m.features >= BasisLevel {
+		switch basis.Judge(current, o) {
+		case rollout.VerdictRepeat:
+			return Result{Rollout: &current}
+		case rollout.VerdictOutdated:
+			return Result{Rollout: &current, Refusal: RefusedOutdated}
+		}
+	} else if known && current.Repeats(o, m.clock) {
 		return Result{Rollout: &current}
 	}
 	m.rolloutNumber++
--- a/internal/state/rollout/rollout.go
+++ b/internal/state/rollout/rollout.go
@@ -23,9 +23,9 @@
 // Final reports whether the state of a rollout can't change any more.
 func (s State) Final() bool { return s == StateCompleted || s == StateRolledBack }
 
-// RepeatWindow is how long after the end of a rollout an equal order is treated as a
-// retry of the same order instead of a new one. Operators retry an order for some
-// seconds.
+// RepeatWindow is how long after the end of a rollout an equal order without a basis is
+// treated as a retry of the same order instead of a new one. Operators retry an order for
+// some seconds.
 const RepeatWindow = 30 * time.Second
 
 // Order is a request for a rollout to the version Target.
@@ -48,8 +48,55 @@
 	Reason  string
 }
 
-// Repeats reports whether an order received at time now is a retry of the one that
-// created the record.
+// Basis is the state of a pool's rollout that was certainly known when an order was sent. An
+// order is carried out only if the rollout hasn't changed since: a copy of an order that was
+// held up on its way must not replace one that was accepted after it.
+type Basis struct {
+	// Known is false for an order that comes from a build without bases.
+	Known bool
+	// Number is that of the pool's latest rollout; 0 if there was none.
+	Number uint64
+	// Final is true if that rollout had ended.
+	Final bool
+}
+
+// Basis returns the basis of an order that was sent when the record was known.
+func (r Record) Basis() Basis {
+	return Basis{Known: true, Number: r.Number, Final: r.State.Final()}
+}
+
+// Verdict says what becomes of an order.
+type Verdict int
+
+const (
+	// VerdictStart means that the order starts a rollout.
+	VerdictStart Verdict = iota
+	// VerdictRepeat means that the order is a copy of the one that started the running rollout.
+	VerdictRepeat
+	// VerdictOutdated means that the rollout may have changed since the order was sent, so that
+	// it may be a late copy of an order.
+	VerdictOutdated
+)
+
+// Judge returns what becomes of an order with a basis while current is the latest rollout of
+// its pool; the zero Record if there was none. An order that may be a late copy is never
+// carried out; one that isn't always is, also if it equals an earlier one.
+func (b Basis) Judge(current Record, o Order) Verdict {
+	switch {
+	case current.Order == o && !current.State.Final():
+		return VerdictRepeat
+	case b == current.Basis():
+		return VerdictStart
+	case b.Number == current.Number && current.Order != o:
+		// The rollout has ended since the order was sent, and no other has begun.
+		return VerdictStart
+	default:
+		return VerdictOutdated
+	}
+}
+
+// Repeats reports whether an order without a basis, received at time now, is a retry of the
+// one that created the record.
 func (r Record) Repeats(o Order, now time.Time) bool {
 	return r.Order == o && (!r.State.Final() || now.Sub(r.EndedAt) < RepeatWindow)
 }
