control, platform: a late copy of an order about a data centre has no effect

An order that would change something carries the numbers of the data centre's evacuation and of the latest one, as the receiving replica had seen them when it can have been sent at the earliest. The leader, and from feature level 3 on the state machine, refuse it if they differ. Orders that change nothing are acknowledged as before.

--- a/internal/command/fleet/evacuations.go
+++ b/internal/command/fleet/evacuations.go
@@ -23,10 +23,12 @@
 )
 
 // Evacuate commits an operator's order that the upstreams of a data centre get no new
-// requests, or that ends that. The error wraps ErrUnknownZone or ErrEvacuationRefused if
-// nothing has changed; after any other, the outcome is unknown.
-func (n *Node) Evacuate(ctx context.Context, o evacuation.Order) error {
-	err := n.evacuate(ctx, o)
+// requests, or that ends that. The order was sent at the time sentAfter of boottime.Now or later.
+// The error wraps ErrUnknownZone, ErrEvacuationRefused or control.ErrOrderOutdated if nothing has
+// changed; after any other, the outcome is unknown.
+func (n *Node) Evacuate(ctx context.Context, o evacuation.Order, sentAfter time.Duration) error {
+	err := n.evacuate(ctx, o, sentAfter)
+	n.metrics.countOrder("evacuation", err)
 	result := "acknowledged"
 	if err != nil {
 		result = err.Error()
@@ -35,18 +37,21 @@
 	return err
 }
 
-func (n *Node) evacuate(ctx context.Context, o evacuation.Order) error {
+func (n *Node) evacuate(ctx context.Context, o evacuation.Order, sentAfter time.Duration) error {
 	if !n.knowsZone(o.Zone) {
 		if !n.knowsAllZones() {
 			return fmt.Errorf("this node doesn't know the data centres at present: it has no contact with the leader, or the list was not read yet")
 		}
 		return fmt.Errorf("%w %.64q", ErrUnknownZone, o.Zone)
 	}
-	args := &control.EvacuateArgs{Order: o}
+	args := control.EvacuateArgs{Order: o, Basis: evacuation.Basis{Known: true}}
+	if n.replica != nil {
+		args.Basis = n.replica.service.EvacuationBasis(o.Zone, sentAfter)
+	}
 	if end, bounded := ctx.Deadline(); bounded {
 		args.Patience = max(1, time.Until(end))
 	}
-	reply, err := control.Call[control.EvacuateReply](ctx, n.control, "Evacuate", args)
+	reply, err := control.Evacuate(ctx, n.control, args, sentAfter)
 	switch {
 	case err != nil:
 		return err
--- a/internal/command/fleet/evacuations_test.go
+++ b/internal/command/fleet/evacuations_test.go
@@ -55,8 +55,8 @@
 		f.listZones("a", "b", "c")
 		time.Sleep(3 * time.Second)
 		for _, zone := range []ident.Zone{"a", "b", "c"} {
-			must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: zone}))
-			must.NoError(t, nodes[1].Evacuate(t.Context(), evacuation.Order{Zone: zone}))
+			must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: zone}, boottime.Now()))
+			must.NoError(t, nodes[1].Evacuate(t.Context(), evacuation.Order{Zone: zone}, boottime.Now()))
 			time.Sleep(time.Second)
 			for _, n := range nodes {
 				must.SliceNotContains(t, usable(n, "a", "b", "c"), zone)
@@ -68,12 +68,12 @@
 				must.False(t, all)
 				must.Eq(t, 1, n.evacuatedZones())
 			}
-			must.NoError(t, nodes[1].Evacuate(t.Context(), evacuation.Order{Zone: zone, End: true}))
+			must.NoError(t, nodes[1].Evacuate(t.Context(), evacuation.Order{Zone: zone, End: true}, boottime.Now()))
 			time.Sleep(time.Second)
 			must.Len(t, 3, usable(nodes[0], "a", "b", "c"))
 		}
 		for _, zone := range []ident.Zone{"a", "b", "c"} {
-			must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: zone}))
+			must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: zone}, boottime.Now()))
 		}
 		time.Sleep(time.Second)
 		_, all := nodes[0].Evacuated("p")
@@ -127,24 +127,24 @@
 		f.listZones("a")
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		err := n.Evacuate(ctx, evacuation.Order{Zone: "a"})
+		err := n.Evacuate(ctx, evacuation.Order{Zone: "a"}, boottime.Now())
 		must.Error(t, err)
 		must.False(t, errors.Is(err, ErrUnknownZone))
 		f.loops.Go(n.syncLoop)
 		defer f.stop(n)
 		time.Sleep(3 * time.Second)
-		must.NoError(t, n.Evacuate(ctx, evacuation.Order{Zone: "a"}))
+		must.NoError(t, n.Evacuate(ctx, evacuation.Order{Zone: "a"}, boottime.Now()))
 		for _, zone := range []ident.Zone{"", "b"} {
-			must.ErrorIs(t, n.Evacuate(ctx, evacuation.Order{Zone: zone}), ErrUnknownZone)
-			must.ErrorIs(t, n.Evacuate(ctx, evacuation.Order{Zone: zone, End: true}), ErrUnknownZone)
+			must.ErrorIs(t, n.Evacuate(ctx, evacuation.Order{Zone: zone}, boottime.Now()), ErrUnknownZone)
+			must.ErrorIs(t, n.Evacuate(ctx, evacuation.Order{Zone: zone, End: true}, boottime.Now()), ErrUnknownZone)
 		}
 		// Its last upstream has gone, and the evacuation can still be ended.
 		f.listZones("c")
 		time.Sleep(3 * time.Second)
-		must.NoError(t, n.Evacuate(ctx, evacuation.Order{Zone: "a", End: true}))
+		must.NoError(t, n.Evacuate(ctx, evacuation.Order{Zone: "a", End: true}, boottime.Now()))
 		f.cut(true)
 		time.Sleep(2 * zonesMaxAge)
-		err = n.Evacuate(ctx, evacuation.Order{Zone: "b"})
+		err = n.Evacuate(ctx, evacuation.Order{Zone: "b"}, boottime.Now())
 		must.Error(t, err)
 		must.False(t, errors.Is(err, ErrUnknownZone))
 	})
@@ -166,7 +166,7 @@
 			must.Len(t, 2, usable(n, "a", "b"))
 		}
 		ordered := time.Now()
-		must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: "a"}))
+		must.NoError(t, nodes[0].Evacuate(t.Context(), evacuation.Order{Zone: "a"}, boottime.Now()))
 		acknowledged := time.Now()
 		must.Less(t, time.Second, acknowledged.Sub(ordered))
 		for i := 0; i < len(nodes); {
--- a/internal/coordination/control/evacuations.go
+++ b/internal/coordination/control/evacuations.go
@@ -15,6 +15,8 @@
 	// that is not proposed by then is dropped: its sender repeats it at another replica, and
 	// may have ordered the opposite meanwhile.
 	Patience time.Duration
+	// Basis is what was certainly known of the data centre when the order was sent.
+	Basis evacuation.Basis
 }
 
 // EvacuateReply answers an Evacuate call.
@@ -25,6 +27,10 @@
 	// Waiting holds, after a refusal for the feature level, the nodes and voters that
 	// have not stated that they support it, as far as they are known.
 	Waiting []ident.NodeID
+	// Basis is, after a refusal as outdated, what a new order is based on, and Age for how long
+	// the leader has known it.
+	Basis evacuation.Basis
+	Age   time.Duration
 }
 
 // Evacuate commits an operator's order about the evacuation of a data centre. It is served
@@ -57,9 +63,22 @@
 		}
 		return nil
 	}
-	result, status := s.propose(&machine.Command{Evacuate: &order})
+	command := &machine.Command{Evacuate: &order}
+	if s.fleet != nil {
+		if s.isOutdated(args, reply) {
+			return nil
+		}
+		if args.Basis.Known && s.machine.Features() >= machine.BasisLevel {
+			command.EvacuationBasis = &args.Basis
+		}
+	}
+	result, status := s.propose(command)
 	reply.Status, reply.Refusal = status, result.Refusal
 	if status.OK() && s.fleet != nil {
+		s.noteEvacuations()
+		if result.Refusal == machine.RefusedOutdated {
+			s.isOutdated(args, reply)
+		}
 		s.publishCommitted()
 	}
 	return nil
--- a/internal/coordination/control/rollout_orders.go
+++ b/internal/coordination/control/rollout_orders.go
@@ -85,6 +85,7 @@
 	for {
 		changed := s.machine.Changed()
 		s.noteRollouts()
+		s.noteEvacuations()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -61,6 +61,7 @@
 	changeTurns      turns
 	confirmations    *confirmations
 	rolloutTimes     rolloutTimes
+	evacuationTimes  evacuationTimes
 	// readDocument reads the text of a numbered configuration; nil if nothing does.
 	readDocument config.Reader
 	// keptNumber is the number of a configuration that needs no refresh, or whose text this
@@ -177,6 +178,7 @@
 		s.raiseFeatures(leadership.Term)
 		s.refreshDocument(leadership.Term)
 		s.noteRollouts()
+		s.noteEvacuations()
 		s.publishCommitted()
 		return
 	}
--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -37,6 +37,24 @@
 	Number uint64
 }
 
+// Basis is what was certainly known of a data centre when an order about it was sent. An order
+// that would change something is carried out only if nothing has changed since: a copy that was
+// held up on its way must not undo an order that was accepted after it.
+type Basis struct {
+	// Known is false for an order that comes without a basis.
+	Known bool
+	// Current is the number of the data centre's evacuation, 0 if it isn't evacuated, and Last
+	// that of the latest evacuation of any data centre.
+	Current, Last uint64
+}
+
+// BasisOf returns the basis of an order about a data centre that was sent when the evacuations
+// were records, and last the number of the latest one.
+func BasisOf(records []Record, last uint64, zone ident.Zone) Basis {
+	r, _ := Find(records, zone)
+	return Basis{Known: true, Current: r.Number, Last: last}
+}
+
 // Compare orders records by data centre.
 func Compare(a, b Record) int { return cmp.Compare(a.Zone, b.Zone) }
 
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -21,7 +21,7 @@
 )
 
 // Command is one entry of the replicated log. Exactly one of its pointers is
-// set, but for the basis.
+// set, but for the bases.
 type Command struct {
 	// At is the proposer's wall-clock time. An earlier time than that of a previous
 	// command doesn't set the machine's clock back.
@@ -48,8 +48,10 @@
 	SetHotTeams   *SetHotTeams      `cbor:",omitempty"`
 	SetPoison     *SetPoison        `cbor:",omitempty"`
 
-	// The following need feature level 3. RolloutBasis goes with StartRollout.
-	RolloutBasis *rollout.Basis `cbor:",omitempty"`
+	// The following need feature level 3. RolloutBasis goes with StartRollout, and
+	// EvacuationBasis with Evacuate.
+	RolloutBasis    *rollout.Basis    `cbor:",omitempty"`
+	EvacuationBasis *evacuation.Basis `cbor:",omitempty"`
 
 	// The following need feature level 1. RefreshConfig puts the configuration of the
 	// current number in force once more, as a newer build reads its text.
--- a/internal/state/machine/evacuations.go
+++ b/internal/state/machine/evacuations.go
@@ -18,8 +18,8 @@
 type SetFeatures struct{ Level uint32 }
 
 // evacuate executes an operator's order. A repeated order changes nothing and is accepted
-// again.
-func (m *Machine) evacuate(o evacuation.Order) Result {
+// again, and one that may be a late copy is refused. The basis is nil for an order without one.
+func (m *Machine) evacuate(o evacuation.Order, basis *evacuation.Basis) Result {
 	if o.Zone == "" || len(o.Zone) > evacuation.MaxNameBytes {
 		return Result{Refusal: RefusedUnknown}
 	}
@@ -27,6 +27,8 @@
 	switch {
 	case known != o.End:
 		return Result{}
+	case basis != nil && *basis != evacuation.BasisOf(m.evacuations, m.evacuationNumber, o.Zone):
+		return Result{Refusal: RefusedOutdated}
 	case o.End:
 		// The records are shared with readers, so the list is replaced.
 		m.evacuations = slices.Delete(slices.Clone(m.evacuations), at, at+1)
@@ -48,6 +50,14 @@
 	return m.evacuations
 }
 
+// EvacuationState returns the data centres that are evacuated, in order, and the number of the
+// latest evacuation.
+func (m *Machine) EvacuationState() (records []evacuation.Record, last uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evacuations, m.evacuationNumber
+}
+
 // Evacuation returns the evacuation of a data centre.
 func (m *Machine) Evacuation(zone ident.Zone) (evacuation.Record, bool) {
 	return evacuation.Find(m.Evacuations(), zone)
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -141,7 +141,7 @@
 		m.features = max(m.features, c.SetFeatures.Level)
 		return Result{}
 	case c.Evacuate != nil:
-		return m.evacuate(*c.Evacuate)
+		return m.evacuate(*c.Evacuate, c.EvacuationBasis)
 	case c.RefreshConfig != nil:
 		return m.applyConfig(*c.RefreshConfig)
 	case c.GrantNode != nil:
