rollouts: a version that was rolled back gets nothing until it is ordered again

That it was rolled back stood in the record which the next order replaced.

The record of a rollout names the versions that were rolled back before and that no order has named since. Such a version has no share, its upstreams are no capacity, and its failures are no sample of the former versions. If none else is left, requests are refused at once with no_upstream. A metric and an event say which versions are withheld and why; one is forgotten an hour after its last upstream has left the list.

--- a/internal/command/fleet/metrics.go
+++ b/internal/command/fleet/metrics.go
@@ -254,7 +254,7 @@
 	gauge("flamingohaven_fleet_log_lines_dropped", "Log lines dropped because the output was too slow or the volume too high.", func() float64 {
 		return float64(n.logLines.Dropped())
 	})
-	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers, m.changes, m.orders)
+	m.registry.MustRegister(m.requests, m.refusals, m.seconds, m.denialAges, m.denialsNotAwaited, m.schedulerAnswers, m.changes, m.orders, newWithheldCollector(n))
 	return m
 }
 
--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -247,12 +247,13 @@
 			view.Shared.Neighbours = append(view.Shared.Neighbours, m.ID)
 		}
 	}
+	watch := n.watchOf(name)
 	for _, d := range n.upstreams.Load().byPool[name] {
 		_, evacuated := n.follower.Evacuation(d.Upstream.Zone)
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
 			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone, Region: n.settings.region(d.Upstream.Zone),
 			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream),
-			Evacuated: evacuated, ColdFor: d.ColdFor, ColdNumber: d.ColdNumber,
+			Evacuated: evacuated, Withheld: watch.withholds(d.Upstream.Version), ColdFor: d.ColdFor, ColdNumber: d.ColdNumber,
 		})
 	}
 	return view
--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -73,14 +76,36 @@
 		w.open = make(map[ident.RequestID]*openRequest)
 		w.recentFailures = nil
 	}
+	former := w.record
 	w.record = r
+	if !slices.Equal(former.AllWithheld(), r.AllWithheld()) {
+		w.recordWithheld()
+	}
+}
+
+// withholds reports whether a version gets no requests because it was rolled back.
+func (w *rolloutWatch) withholds(v ident.VersionName) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.record.Withholds(v)
+}
+
+// recordWithheld records which versions get no requests, and why. The caller holds w.mu.
+func (w *rolloutWatch) recordWithheld() {
+	withheld := w.record.AllWithheld()
+	texts := make([]string, len(withheld))
+	for i, v := range withheld {
+		texts[i] = fmt.Sprintf("%s (rollout %d was rolled back: %s)", v.Version, v.Number, v.Reason)
+	}
+	w.events.Record(timeline.Event{Kind: timeline.KindMove, Pool: w.pool, Detail: fmt.Sprintf("%d versions get no requests: %s", len(withheld), strings.Join(texts, ", "))})
 }
 
 // Granted implements pool.Observer.
 func (w *rolloutWatch) Granted(t scheduler.Ticket, g scheduler.Grant) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.record.State == rollout.StateRunning {
+	if w.record.State == rollout.StateRunning && !w.record.Withholds(g.Version) {
+		// What a version that was rolled back fails is no sample of the former versions.
 		w.open[t.ID] = &openRequest{route: t.Route, onTarget: g.Version == w.record.Target}
 	}
 }
@@ -178,35 +203,41 @@
 }
 
 // shares returns the traffic shares of the given versions; nil if the pool has had
-// no rollout or no version is given.
+// no rollout or no version is given. Versions that were rolled back have no share, also
+// if no others are left: what they would fail may be lost, and a refusal is true. The
+// other former versions share what the target doesn't get, and take over for any version
+// that is lost; the target takes over for them as far as its answers allow.
 func (w *rolloutWatch) shares(versions []ident.VersionName, now time.Time) []scheduler.VersionShare {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.evaluator == nil || len(versions) == 0 {
 		return nil
 	}
-	target := 0.0
-	switch w.record.State {
-	case rollout.StateRunning:
-		target = w.evaluator.Share(now)
-	case rollout.StateCompleted:
-		target = 1
-	}
-	others := len(versions)
-	listed := slices.Contains(versions, w.record.Target)
-	if listed {
-		others--
+	target, extra := 0.0, 0
+	if slices.Contains(versions, w.record.Target) {
+		switch w.record.State {
+		case rollout.StateRunning:
+			target, extra = w.evaluator.Share(now), w.evaluator.Extra()
+		case rollout.StateCompleted:
+			target = 1
+		}
 	}
-	if !listed {
-		target = 0
+	others := 0
+	for _, v := range versions {
+		if v != w.record.Target && !w.record.Withholds(v) {
+			others++
+		}
 	}
 	var shares []scheduler.VersionShare
 	for _, v := range versions {
-		share := target
-		if v != w.record.Target {
-			share = (1 - target) / float64(others)
+		share, extra := target, extra
+		switch {
+		case w.record.Withholds(v):
+			share, extra = 0, 0
+		case v != w.record.Target:
+			share, extra = (1-target)/float64(others), math.MaxInt
 		}
-		shares = append(shares, scheduler.VersionShare{Version: v, Share: share, NonIdempotentShare: share})
+		shares = append(shares, scheduler.VersionShare{Version: v, Share: share, NonIdempotentShare: share, Extra: extra})
 	}
 	return shares
 }
--- a/internal/coordination/control/evacuation_orders_test.go
+++ b/internal/coordination/control/evacuation_orders_test.go
@@ -11,6 +11,8 @@
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
 	"github.com/flamingohaven/flamingohaven/internal/state/evacuation"
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
+	"github.com/flamingohaven/flamingohaven/internal/state/machine"
+	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
 
 // TestEvacuationOrders_LateCopies guards against an order about a data centre that was held up and
@@ -69,3 +71,20 @@
 		}
 	})
 }
+
+// TestFleet_RolloutsOfNewLeader guards against a version that was rolled back and gets requests
+// again for a moment after a change of the leader: the new leader has followed less than it has
+// applied.
+func TestFleet_RolloutsOfNewLeader(t *testing.T) {
+	c := fleetCluster(map[ident.NodeID]uint32{"r1": machine.FeatureLevel, "r2": machine.FeatureLevel})
+	var reply RolloutReply
+	must.NoError(t, c.replicas[0].service.StartRollout(&StartRolloutArgs{Order: rollout.Order{Pool: "p", Target: "v2", Duration: time.Minute}, Basis: rollout.Basis{Known: true}}, &reply))
+	must.NoError(t, c.replicas[0].service.EndRollout(&EndRolloutArgs{End: rollout.End{Pool: "p", Number: 1, State: rollout.StateRolledBack}}, &reply))
+	next := c.replicas[1]
+	c.elect(next)
+	next.catchUp()
+	must.True(t, next.service.beginTerm(next.Leadership()))
+	known := fullState(t, next.service.fleet).Rollouts
+	must.SliceLen(t, 1, known)
+	must.Eq(t, rollout.StateRolledBack, known[0].State)
+}
--- a/internal/coordination/control/fleet_committed.go
+++ b/internal/coordination/control/fleet_committed.go
@@ -41,5 +41,5 @@
 // sameRollout compares records that may come from the log and from another node.
 // It ignores their times: equal times may differ in representation.
 func sameRollout(a, b rollout.Record) bool {
-	return a.Pool == b.Pool && a.Number == b.Number && a.State == b.State
+	return a.Pool == b.Pool && a.Number == b.Number && a.State == b.State && slices.Equal(a.Withheld, b.Withheld)
 }
--- a/internal/coordination/control/service.go
+++ b/internal/coordination/control/service.go
@@ -62,6 +62,8 @@
 	confirmations    *confirmations
 	rolloutTimes     rolloutTimes
 	evacuationTimes  evacuationTimes
+	// withheld follows the withheld versions in a term. Only Tick uses it.
+	withheld withheldCheck
 	// readDocument reads the text of a numbered configuration; nil if nothing does.
 	readDocument config.Reader
 	// keptNumber is the number of a configuration that needs no refresh, or whose text this
@@ -179,6 +181,7 @@
 		s.refreshDocument(leadership.Term)
 		s.noteRollouts()
 		s.noteEvacuations()
+		s.forgetVersions(leadership.Term, time.Now())
 		s.publishCommitted()
 		return
 	}
@@ -258,8 +261,9 @@
 	if s.fleet != nil {
 		inherited := s.followedState()
 		// What this replica has followed may be older than what it has applied. No node may
-		// see an evacuation vanish because the leader changes.
+		// see an evacuation, or a version that is withheld, vanish because the leader changes.
 		inherited.Evacuations = s.machine.Evacuations()
+		inherited.Rollouts = s.machine.Rollouts()
 		s.fleet.beginTerm(l.Term, inherited, now)
 	}
 	s.mu.Lock()
--- a/internal/coordination/scheduler/admission.go
+++ b/internal/coordination/scheduler/admission.go
@@ -14,7 +14,7 @@
 	if reason := p.admitPoison(e, now); reason != "" {
 		return reason
 	}
-	if p.isEvacuated() {
+	if p.isUnservable() {
 		return ReasonNoUpstream
 	}
 	if reason := p.admitRegion(e, now); reason != "" {
@@ -128,7 +128,7 @@
 // upstream of the pool at its average load.
 func (p *Pool) estimate(e *entry) {
 	batch := 1
-	if n := len(p.engines) - p.evacuated; n > 0 {
+	if n := len(p.engines) - p.barred; n > 0 {
 		batch = 1 + p.running/n
 	}
 	output := p.outputs.predict(e.ticket.Route, e.ticket.OutputTokens)
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -172,7 +172,7 @@
 
 // acceptsWork reports whether the upstream may get new work at all.
 func (e *engine) acceptsWork() bool {
-	return e.listed && !e.versionNotLoaded && !e.upstream.Leaving && !e.saysLeaving && !e.upstream.Evacuated
+	return e.listed && !e.versionNotLoaded && !e.upstream.Leaving && !e.saysLeaving && !e.upstream.isBarred()
 }
 
 // free returns the number of slots that new requests may take.
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -41,8 +41,8 @@
 	slots, unsharedSlots int
 	// ejected holds the engines that are out of rotation.
 	ejected []*engine
-	// evacuated counts the listed upstreams in evacuated data centres.
-	evacuated int
+	// barred counts the listed upstreams that get no new work for now.
+	barred    int
 	nextCheck time.Duration
 	nextTrial time.Duration
 	speed     speed
@@ -211,7 +211,7 @@
 		p.assignSlotsOf(g)
 		p.learnColdFromView(g, former, !known, now)
 	}
-	p.countEvacuated()
+	p.countBarred()
 	p.refreshAll(now)
 	p.dropEngines()
 	p.applyColdLimit(now)
@@ -286,7 +286,7 @@
 		p.nextCheck = now + checkInterval
 		p.checkUpstreams(now)
 	}
-	p.refuseEvacuated()
+	p.refuseUnservable()
 	if p.placing {
 		p.placeReserved(now)
 		p.place(now)
--- a/internal/coordination/scheduler/view.go
+++ b/internal/coordination/scheduler/view.go
@@ -23,12 +23,18 @@
 	Region ident.Region
 	// Evacuated upstreams get no new work until the evacuation of their data centre ends.
 	Evacuated bool
+	// Withheld upstreams get no new work: their version was rolled back.
+	Withheld bool
 	// ColdFor is how much longer the upstream was cold when ColdNumber last changed, which
 	// grows each time that it becomes cold or stays so for longer.
 	ColdFor    time.Duration
 	ColdNumber uint64
 }
 
+// isBarred reports whether the upstream gets no new work for now, by an operator's order or for
+// its version.
+func (u *Upstream) isBarred() bool { return u.Evacuated || u.Withheld }
+
 // VersionShare directs a fraction of a pool's traffic to one version.
 type VersionShare struct {
 	Version ident.VersionName
--- a/internal/state/machine/command.go
+++ b/internal/state/machine/command.go
@@ -52,6 +52,7 @@
 	// EvacuationBasis with Evacuate.
 	RolloutBasis    *rollout.Basis    `cbor:",omitempty"`
 	EvacuationBasis *evacuation.Basis `cbor:",omitempty"`
+	ForgetVersions  *rollout.Forget   `cbor:",omitempty"`
 
 	// The following need feature level 1. RefreshConfig puts the configuration of the
 	// current number in force once more, as a newer build reads its text.
--- a/internal/state/machine/evacuations.go
+++ b/internal/state/machine/evacuations.go
@@ -10,7 +10,7 @@
 // FeatureLevel is the feature level of this build. Level 1 adds evacuations and the
 // refresh of a configuration whose fields older builds have dropped. From level 2 on, a text
 // whose list of teams is empty asks for keys. Level 3 adds the bases of operators'
-// orders.
+// orders and forgets withheld versions.
 const FeatureLevel = 3
 
 // SetFeatures raises the feature level: all nodes of the system support it. Commands that
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -140,6 +140,8 @@
 	case c.SetFeatures != nil:
 		m.features = max(m.features, c.SetFeatures.Level)
 		return Result{}
+	case c.ForgetVersions != nil:
+		return m.forgetVersions(*c.ForgetVersions)
 	case c.Evacuate != nil:
 		return m.evacuate(*c.Evacuate, c.EvacuationBasis)
 	case c.RefreshConfig != nil:
--- a/internal/state/machine/rollouts.go
+++ b/internal/state/machine/rollouts.go
@@ -1,6 +1,8 @@
 package machine
 
 import (
+	"slices"
+
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
 	"github.com/flamingohaven/flamingohaven/internal/state/rollout"
 )
@@ -24,7 +26,8 @@
 		return Result{Rollout: &current}
 	}
 	m.rolloutNumber++
-	record := rollout.Record{Order: o, Number: m.rolloutNumber, State: rollout.StateRunning, At: m.clock}
+	// Replicas of builds without withheld versions leave them out. No result depends on them.
+	record := rollout.Record{Order: o, Number: m.rolloutNumber, State: rollout.StateRunning, At: m.clock, Withheld: current.WithheldAfter(o.Target)}
 	m.setRollout(record)
 	return Result{Rollout: &record}
 }
@@ -46,6 +49,20 @@
 	return Result{Rollout: &record}
 }
 
+// forgetVersions drops versions from those that a pool's latest rollout withholds.
+func (m *Machine) forgetVersions(f rollout.Forget) Result {
+	record, known := m.rollouts[f.Pool]
+	if !known {
+		return Result{Refusal: RefusedUnknown}
+	}
+	// The list is shared with readers, so it is replaced.
+	record.Withheld = slices.DeleteFunc(slices.Clone(record.Withheld), func(w rollout.Withheld) bool {
+		return slices.Contains(f.Versions, w.Version)
+	})
+	m.setRollout(record)
+	return Result{Rollout: &record}
+}
+
 func (m *Machine) setRollout(r rollout.Record) {
 	m.rollouts[r.Pool] = r
 	m.notifyChanged()
--- a/internal/state/rollout/rollout.go
+++ b/internal/state/rollout/rollout.go
@@ -3,6 +3,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/state/ident"
@@ -46,6 +47,45 @@
 	At      time.Time
 	EndedAt time.Time
 	Reason  string
+	// Withheld holds the versions that were rolled back in earlier rollouts and that no order
+	// has named as its target since, in the order of those rollouts.
+	Withheld []Withheld `cbor:",omitempty"`
+}
+
+// Withheld is a version that was rolled back. It gets no requests until an order names it as
+// its target.
+type Withheld struct {
+	Version ident.VersionName
+	// Number is that of the rollout that was rolled back, and Reason why it was.
+	Number uint64
+	Reason string
+}
+
+// AllWithheld returns the versions that get no requests, including the target of a rollout that
+// was itself rolled back.
+func (r Record) AllWithheld() []Withheld {
+	if r.State != StateRolledBack {
+		return r.Withheld
+	}
+	return append(slices.Clip(r.Withheld), Withheld{Version: r.Target, Number: r.Number, Reason: r.Reason})
+}
+
+// Withholds reports whether a version gets no requests.
+func (r Record) Withholds(v ident.VersionName) bool {
+	return slices.ContainsFunc(r.AllWithheld(), func(w Withheld) bool { return w.Version == v })
+}
+
+// WithheldAfter returns the versions that stay withheld when an order for a target replaces the
+// record.
+func (r Record) WithheldAfter(target ident.VersionName) []Withheld {
+	return slices.DeleteFunc(slices.Clone(r.AllWithheld()), func(w Withheld) bool { return w.Version == target })
+}
+
+// Forget names versions of a pool whose upstreams have left for good, so that they need not be
+// withheld any more.
+type Forget struct {
+	Pool     ident.PoolName
+	Versions []ident.VersionName
 }
 
 // Basis is the state of a pool's rollout that was certainly known when an order was sent. An
