gateway, peerwatch: ends of answers by what is known when they came

The kernel's times decide (transport/tcpinfo); a relay sends them with the last frame, if the gateway asks for them.

--- a/internal/coordination/gateway/endcheck.go
+++ b/internal/coordination/gateway/endcheck.go
@@ -15,6 +15,10 @@
 	// endCheckTimeout limits the connection that is made to check whether an upstream is
 	// still there, through another gateway too.
 	endCheckTimeout = 500 * time.Millisecond
+	// EndSettleTime is the time from the end of an answer until the ends of other connections of
+	// its process have arrived, also those that were lost on the way once: TCP sends them again
+	// after 200 ms at least, and the time of a round trip.
+	EndSettleTime = 350 * time.Millisecond
 )
 
 // ErrInconclusive is wrapped by the error of a Prober if the attempt says nothing of the
@@ -28,20 +32,25 @@
 // EndEvidence is what is known of the process of an upstream once one of its answers has
 // ended with its connection.
 type EndEvidence struct {
-	// Alive is true if another connection to the process, made before the end, is open.
+	// Alive is true if another connection to the process, made before the end, looks open. The
+	// end of one that was lost on the way comes later.
 	Alive bool
 	// BrokenOff is true if the process ended answers in that moment that were not complete.
 	BrokenOff bool
 	// ListenerClosed is true if the process had stopped accepting connections while it went
 	// on with the answer, as one does that stops in good order.
 	ListenerClosed bool
+	// Leaving is true if the process was known to stop soon before it sent the last bytes.
+	Leaving bool
 	// SentinelEnded is true if a connection that was kept open for this ended with the answer.
 	SentinelEnded bool
 	// Simultaneous is the number of answers that ended with their connections in that moment,
 	// this one included. InStep is true if each of them ended with its last bytes, or one
 	// pause between two of its parts after them.
-	Simultaneous int
-	InStep       bool
+	// Telling is true if a kill ends an answer of this pace in step by chance in one of twelve
+	// cases at most.
+	Simultaneous    int
+	InStep, Telling bool
 }
 
 // EndBasis names what decides whether an answer that has ended with its connection is whole.
@@ -53,7 +62,8 @@
 	EndProcessLives EndBasis = "process_lives"
 	// EndOthersBroken, for broken: the process ended answers that were not complete.
 	EndOthersBroken EndBasis = "others_broken"
-	// EndStopping, for whole: a process that had stopped accepting connections ended it in step.
+	// EndStopping, for whole: a process that had stopped accepting connections, or was known
+	// to stop soon and has ended, ended it in step.
 	EndStopping EndBasis = "stopping"
 	// EndStoppingOutOfStep, for broken: such a process ended it, or others in that moment, at
 	// a time that no engine chooses.
@@ -81,10 +91,26 @@
 	EndUnreachable:       errors.New("the answer ended with its connection, and the upstream can't be reached"),
 }
 
-// JudgeEnd decides whether an answer that has ended with its connection is whole. What shows
-// that the process goes on counts most, then what its other connections show. Connect makes a
-// connection to the address; it is called only if that decides.
-func JudgeEnd(e EndEvidence, connect func() error) (EndBasis, error) {
+// EndCheck finds out whether an answer that has ended with its connection is whole.
+type EndCheck struct {
+	// Evidence returns what is known of the process now.
+	Evidence func() EndEvidence
+	// Dial makes a connection to the address. Connect also asks who accepted it, where that is
+	// possible, and returns ErrNextStart if it was another process. They are called only
+	// where that decides.
+	Dial, Connect func() error
+	// Settle waits until EndSettleTime after the end.
+	Settle func()
+}
+
+// Judge decides whether the answer is whole. What shows that the process goes on counts most,
+// then what its other connections show.
+func (c *EndCheck) Judge() (EndBasis, error) {
+	e := c.Evidence()
+	if e.Alive && !c.isCredible(&e) {
+		c.Settle()
+		e = c.Evidence()
+	}
 	switch {
 	case e.Alive:
 		return EndProcessLives, nil
@@ -95,11 +121,15 @@
 	case e.ListenerClosed:
 		return EndStoppingOutOfStep, errOf[EndStoppingOutOfStep]
 	}
-	err := connect()
+	err := c.Connect()
+	isOther := errors.Is(err, ErrNextStart)
+	isRefused := err != nil && !isOther && !errors.Is(err, ErrInconclusive)
 	switch {
-	case errors.Is(err, ErrNextStart):
+	case e.Leaving && e.InStep && e.Telling && (isOther || isRefused || e.SentinelEnded):
+		return EndStopping, nil
+	case isOther:
 		return EndNextStart, errOf[EndNextStart]
-	case err != nil && !errors.Is(err, ErrInconclusive):
+	case isRefused:
 		return EndUnreachable, fmt.Errorf("%w: %w", errOf[EndUnreachable], err)
 	case e.SentinelEnded:
 		return EndNextStart, errOf[EndNextStart]
@@ -109,6 +139,22 @@
 	return EndReachable, nil
 }
 
+// isCredible reports whether a connection that looks open shows that the process goes on.
+// Where anything else says that it has ended, the end of that connection may have been lost.
+func (c *EndCheck) isCredible(e *EndEvidence) bool {
+	switch {
+	case e.BrokenOff || e.SentinelEnded:
+		return false
+	case e.ListenerClosed:
+		return e.InStep
+	case e.InStep:
+		return c.Dial() == nil
+	default:
+		// The next start of the process may accept connections already.
+		return c.Connect() == nil
+	}
+}
+
 // EndChecks returns how many ends of answers were checked, and how many of them were not
 // taken for that of the answer.
 func (g *Gateway) EndChecks() (checks, doubted uint64) {
@@ -140,20 +186,33 @@
 	if sent.Outcome != DispatchComplete || sent.Framing != FramedByConnection || sent.BytesEnd != EndClosed || !ok {
 		return sent
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndCheckDelay+endCheckTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndSettleTime+endCheckTimeout)
 	defer cancel()
 	began := time.Now()
 	sleep(ctx, EndCheckDelay)
-	evidence := EndEvidence{Simultaneous: 1, InStep: true}
-	if sent.Evidence != nil {
-		evidence = sent.Evidence()
+	check := EndCheck{
+		Evidence: func() EndEvidence {
+			if sent.Evidence == nil {
+				return EndEvidence{Simultaneous: 1, InStep: true}
+			}
+			return sent.Evidence()
+		},
+		Dial: func() error {
+			ctx, cancel := context.WithDeadline(ctx, began.Add(EndSettleTime))
+			defer cancel()
+			return prober.Probe(ctx, d.Target, d.Relay)
+		},
+		Connect: func() error {
+			ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
+			defer cancel()
+			if sent.Reconnect != nil {
+				return sent.Reconnect(ctx)
+			}
+			return prober.Probe(ctx, d.Target, d.Relay)
+		},
+		Settle: func() { sleep(ctx, EndSettleTime-time.Since(began)) },
 	}
-	basis, err := JudgeEnd(evidence, func() error {
-		if sent.Reconnect != nil {
-			return sent.Reconnect(ctx)
-		}
-		return prober.Probe(ctx, d.Target, d.Relay)
-	})
+	basis, err := check.Judge()
 	g.countEnd(basis)
 	sent.EndBasis, sent.CheckTime = basis, time.Since(began)
 	if err != nil {
--- a/internal/transport/h1conn/h1conn.go
+++ b/internal/transport/h1conn/h1conn.go
@@ -174,6 +174,9 @@
 	// idleSince is when the latest call ended; zero while there is one. The client's lock
 	// guards it.
 	idleSince time.Time
+	// misdirected is true once the server has answered that a request to the peer was
+	// misdirected. The client's lock guards it.
+	misdirected bool
 	// answered is true once the latest call was answered whole and the connection is not to be
 	// used for others, and forgotten once it is no longer among the client's open ones.
 	answered, forgotten atomic.Bool
@@ -240,6 +243,9 @@
 		}
 		return nil, err
 	}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		c.disown(pc)
+	}
 	a := &Answer{Response: response, client: c, conn: pc, writeDone: writeDone, stopAfterFunc: stop, hasBody: response.Body != http.NoBody}
 	a.Body = &eofTrackingBody{answer: a, ReadCloser: response.Body}
 	return a, nil
--- a/internal/transport/h1conn/witness.go
+++ b/internal/transport/h1conn/witness.go
@@ -1,11 +1,9 @@
 package h1conn
 
 import (
-	"errors"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/flamingohaven/flamingohaven/internal/transport/tcpinfo"
 )
 
 const (
@@ -21,12 +19,15 @@
 type Witnesses struct {
 	client        *Client
 	address, peer string
-	at            time.Time
+	// openedBefore is when they were established at the latest, and at when they were taken.
+	openedBefore, at time.Time
 }
 
-// Witnesses returns those of this moment that were made for calls to the peer at an address.
-func (c *Client) Witnesses(address, peer string) Witnesses {
-	return Witnesses{client: c, address: address, peer: peer, at: time.Now()}
+// Witnesses returns those of this moment that were made for calls to the peer at an address, and
+// established before the given time, at which the peer's process certainly ran: later ones may
+// lead to another process at the address.
+func (c *Client) Witnesses(address, peer string, openedBefore time.Time) Witnesses {
+	return Witnesses{client: c, address: address, peer: peer, openedBefore: openedBefore, at: time.Now()}
 }
 
 // Count returns how many of the connections are certainly still open, and how many of those
@@ -38,7 +39,7 @@
 	var inUse []bool
 	c.mu.Lock()
 	for pc := range c.open[w.address] {
-		if pc.opened.Before(w.at) && pc.peer == w.peer {
+		if pc.opened.Before(w.openedBefore) && pc.peer == w.peer && !pc.misdirected {
 			conns = append(conns, pc)
 			inUse = append(inUse, pc.idleSince.IsZero())
 		}
@@ -58,10 +59,6 @@
 	return open, ended
 }
 
-// tcpEstablished is the state of a connection that neither side has ended (TCP_ESTABLISHED of
-// linux/tcp_states.h).
-const tcpEstablished = 1
-
 // maxUnread is how many unread bytes a connection may hold whose state is believed. With more
 // the receive window may be closed, and the end of the connection waits behind them.
 const maxUnread = 32 << 10
@@ -70,27 +67,12 @@
 // it. The kernel knows that also where bytes are unread. Neither is true once the client has
 // closed it, or if the end may be behind unread bytes.
 func (pc *persistConn) state() (open, ended bool) {
-	sysConn, ok := pc.Conn.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	rawConn, err := sysConn.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	var info *unix.TCPInfo
-	var infoErr, unreadErr error
-	unread := 0
-	// Control doesn't wait for a read that is under way.
-	err = rawConn.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		unread, unreadErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ)
-	})
-	if err = errors.Join(err, infoErr, unreadErr); err != nil {
+	info, known := tcpinfo.Of(pc.Conn)
+	unread, unreadKnown := tcpinfo.Unread(pc.Conn)
+	if !known || !unreadKnown {
 		return false, false
 	}
-	established := info.State == tcpEstablished
-	return established && unread <= maxUnread, !established
+	return info.Established && unread <= maxUnread, !info.Established
 }
 
 // Close implements net.Conn. It notes whether the server had ended the connection.
@@ -102,6 +84,13 @@
 	return pc.Conn.Close()
 }
 
+// disown marks a connection whose server has said that it isn't the peer.
+func (c *Client) disown(pc *persistConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pc.misdirected = true
+}
+
 // use marks a connection that was idle as in use.
 func (c *Client) use(pc *persistConn) {
 	c.mu.Lock()
--- a/internal/transport/peerwatch/answer.go
+++ b/internal/transport/peerwatch/answer.go
@@ -32,6 +32,8 @@
 	peer  *watchedPeer
 	began time.Time
 	end   Ending
+	// leavingAtStart is true if the process was known to stop soon when the answer began.
+	leavingAtStart bool
 }
 
 // End records that the connection of the answer has ended properly.
@@ -58,13 +60,16 @@
 
 // Evidence returns what is known of the process now. It may be called after End.
 func (a *Answer) Evidence() gateway.EndEvidence {
-	e := gateway.EndEvidence{Simultaneous: 1, InStep: a.end.isInStep()}
+	e := gateway.EndEvidence{Simultaneous: 1, InStep: a.end.isInStep(), Telling: a.end.isTelling(), Leaving: a.leavingAtStart}
 	if a.peer == nil {
 		return e
 	}
 	a.watcher.mu.Lock()
 	defer a.watcher.mu.Unlock()
 	q := a.peer
+	if since := q.leavingSince; !since.IsZero() && !since.Add(closedLead).After(a.end.LastData) {
+		e.Leaving = true
+	}
 	e.Alive = a.leadsToProcess(q.sentinel)
 	for _, refused := range q.refusals {
 		if !refused.Before(a.began) && !refused.Add(closedLead).After(a.end.LastData) {
--- a/internal/transport/peerwatch/pace.go
+++ b/internal/transport/peerwatch/pace.go
@@ -1,30 +1,27 @@
 package peerwatch
 
 import (
-	"errors"
 	"net"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/flamingohaven/flamingohaven/internal/transport/tcpinfo"
 )
 
-const (
-	// stepTolerance is how long after its last bytes an answer may end that its process ends
-	// with them, and pauseTolerance how far from one pause after them.
-	stepTolerance, pauseTolerance = 4 * time.Millisecond, 2 * time.Millisecond
-	// maxReadDelay is how late bytes may be read whose arrival tells that of the end.
-	maxReadDelay = 50 * time.Millisecond
-)
+// stepTolerance is how long after its last bytes an answer may end that its process ends with
+// them, and pauseTolerance how far from one pause after them.
+const stepTolerance, pauseTolerance = 4 * time.Millisecond, 2 * time.Millisecond
 
 // Ending is when an answer ended.
 type Ending struct {
-	// At is when its end was noticed, and LastData when its last bytes came.
+	// At is when its end came, and LastData when its last bytes did.
 	At, LastData time.Time
+	// Precision is how far the time between the two may be off, where it is the kernel's; 0 if
+	// both were noticed at once.
+	Precision time.Duration
 	// Pause is the time between its last two parts; 0 if unknown.
 	Pause time.Duration
-	// WithData is true if the end was there when the last bytes were read.
-	WithData bool
+	// Late is true if its last bytes were read so late that nothing tells when its end came.
+	Late bool
 }
 
 // isInStep reports whether an answer ended when its process had something to say: with its
@@ -32,65 +29,119 @@
 // process that is killed ends its answers at any moment.
 func (e Ending) isInStep() bool {
 	after := e.At.Sub(e.LastData)
-	return e.WithData || after <= stepTolerance || e.Pause > 0 && (after-e.Pause).Abs() <= pauseTolerance
+	return !e.Late && (after <= max(stepTolerance, e.Precision) || e.Pause > 0 && (after-e.Pause).Abs() <= max(pauseTolerance, e.Precision))
+}
+
+// chance is one in so many kills that end an answer in step at most, where the end is telling.
+const chance = 12
+
+// isTelling reports whether the answer's end in step is hardly by chance: the span in which it
+// came is short, compared with the pauses between parts.
+func (e Ending) isTelling() bool {
+	switch span := max(stepTolerance, 2*e.Precision) + max(pauseTolerance, e.Precision); {
+	case e.Pause == 0, e.Pause >= chance*span:
+		return true
+	default:
+		return e.At.Sub(e.LastData)+e.Precision <= e.Pause/chance
+	}
+}
+
+// Times are what a connection knows of the latest moments on it, however late these are read, in
+// steps of tcpinfo.Tick.
+type Times struct {
+	// DataAge is the time since the last bytes came.
+	DataAge time.Duration
+	// Ended is true if the peer's side has ended. EndGap is the time from the last bytes to its end,
+	// and EndAge the time since that came, where EndKnown is true.
+	Ended, EndKnown bool
+	EndGap, EndAge  time.Duration
+	// Late is true if a relay read the last bytes so late that it can't tell when the end came.
+	Late bool
+}
+
+// Timer is a connection that isn't one of TCP and knows its times nevertheless.
+type Timer interface {
+	Times() (t Times, known bool)
+}
+
+// timesOf returns the times of a connection, which may be nil. It reports false if it knows none.
+func timesOf(conn net.Conn) (Times, bool) {
+	if timer, ok := conn.(Timer); ok {
+		return timer.Times()
+	}
+	info, known := tcpinfo.Of(conn)
+	t := Times{DataAge: info.SinceData, Ended: !info.Established, EndAge: info.SinceAck}
+	t.EndGap, t.EndKnown = info.EndGap()
+	return t, known
 }
 
 // Pace records when the parts of a body come that ends with its connection.
-type Pace struct{ ending Ending }
+type Pace struct {
+	ending Ending
+	// dataCame and endCame are when the last bytes and the end came, by the connection; zero if it
+	// doesn't know.
+	dataCame, endCame time.Time
+}
 
 // Read records that n bytes were read from conn, which may be nil.
 func (p *Pace) Read(n int, conn net.Conn, now time.Time) {
 	if n == 0 {
 		return
 	}
-	if !p.ending.LastData.IsZero() {
-		p.ending.Pause = now.Sub(p.ending.LastData)
+	t, known := timesOf(conn)
+	p.observe(t, known, now)
+	e := &p.ending
+	last := e.LastData
+	e.LastData, e.Precision, e.Late = now, 0, false
+	if known && t.DataAge > tcpinfo.Tick() {
+		e.LastData, e.Precision = now.Add(-t.DataAge), tcpinfo.Tick()
+		e.Late = t.Ended && !t.EndKnown
+	}
+	if after := e.LastData.Sub(last); !last.IsZero() && after > e.Precision {
+		e.Pause = after
 	}
-	p.ending.LastData = now
-	state, since, known := tcpState(conn)
-	p.ending.WithData = known && state != tcpEstablished && since <= maxReadDelay
 }
 
-// End records that the connection has ended, and returns when. What was read late came
-// earlier: the kernel knows when, to a tick of up to 10 ms, unless conn is nil or leads through
-// a relay.
+// observe records when the end came, if that is known.
+func (p *Pace) observe(t Times, known bool, now time.Time) {
+	if known && t.EndKnown {
+		p.endCame = now.Add(-t.EndAge)
+		p.dataCame = p.endCame.Add(-t.EndGap)
+	}
+}
+
+// End records that the connection has ended, and returns when. Where the last bytes or the end
+// were read late, the times are those at which they came, if conn knows them.
 func (p *Pace) End(conn net.Conn, now time.Time) Ending {
-	if !p.ending.At.IsZero() {
-		return p.ending
+	e := &p.ending
+	if !e.At.IsZero() {
+		return *e
 	}
-	p.ending.At = now
-	if p.ending.LastData.IsZero() {
-		p.ending.LastData = now
+	e.At = now
+	if e.LastData.IsZero() {
+		e.LastData = now
 	}
-	const tick = 10 * time.Millisecond
-	if _, since, known := tcpState(conn); known && now.Add(-since).Before(p.ending.LastData.Add(-tick)) {
-		p.ending.LastData = now.Add(-since)
+	if p.endCame.IsZero() {
+		t, known := timesOf(conn)
+		p.observe(t, known, now)
+		e.Late = e.Late || t.Late
 	}
-	return p.ending
+	if !p.endCame.IsZero() {
+		e.correct(p.dataCame, p.endCame, tcpinfo.Tick())
+	}
+	return *e
 }
 
-// tcpEstablished is the state of a connection that neither side has ended (TCP_ESTABLISHED of
-// linux/tcp_states.h).
-const tcpEstablished = 1
-
-// tcpState returns the state of a connection, and how long ago the kernel got its last bytes.
-// Known is false if the connection has none of its own.
-func tcpState(conn net.Conn) (state uint8, since time.Duration, known bool) {
-	sysConn, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, 0, false
+// correct moves what was read more than a tick late to when it came.
+func (e *Ending) correct(dataCame, endCame time.Time, tick time.Duration) {
+	if e.LastData.Sub(dataCame) > tick {
+		e.LastData, e.Precision = dataCame, tick
 	}
-	rawConn, err := sysConn.SyscallConn()
-	if err != nil {
-		return 0, 0, false
+	if e.At.Sub(endCame) > tick {
+		e.At, e.Precision = endCame, tick
 	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = rawConn.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if errors.Join(err, infoErr) != nil {
-		return 0, 0, false
+	// A relay may have been late itself with the end.
+	if gap := endCame.Sub(dataCame); e.At.Sub(e.LastData) > gap+tick {
+		e.At, e.Precision = e.LastData.Add(gap), tick
 	}
-	return info.State, time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
--- a/internal/transport/peerwatch/peerwatch.go
+++ b/internal/transport/peerwatch/peerwatch.go
@@ -94,7 +94,7 @@
 // Watch watches a process from the beginning of one of its answers, whose body follows, until
 // the answer is released. It never blocks.
 func (w *Watcher) Watch(p Peer) *Answer {
-	a := &Answer{watcher: w, began: time.Now()}
+	a := &Answer{watcher: w, began: time.Now(), leavingAtStart: p.Leaving != nil && p.Leaving()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q := w.peers[p.Name]
@@ -130,6 +130,8 @@
 	// sentinel is the connection that is kept open; nil if there is none.
 	sentinel *sentinelConn
 	dials    int
+	// leavingSince is when the process was first known to stop soon; zero if it isn't.
+	leavingSince time.Time
 	// nextDial is the earliest time of the next connection. None is made while stopped: the
 	// process accepts no more.
 	nextDial time.Time
@@ -193,6 +195,12 @@
 func (q *watchedPeer) due(now time.Time, leaving bool) (isDue, isOver bool) {
 	q.watcher.mu.Lock()
 	defer q.watcher.mu.Unlock()
+	switch {
+	case !leaving:
+		q.leavingSince = time.Time{}
+	case q.leavingSince.IsZero():
+		q.leavingSince = now
+	}
 	if q.answers == 0 {
 		if now.Sub(q.released) > retention {
 			delete(q.watcher.peers, q.Name)
--- a/internal/transport/peerwatch/peerwatch_test.go
+++ b/internal/transport/peerwatch/peerwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,25 +20,142 @@
 // TestEnding_InStep checks which ends a process chooses.
 func TestEnding_InStep(t *testing.T) {
 	began := time.Now()
+	const tick = 4 * time.Millisecond
 	for _, c := range []struct {
-		after, pause time.Duration
-		withData     bool
-		want         bool
+		after, pause, precision time.Duration
+		want                    bool
+		telling                 bool
 	}{
-		{0, 0, false, true},
-		{3 * time.Millisecond, 0, false, true},
-		{8 * time.Millisecond, 0, false, false},
-		{30 * time.Millisecond, 100 * time.Millisecond, true, true},
-		{50 * time.Millisecond, 100 * time.Millisecond, false, false},
-		{101 * time.Millisecond, 100 * time.Millisecond, false, true},
-		{104 * time.Millisecond, 100 * time.Millisecond, false, false},
-		{300 * time.Millisecond, 100 * time.Millisecond, false, false},
+		{0, 0, 0, true, true},
+		{3 * time.Millisecond, 0, 0, true, true},
+		{8 * time.Millisecond, 0, 0, false, true},
+		{50 * time.Millisecond, 100 * time.Millisecond, 0, false, true},
+		{101 * time.Millisecond, 100 * time.Millisecond, 0, true, true},
+		{104 * time.Millisecond, 100 * time.Millisecond, 0, false, true},
+		{300 * time.Millisecond, 100 * time.Millisecond, 0, false, true},
+		{71 * time.Millisecond, 71 * time.Millisecond, 0, true, false},
+		{72 * time.Millisecond, 72 * time.Millisecond, 0, true, true},
+		{3 * time.Millisecond, 60 * time.Millisecond, 0, true, true},
+		{1 * time.Millisecond, 20 * time.Millisecond, 0, true, true},
+		{3 * time.Millisecond, 20 * time.Millisecond, 0, true, false},
+		{21 * time.Millisecond, 20 * time.Millisecond, 0, true, false},
+		{3 * time.Millisecond, 8 * time.Millisecond, 0, true, false},
+		// Times of the kernel.
+		{0, 48 * time.Millisecond, tick, true, true},
+		{0, 47 * time.Millisecond, tick, true, false},
+		{4 * time.Millisecond, 96 * time.Millisecond, tick, true, true},
+		{4 * time.Millisecond, 95 * time.Millisecond, tick, true, false},
+		{143 * time.Millisecond, 143 * time.Millisecond, tick, true, false},
+		{144 * time.Millisecond, 144 * time.Millisecond, tick, true, true},
+		{0, 500 * time.Millisecond, tick, true, true},
+		{4 * time.Millisecond, 500 * time.Millisecond, tick, true, true},
+		{8 * time.Millisecond, 500 * time.Millisecond, tick, false, true},
+		{104 * time.Millisecond, 100 * time.Millisecond, tick, true, false},
+		{108 * time.Millisecond, 100 * time.Millisecond, tick, false, false},
+		{10 * time.Millisecond, 500 * time.Millisecond, 10 * time.Millisecond, true, true},
+		{0, 20 * time.Millisecond, tick, true, false},
 	} {
-		e := Ending{At: began.Add(c.after), LastData: began, Pause: c.pause, WithData: c.withData}
+		e := Ending{At: began.Add(c.after), LastData: began, Pause: c.pause, Precision: c.precision}
 		must.Eq(t, c.want, e.isInStep(), must.Sprintf("%+v", c))
+		must.Eq(t, c.telling, e.isTelling(), must.Sprintf("%+v", c))
 	}
 }
 
+// TestEnding_ReadLate guards against cut answers taken for whole, and whole ones for cut, since a
+// busy machine reads their last bytes or their end late.
+func TestEnding_ReadLate(t *testing.T) {
+	const tick, pause = 4 * time.Millisecond, 100 * time.Millisecond
+	sent := time.Now()
+	for name, c := range map[string]struct {
+		// read and noticed are how late the last bytes and the end were read, gap is when the end came
+		// after the last bytes, and endDelay how late a relay noticed that.
+		read, noticed, gap, endDelay time.Duration
+		want                         bool
+	}{
+		"whole, read at once":                   {0, 0, 0, 0, true},
+		"whole, both read late":                 {50 * time.Millisecond, 50 * time.Millisecond, 0, 0, true},
+		"whole, its end read late":              {0, 30 * time.Millisecond, 0, 0, true},
+		"whole, its end read one pause late":    {0, pause, 0, 0, true},
+		"whole, the relay late with its end":    {0, 30 * time.Millisecond, 0, 30 * time.Millisecond, true},
+		"cut, read at once":                     {0, 0, pause / 2, 0, false},
+		"cut, read with its end":                {pause / 2, 0, pause / 2, 0, false},
+		"cut, both read late":                   {pause, pause / 2, pause / 2, 0, false},
+		"cut, its end read one pause after":     {0, pause / 2, pause / 2, 0, false},
+		"cut, the relay late, one pause after":  {0, pause / 2, pause / 2, pause / 2, false},
+		"cut, read late and the relay late too": {pause / 4, pause / 4, pause / 2, pause / 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := Ending{LastData: sent.Add(c.read), At: sent.Add(c.gap + c.noticed), Pause: pause}
+			came := sent.Add(c.gap + c.endDelay)
+			e.correct(came.Add(-c.gap), came, tick)
+			must.Eq(t, c.want, e.isInStep(), must.Sprintf("%s after", e.At.Sub(e.LastData)))
+		})
+	}
+}
+
+// TestPace_ReadLate checks that the time between the last bytes and the end is that of their arrival,
+// and that an end counts as one at any moment where that can't be told any more.
+func TestPace_ReadLate(t *testing.T) {
+	const gap, pause = 50 * time.Millisecond, 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		late, gap       time.Duration
+		inStep, unknown bool
+	}{
+		"whole, read at once":        {0, 0, true, false},
+		"whole, read late":           {2 * pause, 0, true, false},
+		"cut, read at once":          {0, gap, false, false},
+		"cut, read late":             {2 * pause, gap, false, false},
+		"whole, read after a second": {time.Second, 0, false, true},
+		"cut, read after a second":   {time.Second, gap, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e, heldUp := endOfThreeParts(t, pause, c.late, c.gap)
+			for plays := 1; heldUp > pauseTolerance && plays < 3; plays++ {
+				t.Logf("played again: the end was sent %s late", heldUp)
+				e, heldUp = endOfThreeParts(t, pause, c.late, c.gap)
+			}
+			must.Eq(t, c.inStep, e.isInStep(), must.Sprintf("%+v", e))
+			must.Eq(t, c.unknown, e.Late)
+		})
+	}
+}
+
+// endOfThreeParts returns the end of an answer of three parts, whose process ends it so long after
+// the last one, and of which the last one is read late. It also returns how much later than that the
+// machine let the process end it.
+func endOfThreeParts(t *testing.T, pause, late, gap time.Duration) (e Ending, heldUp time.Duration) {
+	t.Helper()
+	lag := make(chan time.Duration, 1)
+	listener := process(t, func(conn net.Conn) {
+		var sent time.Time
+		for range 3 {
+			time.Sleep(pause)
+			sent = time.Now()
+			_, _ = conn.Write([]byte("part"))
+		}
+		time.Sleep(gap)
+		_ = conn.Close()
+		lag <- time.Since(sent) - gap
+	})
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	var pace Pace
+	buffer := make([]byte, len("part"))
+	for i := range 3 {
+		if i == 2 && late > 0 {
+			time.Sleep(pause + late)
+		}
+		n, err := io.ReadFull(conn, buffer)
+		must.NoError(t, err)
+		pace.Read(n, conn, time.Now())
+	}
+	_, err = conn.Read(buffer)
+	must.ErrorIs(t, err, io.EOF)
+	return pace.End(conn, time.Now()), <-lag
+}
+
 // process accepts connections and treats each as serve says.
 func process(t *testing.T, serve func(conn net.Conn)) net.Listener {
 	t.Helper()
@@ -91,7 +209,7 @@
 				_ = conn.Close()
 			})
 			e := endAfter(w, peerAt(listener.Addr().String()), 1500*time.Millisecond)
-			must.Eq(t, gateway.EndEvidence{Simultaneous: 1, InStep: true}, e)
+			must.Eq(t, gateway.EndEvidence{Simultaneous: 1, InStep: true, Telling: true}, e)
 			// At 0, 250 and 750 ms.
 			must.LessEq(t, 3, w.Dialed())
 			must.GreaterEq(t, 2, w.Dialed())
@@ -117,9 +235,9 @@
 		identity Identity
 		want     gateway.EndEvidence
 	}{
-		"unknown": {IdentityUnknown, gateway.EndEvidence{Simultaneous: 1, InStep: true}},
-		"same":    {IdentitySame, gateway.EndEvidence{Alive: true, Simultaneous: 1, InStep: true}},
-		"other":   {IdentityOther, gateway.EndEvidence{ListenerClosed: true, Simultaneous: 1, InStep: true}},
+		"unknown": {IdentityUnknown, gateway.EndEvidence{Simultaneous: 1, InStep: true, Telling: true}},
+		"same":    {IdentitySame, gateway.EndEvidence{Alive: true, Simultaneous: 1, InStep: true, Telling: true}},
+		"other":   {IdentityOther, gateway.EndEvidence{ListenerClosed: true, Simultaneous: 1, InStep: true, Telling: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			mu.Lock()
@@ -192,3 +310,24 @@
 	defer w.mu.Unlock()
 	must.MapEmpty(t, w.peers)
 }
+
+// TestWatch_KnownToLeave guards against the last answer of a process that leaves and ends with it,
+// which is taken for broken, and against one of a process of which that is known only once it has
+// sent the last bytes, as of one that was killed.
+func TestWatch_KnownToLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  bool
+	}{"before the answer": {0, true}, "during it": {150 * time.Millisecond, true}, "at its end": {390 * time.Millisecond, false}, "after it": {420 * time.Millisecond, false}, "never": {time.Hour, false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := New()
+			defer w.Close()
+			listener := process(t, func(net.Conn) {})
+			began := time.Now()
+			p := peerAt(listener.Addr().String())
+			p.Leaving = func() bool { return time.Since(began) >= c.after }
+			must.Eq(t, c.want, endAfter(w, p, 400*time.Millisecond).Leaving)
+		})
+	}
+}
--- a/internal/transport/tunnel/dial.go
+++ b/internal/transport/tunnel/dial.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/flamingohaven/flamingohaven/internal/transport/httphead"
+	"github.com/flamingohaven/flamingohaven/internal/transport/peerwatch"
+	"github.com/flamingohaven/flamingohaven/internal/transport/tcpinfo"
 )
 
 // RefusedError is the answer of a relay that opened no tunnel.
@@ -72,7 +74,7 @@
 	_ = conn.SetDeadline(time.Time{})
 	t := &tunneled{Conn: conn, from: conn, began: time.Now(), ended: o.Ended, ending: Ending{Origin: o.Origin, Target: target}}
 	if framed {
-		t.from = &frameReader{from: reader}
+		t.from = &frameReader{from: reader, timed: answer.Header.Get(headerTimed) == timedV1}
 	}
 	return t, nil
 }
@@ -83,6 +85,7 @@
 	head := httphead.New(http.MethodConnect, target)
 	head.Field("Host", target)
 	head.Field(headerFrames, framesV1)
+	head.Field(headerTimed, timedV1)
 	for name, value := range map[string]string{headerGateway: o.Gateway, headerRequest: o.Request} {
 		if value != "" && httphead.CheckField(name, value) == nil {
 			head.Field(name, value)
@@ -119,6 +122,18 @@
 	return n, err
 }
 
+// Times implements peerwatch.Timer. Those of the end are known once the last frame was read. It
+// must not be called while Read runs.
+func (t *tunneled) Times() (peerwatch.Times, bool) {
+	info, known := tcpinfo.Of(t.Conn)
+	times := peerwatch.Times{DataAge: info.SinceData}
+	if frames, ok := t.from.(*frameReader); ok && frames.gapKnown && frames.end == EndProper {
+		times.Ended, times.EndKnown, times.Late = true, frames.gap != endGapLate, frames.gap == endGapLate
+		times.EndGap, times.EndAge = time.Duration(frames.gap)*time.Millisecond, info.SinceData
+	}
+	return times, known
+}
+
 // Write implements io.Writer.
 func (t *tunneled) Write(p []byte) (int, error) {
 	n, err := t.Conn.Write(p)
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/transport/connguard"
+	"github.com/flamingohaven/flamingohaven/internal/transport/peerwatch"
 )
 
 const (
@@ -189,11 +190,14 @@
 		return
 	}
 	defer s.remove(t)
-	answer := "HTTP/1.1 200 Connected\r\n\r\n"
+	answer := "HTTP/1.1 200 Connected\r\n"
 	if t.framed = r.Header.Get(headerFrames) == framesV1; t.framed {
-		answer = "HTTP/1.1 200 Connected\r\n" + headerFrames + ": " + framesV1 + "\r\n\r\n"
+		answer += headerFrames + ": " + framesV1 + "\r\n"
 	}
-	if _, err := io.WriteString(conn, answer); err != nil {
+	if t.timed = t.framed && r.Header.Get(headerTimed) == timedV1; t.timed {
+		answer += headerTimed + ": " + timedV1 + "\r\n"
+	}
+	if _, err := io.WriteString(conn, answer+"\r\n"); err != nil {
 		return
 	}
 	ending := t.run()
@@ -233,8 +237,9 @@
 	fromConn io.Reader
 	upstream net.Conn
 	began    time.Time
-	// framed is true if the gateway gets frames.
+	// framed is true if the gateway gets frames, and timed if the last one is timed.
 	framed  bool
+	timed   bool
 	stopped atomic.Bool
 	sent    atomic.Int64
 	// ending is complete when the tunnel has ended.
@@ -257,7 +262,7 @@
 	sent := make(chan End, 1)
 	toUpstream := &watchedWriter{conn: t.upstream}
 	go func() {
-		readErr, writeErr := pass(toUpstream, t.fromConn, false, &t.sent)
+		readErr, writeErr := pass(toUpstream, t.fromConn, false, &t.sent, nil)
 		end := endOf(readErr)
 		if writeErr != nil {
 			end = EndOpen
@@ -271,7 +276,17 @@
 		sent <- end
 	}()
 	var received atomic.Int64
-	readErr, writeErr := pass(t.conn, t.upstream, t.framed, &received)
+	var pace peerwatch.Pace
+	wasRead := func(n int) {
+		conn := t.upstream
+		if n == copyBufferSize {
+			// More bytes wait: nothing ends here.
+			conn = nil
+		}
+		pace.Read(n, conn, time.Now())
+	}
+	readErr, writeErr := pass(t.conn, t.upstream, t.framed, &received, wasRead)
+	gap := endGapOf(pace.End(t.upstream, time.Now()))
 	end := endOf(readErr)
 	switch {
 	case t.stopped.Load() && (writeErr != nil || end == EndTimeout):
@@ -287,7 +302,11 @@
 	}
 	if t.framed && writeErr == nil {
 		_ = t.conn.SetWriteDeadline(time.Now().Add(lastFrameTimeout))
-		_, err := t.conn.Write(appendLastFrame(nil, end))
+		last := appendLastFrame(nil, end)
+		if t.timed {
+			last = binary.BigEndian.AppendUint32(last, uint32(gap))
+		}
+		_, err := t.conn.Write(last)
 		endDelivered = err == nil
 	}
 	if endDelivered {
@@ -337,11 +356,14 @@
 }
 
 // pass copies until the end of the source, which is no error, each read as a frame if
-// framed is set.
-func pass(to io.Writer, from io.Reader, framed bool, count *atomic.Int64) (readErr, writeErr error) {
+// framed is set. It calls wasRead, if not nil, with the size of each read.
+func pass(to io.Writer, from io.Reader, framed bool, count *atomic.Int64, wasRead func(n int)) (readErr, writeErr error) {
 	buffer := make([]byte, frameHead+copyBufferSize)
 	for {
 		n, err := from.Read(buffer[frameHead:])
+		if wasRead != nil {
+			wasRead(n)
+		}
 		if n > 0 {
 			part := buffer[frameHead : frameHead+n]
 			if framed {
--- a/internal/transport/upstreamhttp/endwatch_test.go
+++ b/internal/transport/upstreamhttp/endwatch_test.go
@@ -61,13 +61,18 @@
 			sent := send(t, s, listener.Addr().String(), 1, nil, false)
 			must.Eq(t, gateway.DispatchComplete, sent.Outcome)
 			time.Sleep(gateway.EndCheckDelay)
-			basis, err := gateway.JudgeEnd(sent.Evidence(), func() error {
+			connect := func() error {
 				conn, err := net.Dial("tcp4", listener.Addr().String())
 				if err == nil {
 					_ = conn.Close()
 				}
 				return err
-			})
+			}
+			check := gateway.EndCheck{
+				Evidence: sent.Evidence, Dial: connect, Connect: connect,
+				Settle: func() { time.Sleep(gateway.EndSettleTime - gateway.EndCheckDelay) },
+			}
+			basis, err := check.Judge()
 			must.Eq(t, c.killed, err != nil, must.Sprint(basis))
 			_ = listener.Close()
 		})
