rollouts: differences that callers don't notice are no fault

Traced on 2026-12-07: "the target usually takes 6 ms, the former versions 3 ms", on a route whose objective is 100 ms. The evaluator compared times by their ratio only.

A version is slower, and an answer very slow, only if the difference is over an eighth of the route's objective too. Routes without an objective are judged as before.

TestEvaluator_UnnoticedDifferences fails without the bound (a version of 6 ms is rolled back) and passes in five runs; it also holds versions that are slower by more, on one route, on a tight one and on one without an objective, to a rollback.

--- a/internal/command/fleet/rollouts.go
+++ b/internal/command/fleet/rollouts.go
@@ -55,6 +55,8 @@
 // openRequest is a granted request whose outcome is not known yet.
 type openRequest struct {
 	route ident.RouteName
+	// objective is the time left for the answer to begin; 0 without one.
+	objective time.Duration
 	// onTarget is true if the request was granted on the rollout's target version.
 	onTarget bool
 	// limited is true if the upstream named a rate limit in its answer.
@@ -106,7 +108,7 @@
 	defer w.mu.Unlock()
 	if w.record.State == rollout.StateRunning && !w.record.Withholds(g.Version) {
 		// What a version that was rolled back fails is no sample of the former versions.
-		w.open[t.ID] = &openRequest{route: t.Route, onTarget: g.Version == w.record.Target}
+		w.open[t.ID] = &openRequest{route: t.Route, objective: t.Objective, onTarget: g.Version == w.record.Target}
 	}
 }
 
@@ -118,7 +120,7 @@
 	if o == nil {
 		return
 	}
-	sample := rollouts.Sample{Target: o.onTarget, Route: o.route, First: cmp.Or(o.firstToken, r.Elapsed)}
+	sample := rollouts.Sample{Target: o.onTarget, Route: o.route, Objective: o.objective, First: cmp.Or(o.firstToken, r.Elapsed)}
 	switch r.Kind {
 	case scheduler.ReportDispatched:
 		return
--- a/internal/coordination/rollouts/evaluator.go
+++ b/internal/coordination/rollouts/evaluator.go
@@ -55,6 +55,9 @@
 	// called bad: a pause of the machine delays many answers at once.
 	verySlowFactor    = 4.0
 	minVerySlowExcess = 0.125
+	// unnoticedFraction is the fraction of a route's objective by which answers may begin later
+	// unnoticed by its callers. It is that of a crossing to another data centre.
+	unnoticedFraction = 0.125
 	// firstExtra is how many requests the target may get beyond its share before it has
 	// answered any, if the former versions are lost.
 	firstExtra = 4
@@ -66,6 +69,9 @@
 	Target bool
 	Route  ident.RouteName
 	Failed bool
+	// Objective is the time left, when the request was sent, for the answer to begin; 0 if its route
+	// has no objective, negative if the request had missed it.
+	Objective time.Duration
 	// First is the time from dispatch to the first part of the answer; 0 if the
 	// request failed before.
 	First time.Duration
@@ -82,7 +88,11 @@
 }
 
 // comparison holds the statistics of the former versions and of the target.
-type comparison struct{ former, target outcomeStats }
+type comparison struct {
+	former, target outcomeStats
+	// unnoticed is the difference of times, in seconds, up to which a version isn't slower.
+	unnoticed float64
+}
 
 // outcomeStats accumulates outcomes. It keeps times as logarithms of seconds,
 // since a mean of plain times is dominated by the few answers that a pause of the
@@ -98,6 +108,9 @@
 // meanLog returns the mean of the logarithms of the times.
 func (c *outcomeStats) meanLog() float64 { return c.sumLog / c.timed }
 
+// usual returns the geometric mean of the times, in seconds.
+func (c *outcomeStats) usual() float64 { return math.Exp(c.meanLog()) }
+
 // meanLogVariance returns the variance of meanLog, the square of its standard
 // error.
 func (c *outcomeStats) meanLogVariance() float64 {
@@ -117,6 +130,7 @@
 		route = &comparison{}
 		e.routes[s.Route] = route
 	}
+	e.allowUnnoticed(route, s.Objective)
 	e.all.add(s)
 	route.add(s)
 	if e.fault == "" && s.Target {
@@ -124,6 +138,20 @@
 	}
 }
 
+// allowUnnoticed sets the differences that callers don't notice. The longest time left that a request
+// of a route had is the route's objective; all routes together are held to the strictest of them.
+func (e *Evaluator) allowUnnoticed(route *comparison, objective time.Duration) {
+	unnoticed := unnoticedFraction * objective.Seconds()
+	if unnoticed <= route.unnoticed && (route.unnoticed > 0 || e.all.unnoticed == 0) {
+		return
+	}
+	route.unnoticed = max(route.unnoticed, unnoticed)
+	e.all.unnoticed = math.Inf(1)
+	for _, r := range e.routes {
+		e.all.unnoticed = min(e.all.unnoticed, r.unnoticed)
+	}
+}
+
 // Retract takes back a failed outcome that the version did not cause. A fault that
 // was found with it is forgotten unless it holds without it.
 func (e *Evaluator) Retract(s Sample) {
@@ -180,7 +208,7 @@
 		return
 	}
 	log := math.Log(s.First.Seconds())
-	if p.former.timed >= minTimedAnswers && log > p.former.meanLog()+math.Log(verySlowFactor) {
+	if p.former.timed >= minTimedAnswers && log > p.former.meanLog()+math.Log(verySlowFactor) && s.First.Seconds()-p.former.usual() > p.unnoticed {
 		c.slow++
 	}
 	c.timed++
@@ -203,9 +231,9 @@
 		return ""
 	}
 	excess := target.meanLog() - former.meanLog()
-	if excess > max(math.Log(slowRatio), slowZScore*math.Sqrt(target.meanLogVariance()+former.meanLogVariance())) {
-		return fmt.Sprintf("the target usually takes %.0f ms, the former versions %.0f ms",
-			1000*math.Exp(target.meanLog()), 1000*math.Exp(former.meanLog()))
+	isSlower := excess > max(math.Log(slowRatio), slowZScore*math.Sqrt(target.meanLogVariance()+former.meanLogVariance()))
+	if isSlower && target.usual()-former.usual() > p.unnoticed {
+		return fmt.Sprintf("the target usually takes %.0f ms, the former versions %.0f ms", 1000*target.usual(), 1000*former.usual())
 	}
 	if exceeds(target.slow, target.timed, former.slow, former.timed, minVerySlowExcess) {
 		return fmt.Sprintf("the target was very slow for %.0f of %.0f, the former versions for %.0f of %.0f",
--- a/internal/coordination/rollouts/evaluator_test.go
+++ b/internal/coordination/rollouts/evaluator_test.go
@@ -263,3 +263,49 @@
 	j.Retract(failed)
 	must.NotEq(t, "", j.fault)
 }
+
+// replayTimes runs a rollout whose routes have objectives, and on which the former version answers
+// after 3 ms on average and the target by a factor later. It returns the rollout's final state.
+func replayTimes(seed int64, objectives map[ident.RouteName]time.Duration, factors map[ident.RouteName]float64) rollout.State {
+	rng := rand.New(rand.NewSource(seed))
+	e := NewEvaluator(testOrder, testBegan)
+	for at := time.Duration(0); ; at += 16 * time.Millisecond {
+		now := testBegan.Add(at)
+		route := ident.RouteName([]string{"a", "b"}[rng.Intn(2)])
+		first := 3 * math.Exp(0.3*rng.NormFloat64())
+		toTarget := rng.Float64() < e.Share(now)
+		if toTarget {
+			first *= factors[route]
+		}
+		// Some requests are sent late.
+		objective := time.Duration(float64(objectives[route]) * (1 - 1.2*max(0, rng.Float64()-0.5)))
+		e.Observe(Sample{Target: toTarget, Route: route, Objective: objective, First: time.Duration(first * float64(time.Millisecond))})
+		if state, _ := e.Verdict(now, 0); state.Final() {
+			return state
+		}
+	}
+}
+
+// TestEvaluator_UnnoticedDifferences guards against a good version that is rolled back because it
+// takes some milliseconds more, an eighth of the routes' objectives at most; and against a version that
+// is slower than that on one route, or on one without an objective, and completes.
+func TestEvaluator_UnnoticedDifferences(t *testing.T) {
+	const tight, usual = 20 * time.Millisecond, 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		objectives map[ident.RouteName]time.Duration
+		factors    map[ident.RouteName]float64
+		want       rollout.State
+	}{
+		"twice as long":                  {map[ident.RouteName]time.Duration{"a": usual, "b": usual}, map[ident.RouteName]float64{"a": 2, "b": 2}, rollout.StateCompleted},
+		"2.5 times as long":              {map[ident.RouteName]time.Duration{"a": usual, "b": usual}, map[ident.RouteName]float64{"a": 2.5, "b": 2.5}, rollout.StateCompleted},
+		"eight times as long":            {map[ident.RouteName]time.Duration{"a": usual, "b": usual}, map[ident.RouteName]float64{"a": 8, "b": 8}, rollout.StateRolledBack},
+		"eight times as long on a route": {map[ident.RouteName]time.Duration{"a": usual, "b": usual}, map[ident.RouteName]float64{"a": 1, "b": 8}, rollout.StateRolledBack},
+		"a tight route":                  {map[ident.RouteName]time.Duration{"a": usual, "b": tight}, map[ident.RouteName]float64{"a": 1, "b": 3}, rollout.StateRolledBack},
+		"a route without an objective":   {map[ident.RouteName]time.Duration{"a": usual}, map[ident.RouteName]float64{"a": 1, "b": 3}, rollout.StateRolledBack},
+		"no objectives":                  {nil, map[ident.RouteName]float64{"a": 3, "b": 3}, rollout.StateRolledBack},
+	} {
+		for seed := range int64(50) {
+			must.Eq(t, c.want, replayTimes(seed, c.objectives, c.factors), must.Sprintf("%s, seed %d", name, seed))
+		}
+	}
+}
