scheduler, pool: an upstream that leaves does so under its other names

The mark was kept by the name, which tells the starts apart.

Entries of the list carry when the start began (control.Discovered.Started; a leader of an earlier build leaves it out). A later name of one address and id whose start had begun, by the list, when the upstream said that it leaves is that run: the scheduler and each gateway carry the mark over, for 30 s. A start that began after that gets requests at once.

--- a/internal/command/fleet/pools.go
+++ b/internal/command/fleet/pools.go
@@ -252,7 +252,7 @@
 		_, evacuated := n.follower.Evacuation(d.Upstream.Zone)
 		view.Upstreams = append(view.Upstreams, scheduler.Upstream{
 			Name: d.Name, Version: d.Upstream.Version, Zone: d.Upstream.Zone, Region: n.settings.region(d.Upstream.Zone),
-			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream),
+			MaxConcurrent: d.Upstream.MaxConcurrent, Leaving: d.Leaving, Process: processOf(d.Upstream), Started: d.Started,
 			Evacuated: evacuated, Withheld: watch.withholds(d.Upstream.Version), ColdFor: d.ColdFor, ColdNumber: d.ColdNumber,
 		})
 	}
--- a/internal/command/fleet/sync.go
+++ b/internal/command/fleet/sync.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/flamingohaven/flamingohaven/internal/coordination/control"
+	"github.com/flamingohaven/flamingohaven/internal/coordination/pool"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/routing"
 	"github.com/flamingohaven/flamingohaven/internal/coordination/scheduler"
 	"github.com/flamingohaven/flamingohaven/internal/state/boottime"
@@ -250,9 +251,11 @@
 // setUpstreams replaces the known upstreams and records what has changed.
 func (n *Node) setUpstreams(found []control.Discovered, source string) {
 	next := newUpstreamTable(found)
+	previous := n.upstreams.Load()
+	next.setKnown(previous, time.Now())
 	// Before new names can be granted.
-	n.carryPauses(n.upstreams.Load(), next)
-	previous := n.upstreams.Swap(next)
+	n.linkNames(previous, next)
+	n.upstreams.Store(next)
 	events := upstreamEvents(previous, next, source)
 	if len(events) > maxUpstreamEvents {
 		events = []timeline.Event{{Kind: timeline.KindUpstream, Detail: fmt.Sprintf("%d changes at once, %d upstreams listed now, from %s", len(events), len(found), source)}}
@@ -262,9 +265,9 @@
 	}
 }
 
-// carryPauses tells the pools' clients of upstreams that are listed under another name than
+// linkNames tells the pools' clients of upstreams that are listed under another name than
 // before.
-func (n *Node) carryPauses(previous, next *upstreamTable) {
+func (n *Node) linkNames(previous, next *upstreamTable) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, d := range next.byName {
@@ -274,7 +277,7 @@
 		for _, former := range previous.byAddress[d.Upstream.Address] {
 			c := n.clients[d.Upstream.Pool]
 			if c != nil && former.Upstream.Pool == d.Upstream.Pool && processOf(former.Upstream) == processOf(d.Upstream) {
-				c.Succeeds(name, former.Name)
+				c.Succeeds(next.listedName(d), previous.listedName(former))
 			}
 		}
 	}
@@ -318,6 +321,23 @@
 	byPool map[ident.PoolName][]control.Discovered
 	// byAddress holds the upstreams by host:port; one may follow another at its address.
 	byAddress map[string][]control.Discovered
+	// known holds since when the names are known.
+	known map[ident.UpstreamName]time.Time
+}
+
+// setKnown sets since when the names are known, some of them from the table before.
+func (t *upstreamTable) setKnown(previous *upstreamTable, now time.Time) {
+	t.known = make(map[ident.UpstreamName]time.Time, len(t.byName))
+	for name := range t.byName {
+		t.known[name] = now
+		if since, known := previous.known[name]; known {
+			t.known[name] = since
+		}
+	}
+}
+
+func (t *upstreamTable) listedName(d control.Discovered) pool.ListedName {
+	return pool.ListedName{Name: d.Name, Started: d.Started, Known: t.known[d.Name]}
 }
 
 func newUpstreamTable(found []control.Discovered) *upstreamTable {
--- a/internal/coordination/control/fleet_types.go
+++ b/internal/coordination/control/fleet_types.go
@@ -37,6 +37,8 @@
 type Discovered struct {
 	Name     ident.UpstreamName
 	Upstream config.Upstream
+	// Started is when the upstream started, by the platform's list, in Unix milliseconds; 0 if unknown.
+	Started int64
 	// Leaving is true for an upstream that gets no new work.
 	Leaving bool
 	// ColdFor is how much longer the upstream was cold when ColdNumber last changed; 0 for
--- a/internal/coordination/pool/client.go
+++ b/internal/coordination/pool/client.go
@@ -76,9 +76,9 @@
 	// pauses holds until when upstreams asked this gateway to send them nothing.
 	pauses map[ident.UpstreamName]time.Time
 	// successors holds the later names of upstreams that were listed under another one.
-	successors map[ident.UpstreamName]ident.UpstreamName
-	// leaving holds when upstreams that said in an answer that they leave became known.
-	leaving map[ident.UpstreamName]time.Time
+	successors map[ident.UpstreamName]succession
+	// leaving holds the upstreams that are known to have said in an answer that they leave.
+	leaving map[ident.UpstreamName]leavingMark
 	// cold holds which upstreams are cold, and coldLimited is true if that limits them.
 	cold        coldUpstreams
 	coldLimited bool
@@ -124,8 +124,8 @@
 		running:     make(map[ident.RequestID]*runningRequest),
 		notices:     make(map[ident.UpstreamName]upstreamNotices),
 		pauses:      make(map[ident.UpstreamName]time.Time),
-		successors:  make(map[ident.UpstreamName]ident.UpstreamName),
-		leaving:     make(map[ident.UpstreamName]time.Time),
+		successors:  make(map[ident.UpstreamName]succession),
+		leaving:     make(map[ident.UpstreamName]leavingMark),
 		cold:        make(coldUpstreams),
 		poison:      poisonRecord{start: time.Now(), requests: newEndedSet(), parts: newEndedSet()},
 	}
--- a/internal/coordination/pool/pauses.go
+++ b/internal/coordination/pool/pauses.go
@@ -15,19 +15,33 @@
 // maxSuccessors bounds the names of one upstream that a pause is kept for, one after another.
 const maxSuccessors = 4
 
-// Succeeds says that the upstream which was listed under the name former is listed under
-// another one. The same process may be meant by both, so a pause that it asked this gateway
-// for under either holds under the later one too.
-func (c *Client) Succeeds(name, former ident.UpstreamName) {
+// ListedName is a name that the platform's list gives an upstream.
+type ListedName struct {
+	Name ident.UpstreamName
+	// Started is when the upstream started, by the list, in Unix milliseconds; 0 if unknown.
+	Started int64
+	// Known is when the name was first read.
+	Known time.Time
+}
+
+// succession says that an upstream is listed under another name than before.
+type succession struct{ former, later ListedName }
+
+// Succeeds says that the upstream which was listed under a name is listed under another one.
+// The same process may be meant by both, so a pause that it asked this gateway for under
+// either holds under the later one too. So does, for a start that had begun by then, that it leaves.
+func (c *Client) Succeeds(later, former ListedName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.successors) >= maxPauses {
 		clear(c.successors)
 	}
-	c.successors[former] = name
-	if now := time.Now(); c.pauseLeft(former, now) > 0 {
-		c.pauseUntil(name, c.pauses[former], now)
+	c.successors[former.Name] = succession{former: former, later: later}
+	now := time.Now()
+	if c.pauseLeft(former.Name, now) > 0 {
+		c.pauseUntil(later.Name, c.pauses[former.Name], now)
 	}
+	c.carryLeaving(former.Name, now)
 }
 
 // pauseUntil keeps requests from an upstream until a time, also under its later names. An
@@ -39,7 +53,7 @@
 		if !renamed {
 			return
 		}
-		name = next
+		name = next.later.Name
 	}
 }
 
--- a/internal/coordination/pool/pauses_test.go
+++ b/internal/coordination/pool/pauses_test.go
@@ -61,14 +61,64 @@
 	c := NewClient(testPool, "g", 1, nil, nil)
 	now := time.Now()
 	c.pauseUntil("a", now.Add(time.Minute), now)
-	c.Succeeds("b", "a")
+	c.Succeeds(ListedName{Name: "b"}, ListedName{Name: "a"})
 	must.Positive(t, c.PauseLeft("b"))
 	c.pauseUntil("a", now.Add(time.Hour), now)
 	must.Greater(t, time.Minute, c.PauseLeft("b"))
-	c.Succeeds("a", "b")
+	c.Succeeds(ListedName{Name: "a"}, ListedName{Name: "b"})
 	c.pauseUntil("b", now.Add(2*time.Hour), now)
 	must.Greater(t, time.Hour, c.PauseLeft("a"))
 	must.Zero(t, c.PauseLeft("c"))
-	c.Succeeds("c", "d")
+	c.Succeeds(ListedName{Name: "c"}, ListedName{Name: "d"})
 	must.Zero(t, c.PauseLeft("c"))
 }
+
+// TestClient_LeavingOfRenamedUpstream guards against requests of a gateway to an upstream that has told it
+// that it leaves and is listed under another name since, though it goes on; and against a next
+// start that gets none.
+func TestClient_LeavingOfRenamedUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const first = 1_785_000_000_000
+		c := NewClient(testPool, "g", 1, nil, nil)
+		mark := func(name ident.UpstreamName) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.markLeaving(name, time.Now())
+		}
+		listed := func(name ident.UpstreamName, started int64) ListedName {
+			return ListedName{Name: name, Started: started, Known: time.Now()}
+		}
+		a, b := listed("a", first), listed("b", first+1)
+		time.Sleep(400 * time.Millisecond)
+		mark("a")
+		time.Sleep(time.Minute)
+		c.Succeeds(b, a)
+		must.True(t, c.Leaving("b"))
+		last := listed("c", first+400)
+		c.Succeeds(last, b)
+		must.True(t, c.Leaving("c"))
+		c.Succeeds(listed("d", first+401), last)
+		must.False(t, c.Leaving("d"))
+		c.Succeeds(listed("e", 0), a)
+		must.False(t, c.Leaving("e"))
+		c.Succeeds(listed("f", first-1), a)
+		must.False(t, c.Leaving("f"))
+		c.mu.Lock()
+		must.Eq(t, []ident.UpstreamName{"a"}, c.leavingNames(time.Now()))
+		c.mu.Unlock()
+		time.Sleep(scheduler.CarriedLeavingRetention + 1)
+		must.False(t, c.Leaving("b"))
+		must.True(t, c.Leaving("a"))
+
+		// It says so under a name that has a later one.
+		x := listed("x", first)
+		c.Succeeds(listed("y", first+1), x)
+		must.False(t, c.Leaving("y"))
+		time.Sleep(10 * time.Millisecond)
+		mark("x")
+		must.True(t, c.Leaving("y"))
+		mark("y")
+		time.Sleep(scheduler.CarriedLeavingRetention + 1)
+		must.True(t, c.Leaving("y"))
+	})
+}
--- a/internal/coordination/scheduler/engine.go
+++ b/internal/coordination/scheduler/engine.go
@@ -21,6 +21,8 @@
 	listed bool
 	// saysLeaving is true once the upstream has said in an answer that it leaves.
 	saysLeaving bool
+	// knownAt is when the view named it first.
+	knownAt time.Duration
 	// versionNotLoaded is true while the upstream reports that its version is not
 	// loaded.
 	versionNotLoaded bool
--- a/internal/coordination/scheduler/pool.go
+++ b/internal/coordination/scheduler/pool.go
@@ -73,7 +73,7 @@
 	// leaving holds the upstreams that have said in an answer that they leave, with the
 	// time at which the pool learnt it, and leavingChanges those since the last call of
 	// LeavingChanges.
-	leaving        map[ident.UpstreamName]time.Duration
+	leaving        map[ident.UpstreamName]leavingMark
 	leavingChanges []ident.UpstreamName
 	// meanService is the average service time of the latest tickets.
 	meanService time.Duration
@@ -225,7 +225,8 @@
 		g.fraction = p.fraction
 		g.limitTrusted = p.view.Shared != nil
 		g.unheard = p.isUninformed(p.now)
-		_, g.saysLeaving = p.leaving[u.Name]
+		g.knownAt = p.now
+		p.adoptLeaving(g)
 		p.adoptLimit(g, p.now)
 		p.adoptBrittle(g, p.now)
 		p.adoptPauses(g)
--- a/internal/coordination/scheduler/view.go
+++ b/internal/coordination/scheduler/view.go
@@ -21,6 +21,9 @@
 	Process string
 	// Region is the region of the upstream's data centre; empty if it isn't known.
 	Region ident.Region
+	// Started is when the upstream started, by the platform's list, in Unix milliseconds; 0 if
+	// unknown.
+	Started int64
 	// Evacuated upstreams get no new work until the evacuation of their data centre ends.
 	Evacuated bool
 	// Withheld upstreams get no new work: their version was rolled back.
